Add authenticated messages and membership with exclusive ownership

Cause: permits need one owner a shard, and cold targets must never have two. Change: envelopes with HMAC-SHA256 over MessagePack; a membership machine without I/O: rendezvous owners inside the shard's data centre first, terms that only grow, ownership that counts as exclusive only while a majority of listed instances follows it in answer to a recent heartbeat. Ruled out: a lease in the table service (it is down for long stretches) and a wait alone (two halves of a split group would both wait and both go on). Found on the way: an owner whose group had seen a newer term of a lost owner believed for good to own what nobody followed (proptest: split 2|2, freeze); peers now tell it the newest term they know. Epochs carry the wall clock so that a restarted instance can't repeat a term of its former life.

--- /dev/null
+++ b/components/members/src/follow.rs
@@ -0,0 +1,123 @@
+//! Which owner this instance follows for each shard.
+
+use std::collections::BTreeMap;
+
+use types::{Epoch, InstanceId, Shard};
+use wire::Claim;
+
+/// The owner that an instance follows for a shard.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Followed {
+    /// The owner; `None` once it is lost.
+    pub owner: Option<InstanceId>,
+    /// The newest term seen; permits of earlier ones are void.
+    pub epoch: Epoch,
+}
+
+/// All owners followed. A term never goes back.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Follows {
+    by_shard: BTreeMap<Shard, Followed>,
+}
+
+impl Follows {
+    /// Follows an owner if its term is newer; tells whether anything changed.
+    pub fn follow(&mut self, shard: &Shard, owner: &InstanceId, epoch: Epoch) -> bool {
+        let newer = self.by_shard.get(shard).is_none_or(|f| epoch > f.epoch);
+        if newer {
+            let followed = Followed {
+                owner: Some(owner.clone()),
+                epoch,
+            };
+            self.by_shard.insert(shard.clone(), followed);
+        }
+        newer
+    }
+
+    /// The newest term seen for a shard, 0 before the first.
+    #[must_use]
+    pub fn epoch(&self, shard: &Shard) -> Epoch {
+        self.by_shard.get(shard).map_or(0, |f| f.epoch)
+    }
+
+    /// The owner followed.
+    #[must_use]
+    pub fn owner(&self, shard: &Shard) -> Option<&InstanceId> {
+        self.by_shard.get(shard)?.owner.as_ref()
+    }
+
+    /// Forgets an owner, everywhere; tells which shards have none now.
+    pub fn lose(&mut self, owner: &InstanceId) -> Vec<(Shard, Epoch)> {
+        let mut lost = Vec::new();
+        for (shard, followed) in &mut self.by_shard {
+            if followed.owner.as_ref() == Some(owner) {
+                followed.owner = None;
+                lost.push((shard.clone(), followed.epoch));
+            }
+        }
+        lost
+    }
+
+    /// Follows an owner again that was lost and came back in the same term.
+    pub fn restore(&mut self, shard: &Shard, owner: &InstanceId) {
+        if let Some(followed) = self.by_shard.get_mut(shard) {
+            followed.owner = Some(owner.clone());
+        }
+    }
+
+    /// Forgets a shard's owner but not its term.
+    pub fn release(&mut self, shard: &Shard) {
+        if let Some(followed) = self.by_shard.get_mut(shard) {
+            followed.owner = None;
+        }
+    }
+
+    /// What this instance tells an owner that it follows.
+    #[must_use]
+    pub fn claims_of(&self, owner: &InstanceId) -> Vec<Claim> {
+        let mut claims = Vec::new();
+        for (shard, followed) in &self.by_shard {
+            if followed.owner.as_ref() == Some(owner) {
+                claims.push(claim(shard, followed));
+            }
+        }
+        claims
+    }
+
+    /// Tells a peer that claims a shard in an outdated term which term is the newest; it would
+    /// otherwise believe for good to own what nobody follows it for.
+    #[must_use]
+    pub fn newer_than(&self, claimed: &BTreeMap<Shard, Epoch>) -> Vec<Claim> {
+        let mut claims = Vec::new();
+        for (shard, followed) in &self.by_shard {
+            if claimed
+                .get(shard)
+                .is_some_and(|epoch| *epoch < followed.epoch)
+            {
+                claims.push(claim(shard, followed));
+            }
+        }
+        claims
+    }
+
+    /// Takes note of a newer term whose owner is unknown.
+    pub fn note(&mut self, shard: &Shard, epoch: Epoch) {
+        if epoch > self.epoch(shard) {
+            self.by_shard
+                .insert(shard.clone(), Followed { owner: None, epoch });
+        }
+    }
+
+    /// All of it.
+    pub fn iter(&self) -> impl Iterator<Item = (&Shard, &Followed)> {
+        self.by_shard.iter()
+    }
+}
+
+fn claim(shard: &Shard, followed: &Followed) -> Claim {
+    Claim {
+        shard: shard.clone(),
+        epoch: followed.epoch,
+        owner: followed.owner.clone(),
+    }
+}
--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -1,1 +1,16 @@
-//! To be filled.
+//! Which instances are alive, and which of them owns which shard. No I/O.
+//!
+//! Heartbeats between instances stand beside the platform's lagging list. Each shard has one
+//! owner, found by rendezvous hashing over the instances that are heard. An owner gives work to
+//! cold targets only while its ownership is exclusive; see `exclusive`.
+
+pub mod api;
+pub mod exclusive;
+pub mod follow;
+pub mod membership;
+pub mod peer;
+pub mod rendezvous;
+pub mod times;
+
+pub use api::{Change, Identity, Input};
+pub use membership::Membership;
--- /dev/null
+++ b/components/members/src/times.rs
@@ -0,0 +1,32 @@
+//! The times that membership and permits rest on.
+//!
+//! They hang together: raising one may need raising another, so they stand in one place.
+
+use std::time::Duration;
+
+/// A peer that was not heard for this long owns nothing in our eyes.
+pub const SILENT: Duration = Duration::from_millis(1000);
+
+/// How long a permit may be used, counted from the entry's clock stamp it answers.
+pub const PERMIT_LIFE: Duration = Duration::from_millis(1000);
+
+/// How long a statement "I follow you" counts, from the moment its receiver sent the heartbeat
+/// that the statement answers.
+pub const FOLLOW_FRESH: Duration = Duration::from_millis(1000);
+
+/// For differences between clocks' speeds and for work between a check and its effect.
+pub const MARGIN: Duration = Duration::from_millis(200);
+
+/// A peer silent for this long can't hold a usable permit any more.
+pub const GONE: Duration = Duration::from_millis(2200);
+
+/// A gap of this length between two ticks counts as a pause. It must stay well below `SILENT`:
+/// others take shards over after that.
+pub const PAUSE: Duration = Duration::from_millis(600);
+
+/// After its start an instance takes part in nothing for this long, so that what it promised
+/// before a restart has lapsed, and so that it hears its peers before it judges them silent.
+pub const START_WAIT: Duration = Duration::from_millis(600);
+
+const _: () = assert!(GONE.as_millis() >= SILENT.as_millis() + PERMIT_LIFE.as_millis());
+const _: () = assert!(PAUSE.as_millis() < SILENT.as_millis());
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -3,15 +3,15 @@
 use serde::{Deserialize, Serialize};
 use types::{ConfigVersion, DataCentreId, Epoch, InstanceId, Moment, Shard};
 
-/// An instance's standing claim to own a shard.
+/// What an instance knows about the ownership of a shard.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Claim {
     /// The shard.
     pub shard: Shard,
     /// The term of ownership.
     pub epoch: Epoch,
-    /// The owner.
-    pub owner: InstanceId,
+    /// The owner that is followed; `None` if it is lost.
+    pub owner: Option<InstanceId>,
 }
 
 /// What an owner tells entries about a shard, so that they can choose between shards.
@@ -48,6 +48,7 @@
     pub draining: bool,
     /// Shards that the sender owns, with what entries need to choose among them.
     pub owned: Vec<ShardSummary>,
-    /// For shards owned by the receiver: the ownership that the sender follows.
+    /// For shards owned by the receiver: the ownership that the sender follows. For shards that
+    /// the receiver claims in an outdated term: the newest term that the sender knows.
     pub follows: Vec<Claim>,
 }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -44,6 +44,9 @@
     pub incarnation: Incarnation,
     /// The receiver, so that a message can't be replayed to somebody else.
     pub to: InstanceId,
+    /// Grows with each envelope of this life of the sender to this receiver; one that does not
+    /// grow was delayed or sent again by somebody else and is dropped.
+    pub number: u64,
     /// The messages, in order.
     pub messages: Vec<Message>,
 }
