Grant permits from one owner per shard

Eight entries that each guess from lagging reports overfill an engine, so one owner keeps the exact account of a shard's targets and hands out permits.

--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -3,8 +3,15 @@
 //! No socket, no clock, no executor; the only randomness is a seeded generator passed in. The
 //! daemon, the tests and the measuring tool drive the same code.
 
+pub mod account;
 pub mod api;
+pub mod journal;
+pub mod limit;
+pub mod line;
+pub mod owner;
+pub mod shard;
 
 pub use api::{
     Action, Decide, EngineReport, Event, Request, RequestId, ShardRole, TargetLimits, Used, View,
 };
+pub use owner::Owner;
