Add the entry's decisions and the baselines

Cause: an owner's permits need somebody who asks for them. Change: the entry chooses a shard by its owner's summaries, asks, binds on the grant, fetches slots for plain calls ahead of time, gives back what it can't use, moves asks from crowded shards, refuses at once what can't be served, retries within a budget. Round robin, least loaded and fixed share stand behind the same trait. Ruled out: asking several owners at once (a message more per request; measure later).

--- a/components/policy/src/api.rs
+++ b/components/policy/src/api.rs
@@ -55,6 +55,8 @@
     pub warm_after: u32,
     /// Asks that may wait at an owner for one shard.
     pub queue_limit: u32,
+    /// Retries that 100 requests may cause.
+    pub retry_percent: u32,
 }
 
 /// What a target reports about itself, with a lag.
--- /dev/null
+++ b/components/policy/src/baseline/alone.rs
@@ -0,0 +1,192 @@
+//! An instance that decides alone.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use types::{AskId, Moment, Refusal, Standing, TargetId};
+use wire::{Outcome, ShardSummary};
+
+use crate::{
+    api::{Action, Decide, Event, Request, RequestId, Used, View},
+    baseline::pick::{Known, Pick},
+};
+
+/// Tries of one request.
+const TRIES: u32 = 3;
+/// When to come back after a refusal.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+/// A baseline's permits don't lapse within a run.
+const FOREVER: Duration = Duration::from_secs(1 << 30);
+
+struct Running {
+    request: Request,
+    target: TargetId,
+    tries: u32,
+}
+
+/// A baseline: places requests by what one instance alone knows.
+pub struct Alone {
+    pick: Box<dyn Pick>,
+    view: View,
+    known: BTreeMap<TargetId, Known>,
+    running: BTreeMap<RequestId, Running>,
+    waiting: VecDeque<(Request, u32)>,
+}
+
+impl Alone {
+    /// Makes a baseline of a way to pick targets.
+    #[must_use]
+    pub fn new(pick: Box<dyn Pick>) -> Self {
+        Self {
+            pick,
+            view: View::default(),
+            known: BTreeMap::new(),
+            running: BTreeMap::new(),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    fn place(&mut self, now: Moment, request: Request, tries: u32, out: &mut Vec<Action>) {
+        if request.deadline <= now {
+            refuse(request.id, out);
+            return;
+        }
+        let open = self.open(&request);
+        let limits = self.view.limits.get(&request.service).cloned();
+        let picked = limits.and_then(|l| self.pick.pick(&request, &l, &self.known, &open));
+        let Some(known) = picked.and_then(|id| self.known.get_mut(&id)) else {
+            self.waiting.push_back((request, tries));
+            return;
+        };
+        known.running += 1;
+        let used = Used {
+            permit: 0,
+            target: known.target.clone(),
+            until: now + FOREVER,
+        };
+        out.push(Action::Dispatch {
+            request: request.id,
+            used,
+        });
+        let target = known.target.id.clone();
+        self.running.insert(
+            request.id,
+            Running {
+                request,
+                target,
+                tries: tries + 1,
+            },
+        );
+    }
+
+    fn open(&self, request: &Request) -> Vec<TargetId> {
+        let open = self.known.values().map(|k| &k.target).filter(|t| {
+            t.service == request.service
+                && t.standing == Standing::Live
+                && !self.view.out.contains(&t.data_centre)
+        });
+        open.map(|t| t.id.clone()).collect()
+    }
+
+    fn end(&mut self, id: RequestId) -> Option<Running> {
+        let running = self.running.remove(&id)?;
+        if let Some(known) = self.known.get_mut(&running.target) {
+            known.running = known.running.saturating_sub(1);
+        }
+        Some(running)
+    }
+
+    fn place_waiting(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let mut waiting: Vec<(Request, u32)> = std::mem::take(&mut self.waiting).into();
+        waiting.sort_by_key(|(request, _)| request.class);
+        for (request, tries) in waiting {
+            self.place(now, request, tries, out);
+        }
+    }
+
+    fn change(&mut self, view: View) {
+        let mut known = BTreeMap::new();
+        for target in &view.targets {
+            let before = self.known.remove(&target.id);
+            let (report, running) = before.map_or_else(Default::default, |k| (k.report, k.running));
+            let entry = Known {
+                target: target.clone(),
+                report,
+                running,
+            };
+            known.insert(target.id.clone(), entry);
+        }
+        self.known = known;
+        self.view = view;
+    }
+}
+
+fn refuse(request: RequestId, out: &mut Vec<Action>) {
+    let refusal = Refusal::new(
+        503,
+        "overloaded",
+        "Too much work",
+        "no target took the request",
+    )
+    .with_retry_after(RETRY_AFTER);
+    out.push(Action::Refuse { request, refusal });
+}
+
+impl Decide for Alone {
+    fn handle(&mut self, now: Moment, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(request) => self.place(now, request, 0, out),
+            Event::Leave { request } => {
+                self.end(request);
+                self.waiting.retain(|(r, _)| r.id != request);
+            }
+            Event::Ended {
+                request,
+                outcome,
+                again,
+            } => {
+                let Some(running) = self.end(request) else {
+                    return;
+                };
+                let counted = !matches!(outcome, Outcome::Unsent);
+                let tries = running.tries - u32::from(!counted);
+                if again && tries < TRIES {
+                    self.place(now, running.request, tries, out);
+                } else if again {
+                    refuse(request, out);
+                }
+                self.place_waiting(now, out);
+            }
+            Event::Reported { target, report } => {
+                if let Some(known) = self.known.get_mut(&target) {
+                    known.report = report;
+                }
+            }
+            Event::Changed(view) => self.change(view),
+            Event::Tick => self.place_waiting(now, out),
+            _ => {}
+        }
+    }
+
+    fn may_send(&self, _now: Moment, request: RequestId) -> bool {
+        self.running.contains_key(&request)
+    }
+
+    fn summaries(&self, _now: Moment) -> Vec<ShardSummary> {
+        Vec::new()
+    }
+
+    fn dump(&self, _now: Moment) -> Vec<String> {
+        vec![format!(
+            "{} run, {} wait",
+            self.running.len(),
+            self.waiting.len()
+        )]
+    }
+
+    fn last_ask(&self) -> AskId {
+        0
+    }
+}
--- /dev/null
+++ b/components/policy/src/baseline/pick.rs
@@ -0,0 +1,100 @@
+//! How a baseline picks a target.
+
+use std::collections::BTreeMap;
+
+use types::{Target, TargetId};
+
+use crate::api::{EngineReport, Request, TargetLimits};
+
+/// What an instance alone knows of a target.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// The target.
+    pub target: Target,
+    /// Its last report.
+    pub report: EngineReport,
+    /// Requests of this instance that it runs.
+    pub running: u32,
+}
+
+/// Picks a target for a request, or none if the request has to wait.
+pub trait Pick: Send {
+    /// Picks among targets that may take work.
+    fn pick(
+        &mut self,
+        request: &Request,
+        limits: &TargetLimits,
+        known: &BTreeMap<TargetId, Known>,
+        open: &[TargetId],
+    ) -> Option<TargetId>;
+}
+
+/// One target after another, without admission.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: usize,
+}
+
+impl Pick for RoundRobin {
+    fn pick(
+        &mut self,
+        _request: &Request,
+        _limits: &TargetLimits,
+        _known: &BTreeMap<TargetId, Known>,
+        open: &[TargetId],
+    ) -> Option<TargetId> {
+        self.next = self.next.wrapping_add(1);
+        open.get(self.next % open.len().max(1)).cloned()
+    }
+}
+
+/// The target with the least load by its lagging report, plus this instance's own.
+#[derive(Debug, Default)]
+pub struct LeastLoaded;
+
+impl Pick for LeastLoaded {
+    fn pick(
+        &mut self,
+        _request: &Request,
+        _limits: &TargetLimits,
+        known: &BTreeMap<TargetId, Known>,
+        open: &[TargetId],
+    ) -> Option<TargetId> {
+        let load = |id: &&TargetId| {
+            known
+                .get(*id)
+                .map_or(0, |k| k.report.running + k.report.waiting + k.running)
+        };
+        open.iter().min_by_key(load).cloned()
+    }
+}
+
+/// Each instance may use a fixed share of each target's concurrency.
+#[derive(Debug)]
+pub struct FixedShare {
+    /// Instances that share the targets.
+    pub instances: u32,
+}
+
+impl Pick for FixedShare {
+    fn pick(
+        &mut self,
+        _request: &Request,
+        limits: &TargetLimits,
+        known: &BTreeMap<TargetId, Known>,
+        open: &[TargetId],
+    ) -> Option<TargetId> {
+        let running = |id: &TargetId| known.get(id).map_or(0, |k| k.running);
+        let share = |id: &TargetId| {
+            let warm = known.get(id).is_none_or(|k| k.report.warm);
+            let limit = if warm {
+                limits.warm_limit
+            } else {
+                limits.cold_limit
+            };
+            (limit / self.instances.max(1)).max(1)
+        };
+        let free = open.iter().filter(|id| running(id) < share(id));
+        free.min_by_key(|id| running(id)).cloned()
+    }
+}
--- /dev/null
+++ b/components/policy/src/entry/calls.rs
@@ -0,0 +1,202 @@
+//! Plain calls: slots fetched ahead of time, so that an urgent call pays no extra round trip.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use types::{Moment, ServiceId, ServiceKind};
+use wire::Ask;
+
+use crate::{
+    api::{Action, Request, RequestId},
+    entry::{
+        machine::Entry,
+        pending::{AskOut, Pending, Stage},
+        permit::PermitKey,
+    },
+};
+
+/// A block is replaced when it can be used for less than this.
+const REFILL_BEFORE: Duration = Duration::from_millis(500);
+/// A service without calls for this long gets no blocks ahead of time.
+const QUIET: Duration = Duration::from_secs(2);
+/// Slots of one block at most.
+const SLOTS_MOST: u32 = 8;
+
+/// What an entry knows about the plain calls of one service.
+#[derive(Clone, Debug)]
+struct Demand {
+    last: Moment,
+    last_request: Option<Request>,
+    /// The most calls at once since the last refill.
+    peak: u32,
+}
+
+/// Demand of all plain services.
+#[derive(Debug, Default)]
+pub struct Calls {
+    by_service: BTreeMap<ServiceId, Demand>,
+}
+
+impl Calls {
+    /// Takes a call into account.
+    pub fn arrive(&mut self, now: Moment, service: &ServiceId) {
+        let demand = self.by_service.entry(service.clone()).or_insert(Demand {
+            last: now,
+            last_request: None,
+            peak: 1,
+        });
+        demand.last = now;
+    }
+
+    /// Slots to ask for.
+    #[must_use]
+    pub fn slots(&self, request: &Request) -> u32 {
+        if request.kind == ServiceKind::Model {
+            return 1;
+        }
+        let peak = self.by_service.get(&request.service).map_or(1, |d| d.peak);
+        peak.clamp(1, SLOTS_MOST)
+    }
+}
+
+impl Entry {
+    /// Places a plain call under a block in hand; tells whether it could.
+    pub(super) fn place_on_block(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        out: &mut Vec<Action>,
+    ) -> bool {
+        let Some(pending) = self.requests.get(&id) else {
+            return false;
+        };
+        let usable = self.permits.values().filter(|p| {
+            p.kind == ServiceKind::Plain
+                && p.shard.service == pending.request.service
+                && p.has_room(now)
+                && !pending.avoid.contains(&p.target.id)
+                && self.open(&p.target.id, p.target.incarnation)
+        });
+        // The least used first: spreads calls over targets.
+        let Some(key) = usable
+            .min_by_key(|p| (p.users.len(), p.until))
+            .map(|p| p.key)
+        else {
+            return false;
+        };
+        self.dispatch(key, id, out);
+        self.note_peak(id);
+        true
+    }
+
+    fn note_peak(&mut self, id: RequestId) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let request = pending.request.clone();
+        let blocks = self
+            .permits
+            .values()
+            .filter(|p| p.shard.service == request.service);
+        let running: usize = blocks.map(|p| p.users.len()).sum();
+        if let Some(demand) = self.calls.by_service.get_mut(&request.service) {
+            demand.peak = demand
+                .peak
+                .max(u32::try_from(running).unwrap_or(SLOTS_MOST));
+            demand.last_request = Some(request);
+        }
+    }
+
+    /// Places waiting plain calls under the free slots of a block, most urgent first.
+    pub(super) fn fill(&mut self, now: Moment, key: PermitKey, out: &mut Vec<Action>) {
+        while let Some(id) = self.next_for(now, key) {
+            let stage = self.requests.get(&id).map(|p| p.stage.clone());
+            if let Some(Stage::Asked(ask)) = stage {
+                self.withdraw(ask, out);
+            }
+            self.dispatch(key, id, out);
+            self.note_peak(id);
+        }
+    }
+
+    fn next_for(&self, now: Moment, key: PermitKey) -> Option<RequestId> {
+        let permit = self.permits.get(&key)?;
+        if permit.kind != ServiceKind::Plain
+            || !permit.has_room(now)
+            || !self.open(&permit.target.id, permit.target.incarnation)
+        {
+            return None;
+        }
+        let waits = |p: &&Pending| {
+            p.request.service == permit.shard.service
+                && !matches!(p.stage, Stage::Placed(_))
+                && !p.avoid.contains(&permit.target.id)
+        };
+        let waiting = self.requests.values().filter(waits);
+        waiting
+            .min_by_key(|p| (p.request.class, p.request.deadline))
+            .map(|p| p.request.id)
+    }
+
+    /// Asks for new blocks before the ones in hand lapse.
+    pub(super) fn refill(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let services: Vec<ServiceId> = self.calls.by_service.keys().cloned().collect();
+        for service in services {
+            self.refill_one(now, &service, out);
+        }
+    }
+
+    fn refill_one(&mut self, now: Moment, service: &ServiceId, out: &mut Vec<Action>) {
+        let out_already = self
+            .asks
+            .values()
+            .any(|a| a.request.is_none() && a.shard.service == *service);
+        let fresh = self
+            .permits
+            .values()
+            .any(|p| p.shard.service == *service && p.until > now + REFILL_BEFORE && !p.cold);
+        let Some(demand) = self.calls.by_service.get_mut(service) else {
+            return;
+        };
+        if fresh || out_already || now.saturating_sub(demand.last) >= QUIET {
+            return;
+        }
+        let Some(request) = demand.last_request.clone() else {
+            return;
+        };
+        let slots = demand.peak.clamp(1, SLOTS_MOST);
+        demand.peak = (demand.peak / 2).max(1);
+        let Some((shard, owner)) = self.shards.choose(service, &[]) else {
+            return;
+        };
+        let ask = self.new_ask();
+        let message = Ask {
+            shard: shard.clone(),
+            ask,
+            stamp: now,
+            kind: ServiceKind::Plain,
+            class: request.class,
+            workspace: request.workspace,
+            route: request.route,
+            within: REFILL_BEFORE,
+            waited: Duration::ZERO,
+            prompt: 0,
+            max_output: 0,
+            slots: slots.max(2),
+            prefix: Vec::new(),
+            avoid: Vec::new(),
+        };
+        self.asks.insert(
+            ask,
+            AskOut {
+                request: None,
+                shard,
+                owner: owner.clone(),
+                at: now,
+            },
+        );
+        out.push(Action::Send {
+            to: owner,
+            message: message.into(),
+        });
+    }
+}
--- /dev/null
+++ b/components/policy/src/entry/grants.rs
@@ -0,0 +1,222 @@
+//! What owners' messages do to an entry.
+
+use std::collections::BTreeSet;
+
+use types::{AskId, InstanceId, Moment, RouteId, ServiceKind, Target, WorkspaceId};
+use wire::{Deny, Done, Grant, Message, Outcome, Query, Recall};
+
+use crate::{
+    api::{Action, RequestId, Used},
+    entry::{
+        machine::Entry,
+        pending::{DENIED_PAUSE, MOVE_AFTER, MOVE_GAIN, Stage},
+        permit::{Permit, PermitKey, Tally},
+        refuse,
+    },
+};
+
+impl Entry {
+    pub(super) fn granted(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        grant: &Grant,
+        out: &mut Vec<Action>,
+    ) {
+        // A former owner that does not know yet that another has taken over.
+        if self
+            .shards
+            .get(&grant.shard)
+            .is_some_and(|info| grant.epoch < info.epoch)
+        {
+            return;
+        }
+        let until = grant.stamp + grant.life;
+        let request = self.asks.remove(&grant.ask).map(|a| a.request);
+        let target = self.target(grant);
+        let (Some(request), Some(target), true) = (request, target, until > now) else {
+            give_back(from, grant, out);
+            self.ask_again(now, request.flatten(), out);
+            return;
+        };
+        let asker = request.and_then(|id| self.requests.get(&id));
+        if grant.slots <= 1 && asker.is_none() {
+            give_back(from, grant, out);
+            return;
+        }
+        let permit = self.permit(from, grant, request, target);
+        let key = permit.key;
+        self.permits.insert(key, permit);
+        if let Some(id) = request.filter(|id| self.requests.contains_key(id)) {
+            self.dispatch(key, id, out);
+        }
+        self.fill(now, key, out);
+    }
+
+    fn target(&self, grant: &Grant) -> Option<Target> {
+        let mut targets = self.view.targets.iter();
+        let found = targets.find(|t| t.id == grant.target)?;
+        self.open(&grant.target, grant.incarnation)
+            .then(|| found.clone())
+    }
+
+    fn permit(
+        &self,
+        from: &InstanceId,
+        grant: &Grant,
+        request: Option<RequestId>,
+        target: Target,
+    ) -> Permit {
+        let asker = request
+            .and_then(|id| self.requests.get(&id))
+            .map(|p| &p.request);
+        Permit {
+            key: (grant.epoch, grant.permit),
+            shard: grant.shard.clone(),
+            owner: from.clone(),
+            target,
+            until: grant.stamp + grant.life,
+            slots: grant.slots,
+            cold: grant.cold,
+            kind: asker.map_or(ServiceKind::Plain, |r| r.kind),
+            workspace: asker.map_or_else(|| WorkspaceId::from(""), |r| r.workspace.clone()),
+            route: asker.map_or_else(|| RouteId::from(""), |r| r.route.clone()),
+            class: asker.map_or_else(Default::default, |r| r.class),
+            prompt: asker.map_or(0, |r| r.prompt),
+            max_output: asker.map_or(0, |r| r.max_output),
+            users: BTreeSet::new(),
+            produced: 0,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Places a request under a permit.
+    pub(super) fn dispatch(&mut self, key: PermitKey, id: RequestId, out: &mut Vec<Action>) {
+        let (Some(permit), Some(pending)) =
+            (self.permits.get_mut(&key), self.requests.get_mut(&id))
+        else {
+            return;
+        };
+        permit.users.insert(id);
+        assert!(
+            permit.users.len() <= permit.slots as usize,
+            "permit {key:?} covers {} calls and is used by {:?}",
+            permit.slots,
+            permit.users
+        );
+        pending.stage = Stage::Placed(key);
+        let used = Used {
+            permit: key.1,
+            target: permit.target.clone(),
+            until: permit.until,
+        };
+        out.push(Action::Dispatch { request: id, used });
+    }
+
+    pub(super) fn denied(&mut self, now: Moment, deny: &Deny, out: &mut Vec<Action>) {
+        let Some(sent) = self.asks.remove(&deny.ask) else {
+            return;
+        };
+        let Some(id) = sent.request else { return };
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        pending.stage = Stage::Waiting;
+        match deny.retry_after {
+            Some(after) => self.refuse(id, refuse::overloaded(after), out),
+            None => pending.pause_until = now + DENIED_PAUSE,
+        }
+    }
+
+    /// Gives work back of which the caller has seen nothing, so that the engine need not preempt.
+    pub(super) fn recalled(&mut self, from: &InstanceId, recall: &Recall, out: &mut Vec<Action>) {
+        let permit = self
+            .permits
+            .values()
+            .find(|p| p.owner == *from && p.shard == recall.shard && p.key.1 == recall.permit);
+        let Some(permit) = permit else { return };
+        if permit.kind == ServiceKind::Plain {
+            return;
+        }
+        for id in &permit.users {
+            if self.requests.get(id).is_some_and(|p| !p.seen) {
+                out.push(Action::PullBack { request: *id });
+            }
+        }
+    }
+
+    /// A new owner: from here on only its permits are taken, and it learns of those in hand.
+    pub(super) fn queried(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        query: &Query,
+        out: &mut Vec<Action>,
+    ) {
+        let known = self.shards.get(&query.shard).map_or(0, |info| info.epoch);
+        if query.epoch < known {
+            return;
+        }
+        self.shards
+            .follow(&query.shard, Some(from.clone()), query.epoch);
+        for permit in self.permits.values_mut().filter(|p| p.shard == query.shard) {
+            permit.owner = from.clone();
+        }
+        let held = self.held(now, &query.shard, query.epoch);
+        out.push(Action::Send {
+            to: from.clone(),
+            message: held.into(),
+        });
+    }
+
+    /// Moves asks that wait long while another shard has become much less crowded.
+    pub(super) fn move_asks(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let mut moves: Vec<(AskId, RequestId)> = Vec::new();
+        for (ask, sent) in &self.asks {
+            let Some(id) = sent.request else { continue };
+            if now.saturating_sub(sent.at) >= MOVE_AFTER && self.better_elsewhere(id, &sent.shard) {
+                moves.push((*ask, id));
+            }
+        }
+        for (ask, id) in moves {
+            if self.better_elsewhere_for(ask, id) {
+                self.withdraw(ask, out);
+                self.ask_again(now, Some(id), out);
+            }
+        }
+    }
+
+    fn better_elsewhere_for(&self, ask: AskId, id: RequestId) -> bool {
+        // Each move makes the other shard look more crowded, so this is asked anew for each.
+        self.asks
+            .get(&ask)
+            .is_some_and(|sent| self.better_elsewhere(id, &sent.shard))
+    }
+
+    fn better_elsewhere(&self, id: RequestId, shard: &types::Shard) -> bool {
+        let Some(pending) = self.requests.get(&id) else {
+            return false;
+        };
+        let Some((other, _)) = self.shards.choose(&pending.request.service, &[]) else {
+            return false;
+        };
+        let (Some(here), Some(there)) = (self.shards.crowding(shard), self.shards.crowding(&other))
+        else {
+            return false;
+        };
+        other != *shard && there + MOVE_GAIN < here
+    }
+}
+
+fn give_back(to: &InstanceId, grant: &Grant, out: &mut Vec<Action>) {
+    let done = Done {
+        shard: grant.shard.clone(),
+        permit: grant.permit,
+        target: grant.target.clone(),
+        outcome: Outcome::Unsent,
+    };
+    out.push(Action::Send {
+        to: to.clone(),
+        message: Message::Done(done),
+    });
+}
--- /dev/null
+++ b/components/policy/src/entry/machine.rs
@@ -0,0 +1,426 @@
+//! The entry's state machine.
+
+use std::collections::BTreeSet;
+
+use types::{AskId, DataCentreId, InstanceId, Moment, ServiceKind, Shard, Standing};
+use wire::{Ask, Message, Outcome, Withdraw};
+
+use crate::{
+    api::{Action, Event, Request, RequestId, ShardRole, View},
+    entry::{
+        calls::Calls,
+        pending::{AskOut, Asks, NO_OWNER_LIMIT, Pending, Requests, Stage},
+        permit::Permits,
+        refuse,
+        shards::Shards,
+    },
+    retry::Budgets,
+};
+
+/// One instance's entry side.
+#[derive(Debug)]
+pub struct Entry {
+    pub(super) me: InstanceId,
+    pub(super) view: View,
+    pub(super) shards: Shards,
+    pub(super) requests: Requests,
+    pub(super) asks: Asks,
+    pub(super) permits: Permits,
+    pub(super) calls: Calls,
+    pub(super) budgets: Budgets,
+    /// Shards about which an owner still has to be told that nothing is held any more.
+    pub(super) reported: BTreeSet<Shard>,
+    pub(super) last_report: Moment,
+    next_ask: AskId,
+}
+
+impl Entry {
+    /// Starts without requests; `home` is this instance's data centre.
+    #[must_use]
+    pub fn new(me: InstanceId, home: DataCentreId) -> Self {
+        Self {
+            me,
+            view: View::default(),
+            shards: Shards::new(home),
+            requests: Requests::new(),
+            asks: Asks::new(),
+            permits: Permits::new(),
+            calls: Calls::default(),
+            budgets: Budgets::default(),
+            reported: BTreeSet::new(),
+            last_report: Moment::ZERO,
+            next_ask: 0,
+        }
+    }
+
+    /// The number of the newest ask.
+    #[must_use]
+    pub const fn last_ask(&self) -> AskId {
+        self.next_ask
+    }
+
+    /// Takes one event and appends what has to be done to `out`.
+    pub fn handle(&mut self, now: Moment, event: &Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Arrive(request) => self.arrive(now, request, out),
+            Event::Leave { request } => self.leave(now, *request, Outcome::Unsent, out),
+            Event::Progress { request, produced } => self.progress(*request, *produced),
+            Event::Ended {
+                request,
+                outcome,
+                again,
+            } => {
+                self.ended(now, *request, *outcome, *again, out);
+            }
+            Event::Received { from, message, .. } => self.receive(now, from, message, out),
+            Event::Changed(view) => self.change(now, view, out),
+            Event::Role { shard, role } => self.role(now, shard, role, out),
+            Event::Summary { owner, shards } => self.shards.hear(owner, shards),
+            Event::PeerGone { peer } => self.lose_owner(now, peer, out),
+            Event::Tick => self.tick(now, out),
+            Event::Sent { .. } | Event::Paused { .. } => {}
+            Event::Reported { .. } | Event::Exclusive { .. } => {}
+        }
+    }
+
+    /// Whether a request may still be sent under its permit.
+    ///
+    /// A permit may have lapsed, and its target may have been told to leave or its data centre
+    /// taken out, since the request was placed; sending then would give a target work that its
+    /// owner no longer counts, or work after it should get none.
+    #[must_use]
+    pub fn may_send(&self, now: Moment, request: RequestId) -> bool {
+        let Some(Stage::Placed(key)) = self.requests.get(&request).map(|p| &p.stage) else {
+            return false;
+        };
+        let Some(permit) = self.permits.get(key) else {
+            return false;
+        };
+        permit.until > now && self.open(&permit.target.id, permit.target.incarnation)
+    }
+
+    /// Lines for a dump.
+    #[must_use]
+    pub fn dump(&self, now: Moment) -> Vec<String> {
+        let mut lines = Vec::new();
+        for (id, pending) in &self.requests {
+            let age = now.saturating_sub(pending.since).as_millis();
+            let class = pending.request.class;
+            lines.push(format!(
+                "request {id} {class} {:?} since {age} ms",
+                pending.stage
+            ));
+        }
+        for permit in self.permits.values() {
+            let used = permit.users.len();
+            let (target, slots) = (&permit.target.id, permit.slots);
+            lines.push(format!(
+                "permit {:?} on {target} uses {used} of {slots}",
+                permit.key
+            ));
+        }
+        lines
+    }
+
+    fn arrive(&mut self, now: Moment, request: &Request, out: &mut Vec<Action>) {
+        let limits = self.view.limits.get(&request.service);
+        self.budgets
+            .earn(&request.service, limits.map_or(0, |l| l.retry_percent));
+        let pending = Pending {
+            request: request.clone(),
+            stage: Stage::Waiting,
+            since: now,
+            avoid: Vec::new(),
+            seen: false,
+            pause_until: Moment::ZERO,
+        };
+        let before = self.requests.insert(request.id, pending);
+        assert!(before.is_none(), "request {} arrived twice", request.id);
+        if request.kind == ServiceKind::Plain {
+            self.calls.arrive(now, &request.service);
+        }
+        self.place(now, request.id, out);
+    }
+
+    /// Finds a permit for a request: one in hand for plain calls, otherwise an ask.
+    pub(super) fn place(&mut self, now: Moment, id: RequestId, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        if pending.request.kind == ServiceKind::Plain && self.place_on_block(now, id, out) {
+            return;
+        }
+        if !self.shards.serves(&self.requests[&id].request.service) {
+            self.refuse(id, refuse::no_target(), out);
+            return;
+        }
+        self.ask(now, id, out);
+    }
+
+    pub(super) fn ask(&mut self, now: Moment, id: RequestId, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        let request = &pending.request;
+        let Some((shard, owner)) = self.shards.choose(&request.service, &request.prefix) else {
+            return;
+        };
+        let ask = self.next_ask + 1;
+        let message = Ask {
+            shard: shard.clone(),
+            ask,
+            stamp: now,
+            kind: request.kind,
+            class: request.class,
+            workspace: request.workspace.clone(),
+            route: request.route.clone(),
+            within: request.deadline.saturating_sub(now),
+            waited: now.saturating_sub(pending.since),
+            prompt: request.prompt,
+            max_output: request.max_output,
+            slots: self.calls.slots(request),
+            prefix: request.prefix.clone(),
+            avoid: pending.avoid.clone(),
+        };
+        self.shards.note_ask(&shard, &request.prefix);
+        self.next_ask = ask;
+        let sent = AskOut {
+            request: Some(id),
+            shard,
+            owner: owner.clone(),
+            at: now,
+        };
+        self.asks.insert(ask, sent);
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.stage = Stage::Asked(ask);
+        }
+        out.push(Action::Send {
+            to: owner,
+            message: message.into(),
+        });
+    }
+
+    pub(super) const fn new_ask(&mut self) -> AskId {
+        self.next_ask += 1;
+        self.next_ask
+    }
+
+    /// Takes an ask back. A grant that crosses this is given back when it comes.
+    pub(super) fn withdraw(&mut self, ask: AskId, out: &mut Vec<Action>) {
+        let Some(sent) = self.asks.remove(&ask) else {
+            return;
+        };
+        let message = Withdraw {
+            shard: sent.shard,
+            ask,
+        };
+        out.push(Action::Send {
+            to: sent.owner,
+            message: message.into(),
+        });
+    }
+
+    pub(super) fn refuse(&mut self, id: RequestId, refusal: types::Refusal, out: &mut Vec<Action>) {
+        self.requests.remove(&id);
+        out.push(Action::Refuse {
+            request: id,
+            refusal,
+        });
+    }
+
+    /// A caller went away before its request was sent.
+    fn leave(&mut self, now: Moment, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.remove(&id) else {
+            return;
+        };
+        match pending.stage {
+            Stage::Waiting => {}
+            Stage::Asked(ask) => self.withdraw(ask, out),
+            Stage::Placed(key) => self.release(now, key, id, outcome, out),
+        }
+    }
+
+    fn progress(&mut self, id: RequestId, produced: types::Tokens) {
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        pending.seen |= produced > 0;
+        if let Stage::Placed(key) = pending.stage
+            && let Some(permit) = self.permits.get_mut(&key)
+        {
+            permit.produced = permit.produced.max(produced);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        outcome: Outcome,
+        again: bool,
+        out: &mut Vec<Action>,
+    ) {
+        if !again {
+            self.leave(now, id, outcome, out);
+            return;
+        }
+        let Some(pending) = self.requests.get_mut(&id) else {
+            return;
+        };
+        assert!(
+            !pending.seen,
+            "request {id} is to run again though its caller has seen tokens"
+        );
+        let Stage::Placed(key) = std::mem::replace(&mut pending.stage, Stage::Waiting) else {
+            return;
+        };
+        let failed = matches!(outcome, Outcome::Overloaded | Outcome::Failed);
+        let service = pending.request.service.clone();
+        if failed && let Some(permit) = self.permits.get(&key) {
+            pending.avoid.push(permit.target.id.clone());
+        }
+        self.release(now, key, id, outcome, out);
+        if failed && !self.budgets.spend(&service) {
+            self.refuse(id, refuse::no_retry(), out);
+            return;
+        }
+        self.place(now, id, out);
+    }
+
+    fn receive(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        message: &Message,
+        out: &mut Vec<Action>,
+    ) {
+        match message {
+            Message::Grant(grant) => self.granted(now, from, grant, out),
+            Message::Deny(deny) => self.denied(now, deny, out),
+            Message::Recall(recall) => self.recalled(from, recall, out),
+            Message::Query(query) => self.queried(now, from, query, out),
+            _ => {}
+        }
+    }
+
+    fn change(&mut self, now: Moment, view: &View, out: &mut Vec<Action>) {
+        self.view = view.clone();
+        self.shards.update(view);
+        // Asks to shards that no longer take work move on at once.
+        let closed: Vec<(AskId, Option<RequestId>)> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| self.shards.get(&a.shard).is_none_or(|i| i.targets == 0))
+            .map(|(ask, a)| (*ask, a.request))
+            .collect();
+        for (ask, request) in closed {
+            self.withdraw(ask, out);
+            self.ask_again(now, request, out);
+        }
+    }
+
+    fn role(&mut self, now: Moment, shard: &Shard, role: &ShardRole, out: &mut Vec<Action>) {
+        let (owner, epoch) = match role {
+            ShardRole::Own { epoch, .. } => (Some(self.me.clone()), *epoch),
+            ShardRole::Follow { owner, epoch } => (owner.clone(), *epoch),
+        };
+        self.shards.follow(shard, owner, epoch);
+        let lost: Vec<AskId> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| a.shard == *shard)
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in lost {
+            let request = self.asks.remove(&ask).and_then(|a| a.request);
+            self.ask_again(now, request, out);
+        }
+        self.place_waiting(now, out);
+    }
+
+    fn lose_owner(&mut self, now: Moment, peer: &InstanceId, out: &mut Vec<Action>) {
+        let lost: Vec<AskId> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| a.owner == *peer)
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in lost {
+            let request = self.asks.remove(&ask).and_then(|a| a.request);
+            self.ask_again(now, request, out);
+        }
+    }
+
+    pub(super) fn ask_again(
+        &mut self,
+        now: Moment,
+        request: Option<RequestId>,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(id) = request else { return };
+        if let Some(pending) = self.requests.get_mut(&id) {
+            pending.stage = Stage::Waiting;
+            self.place(now, id, out);
+        }
+    }
+
+    fn place_waiting(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let waiting = |p: &&Pending| p.stage == Stage::Waiting && p.pause_until <= now;
+        let mut ready: Vec<&Pending> = self.requests.values().filter(waiting).collect();
+        ready.sort_by_key(|p| (p.request.class, p.request.deadline));
+        let ready: Vec<RequestId> = ready.iter().map(|p| p.request.id).collect();
+        for id in ready {
+            self.place(now, id, out);
+        }
+    }
+
+    fn tick(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.refuse_late(now, out);
+        self.place_waiting(now, out);
+        self.move_asks(now, out);
+        self.return_spent(now, out);
+        self.refill(now, out);
+        self.report_held(now, out);
+    }
+
+    /// What can't be served in time is told so at once, with the time to come back.
+    fn refuse_late(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let late = |p: &&Pending| match p.stage {
+            Stage::Placed(_) => false,
+            Stage::Asked(_) => p.request.deadline <= now,
+            Stage::Waiting => {
+                p.request.deadline <= now || now.saturating_sub(p.since) >= NO_OWNER_LIMIT
+            }
+        };
+        let late: Vec<RequestId> = self
+            .requests
+            .values()
+            .filter(late)
+            .map(|p| p.request.id)
+            .collect();
+        for id in late {
+            let pending = &self.requests[&id];
+            let expired = pending.request.deadline <= now;
+            let stage = pending.stage.clone();
+            let service = pending.request.service.clone();
+            if let Stage::Asked(ask) = stage {
+                self.withdraw(ask, out);
+            }
+            let refusal = if expired {
+                refuse::too_late(self.shards.wait(&service))
+            } else {
+                refuse::no_owner()
+            };
+            self.refuse(id, refusal, out);
+        }
+    }
+
+    pub(super) fn open(&self, target: &str, incarnation: types::Incarnation) -> bool {
+        self.view.targets.iter().any(|t| {
+            *t.id == *target
+                && t.incarnation == incarnation
+                && t.standing == Standing::Live
+                && !self.view.out.contains(&t.data_centre)
+        })
+    }
+}
--- /dev/null
+++ b/components/policy/src/entry/pending.rs
@@ -0,0 +1,66 @@
+//! Requests that an entry knows.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use types::{AskId, InstanceId, Moment, Shard, TargetId};
+
+use crate::{
+    api::{Request, RequestId},
+    entry::permit::PermitKey,
+};
+
+/// How far a request has come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Stage {
+    /// It waits here because nobody can be asked.
+    Waiting,
+    /// Its ask is out.
+    Asked(AskId),
+    /// It has a permit and is being sent, or runs.
+    Placed(PermitKey),
+}
+
+/// One request.
+#[derive(Clone, Debug)]
+pub struct Pending {
+    /// The request.
+    pub request: Request,
+    /// How far it has come.
+    pub stage: Stage,
+    /// When it came in.
+    pub since: Moment,
+    /// Targets that have failed it.
+    pub avoid: Vec<TargetId>,
+    /// Whether the caller has seen any of the answer.
+    pub seen: bool,
+    /// Not asked for again before this moment.
+    pub pause_until: Moment,
+}
+
+/// An ask that is out. Asks without a request fetch plain calls' slots ahead of time.
+#[derive(Clone, Debug)]
+pub struct AskOut {
+    /// The request that it is for.
+    pub request: Option<RequestId>,
+    /// Which shard.
+    pub shard: Shard,
+    /// Who was asked.
+    pub owner: InstanceId,
+    /// When.
+    pub at: Moment,
+}
+
+/// All requests.
+pub type Requests = BTreeMap<RequestId, Pending>;
+/// All asks.
+pub type Asks = BTreeMap<AskId, AskOut>;
+
+/// A request that nobody could be asked for is refused after this time: the owners should have
+/// settled by then, and the caller is better told to come back than left waiting.
+pub const NO_OWNER_LIMIT: Duration = Duration::from_secs(4);
+/// An ask that waits longer than this may move to another shard.
+pub const MOVE_AFTER: Duration = Duration::from_millis(400);
+/// How much less crowded another shard must be for an ask to move there.
+pub const MOVE_GAIN: f32 = 0.6;
+/// After a denial without a time, an ask is made again after this long.
+pub const DENIED_PAUSE: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/components/policy/src/entry/report.rs
@@ -0,0 +1,106 @@
+//! Giving permits back, and telling owners what is held.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use types::{Epoch, Moment, Shard};
+use wire::{Done, Held, Outcome};
+
+use crate::{
+    api::{Action, RequestId},
+    entry::{
+        machine::Entry,
+        permit::{Permit, PermitKey},
+    },
+};
+
+/// Time between two reports of what is held.
+pub const REPORT_PERIOD: Duration = Duration::from_millis(250);
+
+impl Entry {
+    /// A request no longer uses its permit.
+    pub(super) fn release(
+        &mut self,
+        now: Moment,
+        key: PermitKey,
+        id: RequestId,
+        outcome: Outcome,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(permit) = self.permits.get_mut(&key) else {
+            return;
+        };
+        permit.users.remove(&id);
+        permit.tally.add(outcome);
+        self.fill(now, key, out);
+        if self.permits.get(&key).is_some_and(|p| p.spent(now)) {
+            self.give_up(key, out);
+        }
+    }
+
+    /// Gives back what nothing uses and nothing can use any more.
+    pub(super) fn return_spent(&mut self, now: Moment, out: &mut Vec<Action>) {
+        let spent: Vec<PermitKey> = self
+            .permits
+            .values()
+            .filter(|p| p.spent(now))
+            .map(|p| p.key)
+            .collect();
+        for key in spent {
+            self.give_up(key, out);
+        }
+    }
+
+    fn give_up(&mut self, key: PermitKey, out: &mut Vec<Action>) {
+        let Some(permit) = self.permits.remove(&key) else {
+            return;
+        };
+        let done = Done {
+            shard: permit.shard,
+            permit: key.1,
+            target: permit.target.id,
+            outcome: permit.tally.outcome(),
+        };
+        out.push(Action::Send {
+            to: permit.owner,
+            message: done.into(),
+        });
+    }
+
+    /// Tells each owner all that is held of it. A lost `Done` or `Grant` would otherwise leave
+    /// memory reserved for good.
+    pub(super) fn report_held(&mut self, now: Moment, out: &mut Vec<Action>) {
+        if now.saturating_sub(self.last_report) < REPORT_PERIOD {
+            return;
+        }
+        self.last_report = now;
+        let mut shards: BTreeSet<Shard> = self.permits.values().map(|p| p.shard.clone()).collect();
+        shards.extend(self.asks.values().map(|a| a.shard.clone()));
+        // Once more after the last permit, so that the owner sees that there is none.
+        let reported = std::mem::replace(&mut self.reported, shards.clone());
+        shards.extend(reported);
+        for shard in shards {
+            let Some(info) = self.shards.get(&shard) else {
+                continue;
+            };
+            let (owner, epoch) = (info.owner.clone(), info.epoch);
+            if let Some(to) = owner {
+                let held = self.held(now, &shard, epoch);
+                out.push(Action::Send {
+                    to,
+                    message: held.into(),
+                });
+            }
+        }
+    }
+
+    pub(super) fn held(&self, now: Moment, shard: &Shard, epoch: Epoch) -> Held {
+        let of_shard = self.permits.values().filter(|p| p.shard == *shard);
+        let permits = of_shard.map(|p: &Permit| p.held(now)).collect();
+        Held {
+            shard: shard.clone(),
+            epoch,
+            stamp: now,
+            permits,
+        }
+    }
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,13 +5,19 @@
 
 pub mod account;
 pub mod api;
+pub mod baseline;
+pub mod entry;
+pub mod instance;
 pub mod journal;
 pub mod limit;
 pub mod line;
 pub mod owner;
+pub mod retry;
 pub mod shard;
 
 pub use api::{
     Action, Decide, EngineReport, Event, Request, RequestId, ShardRole, TargetLimits, Used, View,
 };
+pub use entry::Entry;
+pub use instance::{Identity, Instance};
 pub use owner::Owner;
--- a/components/policy/tests/support/mod.rs
+++ b/components/policy/tests/support/mod.rs
@@ -41,6 +41,7 @@
         memory: 10_000,
         warm_after: 4,
         queue_limit: 8,
+        retry_percent: 10,
     }
 }
 
