Add stand-ins for the platform, model engines and plain services

The decisions depend on how targets and the platform behave: memory that fills up in mid-generation, cold starts that fall over, lagging lists and reports, answers lost after the effect, links that break at a given byte or fall silent. The stand-ins have that behaviour and take each fault over /control, as processes (celerystand-standin platform|engine|service) and as a library for tests.

A token's text is made from stream and offset, so a reader can tell two generations apart without a log. The table counts each written row against the rate.

--- /dev/null
+++ b/components/standins/src/engine/batch.rs
@@ -0,0 +1,342 @@
+//! The continuous batch: memory in tokens, preemption, priorities, step times. No I/O.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use async_channel::Sender;
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{EngineSettings, prefix::Prefixes, text::Api};
+
+/// How a generation ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum End {
+    /// It has all its tokens.
+    Finished,
+    /// Somebody cancelled it.
+    Cancelled,
+    /// Nobody read it for too long.
+    Unobserved,
+    /// The engine fell over.
+    Dropped,
+}
+
+/// One generation, as the log keeps it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Generation {
+    /// By which API it was asked for.
+    pub api: Api,
+    /// Name of the stream.
+    pub stream: String,
+    /// Name of the request, from `x-request-id`.
+    pub request: String,
+    /// The caller's own name for it, from the body's metadata.
+    pub caller: String,
+    /// Which life of the engine.
+    pub incarnation: u64,
+    /// When it came, in milliseconds.
+    pub admitted_ms: u64,
+    /// Priority; a smaller one goes first.
+    pub priority: i64,
+    /// Tokens in the prompt.
+    pub prompt: u64,
+    /// Tokens that it will have.
+    pub wanted: u64,
+    /// Tokens that it has.
+    pub produced: u64,
+    /// How often it was preempted.
+    pub preempted: u32,
+    /// Milliseconds from being preempted to the next token, in all.
+    pub stall_ms: u64,
+    /// How it ended.
+    pub end: Option<End>,
+    #[serde(skip)]
+    run: Run,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Run {
+    prefill: u64,
+    last_token: Duration,
+    stalled: bool,
+    observers: Vec<Sender<()>>,
+    seen: Duration,
+}
+
+/// A new generation.
+#[derive(Clone, Debug, Default)]
+pub struct Work {
+    /// By which API it is asked for.
+    pub api: Api,
+    /// Name of the stream.
+    pub stream: String,
+    /// Name of the request.
+    pub request: String,
+    /// The caller's own name for it.
+    pub caller: String,
+    /// Priority.
+    pub priority: i64,
+    /// The prompt's text.
+    pub prompt: String,
+    /// Tokens in the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens wanted.
+    pub wanted: u64,
+}
+
+/// Sums over the engine's time.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Totals {
+    /// Preemptions.
+    pub preemptions: u64,
+    /// Milliseconds that preempted streams stood still.
+    pub stall_ms: u64,
+    /// Tokens produced.
+    pub tokens: u64,
+    /// Steps.
+    pub steps: u64,
+    /// Most streams in one step.
+    pub most_running: u32,
+    /// Most tokens in memory.
+    pub most_used: u64,
+}
+
+/// The batch.
+pub struct Batch {
+    settings: EngineSettings,
+    /// All generations, by number.
+    pub all: Vec<Generation>,
+    /// Sums.
+    pub totals: Totals,
+    /// Prompts in the prefix cache.
+    pub prefixes: Prefixes,
+    running: Vec<usize>,
+    waiting: BTreeMap<(i64, usize), usize>,
+    used: u64,
+}
+
+impl Batch {
+    /// Makes an empty batch.
+    #[must_use]
+    pub fn new(settings: EngineSettings) -> Self {
+        Self {
+            prefixes: Prefixes::new(settings.prefix_blocks),
+            settings,
+            all: Vec::new(),
+            totals: Totals::default(),
+            running: Vec::new(),
+            waiting: BTreeMap::new(),
+            used: 0,
+        }
+    }
+
+    /// Generations in the batch.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running.len() as u32
+    }
+
+    /// Generations waiting for room.
+    #[must_use]
+    pub fn waiting(&self) -> u32 {
+        self.waiting.len() as u32
+    }
+
+    /// Tokens in memory.
+    #[must_use]
+    pub const fn used(&self) -> u64 {
+        self.used
+    }
+
+    /// Takes in a generation and tells its number.
+    pub fn add(&mut self, now: Duration, incarnation: u64, work: Work) -> usize {
+        let hit = self.prefixes.visit(now, &work.prompt);
+        let room = self
+            .settings
+            .capacity
+            .saturating_sub(work.prompt_tokens + 1);
+        let number = self.all.len();
+        self.waiting.insert((work.priority, number), number);
+        self.all.push(Generation {
+            api: work.api,
+            stream: work.stream,
+            request: work.request,
+            caller: work.caller,
+            incarnation,
+            admitted_ms: now.as_millis() as u64,
+            priority: work.priority,
+            prompt: work.prompt_tokens,
+            wanted: work.wanted.min(room).max(1),
+            produced: 0,
+            preempted: 0,
+            stall_ms: 0,
+            end: None,
+            run: Run {
+                prefill: work.prompt_tokens.saturating_sub(hit).max(1),
+                last_token: now,
+                seen: now,
+                ..Run::default()
+            },
+        });
+        number
+    }
+
+    /// Adds an observer that is woken whenever there is more to read.
+    pub fn observe(&mut self, number: usize, tx: Sender<()>) {
+        self.all[number].run.observers.push(tx);
+    }
+
+    /// Ends a generation early.
+    pub fn end(&mut self, number: usize, end: End) {
+        let generation = &mut self.all[number];
+        if generation.end.is_some() {
+            return;
+        }
+        generation.end = Some(end);
+        wake(generation);
+        let priority = generation.priority;
+        let size = generation.prompt + generation.produced;
+        if self.waiting.remove(&(priority, number)).is_none() {
+            self.running.retain(|n| *n != number);
+            self.used -= size;
+        }
+    }
+
+    /// Drops everything.
+    pub fn drop_all(&mut self) {
+        let waiting: Vec<usize> = self.waiting.values().copied().collect();
+        for number in self.running.clone().into_iter().chain(waiting) {
+            self.end(number, End::Dropped);
+        }
+        self.prefixes.clear();
+        assert!(self.used == 0, "an empty batch holds {} tokens", self.used);
+    }
+
+    /// Prepares the next step and tells its length; `None` when there is nothing to do.
+    pub fn plan(&mut self, now: Duration) -> Option<Duration> {
+        self.drop_unobserved(now);
+        if !self.preempt() {
+            self.admit();
+        }
+        if self.running.is_empty() {
+            return None;
+        }
+        let prefilled = self.prefill();
+        let settings = &self.settings;
+        let ms = settings.step_ms
+            + settings.step_ms_per_stream * self.running.len() as f64
+            + settings.step_ms_per_ktoken * self.used as f64 / 1000.0
+            + settings.prefill_ms_per_token * prefilled as f64;
+        Some(Duration::from_secs_f64(ms / 1000.0))
+    }
+
+    /// Ends the step: each generation that is past its prompt has one token more. Tells how many
+    /// finished.
+    pub fn step(&mut self, now: Duration) -> u32 {
+        let totals = &mut self.totals;
+        totals.steps += 1;
+        totals.most_running = totals.most_running.max(self.running.len() as u32);
+        let mut finished = Vec::new();
+        for number in &self.running {
+            let generation = &mut self.all[*number];
+            if generation.run.prefill > 0 {
+                continue;
+            }
+            generation.produced += 1;
+            self.used += 1;
+            totals.tokens += 1;
+            if generation.run.stalled {
+                let stall = now.saturating_sub(generation.run.last_token).as_millis() as u64;
+                generation.stall_ms += stall;
+                totals.stall_ms += stall;
+                generation.run.stalled = false;
+            }
+            generation.run.last_token = now;
+            wake(generation);
+            if generation.produced >= generation.wanted {
+                finished.push(*number);
+            }
+        }
+        totals.most_used = totals.most_used.max(self.used);
+        assert!(
+            self.used <= self.settings.capacity,
+            "{} tokens in a memory of {}",
+            self.used,
+            self.settings.capacity
+        );
+        for number in &finished {
+            self.end(*number, End::Finished);
+        }
+        finished.len() as u32
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.settings.most_running
+            && let Some((key, number)) = self.waiting.first_key_value()
+        {
+            let (key, number) = (*key, *number);
+            let size = self.all[number].prompt + self.all[number].produced;
+            let next_step = self.running.len() as u64 + 1;
+            if self.used + size + next_step > self.settings.capacity {
+                return;
+            }
+            self.waiting.remove(&key);
+            self.running.push(number);
+            self.used += size;
+        }
+    }
+
+    /// Makes room for the next step's tokens; a victim is computed again from its prompt on.
+    fn preempt(&mut self) -> bool {
+        let mut any = false;
+        while self.used + self.running.len() as u64 > self.settings.capacity {
+            let worst = |number: &&usize| (self.all[**number].priority, **number);
+            let Some(victim) = self.running.iter().max_by_key(worst).copied() else {
+                break;
+            };
+            self.running.retain(|n| *n != victim);
+            let generation = &mut self.all[victim];
+            let size = generation.prompt + generation.produced;
+            generation.preempted += 1;
+            generation.run.stalled = generation.produced > 0;
+            generation.run.prefill = size;
+            self.waiting.insert((generation.priority, victim), victim);
+            self.used -= size;
+            self.totals.preemptions += 1;
+            any = true;
+        }
+        any
+    }
+
+    fn prefill(&mut self) -> u64 {
+        let mut left = self.settings.prefill_chunk;
+        for number in &self.running {
+            let run = &mut self.all[*number].run;
+            let part = run.prefill.min(left);
+            run.prefill -= part;
+            left -= part;
+        }
+        self.settings.prefill_chunk - left
+    }
+
+    fn drop_unobserved(&mut self, now: Duration) {
+        let limit = Duration::from_millis(self.settings.unobserved_ms);
+        let waiting: Vec<usize> = self.waiting.values().copied().collect();
+        for number in self.running.clone().into_iter().chain(waiting) {
+            let run = &mut self.all[number].run;
+            run.observers.retain(|tx| !tx.is_closed());
+            if !run.observers.is_empty() {
+                run.seen = now;
+            } else if now.saturating_sub(run.seen) > limit {
+                self.end(number, End::Unobserved);
+            }
+        }
+    }
+}
+
+fn wake(generation: &Generation) {
+    for tx in &generation.run.observers {
+        // A full channel means that the observer has yet to look anyway.
+        let _ = tx.try_send(());
+    }
+}
--- /dev/null
+++ b/components/standins/src/engine/text.rs
@@ -0,0 +1,210 @@
+//! The texts of the OpenAI API.
+
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+
+/// Name of the model that answers.
+const MODEL: &str = "standin";
+/// Bytes of prompt that count as one token.
+const TOKEN_BYTES: usize = 4;
+
+/// A request.
+#[derive(Debug, Deserialize)]
+pub struct Ask {
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    /// Whether the answer is streamed.
+    #[serde(default)]
+    pub stream: bool,
+    /// The most tokens wanted.
+    #[serde(default)]
+    pub max_tokens: Option<u64>,
+    /// Priority; a smaller one goes first.
+    #[serde(default)]
+    pub priority: i64,
+    /// What the load tool adds.
+    #[serde(default)]
+    pub metadata: Metadata,
+}
+
+/// What the load tool adds to a request.
+#[derive(Debug, Default, Deserialize)]
+pub struct Metadata {
+    /// Length of the answer in tokens, in decimal.
+    #[serde(default)]
+    pub output_tokens: Option<String>,
+    /// The caller's name for the request.
+    #[serde(default)]
+    pub caller: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+impl Ask {
+    /// The prompt as one text.
+    #[must_use]
+    pub fn prompt(&self) -> String {
+        if let Some(prompt) = &self.prompt {
+            return prompt.clone();
+        }
+        let lines = self.messages.iter();
+        lines
+            .map(|m| format!("{}: {}\n", m.role, m.content))
+            .collect()
+    }
+}
+
+/// Counts a prompt's tokens.
+#[must_use]
+pub const fn count(prompt: &str) -> u64 {
+    prompt.len().div_ceil(TOKEN_BYTES) as u64
+}
+
+/// The text of one token: no two streams and no two places in one stream share it.
+#[must_use]
+pub fn token(stream: &str, offset: u64) -> String {
+    format!("{stream}.{offset} ")
+}
+
+/// Which of the two APIs was called.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Api {
+    /// `/v1/completions`.
+    Completions,
+    /// `/v1/chat/completions`.
+    #[default]
+    Chat,
+}
+
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'static str,
+    choices: [Choice; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<Usage>,
+}
+
+#[derive(Default, Serialize)]
+struct Choice {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Said>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Said>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Said {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    content: String,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    total_tokens: u64,
+}
+
+/// Writes one token as a server-sent event.
+pub fn event(buf: &mut BytesMut, api: Api, stream: &str, offset: u64, last: bool) {
+    let content = token(stream, offset);
+    let finish_reason = last.then_some("stop");
+    let (object, choice) = match api {
+        Api::Chat => {
+            let role = (offset == 0).then_some("assistant");
+            let delta = Some(Said { role, content });
+            (
+                "chat.completion.chunk",
+                Choice {
+                    delta,
+                    ..Choice::default()
+                },
+            )
+        }
+        Api::Completions => {
+            let text = Some(content);
+            (
+                "text_completion",
+                Choice {
+                    text,
+                    ..Choice::default()
+                },
+            )
+        }
+    };
+    let chunk = Chunk {
+        id: stream,
+        object,
+        created: 0,
+        model: MODEL,
+        choices: [Choice {
+            finish_reason,
+            ..choice
+        }],
+        usage: None,
+    };
+    buf.extend_from_slice(format!("id: {offset}\ndata: ").as_bytes());
+    // Structs of text and numbers always become JSON.
+    buf.extend_from_slice(&serde_json::to_vec(&chunk).unwrap_or_default());
+    buf.extend_from_slice(b"\n\n");
+}
+
+/// The whole answer.
+#[must_use]
+pub fn whole(api: Api, stream: &str, prompt_tokens: u64, produced: u64) -> Bytes {
+    let content: String = (0..produced).map(|offset| token(stream, offset)).collect();
+    let (object, choice) = match api {
+        Api::Chat => {
+            let role = Some("assistant");
+            let message = Some(Said { role, content });
+            (
+                "chat.completion",
+                Choice {
+                    message,
+                    ..Choice::default()
+                },
+            )
+        }
+        Api::Completions => {
+            let text = Some(content);
+            (
+                "text_completion",
+                Choice {
+                    text,
+                    ..Choice::default()
+                },
+            )
+        }
+    };
+    let answer = Chunk {
+        id: stream,
+        object,
+        created: 0,
+        model: MODEL,
+        choices: [Choice {
+            finish_reason: Some("stop"),
+            ..choice
+        }],
+        usage: Some(Usage {
+            prompt_tokens,
+            completion_tokens: produced,
+            total_tokens: prompt_tokens + produced,
+        }),
+    };
+    serde_json::to_vec(&answer).unwrap_or_default().into()
+}
--- /dev/null
+++ b/components/standins/src/platform/mod.rs
@@ -0,0 +1,257 @@
+//! The platform: a transactional table, an object store and the directory, on one port.
+
+pub mod directory;
+pub mod table;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Handler, Reply, full};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use timer::Timer;
+
+use crate::{
+    control::{self, Call, Listed, Refused},
+    link::{self, Links, Running},
+    platform::{directory::Directory, table::Table},
+};
+
+/// Path under which objects lie.
+const OBJECTS: &str = "/objects/celerystand/";
+/// Path of the directory.
+const SLICES: &str = "/apis/discovery.k8s.io/v1/endpointslices";
+
+/// Faults and rates; a message sets those that it names.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The table answers nothing: connections are cut.
+    pub table_down: Option<bool>,
+    /// The table answers 500 to everything.
+    pub table_errors: Option<bool>,
+    /// Milliseconds before each answer of the table.
+    pub table_slow_ms: Option<u64>,
+    /// So many commits take effect without an answer.
+    pub lose_answers: Option<u32>,
+    /// The object store answers 503.
+    pub objects_down: Option<bool>,
+    /// The directory answers 503.
+    pub directory_down: Option<bool>,
+    /// The directory answers the list of so many milliseconds ago.
+    pub directory_lag_ms: Option<u64>,
+    /// Rows written a second.
+    pub write_rate: Option<f64>,
+    /// Reads a second.
+    pub read_rate: Option<f64>,
+    /// Callers, by bearer token, that are cut off from the platform.
+    pub cut_off: Option<Vec<String>>,
+}
+
+impl Faults {
+    fn set(&mut self, new: Self) {
+        fn put<T>(old: &mut Option<T>, new: Option<T>) {
+            if new.is_some() {
+                *old = new;
+            }
+        }
+        put(&mut self.table_down, new.table_down);
+        put(&mut self.table_errors, new.table_errors);
+        put(&mut self.table_slow_ms, new.table_slow_ms);
+        put(&mut self.lose_answers, new.lose_answers);
+        put(&mut self.objects_down, new.objects_down);
+        put(&mut self.directory_down, new.directory_down);
+        put(&mut self.directory_lag_ms, new.directory_lag_ms);
+        put(&mut self.write_rate, new.write_rate);
+        put(&mut self.read_rate, new.read_rate);
+        put(&mut self.cut_off, new.cut_off);
+    }
+}
+
+/// What `GET /control/log` tells.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Log {
+    /// Rows written.
+    pub writes: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Commits refused because a condition did not hold.
+    pub conflicts: u64,
+    /// Calls refused for their rate.
+    pub throttled: u64,
+    /// Commits that took effect without an answer.
+    pub lost: u64,
+    /// All rows, as `partition/sort` and body.
+    pub rows: BTreeMap<String, String>,
+}
+
+/// The platform stand-in.
+pub struct Platform {
+    timer: Timer,
+    state: Mutex<State>,
+}
+
+struct State {
+    faults: Faults,
+    table: Table,
+    objects: HashMap<String, Bytes>,
+    directory: Directory,
+}
+
+/// Starts a platform.
+///
+/// # Errors
+/// Passes on why the address can't be listened on.
+pub async fn start(addr: SocketAddr, faults: Faults) -> io::Result<Running<Platform>> {
+    let state = State {
+        faults,
+        table: Table::default(),
+        objects: HashMap::new(),
+        directory: Directory::default(),
+    };
+    let platform = Platform {
+        timer: Timer::new(),
+        state: Mutex::new(state),
+    };
+    link::serve(addr, Arc::new(Links::default()), Arc::new(platform)).await
+}
+
+impl Platform {
+    /// Sets faults and rates.
+    pub fn set(&self, faults: Faults) {
+        self.state.lock().faults.set(faults);
+    }
+
+    /// Puts an instance or target into the directory, or changes it.
+    pub fn register(&self, entry: Listed) {
+        let now = self.timer.now();
+        self.state.lock().directory.register(now, entry);
+    }
+
+    /// What happened so far.
+    #[must_use]
+    pub fn log(&self) -> Log {
+        self.state.lock().table.log()
+    }
+
+    async fn table(&self, call: &Call) -> Response<Body> {
+        let faults = self.state.lock().faults.clone();
+        if let Some(ms) = faults.table_slow_ms {
+            self.timer.sleep(Duration::from_millis(ms)).await;
+        }
+        if faults.table_down == Some(true) {
+            return control::hang_up(&call.link);
+        }
+        let target = call.header("x-amz-target");
+        let operation = target.strip_prefix(table::PROTOCOL).unwrap_or_default();
+        let answer = {
+            let mut state = self.state.lock();
+            let now = self.timer.now();
+            let State { faults, table, .. } = &mut *state;
+            let answer = table.run(now, faults, operation, &call.body);
+            let lost = operation == table::COMMIT && answer.is_ok() && take_one(faults);
+            table.count_lost(lost);
+            (answer, lost)
+        };
+        match answer {
+            (_, true) => control::hang_up(&call.link),
+            (Ok(text), _) => amz(200, text),
+            (Err(fault), _) => amz(fault.status(), fault.body()),
+        }
+    }
+
+    fn object(&self, call: &Call, key: &str) -> Response<Body> {
+        let mut state = self.state.lock();
+        if state.faults.objects_down == Some(true) {
+            return Reply::new(503).done();
+        }
+        if call.method == "PUT" {
+            state.objects.insert(key.to_owned(), call.body.clone());
+            return Reply::new(200).done();
+        }
+        match state.objects.get(key) {
+            Some(body) => Reply::new(200).with_body(full(body.clone())).done(),
+            None => Reply::new(404).done(),
+        }
+    }
+
+    fn slices(&self) -> Response<Body> {
+        let state = self.state.lock();
+        if state.faults.directory_down == Some(true) {
+            return Reply::new(503).done();
+        }
+        let lag = Duration::from_millis(state.faults.directory_lag_ms.unwrap_or(0));
+        let now = self.timer.now();
+        Reply::json(200, &state.directory.slices(now.saturating_sub(lag))).done()
+    }
+
+    fn control(&self, call: &Call) -> Result<Response<Body>, Refused> {
+        let now = self.timer.now();
+        match call.path.as_str() {
+            "/control/faults" => self.set(call.json()?),
+            "/control/register" => self.register(call.json()?),
+            "/control/remove" => {
+                let entry: Listed = call.json()?;
+                self.state.lock().directory.remove(now, &entry.name);
+            }
+            "/control/log" => return Ok(Reply::json(200, &self.log()).done()),
+            _ => return Err(control::unknown().into()),
+        }
+        Ok(control::done())
+    }
+
+    fn is_cut_off(&self, call: &Call) -> bool {
+        let state = self.state.lock();
+        let Some(cut_off) = &state.faults.cut_off else {
+            return false;
+        };
+        let token = call.header("authorization").trim_start_matches("Bearer ");
+        cut_off.iter().any(|name| name == token)
+    }
+}
+
+#[async_trait]
+impl Handler for Platform {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        let Some(call) = Call::read(req).await else {
+            return Reply::new(400).done();
+        };
+        if call.path.starts_with("/control/") {
+            return self.control(&call).unwrap_or_else(|refusal| *refusal);
+        }
+        if self.is_cut_off(&call) {
+            return control::hang_up(&call.link);
+        }
+        if let Some(key) = call.path.strip_prefix(OBJECTS) {
+            return self.object(&call, key);
+        }
+        match call.path.as_str() {
+            "/" => self.table(&call).await,
+            SLICES => self.slices(),
+            _ => control::unknown(),
+        }
+    }
+}
+
+fn take_one(faults: &mut Faults) -> bool {
+    let Some(left @ 1..) = faults.lose_answers else {
+        return false;
+    };
+    faults.lose_answers = Some(left - 1);
+    true
+}
+
+fn amz(status: u16, text: String) -> Response<Body> {
+    Reply::new(status)
+        .with_header("content-type", "application/x-amz-json-1.0")
+        .with_body(full(text))
+        .done()
+}
--- /dev/null
+++ b/components/standins/src/platform/table.rs
@@ -0,0 +1,417 @@
+//! The table service: the forms of DynamoDB's JSON that celerystand uses, and no others.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use derive_more::{Display, Error};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+use crate::platform::{Faults, Log};
+
+/// Prefix of the operation's name.
+pub const PROTOCOL: &str = "DynamoDB_20120810.";
+/// The operation that writes.
+pub const COMMIT: &str = "TransactWriteItems";
+const NAMESPACE: &str = "com.amazonaws.dynamodb.v20120810#";
+const TABLE: &str = "celerystand";
+/// Rows written a second by default.
+const WRITE_RATE: f64 = 400.0;
+/// Reads a second by default.
+const READ_RATE: f64 = 2000.0;
+/// Writes in one transaction at most.
+const MOST_WRITES: usize = 100;
+
+/// Why the table refuses a call.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum TableFault {
+    /// A condition did not hold; holds each write's own code.
+    #[display("Transaction cancelled")]
+    Cancelled {
+        /// `None` or `ConditionalCheckFailed`, one for each write.
+        reasons: Vec<&'static str>,
+    },
+    /// Too many calls.
+    #[display("The level of configured provisioned throughput was exceeded")]
+    Throttled,
+    /// The call is wrong.
+    #[display("{what}")]
+    Invalid {
+        /// What is wrong.
+        what: String,
+    },
+    /// The table is failing.
+    #[display("Internal server error")]
+    Internal,
+}
+
+impl TableFault {
+    /// HTTP status.
+    #[must_use]
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::Internal => 500,
+            _ => 400,
+        }
+    }
+
+    /// Body of the answer.
+    #[must_use]
+    pub fn body(&self) -> String {
+        let (kind, reasons) = match self {
+            Self::Cancelled { reasons } => ("TransactionCanceledException", reasons.as_slice()),
+            Self::Throttled => ("ProvisionedThroughputExceededException", &[][..]),
+            Self::Invalid { .. } => ("ValidationException", &[][..]),
+            Self::Internal => ("InternalServerError", &[][..]),
+        };
+        let reasons = reasons.iter().map(|code| Reason { code }).collect();
+        text(&FaultBody {
+            kind: format!("{NAMESPACE}{kind}"),
+            message: self.to_string(),
+            reasons,
+        })
+    }
+}
+
+#[derive(Serialize)]
+struct FaultBody<'a> {
+    #[serde(rename = "__type")]
+    kind: String,
+    message: String,
+    #[serde(rename = "CancellationReasons", skip_serializing_if = "Vec::is_empty")]
+    reasons: Vec<Reason<'a>>,
+}
+
+#[derive(Serialize)]
+struct Reason<'a> {
+    #[serde(rename = "Code")]
+    code: &'a str,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Text {
+    #[serde(rename = "S")]
+    s: String,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Number {
+    #[serde(rename = "N")]
+    n: String,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+struct Item {
+    pk: Text,
+    sk: Text,
+    ver: Number,
+    body: Text,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Key {
+    pk: Text,
+    sk: Text,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Get {
+    table_name: String,
+    key: Key,
+    #[serde(default)]
+    consistent_read: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Query {
+    table_name: String,
+    key_condition_expression: String,
+    expression_attribute_values: Range,
+    #[serde(default)]
+    limit: Option<usize>,
+    #[serde(default)]
+    consistent_read: bool,
+}
+
+#[derive(Deserialize)]
+struct Range {
+    #[serde(rename = ":p")]
+    partition: Text,
+    #[serde(rename = ":s")]
+    after: Text,
+}
+
+#[derive(Deserialize)]
+struct Seen {
+    #[serde(rename = ":v")]
+    version: Number,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Commit {
+    transact_items: Vec<Write>,
+}
+
+#[derive(Deserialize)]
+enum Write {
+    Put(Put),
+    Delete(Delete),
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Put {
+    table_name: String,
+    item: Item,
+    condition_expression: String,
+    #[serde(default)]
+    expression_attribute_values: Option<Seen>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Delete {
+    table_name: String,
+    key: Key,
+    condition_expression: String,
+    expression_attribute_values: Seen,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Got<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    item: Option<&'a Item>,
+}
+
+#[derive(Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Found<'a> {
+    count: usize,
+    items: Vec<&'a Item>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    last_evaluated_key: Option<Key>,
+}
+
+/// Allows so many calls a second, and a second's worth at once.
+#[derive(Default)]
+struct Bucket {
+    spent: f64,
+    at: Duration,
+}
+
+impl Bucket {
+    fn take(&mut self, now: Duration, rate: f64, n: usize) -> bool {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
+        self.spent = (self.spent - passed * rate).max(0.0);
+        let fits = self.spent + n as f64 <= rate;
+        if fits {
+            self.spent += n as f64;
+        }
+        fits
+    }
+}
+
+type Rows = BTreeMap<(String, String), Item>;
+
+/// All rows, and the account of calls.
+#[derive(Default)]
+pub struct Table {
+    rows: Rows,
+    reads: Bucket,
+    writes: Bucket,
+    log: Log,
+}
+
+impl Table {
+    /// Runs one operation and gives the answer's body.
+    ///
+    /// # Errors
+    /// Why it is refused; nothing was written then.
+    pub fn run(
+        &mut self,
+        now: Duration,
+        faults: &Faults,
+        operation: &str,
+        body: &[u8],
+    ) -> Result<String, TableFault> {
+        if faults.table_errors == Some(true) {
+            return Err(TableFault::Internal);
+        }
+        let read_rate = faults.read_rate.unwrap_or(READ_RATE);
+        match operation {
+            "GetItem" => {
+                let get: Get = parse(body)?;
+                check(&get.table_name, get.consistent_read)?;
+                self.read(now, read_rate)?;
+                let item = self.rows.get(&(get.key.pk.s, get.key.sk.s));
+                Ok(text(&Got { item }))
+            }
+            "Query" => {
+                let query: Query = parse(body)?;
+                check(&query.table_name, query.consistent_read)?;
+                self.read(now, read_rate)?;
+                self.query(&query)
+            }
+            COMMIT => {
+                let commit: Commit = parse(body)?;
+                let rate = faults.write_rate.unwrap_or(WRITE_RATE);
+                self.commit(now, rate, commit.transact_items)
+            }
+            _ => Err(invalid("no such operation")),
+        }
+    }
+
+    /// Counts a commit whose answer was lost.
+    pub fn count_lost(&mut self, lost: bool) {
+        self.log.lost += u64::from(lost);
+    }
+
+    /// The account with all rows.
+    #[must_use]
+    pub fn log(&self) -> Log {
+        let name = |item: &Item| format!("{}/{}", item.pk.s, item.sk.s);
+        let rows = self
+            .rows
+            .values()
+            .map(|item| (name(item), item.body.s.clone()));
+        Log {
+            rows: rows.collect(),
+            ..self.log.clone()
+        }
+    }
+
+    fn read(&mut self, now: Duration, rate: f64) -> Result<(), TableFault> {
+        if !self.reads.take(now, rate, 1) {
+            self.log.throttled += 1;
+            return Err(TableFault::Throttled);
+        }
+        self.log.reads += 1;
+        Ok(())
+    }
+
+    fn query(&self, query: &Query) -> Result<String, TableFault> {
+        if query.key_condition_expression != "pk = :p AND sk > :s" {
+            return Err(invalid("only the condition `pk = :p AND sk > :s` is known"));
+        }
+        let values = &query.expression_attribute_values;
+        let partition = &values.partition.s;
+        let limit = query.limit.unwrap_or(usize::MAX);
+        let from = (partition.clone(), values.after.s.clone());
+        let mut items: Vec<&Item> = self
+            .rows
+            .range(from..)
+            .filter(|((_, sort), _)| *sort != values.after.s)
+            .take_while(|((pk, _), _)| pk == partition)
+            .map(|(_, item)| item)
+            .take(limit.saturating_add(1))
+            .collect();
+        let more = items.len() > limit;
+        items.truncate(limit);
+        let last = items.last().filter(|_| more).map(|item| Key {
+            pk: item.pk.clone(),
+            sk: item.sk.clone(),
+        });
+        Ok(text(&Found {
+            count: items.len(),
+            items,
+            last_evaluated_key: last,
+        }))
+    }
+
+    fn commit(
+        &mut self,
+        now: Duration,
+        rate: f64,
+        writes: Vec<Write>,
+    ) -> Result<String, TableFault> {
+        if writes.is_empty() || writes.len() > MOST_WRITES {
+            return Err(invalid("a transaction has 1 to 100 writes"));
+        }
+        let holds = writes
+            .iter()
+            .map(|write| self.holds(write))
+            .collect::<Result<Vec<_>, _>>()?;
+        if !self.writes.take(now, rate, writes.len()) {
+            self.log.throttled += 1;
+            return Err(TableFault::Throttled);
+        }
+        if holds.contains(&false) {
+            self.log.conflicts += 1;
+            let code = |holds| {
+                if holds {
+                    "None"
+                } else {
+                    "ConditionalCheckFailed"
+                }
+            };
+            let reasons = holds.into_iter().map(code).collect();
+            return Err(TableFault::Cancelled { reasons });
+        }
+        self.log.writes += writes.len() as u64;
+        for write in writes {
+            match write {
+                Write::Put(put) => {
+                    let key = (put.item.pk.s.clone(), put.item.sk.s.clone());
+                    self.rows.insert(key, put.item);
+                }
+                Write::Delete(delete) => {
+                    self.rows.remove(&(delete.key.pk.s, delete.key.sk.s));
+                }
+            }
+        }
+        Ok("{}".to_owned())
+    }
+
+    fn holds(&self, write: &Write) -> Result<bool, TableFault> {
+        let (table, pk, sk, condition, seen) = match write {
+            Write::Put(put) => (
+                &put.table_name,
+                &put.item.pk,
+                &put.item.sk,
+                &put.condition_expression,
+                put.expression_attribute_values.as_ref(),
+            ),
+            Write::Delete(delete) => (
+                &delete.table_name,
+                &delete.key.pk,
+                &delete.key.sk,
+                &delete.condition_expression,
+                Some(&delete.expression_attribute_values),
+            ),
+        };
+        check(table, true)?;
+        let row = self.rows.get(&(pk.s.clone(), sk.s.clone()));
+        match (condition.as_str(), seen) {
+            ("attribute_not_exists(pk)", None) => Ok(row.is_none()),
+            ("ver = :v", Some(seen)) => Ok(row.is_some_and(|row| row.ver == seen.version)),
+            _ => Err(invalid("unknown condition, or its values don't fit")),
+        }
+    }
+}
+
+fn check(table: &str, consistent: bool) -> Result<(), TableFault> {
+    match (table, consistent) {
+        (TABLE, true) => Ok(()),
+        (TABLE, false) => Err(invalid("only consistent reads are known")),
+        _ => Err(invalid("no such table")),
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, TableFault> {
+    serde_json::from_slice(body).map_err(|e| invalid(&e.to_string()))
+}
+
+fn invalid(what: &str) -> TableFault {
+    TableFault::Invalid {
+        what: what.to_owned(),
+    }
+}
+
+fn text(content: &impl Serialize) -> String {
+    // Structs of text and numbers always become JSON.
+    serde_json::to_string(content).unwrap_or_default()
+}
--- /dev/null
+++ b/components/standins/tests/engine.rs
@@ -0,0 +1,164 @@
+//! The engine: preemption, falling over while cold, resuming.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use futures_lite::future::zip;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming};
+use net::Client;
+use smol::{Timer, block_on};
+use standins::{
+    engine::{
+        self, Engine, EngineSettings,
+        batch::{Batch, End, Work},
+    },
+    life::{Act, Cut, Faults, LifeSettings},
+    link::Running,
+};
+
+fn quick(warm: bool) -> EngineSettings {
+    EngineSettings {
+        life: LifeSettings {
+            name: "e1".to_owned(),
+            warm,
+            restart_ms: 50,
+            ..LifeSettings::default()
+        },
+        step_ms: 1.0,
+        ..EngineSettings::default()
+    }
+}
+
+async fn start(warm: bool) -> Running<Engine> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    engine::start(any, quick(warm)).await.unwrap()
+}
+
+async fn ask(addr: SocketAddr, tokens: u64) -> Option<Response<Incoming>> {
+    let body = format!(
+        r#"{{"messages":[{{"role":"user","content":"hi"}}],"stream":true,"metadata":{{"output_tokens":"{tokens}"}}}}"#
+    );
+    let req = Request::post("/v1/chat/completions").body(Full::new(Bytes::from(body)));
+    Client::new().send(addr, req.unwrap()).await.ok()
+}
+
+/// Reads until the end or the break; gives the offsets, and whether the end was seen.
+async fn offsets(resp: Response<Incoming>) -> (Vec<u64>, bool) {
+    let mut body = resp.into_body();
+    let mut text = String::new();
+    while let Some(Ok(frame)) = body.frame().await {
+        text += &String::from_utf8_lossy(frame.data_ref().unwrap());
+    }
+    let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+    let whole = text.ends_with("data: [DONE]\n\n");
+    (ids.map(|id| id.parse().unwrap()).collect(), whole)
+}
+
+fn work(priority: i64) -> Work {
+    Work {
+        priority,
+        prompt_tokens: 10,
+        wanted: 40,
+        ..Work::default()
+    }
+}
+
+// Two generations are let in by their size at present, and grow until the memory is full. The
+// less urgent one is thrown out and computed again: its reader sees it stand still.
+#[test]
+fn a_full_memory_preempts_the_least_urgent_and_both_end_whole() {
+    let mut batch = Batch::new(EngineSettings {
+        capacity: 60,
+        ..EngineSettings::default()
+    });
+    batch.add(Duration::ZERO, 1, work(1));
+    batch.add(Duration::ZERO, 1, work(0));
+    let mut now = Duration::ZERO;
+    while let Some(time) = batch.plan(now) {
+        now += time;
+        batch.step(now);
+    }
+    assert!(batch.totals.preemptions > 0);
+    assert_eq!(batch.all[1].preempted, 0, "the urgent one stays in");
+    assert!(batch.all[0].stall_ms > 0);
+    for generation in &batch.all {
+        assert_eq!(generation.end, Some(End::Finished));
+        assert_eq!(generation.produced, 40);
+    }
+}
+
+// A cold engine bears two requests. A third one brings it down: all readers lose their streams,
+// and it comes back as another incarnation that knows none of them.
+#[test]
+fn a_cold_engine_falls_over_above_its_bound() {
+    block_on(async {
+        let running = start(false).await;
+        let first = ask(running.addr, 100_000).await.unwrap();
+        let second = ask(running.addr, 100_000).await.unwrap();
+        assert!(ask(running.addr, 1).await.is_none());
+        let ((_, first), (_, second)) = zip(offsets(first), offsets(second)).await;
+        assert!(!first && !second);
+        assert_eq!(running.standin.log().life.overfills, 1);
+        wait(|| running.standin.log().life.incarnation == 2).await;
+        let again = ask(running.addr, 3).await.unwrap();
+        assert_eq!(again.headers()["x-stream-id"], "e1-2-2");
+        assert_eq!(offsets(again).await, (vec![0, 1, 2], true));
+    });
+}
+
+// The connection breaks in mid-stream. The engine goes on by itself, and a second connection
+// reads the same generation from the next token on.
+#[test]
+fn a_cut_stream_goes_on_at_the_next_token() {
+    block_on(async {
+        let running = start(true).await;
+        let bytes = 2000;
+        running.standin.set(Faults {
+            cut_answer: Some(Cut { bytes, times: 1 }),
+            ..Faults::default()
+        });
+        let resp = ask(running.addr, 50).await.unwrap();
+        let stream = resp.headers()["x-stream-id"].to_str().unwrap().to_owned();
+        let (seen, whole) = offsets(resp).await;
+        assert!(!whole && seen.len() < 50);
+        let req = Request::get(format!("/v1/streams/{stream}"))
+            .header("last-event-id", "4")
+            .body(Full::default());
+        let rest = Client::new()
+            .send(running.addr, req.unwrap())
+            .await
+            .unwrap();
+        assert_eq!(offsets(rest).await, ((5..50).collect(), true));
+    });
+}
+
+// Something on the way loses track of a connection: nothing arrives on it any more, and nothing
+// tells so, while a new connection works.
+#[test]
+fn a_silent_connection_says_nothing_while_a_new_one_works() {
+    block_on(async {
+        let running = start(true).await;
+        let resp = ask(running.addr, 5000).await.unwrap();
+        let act = Some(Act::Silence);
+        running.standin.set(Faults {
+            act,
+            ..Faults::default()
+        });
+        let old = workers::spawn(offsets(resp));
+        let new = ask(running.addr, 3).await.unwrap();
+        assert_eq!(offsets(new).await, (vec![0, 1, 2], true));
+        assert!(!old.is_finished());
+    });
+}
+
+async fn wait(done: impl Fn() -> bool) {
+    let patience = Instant::now() + Duration::from_secs(20);
+    while !done() {
+        assert!(Instant::now() < patience, "it did not come about");
+        Timer::after(Duration::from_millis(5)).await;
+    }
+}
