Load settings, number events, serve the administration API: a first form

Cause: a process needs settings, logs and an admin address before it can serve. Keys in settings are kebab-case, as in the tree. What the node implements: admin::Dump, admin::Readiness; it builds AdminApi::new(AdminParts{..}).

--- /dev/null
+++ b/components/admin/src/api.rs
@@ -0,0 +1,166 @@
+//! The handler of the admin address.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use hyper::{HeaderMap, Request, Response, Uri, body::Incoming};
+use net::{Body, Handler, Reply};
+use prometheus_client::encoding::text;
+
+use crate::{
+    auth,
+    body::read_json,
+    document,
+    message::{Ready, Status},
+    parts::AdminParts,
+    problem::{Now, Problem},
+    route::Route,
+    scrub::scrub,
+    tree_api,
+};
+
+/// Accepted changes that are listed if the request names no number.
+const HISTORY_DEFAULT: usize = 20;
+/// Accepted changes that are listed at most.
+const HISTORY_LIMIT: usize = 1000;
+/// Content type of metrics.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers requests on the admin address.
+pub struct AdminApi {
+    parts: AdminParts,
+}
+
+impl AdminApi {
+    /// Makes it of its parts.
+    #[must_use]
+    pub const fn new(parts: AdminParts) -> Self {
+        Self { parts }
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+        let (head, body) = req.into_parts();
+        let route = Route::find(&head.method, head.uri.path())?;
+        if !route.is_open() && !auth::allows(&head.headers, &self.parts.key_hashes) {
+            return Err(unauthorized());
+        }
+        self.serve(route, &head.uri, &head.headers, body).await
+    }
+
+    async fn serve(
+        &self,
+        route: Route,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Result<Response<Body>, Problem> {
+        let config = &*self.parts.config;
+        match route {
+            Route::Health => Ok(Reply::text(200, "alive\n").done()),
+            Route::Ready => Ok(self.ready()),
+            Route::Metrics => self.metrics(),
+            Route::Dump => Ok(self.dump()),
+            Route::Status => Ok(Reply::json(200, &self.status()).done()),
+            Route::ReadTree => document::read(config),
+            Route::WriteTree => document::write(config, headers, read_json(body).await?).await,
+            Route::ReadNode(path) => tree_api::read(config, &path),
+            Route::WriteNode(path) => {
+                let node = Some(read_json(body).await?);
+                tree_api::write(config, headers, path, node).await
+            }
+            Route::DeleteNode(path) => tree_api::write(config, headers, path, None).await,
+            Route::Validate => Ok(document::validate(config, read_json(body).await?)),
+            Route::History => self.history(uri).await,
+            Route::DataCentre(id, direction) => {
+                tree_api::turn(config, headers, &id, direction).await
+            }
+        }
+    }
+
+    fn ready(&self) -> Response<Body> {
+        let reason = self.parts.readiness.ready().err();
+        let ready = reason.is_none();
+        let status = if ready { 200 } else { 503 };
+        Reply::json(status, &Ready { ready, reason }).done()
+    }
+
+    fn metrics(&self) -> Result<Response<Body>, Problem> {
+        let mut text = String::new();
+        text::encode(&mut text, &self.parts.registry).map_err(|e| {
+            Problem::new(
+                500,
+                "metrics",
+                "The metrics can't be written",
+                e.to_string(),
+            )
+        })?;
+        let reply = Reply::text(200, text).with_header("content-type", METRICS_TYPE);
+        Ok(reply.done())
+    }
+
+    fn dump(&self) -> Response<Body> {
+        let mut state = self.parts.dump.dump();
+        scrub(&mut state);
+        Reply::json(200, &state).done()
+    }
+
+    fn status(&self) -> Status {
+        let reason = self.parts.readiness.ready().err();
+        let current = self.parts.config.current();
+        Status {
+            instance: self.parts.instance.clone(),
+            data_centre: self.parts.data_centre.clone(),
+            program: env!("CARGO_PKG_VERSION").into(),
+            ready: reason.is_none(),
+            reason,
+            config_version: current.as_ref().map(|current| current.snapshot.version),
+            out: current.map_or_else(Vec::new, |current| current.in_force.out()),
+        }
+    }
+
+    async fn history(&self, uri: &Uri) -> Result<Response<Body>, Problem> {
+        let limit = match query(uri, "limit") {
+            Some(text) => text.parse().map_err(|_| bad_limit(text))?,
+            None => HISTORY_DEFAULT,
+        };
+        let entries = self
+            .parts
+            .config
+            .history(limit.min(HISTORY_LIMIT))
+            .await
+            .map_err(|e| Problem::of_change(e, Now::default()))?;
+        Ok(Reply::json(200, &entries).done())
+    }
+}
+
+#[async_trait]
+impl Handler for AdminApi {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        match self.answer(req).await {
+            Ok(resp) => resp,
+            Err(problem) => problem.reply(),
+        }
+    }
+}
+
+/// The value of a query parameter. Names and values here need no percent-encoding.
+fn query<'a>(uri: &'a Uri, name: &str) -> Option<&'a str> {
+    let pairs = uri.query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find_map(|(key, value)| (key == name).then_some(value))
+}
+
+fn bad_limit(text: &str) -> Problem {
+    let detail = format!("limit={text} is no number");
+    Problem::new(400, "query", "The query can't be read", detail)
+}
+
+fn unauthorized() -> Problem {
+    Problem::new(
+        401,
+        "key",
+        "An operator's key is needed",
+        "send Authorization: Bearer KEY with a key whose hash is in the settings of this instance",
+    )
+}
--- /dev/null
+++ b/components/admin/src/message.rs
@@ -0,0 +1,86 @@
+//! What operators send and get.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use config::Fault;
+use serde::{Deserialize, Serialize};
+use tree::{Node, NodePath};
+use types::{ConfigVersion, DataCentreId, InstanceId};
+
+/// Whether the process takes new work.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ready {
+    /// Whether it does.
+    pub ready: bool,
+    /// Why not.
+    pub reason: Option<Arc<str>>,
+}
+
+/// A summary of one instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Status {
+    /// Its name.
+    pub instance: InstanceId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Version of the program.
+    pub program: Arc<str>,
+    /// Whether it takes new work.
+    pub ready: bool,
+    /// Why not.
+    pub reason: Option<Arc<str>>,
+    /// Version of the configuration in force; `None` before the first was found.
+    pub config_version: Option<ConfigVersion>,
+    /// Data centres that operators have taken out.
+    pub out: Vec<DataCentreId>,
+}
+
+/// One node as written.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Written {
+    /// Its path.
+    pub path: NodePath,
+    /// The version that last wrote it, which is its `ETag` too.
+    pub version: Option<ConfigVersion>,
+    /// Its content.
+    pub node: Node,
+}
+
+/// A document of many nodes.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Version of the whole tree that it was read at; not looked at when it is written.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<ConfigVersion>,
+    /// The nodes. Nodes of the tree that are not named here stay as they are.
+    pub nodes: BTreeMap<NodePath, Node>,
+}
+
+/// What became of each node of a document.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct DocumentOutcome {
+    /// Version in force after the last accepted change.
+    pub version: ConfigVersion,
+    /// Nodes that were written.
+    pub written: Vec<NodePath>,
+    /// Nodes that were the same already.
+    pub unchanged: Vec<NodePath>,
+}
+
+/// The configuration version that a change made.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Accepted {
+    /// The version.
+    pub version: ConfigVersion,
+}
+
+/// Whether changes would be accepted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Verdict {
+    /// Whether they would.
+    pub valid: bool,
+    /// All that is wrong.
+    pub faults: Vec<Fault>,
+}
--- /dev/null
+++ b/components/admin/src/tree_api.rs
@@ -0,0 +1,193 @@
+//! Reading and changing single nodes of the configuration tree.
+
+use std::sync::Arc;
+
+use config::{Change, ChangeError, Config};
+use hyper::{
+    HeaderMap, Response,
+    header::{FROM, HeaderName, IF_MATCH, IF_NONE_MATCH},
+};
+use net::{Body, Reply};
+use tree::{Node, NodePath};
+use types::{ConfigVersion, DataCentreId};
+
+use crate::{
+    message::{Accepted, Written},
+    problem::{Now, Problem},
+    route::Direction,
+};
+
+/// Who made a change, if the operator does not say.
+const NAMELESS: &str = "operator";
+/// Longest name of an operator.
+const WHO_LIMIT: usize = 100;
+/// How often a change that can be repeated without harm is tried against other operators.
+const ATTEMPTS: usize = 5;
+
+/// Who makes a change, by the `From` header.
+#[must_use]
+pub fn who(headers: &HeaderMap) -> Arc<str> {
+    let name = headers.get(FROM).and_then(|value| value.to_str().ok());
+    let name = name.map_or(NAMELESS, str::trim);
+    name.chars().take(WHO_LIMIT).collect::<String>().into()
+}
+
+/// What a node is at present.
+#[must_use]
+pub fn now(config: &dyn Config, path: &str) -> Now {
+    let current = config.current();
+    let node = current.and_then(|current| current.snapshot.nodes.get(path).cloned());
+    Now {
+        version: node.as_ref().and_then(|_| config.changed(path)),
+        node,
+    }
+}
+
+/// Reads a node as written.
+///
+/// # Errors
+/// 404 if nobody has written it.
+pub fn read(config: &dyn Config, path: &NodePath) -> Result<Response<Body>, Problem> {
+    let now = now(config, path);
+    let node = now.node.ok_or_else(|| unwritten(path))?;
+    let written = Written {
+        path: Arc::clone(path),
+        version: now.version,
+        node,
+    };
+    Ok(with_etag(Reply::json(200, &written), now.version).done())
+}
+
+/// Writes or deletes a node if it is as the operator saw it.
+///
+/// # Errors
+/// 412 if somebody else changed it, 422 if the change is not valid, 428 if the request does not
+/// say what the operator saw, 503 if the table service is down, 504 if the outcome is unknown.
+pub async fn write(
+    config: &dyn Config,
+    headers: &HeaderMap,
+    path: NodePath,
+    node: Option<Node>,
+) -> Result<Response<Body>, Problem> {
+    let change = Change {
+        path: Arc::clone(&path),
+        node,
+        seen: seen(headers)?,
+        who: who(headers),
+    };
+    let version = config
+        .change(change)
+        .await
+        .map_err(|e| Problem::of_change(e, now(config, &path)))?;
+    let reply = Reply::json(200, &Accepted { version });
+    Ok(with_etag(reply, Some(version)).done())
+}
+
+/// Takes a data centre out of service or back in. It does not matter who else does the same at
+/// the same time, so it is tried again after a conflict.
+///
+/// # Errors
+/// 404 if the tree has no such data centre, otherwise as [`write`].
+pub async fn turn(
+    config: &dyn Config,
+    headers: &HeaderMap,
+    id: &DataCentreId,
+    direction: Direction,
+) -> Result<Response<Body>, Problem> {
+    let path: NodePath = format!("/data-centres/{id}").into();
+    let out = direction == Direction::Out;
+    let mut last = ChangeError::Conflict { now: None };
+    for _ in 0..ATTEMPTS {
+        let before = now(config, &path);
+        let mut node = before.node.ok_or_else(|| unknown_data_centre(config, id))?;
+        if node.out.unwrap_or(false) == out {
+            let version = current_version(config).unwrap_or_default();
+            return Ok(Reply::json(200, &Accepted { version }).done());
+        }
+        node.out = Some(out);
+        let change = Change {
+            path: Arc::clone(&path),
+            node: Some(node),
+            seen: before.version,
+            who: who(headers),
+        };
+        match config.change(change).await {
+            Ok(version) => return Ok(Reply::json(200, &Accepted { version }).done()),
+            Err(error @ ChangeError::Conflict { .. }) => last = error,
+            Err(error) => return Err(Problem::of_change(error, now(config, &path))),
+        }
+    }
+    Err(Problem::of_change(last, now(config, &path)))
+}
+
+/// The version of the configuration in force.
+#[must_use]
+pub fn current_version(config: &dyn Config) -> Option<ConfigVersion> {
+    config.current().map(|current| current.snapshot.version)
+}
+
+/// Reads the preconditions: `If-Match` with the version that the operator saw, or
+/// `If-None-Match: *` for a node that must not exist yet.
+fn seen(headers: &HeaderMap) -> Result<Option<ConfigVersion>, Problem> {
+    let text = |name: HeaderName| headers.get(name).map(|value| value.to_str().unwrap_or(""));
+    match (text(IF_MATCH), text(IF_NONE_MATCH)) {
+        (Some(tag), None) => read_etag(tag).map(Some),
+        (None, Some("*")) => Ok(None),
+        (None, None) => Err(Problem::new(
+            428,
+            "precondition-required",
+            "The request must say what you saw",
+            "send If-Match with the ETag of the node as you read it, or If-None-Match: * for a \
+             node that must not exist yet",
+        )),
+        _ => Err(bad_precondition()),
+    }
+}
+
+fn read_etag(text: &str) -> Result<ConfigVersion, Problem> {
+    let digits = text
+        .trim()
+        .strip_prefix('"')
+        .and_then(|t| t.strip_suffix('"'));
+    digits
+        .and_then(|digits| digits.parse().ok())
+        .ok_or_else(bad_precondition)
+}
+
+fn bad_precondition() -> Problem {
+    Problem::new(
+        400,
+        "precondition",
+        "The precondition can't be read",
+        "send either If-Match with an ETag like \"17\", or If-None-Match: *",
+    )
+}
+
+fn with_etag(reply: Reply, version: Option<ConfigVersion>) -> Reply {
+    match version {
+        Some(version) => reply.with_header("etag", &format!("\"{version}\"")),
+        None => reply,
+    }
+}
+
+fn unwritten(path: &str) -> Problem {
+    let detail = format!("nobody has written {path}");
+    Problem::new(404, "not-found", "There is no such node", detail)
+}
+
+fn unknown_data_centre(config: &dyn Config, id: &str) -> Problem {
+    let current = config.current();
+    let known: Vec<&str> =
+        current
+            .iter()
+            .flat_map(|c| c.snapshot.nodes.keys())
+            .fold(Vec::new(), |mut known, path| {
+                known.extend(path.strip_prefix("/data-centres/"));
+                known
+            });
+    let detail = format!(
+        "the tree has no data centre {id}; it has {}",
+        known.join(", ")
+    );
+    Problem::new(404, "not-found", "There is no such data centre", detail)
+}
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1,123 +1,151 @@
-//! All events that the program logs. `docs/EVENTS.md` is their catalogue.
+//! All events that the program logs. `docs/EVENTS.md` is their catalogue, made from this file.
 //!
-//! Numbers never change meaning. Ranges: 100 life of the process, 200 members and ownership,
-//! 300 decisions, 400 callers, 500 targets, 600 platform and claims, 700 configuration,
-//! 800 administration.
+//! To add one: take the next free number of your range, write it below, and run
+//! `cargo run -- docs events > docs/EVENTS.md`. Numbers never change meaning. Ranges: 100 life of
+//! the process, 200 members and ownership, 300 decisions, 400 callers, 500 targets, 600 platform
+//! and claims, 700 configuration, 800 administration.
 
 use std::sync::Arc;
 
-use derive_more::Display;
-use types::{ConfigVersion, Epoch, InstanceId, Shard};
+use types::{ConfigVersion, DataCentreId, Epoch, InstanceId, Shard};
 
-/// Severity of an event.
-#[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Level {
-    /// An operator is needed now.
-    #[display("error")]
-    Error,
-    /// An operator may be needed.
-    #[display("warn")]
-    Warn,
-    /// What happened.
-    #[display("info")]
-    Info,
-    /// Details for maintainers.
-    #[display("debug")]
-    Debug,
-}
+use crate::declare::declare_events;
 
-/// Something worth a log line.
-#[derive(Clone, Debug, Display, PartialEq)]
-pub enum Event {
-    /// 100: the instance has started.
-    #[display("instance {instance} has started")]
+declare_events! {
+    /// The instance has started.
     Started {
         /// Its name.
         instance: InstanceId,
-    },
-    /// 101: a shutdown has begun.
-    #[display("shutdown begins, {open} requests are running")]
+    } = (
+        100, Info, "instance {instance} has started",
+        "Nothing. If you did not start it, look for what ended the process before.",
+    ),
+    /// A shutdown has begun: the instance reports unready and finishes what runs.
     Draining {
         /// Requests that are still running.
         open: usize,
-    },
-    /// 102: the process ends.
-    #[display("all work is done, the process ends")]
-    Stopped,
-    /// 103: the process did not run for a while.
-    #[display("the process did not run for {gap_ms} ms; it gives up its shards")]
+    } = (
+        101, Info, "shutdown begins, {open} requests are running",
+        "Wait for 102 before you remove the machine.",
+    ),
+    /// The process ends with all its work done.
+    Stopped = (
+        102, Info, "all work is done, the process ends",
+        "Nothing.",
+    ),
+    /// The process did not run for a while, so that others may have taken over what it owned.
     Paused {
         /// Length of the gap in milliseconds.
         gap_ms: u64,
-    },
-    /// 200: a peer is heard for the first time, or again.
-    #[display("peer {peer} is heard")]
+    } = (
+        103, Warn, "the process did not run for {gap_ms} ms; it gives up its shards",
+        "If it comes often, give the instance more processor time or move it.",
+    ),
+    /// A peer is heard for the first time, or again.
     PeerHeard {
         /// The peer.
         peer: InstanceId,
-    },
-    /// 201: a peer is no longer heard.
-    #[display("peer {peer} is silent")]
+    } = (
+        200, Info, "peer {peer} is heard",
+        "Nothing.",
+    ),
+    /// A peer is no longer heard; its shards go to other instances.
     PeerSilent {
         /// The peer.
         peer: InstanceId,
-    },
-    /// 202: this instance owns a shard now.
-    #[display("owner of {shard} in term {epoch}")]
+    } = (
+        201, Warn, "peer {peer} is silent",
+        "If you did not stop it, look at that instance and at the link to it.",
+    ),
+    /// This instance grants permits for a shard now.
     Owning {
         /// The shard.
         shard: Shard,
         /// The term.
         epoch: Epoch,
-    },
-    /// 203: this instance no longer owns a shard.
-    #[display("no longer owner of {shard}")]
+    } = (
+        202, Info, "owner of {shard} in term {epoch}",
+        "Nothing.",
+    ),
+    /// This instance no longer grants permits for a shard.
     Disowned {
         /// The shard.
         shard: Shard,
-    },
-    /// 600: the table service can't be reached.
-    #[display("the table service can't be reached: {reason}")]
+    } = (
+        203, Info, "no longer owner of {shard}",
+        "Nothing.",
+    ),
+    /// The table service can't be reached.
     TableDown {
         /// Why.
         reason: Arc<str>,
-    },
-    /// 601: the table service answers again.
-    #[display("the table service answers again")]
-    TableUp,
-    /// 700: a configuration is in force.
-    #[display("configuration {version} is in force")]
+    } = (
+        600, Warn, "the table service can't be reached: {reason}",
+        "Look at the table service. Until it is back, keyed requests and changes of configuration are refused; all else goes on.",
+    ),
+    /// The table service answers again.
+    TableUp = (
+        601, Info, "the table service answers again",
+        "Nothing.",
+    ),
+    /// A configuration is in force.
     ConfigInForce {
         /// Its version.
         version: ConfigVersion,
-    },
-}
-
-impl Event {
-    /// Its number in the catalogue.
-    #[must_use]
-    pub const fn number(&self) -> u16 {
-        match self {
-            Self::Started { .. } => 100,
-            Self::Draining { .. } => 101,
-            Self::Stopped => 102,
-            Self::Paused { .. } => 103,
-            Self::PeerHeard { .. } => 200,
-            Self::PeerSilent { .. } => 201,
-            Self::Owning { .. } => 202,
-            Self::Disowned { .. } => 203,
-            Self::TableDown { .. } => 600,
-            Self::TableUp => 601,
-            Self::ConfigInForce { .. } => 700,
-        }
-    }
-
-    /// Its severity.
-    #[must_use]
-    pub const fn level(&self) -> Level {
-        match self {
-            Self::Paused { .. } | Self::PeerSilent { .. } | Self::TableDown { .. } => Level::Warn,
-            _ => Level::Info,
-        }
-    }
+    } = (
+        700, Info, "configuration {version} is in force",
+        "Nothing.",
+    ),
+    /// An operator's change was accepted.
+    ChangeAccepted {
+        /// Who made it.
+        who: Arc<str>,
+        /// The node.
+        path: Arc<str>,
+        /// The version that it made.
+        version: ConfigVersion,
+    } = (
+        800, Info, "{who} changed {path}, version {version}",
+        "Nothing.",
+    ),
+    /// An operator's change was not accepted.
+    ChangeRefused {
+        /// Who wanted it.
+        who: Arc<str>,
+        /// The node.
+        path: Arc<str>,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        801, Info, "the change of {path} by {who} was not accepted: {reason}",
+        "Nothing; the operator was told the same.",
+    ),
+    /// A request to the administration API carried no valid operator's key.
+    OperatorUnknown {
+        /// Where it came from.
+        peer: Arc<str>,
+    } = (
+        802, Warn, "a request to the administration API from {peer} had no valid key",
+        "If it comes often from an address you don't know, close the admin address to it.",
+    ),
+    /// An operator took a data centre out of service.
+    DataCentreOut {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+    } = (
+        803, Info, "{who} took data centre {data_centre} out",
+        "Nothing.",
+    ),
+    /// An operator brought a data centre back into service.
+    DataCentreIn {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+    } = (
+        804, Info, "{who} brought data centre {data_centre} back",
+        "Nothing.",
+    ),
 }
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -1,7 +1,12 @@
 //! Numbered log events.
 
+pub mod catalogue;
+pub mod declare;
 pub mod event;
+pub mod format;
 pub mod log;
 
-pub use event::{Event, Level};
+pub use declare::{CatalogueEntry, Level};
+pub use event::Event;
+pub use format::Format;
 pub use log::{emit, start};
--- a/components/events/src/log.rs
+++ b/components/events/src/log.rs
@@ -1,17 +1,73 @@
 //! Writing events through `spdlog`.
 
-use crate::event::{Event, Level};
+use std::sync::Arc;
 
-/// Sets up logging: level and format by settings.
-pub const fn start() {}
+use spdlog::{
+    LevelFilter, Logger,
+    sink::{Sink, SinkPropAccess, StdStreamSink},
+    terminal_style::StyleMode,
+};
+
+use crate::{declare::Level, event::Event, format::Format};
+
+/// Sets up logging to standard error: the least severe level that is written, and the form.
+pub fn start(level: Level, format: Format) {
+    let sink = StdStreamSink::builder()
+        .stderr()
+        .style_mode(StyleMode::Never)
+        .build_arc();
+    // Without a log the process can still serve.
+    let Ok(sink) = sink else {
+        return;
+    };
+    sink.set_formatter(format.formatter());
+    if let Some(logger) = logger(level, sink) {
+        spdlog::set_default_logger(logger);
+    }
+}
+
+/// A logger that writes to a sink.
+#[must_use]
+pub fn logger(level: Level, sink: Arc<dyn Sink>) -> Option<Arc<Logger>> {
+    Logger::builder()
+        .level_filter(LevelFilter::MoreSevereEqual(level.into()))
+        // A line that waits in a buffer is lost when the process is killed, and it is the last
+        // lines that tell why.
+        .flush_level_filter(LevelFilter::All)
+        .sink(sink)
+        .build_arc()
+        .ok()
+}
 
 /// Logs an event.
 pub fn emit(event: &Event) {
+    emit_to(&spdlog::default_logger(), event);
+}
+
+/// Logs an event to a logger.
+pub fn emit_to(logger: &Logger, event: &Event) {
+    let level = event.level().into();
+    if !logger.should_log(level) {
+        return;
+    }
     let number = event.number();
-    match event.level() {
-        Level::Error => spdlog::error!("E{number} {event}"),
-        Level::Warn => spdlog::warn!("E{number} {event}"),
-        Level::Info => spdlog::info!("E{number} {event}"),
-        Level::Debug => spdlog::debug!("E{number} {event}"),
+    let name = event.name();
+    let fields = serde_json::to_string(event).unwrap_or_default();
+    let fields = fields.as_str();
+    spdlog::log!(logger: logger, level, "E{number} {event}", kv: {
+        number = u64::from(number),
+        event = name,
+        fields = fields,
+    });
+}
+
+impl From<Level> for spdlog::Level {
+    fn from(level: Level) -> Self {
+        match level {
+            Level::Error => Self::Error,
+            Level::Warn => Self::Warn,
+            Level::Info => Self::Info,
+            Level::Debug => Self::Debug,
+        }
     }
 }
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -7,7 +7,7 @@
 
 /// All settings of one instance.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Settings {
     /// Who and where this instance is.
     pub instance: Instance,
@@ -27,7 +27,7 @@
 
 /// Who and where this instance is.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Instance {
     /// Its name, unique in the deployment.
     pub id: InstanceId,
@@ -66,7 +66,7 @@
 
 /// Where the platform's services are, as `http://IP:PORT`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Platform {
     /// The table service.
     pub table: Arc<str>,
@@ -81,7 +81,7 @@
 
 /// How instances talk to each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Peers {
     /// Shared key that authenticates their messages, at least 16 characters.
     pub key: Arc<str>,
@@ -104,7 +104,7 @@
 
 /// The administration API.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Admin {
     /// SHA-256 of each operator's bearer key, in hexadecimal.
     pub key_hashes: Vec<Arc<str>>,
@@ -112,7 +112,7 @@
 
 /// Limits towards callers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Limits {
     /// Bytes of a request's headers.
     pub header_bytes: usize,
@@ -140,7 +140,7 @@
 
 /// Logs.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct Log {
     /// `error`, `warn`, `info` or `debug`.
     pub level: LogLevel,
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,4 @@
+//! The `celerystand` program as a library: its command line and what each command does.
+
+pub mod cli;
+pub mod cmd;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,8 @@
-//! To be filled.
+//! The `celerystand` program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let matches = celerystand::cli::command().get_matches();
+    celerystand::cmd::run(&matches)
+}
