--- a/components/members/src/membership.rs
+++ b/components/members/src/membership.rs
@@ -121,6 +121,12 @@
             .collect()
     }
 
+    /// Shards owned here.
+    #[must_use]
+    pub fn owned(&self) -> BTreeSet<Shard> {
+        self.terms.keys().cloned().collect()
+    }
+
     /// Peers that are alive.
     #[must_use]
     pub fn alive(&self, now: Moment) -> Vec<InstanceId> {
--- /dev/null
+++ b/components/node/src/peers.rs
@@ -0,0 +1,140 @@
+//! What peers ask of this instance.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use config::{Config, PeerConfig, Update};
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Client, Handler, Reply};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use types::{Incarnation, InstanceId};
+use wire::{Envelope, Key, SIZE_LIMIT};
+
+use crate::{core::Core, outbox::MESSAGES_PATH};
+
+/// Where peers ask for the configuration.
+const CONFIG_PATH: &str = "/peer/v1/config";
+/// Time for a peer to send a whole envelope, or an answer.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The longest configuration that is taken from a peer, in bytes.
+const CONFIG_LIMIT: usize = 64 * 1024 * 1024;
+
+/// A question for what is newer than a configuration version.
+#[derive(Debug, Deserialize, Serialize)]
+struct ConfigQuestion {
+    to: InstanceId,
+    version: u64,
+}
+
+/// Serves the peer address.
+pub struct PeerServer {
+    core: Arc<Core>,
+    key: Key,
+    config: Arc<dyn Config>,
+    /// The last envelope taken of each peer.
+    last: Mutex<HashMap<InstanceId, (Incarnation, u64)>>,
+}
+
+impl PeerServer {
+    /// Makes the server.
+    #[must_use]
+    pub fn new(core: Arc<Core>, key: Key, config: Arc<dyn Config>) -> Self {
+        Self { core, key, config, last: Mutex::default() }
+    }
+
+    fn take(&self, sealed: &[u8]) -> Reply {
+        let envelope = match self.key.open_envelope(sealed, &self.core.me) {
+            Ok(envelope) => envelope,
+            Err(error) => return Reply::text(400, error.to_string()),
+        };
+        if !self.is_newer(&envelope) {
+            return Reply::text(409, "an envelope that is not newer than the last");
+        }
+        for message in envelope.messages {
+            self.core.receive(&envelope.from, envelope.incarnation, message);
+        }
+        Reply::new(204)
+    }
+
+    /// An envelope that was delayed on an old connection, or recorded and sent again by somebody
+    /// else, could bring back a permit that was given back. Numbers that only grow stop both.
+    fn is_newer(&self, envelope: &Envelope) -> bool {
+        let this = (envelope.incarnation, envelope.number);
+        let mut last = self.last.lock();
+        let newer = last.get(&envelope.from).is_none_or(|before| this > *before);
+        if newer {
+            last.insert(envelope.from.clone(), this);
+        }
+        newer
+    }
+
+    fn answer_config(&self, sealed: &[u8]) -> Reply {
+        match self.key.open::<ConfigQuestion>(sealed) {
+            Ok(question) if question.to == self.core.me => {
+                let update = self.config.since(question.version);
+                Reply::new(200).with_body(net::full(self.key.seal(&update)))
+            }
+            Ok(_) => Reply::text(400, wire::WireError::OtherReceiver.to_string()),
+            Err(error) => Reply::text(400, error.to_string()),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for PeerServer {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path().to_owned();
+        let body = match net::read_limited(req.into_body(), SIZE_LIMIT, PATIENCE).await {
+            Ok(body) => body,
+            Err(error) => return Reply::text(400, error.to_string()).done(),
+        };
+        let reply = match path.as_str() {
+            MESSAGES_PATH => self.take(&body),
+            CONFIG_PATH => self.answer_config(&body),
+            _ => Reply::new(404),
+        };
+        reply.done()
+    }
+}
+
+/// Asks peers for their configuration.
+pub struct PeerClient {
+    core: Arc<Core>,
+    key: Key,
+    client: Client,
+}
+
+impl PeerClient {
+    /// Makes the client.
+    #[must_use]
+    pub const fn new(core: Arc<Core>, key: Key, client: Client) -> Self {
+        Self { core, key, client }
+    }
+}
+
+#[async_trait]
+impl PeerConfig for PeerClient {
+    async fn fetch(&self, peer: &InstanceId, version: u64) -> Option<Update> {
+        let peers = self.core.with_members(|members, _| members.peers());
+        let addr = peers.iter().find(|m| m.id == *peer)?.addr;
+        let question = ConfigQuestion { to: peer.clone(), version };
+        let body = Full::new(Bytes::from(self.key.seal(&question)));
+        let req = Request::post(CONFIG_PATH).body(body).ok()?;
+        let timer = self.core.timer;
+        let resp = timer.within(PATIENCE, self.client.send(addr, req)).await?.ok()?;
+        let sealed = net::read_all(resp.into_body(), CONFIG_LIMIT, PATIENCE).await.ok()?;
+        self.key.open(&sealed).ok()
+    }
+
+    fn peers(&self) -> Vec<InstanceId> {
+        self.core.with_members(|members, now| members.alive(now))
+    }
+}
--- /dev/null
+++ b/components/node/src/view.rs
@@ -0,0 +1,48 @@
+//! What the configuration and the platform's list together mean for the decisions.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use config::Current;
+use policy::{TargetLimits, View};
+use tree::RouteRule;
+use types::{Listing, Shard};
+
+/// Limits where the tree says nothing; the tree's own defaults normally fill everything in.
+const FALLBACK_LIMIT: u32 = 1;
+
+/// Makes the decisions' view.
+#[must_use]
+pub fn view(current: &Current, listing: &Listing) -> View {
+    let rules = &current.in_force;
+    let mut limits = BTreeMap::new();
+    for service in rules.services() {
+        if let Some(rule) = rules.service(&service) {
+            limits.insert(service, Arc::new(target_limits(&rule)));
+        }
+    }
+    let known = listing.targets.iter().filter(|t| limits.contains_key(&t.service));
+    let targets = known.cloned().collect();
+    View { targets, limits, out: rules.out() }
+}
+
+/// The shards of a view.
+#[must_use]
+pub fn shards(view: &View) -> BTreeSet<Shard> {
+    view.targets.iter().map(|t| Shard::new(&t.service, &t.data_centre)).collect()
+}
+
+fn target_limits(rule: &RouteRule) -> TargetLimits {
+    let knobs = &rule.knobs;
+    TargetLimits {
+        kind: rule.kind,
+        cold_limit: knobs.cold_limit.unwrap_or(FALLBACK_LIMIT),
+        warm_limit: knobs.warm_limit.unwrap_or(FALLBACK_LIMIT),
+        memory: knobs.memory.unwrap_or_default(),
+        warm_after: knobs.warm_after.unwrap_or(FALLBACK_LIMIT),
+        queue_limit: knobs.queue_limit.unwrap_or(FALLBACK_LIMIT),
+        retry_percent: knobs.retry_percent.unwrap_or_default(),
+    }
+}
