Keep the configuration and idempotency claims in the table service

Config: one commit over head, change and node rows; a lost answer is settled by committing the same writes again, since reading back alone would miss a commit that is still on its way. Entry carries an id for that; Fault moves to tree. Claims: group commit, released markers instead of deletion, settling in the background.

--- /dev/null
+++ b/components/claims/src/store.rs
@@ -0,0 +1,90 @@
+//! Claims as the gateway sees them.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use platform::Table;
+use smol::channel::bounded;
+use timer::Timer;
+use types::{Incarnation, InstanceId};
+
+use crate::{
+    answer,
+    api::{ClaimError, Claimed, Claims, KeyedCall, Recorded},
+    desk::Desk,
+    liveness::Liveness,
+    row::State,
+};
+
+/// Claims of one life of an instance, kept in the table service.
+pub struct StoreClaims {
+    desk: Arc<Desk>,
+}
+
+impl StoreClaims {
+    /// Makes the claims of this life of an instance. `run` has to run beside it.
+    #[must_use]
+    pub fn new(
+        me: InstanceId,
+        incarnation: Incarnation,
+        table: Arc<dyn Table>,
+        alive: Arc<dyn Liveness>,
+        timer: Timer,
+    ) -> Arc<Self> {
+        let desk = Arc::new(Desk::new(me, incarnation, table, alive, timer));
+        Arc::new(Self { desk })
+    }
+
+    /// Settles what the table service did not take at once, and deletes old claims, for as long
+    /// as the process lives.
+    pub async fn run(self: Arc<Self>) {
+        self.desk.run().await;
+    }
+}
+
+#[async_trait]
+impl Claims for StoreClaims {
+    /// A caller that goes away drops its request at any point. The claim's write could then take
+    /// effect with nobody to run the call or to give the key back, and each repeat would wait
+    /// for nothing. So the work goes on by itself, and releases a claim that was not taken over.
+    async fn claim(&self, call: &KeyedCall, patience: Duration) -> Result<Claimed, ClaimError> {
+        let (tx, rx) = bounded(1);
+        let (taken_tx, taken_rx) = bounded::<()>(1);
+        let desk = Arc::clone(&self.desk);
+        let call = call.clone();
+        let work = async move {
+            let result = desk.make(&call, patience).await;
+            let mine = result == Ok(Claimed::Mine);
+            let sent = tx.send(result).await.is_ok();
+            let taken = sent && taken_rx.recv().await.is_ok();
+            if mine && !taken {
+                desk.end(&call, State::Released).await;
+            }
+        };
+        workers::spawn(work).detach();
+        let result = rx.recv().await.unwrap_or(Err(ClaimError::StoreDown));
+        // There is room for it, and nothing is awaited between this and the return.
+        let _ = taken_tx.try_send(());
+        result
+    }
+
+    async fn record(&self, call: &KeyedCall, answer: Recorded) {
+        let answer = answer::fitting(answer);
+        self.desk.end(call, State::Done(answer)).await;
+    }
+
+    async fn release(&self, call: &KeyedCall) {
+        self.desk.end(call, State::Released).await;
+    }
+
+    async fn give_up(&self, call: &KeyedCall) {
+        self.desk.end(call, State::Unknown).await;
+    }
+
+    fn dump(&self) -> Vec<String> {
+        let (running, pending, bytes) = self.desk.counts();
+        vec![format!(
+            "claims: {running} running, {pending} to be settled, {bytes} bytes of answers"
+        )]
+    }
+}
--- a/components/config/src/api.rs
+++ b/components/config/src/api.rs
@@ -1,10 +1,11 @@
 //! What the administration API and the daemon ask of the configuration.
 
-use std::{sync::Arc, time::SystemTime};
+use std::{collections::BTreeMap, sync::Arc, time::SystemTime};
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
+pub use tree::Fault;
 use tree::{InForce, Node, NodePath, Snapshot};
 use types::{ConfigVersion, InstanceId};
 
@@ -16,18 +17,6 @@
     pub in_force: Box<dyn InForce>,
 }
 
-/// One thing wrong with a change.
-#[derive(Clone, Debug, Deserialize, Display, Eq, PartialEq, Serialize)]
-#[display("{path}: {what}; {right}")]
-pub struct Fault {
-    /// The node, and the field within it.
-    pub path: Arc<str>,
-    /// What is wrong.
-    pub what: Arc<str>,
-    /// What would be right.
-    pub right: Arc<str>,
-}
-
 /// A change of one node.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Change {
@@ -51,6 +40,10 @@
     pub at: SystemTime,
     /// The change.
     pub change: Change,
+    /// Unique per attempt: tells one's own change from somebody else's when the answer to the
+    /// commit was lost.
+    #[serde(default)]
+    pub id: Arc<str>,
 }
 
 /// Why a change was not accepted.
@@ -111,10 +104,7 @@
     /// The changes, in order.
     Changes(Vec<Entry>),
     /// All of it, with the version that last wrote each node.
-    Whole(
-        Snapshot,
-        std::collections::BTreeMap<NodePath, ConfigVersion>,
-    ),
+    Whole(Snapshot, BTreeMap<NodePath, ConfigVersion>),
 }
 
 /// Asks a peer for its configuration.
--- /dev/null
+++ b/components/config/src/keeper.rs
@@ -0,0 +1,266 @@
+//! The configuration of one instance, kept up to date from peers and the table service.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use async_trait::async_trait;
+use events::{Event, emit};
+use parking_lot::Mutex;
+use platform::{PlatformError, Table};
+use smol::lock::Mutex as AsyncMutex;
+use timer::Timer;
+use types::{ConfigVersion, InstanceId};
+
+use crate::{
+    api::{Change, ChangeError, Config, Current, Entry, Fault, PeerConfig, Update},
+    commit::{self, Attempt},
+    held::{Held, Whole},
+    pollers,
+    store::Store,
+};
+
+/// Time between two looks at the table service by an instance that polls it.
+pub const POLL_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two tries while nothing is in force yet.
+const START_PERIOD: Duration = Duration::from_millis(200);
+/// Time between two events that tell of a missing configuration.
+const MISSING_PERIOD: Duration = Duration::from_secs(10);
+/// Peers asked at the start.
+const START_PEERS: usize = 5;
+/// Changes read at once when catching up; more of them cost more than the whole tree.
+const CATCH_UP_LIMIT: usize = 256;
+
+/// Keeps the configuration of one instance.
+///
+/// Locks: `reading` or `asking` before `held`; `held` is never held over an await. The two are
+/// apart so that a read that waits for a dead table service does not keep news of peers waiting.
+pub struct Keeper {
+    me: InstanceId,
+    store: Store,
+    peers: Arc<dyn PeerConfig>,
+    timer: Timer,
+    held: Mutex<Held>,
+    reading: AsyncMutex<()>,
+    asking: AsyncMutex<()>,
+    attempts: AtomicU64,
+}
+
+impl Keeper {
+    /// Makes a keeper that holds nothing yet.
+    #[must_use]
+    pub fn new(
+        me: InstanceId,
+        table: Arc<dyn Table>,
+        peers: Arc<dyn PeerConfig>,
+        timer: Timer,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            me,
+            store: Store::new(table),
+            peers,
+            timer,
+            held: Mutex::default(),
+            reading: AsyncMutex::new(()),
+            asking: AsyncMutex::new(()),
+            attempts: AtomicU64::new(0),
+        })
+    }
+
+    /// Finds the first configuration, then looks for news for as long as the process lives.
+    pub async fn run(self: Arc<Self>) {
+        self.start().await;
+        loop {
+            self.timer.sleep(pollers::jittered(POLL_PERIOD)).await;
+            if pollers::polls(&self.me, &self.peers.peers()) {
+                // An outage shows in the table's own events; the next round tries again.
+                let _ = self.catch_up().await;
+            }
+        }
+    }
+
+    /// Asks peers and the table service until one of them has a configuration.
+    async fn start(&self) {
+        let mut told: Option<Duration> = None;
+        loop {
+            let from_store = self.catch_up().await;
+            self.ask_peers().await;
+            if self.held.lock().version().is_some() {
+                return;
+            }
+            let now = self.timer.now();
+            if told.is_none_or(|at| now.saturating_sub(at) >= MISSING_PERIOD) {
+                told = Some(now);
+                if let Err(error) = from_store {
+                    let reason = error.to_string().into();
+                    emit(&Event::ConfigMissing { reason });
+                }
+            }
+            self.timer.sleep(pollers::jittered(START_PERIOD)).await;
+        }
+    }
+
+    /// During an outage of the table service a restarted instance has only its peers to ask.
+    async fn ask_peers(&self) {
+        for peer in pollers::some(&self.peers.peers(), START_PEERS) {
+            self.take_from(&peer).await;
+        }
+    }
+
+    /// Takes what a peer has; tells whether it answered with something that fits.
+    async fn take_from(&self, peer: &InstanceId) -> bool {
+        let version = self.held.lock().version();
+        let Some(update) = self.peers.fetch(peer, version.unwrap_or(0)).await else {
+            return false;
+        };
+        if self.take(update) {
+            return true;
+        }
+        // Changes are missing in between: take all of it.
+        match self.peers.fetch(peer, 0).await {
+            Some(update) => self.take(update),
+            None => false,
+        }
+    }
+
+    /// Puts an update in force if it is newer; tells whether it fitted.
+    fn take(&self, update: Update) -> bool {
+        let mut held = self.held.lock();
+        let (fitted, news) = match update {
+            Update::Changes(entries) => match held.take_changes(&entries) {
+                Ok(news) => (held.version().is_some(), news),
+                Err(_) => (false, true),
+            },
+            Update::Whole(snapshot, changed) => {
+                (true, held.take_whole(Whole { snapshot, changed }))
+            }
+        };
+        let version = held.version().unwrap_or(0);
+        drop(held);
+        if news {
+            emit(&Event::ConfigInForce { version });
+        }
+        fitted
+    }
+
+    /// Comes up to date from the table service.
+    async fn catch_up(&self) -> Result<(), PlatformError> {
+        let _one = self.reading.lock().await;
+        let have = self.held.lock().version();
+        let Some(have) = have else {
+            return self.take_whole_from_store().await;
+        };
+        let head = self.store.head().await?;
+        if head.version <= have {
+            return Ok(());
+        }
+        if head.version - have <= CATCH_UP_LIMIT as u64 {
+            let entries = self.store.changes(have, CATCH_UP_LIMIT).await?;
+            if self.take(Update::Changes(entries)) && self.version() >= head.version {
+                return Ok(());
+            }
+        }
+        self.take_whole_from_store().await
+    }
+
+    async fn take_whole_from_store(&self) -> Result<(), PlatformError> {
+        let whole = self.store.whole().await?;
+        self.take(Update::Whole(whole.snapshot, whole.changed));
+        Ok(())
+    }
+
+    fn version(&self) -> ConfigVersion {
+        self.held.lock().version().unwrap_or(0)
+    }
+
+    fn knows(&self, version: ConfigVersion) -> bool {
+        self.held.lock().version().is_some_and(|v| v >= version)
+    }
+
+    /// Checks a change against what is in force and makes its entry.
+    fn prepare(&self, change: &Change) -> Result<Entry, ChangeError> {
+        let held = self.held.lock();
+        let whole = held.whole();
+        commit::seen(whole, change)?;
+        commit::fits(whole, change).map_err(|faults| ChangeError::Invalid { faults })?;
+        let version = whole.snapshot.version + 1;
+        Ok(commit::entry(version, change, self.attempt_id()))
+    }
+
+    /// Unique among all attempts of all instances and their lives.
+    fn attempt_id(&self) -> Arc<str> {
+        let count = self.attempts.fetch_add(1, Ordering::Relaxed);
+        let time = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default()
+            .as_nanos();
+        let chance = pollers::chance();
+        format!("{}-{time:x}-{chance:x}-{count}", self.me).into()
+    }
+}
+
+#[async_trait]
+impl Config for Keeper {
+    fn current(&self) -> Option<Arc<Current>> {
+        self.held.lock().current()
+    }
+
+    fn changed(&self, path: &str) -> Option<ConfigVersion> {
+        self.held.lock().whole().changed.get(path).copied()
+    }
+
+    fn check(&self, change: &Change) -> Result<(), Vec<Fault>> {
+        commit::fits(self.held.lock().whole(), change)
+    }
+
+    async fn change(&self, change: Change) -> Result<ConfigVersion, ChangeError> {
+        for _ in 0..commit::attempts() {
+            self.catch_up().await.map_err(|_| ChangeError::StoreDown)?;
+            let entry = self.prepare(&change)?;
+            let attempt = commit::attempt(&self.store, &self.timer, &entry).await?;
+            if attempt == Attempt::Accepted {
+                let version = entry.version;
+                self.take(Update::Changes(vec![entry]));
+                return Ok(version);
+            }
+            self.timer.sleep(pollers::jittered(START_PERIOD / 10)).await;
+        }
+        let now = self.changed(&change.path);
+        Err(ChangeError::Conflict { now })
+    }
+
+    async fn history(&self, limit: usize) -> Result<Vec<Entry>, ChangeError> {
+        let down = |_| ChangeError::StoreDown;
+        let head = self.store.head().await.map_err(down)?;
+        let after = head.version.saturating_sub(limit as u64);
+        let mut entries = self.store.changes(after, limit).await.map_err(down)?;
+        entries.reverse();
+        Ok(entries)
+    }
+
+    async fn heard(&self, peer: &InstanceId, version: ConfigVersion) {
+        if self.knows(version) {
+            return;
+        }
+        let fetched = {
+            // Many peers tell of the same version at once; one fetch is enough.
+            let _one = self.asking.lock().await;
+            if self.knows(version) {
+                return;
+            }
+            self.take_from(peer).await
+        };
+        if !fetched || !self.knows(version) {
+            // An outage shows in the table's own events; the next heartbeat tries again.
+            let _ = self.catch_up().await;
+        }
+    }
+
+    fn since(&self, version: ConfigVersion) -> Update {
+        self.held.lock().since(version)
+    }
+}
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -91,6 +91,12 @@
         /// Its version.
         version: ConfigVersion,
     },
+    /// 701: no configuration was found, neither at the table service nor at a peer.
+    #[display("no configuration found yet, not ready: {reason}")]
+    ConfigMissing {
+        /// Why the table service gave none.
+        reason: Arc<str>,
+    },
 }
 
 impl Event {
@@ -109,6 +115,7 @@
             Self::TableDown { .. } => 600,
             Self::TableUp => 601,
             Self::ConfigInForce { .. } => 700,
+            Self::ConfigMissing { .. } => 701,
         }
     }
 
@@ -116,7 +123,10 @@
     #[must_use]
     pub const fn level(&self) -> Level {
         match self {
-            Self::Paused { .. } | Self::PeerSilent { .. } | Self::TableDown { .. } => Level::Warn,
+            Self::Paused { .. }
+            | Self::PeerSilent { .. }
+            | Self::TableDown { .. }
+            | Self::ConfigMissing { .. } => Level::Warn,
             _ => Level::Info,
         }
     }
