--- a/components/members/src/exclusive.rs
+++ b/components/members/src/exclusive.rs
@@ -14,10 +14,11 @@
 use std::time::Duration;
 
 use types::{Epoch, Moment, Shard};
+use wire::PERMIT_LIFE;
 
 use crate::{
     peer::{Following, Peer},
-    times::{FOLLOW_FRESH, MARGIN, PERMIT_LIFE},
+    times::{FOLLOW_FRESH, MARGIN},
 };
 
 /// Tells whether a peer's statement still counts.
--- a/components/members/src/times.rs
+++ b/components/members/src/times.rs
@@ -4,12 +4,11 @@
 
 use std::time::Duration;
 
+use wire::PERMIT_LIFE;
+
 /// A peer that was not heard for this long owns nothing in our eyes.
 pub const SILENT: Duration = Duration::from_millis(1000);
 
-/// How long a permit may be used, counted from the entry's clock stamp it answers.
-pub const PERMIT_LIFE: Duration = Duration::from_millis(1000);
-
 /// How long a statement "I follow you" counts, from the moment its receiver sent the heartbeat
 /// that the statement answers.
 pub const FOLLOW_FRESH: Duration = Duration::from_millis(1000);
--- a/components/node/src/admitted.rs
+++ b/components/node/src/admitted.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
-use gateway::{Admission, Admitted, admission::{Ending, Wanted}};
+use gateway::{
+    Admission, Admitted,
+    admission::{Ending, Wanted},
+};
 use policy::{Event, Request, RequestId};
 use smol::channel::Receiver;
 use types::{Moment, Refusal, Target, Tokens};
@@ -42,8 +45,16 @@
 }
 
 async fn wait(core: &Arc<Core>, waiter: Waiter) -> Result<Box<dyn Admitted>, Refusal> {
-    let mut waits = Waits { core: Arc::clone(core), id: waiter.id, placed: false };
-    let verdict: Verdict = waiter.verdict.recv().await.unwrap_or_else(|_| Err(closing()));
+    let mut waits = Waits {
+        core: Arc::clone(core),
+        id: waiter.id,
+        placed: false,
+    };
+    let verdict: Verdict = waiter
+        .verdict
+        .recv()
+        .await
+        .unwrap_or_else(|_| Err(closing()));
     waits.placed = true;
     let used = verdict?;
     Ok(Box::new(Placed {
@@ -56,7 +67,12 @@
 }
 
 fn closing() -> Refusal {
-    Refusal::new(503, "closing", "Shutting down", "this instance is shutting down")
+    Refusal::new(
+        503,
+        "closing",
+        "Shutting down",
+        "this instance is shutting down",
+    )
 }
 
 /// A request with a permit.
@@ -72,7 +88,11 @@
     fn finish(&mut self, outcome: Outcome) {
         self.ended = true;
         self.core.unregister(self.id);
-        self.core.decide(Event::Ended { request: self.id, outcome, again: false });
+        self.core.decide(Event::Ended {
+            request: self.id,
+            outcome,
+            again: false,
+        });
     }
 }
 
@@ -95,7 +115,19 @@
     }
 
     fn progress(&self, produced: Tokens) {
-        self.core.decide(Event::Progress { request: self.id, produced });
+        self.core.decide(Event::Progress {
+            request: self.id,
+            produced,
+            seen: true,
+        });
+    }
+
+    fn gathered(&self, produced: Tokens) {
+        self.core.decide(Event::Progress {
+            request: self.id,
+            produced,
+            seen: false,
+        });
     }
 
     async fn pulled_back(&self) {
@@ -112,7 +144,11 @@
     async fn again(mut self: Box<Self>, ending: Ending) -> Result<Box<dyn Admitted>, Refusal> {
         self.ended = true;
         let waiter = self.core.register(Some(self.id));
-        let event = Event::Ended { request: self.id, outcome: ending, again: true };
+        let event = Event::Ended {
+            request: self.id,
+            outcome: ending,
+            again: true,
+        };
         self.core.decide(event);
         wait(&self.core, waiter).await
     }
@@ -143,8 +179,10 @@
 
     async fn again(self: Box<Self>, _ending: Ending) -> Result<Box<dyn Admitted>, Refusal> {
         let detail = "a stream that began elsewhere can't be run again";
-        Err(Refusal::new(502, "not-repeatable", "Not repeatable", detail)
-            .with_run(types::Run::Partial))
+        Err(
+            Refusal::new(502, "not-repeatable", "Not repeatable", detail)
+                .with_run(types::Run::Partial),
+        )
     }
 }
 
@@ -161,11 +199,18 @@
     }
 
     fn find(&self, target: &str) -> Option<Target> {
-        self.core.view().targets.iter().find(|t| *t.id == *target).cloned()
+        self.core
+            .view()
+            .targets
+            .iter()
+            .find(|t| *t.id == *target)
+            .cloned()
     }
 
     fn adopt(&self, target: &Target, _wanted: Wanted, _produced: Tokens) -> Box<dyn Admitted> {
-        Box::new(Adopted { target: target.clone() })
+        Box::new(Adopted {
+            target: target.clone(),
+        })
     }
 
     fn ready(&self) -> bool {
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -109,7 +109,11 @@
         match &message {
             Message::Heartbeat(heartbeat) => {
                 let heartbeat = heartbeat.clone();
-                self.feed_members(Input::Heartbeat { from: from.clone(), incarnation, heartbeat });
+                self.feed_members(Input::Heartbeat {
+                    from: from.clone(),
+                    incarnation,
+                    heartbeat,
+                });
             }
             Message::Query(query) => self.feed_members(Input::Queried {
                 from: from.clone(),
@@ -118,7 +122,11 @@
             }),
             _ => {}
         }
-        self.feed(Event::Received { from: from.clone(), incarnation, message });
+        self.feed(Event::Received {
+            from: from.clone(),
+            incarnation,
+            message,
+        });
     }
 
     /// Registers a request that is about to wait; `id` is reused for another try.
@@ -126,9 +134,16 @@
         let id = id.unwrap_or_else(|| self.next_request.fetch_add(1, Ordering::Relaxed));
         let (verdict_tx, verdict) = bounded(1);
         let (pull_tx, pull_back) = bounded(1);
-        let waiting = Waiting { verdict: verdict_tx, pull_back: pull_tx };
+        let waiting = Waiting {
+            verdict: verdict_tx,
+            pull_back: pull_tx,
+        };
         self.waiting.lock().insert(id, waiting);
-        Waiter { id, verdict, pull_back }
+        Waiter {
+            id,
+            verdict,
+            pull_back,
+        }
     }
 
     /// Forgets a request.
@@ -172,7 +187,10 @@
         }
         drop(members);
         // The entry here learns of shards owned here in the same way as from a peer.
-        self.feed(Event::Summary { owner: self.me.clone(), shards: owned });
+        self.feed(Event::Summary {
+            owner: self.me.clone(),
+            shards: owned,
+        });
     }
 
     /// Lines for a dump: membership, then decisions.
@@ -207,11 +225,24 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Own { shard, epoch, ask } => {
-                events::emit(&Log::Owning { shard: shard.clone(), epoch });
-                self.feed(Event::Role { shard, role: ShardRole::Own { epoch, ask } });
+                events::emit(&Log::Owning {
+                    shard: shard.clone(),
+                    epoch,
+                });
+                self.feed(Event::Role {
+                    shard,
+                    role: ShardRole::Own { epoch, ask },
+                });
             }
-            Change::Follow { shard, owner, epoch } => {
-                self.feed(Event::Role { shard, role: ShardRole::Follow { owner, epoch } });
+            Change::Follow {
+                shard,
+                owner,
+                epoch,
+            } => {
+                self.feed(Event::Role {
+                    shard,
+                    role: ShardRole::Follow { owner, epoch },
+                });
             }
             Change::Exclusive { shard, exclusive } => {
                 self.feed(Event::Exclusive { shard, exclusive });
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -28,7 +28,12 @@
     /// Makes it.
     #[must_use]
     pub fn new(core: Arc<Core>, config: Arc<dyn Config>, directory: Arc<dyn Directory>) -> Self {
-        Self { core, config, directory, listing: Mutex::default() }
+        Self {
+            core,
+            config,
+            directory,
+            listing: Mutex::default(),
+        }
     }
 
     /// Whether the list was read at least once.
@@ -62,12 +67,15 @@
         let mut seen: Option<(ConfigVersion, Arc<Listing>)> = None;
         loop {
             ticks.next().await;
-            let Some(current) = self.config.current() else { continue };
-            let Some(listing) = self.listing.lock().clone() else { continue };
-            let version = current.snapshot.version;
-            let same = |(v, l): &(ConfigVersion, Arc<Listing>)| {
-                *v == version && Arc::ptr_eq(l, &listing)
+            let Some(current) = self.config.current() else {
+                continue;
             };
+            let Some(listing) = self.listing.lock().clone() else {
+                continue;
+            };
+            let version = current.snapshot.version;
+            let same =
+                |(v, l): &(ConfigVersion, Arc<Listing>)| *v == version && Arc::ptr_eq(l, &listing);
             if seen.as_ref().is_some_and(same) {
                 continue;
             }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,6 +7,7 @@
 mod core;
 mod directory;
 mod dump;
+mod liveness;
 mod outbox;
 mod peers;
 mod reports;
--- a/components/node/src/outbox.rs
+++ b/components/node/src/outbox.rs
@@ -63,8 +63,21 @@
     ) -> (Self, Refusals) {
         let (refused, refusals) = bounded(64);
         let lines = Mutex::default();
-        let shared = Shared { me, incarnation, key, client, timer, lines, refused };
-        (Self { shared: Arc::new(shared) }, refusals)
+        let shared = Shared {
+            me,
+            incarnation,
+            key,
+            client,
+            timer,
+            lines,
+            refused,
+        };
+        (
+            Self {
+                shared: Arc::new(shared),
+            },
+            refusals,
+        )
     }
 
     /// Sets who the peers are.
@@ -73,11 +86,18 @@
         let wanted: BTreeSet<&InstanceId> = peers.iter().map(|m| &m.id).collect();
         lines.retain(|id, _| wanted.contains(id));
         for member in peers {
-            if lines.get(&member.id).is_some_and(|l| l.member.addr == member.addr) {
+            if lines
+                .get(&member.id)
+                .is_some_and(|l| l.member.addr == member.addr)
+            {
                 continue;
             }
             let (wake, woken) = bounded(1);
-            let line = Line { member: member.clone(), messages: Vec::new(), wake };
+            let line = Line {
+                member: member.clone(),
+                messages: Vec::new(),
+                wake,
+            };
             lines.insert(member.id.clone(), line);
             let shared = Arc::clone(&self.shared);
             workers::spawn(deliver(shared, member.clone(), woken)).detach();
@@ -87,7 +107,9 @@
     /// Adds a message for a peer; one for an unknown peer is dropped.
     pub fn push(&self, to: &InstanceId, message: Message) {
         let mut lines = self.shared.lines.lock();
-        let Some(line) = lines.get_mut(to) else { return };
+        let Some(line) = lines.get_mut(to) else {
+            return;
+        };
         if line.messages.len() >= KEPT {
             line.messages.remove(0);
         }
@@ -121,14 +143,19 @@
 
 fn take(shared: &Shared, member: &Member) -> Vec<Message> {
     let mut lines = shared.lines.lock();
-    lines.get_mut(&member.id).map(|l| std::mem::take(&mut l.messages)).unwrap_or_default()
+    lines
+        .get_mut(&member.id)
+        .map(|l| std::mem::take(&mut l.messages))
+        .unwrap_or_default()
 }
 
 /// Sends one envelope; tells whether the peer took it. One that was not taken is lost: what it
 /// said is made good by the next report of what is held and the next heartbeat.
 async fn send(shared: &Shared, member: &Member, envelope: &Envelope, fresh: bool) -> bool {
     let body = Bytes::from(shared.key.seal(envelope));
-    let Ok(req) = Request::post(MESSAGES_PATH).body(Full::new(body)) else { return false };
+    let Ok(req) = Request::post(MESSAGES_PATH).body(Full::new(body)) else {
+        return false;
+    };
     let call = async {
         if fresh {
             shared.client.send_fresh(member.addr, req).await
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -1,27 +1,28 @@
 //! What peers ask of this instance.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use config::{Config, PeerConfig, Update};
+use gateway::{Gateway, Takeover};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Client, Handler, Reply};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use types::{Incarnation, InstanceId};
+use targets::StreamId;
+use types::{Incarnation, InstanceId, TargetId};
 use wire::{Envelope, Key, SIZE_LIMIT};
 
 use crate::{core::Core, outbox::MESSAGES_PATH};
 
 /// Where peers ask for the configuration.
 const CONFIG_PATH: &str = "/peer/v1/config";
+/// Where peers tell that a caller goes on with a stream there.
+const TAKEOVER_PATH: &str = "/peer/v1/taken-over";
+/// Tries of telling it.
+const TAKEOVER_TRIES: u32 = 3;
 /// Time for a peer to send a whole envelope, or an answer.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The longest configuration that is taken from a peer, in bytes.
@@ -34,11 +35,20 @@
     version: u64,
 }
 
+/// Word that the sender reads a stream now which the receiver held.
+#[derive(Debug, Deserialize, Serialize)]
+struct TakenOver {
+    to: InstanceId,
+    target: TargetId,
+    stream: StreamId,
+}
+
 /// Serves the peer address.
 pub struct PeerServer {
     core: Arc<Core>,
     key: Key,
     config: Arc<dyn Config>,
+    gateway: Gateway,
     /// The last envelope taken of each peer.
     last: Mutex<HashMap<InstanceId, (Incarnation, u64)>>,
 }
@@ -46,8 +56,14 @@
 impl PeerServer {
     /// Makes the server.
     #[must_use]
-    pub fn new(core: Arc<Core>, key: Key, config: Arc<dyn Config>) -> Self {
-        Self { core, key, config, last: Mutex::default() }
+    pub fn new(core: Arc<Core>, key: Key, config: Arc<dyn Config>, gateway: Gateway) -> Self {
+        Self {
+            core,
+            key,
+            config,
+            gateway,
+            last: Mutex::default(),
+        }
     }
 
     fn take(&self, sealed: &[u8]) -> Reply {
@@ -59,7 +75,8 @@
             return Reply::text(409, "an envelope that is not newer than the last");
         }
         for message in envelope.messages {
-            self.core.receive(&envelope.from, envelope.incarnation, message);
+            self.core
+                .receive(&envelope.from, envelope.incarnation, message);
         }
         Reply::new(204)
     }
@@ -88,6 +105,19 @@
     }
 }
 
+impl PeerServer {
+    fn let_go(&self, sealed: &[u8]) -> Reply {
+        match self.key.open::<TakenOver>(sealed) {
+            Ok(word) if word.to == self.core.me => {
+                self.gateway.taken_over(&word.target, &word.stream);
+                Reply::new(204)
+            }
+            Ok(_) => Reply::text(400, wire::WireError::OtherReceiver.to_string()),
+            Err(error) => Reply::text(400, error.to_string()),
+        }
+    }
+}
+
 #[async_trait]
 impl Handler for PeerServer {
     async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
@@ -99,6 +129,7 @@
         let reply = match path.as_str() {
             MESSAGES_PATH => self.take(&body),
             CONFIG_PATH => self.answer_config(&body),
+            TAKEOVER_PATH => self.let_go(&body),
             _ => Reply::new(404),
         };
         reply.done()
@@ -120,17 +151,40 @@
     }
 }
 
-#[async_trait]
-impl PeerConfig for PeerClient {
-    async fn fetch(&self, peer: &InstanceId, version: u64) -> Option<Update> {
+impl PeerClient {
+    async fn ask<T: Serialize + Sync>(
+        &self,
+        peer: &InstanceId,
+        path: &str,
+        question: &T,
+    ) -> Option<Bytes> {
         let peers = self.core.with_members(|members, _| members.peers());
         let addr = peers.iter().find(|m| m.id == *peer)?.addr;
-        let question = ConfigQuestion { to: peer.clone(), version };
-        let body = Full::new(Bytes::from(self.key.seal(&question)));
-        let req = Request::post(CONFIG_PATH).body(body).ok()?;
+        let body = Full::new(Bytes::from(self.key.seal(question)));
+        let req = Request::post(path).body(body).ok()?;
         let timer = self.core.timer;
-        let resp = timer.within(PATIENCE, self.client.send(addr, req)).await?.ok()?;
-        let sealed = net::read_all(resp.into_body(), CONFIG_LIMIT, PATIENCE).await.ok()?;
+        let resp = timer
+            .within(PATIENCE, self.client.send(addr, req))
+            .await?
+            .ok()?;
+        if !resp.status().is_success() {
+            return None;
+        }
+        net::read_all(resp.into_body(), CONFIG_LIMIT, PATIENCE)
+            .await
+            .ok()
+    }
+}
+
+#[async_trait]
+impl PeerConfig for PeerClient {
+    async fn fetch(&self, peer: &InstanceId, version: u64) -> Option<Update> {
+        let question = ConfigQuestion {
+            to: peer.clone(),
+            version,
+        };
+        let sealed = self.ask(peer, CONFIG_PATH, &question).await?;
+        // An update may be larger than an envelope; it comes from an authenticated peer.
         self.key.open(&sealed).ok()
     }
 
@@ -138,3 +192,19 @@
         self.core.with_members(|members, now| members.alive(now))
     }
 }
+
+#[async_trait]
+impl Takeover for PeerClient {
+    async fn tell(&self, holder: &InstanceId, target: &TargetId, stream: &StreamId) {
+        let word = TakenOver {
+            to: holder.clone(),
+            target: target.clone(),
+            stream: stream.clone(),
+        };
+        for _ in 0..TAKEOVER_TRIES {
+            if self.ask(holder, TAKEOVER_PATH, &word).await.is_some() {
+                return;
+            }
+        }
+    }
+}
--- a/components/node/src/reports.rs
+++ b/components/node/src/reports.rs
@@ -45,7 +45,13 @@
         plain: Arc<dyn Plain>,
         scope: Scope,
     ) -> Self {
-        Self { core, engine, plain, scope, under_way: Mutex::default() }
+        Self {
+            core,
+            engine,
+            plain,
+            scope,
+            under_way: Mutex::default(),
+        }
     }
 
     /// Polls until the process ends.
@@ -57,7 +63,10 @@
             let view = self.core.view();
             for target in &view.targets {
                 if self.watches(target, &owned) && self.under_way.lock().insert(target.id.clone()) {
-                    let kind = view.limits.get(&target.service).map_or_else(Default::default, |l| l.kind);
+                    let kind = view
+                        .limits
+                        .get(&target.service)
+                        .map_or_else(Default::default, |l| l.kind);
                     let this = Arc::clone(&self);
                     workers::spawn(this.poll(target.clone(), kind)).detach();
                 }
@@ -84,7 +93,10 @@
             // The report may be older than the target says by the time of the way.
             let way = self.core.timer.now().saturating_sub(begun);
             let report = engine_report(&report, way);
-            self.core.decide(Event::Reported { target: target.id, report });
+            self.core.decide(Event::Reported {
+                target: target.id,
+                report,
+            });
         }
     }
 }
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -23,15 +23,25 @@
             limits.insert(service, Arc::new(target_limits(&rule)));
         }
     }
-    let known = listing.targets.iter().filter(|t| limits.contains_key(&t.service));
+    let known = listing
+        .targets
+        .iter()
+        .filter(|t| limits.contains_key(&t.service));
     let targets = known.cloned().collect();
-    View { targets, limits, out: rules.out() }
+    View {
+        targets,
+        limits,
+        out: rules.out(),
+    }
 }
 
 /// The shards of a view.
 #[must_use]
 pub fn shards(view: &View) -> BTreeSet<Shard> {
-    view.targets.iter().map(|t| Shard::new(&t.service, &t.data_centre)).collect()
+    view.targets
+        .iter()
+        .map(|t| Shard::new(&t.service, &t.data_centre))
+        .collect()
 }
 
 fn target_limits(rule: &RouteRule) -> TargetLimits {
--- a/components/policy/src/api.rs
+++ b/components/policy/src/api.rs
@@ -126,12 +126,14 @@
         /// The request.
         request: RequestId,
     },
-    /// Tokens reached the caller.
+    /// The engine has produced tokens.
     Progress {
         /// The request.
         request: RequestId,
         /// Tokens produced so far.
         produced: Tokens,
+        /// Whether the caller has seen any of them.
+        seen: bool,
     },
     /// Work under a permit ended.
     Ended {
--- a/components/policy/src/entry/grants.rs
+++ b/components/policy/src/entry/grants.rs
@@ -86,6 +86,7 @@
             max_output: asker.map_or(0, |r| r.max_output),
             users: BTreeSet::new(),
             produced: 0,
+            seen: false,
             tally: Tally::default(),
         }
     }
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -64,7 +64,11 @@
         match event {
             Event::Arrive(request) => self.arrive(now, request, out),
             Event::Leave { request } => self.leave(now, *request, Outcome::Unsent, out),
-            Event::Progress { request, produced } => self.progress(*request, *produced),
+            Event::Progress {
+                request,
+                produced,
+                seen,
+            } => self.progress(*request, *produced, *seen),
             Event::Ended {
                 request,
                 outcome,
@@ -240,15 +244,16 @@
         }
     }
 
-    fn progress(&mut self, id: RequestId, produced: types::Tokens) {
+    fn progress(&mut self, id: RequestId, produced: types::Tokens, seen: bool) {
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
-        pending.seen |= produced > 0;
+        pending.seen |= seen;
         if let Stage::Placed(key) = pending.stage
             && let Some(permit) = self.permits.get_mut(&key)
         {
             permit.produced = permit.produced.max(produced);
+            permit.seen |= seen;
         }
     }
 
--- a/components/policy/src/entry/permit.rs
+++ b/components/policy/src/entry/permit.rs
@@ -46,8 +46,10 @@
     pub max_output: Tokens,
     /// Requests that use it now.
     pub users: BTreeSet<RequestId>,
-    /// Tokens that the caller has seen.
+    /// Tokens that the engine has produced.
     pub produced: Tokens,
+    /// Whether the caller has seen any of them.
+    pub seen: bool,
     /// How calls under it ended so far.
     pub tally: Tally,
 }
@@ -85,7 +87,7 @@
             } else {
                 running
             },
-            seen: self.produced > 0,
+            seen: self.seen,
         }
     }
 }
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -6,12 +6,11 @@
 };
 
 use types::{Class, DataCentreId, Epoch, InstanceId, Moment, Shard, Standing, TargetId};
+pub use wire::PERMIT_LIFE;
 use wire::{Ask, ShardSummary};
 
 use crate::{account::Account, api::TargetLimits, line::Line};
 
-/// How long after the stamp it names a permit may be used.
-pub const PERMIT_LIFE: Duration = Duration::from_secs(1);
 /// Added to a permit's life where an owner waits for permits to lapse, for clocks that run at
 /// slightly different rates.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
--- a/components/wire/src/permit.rs
+++ b/components/wire/src/permit.rs
@@ -8,6 +8,9 @@
     Tokens, WorkspaceId,
 };
 
+/// How long a permit may be used, counted from the entry's clock stamp that it answers.
+pub const PERMIT_LIFE: Duration = Duration::from_millis(1000);
+
 /// An entry asks a shard's owner for a permit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ask {
