Serve generations and plain calls through targets, relay and gateway

The callers' API end to end: completions streamed and whole, streams taken up again by event id, plain calls, keyed calls over claims. Events are split by scanning bytes, a broken or silent link is resumed at the next token, and each refusal says whether the request ran.

GatewayParts needs stream_key (the peers' shared key): event ids are authenticated with it. Gateway::with_takeover takes the part that tells another instance that its stream was taken up here; without it that instance cancels the generation after its grace. Admitted::gathered is new, with an empty default: progress of whole answers that no caller has seen.

Not tested yet.

--- a/components/gateway/src/admission.rs
+++ b/components/gateway/src/admission.rs
@@ -46,6 +46,12 @@
     /// Reports that the answer has `produced` tokens by now and that the caller sees them.
     fn progress(&self, produced: Tokens);
 
+    /// Reports that the engine has produced this many tokens by now, none of which a caller has
+    /// seen: the answer is being gathered to be sent whole, so it may still be pulled back.
+    fn gathered(&self, produced: Tokens) {
+        let _ = produced;
+    }
+
     /// Completes when the permit is pulled back: no token has reached the caller yet, and none
     /// may from now on; cancel at the engine, then call `again`.
     async fn pulled_back(&self);
--- /dev/null
+++ b/components/gateway/src/handler.rs
@@ -0,0 +1,57 @@
+//! From a caller's request to the part that answers it.
+
+use std::net::SocketAddr;
+
+use async_trait::async_trait;
+use hyper::{Method, Request, Response, body::Incoming};
+use net::{Body, Handler};
+use types::Refusal;
+
+use crate::{
+    call::Api, generate, parts::Gateway, plain, problem, refusals, request::Caller, streams,
+};
+
+/// Path by which callers go on with a stream.
+const STREAMS: &str = "/v1/streams";
+
+#[async_trait]
+impl Handler for Gateway {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        match self.answer(req).await {
+            Ok(resp) => resp,
+            Err(refusal) => {
+                self.core.metrics.refused(&refusal.code);
+                problem::response(&refusal)
+            }
+        }
+    }
+}
+
+impl Gateway {
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Refusal> {
+        let caller = Caller::identify(&self.core, req.headers())?;
+        let path = req.uri().path();
+        if let Some(api) = api(path) {
+            expect(&req, &Method::POST)?;
+            return generate::answer(&self.core, caller, api, req).await;
+        }
+        if path == STREAMS {
+            expect(&req, &Method::GET)?;
+            return streams::answer(&self.core, caller, &req).await;
+        }
+        plain::answer(&self.core, caller, req).await
+    }
+}
+
+fn api(path: &str) -> Option<Api> {
+    [Api::Chat, Api::Text]
+        .into_iter()
+        .find(|api| api.path() == path)
+}
+
+fn expect(req: &Request<Incoming>, method: &Method) -> Result<(), Refusal> {
+    if req.method() == method {
+        return Ok(());
+    }
+    Err(refusals::bad_method(method.as_str()))
+}
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,5 +1,26 @@
 //! The callers' HTTP API.
 
 pub mod admission;
+mod auth;
+mod call;
+mod flight;
+mod forward;
+mod generate;
+mod handler;
+mod keyed;
+mod linger;
+pub mod metrics;
+mod parts;
+mod plain;
+mod prefix;
+mod problem;
+mod refusals;
+mod request;
+mod streams;
+pub mod ticket;
+mod whole;
+mod writer;
 
-pub use admission::{Admission, Admitted};
+pub use admission::{Admission, Admitted, Ending, Wanted};
+pub use metrics::Metrics;
+pub use parts::{Gateway, GatewayParts, Takeover};
--- /dev/null
+++ b/components/gateway/src/parts.rs
@@ -0,0 +1,153 @@
+//! What a gateway is made of.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use claims::Claims;
+use config::{Config, Current};
+use relay::Relay;
+use settings::Limits;
+use targets::{Engine, Plain, StreamId};
+use timer::Timer;
+use types::{InstanceId, Moment, Refusal, TargetId};
+
+use crate::{
+    admission::Admission, flight::Flights, metrics::Metrics, refusals, streams::Streams,
+    ticket::Tickets,
+};
+
+/// The parts that a gateway works with.
+pub struct GatewayParts {
+    /// Decides who may send where and when.
+    pub admission: Arc<dyn Admission>,
+    /// The client of engines.
+    pub engine: Arc<dyn Engine>,
+    /// The client of plain services.
+    pub plain: Arc<dyn Plain>,
+    /// At most one run per idempotency key.
+    pub claims: Arc<dyn Claims>,
+    /// The configuration in force.
+    pub config: Arc<dyn Config>,
+    /// The process's timer.
+    pub timer: Timer,
+    /// Limits towards callers.
+    pub limits: Limits,
+    /// This instance's name.
+    pub instance: InstanceId,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Key that authenticates the ids of events, the same at all instances.
+    pub stream_key: Arc<str>,
+}
+
+/// Tells another instance that a caller goes on elsewhere with a stream that it holds.
+///
+/// An instance whose caller went away cancels the generation after a while. If the caller has
+/// come back at another instance by then, that would cut its new stream; so the new instance
+/// tells the old one, whose gateway takes it by `Gateway::taken_over`.
+#[async_trait]
+pub trait Takeover: Send + Sync {
+    /// Tells `holder`, with a few tries of its own; a holder that is gone needs no telling.
+    async fn tell(&self, holder: &InstanceId, target: &TargetId, stream: &StreamId);
+}
+
+/// Answers callers. Clones share everything.
+#[derive(Clone)]
+pub struct Gateway {
+    pub(crate) core: Arc<Core>,
+}
+
+pub(crate) struct Core {
+    pub admission: Arc<dyn Admission>,
+    pub plain: Arc<dyn Plain>,
+    pub claims: Arc<dyn Claims>,
+    pub config: Arc<dyn Config>,
+    pub timer: Timer,
+    pub limits: Limits,
+    pub instance: InstanceId,
+    pub metrics: Metrics,
+    pub relay: Relay,
+    pub flights: Flights,
+    pub streams: Streams,
+    pub tickets: Tickets,
+    pub takeover: Option<Arc<dyn Takeover>>,
+    /// Tells the requests of two lives of this instance apart.
+    life: u64,
+    requests: AtomicU64,
+}
+
+impl Gateway {
+    /// Makes a gateway.
+    #[must_use]
+    pub fn new(parts: GatewayParts) -> Self {
+        Self {
+            core: Arc::new(Core::new(parts, None)),
+        }
+    }
+
+    /// Makes a gateway that tells other instances when their callers go on here.
+    #[must_use]
+    pub fn with_takeover(parts: GatewayParts, takeover: Arc<dyn Takeover>) -> Self {
+        Self {
+            core: Arc::new(Core::new(parts, Some(takeover))),
+        }
+    }
+
+    /// Requests that are running or waiting, for a graceful shutdown.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.core.flights.open()
+    }
+
+    /// Another instance reads this stream for its caller now: let go of it without cancelling.
+    pub fn taken_over(&self, target: &TargetId, stream: &StreamId) {
+        self.core.streams.supersede(target, stream);
+    }
+}
+
+impl Core {
+    fn new(parts: GatewayParts, takeover: Option<Arc<dyn Takeover>>) -> Self {
+        Self {
+            relay: Relay::new(parts.engine, parts.timer),
+            flights: Flights::new(parts.metrics.clone()),
+            streams: Streams::default(),
+            tickets: Tickets::new(&parts.stream_key),
+            admission: parts.admission,
+            plain: parts.plain,
+            claims: parts.claims,
+            config: parts.config,
+            timer: parts.timer,
+            limits: parts.limits,
+            instance: parts.instance,
+            metrics: parts.metrics,
+            takeover,
+            life: fastrand::u64(..),
+            requests: AtomicU64::new(0),
+        }
+    }
+
+    /// The configuration in force, while requests are taken.
+    pub fn current(&self) -> Result<Arc<Current>, Refusal> {
+        if !self.admission.ready() {
+            return Err(refusals::not_ready());
+        }
+        self.config.current().ok_or_else(refusals::not_ready)
+    }
+
+    /// A name for a request, unique in the deployment.
+    pub fn request_name(&self) -> Arc<str> {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{:x}-{number}", self.instance, self.life).into()
+    }
+
+    /// Time left until a deadline on this process's clock.
+    pub fn left(&self, deadline: Moment) -> Duration {
+        deadline.saturating_sub(self.admission.now())
+    }
+}
--- /dev/null
+++ b/components/gateway/src/plain.rs
@@ -0,0 +1,171 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+
+use hyper::{Request, Response, body::Incoming};
+use net::Body;
+use targets::{PlainAnswer, PlainCall, TargetError};
+use types::{Class, Moment, Refusal, Run};
+
+use crate::{
+    admission::{Admitted, Ending, Wanted},
+    flight::Flight,
+    forward,
+    generate::{DEFAULT_IN_FLIGHT, truthful},
+    keyed,
+    metrics::Outcome,
+    parts::Core,
+    refusals,
+    request::{self, Caller, Wishes},
+};
+
+/// Header with a caller's idempotency key.
+const KEY: &str = "idempotency-key";
+
+/// A plain call on its way through the gateway.
+pub struct PlainRequest {
+    /// The gateway.
+    pub core: Arc<Core>,
+    /// What admission needs to know.
+    pub wanted: Wanted,
+    /// The call for the service.
+    pub call: PlainCall,
+    /// Counts it as in flight for as long as the request is held.
+    pub _flight: Flight,
+}
+
+/// Answers a plain call.
+pub async fn answer(
+    core: &Arc<Core>,
+    caller: Caller,
+    req: Request<Incoming>,
+) -> Result<Response<Body>, Refusal> {
+    let wishes = Wishes::read(req.headers())?;
+    let method = req.method().clone();
+    let path = forward::path(req.uri())?;
+    let rule = caller
+        .current
+        .in_force
+        .plain(&caller.workspace, method.as_str(), req.uri().path())
+        .ok_or_else(|| refusals::no_route("no route of this workspace leads to this path"))?;
+    let limit = rule.knobs.in_flight.unwrap_or(DEFAULT_IN_FLIGHT);
+    let flight = core.flights.enter(&caller.workspace, limit)?;
+    let key = request::header(req.headers(), KEY)?.map(str::to_owned);
+    let headers = forward::request_headers(req.headers());
+    let body = request::body(req, &core.limits).await?;
+    let idempotent = rule.knobs.idempotent.unwrap_or_else(|| method.is_safe());
+    let class = wishes.class(rule.knobs.class);
+    let deadline = wishes.deadline(caller.arrived, rule.knobs.deadline_ms);
+    let request = PlainRequest {
+        core: Arc::clone(core),
+        wanted: wanted(&caller, &rule, class, deadline, idempotent),
+        call: PlainCall {
+            method: method.as_str().into(),
+            path,
+            headers,
+            body,
+            request: core.request_name(),
+        },
+        _flight: flight,
+    };
+    let result = match key {
+        Some(key) if !idempotent => keyed::answer(request, &caller, &key).await,
+        _ => request.run().await.map(|answer| forward::response(&answer)),
+    };
+    let outcome = result
+        .as_ref()
+        .map_or_else(|refusal| refusal.run.into(), |_| Outcome::Whole);
+    core.metrics.ended(class, outcome);
+    result
+}
+
+fn wanted(
+    caller: &Caller,
+    rule: &tree::RouteRule,
+    class: Class,
+    deadline: Moment,
+    idempotent: bool,
+) -> Wanted {
+    Wanted {
+        service: rule.service.clone(),
+        kind: rule.kind,
+        workspace: caller.workspace.clone(),
+        route: rule.route.clone(),
+        class,
+        deadline,
+        idempotent,
+        prompt: 0,
+        max_output: 0,
+        prefix: Vec::new(),
+        true_output: None,
+    }
+}
+
+impl PlainRequest {
+    /// Runs the call: an idempotent one again as long as admission allows, any other one once.
+    pub async fn run(&self) -> Result<PlainAnswer, Refusal> {
+        let mut permit = self.core.admission.admit(self.wanted.clone()).await?;
+        let mut ever_ran = false;
+        loop {
+            let ending = match self.attempt(permit.as_ref()).await {
+                Ok((ending, answer)) => {
+                    permit.end(ending);
+                    return Ok(answer);
+                }
+                Err((ending, ran)) if ran && !self.wanted.idempotent => {
+                    permit.end(ending);
+                    return Err(refusals::lost(
+                        "the call was sent once and may have run; it was not sent again",
+                    ));
+                }
+                Err((ending, ran)) => {
+                    ever_ran |= ran;
+                    ending
+                }
+            };
+            self.core.metrics.retried();
+            let again = permit.again(ending).await;
+            permit = again.map_err(|refusal| truthful(refusal, ever_ran))?;
+        }
+    }
+
+    /// One try. Without an answer: how it ended, and whether it may have run.
+    async fn attempt(
+        &self,
+        permit: &dyn Admitted,
+    ) -> Result<(Ending, PlainAnswer), (Ending, bool)> {
+        let patience = self.core.left(self.wanted.deadline);
+        if patience.is_zero() || !permit.may_send() {
+            return Err((Ending::Unsent, false));
+        }
+        let begun = self.core.timer.now();
+        let call = self.core.plain.call(permit.target(), &self.call, patience);
+        match call.await {
+            Ok(answer) => {
+                let took = self.core.timer.now().saturating_sub(begun);
+                let ending = Ending::Finished {
+                    produced: 0,
+                    first: took,
+                    took,
+                };
+                Ok((ending, answer))
+            }
+            Err(TargetError::Wrong { status, body }) => {
+                let answer = PlainAnswer {
+                    status,
+                    headers: Vec::new(),
+                    body,
+                };
+                Ok((Ending::Cancelled { produced: 0 }, answer))
+            }
+            Err(TargetError::Unsent { .. }) => Err((Ending::Failed, false)),
+            Err(TargetError::Turned { .. }) => Err((Ending::Overloaded, false)),
+            Err(TargetError::Lost { .. } | TargetError::Gone) => Err((Ending::Failed, true)),
+        }
+    }
+}
+
+/// Whether a refusal proves that the call did not run.
+pub fn proves_not_run(refusal: &Refusal) -> bool {
+    refusal.run == Run::NotRun
+}
--- /dev/null
+++ b/components/gateway/src/problem.rs
@@ -0,0 +1,80 @@
+//! Refusals as `application/problem+json`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Response;
+use net::{Body, Reply, full};
+use serde::Serialize;
+use types::{Refusal, Run};
+
+/// A refusal as RFC 9457 writes it, with members of ours.
+#[derive(Serialize)]
+struct Problem<'a> {
+    r#type: &'static str,
+    title: &'a str,
+    status: u16,
+    detail: &'a str,
+    code: &'a str,
+    run: Run,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    partial_text: Option<&'a str>,
+}
+
+impl<'a> Problem<'a> {
+    fn new(refusal: &'a Refusal) -> Self {
+        Self {
+            r#type: "about:blank",
+            title: &refusal.title,
+            status: refusal.status,
+            detail: &refusal.detail,
+            code: &refusal.code,
+            run: refusal.run,
+            retry_after: refusal.retry_after.map(whole_seconds),
+            partial_text: None,
+        }
+    }
+
+    fn json(&self) -> Bytes {
+        // Strings and numbers only: this can't fail.
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
+
+/// The whole seconds of a `Retry-After`, at least one: zero would invite a storm.
+fn whole_seconds(after: Duration) -> u64 {
+    let up = u64::from(after.subsec_nanos() > 0);
+    (after.as_secs() + up).max(1)
+}
+
+/// The answer that tells a caller of a refusal.
+pub fn response(refusal: &Refusal) -> Response<Body> {
+    respond(refusal, &Problem::new(refusal))
+}
+
+/// The same with the text that had been produced.
+pub fn response_with_text(refusal: &Refusal, text: &str) -> Response<Body> {
+    let mut problem = Problem::new(refusal);
+    problem.partial_text = Some(text);
+    respond(refusal, &problem)
+}
+
+/// The refusal as JSON on one line, for an event of a stream.
+pub fn json(refusal: &Refusal) -> Bytes {
+    Problem::new(refusal).json()
+}
+
+fn respond(refusal: &Refusal, problem: &Problem<'_>) -> Response<Body> {
+    let mut reply = Reply::new(refusal.status)
+        .with_header("content-type", "application/problem+json")
+        .with_body(full(problem.json()));
+    if let Some(after) = problem.retry_after {
+        reply = reply.with_header("retry-after", &after.to_string());
+    }
+    if refusal.status == 401 {
+        reply = reply.with_header("www-authenticate", "Bearer");
+    }
+    reply.done()
+}
--- /dev/null
+++ b/components/gateway/src/whole.rs
@@ -0,0 +1,235 @@
+//! Whole answers: the pieces of a generation put together into one JSON document.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::Response;
+use net::{Body, Reply};
+use parking_lot::Mutex;
+use relay::Running;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use targets::Piece;
+use types::{Refusal, Tokens};
+
+use crate::{
+    admission::{Admitted, Ending},
+    call::Api,
+    generate::{self, Begun, Generation, Step, Tried},
+    metrics::Outcome,
+    problem, refusals,
+};
+
+/// Bytes of events gathered for one answer at most.
+const GATHER_LIMIT: usize = 8 * 1024 * 1024;
+
+/// One event of an engine, as far as it matters here.
+#[derive(Deserialize)]
+struct Chunk {
+    id: Option<String>,
+    created: Option<u64>,
+    model: Option<String>,
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Deserialize)]
+struct Choice {
+    text: Option<String>,
+    delta: Option<Delta>,
+    finish_reason: Option<String>,
+}
+
+#[derive(Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+/// The document that a caller gets.
+#[derive(Serialize)]
+struct Document {
+    id: String,
+    object: &'static str,
+    created: u64,
+    model: String,
+    choices: [Value; 1],
+    usage: Usage,
+}
+
+#[derive(Serialize)]
+struct Usage {
+    prompt_tokens: Tokens,
+    completion_tokens: Tokens,
+    total_tokens: Tokens,
+}
+
+/// What the events of a generation add up to.
+#[derive(Default)]
+struct Sum {
+    id: Option<String>,
+    created: Option<u64>,
+    model: Option<String>,
+    text: String,
+    finish_reason: Option<String>,
+}
+
+/// A generation gathered to its end.
+struct Gathered {
+    running: Running,
+    data: Vec<Bytes>,
+}
+
+/// Answers with one document. Until it is whole the caller has seen nothing, so the generation
+/// may be pulled back and run again elsewhere all along.
+pub async fn answer(generation: Generation) -> Result<Response<Body>, Refusal> {
+    let core = Arc::clone(&generation.core);
+    let ask = &generation;
+    let cut = Mutex::new(Vec::new());
+    let cut_off = &cut;
+    let tried = ask
+        .tries(|permit| async move {
+            let tried = match ask.begin(permit.as_ref()).await {
+                Tried::Good(begun) => gather(ask, permit.as_ref(), begun, cut_off).await,
+                Tried::Again { ending, ran } => Tried::Again { ending, ran },
+                Tried::Over { ending, refusal } => Tried::Over { ending, refusal },
+            };
+            (permit, tried)
+        })
+        .await;
+    let (permit, Gathered { running, data }) = match tried {
+        Ok(good) => good,
+        Err(refusal) => return incomplete(&generation, refusal, &cut.into_inner()),
+    };
+    core.metrics.resumed(running.resumes());
+    permit.end(Ending::Finished {
+        produced: running.produced(),
+        first: running.first().unwrap_or_default(),
+        took: running.took(),
+    });
+    let sum = Sum::of(&data)?;
+    core.metrics.ended(generation.class, Outcome::Whole);
+    let document = sum.document(&generation, running.produced());
+    Ok(Reply::json(200, &document).done())
+}
+
+/// No further try was allowed: if an engine broke off in the middle, the caller gets what there
+/// was, marked as a part.
+fn incomplete(
+    generation: &Generation,
+    refusal: Refusal,
+    cut: &[Bytes],
+) -> Result<Response<Body>, Refusal> {
+    if cut.is_empty() {
+        return Err(refusal);
+    }
+    let mut partial = refusals::partial(&format!("no further try was possible: {refusal}"));
+    partial.retry_after = refusal.retry_after;
+    let metrics = &generation.core.metrics;
+    metrics.refused(&partial.code);
+    metrics.ended(generation.class, Outcome::Partial);
+    let text = Sum::of(cut).map(|sum| sum.text).unwrap_or_default();
+    Ok(problem::response_with_text(&partial, &text))
+}
+
+/// Gathers a generation to its end. What an engine that broke off had produced goes to `cut`.
+async fn gather(
+    ask: &Generation,
+    permit: &dyn Admitted,
+    begun: Begun,
+    cut: &Mutex<Vec<Bytes>>,
+) -> Tried<Gathered> {
+    let core = &ask.core;
+    let arrived = ask.caller.arrived;
+    core.metrics
+        .first_token(core.admission.now().saturating_sub(arrived));
+    let Begun {
+        mut running,
+        mut piece,
+    } = begun;
+    let mut data = Vec::new();
+    let mut size = 0;
+    loop {
+        match piece {
+            Piece::End => return Tried::Good(Gathered { running, data }),
+            Piece::Tokens { data: more, .. } => {
+                size += more.iter().map(Bytes::len).sum::<usize>();
+                data.extend(more);
+            }
+        }
+        if size > GATHER_LIMIT {
+            let produced = running.produced();
+            running.cancel().await;
+            return Tried::Over {
+                ending: Ending::Cancelled { produced },
+                refusal: refusals::answer_too_large(),
+            };
+        }
+        permit.gathered(running.produced());
+        piece = match generate::guarded(permit, generate::next(&mut running)).await {
+            Step::Piece(piece) => piece,
+            step => {
+                if matches!(step, Step::Broken) {
+                    *cut.lock() = data;
+                }
+                return generate::give_up(step, Some(running)).await;
+            }
+        };
+    }
+}
+
+impl Sum {
+    fn of(data: &[Bytes]) -> Result<Self, Refusal> {
+        let mut sum = Self::default();
+        for event in data {
+            let chunk: Chunk = serde_json::from_slice(event)
+                .map_err(|e| refusals::partial(&format!("the engine sent no valid event: {e}")))?;
+            sum.add(chunk);
+        }
+        Ok(sum)
+    }
+
+    fn add(&mut self, chunk: Chunk) {
+        self.id = self.id.take().or(chunk.id);
+        self.created = self.created.or(chunk.created);
+        self.model = self.model.take().or(chunk.model);
+        let Some(choice) = chunk.choices.into_iter().next() else {
+            return;
+        };
+        let text = choice.text.or(choice.delta.and_then(|delta| delta.content));
+        self.text.push_str(&text.unwrap_or_default());
+        self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
+    }
+
+    fn document(self, generation: &Generation, produced: Tokens) -> Document {
+        let call = &generation.call;
+        let reason = self.finish_reason.unwrap_or_else(|| "stop".into());
+        let (object, choice) = match call.api {
+            Api::Chat => ("chat.completion", chat_choice(self.text, reason)),
+            Api::Text => ("text_completion", text_choice(self.text, reason)),
+        };
+        Document {
+            id: self.id.unwrap_or_default(),
+            object,
+            created: self.created.unwrap_or_default(),
+            model: self.model.unwrap_or_else(|| call.model.to_string()),
+            choices: [choice],
+            usage: Usage {
+                prompt_tokens: call.prompt_tokens,
+                completion_tokens: produced,
+                total_tokens: call.prompt_tokens + produced,
+            },
+        }
+    }
+}
+
+fn chat_choice(text: String, reason: String) -> Value {
+    serde_json::json!({
+        "index": 0,
+        "message": { "role": "assistant", "content": text },
+        "finish_reason": reason,
+    })
+}
+
+fn text_choice(text: String, reason: String) -> Value {
+    serde_json::json!({ "index": 0, "text": text, "finish_reason": reason })
+}
--- /dev/null
+++ b/components/gateway/src/writer.rs
@@ -0,0 +1,253 @@
+//! Streamed answers: tokens as server-sent events, each with an id to go on from.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::{BufMut, Bytes, BytesMut};
+use hyper::Response;
+use net::{Body, Reply, channel};
+use relay::{Closed, Running, Sink};
+use smol::channel::{Sender, TrySendError};
+use targets::Piece;
+use timer::Timer;
+use types::{Class, Moment, Refusal, Tokens, WorkspaceId};
+
+use crate::{
+    admission::Admitted,
+    flight::Flight,
+    generate::{Begun, Generation, Tried},
+    linger::{self, Carried},
+    metrics::Metrics,
+    parts::Core,
+    problem,
+    ticket::Ticket,
+};
+
+/// A caller that takes nothing for this long counts as gone. Its stream would otherwise hold
+/// engine memory for as long as it likes.
+const WRITE_STALL: Duration = Duration::from_secs(20);
+/// Tokens after which progress is reported.
+const REPORT_TOKENS: Tokens = 32;
+/// Time after which progress is reported.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+/// Bytes around an event's data: field names, line ends and the offset.
+const EVENT_EXTRA: usize = 40;
+/// What ends a stream.
+const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// Answers with a stream. The head goes out with the first token, so that everything before it
+/// can still be refused in full.
+pub async fn answer(generation: Generation) -> Result<Response<Body>, Refusal> {
+    let core = Arc::clone(&generation.core);
+    let ask = &generation;
+    let (permit, begun) = ask
+        .tries(|permit| async move {
+            let tried = ask.begin(permit.as_ref()).await;
+            if let Tried::Good(begun) = &tried {
+                // Before any token goes out: from now on the permit can't be pulled back.
+                permit.progress(begun.running.produced());
+            }
+            (permit, tried)
+        })
+        .await?;
+    let arrived = generation.caller.arrived;
+    let since = core.admission.now().saturating_sub(arrived);
+    core.metrics.first_token(since);
+    let account = Account::of(&generation);
+    Ok(carry(&core, account, permit, begun, generation.flight))
+}
+
+/// For whom a stream runs, and under which terms.
+pub struct Account {
+    /// The caller's workspace.
+    pub workspace: WorkspaceId,
+    /// The route it came by.
+    pub route: types::RouteId,
+    /// Its urgency.
+    pub class: Class,
+    /// Tokens in the prompt.
+    pub prompt: Tokens,
+    /// The most tokens to produce.
+    pub max_output: Tokens,
+}
+
+impl Account {
+    fn of(generation: &Generation) -> Self {
+        Self {
+            workspace: generation.caller.workspace.clone(),
+            route: generation.rule.route.clone(),
+            class: generation.class,
+            prompt: generation.call.prompt_tokens,
+            max_output: generation.max_output,
+        }
+    }
+
+    fn ticket(&self, core: &Core, running: &Running) -> String {
+        let ticket = Ticket {
+            target: running.target().id.clone(),
+            stream: running.id().clone(),
+            holder: core.instance.clone(),
+            route: self.route.clone(),
+            class: self.class,
+            prompt: self.prompt,
+            max_output: self.max_output,
+        };
+        core.tickets.write(&self.workspace, &ticket)
+    }
+}
+
+/// Starts to carry a stream to its caller and gives the answer's head. The first piece may be
+/// `None` if the stream was taken up again.
+pub fn carry(
+    core: &Arc<Core>,
+    account: Account,
+    permit: Box<dyn Admitted>,
+    begun: Begun,
+    flight: Flight,
+) -> Response<Body> {
+    let Begun { running, piece } = begun;
+    carry_from(core, account, permit, running, Some(piece), flight)
+}
+
+/// The same, with or without a first piece at hand.
+pub fn carry_from(
+    core: &Arc<Core>,
+    account: Account,
+    permit: Box<dyn Admitted>,
+    running: Running,
+    piece: Option<Piece>,
+    flight: Flight,
+) -> Response<Body> {
+    let (tx, body) = channel();
+    let ticket = account.ticket(core, &running);
+    let writer = Writer::new(core, tx, &ticket, permit);
+    let carried = Carried {
+        core: Arc::clone(core),
+        class: account.class,
+        running,
+        writer,
+        flight,
+    };
+    workers::spawn(linger::carry(carried, piece)).detach();
+    Reply::new(200)
+        .with_header("content-type", "text/event-stream")
+        .with_header("cache-control", "no-cache")
+        .with_body(body)
+        .done()
+}
+
+/// Writes a stream's events to its caller and reports progress.
+pub struct Writer {
+    timer: Timer,
+    tx: Sender<Bytes>,
+    /// `id: TICKET.`
+    head: Bytes,
+    permit: Box<dyn Admitted>,
+    metrics: Metrics,
+    reported: Tokens,
+    reported_at: Moment,
+    last: Moment,
+}
+
+impl Writer {
+    fn new(core: &Core, tx: Sender<Bytes>, ticket: &str, permit: Box<dyn Admitted>) -> Self {
+        let now = core.timer.now();
+        Self {
+            timer: core.timer,
+            tx,
+            head: format!("id: {ticket}.").into(),
+            permit,
+            metrics: core.metrics.clone(),
+            reported: 0,
+            reported_at: now,
+            last: now,
+        }
+    }
+
+    /// Writes the stream's end.
+    pub async fn done(&self) -> Result<(), Closed> {
+        self.send(Bytes::from_static(DONE)).await
+    }
+
+    /// Writes that the answer stops short.
+    pub async fn partial(&self, refusal: &Refusal) -> Result<(), Closed> {
+        let mut buf = BytesMut::new();
+        buf.put_slice(b"event: partial\ndata: ");
+        buf.put_slice(&problem::json(refusal));
+        buf.put_slice(b"\n\n");
+        self.send(buf.freeze()).await
+    }
+
+    /// Reports progress, but not for each token.
+    pub fn note(&mut self, produced: Tokens) {
+        let now = self.timer.now();
+        let many = produced >= self.reported + REPORT_TOKENS;
+        let late = now.saturating_sub(self.reported_at) >= REPORT_TIME;
+        if many || late {
+            self.permit.progress(produced);
+            self.reported = produced;
+            self.reported_at = now;
+        }
+    }
+
+    /// Gives the permit back to be ended.
+    pub fn into_permit(self) -> Box<dyn Admitted> {
+        self.permit
+    }
+
+    async fn send(&self, buf: Bytes) -> Result<(), Closed> {
+        let buf = match self.tx.try_send(buf) {
+            Ok(()) => return Ok(()),
+            Err(TrySendError::Closed(_)) => return Err(Closed),
+            Err(TrySendError::Full(buf)) => buf,
+        };
+        match self.timer.within(WRITE_STALL, self.tx.send(buf)).await {
+            Some(Ok(())) => Ok(()),
+            Some(Err(_)) | None => Err(Closed),
+        }
+    }
+}
+
+#[async_trait]
+impl Sink for Writer {
+    async fn tokens(&mut self, first: Tokens, data: Vec<Bytes>) -> Result<(), Closed> {
+        let now = self.timer.now();
+        self.metrics
+            .tokens(data.len() as u64, now.saturating_sub(self.last));
+        self.last = now;
+        self.note(first + data.len() as Tokens);
+        self.send(events(&self.head, first, &data)).await
+    }
+}
+
+/// Writes events into one buffer: one write for all that came together.
+fn events(head: &[u8], first: Tokens, data: &[Bytes]) -> Bytes {
+    let size = data
+        .iter()
+        .map(|part| head.len() + part.len() + EVENT_EXTRA)
+        .sum();
+    let mut buf = BytesMut::with_capacity(size);
+    for (offset, part) in (first..).zip(data) {
+        buf.put_slice(head);
+        put_number(&mut buf, offset);
+        buf.put_slice(b"\ndata: ");
+        buf.put_slice(part);
+        buf.put_slice(b"\n\n");
+    }
+    buf.freeze()
+}
+
+/// Writes a number in decimal without going through a string.
+fn put_number(buf: &mut BytesMut, mut number: u64) {
+    let mut digits = [0_u8; 20];
+    let mut at = digits.len();
+    loop {
+        at -= 1;
+        digits[at] = b'0' + (number % 10) as u8;
+        number /= 10;
+        if number == 0 {
+            break;
+        }
+    }
+    buf.put_slice(&digits[at..]);
+}
--- /dev/null
+++ b/components/targets/src/plain.rs
@@ -0,0 +1,126 @@
+//! The client of plain services.
+
+use std::{sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Method, Request, Response, body::Incoming};
+use net::{Client, read_limited};
+use timer::Timer;
+use types::Target;
+
+use crate::{
+    answer::{self, ANSWER_PATIENCE},
+    api::{Plain, PlainAnswer, PlainCall, Report, TargetError},
+    openai::REQUEST_ID,
+    report,
+};
+
+/// Bytes of a plain service's answer at most.
+const BODY_LIMIT: usize = 16 * 1024 * 1024;
+
+/// The client of plain services.
+#[derive(Clone)]
+pub struct HttpPlain {
+    client: Client,
+    timer: Timer,
+}
+
+impl HttpPlain {
+    /// Makes a client that calls over `client`.
+    #[must_use]
+    pub const fn new(client: Client, timer: Timer) -> Self {
+        Self { client, timer }
+    }
+
+    async fn exchange(
+        &self,
+        target: &Target,
+        call: &PlainCall,
+        patience: Duration,
+    ) -> Result<PlainAnswer, TargetError> {
+        let req = request(call)?;
+        let resp = if may_share(req.method()) {
+            self.client.send(target.addr, req).await?
+        } else {
+            self.client.send_fresh(target.addr, req).await?
+        };
+        read(resp, patience).await
+    }
+}
+
+/// A service may close an idle connection just while a request is on its way there. Then nobody
+/// can tell whether the request ran, and a caller would hear `unknown` for a call that must not
+/// be repeated; over a new connection this can't happen.
+fn may_share(method: &Method) -> bool {
+    method.is_safe()
+}
+
+#[async_trait]
+impl Plain for HttpPlain {
+    async fn call(
+        &self,
+        target: &Target,
+        call: &PlainCall,
+        patience: Duration,
+    ) -> Result<PlainAnswer, TargetError> {
+        self.timer
+            .within(patience, self.exchange(target, call, patience))
+            .await
+            .unwrap_or_else(|| Err(answer::lost(format!("no answer within {patience:?}"))))
+    }
+
+    async fn report(&self, target: &Target) -> Result<Report, TargetError> {
+        let req = Request::get(report::PATH)
+            .body(Full::new(Bytes::new()))
+            .map_err(|e| answer::unsent(e.to_string()))?;
+        let exchange = async {
+            let resp = self.client.send(target.addr, req).await?;
+            answer::read(resp).await
+        };
+        let (status, body) = self
+            .timer
+            .within(ANSWER_PATIENCE, exchange)
+            .await
+            .ok_or_else(|| answer::lost("no load report in time"))??;
+        report::decode(status, &body)
+    }
+}
+
+fn request(call: &PlainCall) -> Result<Request<Full<Bytes>>, TargetError> {
+    let mut builder = Request::builder()
+        .method(call.method.as_ref())
+        .uri(call.path.as_ref());
+    for (name, value) in &call.headers {
+        builder = builder.header(name.as_ref(), value.as_ref());
+    }
+    builder
+        .header(REQUEST_ID, call.request.as_ref())
+        .body(Full::new(call.body.clone()))
+        .map_err(|e| answer::unsent(e.to_string()))
+}
+
+async fn read(resp: Response<Incoming>, patience: Duration) -> Result<PlainAnswer, TargetError> {
+    let status = resp.status();
+    let retry_after = answer::retry_after(resp.headers());
+    let headers = resp
+        .headers()
+        .iter()
+        .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
+        .collect::<Vec<(Arc<str>, Arc<str>)>>();
+    let body = read_limited(resp.into_body(), BODY_LIMIT, patience)
+        .await
+        .map_err(|e| answer::lost(e.to_string()))?;
+    if answer::turned(status, &body, retry_after) {
+        return Err(TargetError::Turned {
+            reason: format!("status {status}").into(),
+            retry_after,
+        });
+    }
+    Ok(PlainAnswer {
+        status: status.as_u16(),
+        headers,
+        body,
+    })
+}
--- /dev/null
+++ b/components/targets/src/stream.rs
@@ -0,0 +1,114 @@
+//! An engine's stream as it comes over one connection.
+
+use std::collections::VecDeque;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use types::Tokens;
+
+use crate::{
+    answer,
+    api::{Piece, Stream, StreamId, TargetError},
+    sse::{Event, Splitter},
+};
+
+/// The data of the last event.
+const DONE: &[u8] = b"[DONE]";
+
+/// Reads pieces off one connection. Offsets are told as the engine wrote them: the relay finds
+/// repeats and gaps.
+pub struct EngineStream {
+    id: StreamId,
+    body: Incoming,
+    splitter: Splitter,
+    events: Vec<Event>,
+    pieces: VecDeque<Piece>,
+    next: Tokens,
+    ended: bool,
+}
+
+impl EngineStream {
+    /// Reads the stream `id` from token `at` on.
+    pub fn new(id: StreamId, at: Tokens, body: Incoming) -> Self {
+        Self {
+            id,
+            body,
+            splitter: Splitter::new(),
+            events: Vec::new(),
+            pieces: VecDeque::new(),
+            next: at,
+            ended: false,
+        }
+    }
+
+    async fn chunk(&mut self) -> Result<Bytes, TargetError> {
+        loop {
+            let frame = self
+                .body
+                .frame()
+                .await
+                .ok_or_else(|| answer::lost("the stream stopped before its end"))?
+                .map_err(|e| answer::lost(e.to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(data);
+            }
+        }
+    }
+
+    /// Turns events into pieces: one for each run of consecutive offsets.
+    fn gather(&mut self) {
+        let mut run: Option<(Tokens, Vec<Bytes>)> = None;
+        for event in self.events.drain(..) {
+            if event.data == DONE {
+                self.ended = true;
+                break;
+            }
+            let offset = event.id.unwrap_or(self.next);
+            match &mut run {
+                Some((_, data)) if offset == self.next => data.push(event.data),
+                _ => {
+                    self.pieces.extend(run.take().map(tokens));
+                    run = Some((offset, vec![event.data]));
+                }
+            }
+            self.next = offset.saturating_add(1);
+        }
+        self.pieces.extend(run.map(tokens));
+        if self.ended {
+            self.pieces.push_back(Piece::End);
+        }
+    }
+}
+
+fn tokens((first, data): (Tokens, Vec<Bytes>)) -> Piece {
+    Piece::Tokens {
+        first,
+        count: data.len() as Tokens,
+        data,
+    }
+}
+
+#[async_trait]
+impl Stream for EngineStream {
+    fn id(&self) -> StreamId {
+        StreamId::clone(&self.id)
+    }
+
+    async fn next(&mut self) -> Result<Piece, TargetError> {
+        loop {
+            if let Some(piece) = self.pieces.pop_front() {
+                return Ok(piece);
+            }
+            if self.ended {
+                return Ok(Piece::End);
+            }
+            let chunk = self.chunk().await?;
+            self.splitter
+                .push(chunk, &mut self.events)
+                .map_err(|e| answer::lost(e.to_string()))?;
+            self.gather();
+        }
+    }
+}
