--- /dev/null
+++ b/components/bench/src/process.rs
@@ -0,0 +1,184 @@
+//! Starting, pausing and ending processes.
+//!
+//! This tool and the tests are the only places where a process starts others: celerystand itself
+//! starts none. Signals go through `kill`, for there is no other way without unsafe code.
+
+use std::{
+    fs::File,
+    io::{self, BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+/// Time between two looks at whether a process has ended.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The programs under test.
+#[derive(Clone, Debug)]
+pub struct Programs {
+    /// `celerystand`.
+    pub celerystand: PathBuf,
+    /// `celerystand-standin`.
+    pub standin: PathBuf,
+}
+
+impl Programs {
+    /// Names both programs.
+    #[must_use]
+    pub fn new(celerystand: impl Into<PathBuf>, standin: impl Into<PathBuf>) -> Self {
+        Self {
+            celerystand: celerystand.into(),
+            standin: standin.into(),
+        }
+    }
+
+    /// The programs that were built together with this one.
+    ///
+    /// # Errors
+    /// Passes on why this program's own place is unknown.
+    pub fn beside_this() -> io::Result<Self> {
+        let here = std::env::current_exe()?;
+        let sibling = |name| here.with_file_name(name);
+        Ok(Self::new(
+            sibling("celerystand"),
+            sibling("celerystand-standin"),
+        ))
+    }
+}
+
+/// A signal to a process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// Ends it at once.
+    Kill,
+    /// Asks it to end.
+    Terminate,
+    /// Stops it, as on a frozen machine.
+    Pause,
+    /// Lets it go on.
+    Resume,
+}
+
+/// A process that was started here; it is killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program whose output goes to a file.
+    ///
+    /// # Errors
+    /// Passes on why it did not start.
+    pub fn start(program: &Path, args: &[&str], log: &Path) -> io::Result<Self> {
+        let out = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone()?)
+            .stderr(out)
+            .spawn()
+            .map_err(|e| io::Error::other(format!("{}: {e}", program.display())))?;
+        Ok(Self { child })
+    }
+
+    /// Starts a stand-in and waits until it tells where it listens.
+    ///
+    /// # Errors
+    /// Passes on why it did not start.
+    pub fn start_standin(program: &Path, args: &[&str]) -> io::Result<(Self, SocketAddr)> {
+        let mut child = Command::new(program)
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|e| io::Error::other(format!("{}: {e}", program.display())))?;
+        let mut line = String::new();
+        if let Some(out) = child.stdout.take() {
+            BufReader::new(out).read_line(&mut line)?;
+        }
+        let process = Self { child };
+        let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        let silent = || io::Error::other(format!("a stand-in did not start: {args:?}"));
+        Ok((process, addr.ok_or_else(silent)?))
+    }
+
+    /// Sends a signal; one to a process that has ended is lost.
+    pub fn signal(&mut self, signal: Signal) {
+        let name = match signal {
+            Signal::Kill => "-KILL",
+            Signal::Terminate => "-TERM",
+            Signal::Pause => "-STOP",
+            Signal::Resume => "-CONT",
+        };
+        // Until the child has been waited for, its number can't belong to anybody else.
+        if self.runs() {
+            let pid = self.child.id().to_string();
+            let _ = Command::new("kill").args([name, &pid]).status();
+        }
+    }
+
+    /// Whether it still runs.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
+    /// Waits at most this long for its end; tells whether it ended.
+    pub async fn ended(&mut self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        while self.runs() {
+            if Instant::now() >= until {
+                return false;
+            }
+            smol::Timer::after(POLL).await;
+        }
+        true
+    }
+
+    /// Resident memory in bytes, 0 if unknown.
+    #[must_use]
+    pub fn memory(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        kib.unwrap_or(0) * 1024
+    }
+
+    /// Open descriptors, 0 if unknown.
+    #[must_use]
+    pub fn descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).map_or(0, Iterator::count)
+    }
+
+    /// Processor time used so far.
+    #[must_use]
+    pub fn cpu(&self) -> Duration {
+        // Fields 14 and 15 of `stat`, in hundredths of a second; the name before them is in
+        // brackets and may hold blanks.
+        let path = format!("/proc/{}/stat", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let rest = text.rsplit(')').next().unwrap_or_default();
+        let ticks = rest.split_whitespace().skip(11).take(2);
+        let sum: u64 = ticks.filter_map(|n| n.parse::<u64>().ok()).sum();
+        Duration::from_millis(sum * 10)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Picks a port on the loopback address that is free at present.
+///
+/// # Errors
+/// Passes on why there is none.
+pub fn free_addr() -> io::Result<SocketAddr> {
+    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+}
--- a/components/standins/src/engine/text.rs
+++ b/components/standins/src/engine/text.rs
@@ -55,7 +55,7 @@
         }
         let lines = self.messages.iter();
         lines
-            .map(|m| format!("{}: {}\n", m.role, m.content))
+            .map(|m| format!("{}\n{}\n", m.role, m.content))
             .collect()
     }
 }
