Drive the administration API from the command line

Cause: operators edit the tree between calls; they need commands, not curl. Change: get, set, delete, export, import, validate, history, data-centre, status, dump, key hash, completions and docs; exit codes tell conflict, unavailable and unknown apart for scripts. A change sends the version that was read, so a race ends in a conflict and not in a lost change.

--- a/components/admin/src/document.rs
+++ b/components/admin/src/document.rs
@@ -78,8 +78,7 @@
         .flat_map(|(path, node)| faults_of(config, path, node))
         .collect();
     let valid = faults.is_empty();
-    let status = if valid { 200 } else { 422 };
-    Reply::json(status, &Verdict { valid, faults }).done()
+    Reply::json(200, &Verdict { valid, faults }).done()
 }
 
 fn faults_of(config: &dyn Config, path: NodePath, node: Node) -> Vec<Fault> {
--- a/components/platform/src/dynamo.rs
+++ b/components/platform/src/dynamo.rs
@@ -119,7 +119,10 @@
             return Ok(());
         }
         if writes.len() > COMMIT_LIMIT {
-            let reason = format!("{} writes in one commit, at most {COMMIT_LIMIT}", writes.len());
+            let reason = format!(
+                "{} writes in one commit, at most {COMMIT_LIMIT}",
+                writes.len()
+            );
             return Err(PlatformError::Unavailable {
                 reason: reason.into(),
             });
--- a/components/tree/src/check.rs
+++ b/components/tree/src/check.rs
@@ -112,10 +112,18 @@
             }
             _ => {}
         }
-        for parent in needed.iter().filter(|p| !self.exists(p)).collect::<Vec<_>>() {
+        for parent in needed
+            .iter()
+            .filter(|p| !self.exists(p))
+            .collect::<Vec<_>>()
+        {
             let parent = parent.path();
             let what = format!("it needs {parent}, which does not exist");
-            self.fault(path, &what, &format!("write {parent} first, or delete this"));
+            self.fault(
+                path,
+                &what,
+                &format!("write {parent} first, or delete this"),
+            );
         }
     }
 
@@ -230,7 +238,11 @@
     fn keys(&mut self, path: &str, node: &Node) {
         if node.key_hashes.len() > KEY_LIMIT {
             let what = format!("{} keys", node.key_hashes.len());
-            self.fault(&at(path, "key-hashes"), &what, &format!("at most {KEY_LIMIT}"));
+            self.fault(
+                &at(path, "key-hashes"),
+                &what,
+                &format!("at most {KEY_LIMIT}"),
+            );
         }
         for (place, hash) in node.key_hashes.iter().enumerate() {
             if read_hash(hash).is_none() {
--- a/components/tree/src/knobs.rs
+++ b/components/tree/src/knobs.rs
@@ -123,10 +123,13 @@
 /// The values in force at a place.
 #[must_use]
 pub fn in_force_at(snapshot: &Snapshot, place: &Place) -> Knobs {
-    place.chain().iter().fold(Knobs::defaults(), |knobs, place| {
-        match snapshot.nodes.get(&place.path()) {
-            Some(node) => knobs.with_lower(&node.knobs),
-            None => knobs,
-        }
-    })
+    place
+        .chain()
+        .iter()
+        .fold(Knobs::defaults(), |knobs, place| {
+            match snapshot.nodes.get(&place.path()) {
+                Some(node) => knobs.with_lower(&node.knobs),
+                None => knobs,
+            }
+        })
 }
--- a/components/tree/src/rules.rs
+++ b/components/tree/src/rules.rs
@@ -110,7 +110,13 @@
         }
     }
 
-    fn add_service(&mut self, snapshot: &Snapshot, place: &Place, service: &ServiceId, node: &Node) {
+    fn add_service(
+        &mut self,
+        snapshot: &Snapshot,
+        place: &Place,
+        service: &ServiceId,
+        node: &Node,
+    ) {
         let kind = node.kind.unwrap_or_default();
         if kind == ServiceKind::Model {
             let model = node.model.as_ref().unwrap_or(service);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,14 +1,25 @@
 //! The command line.
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
+use clap_complete::Shell;
 
-/// Exit codes, for `--help`.
-const EXIT_CODES: &str = "Exit codes:
+/// Where an instance's administration API is looked for.
+pub const DEFAULT_ADMIN: &str = "127.0.0.1:9090";
+
+/// Text below the list of commands.
+const AFTER_HELP: &str =
+    "Commands that talk to an instance read the operator's key from --key-file or from the
+environment variable CELERYSTAND_KEY, and the address from --admin or CELERYSTAND_ADMIN.
+
+Exit codes:
   0  done
   1  refused or failed; standard error says why
-  2  the command line is wrong";
+  2  the command line is wrong
+  3  conflict: somebody else changed the node meanwhile; nothing was changed
+  4  the instance or the table service can't be reached; nothing was changed
+  5  unknown: the change may have been accepted; read before you try again";
 
 /// The whole command line.
 #[must_use]
@@ -16,25 +27,46 @@
     Command::new("celerystand")
         .version(clap::crate_version!())
         .about("A serving system for generations of unknown length on crowded engines")
-        .after_help(EXIT_CODES)
+        .after_help(AFTER_HELP)
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve())
+        .subcommand(try_out())
         .subcommand(check())
+        .subcommand(get())
+        .subcommand(set())
+        .subcommand(delete())
+        .subcommand(export())
+        .subcommand(import())
+        .subcommand(validate())
+        .subcommand(history())
+        .subcommand(data_centre())
+        .subcommand(status())
+        .subcommand(dump())
+        .subcommand(key())
+        .subcommand(completions())
         .subcommand(docs())
 }
 
 fn serve() -> Command {
     Command::new("serve")
         .about("Runs one instance until it is told to stop")
-        .after_help("Example:\n  celerystand serve --settings /etc/celerystand.yml")
+        .after_help(
+            "SIGTERM and SIGINT begin a shutdown that finishes all running requests.\n\n\
+             Example:\n  celerystand serve --settings /etc/celerystand.yml",
+        )
+        .arg(file_arg("settings", "The settings of this instance").long("settings"))
+}
+
+fn try_out() -> Command {
+    Command::new("try")
+        .about("Runs an instance with built-in stand-ins for platform, engines and a service")
+        .after_help("Examples:\n  celerystand try\n  celerystand try --once")
         .arg(
-            Arg::new("settings")
-                .long("settings")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
-                .required(true)
-                .help("The settings of this instance"),
+            Arg::new("once")
+                .long("once")
+                .action(ArgAction::SetTrue)
+                .help("End after the demonstration in place of staying up"),
         )
 }
 
@@ -42,19 +74,161 @@
     Command::new("check")
         .about("Checks a settings file and lists every fault in it")
         .after_help("Example:\n  celerystand check /etc/celerystand.yml")
+        .arg(file_arg("file", "The settings file"))
+}
+
+fn get() -> Command {
+    remote("get")
+        .about("Reads a node of the configuration tree")
+        .after_help(
+            "What it prints can be edited and given to `set --file`.\n\n\
+             Examples:\n  celerystand get /services/catalogue\n  \
+             celerystand get /workspaces/editors/routes/catalogue/drafts --in-force",
+        )
+        .arg(path_arg())
+        .arg(
+            Arg::new("in-force")
+                .long("in-force")
+                .action(ArgAction::SetTrue)
+                .help("Show each value in force there and which node it comes from"),
+        )
+}
+
+fn set() -> Command {
+    remote("set")
+        .about("Writes a node of the configuration tree")
+        .after_help(
+            "With key=value the other values of the node stay; `key=` takes a value back, so that\n\
+             it is inherited. With --file the node becomes what the file says, provided that the\n\
+             version in the file is still the one that last wrote it.\n\n\
+             Examples:\n  celerystand set /workspaces/editors class=background in-flight=40\n  \
+             celerystand set /workspaces/editors in-flight=\n  \
+             celerystand set /services/catalogue --file catalogue.yml",
+        )
+        .arg(path_arg())
+        .arg(
+            Arg::new("values")
+                .value_name("KEY=VALUE")
+                .num_args(1..)
+                .conflicts_with("file")
+                .required_unless_present("file")
+                .help("Values to write"),
+        )
         .arg(
-            Arg::new("file")
-                .value_name("FILE")
-                .value_parser(value_parser!(PathBuf))
+            file_arg("file", "A node as `get` prints it")
+                .long("file")
+                .required(false),
+        )
+}
+
+fn delete() -> Command {
+    remote("delete")
+        .about("Deletes a node of the configuration tree")
+        .after_help("Example:\n  celerystand delete /workspaces/editors/routes/catalogue/tags")
+        .arg(path_arg())
+        .arg(
+            Arg::new("if-version")
+                .long("if-version")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Only if this version last wrote it; by default the one it has now"),
+        )
+}
+
+fn export() -> Command {
+    remote("export")
+        .about("Prints the whole configuration tree as one document")
+        .after_help("Example:\n  celerystand export > tree.yml")
+}
+
+fn import() -> Command {
+    remote("import")
+        .about("Writes the nodes of a document that differ from the tree; others stay")
+        .after_help("Example:\n  celerystand import tree.yml")
+        .arg(file_arg("file", "The document, as `export` prints it"))
+}
+
+fn validate() -> Command {
+    remote("validate")
+        .about("Tells whether a document would be accepted, without applying it")
+        .after_help("Example:\n  celerystand validate tree.yml")
+        .arg(file_arg("file", "The document, as `export` prints it"))
+}
+
+fn history() -> Command {
+    remote("history")
+        .about("Lists accepted changes, newest first")
+        .after_help("Example:\n  celerystand history --limit 5")
+        .arg(
+            Arg::new("limit")
+                .long("limit")
+                .value_name("NUMBER")
+                .value_parser(value_parser!(u32))
+                .default_value("20")
+                .help("How many"),
+        )
+}
+
+fn data_centre() -> Command {
+    let turn = |name: &'static str, about: &'static str| {
+        remote(name).about(about).arg(
+            Arg::new("name")
+                .value_name("NAME")
+                .required(true)
+                .help("The data centre"),
+        )
+    };
+    Command::new("data-centre")
+        .about("Takes a data centre out of service or back in")
+        .after_help(
+            "Examples:\n  celerystand data-centre out amman-2\n  celerystand data-centre in amman-2",
+        )
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(turn("out", "No new work goes there; what runs is finished"))
+        .subcommand(turn("in", "New work goes there again, slowly at first"))
+}
+
+fn status() -> Command {
+    remote("status")
+        .about("Shows whether an instance is ready and which configuration it has")
+        .after_help("Example:\n  celerystand status --admin 10.4.1.11:9090")
+}
+
+fn dump() -> Command {
+    remote("dump")
+        .about("Prints the state of an instance as JSON, without secrets")
+        .after_help("Example:\n  celerystand dump > state.json")
+}
+
+fn key() -> Command {
+    let hash = Command::new("hash")
+        .about("Prints the SHA-256 of a key read from standard input, for settings and workspaces")
+        .after_help("Example:\n  celerystand key hash < operator.key");
+    Command::new("key")
+        .about("Works with keys")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(hash)
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Prints completions for a shell")
+        .after_help("Example:\n  celerystand completions bash > /etc/bash_completion.d/celerystand")
+        .arg(
+            Arg::new("shell")
+                .value_name("SHELL")
+                .value_parser(value_parser!(Shell))
                 .required(true)
-                .help("The settings file"),
+                .help("The shell"),
         )
 }
 
 fn docs() -> Command {
     Command::new("docs")
         .about("Prints a reference page that is made from the code")
-        .hide(true)
+        .after_help("Example:\n  celerystand docs events > docs/EVENTS.md")
         .arg(
             Arg::new("page")
                 .value_name("PAGE")
@@ -63,3 +237,41 @@
                 .help("Which page"),
         )
 }
+
+/// A command that talks to an instance.
+fn remote(name: &'static str) -> Command {
+    Command::new(name)
+        .arg(
+            Arg::new("admin")
+                .long("admin")
+                .value_name("ADDR")
+                .value_parser(value_parser!(SocketAddr))
+                .help("Admin address of any instance, IP:PORT [default: CELERYSTAND_ADMIN or 127.0.0.1:9090]"),
+        )
+        .arg(
+            file_arg("key-file", "File with the operator's key [default: CELERYSTAND_KEY]")
+                .long("key-file")
+                .required(false),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print JSON"),
+        )
+}
+
+fn file_arg(id: &'static str, help: &'static str) -> Arg {
+    Arg::new(id)
+        .value_name("FILE")
+        .value_parser(value_parser!(PathBuf))
+        .required(true)
+        .help(help)
+}
+
+fn path_arg() -> Arg {
+    Arg::new("path")
+        .value_name("PATH")
+        .required(true)
+        .help("Path of the node, for instance /services/catalogue")
+}
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,19 +1,19 @@
 //! `celerystand check`: lists every fault of a settings file.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use clap::ArgMatches;
-use errors::{Error, Result};
+use errors::Error;
 use settings::Settings;
 
+use crate::{cmd::file, failure::Outcome};
+
 /// Checks a settings file.
 ///
 /// # Errors
 /// Lists the faults.
-pub fn run(args: &ArgMatches) -> Result<()> {
-    let path = args
-        .get_one::<PathBuf>("file")
-        .ok_or_else(|| Error::new("no file was named"))?;
+pub fn run(args: &ArgMatches) -> Outcome {
+    let path = file(args, "file")?;
     load(path)?;
     println!("{}: no faults", path.display());
     Ok(())
@@ -23,13 +23,16 @@
 ///
 /// # Errors
 /// One line for each fault.
-pub fn load(path: &Path) -> Result<Settings> {
+pub fn load(path: &Path) -> Outcome<Settings> {
     settings::load(path).map_err(|faults| {
-        let mut text = format!("{} faults in {}", faults.len(), path.display());
+        let mut text = match faults.len() {
+            1 => format!("one fault in {}", path.display()),
+            count => format!("{count} faults in {}", path.display()),
+        };
         for fault in faults {
             text.push_str("\n  ");
             text.push_str(&fault.to_string());
         }
-        Error::new(text)
+        Error::new(text).into()
     })
 }
--- /dev/null
+++ b/src/cmd/complete.rs
@@ -0,0 +1,26 @@
+//! `celerystand completions`: completions for a shell.
+
+use std::io;
+
+use clap::ArgMatches;
+use clap_complete::{Shell, generate};
+use errors::Error;
+
+use crate::{cli, failure::Outcome};
+
+/// Prints the completions.
+///
+/// # Errors
+/// No shell was named.
+pub fn run(args: &ArgMatches) -> Outcome {
+    let shell = args
+        .get_one::<Shell>("shell")
+        .ok_or_else(|| Error::new("no shell was named"))?;
+    generate(
+        *shell,
+        &mut cli::command(),
+        "celerystand",
+        &mut io::stdout(),
+    );
+    Ok(())
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,23 +1,21 @@
 //! `celerystand serve`: runs one instance.
 
-use std::path::PathBuf;
-
 use clap::ArgMatches;
 use errors::{Error, Result};
 
-use crate::cmd::{check, logging};
+use crate::{
+    cmd::{check, file, logging},
+    failure::Outcome,
+};
 
 /// Runs one instance until it is told to stop.
 ///
 /// # Errors
 /// Tells why it could not start.
-pub fn run(args: &ArgMatches) -> Result<()> {
-    let path = args
-        .get_one::<PathBuf>("settings")
-        .ok_or_else(|| Error::new("no settings file was named"))?;
-    let settings = check::load(path)?;
+pub fn run(args: &ArgMatches) -> Outcome {
+    let settings = check::load(file(args, "settings")?)?;
     logging::start(&settings.log);
-    serve(settings)
+    Ok(serve(settings)?)
 }
 
 // Stands in until `node::serve(Settings) -> errors::Result<()>` is on the main branch.
--- /dev/null
+++ b/src/cmd/state.rs
@@ -0,0 +1,77 @@
+//! `celerystand status`, `dump` and `history`.
+
+use std::time::SystemTime;
+
+use admin::message::Status;
+use clap::ArgMatches;
+use config::Entry;
+use serde_json::Value;
+
+use crate::{
+    cmd::{operator, print},
+    failure::Outcome,
+};
+
+/// Shows a summary of an instance.
+///
+/// # Errors
+/// The instance can't be reached or refuses.
+pub fn status(args: &ArgMatches) -> Outcome {
+    let status: Status = operator::client(args)?.get("/v1/status")?;
+    Ok(print::either(args, &status, &status_lines(&status))?)
+}
+
+fn status_lines(status: &Status) -> String {
+    let ready = match &status.reason {
+        None => "yes".to_owned(),
+        Some(reason) => format!("no: {reason}"),
+    };
+    let version = status
+        .config_version
+        .map_or_else(|| "none yet".to_owned(), |version| version.to_string());
+    let out = match status.out.as_slice() {
+        [] => "none".to_owned(),
+        list => list.join(", "),
+    };
+    format!(
+        "instance       {}\ndata centre    {}\nprogram        {}\nready          {ready}\n\
+         configuration  {version}\ntaken out      {out}",
+        status.instance, status.data_centre, status.program
+    )
+}
+
+/// Prints the state of an instance.
+///
+/// # Errors
+/// The instance can't be reached or refuses.
+pub fn dump(args: &ArgMatches) -> Outcome {
+    let state: Value = operator::client(args)?.get("/dump")?;
+    Ok(print::json(&state)?)
+}
+
+/// Lists accepted changes.
+///
+/// # Errors
+/// The instance or the table service can't be reached, or the instance refuses.
+pub fn history(args: &ArgMatches) -> Outcome {
+    let limit = args.get_one::<u32>("limit").copied().unwrap_or_default();
+    let path = format!("/v1/history?limit={limit}");
+    let entries: Vec<Entry> = operator::client(args)?.get(&path)?;
+    if print::wants_json(args) {
+        return Ok(print::json(&entries)?);
+    }
+    for entry in &entries {
+        println!("{}", history_line(entry, SystemTime::now()));
+    }
+    Ok(())
+}
+
+fn history_line(entry: &Entry, now: SystemTime) -> String {
+    let age = now.duration_since(entry.at).unwrap_or_default().as_secs();
+    let what = match &entry.change.node {
+        None => "deleted".to_owned(),
+        Some(node) => serde_json::to_string(node).unwrap_or_default(),
+    };
+    let (version, who, path) = (entry.version, &entry.change.who, &entry.change.path);
+    format!("{version:>6}  {age:>8} s ago  {who}  {path}  {what}")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,6 @@
 //! The `celerystand` program as a library: its command line and what each command does.
 
 pub mod cli;
+pub mod client;
 pub mod cmd;
+pub mod failure;
