--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -96,6 +96,14 @@
         700, Info, "configuration {version} is in force",
         "Nothing.",
     ),
+    /// No configuration was found yet; the instance stays unready.
+    ConfigMissing {
+        /// Why the table service gave none.
+        reason: Arc<str>,
+    } = (
+        701, Warn, "no configuration found yet, not ready: {reason}",
+        "Look at the table service, or start an instance beside one that has a configuration.",
+    ),
     /// An operator's change was accepted.
     ChangeAccepted {
         /// Who made it.
