--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -215,11 +215,8 @@
         self.core.member(members::Input::Drain);
         self.core.timer.sleep(self.grace).await;
         self.stop_callers.store(true, Ordering::Release);
-        let parts = [
-            || self.gateway.open(),
-            || self.open_callers.load(Ordering::Acquire),
-        ];
-        shutdown::until_idle(self.core.timer, || parts.iter().map(|open| open()).sum()).await;
+        let open = || self.gateway.open() + self.open_callers.load(Ordering::Acquire);
+        shutdown::until_idle(self.core.timer, open).await;
         events::emit(&Log::Stopped);
     }
 }
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -9,7 +9,7 @@
     api::{Action, Event, Request, RequestId, ShardRole, View},
     entry::{
         calls::Calls,
-        pending::{AskOut, Asks, NO_OWNER_LIMIT, Pending, Requests, Stage},
+        pending::{AskOut, Asks, NO_OWNER_LIMIT, NO_TARGET_LIMIT, Pending, Requests, Stage},
         permit::Permits,
         refuse,
         shards::Shards,
@@ -154,10 +154,6 @@
         if pending.request.kind == ServiceKind::Plain && self.place_on_block(now, id, out) {
             return;
         }
-        if !self.shards.serves(&self.requests[&id].request.service) {
-            self.refuse(id, refuse::no_target(), out);
-            return;
-        }
         self.ask(now, id, out);
     }
 
@@ -322,6 +318,7 @@
             self.withdraw(ask, out);
             self.ask_again(now, request, out);
         }
+        self.place_waiting(now, out);
     }
 
     fn role(&mut self, now: Moment, shard: &Shard, role: &ShardRole, out: &mut Vec<Action>) {
@@ -393,9 +390,7 @@
         let late = |p: &&Pending| match p.stage {
             Stage::Placed(_) => false,
             Stage::Asked(_) => p.request.deadline <= now,
-            Stage::Waiting => {
-                p.request.deadline <= now || now.saturating_sub(p.since) >= NO_OWNER_LIMIT
-            }
+            Stage::Waiting => p.request.deadline <= now || self.waits_in_vain(now, p),
         };
         let late: Vec<RequestId> = self
             .requests
@@ -413,13 +408,27 @@
             }
             let refusal = if expired {
                 refuse::too_late(self.shards.wait(&service))
-            } else {
+            } else if self.shards.serves(&service) {
                 refuse::no_owner()
+            } else {
+                refuse::no_target()
             };
             self.refuse(id, refusal, out);
         }
     }
 
+    /// Whether a request that nobody could be asked for has waited long enough: the list of
+    /// targets lags, and owners change hands, so neither is taken for the truth at once.
+    fn waits_in_vain(&self, now: Moment, pending: &Pending) -> bool {
+        let serves = self.shards.serves(&pending.request.service);
+        let limit = if serves {
+            NO_OWNER_LIMIT
+        } else {
+            NO_TARGET_LIMIT
+        };
+        now.saturating_sub(pending.since) >= limit
+    }
+
     pub(super) fn open(&self, target: &str, incarnation: types::Incarnation) -> bool {
         self.view.targets.iter().any(|t| {
             *t.id == *target
--- a/components/policy/src/entry/pending.rs
+++ b/components/policy/src/entry/pending.rs
@@ -58,6 +58,8 @@
 /// A request that nobody could be asked for is refused after this time: the owners should have
 /// settled by then, and the caller is better told to come back than left waiting.
 pub const NO_OWNER_LIMIT: Duration = Duration::from_secs(4);
+/// A request whose service has no target that takes work is refused after this time.
+pub const NO_TARGET_LIMIT: Duration = Duration::from_millis(500);
 /// An ask that waits longer than this may move to another shard.
 pub const MOVE_AFTER: Duration = Duration::from_millis(400);
 /// How much less crowded another shard must be for an ask to move there.
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,67 @@
+//! One request's whole way through separate processes.
+
+mod support;
+
+use bench::caller::{Caller, Outcome, Wanted, What};
+use types::Class;
+
+fn wanted(name: &str, key: &str, what: What) -> Wanted {
+    Wanted {
+        name: name.into(),
+        kind: "test".into(),
+        class: Class::Normal,
+        key: key.into(),
+        what,
+    }
+}
+
+fn generation(name: &str) -> Wanted {
+    let what = What::Generate {
+        model: "catalogue".into(),
+        route: None,
+        prompt: "A long synopsis, please.".into(),
+        output: 20,
+        most: 100,
+    };
+    wanted(name, "key-editors", what)
+}
+
+fn call(name: &str, method: &str, path: &str, idempotency_key: Option<&str>) -> Wanted {
+    let what = What::Plain {
+        method: method.into(),
+        path: path.into(),
+        idempotency_key: idempotency_key.map(String::from),
+    };
+    wanted(name, "key-viewers", what)
+}
+
+#[test]
+fn each_kind_of_request_gets_its_whole_answer_through_each_instance() {
+    smol::block_on(async {
+        let deployment = support::start(&support::plan()).await;
+        let caller = Caller::new();
+        for (number, addr) in deployment.entries().into_iter().enumerate() {
+            let requests = [
+                generation(&format!("generation-{number}")),
+                call(&format!("lookup-{number}"), "GET", "/titles/7", None),
+                call(&format!("save-{number}"), "POST", "/watchlist", None),
+                call(
+                    &format!("keyed-{number}"),
+                    "POST",
+                    "/watchlist",
+                    Some(&format!("k{number}")),
+                ),
+            ];
+            for request in requests {
+                let record = caller.follow(&[addr], &request).await;
+                assert_eq!(
+                    record.outcome,
+                    Outcome::Whole,
+                    "{} {}",
+                    record.name,
+                    deployment.tail(number)
+                );
+            }
+        }
+    });
+}
