--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -2,6 +2,11 @@
 //! callers in this one.
 
 pub mod caller;
+pub mod cli;
 pub mod deployment;
+pub mod drive;
 pub mod process;
+pub mod report;
+pub mod scenario;
 pub mod sse;
+pub mod summary;
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -109,6 +109,8 @@
 pub struct EngineLog {
     /// Its life.
     pub life: LifeLog,
+    /// Memory in tokens.
+    pub capacity: u64,
     /// Sums.
     pub totals: Totals,
     /// Orders taken.
@@ -414,6 +416,7 @@
         };
         EngineLog {
             life: self.life.log(),
+            capacity: self.settings.capacity,
             totals: state.batch.totals,
             orders: state.orders.clone(),
             generations,
--- a/src/bin/bench.rs
+++ b/src/bin/bench.rs
@@ -1,3 +1,15 @@
-//! To be filled.
+//! The load and experiment tool.
 
-fn main() {}
+use std::process::ExitCode;
+
+use bench::cli;
+
+fn main() -> ExitCode {
+    match cli::run(&cli::command().get_matches()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("celerystand-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
