--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -2,7 +2,9 @@
 //! callers in this one.
 
 pub mod caller;
+pub mod chaos;
 pub mod cli;
+pub mod cost;
 pub mod deployment;
 pub mod drive;
 pub mod process;
@@ -10,3 +12,4 @@
 pub mod scenario;
 pub mod sse;
 pub mod summary;
+pub mod verify;
--- a/components/standins/src/life.rs
+++ b/components/standins/src/life.rs
@@ -36,6 +36,9 @@
     pub warm: bool,
     /// Concurrent requests it bears while cold.
     pub cold_limit: u32,
+    /// Milliseconds after it turned cold without a word in which more than it bears is only
+    /// counted as a surprise: nobody can know before the first sign of it.
+    pub cold_grace_ms: u64,
     /// Finished requests after which it is warm.
     pub warm_after: u32,
     /// Milliseconds that it is away after it fell over.
@@ -54,6 +57,7 @@
             incarnation: 1,
             warm: false,
             cold_limit: 2,
+            cold_grace_ms: 0,
             warm_after: 8,
             restart_ms: 2000,
             load_lag_ms: 500,
@@ -151,6 +155,8 @@
     pub most_cold: u32,
     /// How often it had more than it bears while cold.
     pub overfills: u32,
+    /// How often it had more within the time of grace after it turned cold.
+    pub surprises: u32,
 }
 
 /// The life of a target.
@@ -169,6 +175,7 @@
     finished: u32,
     leaving: bool,
     back_at: Option<Duration>,
+    turned_cold: Option<Duration>,
     stalled_until: Duration,
     faults: Faults,
     reports: VecDeque<(Duration, Load)>,
@@ -203,6 +210,7 @@
                 finished: 0,
                 leaving: false,
                 back_at: None,
+                turned_cold: None,
                 stalled_until: Duration::ZERO,
                 faults: Faults::default(),
                 reports: VecDeque::new(),
@@ -225,10 +233,17 @@
         if state.log.warm {
             return Entry::Runs;
         }
-        state.log.most_cold = state.log.most_cold.max(others + 1);
         if others < self.settings.cold_limit {
+            state.log.most_cold = state.log.most_cold.max(others + 1);
             return Entry::Runs;
         }
+        let grace = Duration::from_millis(self.settings.cold_grace_ms);
+        let now = self.timer.now();
+        if state.turned_cold.is_some_and(|at| now < at + grace) {
+            state.log.surprises += 1;
+            return Entry::Runs;
+        }
+        state.log.most_cold = state.log.most_cold.max(others + 1);
         state.log.overfills += 1;
         self.fall(&mut state);
         Entry::FellOver
@@ -307,6 +322,7 @@
         }
         match new.act {
             Some(Act::Cold) => {
+                state.turned_cold = Some(self.timer.now());
                 state.log.warm = false;
                 state.finished = 0;
             }
