Spare a table service that is down; test the platform's clients

Cause: while the service is down each keyed request would wait for its time limit and leave a commit whose fate is open. Paging goes on from the last row read: no need for ExclusiveStartKey.

--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -31,6 +31,8 @@
 const DOWN_TRIES: usize = 3;
 /// Tries of a claim whose answer was lost, before its settling is left to the background.
 const LOST_TRIES: usize = 3;
+/// Time after which no further try is made: the caller's patience is worth more.
+const TRY_TIME: Duration = Duration::from_secs(4);
 /// Pause between such tries.
 const TRY_PAUSE: Duration = Duration::from_millis(30);
 /// Time between two rounds of settling.
@@ -206,6 +208,7 @@
     /// Writes a claim. A lost answer is settled by writing the same again: its condition lets at
     /// most one of the two take effect, and the id in the row tells whose claim stands.
     async fn try_claim(&self, open: &Open) -> Tried {
+        let end = self.timer.now() + TRY_TIME;
         let mut lost = 0;
         let mut down = 0;
         loop {
@@ -220,10 +223,11 @@
                 Err(PlatformError::Unavailable { .. }) => down += 1,
                 Err(PlatformError::Unknown { .. } | PlatformError::Garbled { .. }) => lost += 1,
             }
-            if lost > 0 && lost + down >= LOST_TRIES {
+            let late = self.timer.now() >= end;
+            if lost > 0 && (late || lost + down >= LOST_TRIES) {
                 return Tried::Lost;
             }
-            if lost == 0 && down >= DOWN_TRIES {
+            if lost == 0 && (late || down >= DOWN_TRIES) {
                 return Tried::Down;
             }
             self.timer.sleep(TRY_PAUSE).await;
--- a/components/platform/src/dynamo.rs
+++ b/components/platform/src/dynamo.rs
@@ -10,9 +10,7 @@
 
 use crate::{
     api::{PlatformError, Row, RowKey, Table, Write},
-    dynamo_form::{
-        self, GetItem, GetItemAnswer, Item, Query, QueryAnswer, TransactWriteItems, read_row,
-    },
+    dynamo_form::{self, GetItem, GetItemAnswer, Query, QueryAnswer, TransactWriteItems, read_row},
     http::{Answer, Call, CallError, Endpoint},
 };
 
@@ -95,19 +93,19 @@
         after: &str,
         limit: usize,
     ) -> Result<Vec<Row>, PlatformError> {
-        let mut rows = Vec::new();
-        let mut start: Option<Item> = None;
+        let mut rows: Vec<Row> = Vec::new();
         while rows.len() < limit {
             let page = (limit - rows.len()).min(PAGE_LIMIT);
-            let query = Query::new(partition, after, page, start.take());
+            let last = rows.last().map_or(after, |row| &row.key.sort);
+            let query = Query::new(partition, last, page);
             let answer: QueryAnswer = self.ask("DynamoDB_20120810.Query", &query).await?;
+            let found = answer.items.len();
             for item in answer.items {
                 rows.push(read_row(item)?);
             }
             // A page ends at the service's limit of size too, so a short page is not the last.
-            match answer.last_evaluated_key {
-                Some(last) => start = Some(last),
-                None => break,
+            if answer.last_evaluated_key.is_none() || found == 0 {
+                break;
             }
         }
         rows.truncate(limit);
--- a/components/platform/src/dynamo_form.rs
+++ b/components/platform/src/dynamo_form.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use hyper::StatusCode;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::IgnoredAny};
 
 use crate::api::{PlatformError, Row, RowKey, Write};
 
@@ -117,14 +117,12 @@
     expression_attribute_values: Values,
     consistent_read: bool,
     limit: usize,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    exclusive_start_key: Option<Item>,
 }
 
 impl Query {
-    /// Lists rows with a greater sort key; `start` is where the page before ended.
+    /// Lists rows with a greater sort key.
     #[must_use]
-    pub fn new(partition: &str, after: &str, limit: usize, start: Option<Item>) -> Self {
+    pub fn new(partition: &str, after: &str, limit: usize) -> Self {
         let after = if after.is_empty() { BEFORE_ALL } else { after };
         Self {
             table_name: TABLE,
@@ -135,7 +133,6 @@
             ]),
             consistent_read: true,
             limit,
-            exclusive_start_key: start,
         }
     }
 }
@@ -147,9 +144,9 @@
     /// The rows.
     #[serde(default)]
     pub items: Vec<Item>,
-    /// Where the next page begins; absent on the last.
+    /// Where the page ended; absent on the last.
     #[serde(default)]
-    pub last_evaluated_key: Option<Item>,
+    pub last_evaluated_key: Option<IgnoredAny>,
 }
 
 /// Writes rows, all or none.
--- a/components/platform/src/slices.rs
+++ b/components/platform/src/slices.rs
@@ -80,6 +80,15 @@
     }
 }
 
+/// Reads one page of the list as the platform writes it.
+///
+/// # Errors
+/// Tells that it is not a list of slices. An entry that makes no sense is passed over.
+pub fn read_listing(body: &[u8]) -> Result<Listing, PlatformError> {
+    let page = SliceList::read(body)?;
+    Ok(slices_form::listing(&page.items))
+}
+
 /// An address from an IP number and a port; `None` if the text is no IP number.
 pub(crate) fn address(ip: &str, port: u16) -> Option<SocketAddr> {
     Some(SocketAddr::new(ip.parse().ok()?, port))
--- /dev/null
+++ b/components/platform/tests/stores.rs
@@ -0,0 +1,132 @@
+//! The object store and the instance list.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use net::Client;
+use platform::{
+    Directory, Objects, PlatformError, S3Objects, SliceDirectory, slices::read_listing,
+};
+use proptest::prelude::*;
+use standins::{
+    control::Listed,
+    platform::{Faults, start},
+};
+use types::Standing;
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+#[test]
+fn an_object_is_read_back_and_an_outage_is_told() {
+    smol::block_on(async {
+        let running = start(any_port(), Faults::default())
+            .await
+            .expect("a free port");
+        let base = format!("http://{}/objects", running.addr);
+        let objects = S3Objects::new(Client::new(), &base, None).expect("a valid address");
+        assert_eq!(objects.get("a/b").await, Ok(None));
+        let body = Bytes::from_static(&[0, 255, 10]);
+        assert_eq!(objects.put("a/b", body.clone()).await, Ok(()));
+        assert_eq!(objects.get("a/b").await, Ok(Some(body.clone())));
+        running.standin.set(Faults {
+            objects_down: Some(true),
+            ..Faults::default()
+        });
+        let put = objects.put("a/b", body).await;
+        assert!(
+            matches!(put, Err(PlatformError::Unavailable { .. })),
+            "{put:?}"
+        );
+        let get = objects.get("a/b").await;
+        assert!(
+            matches!(get, Err(PlatformError::Unavailable { .. })),
+            "{get:?}"
+        );
+    });
+}
+
+#[test]
+fn the_list_tells_members_and_targets() {
+    smol::block_on(async {
+        let running = start(any_port(), Faults::default())
+            .await
+            .expect("a free port");
+        let listed = |name: &str, service: &str, leaving| Listed {
+            name: name.into(),
+            service: service.into(),
+            zone: "amman-1".into(),
+            addr: "127.0.0.1:7001".into(),
+            incarnation: 12,
+            leaving,
+        };
+        running.standin.register(listed("i1", "celerystand", false));
+        running.standin.register(listed("t1", "catalogue", true));
+        let base = format!("http://{}", running.addr);
+        let directory = SliceDirectory::new(Client::new(), &base, None).expect("a valid address");
+        let list = directory.list().await.expect("the directory is up");
+        assert_eq!(list.members.len(), 1);
+        assert_eq!(&*list.members[0].id, "i1");
+        assert_eq!(&*list.members[0].data_centre, "amman-1");
+        assert_eq!(list.targets.len(), 1);
+        assert_eq!(&*list.targets[0].service, "catalogue");
+        assert_eq!(list.targets[0].standing, Standing::Leaving);
+        assert_eq!(list.targets[0].incarnation, 12);
+        assert_eq!(list.targets[0].addr.port(), 7001);
+    });
+}
+
+const GOOD: &str = r#"{"metadata":{"labels":{"kubernetes.io/service-name":"s"}},
+    "ports":[{"name":"http","port":80}],
+    "endpoints":[{"addresses":["10.0.0.1"],"zone":"z","targetRef":{"name":"good","uid":"abc"}},
+                 {"addresses":[],"zone":"z","targetRef":{"name":"no-address"}},
+                 {"addresses":["x"],"zone":"z","targetRef":{"name":"no-ip"}},
+                 {"addresses":["10.0.0.2"],"targetRef":{"name":"no-zone"}},
+                 7]}"#;
+
+// Another team's controller writes an entry that we can't read. If that hid the others, all
+// targets of the service would be gone at once.
+#[test]
+fn an_entry_that_makes_no_sense_hides_no_other() {
+    let bad = r#"{"metadata":{"labels":{"kubernetes.io/service-name":"s"}},"ports":"none"}"#;
+    let unlabelled = r#"{"metadata":{},"endpoints":null,"ports":null}"#;
+    let list = format!(r#"{{"items":[null,{bad},{unlabelled},[],{GOOD}]}}"#);
+    let listing = read_listing(list.as_bytes()).expect("it is a list");
+    let names: Vec<&str> = listing.targets.iter().map(|t| &*t.id).collect();
+    assert_eq!(names, ["good"]);
+    assert_ne!(listing.targets[0].incarnation, 0);
+}
+
+// While the platform moves an endpoint from one slice to another it stands in both, and only one
+// of the two may say yet that it is leaving. New work sent to it would be cut off.
+#[test]
+fn an_endpoint_in_two_slices_leaves_if_either_says_so() {
+    let leaving = GOOD.replace(
+        r#""zone":"z""#,
+        r#""zone":"z","conditions":{"terminating":true}"#,
+    );
+    for list in [[GOOD, &leaving], [&leaving, GOOD]] {
+        let text = format!(r#"{{"items":[{},{}]}}"#, list[0], list[1]);
+        let listing = read_listing(text.as_bytes()).expect("it is a list");
+        assert_eq!(listing.targets.len(), 1);
+        assert_eq!(listing.targets[0].standing, Standing::Leaving);
+    }
+}
+
+proptest! {
+    #[test]
+    fn no_text_makes_the_reader_of_lists_panic(text in any::<Vec<u8>>(), at in 0..600_usize) {
+        let _ = read_listing(&text);
+        // Also a good list with some bytes exchanged.
+        let mut list = format!(r#"{{"items":[{GOOD}]}}"#).into_bytes();
+        for (place, byte) in text.iter().enumerate() {
+            if let Some(old) = list.get_mut(at + place) {
+                *old = *byte;
+            }
+        }
+        if let Ok(listing) = read_listing(&list) {
+            prop_assert!(listing.targets.len() <= 4);
+        }
+    }
+}
--- /dev/null
+++ b/components/platform/tests/table.rs
@@ -0,0 +1,300 @@
+//! The client of the table service against the stand-in, and against answers that make no sense.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Client, Handler, Reply, ServeLimits, Server, full};
+use platform::{DynamoTable, PlatformError, Row, RowKey, Table, Write};
+use standins::platform::{Faults, Platform, start};
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn client(addr: SocketAddr) -> DynamoTable {
+    let token = Some("token".into());
+    DynamoTable::new(Client::new(), &format!("http://{addr}"), token).expect("a valid address")
+}
+
+async fn table(faults: Faults) -> (standins::Running<Platform>, DynamoTable) {
+    let running = start(any_port(), faults).await.expect("a free port");
+    let table = client(running.addr);
+    (running, table)
+}
+
+fn insert(sort: &str, body: &str) -> Write {
+    Write::Insert {
+        key: RowKey::new("p", sort),
+        body: body.into(),
+    }
+}
+
+fn replace(sort: &str, version: u64, body: &str) -> Write {
+    Write::Replace {
+        key: RowKey::new("p", sort),
+        version,
+        body: body.into(),
+    }
+}
+
+#[test]
+fn a_row_is_read_back_as_it_was_written() {
+    smol::block_on(async {
+        let (_running, table) = table(Faults::default()).await;
+        let key = RowKey::new("p", "a");
+        assert_eq!(table.read(&key).await, Ok(None));
+        assert_eq!(table.commit(&[insert("a", "{\"é\":1}")]).await, Ok(()));
+        let row = Row {
+            key: key.clone(),
+            version: 1,
+            body: "{\"é\":1}".into(),
+        };
+        assert_eq!(table.read(&key).await, Ok(Some(row)));
+        assert_eq!(table.commit(&[replace("a", 1, "two")]).await, Ok(()));
+        let delete = Write::Delete {
+            key: key.clone(),
+            version: 2,
+        };
+        assert_eq!(table.commit(&[delete]).await, Ok(()));
+        assert_eq!(table.read(&key).await, Ok(None));
+    });
+}
+
+#[test]
+fn a_list_is_in_order_from_the_place_asked_for() {
+    smol::block_on(async {
+        let (_running, table) = table(Faults::default()).await;
+        for number in 0..30 {
+            let write = insert(&format!("{number:03}"), "x");
+            assert_eq!(table.commit(&[write]).await, Ok(()));
+        }
+        let sorts = |rows: &[Row]| -> Vec<Arc<str>> {
+            rows.iter().map(|r| Arc::clone(&r.key.sort)).collect()
+        };
+        let all = table.list("p", "", 1000).await.expect("the table is up");
+        let expected: Vec<Arc<str>> = (0..30).map(|n| format!("{n:03}").into()).collect();
+        assert_eq!(sorts(&all), expected);
+        let some = table.list("p", "010", 3).await.expect("the table is up");
+        assert_eq!(sorts(&some), expected[11..14]);
+        assert_eq!(table.list("q", "", 10).await, Ok(Vec::new()));
+    });
+}
+
+// Two instances write the same row at once. The slower one must learn that none of its writes
+// took effect, or a user would see half a change.
+#[test]
+fn a_commit_with_one_failed_condition_writes_nothing() {
+    smol::block_on(async {
+        let (_running, table) = table(Faults::default()).await;
+        assert_eq!(table.commit(&[insert("a", "1")]).await, Ok(()));
+        let both = [insert("b", "1"), insert("a", "2")];
+        assert_eq!(table.commit(&both).await, Err(PlatformError::Conflict));
+        let stale = [replace("a", 7, "3")];
+        assert_eq!(table.commit(&stale).await, Err(PlatformError::Conflict));
+        assert_eq!(table.read(&RowKey::new("p", "b")).await, Ok(None));
+    });
+}
+
+// The connection breaks after the service has taken a commit and before its answer arrives. A
+// client that called this a failure would let the caller write twice.
+#[test]
+fn a_lost_answer_to_a_commit_is_told_as_unknown() {
+    smol::block_on(async {
+        let faults = Faults {
+            lose_answers: Some(1),
+            ..Faults::default()
+        };
+        let (_running, table) = table(faults).await;
+        let result = table.commit(&[insert("a", "1")]).await;
+        assert!(
+            matches!(result, Err(PlatformError::Unknown { .. })),
+            "{result:?}"
+        );
+        let row = table.read(&RowKey::new("p", "a")).await;
+        assert!(matches!(row, Ok(Some(_))), "{row:?}");
+    });
+}
+
+// The service refuses calls above its rate. That is certain to have had no effect, so a keyed
+// request may be refused as not run.
+#[test]
+fn a_throttled_call_is_told_as_unavailable() {
+    smol::block_on(async {
+        let faults = Faults {
+            write_rate: Some(0.0),
+            read_rate: Some(0.0),
+            ..Faults::default()
+        };
+        let (_running, table) = table(faults).await;
+        let commit = table.commit(&[insert("a", "1")]).await;
+        assert!(
+            matches!(commit, Err(PlatformError::Unavailable { .. })),
+            "{commit:?}"
+        );
+        let read = table.read(&RowKey::new("p", "a")).await;
+        assert!(
+            matches!(read, Err(PlatformError::Unavailable { .. })),
+            "{read:?}"
+        );
+    });
+}
+
+// The service answers 500, which says nothing about whether the write was done.
+#[test]
+fn an_internal_error_leaves_a_commit_unknown_and_a_read_unavailable() {
+    smol::block_on(async {
+        let faults = Faults {
+            table_errors: Some(true),
+            ..Faults::default()
+        };
+        let (_running, table) = table(faults).await;
+        let commit = table.commit(&[insert("a", "1")]).await;
+        assert!(
+            matches!(commit, Err(PlatformError::Unknown { .. })),
+            "{commit:?}"
+        );
+        let read = table.read(&RowKey::new("p", "a")).await;
+        assert!(
+            matches!(read, Err(PlatformError::Unavailable { .. })),
+            "{read:?}"
+        );
+    });
+}
+
+#[test]
+fn nobody_listening_is_told_as_unavailable() {
+    smol::block_on(async {
+        let table = client(SocketAddr::from(([127, 0, 0, 1], 1)));
+        let commit = table.commit(&[insert("a", "1")]).await;
+        assert!(
+            matches!(commit, Err(PlatformError::Unavailable { .. })),
+            "{commit:?}"
+        );
+    });
+}
+
+struct Fixed {
+    status: u16,
+    body: &'static str,
+}
+
+#[async_trait]
+impl Handler for Fixed {
+    async fn handle(&self, _peer: SocketAddr, _req: Request<Incoming>) -> Response<Body> {
+        Reply::new(self.status).with_body(full(self.body)).done()
+    }
+}
+
+async fn answering(status: u16, body: &'static str) -> DynamoTable {
+    let handler = Arc::new(Fixed { status, body });
+    let server = Server::bind(any_port(), ServeLimits::default(), handler);
+    let server = server.await.expect("a free port");
+    let addr = server.addr().expect("it listens");
+    workers::spawn(server.run()).detach();
+    client(addr)
+}
+
+/// Answers queries two rows a page, out of ten; each page but the last says where it ended.
+struct Pages;
+
+#[async_trait]
+impl Handler for Pages {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        let patience = std::time::Duration::from_secs(5);
+        let body = net::read_all(req.into_body(), 10_000, patience).await;
+        let body = String::from_utf8(body.expect("a whole request").to_vec()).expect("text");
+        let after = body
+            .split(r#":s":{"S":""#)
+            .nth(1)
+            .and_then(|rest| rest.split('"').next());
+        let first = after
+            .expect("a place")
+            .trim()
+            .parse::<u32>()
+            .map_or(0, |n| n + 1);
+        let row = |n| {
+            let key = format!(r#""pk":{{"S":"p"}},"sk":{{"S":"{n}"}}"#);
+            format!(r#"{{{key},"ver":{{"N":"1"}},"body":{{"S":""}}}}"#)
+        };
+        let items: Vec<String> = (first..10).take(2).map(row).collect();
+        let last = match first {
+            8.. => String::new(),
+            _ => format!(r#","LastEvaluatedKey":{{"sk":{{"S":"{}"}}}}"#, first + 1),
+        };
+        let text = format!(r#"{{"Items":[{}]{last}}}"#, items.join(","));
+        Reply::new(200).with_body(full(text)).done()
+    }
+}
+
+// The service ends a page at a limit of its own and says that there is more. A client that took
+// a short page for the last would start with half a configuration.
+#[test]
+fn a_short_page_is_not_taken_for_the_last() {
+    smol::block_on(async {
+        let server = Server::bind(any_port(), ServeLimits::default(), Arc::new(Pages));
+        let server = server.await.expect("a free port");
+        let table = client(server.addr().expect("it listens"));
+        workers::spawn(server.run()).detach();
+        let rows = table.list("p", "", 100).await.expect("the table is up");
+        let sorts: Vec<&str> = rows.iter().map(|r| &*r.key.sort).collect();
+        assert_eq!(sorts, ["0", "1", "2", "3", "4", "5", "6", "7", "8", "9"]);
+        assert_eq!(table.list("p", "3", 3).await.map(|rows| rows.len()), Ok(3));
+    });
+}
+
+// Something between us and the service answers in its place: a login page, an old version, half
+// a document. No instance may stop for it, and no write may be taken for refused.
+#[test]
+fn an_answer_that_makes_no_sense_is_an_error_and_nothing_else() {
+    smol::block_on(async {
+        let key = RowKey::new("p", "a");
+        let garbage = [
+            "",
+            "<html>login</html>",
+            "{\"Item\":{\"pk\":{\"S\":\"p\"}}}",
+            "{\"Item\":{\"pk\":{\"N\":\"1\"},\"sk\":{\"S\":\"a\"}}}",
+            "{\"Item\":{\"pk\":{\"S\":\"p\"},\"sk\":{\"S\":\"a\"},\"ver\":{\"N\":\"-1\"},\"body\":{\"S\":\"\"}}}",
+            "{\"Items\":[{\"pk\":{\"S\":\"p\"}}]}",
+        ];
+        for body in garbage {
+            let table = answering(200, body).await;
+            if !body.contains("Items") {
+                let read = table.read(&key).await;
+                assert!(
+                    matches!(read, Err(PlatformError::Garbled { .. })),
+                    "{body}: {read:?}"
+                );
+            } else {
+                let list = table.list("p", "", 5).await;
+                assert!(
+                    matches!(list, Err(PlatformError::Garbled { .. })),
+                    "{body}: {list:?}"
+                );
+            }
+        }
+        let proxy = answering(503, "<html>try later</html>").await;
+        let commit = proxy.commit(&[insert("a", "1")]).await;
+        assert!(
+            matches!(commit, Err(PlatformError::Unknown { .. })),
+            "{commit:?}"
+        );
+    });
+}
+
+#[test]
+fn an_address_that_is_no_ip_and_port_is_refused() {
+    for base in [
+        "",
+        "127.0.0.1:1",
+        "https://127.0.0.1:1",
+        "http://table.example:1",
+        "http://127.0.0.1",
+        "http://127.0.0.1:1/?a=b",
+    ] {
+        let table = DynamoTable::new(Client::new(), base, None);
+        assert!(table.is_err(), "{base:?} was taken");
+    }
+    let newline = Some("a\nb".into());
+    assert!(DynamoTable::new(Client::new(), "http://127.0.0.1:1", newline).is_err());
+}
