--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,7 +5,10 @@
 
 pub mod account;
 pub mod api;
+pub mod baseline;
 pub mod dump;
+pub mod entry;
+pub mod instance;
 pub mod journal;
 pub mod length;
 pub mod limit;
@@ -16,6 +19,7 @@
 pub mod pace;
 pub mod prefixes;
 pub mod recall;
+pub mod retry;
 pub mod serve;
 pub mod shard;
 pub mod shared;
@@ -24,5 +28,7 @@
 pub use api::{
     Action, Decide, EngineReport, Event, Request, RequestId, ShardRole, TargetLimits, Used, View,
 };
+pub use entry::Entry;
+pub use instance::{Identity, Instance};
 pub use owner::Owner;
 pub use tuning::{Admission, Tuning};
