--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,1 +1,3 @@
 //! To be filled.
+
+pub mod sweep;
--- a/src/bin/bench.rs
+++ b/src/bin/bench.rs
@@ -1,3 +1,13 @@
-//! To be filled.
+//! The load and experiment tool.
 
-fn main() {}
+use clap::command;
+
+fn main() {
+    let matches = command!()
+        .subcommand_required(true)
+        .subcommand(bench::sweep::command())
+        .get_matches();
+    if let Some(("sweep", matches)) = matches.subcommand() {
+        bench::sweep::run(matches);
+    }
+}
