--- a/components/net/src/body.rs
+++ b/components/net/src/body.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use timer::Timer;
 
 /// Why a body could not be read.
@@ -22,11 +22,33 @@
     Broken,
 }
 
-/// Reads a whole body of at most `limit` bytes, waiting at most `patience` for each part.
+/// A body may take this many times the patience for one part. Without it a sender of one byte
+/// at a time, each just in time, would hold a connection and its buffers for days.
+const PARTS_PATIENCE: u32 = 6;
+
+/// Reads a whole body of at most `limit` bytes, waiting at most `patience` for each part and
+/// a few times that for all of it.
 ///
 /// # Errors
 /// Tells what was wrong with the body.
 pub async fn read_limited(
+    body: Incoming,
+    limit: usize,
+    patience: Duration,
+) -> Result<Bytes, BodyError> {
+    // A body that says it is too long is not read at all.
+    if body.size_hint().lower() > limit as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let timer = Timer::new();
+    let parts = read_parts(body, limit, patience);
+    timer
+        .within(patience.saturating_mul(PARTS_PATIENCE), parts)
+        .await
+        .unwrap_or(Err(BodyError::TooSlow))
+}
+
+async fn read_parts(
     mut body: Incoming,
     limit: usize,
     patience: Duration,
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -26,6 +26,8 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 /// Idle connections kept to one address.
 const IDLE_PER_ADDR: usize = 64;
+/// Bytes of a connection's buffers, and so of one part of a body and of an answer's head.
+const BUFFER: usize = 64 * 1024;
 /// Time to connect.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
@@ -184,7 +186,9 @@
     stream
         .set_nodelay(true)
         .map_err(|e| unsent(e.to_string()))?;
-    let (sender, conn) = http1::handshake(FuturesIo::new(stream))
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(BUFFER)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|e| unsent(format!("no HTTP connection to {addr}: {e}")))?;
     let drive = async move {
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod reply;
 pub mod serve;
+mod stall;
 
 pub use body::{BodyError, read_all, read_limited};
 pub use client::{Client, SendError};
--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -22,8 +22,9 @@
 /// Body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, Infallible>;
 
-/// Pieces of a streamed body that may wait for a slow receiver.
-const CHANNEL_DEPTH: usize = 64;
+/// Pieces of a streamed body that may wait for a slow receiver. With the client's buffers it
+/// bounds what one receiver that does not read can hold.
+const CHANNEL_DEPTH: usize = 16;
 
 /// A body of known content.
 #[must_use]
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -4,6 +4,7 @@
     convert::Infallible,
     io,
     net::SocketAddr,
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -12,15 +13,31 @@
 };
 
 use async_trait::async_trait;
-use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
-use smol::net::{TcpListener, TcpStream};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use smol::{
+    channel::{Receiver, Sender, bounded},
+    future,
+    net::{TcpListener, TcpStream},
+};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
-use crate::reply::{Body, Reply};
+use crate::{
+    reply::{Body, Reply},
+    stall::Watched,
+};
 
 /// Time between two looks at whether to stop accepting.
 const ACCEPT_POLL: Duration = Duration::from_millis(50);
 
+/// Bytes of a connection's buffers at least; the library takes no less.
+const LEAST_BUFFER: usize = 8192;
+
 /// Answers requests.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
@@ -35,8 +52,11 @@
     pub header_bytes: usize,
     /// Time for all headers to arrive.
     pub header_time: Duration,
-    /// Open connections; one more is told 503 and closed.
+    /// Open connections; one more is told 503 and closed, and from twice as many on it is closed
+    /// without a word.
     pub connections: usize,
+    /// Time that the other side may read nothing while there is something to write.
+    pub write_stall: Duration,
 }
 
 impl Default for ServeLimits {
@@ -45,6 +65,7 @@
             header_bytes: 16 * 1024,
             header_time: Duration::from_secs(10),
             connections: 4096,
+            write_stall: Duration::from_secs(30),
         }
     }
 }
@@ -56,6 +77,8 @@
     handler: Arc<dyn Handler>,
     open: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
+    /// Closed with the server: tells the connections to finish what they do and close.
+    closing: (Sender<()>, Receiver<()>),
 }
 
 /// Counts one open connection for as long as it lives.
@@ -86,6 +109,7 @@
             handler,
             open: Arc::default(),
             stop: Arc::default(),
+            closing: bounded(1),
         })
     }
 
@@ -120,6 +144,7 @@
                 None => {}
             }
         }
+        self.closing.0.close();
     }
 
     fn take(&self, stream: TcpStream, peer: SocketAddr) {
@@ -127,6 +152,9 @@
         let guard = Guard {
             open: Arc::clone(&self.open),
         };
+        if open > self.limits.connections.saturating_mul(2) {
+            return;
+        }
         // Without it each event of a stream may wait for the acknowledgement of the one before.
         let _ = stream.set_nodelay(true);
         let handler: Arc<dyn Handler> = if open > self.limits.connections {
@@ -134,44 +162,69 @@
         } else {
             Arc::clone(&self.handler)
         };
-        let limits = self.limits;
-        let stop = Arc::clone(&self.stop);
+        let conn = Connection {
+            peer,
+            limits: self.limits,
+            handler,
+            stop: Arc::clone(&self.stop),
+            closing: self.closing.1.clone(),
+        };
         workers::spawn(async move {
-            serve_one(stream, peer, limits, handler, stop).await;
+            conn.serve(stream).await;
             drop(guard);
         })
         .detach();
     }
 }
 
-async fn serve_one(
-    stream: TcpStream,
+/// One connection and the terms it is served on.
+struct Connection {
     peer: SocketAddr,
     limits: ServeLimits,
     handler: Arc<dyn Handler>,
     stop: Arc<AtomicBool>,
-) {
-    let closing = Arc::clone(&stop);
-    let service = service_fn(move |req| {
-        let handler = Arc::clone(&handler);
-        let closing = Arc::clone(&closing);
-        async move {
-            let mut resp = handler.handle(peer, req).await;
-            if closing.load(Ordering::Acquire) {
-                let close = hyper::header::HeaderValue::from_static("close");
-                resp.headers_mut().insert(hyper::header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(resp)
+    closing: Receiver<()>,
+}
+
+impl Connection {
+    /// Serves it to its end. A caller that breaks the protocol or goes away hurts only its own
+    /// connection.
+    async fn serve(self, stream: TcpStream) {
+        let stream = Watched::new(stream, self.limits.write_stall);
+        let service = service_fn(|req| self.answer(req));
+        let conn = http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(self.limits.header_time)
+            .max_buf_size(self.limits.header_bytes.max(LEAST_BUFFER))
+            // A caller that closes its side has gone: the handler is dropped, and with it
+            // whatever waits or runs for this caller.
+            .half_close(false)
+            .serve_connection(FuturesIo::new(stream), service);
+        let mut conn = pin!(conn);
+        let ended = async {
+            let _ = conn.as_mut().await;
+            true
+        };
+        let closing = async {
+            // Nothing is ever sent; it fails once the server closes.
+            let _ = self.closing.recv().await;
+            false
+        };
+        if future::or(ended, closing).await {
+            return;
         }
-    });
-    // A caller that breaks the protocol or goes away hurts only its own connection.
-    let _ = http1::Builder::new()
-        .timer(SmolTimer::new())
-        .header_read_timeout(limits.header_time)
-        .max_buf_size(limits.header_bytes.max(8192))
-        .half_close(false)
-        .serve_connection(FuturesIo::new(stream), service)
-        .await;
+        conn.as_mut().graceful_shutdown();
+        let _ = conn.await;
+    }
+
+    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        let mut resp = self.handler.handle(self.peer, req).await;
+        if self.stop.load(Ordering::Acquire) {
+            let close = HeaderValue::from_static("close");
+            resp.headers_mut().insert(CONNECTION, close);
+        }
+        Ok(resp)
+    }
 }
 
 /// Answers in place of the real handler when there are too many connections.
