--- a/components/policy/src/api.rs
+++ b/components/policy/src/api.rs
@@ -55,6 +55,8 @@
     pub warm_after: u32,
     /// Asks that may wait at an owner for one shard.
     pub queue_limit: u32,
+    /// Retries that 100 requests may cause.
+    pub retry_percent: u32,
 }
 
 /// What a target reports about itself, with a lag.
@@ -124,12 +126,14 @@
         /// The request.
         request: RequestId,
     },
-    /// Tokens reached the caller.
+    /// The engine has produced tokens.
     Progress {
         /// The request.
         request: RequestId,
         /// Tokens produced so far.
         produced: Tokens,
+        /// Whether the caller has seen any of them.
+        seen: bool,
     },
     /// Work under a permit ended.
     Ended {
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,38 @@
+//! `celerystand check`: lists every fault of a settings file.
+
+use std::path::Path;
+
+use clap::ArgMatches;
+use errors::Error;
+use settings::Settings;
+
+use crate::{cmd::file, failure::Outcome};
+
+/// Checks a settings file.
+///
+/// # Errors
+/// Lists the faults.
+pub fn run(args: &ArgMatches) -> Outcome {
+    let path = file(args, "file")?;
+    load(path)?;
+    println!("{}: no faults", path.display());
+    Ok(())
+}
+
+/// Loads a settings file.
+///
+/// # Errors
+/// One line for each fault.
+pub fn load(path: &Path) -> Outcome<Settings> {
+    settings::load(path).map_err(|faults| {
+        let mut text = match faults.len() {
+            1 => format!("one fault in {}", path.display()),
+            count => format!("{count} faults in {}", path.display()),
+        };
+        for fault in faults {
+            text.push_str("\n  ");
+            text.push_str(&fault.to_string());
+        }
+        Error::new(text).into()
+    })
+}
