--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -35,6 +35,8 @@
 /// Time between two looks at whether to stop accepting.
 const ACCEPT_POLL: Duration = Duration::from_millis(50);
 
+/// Time that the other side may read nothing while there is something to write.
+const WRITE_STALL: Duration = Duration::from_secs(30);
 /// Bytes of a connection's buffers at least; the library takes no less.
 const LEAST_BUFFER: usize = 8192;
 
@@ -55,8 +57,6 @@
     /// Open connections; one more is told 503 and closed, and from twice as many on it is closed
     /// without a word.
     pub connections: usize,
-    /// Time that the other side may read nothing while there is something to write.
-    pub write_stall: Duration,
 }
 
 impl Default for ServeLimits {
@@ -65,7 +65,6 @@
             header_bytes: 16 * 1024,
             header_time: Duration::from_secs(10),
             connections: 4096,
-            write_stall: Duration::from_secs(30),
         }
     }
 }
@@ -74,6 +73,7 @@
 pub struct Server {
     listener: TcpListener,
     limits: ServeLimits,
+    write_stall: Duration,
     handler: Arc<dyn Handler>,
     open: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
@@ -106,6 +106,7 @@
         Ok(Self {
             listener,
             limits,
+            write_stall: WRITE_STALL,
             handler,
             open: Arc::default(),
             stop: Arc::default(),
@@ -113,6 +114,14 @@
         })
     }
 
+    /// Sets how long the other side of a connection may read nothing while there is something
+    /// to write; after that it is closed.
+    #[must_use]
+    pub const fn with_write_stall(mut self, limit: Duration) -> Self {
+        self.write_stall = limit;
+        self
+    }
+
     /// Where it listens.
     ///
     /// # Errors
@@ -165,6 +174,7 @@
         let conn = Connection {
             peer,
             limits: self.limits,
+            write_stall: self.write_stall,
             handler,
             stop: Arc::clone(&self.stop),
             closing: self.closing.1.clone(),
@@ -181,6 +191,7 @@
 struct Connection {
     peer: SocketAddr,
     limits: ServeLimits,
+    write_stall: Duration,
     handler: Arc<dyn Handler>,
     stop: Arc<AtomicBool>,
     closing: Receiver<()>,
@@ -190,7 +201,7 @@
     /// Serves it to its end. A caller that breaks the protocol or goes away hurts only its own
     /// connection.
     async fn serve(self, stream: TcpStream) {
-        let stream = Watched::new(stream, self.limits.write_stall);
+        let stream = Watched::new(stream, self.write_stall);
         let service = service_fn(|req| self.answer(req));
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
