Keep a stream's permit while its caller reads it elsewhere

The account of a taken-over stream was closed at once while the engine still held its memory: the owner would have overfilled it. The instance that held the stream now reads on passively until the end, and its shutdown does not wait for that. Progress of whole answers is reported no more often than that of streams.

--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod keyed;
 mod linger;
 pub mod metrics;
+mod pace;
 mod parts;
 mod plain;
 mod prefix;
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -5,7 +5,7 @@
 use futures_lite::future;
 use relay::{Broken, End, Running, Sink};
 use targets::Piece;
-use types::{Class, Refusal};
+use types::Class;
 
 use crate::{
     admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
@@ -26,8 +26,18 @@
     pub running: Running,
     /// The way to the caller.
     pub writer: Writer,
-    /// Counts it as in flight.
-    pub flight: Flight,
+    /// Counts it as in flight; `None` once the request as such is over here.
+    pub flight: Option<Flight>,
+}
+
+impl Carried {
+    fn finished(&self) -> Ending {
+        Ending::Finished {
+            produced: self.running.produced(),
+            first: self.running.first().unwrap_or_default(),
+            took: self.running.took(),
+        }
+    }
 }
 
 /// How carrying ended.
@@ -43,20 +53,14 @@
     let core = Arc::clone(&carried.core);
     let target = carried.running.target().id.clone();
     let held = core.streams.hold(&target, carried.running.id());
-    let mut stop = pump(&mut carried, piece, held.superseded()).await;
-    let mut left = false;
-    if stop.is_closed() {
-        left = true;
-        stop = linger(&mut carried, held.superseded()).await;
+    let stop = pump(&mut carried, piece, held.superseded()).await;
+    if !matches!(stop, Stop::End(End::Closed)) {
+        drop(held);
+        return finish(carried, stop, false).await;
     }
+    let stop = linger(&mut carried, held.superseded()).await;
     drop(held);
-    finish(carried, stop, left).await;
-}
-
-impl Stop {
-    const fn is_closed(&self) -> bool {
-        matches!(self, Self::End(End::Closed))
-    }
+    finish(carried, stop, true).await;
 }
 
 async fn pump(carried: &mut Carried, piece: Option<Piece>, superseded: Superseded) -> Stop {
@@ -77,30 +81,36 @@
     or_superseded(work, superseded).await
 }
 
-/// Reads on for an absent caller. A broken link is not mended meanwhile: maybe it broke because
-/// the caller goes on at another instance, and then resuming here would take it from there.
+/// Reads on for an absent caller, for a while.
 async fn linger(carried: &mut Carried, superseded: Superseded) -> Stop {
-    let core = Arc::clone(&carried.core);
-    let Carried {
-        running, writer, ..
-    } = carried;
-    running.stay_passive();
+    let timer = carried.core.timer;
     let read = async {
-        loop {
-            match running.next().await {
-                Ok(Piece::Tokens { .. }) => writer.note(running.produced()),
-                Ok(Piece::End) => return Stop::End(End::Finished),
-                Err(_) => return future::pending().await,
-            }
+        match read_on(carried).await {
+            Ok(()) => Stop::End(End::Finished),
+            // Whether the link broke or the engine did, the caller may still come back.
+            Err(_) => future::pending().await,
         }
     };
     let over = async {
-        core.timer.sleep(GRACE).await;
+        timer.sleep(GRACE).await;
         Stop::End(End::Closed)
     };
     or_superseded(future::or(read, over), superseded).await
 }
 
+/// Reads a stream to its end for its account only. A broken link is not mended: maybe it broke
+/// because the caller goes on at another instance, and resuming here would take it from there.
+async fn read_on(carried: &mut Carried) -> Result<(), Broken> {
+    let Carried {
+        running, writer, ..
+    } = carried;
+    running.stay_passive();
+    while let Piece::Tokens { .. } = running.next().await? {
+        writer.note(running.produced());
+    }
+    Ok(())
+}
+
 async fn or_superseded(work: impl Future<Output = Stop>, superseded: Superseded) -> Stop {
     let other = async {
         superseded.wait().await;
@@ -110,51 +120,64 @@
 }
 
 async fn finish(carried: Carried, stop: Stop, left: bool) {
+    carried.core.metrics.resumed(carried.running.resumes());
+    match stop {
+        Stop::End(End::Finished) => finished(carried, left).await,
+        Stop::End(End::Broken(broken)) => broke_off(carried, &broken).await,
+        Stop::End(End::Closed) => cancelled(carried).await,
+        Stop::Superseded => superseded(carried).await,
+    }
+}
+
+async fn finished(mut carried: Carried, left: bool) {
+    let ending = carried.finished();
+    // First, as a slow caller may take a while to read the rest.
+    carried.writer.end(ending);
+    let gone = left || carried.writer.done().await.is_err();
+    let outcome = if gone { Outcome::Left } else { Outcome::Whole };
+    carried.core.metrics.ended(carried.class, outcome);
+}
+
+async fn broke_off(mut carried: Carried, broken: &Broken) {
+    let produced = carried.running.produced();
+    let refusal = refusals::partial(&format!("{broken}; {produced} tokens were produced"));
+    carried.writer.end(Ending::Failed);
+    carried.core.metrics.refused(&refusal.code);
+    // If the caller has gone as well there is nobody left to tell.
+    let _ = carried.writer.partial(&refusal).await;
+    let metrics = &carried.core.metrics;
+    metrics.ended(carried.class, Outcome::Partial);
+}
+
+async fn cancelled(carried: Carried) {
     let Carried {
         core,
         class,
         running,
-        writer,
+        mut writer,
         flight,
     } = carried;
     let produced = running.produced();
-    let first = running.first().unwrap_or_default();
-    let took = running.took();
-    core.metrics.resumed(running.resumes());
-    let (ending, outcome) = match stop {
-        Stop::End(End::Finished) => {
-            let written = writer.done().await;
-            let gone = left || written.is_err();
-            let outcome = if gone { Outcome::Left } else { Outcome::Whole };
-            let ending = Ending::Finished {
-                produced,
-                first,
-                took,
-            };
-            (ending, outcome)
-        }
-        Stop::End(End::Broken(broken)) => {
-            let refusal = partial(&broken, produced);
-            core.metrics.refused(&refusal.code);
-            // If the caller has gone as well there is nobody left to tell.
-            let _ = writer.partial(&refusal).await;
-            drop(running);
-            (Ending::Failed, Outcome::Partial)
-        }
-        Stop::End(End::Closed) => {
-            running.cancel().await;
-            (Ending::Cancelled { produced }, Outcome::Left)
-        }
-        Stop::Superseded => {
-            running.release();
-            (Ending::Cancelled { produced }, Outcome::Left)
-        }
-    };
-    writer.into_permit().end(ending);
-    core.metrics.ended(class, outcome);
+    // The engine's memory must be free again before the account says so.
+    running.cancel().await;
+    writer.end(Ending::Cancelled { produced });
+    core.metrics.ended(class, Outcome::Left);
     drop(flight);
 }
 
-fn partial(broken: &Broken, produced: u64) -> Refusal {
-    refusals::partial(&format!("{broken}; {produced} tokens were produced"))
+/// The caller goes on over another connection, but the generation still takes up memory under
+/// the permit that is held here. So it is read on until its end, and the permit with it; the
+/// request as such is over here, and a shutdown does not wait for it.
+async fn superseded(mut carried: Carried) {
+    carried.writer.close();
+    carried.core.metrics.ended(carried.class, Outcome::Left);
+    carried.flight = None;
+    let ended = read_on(&mut carried).await;
+    let produced = carried.running.produced();
+    let ending = match ended {
+        Ok(()) => carried.finished(),
+        Err(_) => Ending::Cancelled { produced },
+    };
+    carried.writer.end(ending);
+    carried.running.release();
 }
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -17,6 +17,7 @@
     call::Api,
     generate::{self, Begun, Generation, Step, Tried},
     metrics::Outcome,
+    pace::Pace,
     problem, refusals,
 };
 
@@ -148,6 +149,7 @@
     } = begun;
     let mut data = Vec::new();
     let mut size = 0;
+    let mut pace = Pace::new(0, core.timer.now());
     loop {
         match piece {
             Piece::End => return Tried::Good(Gathered { running, data }),
@@ -164,7 +166,9 @@
                 refusal: refusals::answer_too_large(),
             };
         }
-        permit.gathered(running.produced());
+        if pace.due(running.produced(), core.timer.now()) {
+            permit.gathered(running.produced());
+        }
         piece = match generate::guarded(permit, generate::next(&mut running)).await {
             Step::Piece(piece) => piece,
             step => {
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -13,11 +13,12 @@
 use types::{Class, Moment, Refusal, Tokens, WorkspaceId};
 
 use crate::{
-    admission::Admitted,
+    admission::{Admitted, Ending},
     flight::Flight,
     generate::{Begun, Generation, Tried},
     linger::{self, Carried},
     metrics::Metrics,
+    pace::Pace,
     parts::Core,
     problem,
     ticket::Ticket,
@@ -26,10 +27,6 @@
 /// A caller that takes nothing for this long counts as gone. Its stream would otherwise hold
 /// engine memory for as long as it likes.
 const WRITE_STALL: Duration = Duration::from_secs(20);
-/// Tokens after which progress is reported.
-const REPORT_TOKENS: Tokens = 32;
-/// Time after which progress is reported.
-const REPORT_TIME: Duration = Duration::from_millis(100);
 /// Bytes around an event's data: field names, line ends and the offset.
 const EVENT_EXTRA: usize = 40;
 /// What ends a stream.
@@ -126,7 +123,7 @@
         class: account.class,
         running,
         writer,
-        flight,
+        flight: Some(flight),
     };
     workers::spawn(linger::carry(carried, piece)).detach();
     Reply::new(200)
@@ -142,10 +139,10 @@
     tx: Sender<Bytes>,
     /// `id: TICKET.`
     head: Bytes,
-    permit: Box<dyn Admitted>,
+    /// Until the work under it has ended.
+    permit: Option<Box<dyn Admitted>>,
     metrics: Metrics,
-    reported: Tokens,
-    reported_at: Moment,
+    pace: Pace,
     last: Moment,
 }
 
@@ -156,10 +153,9 @@
             timer: core.timer,
             tx,
             head: format!("id: {ticket}.").into(),
-            permit,
+            permit: Some(permit),
             metrics: core.metrics.clone(),
-            reported: 0,
-            reported_at: now,
+            pace: Pace::new(0, now),
             last: now,
         }
     }
@@ -180,19 +176,23 @@
 
     /// Reports progress, but not for each token.
     pub fn note(&mut self, produced: Tokens) {
-        let now = self.timer.now();
-        let many = produced >= self.reported + REPORT_TOKENS;
-        let late = now.saturating_sub(self.reported_at) >= REPORT_TIME;
-        if many || late {
-            self.permit.progress(produced);
-            self.reported = produced;
-            self.reported_at = now;
+        if let Some(permit) = &self.permit
+            && self.pace.due(produced, self.timer.now())
+        {
+            permit.progress(produced);
         }
     }
 
-    /// Gives the permit back to be ended.
-    pub fn into_permit(self) -> Box<dyn Admitted> {
-        self.permit
+    /// Closes the way to the caller.
+    pub fn close(&self) {
+        self.tx.close();
+    }
+
+    /// Reports how the work under the permit ended.
+    pub fn end(&mut self, ending: Ending) {
+        if let Some(permit) = self.permit.take() {
+            permit.end(ending);
+        }
     }
 
     async fn send(&self, buf: Bytes) -> Result<(), Closed> {
