Hold the administration API by tests over an in-memory configuration

Cause: the API had no test, and three faults in it: a body of [] passed for a node that writes nothing, as the decoder takes lists for messages; taking a data centre out looked at this instance's tree first and answered from it even when it was behind; a document with a fault deep inside wrote the nodes before it. Change: bodies must be objects; out and in always commit, and try again after a conflict; a document is checked as a whole before its first node is written. In-force reads name the node that wrote each value. The conflict answer says what the node is now.

--- a/components/admin/src/api.rs
+++ b/components/admin/src/api.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
+use events::{Event, emit};
 use hyper::{HeaderMap, Request, Response, Uri, body::Incoming};
 use net::{Body, Handler, Reply};
 use prometheus_client::encoding::text;
@@ -38,10 +39,16 @@
         Self { parts }
     }
 
-    async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Problem> {
+    async fn answer(
+        &self,
+        peer: SocketAddr,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, Problem> {
         let (head, body) = req.into_parts();
         let route = Route::find(&head.method, head.uri.path())?;
         if !route.is_open() && !auth::allows(&head.headers, &self.parts.key_hashes) {
+            let peer = peer.ip().to_string().into();
+            emit(&Event::OperatorUnknown { peer });
             return Err(unauthorized());
         }
         self.serve(route, &head.uri, &head.headers, body).await
@@ -63,13 +70,16 @@
             Route::Status => Ok(Reply::json(200, &self.status()).done()),
             Route::ReadTree => document::read(config),
             Route::WriteTree => document::write(config, headers, read_json(body).await?).await,
+            Route::ReadNode(path) if query(uri, "in-force") == Some("true") => {
+                tree_api::in_force(config, &path)
+            }
             Route::ReadNode(path) => tree_api::read(config, &path),
             Route::WriteNode(path) => {
                 let node = Some(read_json(body).await?);
                 tree_api::write(config, headers, path, node).await
             }
             Route::DeleteNode(path) => tree_api::write(config, headers, path, None).await,
-            Route::Validate => Ok(document::validate(config, read_json(body).await?)),
+            Route::Validate => document::validate(config, &read_json(body).await?),
             Route::History => self.history(uri).await,
             Route::DataCentre(id, direction) => {
                 tree_api::turn(config, headers, &id, direction).await
@@ -135,8 +145,8 @@
 
 #[async_trait]
 impl Handler for AdminApi {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
-        match self.answer(req).await {
+    async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        match self.answer(peer, req).await {
             Ok(resp) => resp,
             Err(problem) => problem.reply(),
         }
--- a/components/admin/src/body.rs
+++ b/components/admin/src/body.rs
@@ -21,10 +21,17 @@
     let buf = read_limited(body, BODY_LIMIT, BODY_PATIENCE)
         .await
         .map_err(unreadable)?;
-    serde_json::from_slice(&buf).map_err(|e| {
-        let title = "The body is not what is expected here";
-        Problem::new(400, "malformed", title, e.to_string())
-    })
+    // The decoder takes a list for a message too: its items for the fields in their order. An
+    // empty list would then pass for a node that writes nothing.
+    if buf.trim_ascii_start().first() != Some(&b'{') {
+        return Err(malformed("an object is expected, in braces"));
+    }
+    serde_json::from_slice(&buf).map_err(|e| malformed(&e.to_string()))
+}
+
+fn malformed(detail: &str) -> Problem {
+    let title = "The body is not what is expected here";
+    Problem::new(400, "malformed", title, detail)
 }
 
 fn unreadable(error: BodyError) -> Problem {
--- a/components/admin/src/document.rs
+++ b/components/admin/src/document.rs
@@ -2,15 +2,14 @@
 
 use std::sync::Arc;
 
-use config::{Change, Config, Fault};
+use config::{Change, ChangeError, Config, Fault};
 use hyper::{HeaderMap, Response};
 use net::{Body, Reply};
-use tree::{Node, NodePath};
 
 use crate::{
     message::{Document, DocumentOutcome, Verdict},
-    problem::Problem,
-    tree_api::{current_version, now, who},
+    problem::{Now, Problem},
+    tree_api::{commit, current_version, now, who},
 };
 
 /// The whole tree as written.
@@ -30,7 +29,8 @@
 }
 
 /// Writes the nodes of a document that differ from the tree, one after another: upper ones first,
-/// since a node must not come before the one that it stands below.
+/// since a node must not come before the one that it stands below. The document is checked as a
+/// whole before the first is written.
 ///
 /// # Errors
 /// As for a single node. The detail tells how many nodes had been written by then; sending the
@@ -40,6 +40,11 @@
     headers: &HeaderMap,
     document: Document,
 ) -> Result<Response<Body>, Problem> {
+    let faults = faults(config, &document)?;
+    if !faults.is_empty() {
+        let error = ChangeError::Invalid { faults };
+        return Err(Problem::of_change(error, Now::default()));
+    }
     let mut outcome = DocumentOutcome::default();
     for (path, node) in document.nodes {
         let before = now(config, &path);
@@ -53,42 +58,38 @@
             seen: before.version,
             who: who(headers),
         };
-        match config.change(change).await {
-            Ok(_) => outcome.written.push(path),
-            Err(error) => {
-                let mut problem = Problem::of_change(error, now(config, &path));
-                let count = outcome.written.len();
-                let detail = &problem.detail;
-                problem.detail =
-                    format!("{path}: {detail}; {count} nodes were written before").into();
-                return Err(problem);
-            }
-        }
+        commit(config, change)
+            .await
+            .map_err(|problem| told_progress(problem, &path, outcome.written.len()))?;
+        outcome.written.push(path);
     }
     outcome.version = current_version(config).unwrap_or_default();
     Ok(Reply::json(200, &outcome).done())
 }
 
-/// Tells whether the nodes of a document would be accepted, each by itself.
-#[must_use]
-pub fn validate(config: &dyn Config, document: Document) -> Response<Body> {
-    let faults: Vec<Fault> = document
-        .nodes
-        .into_iter()
-        .flat_map(|(path, node)| faults_of(config, path, node))
-        .collect();
+fn told_progress(mut problem: Problem, path: &str, written: usize) -> Problem {
+    let detail = &problem.detail;
+    problem.detail = format!("{path}: {detail}; {written} nodes were written before").into();
+    problem
+}
+
+/// Tells whether a document would be accepted as the tree is now.
+///
+/// # Errors
+/// 503 before the first configuration was found.
+pub fn validate(config: &dyn Config, document: &Document) -> Result<Response<Body>, Problem> {
+    let faults = faults(config, document)?;
     let valid = faults.is_empty();
-    Reply::json(200, &Verdict { valid, faults }).done()
+    Ok(Reply::json(200, &Verdict { valid, faults }).done())
 }
 
-fn faults_of(config: &dyn Config, path: NodePath, node: Node) -> Vec<Fault> {
-    let change = Change {
-        seen: now(config, &path).version,
-        path,
-        node: Some(node),
-        who: "".into(),
-    };
-    config.check(&change).err().unwrap_or_default()
+fn faults(config: &dyn Config, document: &Document) -> Result<Vec<Fault>, Problem> {
+    let current = config.current().ok_or_else(not_loaded)?;
+    let mut after = current.snapshot.clone();
+    for (path, node) in &document.nodes {
+        after.nodes.insert(Arc::clone(path), node.clone());
+    }
+    Ok(tree::check(&after))
 }
 
 /// Tells that no configuration is in force yet.
--- a/components/admin/src/message.rs
+++ b/components/admin/src/message.rs
@@ -4,7 +4,7 @@
 
 use config::Fault;
 use serde::{Deserialize, Serialize};
-use tree::{Node, NodePath};
+use tree::{Node, NodePath, Origin};
 use types::{ConfigVersion, DataCentreId, InstanceId};
 
 /// Whether the process takes new work.
@@ -47,6 +47,17 @@
     pub node: Node,
 }
 
+/// The values in force at a path.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct InForceValues {
+    /// The path. No node need be written there.
+    pub path: NodePath,
+    /// Version of the configuration in force.
+    pub version: ConfigVersion,
+    /// Each value, and the node that wrote it; a value that no node wrote is the default.
+    pub values: Vec<Origin>,
+}
+
 /// A document of many nodes.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/components/admin/src/problem.rs
+++ b/components/admin/src/problem.rs
@@ -12,6 +12,9 @@
 /// Seconds after which to try again when the table service is down.
 const STORE_RETRY_SECONDS: &str = "5";
 
+/// Status after a conflict.
+pub const CONFLICT: u16 = 412;
+
 /// What went wrong with one request.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Problem {
@@ -79,8 +82,13 @@
             ChangeError::Invalid { faults } => {
                 Self::new(422, "invalid", "The change is not valid", detail).with_faults(faults)
             }
-            ChangeError::Conflict { .. } => {
-                Self::new(412, "conflict", "The node was changed meanwhile", detail).with_now(now)
+            ChangeError::Conflict { now: version } => {
+                let detail = match version {
+                    Some(version) => format!("version {version} has written it"),
+                    None => "it does not exist now".to_owned(),
+                };
+                let title = "The node is not as you saw it";
+                Self::new(CONFLICT, "conflict", title, detail).with_now(now)
             }
             ChangeError::StoreDown => {
                 Self::new(503, "store-down", "The table service is down", detail)
--- a/components/admin/src/tree_api.rs
+++ b/components/admin/src/tree_api.rs
@@ -2,18 +2,20 @@
 
 use std::sync::Arc;
 
-use config::{Change, ChangeError, Config};
+use config::{Change, Config};
+use events::{Event, emit};
 use hyper::{
     HeaderMap, Response,
     header::{FROM, HeaderName, IF_MATCH, IF_NONE_MATCH},
 };
 use net::{Body, Reply};
-use tree::{Node, NodePath};
+use tree::{Node, NodePath, origins};
 use types::{ConfigVersion, DataCentreId};
 
 use crate::{
-    message::{Accepted, Written},
-    problem::{Now, Problem},
+    document::not_loaded,
+    message::{Accepted, InForceValues, Written},
+    problem::{CONFLICT, Now, Problem},
     route::Direction,
 };
 
@@ -58,6 +60,21 @@
     Ok(with_etag(Reply::json(200, &written), now.version).done())
 }
 
+/// Reads the values in force at a path and where each comes from.
+///
+/// # Errors
+/// 404 if no node can stand there, 503 before the first configuration was found.
+pub fn in_force(config: &dyn Config, path: &NodePath) -> Result<Response<Body>, Problem> {
+    let current = config.current().ok_or_else(not_loaded)?;
+    let values = origins(&current.snapshot, path).ok_or_else(|| no_place(path))?;
+    let in_force = InForceValues {
+        path: Arc::clone(path),
+        version: current.snapshot.version,
+        values,
+    };
+    Ok(Reply::json(200, &in_force).done())
+}
+
 /// Writes or deletes a node if it is as the operator saw it.
 ///
 /// # Errors
@@ -75,16 +92,33 @@
         seen: seen(headers)?,
         who: who(headers),
     };
-    let version = config
-        .change(change)
-        .await
-        .map_err(|e| Problem::of_change(e, now(config, &path)))?;
+    let version = commit(config, change).await?;
     let reply = Reply::json(200, &Accepted { version });
     Ok(with_etag(reply, Some(version)).done())
 }
 
-/// Takes a data centre out of service or back in. It does not matter who else does the same at
-/// the same time, so it is tried again after a conflict.
+/// Commits a change and logs what became of it.
+///
+/// # Errors
+/// As [`write`].
+pub async fn commit(config: &dyn Config, change: Change) -> Result<ConfigVersion, Problem> {
+    let (path, who) = (Arc::clone(&change.path), Arc::clone(&change.who));
+    match config.change(change).await {
+        Ok(version) => {
+            emit(&Event::ChangeAccepted { who, path, version });
+            Ok(version)
+        }
+        Err(error) => {
+            let reason = error.to_string().into();
+            let now = now(config, &path);
+            emit(&Event::ChangeRefused { who, path, reason });
+            Err(Problem::of_change(error, now))
+        }
+    }
+}
+
+/// Takes a data centre out of service or back in. It is idempotent, so it is tried again after a
+/// conflict.
 ///
 /// # Errors
 /// 404 if the tree has no such data centre, otherwise as [`write`].
@@ -96,14 +130,12 @@
 ) -> Result<Response<Body>, Problem> {
     let path: NodePath = format!("/data-centres/{id}").into();
     let out = direction == Direction::Out;
-    let mut last = ChangeError::Conflict { now: None };
-    for _ in 0..ATTEMPTS {
+    let mut attempts_left = ATTEMPTS;
+    loop {
         let before = now(config, &path);
         let mut node = before.node.ok_or_else(|| unknown_data_centre(config, id))?;
-        if node.out.unwrap_or(false) == out {
-            let version = current_version(config).unwrap_or_default();
-            return Ok(Reply::json(200, &Accepted { version }).done());
-        }
+        // Also if it is so here already: this instance may be behind, and the operator would be
+        // told that a data centre is out which another operator has just brought back.
         node.out = Some(out);
         let change = Change {
             path: Arc::clone(&path),
@@ -111,13 +143,24 @@
             seen: before.version,
             who: who(headers),
         };
-        match config.change(change).await {
-            Ok(version) => return Ok(Reply::json(200, &Accepted { version }).done()),
-            Err(error @ ChangeError::Conflict { .. }) => last = error,
-            Err(error) => return Err(Problem::of_change(error, now(config, &path))),
+        attempts_left -= 1;
+        match commit(config, change).await {
+            Err(problem) if problem.status == CONFLICT && attempts_left > 0 => {}
+            outcome => {
+                let version = outcome?;
+                tell_turn(id, direction, who(headers));
+                return Ok(Reply::json(200, &Accepted { version }).done());
+            }
         }
     }
-    Err(Problem::of_change(last, now(config, &path)))
+}
+
+fn tell_turn(id: &DataCentreId, direction: Direction, who: Arc<str>) {
+    let data_centre = Arc::clone(id);
+    match direction {
+        Direction::Out => emit(&Event::DataCentreOut { data_centre, who }),
+        Direction::In => emit(&Event::DataCentreIn { data_centre, who }),
+    }
 }
 
 /// The version of the configuration in force.
@@ -175,6 +218,14 @@
     Problem::new(404, "not-found", "There is no such node", detail)
 }
 
+fn no_place(path: &str) -> Problem {
+    let detail = format!(
+        "{path} is none of /, /data-centres/D, /services/S, /services/S/routes/R, /workspaces/W, \
+         /workspaces/W/routes/S/R"
+    );
+    Problem::new(404, "not-found", "No node can stand there", detail)
+}
+
 fn unknown_data_centre(config: &dyn Config, id: &str) -> Problem {
     let current = config.current();
     let known: Vec<&str> =
--- /dev/null
+++ b/components/admin/tests/api/state.rs
@@ -0,0 +1,95 @@
+//! Health, readiness, metrics, dump, status and keys.
+
+use crate::support::{Api, FakeConfig, KEY};
+use admin::message::{Ready, Status};
+
+#[test]
+fn health_readiness_and_metrics_need_no_key() {
+    let api = Api::start(&FakeConfig::with_tree());
+    for path in ["/health", "/ready", "/metrics"] {
+        assert_eq!(api.ask_plain("GET", path, &[], "").status, 200, "{path}");
+    }
+    let metrics = api.get("/metrics");
+    assert!(metrics.text.contains("asked_total 0"), "{}", metrics.text);
+    assert!(metrics.text.ends_with("# EOF\n"));
+}
+
+#[test]
+fn everything_else_needs_a_key_of_an_operator() {
+    let api = Api::start(&FakeConfig::with_tree());
+    let wrong = ["Bearer wrong", "Bearer ", "Basic abc", "", KEY];
+    for path in [
+        "/dump",
+        "/v1/status",
+        "/v1/tree",
+        "/v1/tree/",
+        "/v1/history",
+    ] {
+        for value in wrong {
+            let answer = api.ask_plain("GET", path, &[("authorization", value)], "");
+            assert_eq!(answer.status, 401, "{path} with {value:?}");
+            assert_eq!(answer.header("www-authenticate"), "Bearer");
+        }
+        assert_eq!(api.get(path).status, 200, "{path}");
+    }
+}
+
+// An instance that can't serve yet says so and why. Otherwise the balancer sends callers to it,
+// who are all refused.
+#[test]
+fn an_instance_that_is_not_ready_says_why() {
+    let api = Api::start_with(&FakeConfig::with_tree(), Some("no configuration yet"));
+    let answer = api.ask_plain("GET", "/ready", &[], "");
+    assert_eq!(answer.status, 503);
+    let ready: Ready = answer.read();
+    assert_eq!(ready.reason.as_deref(), Some("no configuration yet"));
+    let status: Status = api.get("/v1/status").read();
+    assert!(!status.ready);
+    assert_eq!(api.get("/health").status, 200);
+}
+
+#[test]
+fn status_tells_version_and_data_centres_that_are_out() {
+    let config = FakeConfig::with_tree();
+    let api = Api::start(&config);
+    assert_eq!(
+        api.ask("POST", "/v1/data-centres/south/out", &[], "")
+            .status,
+        200
+    );
+    let status: Status = api.get("/v1/status").read();
+    assert_eq!(status.config_version, Some(config.version()));
+    assert_eq!(status.out, vec!["south".into()]);
+}
+
+// A part of the process puts a key, a token or somebody's text into its state. The dump goes into
+// a ticket, and whoever reads it there can use the key.
+#[test]
+fn a_dump_shows_state_and_no_secret() {
+    let api = Api::start(&FakeConfig::with_tree());
+    let dump = api.get("/dump").text;
+    for shown in ["entry-1", "\"config-version\":3", "\"tokens\":5", "editors"] {
+        assert!(dump.contains(shown), "{shown} in {dump}");
+    }
+    for hidden in ["a shared key", "a platform token", "a customer", "abc"] {
+        assert!(!dump.contains(hidden), "{hidden} in {dump}");
+    }
+}
+
+#[test]
+fn what_is_not_there_and_wrong_methods_are_told() {
+    let api = Api::start(&FakeConfig::with_tree());
+    for (method, path, status) in [
+        ("GET", "/nothing", 404),
+        ("GET", "/v1/data-centres/north", 404),
+        ("GET", "/v1/data-centres/north/out", 405),
+        ("POST", "/health", 405),
+        ("POST", "/v1/tree/services/drafts", 405),
+        ("DELETE", "/v1/tree", 405),
+        ("GET", "/v1/history?limit=many", 400),
+    ] {
+        let answer = api.ask(method, path, &[], "");
+        assert_eq!(answer.status, status, "{method} {path}");
+        assert_eq!(answer.header("content-type"), "application/problem+json");
+    }
+}
--- /dev/null
+++ b/components/admin/tests/api/support.rs
@@ -0,0 +1,295 @@
+//! An administration API over an in-memory configuration, served on a free port.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
+
+use admin::{AdminApi, AdminParts, Dump, Readiness, auth::hash_key};
+use async_trait::async_trait;
+use bytes::Bytes;
+use config::{Change, ChangeError, Config, Current, Entry, Fault, Update};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request};
+use net::{Client, ServeLimits, Server, read_all};
+use parking_lot::Mutex;
+use prometheus_client::{metrics::counter::Counter, registry::Registry};
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tree::{Node, NodePath, Rules, Snapshot};
+use types::{ConfigVersion, InstanceId};
+
+/// The key that the API under test knows.
+pub const KEY: &str = "an operator's key";
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// State of the fake configuration.
+#[derive(Default)]
+struct State {
+    snapshot: Snapshot,
+    changed: BTreeMap<NodePath, ConfigVersion>,
+    entries: Vec<Entry>,
+    loaded: bool,
+    next_error: Option<ChangeError>,
+    rival: Option<(NodePath, Node)>,
+}
+
+/// A configuration in memory.
+#[derive(Default)]
+pub struct FakeConfig {
+    state: Mutex<State>,
+}
+
+impl FakeConfig {
+    /// A tree with one service, two data centres and a workspace.
+    pub fn with_tree() -> Arc<Self> {
+        let fake = Self::default();
+        fake.state.lock().loaded = true;
+        let nodes = json!({
+            "/": {"knobs": {"deadline-ms": 5000}},
+            "/data-centres/north": {},
+            "/data-centres/south": {},
+            "/services/drafts": {"kind": "model", "knobs": {"class": "normal"}},
+            "/services/drafts/routes/tags": {"knobs": {"class": "background"}},
+            "/workspaces/editors": {"knobs": {"max-output": 900}},
+        });
+        let nodes: BTreeMap<NodePath, Node> = serde_json::from_value(nodes).expect("valid nodes");
+        for (path, node) in nodes {
+            fake.put(&path, Some(node));
+        }
+        Arc::new(fake)
+    }
+
+    /// The next change fails with this error.
+    pub fn fail_next(&self, error: ChangeError) {
+        self.state.lock().next_error = Some(error);
+    }
+
+    /// Another operator writes this node right before the next change.
+    pub fn race_next(&self, path: &str, node: Node) {
+        self.state.lock().rival = Some((path.into(), node));
+    }
+
+    /// The node as it is now.
+    pub fn node(&self, path: &str) -> Option<Node> {
+        self.state.lock().snapshot.nodes.get(path).cloned()
+    }
+
+    /// The version in force.
+    pub fn version(&self) -> ConfigVersion {
+        self.state.lock().snapshot.version
+    }
+
+    /// Writes or deletes a node whatever it is now.
+    pub fn put(&self, path: &str, node: Option<Node>) -> ConfigVersion {
+        let mut state = self.state.lock();
+        let path: NodePath = path.into();
+        state.snapshot.version += 1;
+        let version = state.snapshot.version;
+        match node {
+            Some(node) => {
+                state.changed.insert(Arc::clone(&path), version);
+                state.snapshot.nodes.insert(path, node);
+            }
+            None => {
+                state.changed.remove(&path);
+                state.snapshot.nodes.remove(&path);
+            }
+        }
+        version
+    }
+}
+
+#[async_trait]
+impl Config for FakeConfig {
+    fn current(&self) -> Option<Arc<Current>> {
+        let state = self.state.lock();
+        state.loaded.then(|| {
+            Arc::new(Current {
+                in_force: Box::new(Rules::new(&state.snapshot)),
+                snapshot: state.snapshot.clone(),
+            })
+        })
+    }
+
+    fn changed(&self, path: &str) -> Option<ConfigVersion> {
+        self.state.lock().changed.get(path).copied()
+    }
+
+    fn check(&self, change: &Change) -> Result<(), Vec<Fault>> {
+        let mut after = self.state.lock().snapshot.clone();
+        if let Some(node) = &change.node {
+            after.nodes.insert(Arc::clone(&change.path), node.clone());
+        }
+        let faults = tree::check(&after);
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
+    }
+
+    async fn change(&self, change: Change) -> Result<ConfigVersion, ChangeError> {
+        let error = self.state.lock().next_error.take();
+        if let Some(error) = error {
+            return Err(error);
+        }
+        let rival = self.state.lock().rival.take();
+        if let Some((path, node)) = rival {
+            self.put(&path, Some(node));
+        }
+        let now = self.changed(&change.path);
+        if now != change.seen {
+            return Err(ChangeError::Conflict { now });
+        }
+        self.check(&change)
+            .map_err(|faults| ChangeError::Invalid { faults })?;
+        let version = self.put(&change.path, change.node.clone());
+        let entry = Entry {
+            version,
+            at: SystemTime::UNIX_EPOCH,
+            change,
+            id: "".into(),
+        };
+        self.state.lock().entries.insert(0, entry);
+        Ok(version)
+    }
+
+    async fn history(&self, limit: usize) -> Result<Vec<Entry>, ChangeError> {
+        let entries = self.state.lock().entries.clone();
+        Ok(entries.into_iter().take(limit).collect())
+    }
+
+    async fn heard(&self, _peer: &InstanceId, _version: ConfigVersion) {}
+
+    fn since(&self, _version: ConfigVersion) -> Update {
+        Update::Changes(Vec::new())
+    }
+}
+
+struct FakeProcess {
+    unready: Option<Arc<str>>,
+}
+
+impl Dump for FakeProcess {
+    fn dump(&self) -> Value {
+        json!({
+            "members": [{"id": "entry-1", "key": "a shared key"}],
+            "config-version": 3,
+            "platform": {"token": "a platform token", "table": "up"},
+            "requests": [{"number": 1, "body": "what a customer wrote", "tokens": 5}],
+            "workspaces": [{"id": "editors", "key_hashes": ["abc"]}],
+        })
+    }
+}
+
+impl Readiness for FakeProcess {
+    fn ready(&self) -> Result<(), Arc<str>> {
+        self.unready.clone().map_or(Ok(()), Err)
+    }
+}
+
+/// An API that is being served.
+pub struct Api {
+    addr: SocketAddr,
+    client: Client,
+}
+
+/// An answer.
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub text: String,
+}
+
+impl Answer {
+    /// The body as a message.
+    pub fn read<T: DeserializeOwned>(&self) -> T {
+        serde_json::from_str(&self.text).expect(&self.text)
+    }
+
+    /// A header.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.map_or("", |value| value.to_str().expect("text"))
+    }
+}
+
+impl Api {
+    /// Serves a ready process.
+    pub fn start(config: &Arc<FakeConfig>) -> Self {
+        Self::start_with(config, None)
+    }
+
+    /// Serves a process that is not ready for a reason.
+    pub fn start_with(config: &Arc<FakeConfig>, unready: Option<&str>) -> Self {
+        let mut registry = Registry::default();
+        registry.register("asked", "Requests asked", Counter::<u64>::default());
+        let process = Arc::new(FakeProcess {
+            unready: unready.map(Arc::from),
+        });
+        let parts = AdminParts {
+            instance: "entry-1".into(),
+            data_centre: "north".into(),
+            key_hashes: vec![hash_key("another key").into(), hash_key(KEY).into()],
+            config: Arc::clone(config) as Arc<dyn Config>,
+            dump: Arc::clone(&process) as Arc<dyn Dump>,
+            readiness: process,
+            registry: Arc::new(registry),
+        };
+        let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+        let handler = Arc::new(AdminApi::new(parts));
+        let server = smol::block_on(Server::bind(any, ServeLimits::default(), handler));
+        let server = server.expect("a free port");
+        let addr = server.addr().expect("an address");
+        workers::spawn(server.run()).detach();
+        Self {
+            addr,
+            client: Client::new(),
+        }
+    }
+
+    /// Asks with the operator's key.
+    pub fn ask(&self, method: &str, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
+        let bearer = format!("Bearer {KEY}");
+        let mut headers = headers.to_vec();
+        headers.push(("authorization", &bearer));
+        self.ask_plain(method, path, &headers, body)
+    }
+
+    /// Reads with the operator's key.
+    pub fn get(&self, path: &str) -> Answer {
+        self.ask("GET", path, &[], "")
+    }
+
+    /// Asks with just these headers.
+    pub fn ask_plain(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut builder = Request::builder().method(method).uri(path);
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+        let req = builder.body(body).expect("a request");
+        smol::block_on(async {
+            let resp = self.client.send(self.addr, req).await.expect("an answer");
+            let (head, body) = resp.into_parts();
+            let buf = read_all(body, 1 << 20, PATIENCE).await.expect("a body");
+            Answer {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                text: String::from_utf8(buf.to_vec()).expect("text"),
+            }
+        })
+    }
+}
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, path::PathBuf};
 
-use admin::message::{Accepted, Written};
+use admin::message::{Accepted, InForceValues, Written};
 use clap::ArgMatches;
 use errors::{Context, Error, Result};
 use hyper::Method;
@@ -40,6 +40,9 @@
 pub fn get(args: &ArgMatches) -> Outcome {
     let path = tree_path(text(args, "path")?)?;
     let client = operator::client(args)?;
+    if args.get_flag("in-force") {
+        return get_in_force(args, &client, &path);
+    }
     let written: Written = client.get(&path)?;
     if print::wants_json(args) {
         return Ok(print::json(&written)?);
@@ -47,6 +50,18 @@
     Ok(print::yaml(&written)?)
 }
 
+fn get_in_force(args: &ArgMatches, client: &AdminClient, path: &str) -> Outcome {
+    let in_force: InForceValues = client.get(&format!("{path}?in-force=true"))?;
+    if print::wants_json(args) {
+        return Ok(print::json(&in_force)?);
+    }
+    for origin in &in_force.values {
+        let from = origin.from.as_deref().unwrap_or("(default)");
+        println!("{:<14} {:<12} {from}", origin.knob, origin.value);
+    }
+    Ok(())
+}
+
 /// Writes a node.
 ///
 /// # Errors
