--- a/components/events/src/log.rs
+++ b/components/events/src/log.rs
@@ -50,11 +50,14 @@
     if !logger.should_log(level) {
         return;
     }
+    // A reason may come from outside and hold line ends; a line cut in two would pass for two
+    // events, the second one made up.
+    let text = event.to_string().replace(['\n', '\r'], " ");
     let number = event.number();
     let name = event.name();
     let fields = serde_json::to_string(event).unwrap_or_default();
     let fields = fields.as_str();
-    spdlog::log!(logger: logger, level, "E{number} {event}", kv: {
+    spdlog::log!(logger: logger, level, "E{number} {text}", kv: {
         number = u64::from(number),
         event = name,
         fields = fields,
