--- a/components/bench/src/cost.rs
+++ b/components/bench/src/cost.rs
@@ -24,6 +24,11 @@
 
 /// Calls sent before those that count.
 const WARM_UP: usize = 200;
+/// Tokens of the generations before those that count, and of these.
+const SHORT: u64 = 20;
+const LONG: u64 = 3000;
+/// How often as many short ones as engines run at once are sent.
+const SHORT_ROUNDS: usize = 8;
 /// Time over which tokens are counted.
 const WINDOW: Duration = Duration::from_secs(5);
 
@@ -138,12 +143,20 @@
     let caller = Caller::new(timer);
     let entry = deployment.instances[0].listen;
     let streams = scenario.plan.engine.most_running * scenario.plan.engines;
-    let tasks: Vec<_> = (0..streams)
-        .map(|number| {
-            let (caller, wanted) = (caller.clone(), long(scenario, number));
+    let start = |length| -> Vec<_> {
+        let one = |number| {
+            let (caller, wanted) = (caller.clone(), generate(scenario, number, length));
             workers::spawn(async move { caller.follow(&[entry], &wanted).await })
-        })
-        .collect();
+        };
+        (0..streams).map(one).collect()
+    };
+    // Limits grow with what has finished, so short ones go first.
+    for _ in 0..SHORT_ROUNDS {
+        for task in start(SHORT) {
+            task.await;
+        }
+    }
+    let tasks = start(LONG);
     timer.sleep(WINDOW).await;
     let (tokens, cpu) = (tokens(deployment).await, used(deployment));
     timer.sleep(WINDOW).await;
@@ -155,10 +168,10 @@
     sums
 }
 
-fn long(scenario: &Scenario, number: usize) -> Wanted {
+fn generate(scenario: &Scenario, number: usize, length: u64) -> Wanted {
     let kind = scenario.mix.iter().find(|kind| kind.generate.is_some());
     let shape = kind.and_then(|kind| kind.generate.as_ref());
-    let name = format!("long-{number}");
+    let name = format!("{length}-{number}");
     let mut rng = fastrand::Rng::with_seed(number as u64);
     let mut what = match shape {
         Some(shape) => generation(&scenario.plan.model, shape, &name, &mut rng),
@@ -168,12 +181,12 @@
             idempotency_key: None,
         },
     };
-    if let What::Generate { output, most, .. } = &mut what {
-        *output = *most;
+    if let What::Generate { output, .. } = &mut what {
+        *output = length;
     }
     Wanted {
         name,
-        kind: "long".to_owned(),
+        kind: "generation".to_owned(),
         class: types::Class::Normal,
         key: key_of(&scenario.plan.workspaces[0]),
         what,
