--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use bench::caller::{Caller, Outcome, Wanted, What};
+use timer::Timer;
 use types::Class;
 
 fn wanted(name: &str, key: &str, what: What) -> Wanted {
@@ -39,7 +40,7 @@
 fn each_kind_of_request_gets_its_whole_answer_through_each_instance() {
     smol::block_on(async {
         let deployment = support::start(&support::plan()).await;
-        let caller = Caller::new();
+        let caller = Caller::new(Timer::new());
         for (number, addr) in deployment.entries().into_iter().enumerate() {
             let requests = [
                 generation(&format!("generation-{number}")),
