--- a/components/platform/src/memory.rs
+++ b/components/platform/src/memory.rs
@@ -68,6 +68,11 @@
         self.state.lock().faults.extend(faults);
     }
 
+    /// Forgets the faults decided for coming commits; late commits stay under way.
+    pub fn clear_faults(&self) {
+        self.state.lock().faults.clear();
+    }
+
     /// Lets all late commits take effect whose conditions hold; tells how many did.
     pub fn land(&self) -> usize {
         let mut state = self.state.lock();
