--- a/components/config/src/keeper.rs
+++ b/components/config/src/keeper.rs
@@ -26,6 +26,8 @@
 
 /// Time between two looks at the table service by an instance that polls it.
 pub const POLL_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two rounds of deleting old history.
+const PRUNE_PERIOD: Duration = Duration::from_secs(60);
 /// Time between two tries while nothing is in force yet.
 const START_PERIOD: Duration = Duration::from_millis(200);
 /// Time between two events that tell of a missing configuration.
@@ -74,11 +76,18 @@
     /// Finds the first configuration, then looks for news for as long as the process lives.
     pub async fn run(self: Arc<Self>) {
         self.start().await;
+        let mut pruned = self.timer.now();
         loop {
             self.timer.sleep(pollers::jittered(POLL_PERIOD)).await;
-            if pollers::polls(&self.me, &self.peers.peers()) {
-                // An outage shows in the table's own events; the next round tries again.
-                let _ = self.catch_up().await;
+            if !pollers::polls(&self.me, &self.peers.peers()) {
+                continue;
+            }
+            // An outage shows in the table's own events; the next round tries again.
+            let _ = self.catch_up().await;
+            let now = self.timer.now();
+            if now.saturating_sub(pruned) >= PRUNE_PERIOD {
+                pruned = now;
+                let _ = self.store.prune(self.version()).await;
             }
         }
     }
@@ -148,7 +157,10 @@
     }
 
     /// Comes up to date from the table service.
-    async fn catch_up(&self) -> Result<(), PlatformError> {
+    ///
+    /// # Errors
+    /// Tells why it could not be read; what is in force stays.
+    pub async fn catch_up(&self) -> Result<(), PlatformError> {
         let _one = self.reading.lock().await;
         let have = self.held.lock().version();
         let Some(have) = have else {
--- a/components/config/src/store.rs
+++ b/components/config/src/store.rs
@@ -17,6 +17,11 @@
 /// Rows read at once.
 const PAGE: usize = 500;
 
+/// Accepted changes that the table service keeps: a day and a half at 12,000 changes a day.
+pub const HISTORY_KEPT: ConfigVersion = 20_000;
+/// Old changes deleted at once.
+const PRUNE_PAGE: usize = 50;
+
 /// The configuration in the table service.
 pub struct Store {
     table: Arc<dyn Table>,
@@ -125,6 +130,29 @@
         Ok(all)
     }
 
+    /// Deletes some of the history that is older than what is kept.
+    ///
+    /// # Errors
+    /// Tells why it can't be done now.
+    pub async fn prune(&self, newest: ConfigVersion) -> Result<(), PlatformError> {
+        let Some(oldest) = newest.checked_sub(HISTORY_KEPT) else {
+            return Ok(());
+        };
+        let rows = self.table.list(CHANGES, "", PRUNE_PAGE).await?;
+        let end = change_sort(oldest);
+        let old = rows.into_iter().take_while(|row| *row.key.sort <= *end);
+        let deletes: Vec<Write> = old
+            .map(|row| Write::Delete {
+                key: row.key,
+                version: row.version,
+            })
+            .collect();
+        if deletes.is_empty() {
+            return Ok(());
+        }
+        self.table.commit(&deletes).await
+    }
+
     /// The writes that make `entry` the newest change.
     ///
     /// # Errors
--- /dev/null
+++ b/components/config/tests/keeping/random.rs
@@ -0,0 +1,242 @@
+//! Randomised runs: operators race on several instances while the table service fails, peers are
+//! cut off and instances restart.
+//!
+//! Longer runs: `PROPTEST_CASES=2000 cargo test --release -p config --test keeping random`.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::common::{Deployment, PATIENCE, change, service, version};
+use config::{ChangeError, Config, Entry, Keeper};
+use parking_lot::Mutex;
+use platform::memory::Fault;
+use proptest::prelude::*;
+use timer::Timer;
+use tree::Snapshot;
+
+const INSTANCES: usize = 3;
+const NODES: usize = 3;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An operator changes or deletes a node as the instance shows it, or from memory.
+    Change {
+        instance: usize,
+        node: usize,
+        delete: bool,
+        stale: bool,
+    },
+    Heard {
+        instance: usize,
+        peer: usize,
+        ahead: u64,
+    },
+    CatchUp(usize),
+    Restart(usize),
+    Cut(usize),
+    Heal,
+    Faults(Fault, usize),
+    Down(bool),
+    Land,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fault = prop_oneof![
+        Just(Fault::AnswerLost),
+        Just(Fault::CommitLost),
+        Just(Fault::Late),
+        Just(Fault::Refused),
+    ];
+    let any_change = (0..INSTANCES, 0..NODES, any::<bool>(), any::<bool>());
+    prop_oneof![
+        8 => any_change.prop_map(|(instance, node, delete, stale)| Step::Change {
+            instance, node, delete, stale,
+        }),
+        4 => (0..INSTANCES, 0..INSTANCES, 0..3_u64).prop_map(|(instance, peer, ahead)| {
+            Step::Heard { instance, peer, ahead }
+        }),
+        2 => (0..INSTANCES).prop_map(Step::CatchUp),
+        1 => (0..INSTANCES).prop_map(Step::Restart),
+        1 => (0..INSTANCES).prop_map(Step::Cut),
+        1 => Just(Step::Heal),
+        2 => (fault, 1..3_usize).prop_map(|(fault, count)| Step::Faults(fault, count)),
+        1 => any::<bool>().prop_map(Step::Down),
+        2 => Just(Step::Land),
+        2 => (0..30_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn path(node: usize) -> String {
+    format!("/services/s{node}")
+}
+
+/// What operators were told; each change carries a mark of its own.
+#[derive(Default)]
+struct Told {
+    accepted: BTreeMap<u64, u64>,
+    refused: BTreeSet<u64>,
+}
+
+struct Run {
+    all: Deployment,
+    keepers: Mutex<Vec<Arc<Keeper>>>,
+    told: Mutex<Told>,
+}
+
+impl Run {
+    fn keeper(&self, instance: usize) -> Arc<Keeper> {
+        self.keepers.lock()[instance].clone()
+    }
+
+    async fn operator(&self, instance: usize, node: usize, mark: u64, delete: bool, stale: bool) {
+        let keeper = self.keeper(instance);
+        let path = path(node);
+        let seen = match stale {
+            true => Some(1),
+            false => keeper.changed(&path),
+        };
+        let content = if delete && seen.is_some() {
+            None
+        } else {
+            service(mark)
+        };
+        let mut wanted = change(&path, content, seen);
+        wanted.who = mark.to_string().into();
+        let result = keeper.change(wanted).await;
+        let mut told = self.told.lock();
+        match result {
+            Ok(version) => {
+                told.accepted.insert(mark, version);
+            }
+            Err(ChangeError::Unknown) => {}
+            Err(_) => {
+                told.refused.insert(mark);
+            }
+        }
+    }
+
+    async fn step(self: &Arc<Self>, mark: u64, step: Step) -> Option<smol::Task<()>> {
+        match step {
+            Step::Change {
+                instance,
+                node,
+                delete,
+                stale,
+            } => {
+                let run = self.clone();
+                let operator =
+                    async move { run.operator(instance, node, mark, delete, stale).await };
+                return Some(workers::spawn(operator));
+            }
+            Step::Heard {
+                instance,
+                peer,
+                ahead,
+            } => {
+                let (keeper, from, peer) = (self.keeper(instance), peer, self.keeper(peer));
+                let heard = version(&peer).unwrap_or(0) + ahead;
+                let name = format!("i{from}").into();
+                return Some(workers::spawn(
+                    async move { keeper.heard(&name, heard).await },
+                ));
+            }
+            Step::CatchUp(instance) => {
+                // During an outage it fails, and what is in force stays.
+                let _ = self.keeper(instance).catch_up().await;
+            }
+            Step::Restart(instance) => {
+                let fresh = self.all.start(&format!("i{instance}"));
+                self.keepers.lock()[instance] = fresh;
+            }
+            Step::Cut(instance) => self.all.links.cut(&format!("i{instance}")),
+            Step::Heal => self.all.links.heal(),
+            Step::Faults(fault, count) => self.all.table.add_faults(vec![fault; count]),
+            Step::Down(down) => self.all.table.set_down(down),
+            Step::Land => {
+                self.all.table.land();
+            }
+            Step::Wait(ms) => Timer::new().sleep(Duration::from_millis(ms)).await,
+        }
+        None
+    }
+}
+
+async fn play(steps: Vec<Step>) {
+    let all = Deployment::default();
+    let keepers = (0..INSTANCES)
+        .map(|n| all.start(&format!("i{n}")))
+        .collect();
+    let run = Arc::new(Run {
+        all,
+        keepers: Mutex::new(keepers),
+        told: Mutex::default(),
+    });
+    let mut tasks = Vec::new();
+    for (mark, step) in (1..).zip(steps) {
+        tasks.extend(run.step(mark, step).await);
+    }
+    run.all.table.set_down(false);
+    run.all.table.clear_faults();
+    run.all.links.heal();
+    for task in tasks {
+        let ended = Timer::new().within(PATIENCE, task).await;
+        assert!(ended.is_some(), "a change or a fetch hangs");
+    }
+    run.all.table.land();
+    check(&run).await;
+}
+
+/// Everybody has the same, and it is what operators were told.
+async fn check(run: &Run) {
+    let keepers = run.keepers.lock().clone();
+    let history = keepers[0].history(1000).await.expect("the table is up");
+    let mut expected = Snapshot::default();
+    for entry in history.iter().rev() {
+        assert_eq!(
+            entry.version,
+            expected.version + 1,
+            "the versions have a gap"
+        );
+        expected.write(&entry.change.path, entry.change.node.as_ref());
+        expected.version = entry.version;
+    }
+    for keeper in &keepers {
+        keeper.catch_up().await.expect("the table is up");
+        let current = keeper.current().expect("it is in force");
+        assert_eq!(current.snapshot, expected);
+    }
+    check_told(&run.told.lock(), &history);
+}
+
+fn check_told(told: &Told, history: &[Entry]) {
+    let mark = |entry: &Entry| entry.change.who.parse::<u64>().unwrap_or(0);
+    let marks: Vec<u64> = history.iter().map(mark).collect();
+    let unique: BTreeSet<u64> = marks.iter().copied().collect();
+    assert_eq!(unique.len(), marks.len(), "a change was accepted twice");
+    for (mark, version) in &told.accepted {
+        let found = history.iter().find(|e| e.change.who.parse() == Ok(*mark));
+        let found = found.map(|e| e.version);
+        assert_eq!(found, Some(*version), "an accepted change is not there");
+    }
+    for mark in &told.refused {
+        assert!(
+            !unique.contains(mark),
+            "a refused change {mark} is in force"
+        );
+    }
+}
+
+proptest! {
+    // An operator would notice an accepted change that is missing, a refused one that is in
+    // force, or instances that differ. That a version never goes back is asserted inside.
+    #[test]
+    fn accepted_changes_are_in_force_everywhere_and_no_others(
+        steps in prop::collection::vec(step(), 1..50),
+    ) {
+        smol::block_on(play(steps));
+    }
+}
