--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -6,14 +6,24 @@
 pub mod account;
 pub mod api;
 pub mod baseline;
+pub mod dump;
 pub mod entry;
 pub mod instance;
 pub mod journal;
+pub mod length;
 pub mod limit;
 pub mod line;
+pub mod memory;
+pub mod outbox;
 pub mod owner;
+pub mod pace;
+pub mod prefixes;
+pub mod recall;
 pub mod retry;
+pub mod serve;
 pub mod shard;
+pub mod shared;
+pub mod tuning;
 
 pub use api::{
     Action, Decide, EngineReport, Event, Request, RequestId, ShardRole, TargetLimits, Used, View,
@@ -21,3 +31,4 @@
 pub use entry::Entry;
 pub use instance::{Identity, Instance};
 pub use owner::Owner;
+pub use tuning::{Admission, Tuning};
