--- /dev/null
+++ b/components/config/tests/keeping/held.rs
@@ -0,0 +1,85 @@
+//! Updates in any order: what is in force only goes forward.
+
+use config::{Entry, held::Held, held::Whole};
+use proptest::prelude::*;
+
+use crate::common::{change, service};
+
+const VERSIONS: u64 = 12;
+
+/// The one true history.
+fn history() -> Vec<Entry> {
+    let entry = |version: u64| {
+        let path = format!("/services/s{}", version % 3);
+        let node = if version.is_multiple_of(5) {
+            None
+        } else {
+            service(version)
+        };
+        Entry {
+            version,
+            at: std::time::SystemTime::UNIX_EPOCH,
+            change: change(&path, node, None),
+            id: version.to_string().into(),
+        }
+    };
+    (1..=VERSIONS).map(entry).collect()
+}
+
+fn whole_at(version: u64) -> Whole {
+    let mut whole = Whole::default();
+    for entry in history().iter().filter(|e| e.version <= version) {
+        whole.apply(entry).expect("the next one");
+    }
+    whole
+}
+
+#[derive(Clone, Debug)]
+enum Update {
+    Changes(u64, u64),
+    Whole(u64),
+}
+
+fn update() -> impl Strategy<Value = Update> {
+    prop_oneof![
+        (0..VERSIONS, 1..5_u64).prop_map(|(after, count)| Update::Changes(after, count)),
+        (0..=VERSIONS).prop_map(Update::Whole),
+    ]
+}
+
+proptest! {
+    // Peers that were paused or are behind send old trees and old changes, with gaps and twice. A
+    // user would notice a workspace or a data centre that is back as it was before.
+    #[test]
+    fn no_order_of_updates_takes_the_configuration_back(
+        updates in prop::collection::vec(update(), 1..30),
+    ) {
+        let history = history();
+        let mut held = Held::default();
+        for update in updates {
+            let before = held.version();
+            match update {
+                Update::Changes(after, count) => {
+                    let some: Vec<Entry> = history
+                        .iter()
+                        .filter(|e| e.version > after && e.version <= after + count)
+                        .cloned()
+                        .collect();
+                    // A gap is told to the caller, and nothing behind it is applied.
+                    let gap = held.take_changes(&some).is_err();
+                    let have = before.unwrap_or(0);
+                    prop_assert_eq!(gap, !some.is_empty() && after > have);
+                }
+                Update::Whole(version) => {
+                    let newer = before.is_none_or(|have| version > have);
+                    prop_assert_eq!(held.take_whole(whole_at(version)), newer);
+                }
+            }
+            prop_assert!(held.version() >= before);
+            let expected = whole_at(held.version().unwrap_or(0));
+            prop_assert_eq!(held.whole(), &expected);
+            let in_force = held.current().map(|current| current.in_force.version());
+            prop_assert_eq!(in_force, held.version());
+        }
+    }
+}
--- a/components/tree/src/lib.rs
+++ b/components/tree/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod api;
 pub mod check;
 pub mod delta;
+pub mod document;
 pub mod knobs;
 pub mod path;
 pub mod rules;
@@ -10,6 +11,7 @@
 pub use api::{InForce, Knobs, Node, NodePath, RouteRule, Snapshot};
 pub use check::{Fault, check};
 pub use delta::{Delta, DeltaError};
+pub use document::{Document, Step};
 pub use knobs::{Origin, origins};
 pub use path::Place;
 pub use rules::{DEFAULT_ROUTE, Rules};
