Send the configuration between peers as JSON text

Cause: peers exchange structures without field names (rmp-serde's compact form), and nodes leave out what they do not write, so a peer's answer was refused as garbled or, worse, one value was read as another. Seen by a new test before the change: 'unknown variant POST, expected model or plain'. Ruled out: names in all messages (bytes on every permit) and nulls in what operators see. Update's own form is JSON now, inside any codec.

--- a/components/config/src/api.rs
+++ b/components/config/src/api.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de, ser};
 pub use tree::Fault;
 use tree::{InForce, Node, NodePath, Snapshot};
 use types::{ConfigVersion, InstanceId};
@@ -99,7 +99,11 @@
 }
 
 /// What a peer needs to come up to date.
+///
+/// It travels as JSON text, whatever form the messages around it have: nodes leave out what they
+/// do not write, and the messages' form has no field names, so a value would be read as another.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(remote = "Self")]
 pub enum Update {
     /// The changes, in order.
     Changes(Vec<Entry>),
@@ -107,6 +111,26 @@
     Whole(Snapshot, BTreeMap<NodePath, ConfigVersion>),
 }
 
+impl Serialize for Update {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let mut text = Vec::new();
+        Self::serialize(self, &mut serde_json::Serializer::new(&mut text))
+            .map_err(ser::Error::custom)?;
+        let text = String::from_utf8(text).map_err(ser::Error::custom)?;
+        serializer.serialize_str(&text)
+    }
+}
+
+impl<'de> Deserialize<'de> for Update {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let mut json = serde_json::Deserializer::from_str(&text);
+        let update = Self::deserialize(&mut json).map_err(de::Error::custom)?;
+        json.end().map_err(de::Error::custom)?;
+        Ok(update)
+    }
+}
+
 /// Asks a peer for its configuration.
 #[async_trait]
 pub trait PeerConfig: Send + Sync {
--- a/components/config/tests/keeping/main.rs
+++ b/components/config/tests/keeping/main.rs
@@ -4,3 +4,4 @@
 mod held;
 mod keeper;
 mod random;
+mod wire;
