Keep a data centre out by a time-limited override while the store is down

Cause: accepted means committed, so during an outage of the table service an operator could not take a data centre out. Config gains override_out, overrides and exchange, PeerConfig gains exchange, all with defaults: the daemon has to carry exchange between peers and the administration API to offer the order.

--- a/components/config/src/api.rs
+++ b/components/config/src/api.rs
@@ -1,13 +1,19 @@
 //! What the administration API and the daemon ask of the configuration.
 
-use std::{collections::BTreeMap, sync::Arc, time::SystemTime};
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use async_trait::async_trait;
 use derive_more::{Display, Error};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de, ser};
 pub use tree::Fault;
 use tree::{InForce, Node, NodePath, Snapshot};
-use types::{ConfigVersion, InstanceId};
+use types::{ConfigVersion, DataCentreId, InstanceId};
+
+use crate::overrides::Override;
 
 /// A configuration in force.
 pub struct Current {
@@ -96,6 +102,64 @@
     /// Answers a peer: all changes after `version`, or the whole snapshot if they are no longer
     /// kept.
     fn since(&self, version: ConfigVersion) -> Update;
+
+    /// Keeps a data centre out for a limited time although the table service is down, or
+    /// withdraws such an override. It is not accepted; once the table service is back, it is
+    /// committed as an ordinary change.
+    ///
+    /// # Errors
+    /// Tells why the order can't be taken.
+    async fn override_out(&self, _order: OverrideOrder) -> Result<Told, OverrideError> {
+        Err(OverrideError::NotReady)
+    }
+
+    /// Overrides that are known here, withdrawn ones too.
+    fn overrides(&self) -> Vec<Override> {
+        Vec::new()
+    }
+
+    /// Takes a peer's overrides and answers with those known here.
+    fn exchange(&self, _theirs: &[Override]) -> Vec<Override> {
+        Vec::new()
+    }
+}
+
+/// An operator's order to override.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OverrideOrder {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// `true` keeps it out, `false` withdraws an override.
+    pub out: bool,
+    /// How long it is to hold, at most `OVERRIDE_LIMIT`.
+    pub within: Duration,
+    /// The operator.
+    pub who: Arc<str>,
+}
+
+/// An override and how far it got.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Told {
+    /// The override.
+    pub order: Override,
+    /// Instances that have taken it.
+    pub taken: Vec<InstanceId>,
+    /// Instances that are heard but did not answer; they are told again.
+    pub missed: Vec<InstanceId>,
+}
+
+/// Why an override can't be taken.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum OverrideError {
+    /// No configuration is in force here yet.
+    #[display("no configuration is in force here yet")]
+    NotReady,
+    /// The configuration has no such data centre.
+    #[display("the configuration has no such data centre")]
+    NoSuchDataCentre,
+    /// There are too many overrides, or a newer one for this data centre.
+    #[display("there is a newer override, or there are too many")]
+    NotTaken,
 }
 
 /// What a peer needs to come up to date.
@@ -139,4 +203,9 @@
 
     /// Peers that are heard at present.
     fn peers(&self) -> Vec<InstanceId>;
+
+    /// Tells a peer of overrides and asks for its own; `None` if it can't be reached.
+    async fn exchange(&self, _peer: &InstanceId, _ours: &[Override]) -> Option<Vec<Override>> {
+        None
+    }
 }
--- a/components/config/src/held.rs
+++ b/components/config/src/held.rs
@@ -5,10 +5,13 @@
     sync::Arc,
 };
 
-use tree::{Delta, DeltaError, NodePath, Rules, Snapshot};
-use types::ConfigVersion;
+use tree::{Delta, DeltaError, InForce, NodePath, RouteRule, Rules, Snapshot};
+use types::{ConfigVersion, DataCentreId, Moment, ServiceId, WorkspaceId};
 
-use crate::api::{Current, Entry, Update};
+use crate::{
+    api::{Current, Entry, Update},
+    overrides::{Override, Overrides},
+};
 
 /// Accepted changes that an instance keeps for its peers.
 pub const KEPT_CHANGES: usize = 512;
@@ -55,8 +58,52 @@
 #[derive(Default)]
 pub struct Held {
     whole: Whole,
+    rules: Option<Arc<Rules>>,
     current: Option<Arc<Current>>,
     kept: VecDeque<Entry>,
+    overrides: Overrides,
+}
+
+/// The rules of the accepted configuration, and what overrides keep out besides.
+struct Overridden {
+    rules: Arc<Rules>,
+    out: Vec<DataCentreId>,
+}
+
+impl InForce for Overridden {
+    fn version(&self) -> ConfigVersion {
+        self.rules.version()
+    }
+
+    fn workspace(&self, hash: &str) -> Option<WorkspaceId> {
+        self.rules.workspace(hash)
+    }
+
+    fn model(&self, workspace: &WorkspaceId, model: &str, route: &str) -> Option<RouteRule> {
+        self.rules.model(workspace, model, route)
+    }
+
+    fn plain(&self, workspace: &WorkspaceId, method: &str, path: &str) -> Option<RouteRule> {
+        self.rules.plain(workspace, method, path)
+    }
+
+    fn service(&self, service: &ServiceId) -> Option<RouteRule> {
+        self.rules.service(service)
+    }
+
+    fn services(&self) -> Vec<ServiceId> {
+        self.rules.services()
+    }
+
+    fn out(&self) -> Vec<DataCentreId> {
+        self.out.clone()
+    }
+}
+
+/// Path of a data centre's node.
+#[must_use]
+pub fn data_centre_path(data_centre: &str) -> NodePath {
+    format!("/data-centres/{data_centre}").into()
 }
 
 impl Held {
@@ -66,6 +113,42 @@
         self.current.clone()
     }
 
+    /// Takes overrides; gives back those that were new.
+    pub fn take_overrides(&mut self, orders: &[Override], now: Moment) -> Vec<Override> {
+        let mut news = orders.to_vec();
+        news.retain(|order| self.overrides.take(order, now));
+        if !news.is_empty() {
+            self.show();
+        }
+        news
+    }
+
+    /// Ends overrides whose time is up.
+    pub fn expire_overrides(&mut self, now: Moment) {
+        if self.overrides.expire(now) {
+            self.show();
+        }
+    }
+
+    /// What is known of overrides.
+    #[must_use]
+    pub const fn overrides(&self) -> &Overrides {
+        &self.overrides
+    }
+
+    /// Data centres that overrides keep out at present.
+    #[must_use]
+    pub fn overridden(&self) -> Vec<DataCentreId> {
+        let changed = |id: &DataCentreId| self.changed(&data_centre_path(id));
+        self.overrides.out(changed)
+    }
+
+    /// The accepted version that last wrote a node.
+    #[must_use]
+    pub fn changed(&self, path: &str) -> Option<ConfigVersion> {
+        self.whole.changed.get(path).copied()
+    }
+
     /// The version in force; `None` before the first was found.
     #[must_use]
     pub fn version(&self) -> Option<ConfigVersion> {
@@ -136,15 +219,30 @@
     }
 
     fn put_in_force(&mut self) {
-        let snapshot = self.whole.snapshot.clone();
-        if let Some(before) = &self.current {
-            let (old, new) = (before.snapshot.version, snapshot.version);
+        let new = self.whole.snapshot.version;
+        if let Some(before) = &self.rules {
+            let old = before.version();
             assert!(
                 new > old,
                 "configuration {new} would replace {old}: an accepted configuration never reverts"
             );
         }
-        let in_force = Box::new(Rules::new(&snapshot));
-        self.current = Some(Arc::new(Current { snapshot, in_force }));
+        self.rules = Some(Arc::new(Rules::new(&self.whole.snapshot)));
+        self.show();
+    }
+
+    /// Puts the rules together with what overrides keep out.
+    fn show(&mut self) {
+        let Some(rules) = self.rules.clone() else {
+            return;
+        };
+        let mut out = rules.out();
+        out.extend(self.overridden());
+        out.sort();
+        out.dedup();
+        self.current = Some(Arc::new(Current {
+            snapshot: self.whole.snapshot.clone(),
+            in_force: Box::new(Overridden { rules, out }),
+        }));
     }
 }
--- a/components/config/src/keeper.rs
+++ b/components/config/src/keeper.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -14,13 +14,17 @@
 use platform::{PlatformError, Table};
 use smol::lock::Mutex as AsyncMutex;
 use timer::Timer;
-use types::{ConfigVersion, InstanceId};
+use types::{ConfigVersion, DataCentreId, InstanceId};
 
 use crate::{
-    api::{Change, ChangeError, Config, Current, Entry, Fault, PeerConfig, Update},
+    api::{
+        Change, ChangeError, Config, Current, Entry, Fault, OverrideError, OverrideOrder,
+        PeerConfig, Told, Update,
+    },
     commit::{self, Attempt},
-    held::{Held, Whole},
-    pollers,
+    held::{Held, Whole, data_centre_path},
+    overrides::{OVERRIDE_LIMIT, Override},
+    pollers, spread,
     store::Store,
 };
 
@@ -50,6 +54,16 @@
     reading: AsyncMutex<()>,
     asking: AsyncMutex<()>,
     attempts: AtomicU64,
+    fresh: AtomicBool,
+}
+
+/// What there is to spread.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ToSpread {
+    /// Some override is known.
+    pub any: bool,
+    /// Some override was learned since the last time.
+    pub fresh: bool,
 }
 
 impl Keeper {
@@ -70,12 +84,18 @@
             reading: AsyncMutex::new(()),
             asking: AsyncMutex::new(()),
             attempts: AtomicU64::new(0),
+            fresh: AtomicBool::new(false),
         })
     }
 
     /// Finds the first configuration, then looks for news for as long as the process lives.
     pub async fn run(self: Arc<Self>) {
         self.start().await;
+        smol::future::zip(self.poll(), spread::run(&self)).await;
+    }
+
+    /// Looks at the table service for news, if this instance is one of those that do.
+    async fn poll(&self) {
         let mut pruned = self.timer.now();
         loop {
             self.timer.sleep(pollers::jittered(POLL_PERIOD)).await;
@@ -83,7 +103,9 @@
                 continue;
             }
             // An outage shows in the table's own events; the next round tries again.
-            let _ = self.catch_up().await;
+            if self.catch_up().await.is_ok() {
+                self.commit_overrides().await;
+            }
             let now = self.timer.now();
             if now.saturating_sub(pruned) >= PRUNE_PERIOD {
                 pruned = now;
@@ -92,6 +114,89 @@
         }
     }
 
+    /// Turns overrides into accepted changes once the table service answers. Several instances
+    /// try; the version that they saw lets one win, and the others find it done.
+    async fn commit_overrides(&self) {
+        let overridden = self.held.lock().overridden();
+        for data_centre in overridden {
+            let Some(change) = self.out_change(&data_centre) else {
+                continue;
+            };
+            if let Ok(version) = self.change(change).await {
+                emit(&Event::OverrideAccepted {
+                    data_centre,
+                    version,
+                });
+            }
+        }
+    }
+
+    /// The change that takes a data centre out; `None` if it is out or gone.
+    fn out_change(&self, data_centre: &DataCentreId) -> Option<Change> {
+        let held = self.held.lock();
+        let path = data_centre_path(data_centre);
+        let mut node = held.whole().snapshot.nodes.get(&path)?.clone();
+        if node.out == Some(true) {
+            return None;
+        }
+        node.out = Some(true);
+        let orders = held.overrides().list(self.timer.now());
+        let order = orders.into_iter().find(|o| o.data_centre == *data_centre)?;
+        Some(Change {
+            seen: held.changed(&path),
+            path,
+            node: Some(node),
+            who: order.who,
+        })
+    }
+
+    /// Tells a peer of our overrides and takes its own; tells whether it answered.
+    pub(crate) async fn exchange_with(&self, peer: &InstanceId) -> bool {
+        let ours = self.overrides();
+        let Some(theirs) = self.peers.exchange(peer, &ours).await else {
+            return false;
+        };
+        self.take_overrides(&theirs);
+        true
+    }
+
+    fn take_overrides(&self, orders: &[Override]) -> bool {
+        let news = self.held.lock().take_overrides(orders, self.timer.now());
+        for order in &news {
+            emit(&Event::Overridden {
+                data_centre: Arc::clone(&order.data_centre),
+                out: order.out,
+                who: Arc::clone(&order.who),
+                seconds: order.left.as_secs(),
+            });
+        }
+        if !news.is_empty() {
+            self.fresh.store(true, Ordering::Release);
+        }
+        !news.is_empty()
+    }
+
+    /// What the spreading of overrides needs to know: whether there are any, and whether some
+    /// are news. Ends those whose time is up.
+    pub(crate) fn to_spread(&self) -> ToSpread {
+        let mut held = self.held.lock();
+        held.expire_overrides(self.timer.now());
+        ToSpread {
+            any: !held.overrides().is_empty(),
+            fresh: self.fresh.swap(false, Ordering::AcqRel),
+        }
+    }
+
+    /// Peers that are heard.
+    pub(crate) fn peers(&self) -> Vec<InstanceId> {
+        self.peers.peers()
+    }
+
+    /// The clock.
+    pub(crate) const fn timer(&self) -> Timer {
+        self.timer
+    }
+
     /// Asks peers and the table service until one of them has a configuration.
     async fn start(&self) {
         let mut told: Option<Duration> = None;
@@ -116,6 +221,7 @@
     /// During an outage of the table service a restarted instance has only its peers to ask.
     async fn ask_peers(&self) {
         for peer in pollers::some(&self.peers.peers(), START_PEERS) {
+            self.exchange_with(&peer).await;
             self.take_from(&peer).await;
         }
     }
@@ -222,7 +328,7 @@
     }
 
     fn changed(&self, path: &str) -> Option<ConfigVersion> {
-        self.held.lock().whole().changed.get(path).copied()
+        self.held.lock().changed(path)
     }
 
     fn check(&self, change: &Change) -> Result<(), Vec<Fault>> {
@@ -275,4 +381,44 @@
     fn since(&self, version: ConfigVersion) -> Update {
         self.held.lock().since(version)
     }
+
+    async fn override_out(&self, order: OverrideOrder) -> Result<Told, OverrideError> {
+        let order = {
+            let held = self.held.lock();
+            let base = held.version().ok_or(OverrideError::NotReady)?;
+            let path = data_centre_path(&order.data_centre);
+            if !held.whole().snapshot.nodes.contains_key(&path) {
+                return Err(OverrideError::NoSuchDataCentre);
+            }
+            let number = held.overrides().next_number(&order.data_centre);
+            // A withdrawal must outlive every copy of what it withdraws.
+            let left = if order.out {
+                order.within
+            } else {
+                OVERRIDE_LIMIT
+            };
+            Override {
+                data_centre: order.data_centre,
+                out: order.out,
+                number,
+                by: Arc::clone(&self.me),
+                who: order.who,
+                base,
+                left: left.min(OVERRIDE_LIMIT),
+            }
+        };
+        if !self.take_overrides(std::slice::from_ref(&order)) {
+            return Err(OverrideError::NotTaken);
+        }
+        Ok(spread::tell(self, order).await)
+    }
+
+    fn overrides(&self) -> Vec<Override> {
+        self.held.lock().overrides().list(self.timer.now())
+    }
+
+    fn exchange(&self, theirs: &[Override]) -> Vec<Override> {
+        self.take_overrides(theirs);
+        self.overrides()
+    }
 }
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -4,9 +4,15 @@
 mod commit;
 pub mod held;
 pub mod keeper;
+pub mod overrides;
 pub mod pollers;
 mod rows;
+mod spread;
 mod store;
 
-pub use api::{Change, ChangeError, Config, Current, Entry, Fault, PeerConfig, Update};
+pub use api::{
+    Change, ChangeError, Config, Current, Entry, Fault, OverrideError, OverrideOrder, PeerConfig,
+    Told, Update,
+};
 pub use keeper::Keeper;
+pub use overrides::Override;
--- a/components/config/tests/keeping/common.rs
+++ b/components/config/tests/keeping/common.rs
@@ -7,7 +7,7 @@
 };
 
 use async_trait::async_trait;
-use config::{Change, Config, Keeper, PeerConfig, Update};
+use config::{Change, Config, Keeper, Override, PeerConfig, Update};
 use parking_lot::Mutex;
 use platform::MemoryTable;
 use timer::Timer;
@@ -54,6 +54,14 @@
         Some(keeper.since(version))
     }
 
+    async fn exchange(&self, peer: &InstanceId, ours: &[Override]) -> Option<Vec<Override>> {
+        if !self.links.reaches(&self.me, peer) {
+            return None;
+        }
+        let keeper = self.links.keepers.lock().get(peer)?.upgrade()?;
+        Some(keeper.exchange(ours))
+    }
+
     fn peers(&self) -> Vec<InstanceId> {
         let keepers = self.links.keepers.lock();
         let others = keepers.keys().filter(|id| **id != self.me);
--- a/components/config/tests/keeping/main.rs
+++ b/components/config/tests/keeping/main.rs
@@ -3,5 +3,6 @@
 mod common;
 mod held;
 mod keeper;
+mod overrides;
 mod random;
 mod wire;
--- /dev/null
+++ b/components/config/tests/keeping/overrides.rs
@@ -0,0 +1,226 @@
+//! Taking a data centre out while the table service is down.
+
+use std::{sync::Arc, time::Duration};
+
+use config::{
+    Config, Keeper, Override, OverrideError, OverrideOrder,
+    overrides::{OVERRIDE_LIMIT, Overrides},
+};
+use proptest::prelude::*;
+use smol::Task;
+use timer::Timer;
+use tree::Node;
+
+use crate::common::{Deployment, change, until, version};
+
+const PATH: &str = "/data-centres/amman-1";
+
+fn order(out: bool, within: Duration) -> OverrideOrder {
+    OverrideOrder {
+        data_centre: "amman-1".into(),
+        out,
+        within,
+        who: "operator".into(),
+    }
+}
+
+fn is_out(keeper: &Keeper) -> bool {
+    let current = keeper.current().expect("it is in force");
+    current.in_force.out().iter().any(|id| &**id == "amman-1")
+}
+
+fn run(keeper: &Arc<Keeper>) -> Task<()> {
+    workers::spawn(Arc::clone(keeper).run())
+}
+
+/// Three running instances with one data centre, and the table service down.
+async fn outage() -> (Deployment, Vec<Arc<Keeper>>, Vec<Task<()>>) {
+    let all = Deployment::default();
+    let author = all.start_up_to_date("a").await;
+    let added = author
+        .change(change(PATH, Some(Node::default()), None))
+        .await;
+    assert_eq!(added, Ok(1));
+    let b = all.start_up_to_date("b").await;
+    let c = all.start_up_to_date("c").await;
+    let keepers = vec![author, b, c];
+    let tasks = keepers.iter().map(run).collect();
+    all.table.set_down(true);
+    (all, keepers, tasks)
+}
+
+// A data centre fails and the table service with it. Without an override new work would go there
+// until the service is back. All instances must stop within seconds, and nobody may call it
+// accepted: the version stays.
+#[test]
+fn an_override_is_in_force_everywhere_and_is_not_called_accepted() {
+    smol::block_on(async {
+        let (_all, keepers, _tasks) = outage().await;
+        let told = keepers[0].override_out(order(true, OVERRIDE_LIMIT)).await;
+        let mut taken = told.expect("it is taken").taken;
+        taken.sort();
+        assert_eq!(taken, ["b".into(), "c".into()]);
+        for keeper in &keepers {
+            assert!(is_out(keeper));
+            assert_eq!(version(keeper), Some(1));
+            let snapshot = &keeper.current().expect("it is in force").snapshot;
+            assert_eq!(snapshot.nodes[PATH].out, None);
+        }
+    });
+}
+
+// The table service comes back. The override becomes an accepted change, once; and when the
+// operator brings the data centre back in, what is left of the override's time means nothing.
+#[test]
+fn an_override_is_committed_when_the_store_is_back_and_then_gives_way() {
+    smol::block_on(async {
+        let (all, keepers, _tasks) = outage().await;
+        let told = keepers[1].override_out(order(true, OVERRIDE_LIMIT)).await;
+        assert!(told.is_ok(), "{told:?}");
+        all.table.set_down(false);
+        until("it is accepted everywhere", || {
+            keepers.iter().all(|k| version(k) == Some(2) && is_out(k))
+        })
+        .await;
+        let back = change(PATH, Some(Node::default()), Some(2));
+        assert_eq!(keepers[2].change(back).await, Ok(3));
+        assert!(!is_out(&keepers[2]));
+        until("it is back everywhere", || {
+            keepers.iter().all(|k| !is_out(k))
+        })
+        .await;
+        let history = keepers[0].history(10).await.expect("the table is up");
+        assert_eq!(history.len(), 3);
+        assert_eq!(&*history[1].change.who, "operator");
+    });
+}
+
+// Another operator's change of the data centre was accepted before the outage, and the instance
+// that takes the order has not heard of it. The accepted change must hold where it is known.
+#[test]
+fn an_override_gives_way_to_an_accepted_change_that_its_operator_had_not_seen() {
+    smol::block_on(async {
+        let all = Deployment::default();
+        let a = all.start_up_to_date("a").await;
+        let added = a.change(change(PATH, Some(Node::default()), None)).await;
+        assert_eq!(added, Ok(1));
+        let stale = all.start_up_to_date("stale").await;
+        let node = Node {
+            out: Some(false),
+            ..Node::default()
+        };
+        assert_eq!(a.change(change(PATH, Some(node), Some(1))).await, Ok(2));
+        all.table.set_down(true);
+        let told = stale.override_out(order(true, OVERRIDE_LIMIT)).await;
+        assert!(told.is_ok(), "{told:?}");
+        assert!(is_out(&stale));
+        assert!(!is_out(&a), "an accepted change was reverted");
+        stale.heard(&"a".into(), 2).await;
+        assert!(!is_out(&stale));
+    });
+}
+
+#[test]
+fn an_override_ends_by_itself_and_can_be_withdrawn() {
+    smol::block_on(async {
+        let (_all, keepers, _tasks) = outage().await;
+        let short = order(true, Duration::from_secs(2));
+        assert!(keepers[0].override_out(short).await.is_ok());
+        assert!(is_out(&keepers[1]));
+        until("it has ended", || keepers.iter().all(|k| !is_out(k))).await;
+        assert!(
+            keepers[0]
+                .override_out(order(true, OVERRIDE_LIMIT))
+                .await
+                .is_ok()
+        );
+        let withdrawn = keepers[2].override_out(order(false, Duration::ZERO)).await;
+        assert!(withdrawn.is_ok(), "{withdrawn:?}");
+        assert!(keepers.iter().all(|k| !is_out(k)));
+    });
+}
+
+// One instance is cut off while the order is given, another one starts later. Both must learn of
+// it without the table service, or they would go on sending work there.
+#[test]
+fn an_instance_that_was_cut_off_or_just_started_learns_of_an_override() {
+    smol::block_on(async {
+        let (all, keepers, _tasks) = outage().await;
+        all.links.cut("c");
+        let told = keepers[0].override_out(order(true, OVERRIDE_LIMIT)).await;
+        assert_eq!(told.expect("it is taken").taken, ["b".into()]);
+        assert!(!is_out(&keepers[2]));
+        all.links.heal();
+        until("the one cut off knows", || is_out(&keepers[2])).await;
+        let late = all.start("late");
+        let _late = run(&late);
+        until("the new one is ready", || version(&late).is_some()).await;
+        until("the new one knows", || is_out(&late)).await;
+    });
+}
+
+#[test]
+fn an_override_of_an_unknown_data_centre_is_refused() {
+    smol::block_on(async {
+        let (all, keepers, _tasks) = outage().await;
+        let mut unknown = order(true, OVERRIDE_LIMIT);
+        unknown.data_centre = "amman-9".into();
+        let refused = keepers[0].override_out(unknown).await;
+        assert_eq!(refused, Err(OverrideError::NoSuchDataCentre));
+        let unready = all.start("unready");
+        let refused = unready.override_out(order(true, OVERRIDE_LIMIT)).await;
+        assert_eq!(refused, Err(OverrideError::NotReady));
+        Timer::new().sleep(Duration::from_millis(1)).await;
+        assert!(keepers.iter().all(|k| !is_out(k)));
+    });
+}
+
+fn any_order() -> impl Strategy<Value = Override> {
+    (0..2_u32, any::<bool>(), 1..4_u64, 0..3_u32).prop_map(|(data_centre, out, number, by)| {
+        // What one instance says under one number is always the same.
+        let out = out && (number + u64::from(by)) % 3 > 0;
+        Override {
+            data_centre: data_centre.to_string().into(),
+            out: out || number == 2,
+            number,
+            by: by.to_string().into(),
+            who: "operator".into(),
+            base: 1,
+            left: Duration::from_secs(60),
+        }
+    })
+}
+
+proptest! {
+    // Instances hear of orders in different sequences, some twice. If they ended up with
+    // different results, one would send work to a data centre that another calls out.
+    #[test]
+    fn orders_in_any_sequence_lead_to_the_same_result(
+        orders in prop::collection::vec(any_order(), 0..12),
+        seed in any::<u64>(),
+    ) {
+        let mut orders = orders;
+        orders.dedup_by_key(|o| (o.data_centre.clone(), o.number, o.by.clone()));
+        let mut unique: Vec<Override> = Vec::new();
+        for order in orders {
+            let key = |o: &Override| (o.data_centre.clone(), o.number, o.by.clone());
+            if unique.iter().all(|known| key(known) != key(&order)) {
+                unique.push(order);
+            }
+        }
+        let mut shuffled = unique.clone();
+        fastrand::Rng::with_seed(seed).shuffle(&mut shuffled);
+        shuffled.extend(unique.iter().take(3).cloned());
+        let now = Duration::from_secs(1);
+        let (mut here, mut there) = (Overrides::default(), Overrides::default());
+        for order in &unique {
+            here.take(order, now);
+        }
+        for order in &shuffled {
+            there.take(order, now);
+        }
+        prop_assert_eq!(here.out(|_| Some(1)), there.out(|_| Some(1)));
+        prop_assert_eq!(here.list(now), there.list(now));
+        prop_assert_eq!(here.out(|_| Some(2)), Vec::<types::DataCentreId>::new());
+    }
+}
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -104,6 +104,30 @@
         701, Warn, "no configuration found yet, not ready: {reason}",
         "Look at the table service, or start an instance beside one that has a configuration.",
     ),
+    /// An operator keeps a data centre out, or no longer, while the table service is down.
+    Overridden {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Kept out, or withdrawn.
+        out: bool,
+        /// The operator.
+        who: Arc<str>,
+        /// Time that it holds, in seconds.
+        seconds: u64,
+    } = (
+        702, Warn, "{who} overrides data centre {data_centre}: out {out}, for {seconds} s; not accepted yet",
+        "Look at the table service. The override ends by itself; once the service is back it is committed.",
+    ),
+    /// An override was committed and is an accepted change now.
+    OverrideAccepted {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// The version that it made.
+        version: ConfigVersion,
+    } = (
+        703, Info, "the override of data centre {data_centre} is accepted as version {version}",
+        "Nothing. Bring the data centre back as usual when you want it.",
+    ),
     /// An operator's change was accepted.
     ChangeAccepted {
         /// Who made it.
