Test the gateway among scripted parts

Generations, wrong inputs, plain and keyed calls, streams gone on with at another instance. Found on the way: a keyed call whose caller leaves before it is sent now gives up its place and frees its key; a finished stream's connection goes back to the pool if the body's end has arrived.

--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -89,7 +89,8 @@
         claims.release(&call).await;
         return;
     }
-    let outcome = request.run().await;
+    let gone = async { tx.closed().await };
+    let outcome = request.run(gone).await;
     let settle = Settle::after(&outcome);
     reply(&tx, outcome).await;
     // The caller has its answer already; a slow store must not keep it waiting.
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -84,6 +84,7 @@
 /// Reads on for an absent caller, for a while.
 async fn linger(carried: &mut Carried, superseded: Superseded) -> Stop {
     let timer = carried.core.timer;
+    let grace = carried.core.grace;
     let read = async {
         match read_on(carried).await {
             Ok(()) => Stop::End(End::Finished),
@@ -92,7 +93,7 @@
         }
     };
     let over = async {
-        timer.sleep(GRACE).await;
+        timer.sleep(grace).await;
         Stop::End(End::Closed)
     };
     or_superseded(future::or(read, over), superseded).await
--- a/components/gateway/src/parts.rs
+++ b/components/gateway/src/parts.rs
@@ -18,7 +18,7 @@
 use types::{InstanceId, Moment, Refusal, TargetId};
 
 use crate::{
-    admission::Admission, flight::Flights, metrics::Metrics, refusals, streams::Streams,
+    admission::Admission, flight::Flights, linger, metrics::Metrics, refusals, streams::Streams,
     ticket::Tickets,
 };
 
@@ -77,6 +77,7 @@
     pub streams: Streams,
     pub tickets: Tickets,
     pub takeover: Option<Arc<dyn Takeover>>,
+    pub grace: Duration,
     /// Tells the requests of two lives of this instance apart.
     life: u64,
     requests: AtomicU64,
@@ -99,6 +100,15 @@
         }
     }
 
+    /// Sets how long a generation runs on for a caller that went away. Only before the gateway
+    /// is shared.
+    #[must_use]
+    pub fn with_grace(mut self, grace: Duration) -> Self {
+        let core = Arc::get_mut(&mut self.core).expect("the gateway is not shared yet");
+        core.grace = grace;
+        self
+    }
+
     /// Requests that are running or waiting, for a graceful shutdown.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -127,6 +137,7 @@
             instance: parts.instance,
             metrics: parts.metrics,
             takeover,
+            grace: linger::GRACE,
             life: fastrand::u64(..),
             requests: AtomicU64::new(0),
         }
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -1,7 +1,8 @@
 //! Calls to plain services.
 
-use std::sync::Arc;
+use std::{pin::pin, sync::Arc};
 
+use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
 use net::Body;
 use targets::{PlainAnswer, PlainCall, TargetError};
@@ -70,7 +71,11 @@
     };
     let result = match key {
         Some(key) if !idempotent => keyed::answer(request, &caller, &key).await,
-        _ => request.run().await.map(|answer| forward::response(&answer)),
+        // Without a key a caller that goes away drops all of this.
+        _ => request
+            .run(future::pending())
+            .await
+            .map(|answer| forward::response(&answer)),
     };
     let outcome = result
         .as_ref()
@@ -103,8 +108,11 @@
 
 impl PlainRequest {
     /// Runs the call: an idempotent one again as long as admission allows, any other one once.
-    pub async fn run(&self) -> Result<PlainAnswer, Refusal> {
-        let mut permit = self.core.admission.admit(self.wanted.clone()).await?;
+    /// Nothing is sent any more once `gone` completes.
+    pub async fn run(&self, gone: impl Future<Output = ()>) -> Result<PlainAnswer, Refusal> {
+        let mut gone = pin!(gone);
+        let admit = self.core.admission.admit(self.wanted.clone());
+        let mut permit = unless(gone.as_mut(), admit).await?;
         let mut ever_ran = false;
         loop {
             let ending = match self.attempt(permit.as_ref()).await {
@@ -124,7 +132,7 @@
                 }
             };
             self.core.metrics.retried();
-            let again = permit.again(ending).await;
+            let again = unless(gone.as_mut(), permit.again(ending)).await;
             permit = again.map_err(|refusal| truthful(refusal, ever_ran))?;
         }
     }
@@ -165,6 +173,18 @@
     }
 }
 
+/// Waits for a permit as long as the caller is there.
+async fn unless(
+    gone: impl Future<Output = ()>,
+    permit: impl Future<Output = Result<Box<dyn Admitted>, Refusal>>,
+) -> Result<Box<dyn Admitted>, Refusal> {
+    let left = async {
+        gone.await;
+        Err(refusals::caller_left())
+    };
+    future::or(left, permit).await
+}
+
 /// Whether a refusal proves that the call did not run.
 pub fn proves_not_run(refusal: &Refusal) -> bool {
     refusal.run == Run::NotRun
--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -82,6 +82,16 @@
     Refusal::new(429, "in-flight", "Too many requests in flight", &detail).with_retry_after(SOON)
 }
 
+/// The caller went away before anything was sent; nobody reads this.
+pub fn caller_left() -> Refusal {
+    Refusal::new(
+        499,
+        "caller-left",
+        "The caller went away",
+        "nothing was sent",
+    )
+}
+
 /// The caller's time ran out.
 pub fn deadline(run: Run) -> Refusal {
     Refusal::new(
--- /dev/null
+++ b/components/gateway/tests/fakes/engine.rs
@@ -0,0 +1,142 @@
+//! An engine whose streams follow a script.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use parking_lot::Mutex;
+use targets::{Engine, EngineCall, Order, Piece, Report, Stream, StreamId, TargetError};
+use types::{Target, TargetId, Tokens};
+
+/// What a stream does next.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    /// Sends this many tokens from an offset on.
+    Tokens(Tokens, Tokens),
+    /// Waits.
+    Pause(Duration),
+    /// Breaks off; the engine knows nothing of it afterwards.
+    Die,
+    /// Sends nothing more.
+    Silent,
+    /// Ends the stream.
+    End,
+}
+
+/// A stream, or why there is none.
+pub type Script = Result<Vec<Step>, TargetError>;
+
+/// The data of a token's event.
+pub fn token(offset: Tokens) -> Bytes {
+    format!(r#"{{"id":"c","created":5,"model":"m","choices":[{{"index":0,"text":"t{offset} "}}]}}"#)
+        .into()
+}
+
+#[derive(Default)]
+pub struct FakeEngine {
+    starts: Mutex<VecDeque<Script>>,
+    resumes: Mutex<VecDeque<Script>>,
+    pub calls: Mutex<Vec<(TargetId, EngineCall)>>,
+    pub resumed: Mutex<Vec<Tokens>>,
+    pub cancelled: Mutex<Vec<StreamId>>,
+}
+
+impl FakeEngine {
+    /// Sets what comes of the next starts, in order.
+    pub fn starts(&self, scripts: impl IntoIterator<Item = Script>) {
+        *self.starts.lock() = scripts.into_iter().collect();
+    }
+
+    /// Sets what comes of the next resumptions; after them streams are gone.
+    pub fn resumes(&self, scripts: impl IntoIterator<Item = Script>) {
+        *self.resumes.lock() = scripts.into_iter().collect();
+    }
+
+    pub fn started(&self) -> usize {
+        self.calls.lock().len()
+    }
+
+    pub fn cancels(&self) -> usize {
+        self.cancelled.lock().len()
+    }
+}
+
+struct Scene {
+    id: StreamId,
+    steps: VecDeque<Step>,
+}
+
+fn scene(id: &str, script: Option<Script>) -> Result<Box<dyn Stream>, TargetError> {
+    let steps = script.unwrap_or(Err(TargetError::Gone))?;
+    Ok(Box::new(Scene {
+        id: id.into(),
+        steps: steps.into(),
+    }))
+}
+
+#[async_trait]
+impl Stream for Scene {
+    fn id(&self) -> StreamId {
+        Arc::clone(&self.id)
+    }
+
+    async fn next(&mut self) -> Result<Piece, TargetError> {
+        loop {
+            match self.steps.pop_front() {
+                Some(Step::Tokens(first, count)) => {
+                    return Ok(Piece::Tokens {
+                        first,
+                        count,
+                        data: (first..first + count).map(token).collect(),
+                    });
+                }
+                Some(Step::Pause(time)) => {
+                    smol::Timer::after(time).await;
+                }
+                Some(Step::End) => return Ok(Piece::End),
+                Some(Step::Silent) => std::future::pending().await,
+                Some(Step::Die) | None => {
+                    return Err(TargetError::Lost {
+                        reason: "cut".into(),
+                    });
+                }
+            }
+        }
+    }
+}
+
+#[async_trait]
+impl Engine for FakeEngine {
+    async fn start(
+        &self,
+        target: &Target,
+        call: &EngineCall,
+    ) -> Result<Box<dyn Stream>, TargetError> {
+        let mut calls = self.calls.lock();
+        calls.push((target.id.clone(), call.clone()));
+        scene(&format!("s{}", calls.len()), self.starts.lock().pop_front())
+    }
+
+    async fn resume(
+        &self,
+        _: &Target,
+        stream: &StreamId,
+        at: Tokens,
+    ) -> Result<Box<dyn Stream>, TargetError> {
+        self.resumed.lock().push(at);
+        scene(stream, self.resumes.lock().pop_front())
+    }
+
+    async fn cancel(&self, _: &Target, stream: &StreamId) -> Result<(), TargetError> {
+        self.cancelled.lock().push(Arc::clone(stream));
+        Ok(())
+    }
+
+    async fn report(&self, _: &Target) -> Result<Report, TargetError> {
+        Ok(Report::default())
+    }
+
+    async fn order(&self, _: &Target, _: &Order) -> Result<(), TargetError> {
+        Ok(())
+    }
+}
--- /dev/null
+++ b/components/gateway/tests/fakes/plain.rs
@@ -0,0 +1,106 @@
+//! A plain service and a keeper of claims that follow scripts.
+
+use std::{collections::VecDeque, time::Duration};
+
+use async_trait::async_trait;
+use claims::{ClaimError, Claimed, Claims, KeyedCall, Recorded};
+use parking_lot::Mutex;
+use targets::{Plain, PlainAnswer, PlainCall, Report, TargetError};
+use types::Target;
+
+/// An answer with this body.
+pub fn answer(body: &'static str) -> PlainAnswer {
+    PlainAnswer {
+        status: 200,
+        headers: vec![
+            ("content-type".into(), "text/plain".into()),
+            ("x-shop".into(), "1".into()),
+            ("keep-alive".into(), "5".into()),
+        ],
+        body: body.into(),
+    }
+}
+
+#[derive(Default)]
+pub struct FakePlain {
+    pub script: Mutex<VecDeque<Result<PlainAnswer, TargetError>>>,
+    pub calls: Mutex<Vec<PlainCall>>,
+}
+
+impl FakePlain {
+    pub fn script(&self, script: impl IntoIterator<Item = Result<PlainAnswer, TargetError>>) {
+        *self.script.lock() = script.into_iter().collect();
+    }
+
+    pub fn called(&self) -> usize {
+        self.calls.lock().len()
+    }
+}
+
+#[async_trait]
+impl Plain for FakePlain {
+    async fn call(
+        &self,
+        _: &Target,
+        call: &PlainCall,
+        _: Duration,
+    ) -> Result<PlainAnswer, TargetError> {
+        self.calls.lock().push(call.clone());
+        let next = self.script.lock().pop_front();
+        next.unwrap_or_else(|| Ok(answer("fine")))
+    }
+
+    async fn report(&self, _: &Target) -> Result<Report, TargetError> {
+        Ok(Report::default())
+    }
+}
+
+/// What became of a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Settled {
+    Recorded(Recorded),
+    Released,
+    GivenUp,
+}
+
+#[derive(Default)]
+pub struct FakeClaims {
+    pub script: Mutex<VecDeque<Result<Claimed, ClaimError>>>,
+    pub asked: Mutex<Vec<KeyedCall>>,
+    pub settled: Mutex<Vec<Settled>>,
+}
+
+impl FakeClaims {
+    pub fn script(&self, result: Result<Claimed, ClaimError>) {
+        self.script.lock().push_back(result);
+    }
+
+    pub fn settled(&self) -> Vec<Settled> {
+        self.settled.lock().clone()
+    }
+}
+
+#[async_trait]
+impl Claims for FakeClaims {
+    async fn claim(&self, call: &KeyedCall, _: Duration) -> Result<Claimed, ClaimError> {
+        self.asked.lock().push(call.clone());
+        let next = self.script.lock().pop_front();
+        next.unwrap_or(Ok(Claimed::Mine))
+    }
+
+    async fn record(&self, _: &KeyedCall, answer: Recorded) {
+        self.settled.lock().push(Settled::Recorded(answer));
+    }
+
+    async fn release(&self, _: &KeyedCall) {
+        self.settled.lock().push(Settled::Released);
+    }
+
+    async fn give_up(&self, _: &KeyedCall) {
+        self.settled.lock().push(Settled::GivenUp);
+    }
+
+    fn dump(&self) -> Vec<String> {
+        Vec::new()
+    }
+}
--- a/components/targets/src/stream.rs
+++ b/components/targets/src/stream.rs
@@ -4,6 +4,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use types::Tokens;
@@ -57,6 +58,12 @@
         }
     }
 
+    /// Reads the body's own end if it is there already: only then the connection can be used
+    /// again.
+    async fn finish(&mut self) {
+        let _ = future::poll_once(self.body.frame()).await;
+    }
+
     /// Turns events into pieces: one for each run of consecutive offsets.
     fn gather(&mut self) {
         let mut run: Option<(Tokens, Vec<Bytes>)> = None;
@@ -99,6 +106,9 @@
     async fn next(&mut self) -> Result<Piece, TargetError> {
         loop {
             if let Some(piece) = self.pieces.pop_front() {
+                if piece == Piece::End {
+                    self.finish().await;
+                }
                 return Ok(piece);
             }
             if self.ended {
