--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -111,6 +111,12 @@
         self.idle.lock().remove(&addr);
     }
 
+    /// Idle connections kept to an address.
+    #[must_use]
+    pub fn idle(&self, addr: SocketAddr) -> usize {
+        self.idle.lock().get(&addr).map_or(0, Vec::len)
+    }
+
     async fn send_new(
         &self,
         addr: SocketAddr,
--- /dev/null
+++ b/components/net/tests/serving.rs
@@ -0,0 +1,310 @@
+//! Serving and calling under limits.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Client, Handler, Reply, SendError, ServeLimits, Server, channel, read_limited};
+use smol::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Answers by path: `/echo` the body, `/endless` more than anybody reads, `/wait` never.
+#[derive(Default)]
+struct Answers {
+    /// Requests for `/wait` that are waiting.
+    waiting: Arc<AtomicUsize>,
+    /// Set once the endless answer noticed that nobody reads it.
+    stopped: Arc<AtomicBool>,
+}
+
+struct Waiting(Arc<AtomicUsize>);
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+#[async_trait::async_trait]
+impl Handler for Answers {
+    async fn handle(&self, _: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        match req.uri().path() {
+            "/endless" => {
+                let (tx, body) = channel();
+                let stopped = Arc::clone(&self.stopped);
+                let feed = async move {
+                    while tx.send(Bytes::from(vec![0; 64 * 1024])).await.is_ok() {}
+                    stopped.store(true, Ordering::Release);
+                };
+                workers::spawn(feed).detach();
+                Reply::new(200).with_body(body).done()
+            }
+            "/wait" => {
+                self.waiting.fetch_add(1, Ordering::AcqRel);
+                let _waiting = Waiting(Arc::clone(&self.waiting));
+                std::future::pending().await
+            }
+            _ => match read_limited(req.into_body(), 100, SECOND).await {
+                Ok(body) => Reply::text(200, body).done(),
+                Err(e) => Reply::text(400, e.to_string()).done(),
+            },
+        }
+    }
+}
+
+/// What of a server a test looks at.
+struct Watch {
+    addr: SocketAddr,
+    open: Arc<AtomicUsize>,
+    stop: Arc<AtomicBool>,
+    waiting: Arc<AtomicUsize>,
+    stopped: Arc<AtomicBool>,
+}
+
+async fn serve(limits: ServeLimits) -> Watch {
+    let answers = Answers::default();
+    let (waiting, stopped) = (Arc::clone(&answers.waiting), Arc::clone(&answers.stopped));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any, limits, Arc::new(answers)).await;
+    let server = server.expect("a port").with_write_stall(SECOND);
+    let watch = Watch {
+        addr: server.addr().expect("an address"),
+        open: server.open(),
+        stop: server.stop(),
+        waiting,
+        stopped,
+    };
+    workers::spawn(server.run()).detach();
+    watch
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..4000 {
+        if condition() {
+            return;
+        }
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+    panic!("the condition never came true");
+}
+
+fn request(path: &str, body: &'static str) -> Request<Full<Bytes>> {
+    let body = Full::new(Bytes::from_static(body.as_bytes()));
+    Request::post(path).body(body).expect("a request")
+}
+
+async fn text(resp: Response<Incoming>) -> String {
+    let body = resp.into_body().collect().await.expect("a whole body");
+    String::from_utf8_lossy(&body.to_bytes()).into_owned()
+}
+
+/// Sends raw bytes and reads to the end of the connection.
+async fn raw(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    stream.write_all(bytes).await.expect("it is sent");
+    let mut buf = Vec::new();
+    // A connection that is reset has ended too.
+    let _ = stream.read_to_end(&mut buf).await;
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+#[test]
+fn a_connection_is_used_again_after_its_answer_was_read() {
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let client = Client::new();
+        for _ in 0..20 {
+            let resp = client.send(watch.addr, request("/echo", "hello")).await;
+            assert_eq!(text(resp.expect("an answer")).await, "hello");
+            until(|| client.idle(watch.addr) == 1).await;
+        }
+        assert_eq!(watch.open.load(Ordering::Acquire), 1);
+    });
+}
+
+#[test]
+fn a_body_over_its_limit_is_not_read() {
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let long = "POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 5000000\r\n\r\n";
+        let answer = raw(watch.addr, long.as_bytes()).await;
+        assert!(answer.contains("longer than allowed"), "{answer}");
+        let chunks = "POST /echo HTTP/1.1\r\nhost: x\r\nconnection: close\r\ntransfer-encoding: chunked\r\n\r\n";
+        let chunk = format!("{chunks}65\r\n{}\r\n0\r\n\r\n", "x".repeat(0x65));
+        let answer = raw(watch.addr, chunk.as_bytes()).await;
+        assert!(answer.contains("longer than allowed"), "{answer}");
+    });
+}
+
+#[test]
+fn headers_that_are_too_long_or_too_slow_end_the_connection() {
+    // A hostile caller sends headers without end, or one byte now and then. Each such connection
+    // would hold memory for as long as it likes.
+    smol::block_on(async {
+        let limits = ServeLimits {
+            header_time: SECOND,
+            ..ServeLimits::default()
+        };
+        let watch = serve(limits).await;
+        let long = format!("GET / HTTP/1.1\r\nx: {}\r\n\r\n", "y".repeat(64 * 1024));
+        let answer = raw(watch.addr, long.as_bytes()).await;
+        assert!(
+            answer.is_empty() || answer.starts_with("HTTP/1.1 431 "),
+            "{answer}"
+        );
+        raw(watch.addr, b"GET / HTTP/1.1\r\nx: ").await;
+        until(|| watch.open.load(Ordering::Acquire) == 0).await;
+    });
+}
+
+#[test]
+fn one_connection_too_many_is_told_and_closed() {
+    // A crowd of callers opens more connections than the instance can hold. The ones beyond are
+    // told to come back, and those inside are served on.
+    smol::block_on(async {
+        let limits = ServeLimits {
+            connections: 1,
+            ..ServeLimits::default()
+        };
+        let watch = serve(limits).await;
+        let _first = TcpStream::connect(watch.addr).await.expect("a connection");
+        until(|| watch.open.load(Ordering::Acquire) == 1).await;
+        let answer = raw(watch.addr, b"GET /echo HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+        assert!(answer.contains("retry-after: 1") && answer.contains("not-run"));
+        let _second = TcpStream::connect(watch.addr).await.expect("a connection");
+        until(|| watch.open.load(Ordering::Acquire) == 2).await;
+        assert_eq!(
+            raw(watch.addr, b"GET /echo HTTP/1.1\r\nhost: x\r\n\r\n").await,
+            ""
+        );
+    });
+}
+
+#[test]
+fn a_caller_that_stops_reading_loses_its_connection() {
+    // A caller asks for a long answer and reads nothing of it. Its answer would stay in memory
+    // for good.
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut stream = TcpStream::connect(watch.addr).await.expect("a connection");
+        let ask = b"POST /endless HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(ask).await.expect("it is sent");
+        until(|| watch.stopped.load(Ordering::Acquire)).await;
+        until(|| watch.open.load(Ordering::Acquire) == 0).await;
+        drop(stream);
+    });
+}
+
+#[test]
+fn whatever_waits_for_a_caller_is_dropped_when_it_goes_away() {
+    // A viewer closes the page while its request waits in the queue. Without a notice the
+    // request would keep its place.
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut stream = TcpStream::connect(watch.addr).await.expect("a connection");
+        let ask = b"POST /wait HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(ask).await.expect("it is sent");
+        until(|| watch.waiting.load(Ordering::Acquire) == 1).await;
+        drop(stream);
+        until(|| watch.waiting.load(Ordering::Acquire) == 0).await;
+        until(|| watch.open.load(Ordering::Acquire) == 0).await;
+    });
+}
+
+#[test]
+fn a_stopped_server_closes_idle_connections_and_finishes_the_others() {
+    // An instance is shut down. Idle connections would keep it waiting, and cutting the busy
+    // ones would break answers.
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut idle = TcpStream::connect(watch.addr).await.expect("a connection");
+        let mut busy = TcpStream::connect(watch.addr).await.expect("a connection");
+        let ask = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\na";
+        busy.write_all(ask).await.expect("it is sent");
+        until(|| watch.open.load(Ordering::Acquire) == 2).await;
+        watch.stop.store(true, Ordering::Release);
+        let mut buf = Vec::new();
+        idle.read_to_end(&mut buf).await.expect("it is closed");
+        assert!(buf.is_empty());
+        busy.write_all(b"b").await.expect("it is sent");
+        busy.read_to_end(&mut buf).await.expect("an answer");
+        let answer = String::from_utf8_lossy(&buf);
+        assert!(
+            answer.starts_with("HTTP/1.1 200 ") && answer.ends_with("ab"),
+            "{answer}"
+        );
+        until(|| watch.open.load(Ordering::Acquire) == 0).await;
+    });
+}
+
+#[test]
+fn a_fresh_connection_is_not_an_idle_one() {
+    // Something on the way has lost track of the pooled connections: they look fine and lead
+    // nowhere. A resumption over one of them would hang again.
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let accepted = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&accepted);
+        let serve = async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                count.fetch_add(1, Ordering::AcqRel);
+                let mut buf = [0; 1024];
+                let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+                let talk = async move {
+                    while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {
+                        if stream.write_all(answer).await.is_err() {
+                            return;
+                        }
+                    }
+                };
+                workers::spawn(talk).detach();
+            }
+            Ok::<(), Infallible>(())
+        };
+        let _task = workers::spawn(serve);
+        let client = Client::new();
+        for _ in 0..2 {
+            let resp = client.send_fresh(addr, request("/", "x")).await;
+            assert_eq!(text(resp.expect("an answer")).await, "ok");
+        }
+        assert_eq!(accepted.load(Ordering::Acquire), 2);
+        client.forget(addr);
+        let resp = client.send(addr, request("/", "x")).await;
+        assert_eq!(text(resp.expect("an answer")).await, "ok");
+        assert_eq!(accepted.load(Ordering::Acquire), 3);
+    });
+}
+
+#[test]
+fn a_request_is_unsent_only_when_no_connection_was_made() {
+    smol::block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let close = async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut buf = [0; 1];
+            stream.read_exact(&mut buf).await.expect("a byte");
+        };
+        let send = Client::new();
+        let send = send.send(addr, request("/", "x"));
+        let (result, ()) = smol::future::zip(send, close).await;
+        assert!(matches!(result, Err(SendError::Lost { .. })));
+        let result = Client::new().send(addr, request("/", "x")).await;
+        assert!(matches!(result, Err(SendError::Unsent { .. })));
+    });
+}
