--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use targets::{Piece, Stream, StreamId, TargetError};
+use timer::Alarm;
 use types::{Moment, Target, Tokens};
 
 use crate::{
@@ -93,6 +94,7 @@
     first_at: Option<Moment>,
     last_token: Moment,
     rhythm: Rhythm,
+    alarm: Alarm,
     /// Silences in a row that a resumption did not end.
     quiet: u32,
     /// Refused connections in a row.
@@ -138,6 +140,7 @@
             first_at: None,
             last_token: begun,
             rhythm: Rhythm::new(GAP),
+            alarm: Alarm::new(),
             quiet: 0,
             refused: 0,
             tries: 0,
@@ -195,7 +198,7 @@
                 self.resume().await?;
                 continue;
             };
-            match self.relay.timer.within(patience, link.next()).await {
+            match self.alarm.within(patience, link.next()).await {
                 Some(Ok(Piece::Tokens { first, data, .. })) => {
                     if let Some(piece) = self.take(first, data) {
                         return Ok(piece);
