Show one instance with stand-ins in one process: celerystand try

Cause: a stranger needs one command that shows what the system does. Change: try starts a platform, two engines, a plain service and an instance in one process, writes the tree through the administration API, streams an answer, runs a keyed order sent twice, shows a refusal during an outage of the table service and some metrics, then stays up with lines to copy.

--- a/src/cmd/try_out.rs
+++ b/src/cmd/try_out.rs
@@ -1,14 +1,83 @@
 //! `celerystand try`: one instance with built-in stand-ins.
 
+use std::time::Duration;
+
+use admin::message::DocumentOutcome;
 use clap::ArgMatches;
-use errors::Error;
+use errors::Context;
+use hyper::Method;
+use settings::{Log, LogLevel};
+use smol::future;
+use timer::Timer;
+
+use crate::{
+    client::{AdminClient, Seen},
+    cmd::logging,
+    demo::{OPERATOR_KEY, Place, Surroundings, call::Caller, place, show},
+    failure::{FailureKind, Outcome},
+};
 
-use crate::failure::Outcome;
+/// Time for the instance to take the tree.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Time between two tries.
+const POLL: Duration = Duration::from_millis(100);
 
-/// Runs the demonstration.
+/// Runs the demonstration and stays up, or ends with `--once`.
 ///
 /// # Errors
 /// Tells what did not work.
-pub fn run(_args: &ArgMatches) -> Outcome {
-    Err(Error::new("this build has no instance yet").into())
+pub fn run(args: &ArgMatches) -> Outcome {
+    logging::start(&Log {
+        level: LogLevel::Error,
+        ..Log::default()
+    });
+    let place = Place::find().context("finding free ports")?;
+    let around = smol::block_on(Surroundings::start()).context("starting the stand-ins")?;
+    let settings = place.settings(around.platform.addr);
+    let instance = smol::block_on(node::Instance::start(&settings))?;
+    around.list_instance(place.peer);
+    println!("One instance, two engines, a plain service and a platform, in one process.");
+    println!("  callers    http://{}", place.listen);
+    println!("  operators  http://{}", place.admin);
+
+    seed(&place)?;
+    smol::block_on(demonstrate(&place, &around))?;
+    if args.get_flag("once") {
+        smol::block_on(instance.shut_down());
+        return Ok(());
+    }
+    show::lines_to_copy(&place);
+    // Ctrl-C ends the process: nothing here outlives it.
+    smol::block_on(future::pending())
+}
+
+/// Writes the tree as an operator would. Until the instance has read the table service for the
+/// first time it takes no change.
+fn seed(place: &Place) -> Outcome {
+    let client = AdminClient::new(place.admin, OPERATOR_KEY.into(), "try".into());
+    let timer = Timer::new();
+    let write = || client.send(Method::PUT, "/v1/tree", Seen::Any, &place::tree());
+    let outcome: DocumentOutcome = loop {
+        match write() {
+            Err(failure) if failure.kind == FailureKind::Unavailable && timer.now() < PATIENCE => {
+                smol::block_on(timer.sleep(POLL));
+            }
+            outcome => break outcome?,
+        }
+    };
+    println!(
+        "  tree       {} nodes written, version {}",
+        outcome.written.len(),
+        outcome.version
+    );
+    Ok(())
+}
+
+async fn demonstrate(place: &Place, around: &Surroundings) -> errors::Result<()> {
+    show::until_served(place).await?;
+    let caller = Caller::new(place.listen);
+    show::streamed_answer(&caller).await?;
+    show::keyed_call(&caller).await?;
+    show::refusal(&caller, around).await?;
+    show::metrics(place).await
 }
--- /dev/null
+++ b/src/demo/surroundings.rs
@@ -0,0 +1,88 @@
+//! The stand-ins of the demonstration: a platform, two engines and a plain service.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+};
+
+use standins::{
+    Running,
+    control::Listed,
+    engine::{self, Engine, EngineSettings},
+    life::LifeSettings,
+    platform::{self, Faults, Platform},
+    service::{self, Service, ServiceSettings},
+};
+
+use crate::demo::{DATA_CENTRE, INSTANCE, MODEL, PLAIN};
+
+/// Name under which instances are listed.
+const MEMBERS: &str = "celerystand";
+/// Number of engines.
+const ENGINES: u64 = 2;
+
+/// Everything around the instance; it ends when this is dropped.
+pub struct Surroundings {
+    /// The platform.
+    pub platform: Running<Platform>,
+    _engines: Vec<Running<Engine>>,
+    _service: Running<Service>,
+}
+
+impl Surroundings {
+    /// Starts all stand-ins on free ports.
+    ///
+    /// # Errors
+    /// Passes on why one could not listen.
+    pub async fn start() -> io::Result<Self> {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let platform = platform::start(any, Faults::default()).await?;
+        let life = |name: String, service: &str| LifeSettings {
+            name,
+            service: service.to_owned(),
+            zone: DATA_CENTRE.to_owned(),
+            platform: Some(platform.addr),
+            warm: true,
+            ..LifeSettings::default()
+        };
+        let mut engines = Vec::new();
+        for number in 1..=ENGINES {
+            let settings = EngineSettings {
+                life: life(format!("engine-{number}"), MODEL),
+                seed: number,
+                ..EngineSettings::default()
+            };
+            engines.push(engine::start(any, settings).await?);
+        }
+        let settings = ServiceSettings {
+            life: life("orders-1".to_owned(), PLAIN),
+            ..ServiceSettings::default()
+        };
+        let service = service::start(any, settings).await?;
+        Ok(Self {
+            platform,
+            _engines: engines,
+            _service: service,
+        })
+    }
+
+    /// Puts the instance into the platform's list.
+    pub fn list_instance(&self, peer: SocketAddr) {
+        self.platform.standin.register(Listed {
+            name: INSTANCE.to_owned(),
+            service: MEMBERS.to_owned(),
+            zone: DATA_CENTRE.to_owned(),
+            addr: peer.to_string(),
+            incarnation: 1,
+            leaving: false,
+        });
+    }
+
+    /// Takes the table service down or brings it back.
+    pub fn set_table_down(&self, down: bool) {
+        self.platform.standin.set(Faults {
+            table_down: Some(down),
+            ..Faults::default()
+        });
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod cli;
 pub mod client;
 pub mod cmd;
+pub mod demo;
 pub mod failure;
