--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -12,6 +12,7 @@
     report,
     scenario::Scenario,
     summary::{Summary, strategy_name},
+    sweep,
 };
 
 /// Threads of the load tool itself.
@@ -24,7 +25,12 @@
         .about("Measures celerystand with real processes on one machine")
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommands([run_command(), chaos_command(), cost_command()])
+        .subcommands([
+            run_command(),
+            chaos_command(),
+            cost_command(),
+            sweep::command(),
+        ])
 }
 
 fn run_command() -> Command {
@@ -125,6 +131,10 @@
         Some(("run", args)) => smol::block_on(run_all(args)),
         Some(("chaos", args)) => smol::block_on(run_chaos(args)),
         Some(("cost", args)) => smol::block_on(run_cost(args)),
+        Some(("sweep", args)) => {
+            sweep::run(args);
+            Ok(())
+        }
         _ => Ok(()),
     }
 }
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod scenario;
 pub mod sse;
 pub mod summary;
+pub mod sweep;
 pub mod verify;
