--- a/src/cmd/try_out.rs
+++ b/src/cmd/try_out.rs
@@ -77,7 +77,7 @@
     show::until_served(place).await?;
     let caller = Caller::new(place.listen);
     show::streamed_answer(&caller).await?;
-    show::keyed_call(&caller).await?;
+    show::keyed_call(&caller, around).await?;
     show::refusal(&caller, around).await?;
     show::metrics(place).await
 }
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -82,7 +82,7 @@
 ///
 /// # Errors
 /// It was not answered, or ran twice.
-pub async fn keyed_call(caller: &Caller) -> Result<()> {
+pub async fn keyed_call(caller: &Caller, around: &Surroundings) -> Result<()> {
     println!("\nAn order with an idempotency key, sent twice and run once:");
     let headers = [("idempotency-key", "order-1")];
     let mut answers = Vec::new();
@@ -93,8 +93,9 @@
         println!("  {} {}", answer.status, answer.text);
         answers.push((answer.status, answer.text));
     }
-    if answers[0] != answers[1] || answers[0].0 != 200 {
-        return Err(Error::new("the second answer is not that of the first"));
+    println!("  effects at the service: {}", around.effects());
+    if answers[0] != answers[1] || answers[0].0 != 200 || around.effects() != 1 {
+        return Err(Error::new("the order did not run exactly once"));
     }
     Ok(())
 }
--- a/src/demo/surroundings.rs
+++ b/src/demo/surroundings.rs
@@ -26,7 +26,7 @@
     /// The platform.
     pub platform: Running<Platform>,
     _engines: Vec<Running<Engine>>,
-    _service: Running<Service>,
+    service: Running<Service>,
 }
 
 impl Surroundings {
@@ -62,7 +62,7 @@
         Ok(Self {
             platform,
             _engines: engines,
-            _service: service,
+            service,
         })
     }
 
@@ -78,6 +78,12 @@
         });
     }
 
+    /// How many effects the plain service has had.
+    #[must_use]
+    pub fn effects(&self) -> u32 {
+        self.service.standin.log().effects.values().sum()
+    }
+
     /// Takes the table service down or brings it back.
     pub fn set_table_down(&self, down: bool) {
         self.platform.standin.set(Faults {
