Let tests with deployments take turns

Cause: of about 30 runs of the command tests two failed: a deployment picks its ports by binding and letting go (bench::process::free_addr), and another one took them in between. One test then talked to another test's instance. Change: one deployment at a time in these tests. The picking itself is left to its owner.

--- a/components/settings/tests/check.rs
+++ b/components/settings/tests/check.rs
@@ -218,7 +218,7 @@
         let key = KEYS[index];
         // Any text will do as a token, and as a key if it is long enough.
         prop_assume!(!matches!(key.kind, Kind::Secret(1)));
-        let text = with_value(&key.section, key.name, &format!("'{value}'"));
+        let text = with_value(key.section, key.name, &format!("'{value}'"));
         let faults = faults(&text);
         let path = format!("{}.{}", key.section, key.name);
         prop_assert!(faults.iter().any(|fault| *fault.path == *path), "{:?}", faults);
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -7,6 +7,7 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output, Stdio},
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use bench::deployment::{Deployment, OPERATOR_KEY, Plan};
@@ -77,16 +78,37 @@
     }
 }
 
-fn deployment() -> (Deployment, SocketAddr) {
-    let deployment = smol::block_on(support::start(&one_instance()));
-    let admin = deployment.instances[0].admin;
-    (deployment, admin)
+/// A deployment picks ports that are free at present; a second one that starts at the same time
+/// may take them in between. So these tests take turns.
+static TURN: Mutex<()> = Mutex::new(());
+
+/// A deployment of one instance, and the turn to have one.
+struct Setting {
+    deployment: Deployment,
+    admin: SocketAddr,
+    _turn: MutexGuard<'static, ()>,
+}
+
+impl Setting {
+    fn start() -> Self {
+        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+        let deployment = smol::block_on(support::start(&one_instance()));
+        Self {
+            admin: deployment.instances[0].admin,
+            deployment,
+            _turn: turn,
+        }
+    }
+
+    fn run(&self, args: &[&str]) -> Ended {
+        operator(self.admin, args)
+    }
 }
 
 #[test]
 fn a_node_is_read_written_and_deleted() {
-    let (_deployment, admin) = deployment();
-    let run = |args: &[&str]| operator(admin, args);
+    let setting = Setting::start();
+    let run = |args: &[&str]| setting.run(args);
     let path = "/workspaces/editors/routes/catalogue/default";
 
     let accepted = run(&["set", path, "class=background", "in-flight=7"]).well();
@@ -120,21 +142,21 @@
 // change and what the node is now, and a script must be able to tell that by the exit code.
 #[test]
 fn a_file_that_is_behind_ends_in_a_conflict() {
-    let (_deployment, admin) = deployment();
-    let read = operator(admin, &["get", "/services/catalogue"]).well();
+    let setting = Setting::start();
+    let read = setting.run(&["get", "/services/catalogue"]).well();
     let file = scratch("behind.yml", &read);
     let file = file.to_str().expect("a path");
     let set = ["set", "/services/catalogue", "--file", file];
-    operator(admin, &set).well();
-    let behind = operator(admin, &set);
+    setting.run(&set).well();
+    let behind = setting.run(&set);
     assert_eq!(behind.code, 3, "{}", behind.err);
     assert!(behind.err.contains("now: version"), "{}", behind.err);
 }
 
 #[test]
 fn a_document_goes_out_and_in_again() {
-    let (_deployment, admin) = deployment();
-    let run = |args: &[&str]| operator(admin, args);
+    let setting = Setting::start();
+    let run = |args: &[&str]| setting.run(args);
     let exported = run(&["export"]).well();
     let file = scratch("tree.yml", &exported);
     let file = file.to_str().expect("a path");
@@ -155,8 +177,8 @@
 
 #[test]
 fn a_data_centre_goes_out_and_in_and_status_shows_it() {
-    let (_deployment, admin) = deployment();
-    let run = |args: &[&str]| operator(admin, args);
+    let setting = Setting::start();
+    let run = |args: &[&str]| setting.run(args);
     run(&["data-centre", "out", "dc-2"]).well();
     let status = json(&run(&["status", "--json"]).well());
     assert_eq!(status["out"], serde_json::json!(["dc-2"]));
@@ -174,10 +196,12 @@
 
 #[test]
 fn a_dump_is_json_without_the_keys_of_the_deployment() {
-    let (_deployment, admin) = deployment();
-    let dump = operator(admin, &["dump"]).well();
+    let setting = Setting::start();
+    let dump = setting.run(&["dump"]).well();
     assert_eq!(json(&dump)["instance"], "i0");
-    let tree = operator(admin, &["get", "/workspaces/editors", "--json"]).well();
+    let tree = setting
+        .run(&["get", "/workspaces/editors", "--json"])
+        .well();
     let hash = json(&tree)["node"]["key-hashes"][0].clone();
     let secrets = ["peer-key-of-the-bench", OPERATOR_KEY, "key-editors"];
     let hash = hash.as_str().expect("a hash");
@@ -188,8 +212,8 @@
 
 #[test]
 fn a_wrong_key_and_an_instance_that_is_not_there_are_told() {
-    let (_deployment, admin) = deployment();
-    let admin = admin.to_string();
+    let setting = Setting::start();
+    let admin = setting.admin.to_string();
     let file = scratch("wrong.key", "wrong\n");
     let file = file.to_str().expect("a path");
     let refused = plain(&["status", "--admin", &admin, "--key-file", file]);
@@ -206,16 +230,16 @@
 // was changed and that it is worth trying again.
 #[test]
 fn a_change_during_an_outage_of_the_table_service_is_unavailable() {
-    let (deployment, admin) = deployment();
+    let setting = Setting::start();
     let down = |down| standins::platform::Faults {
         table_down: Some(down),
         ..standins::platform::Faults::default()
     };
-    smol::block_on(deployment.platform_fault(&down(true)));
-    let refused = operator(admin, &["set", "/", "in-flight=9"]);
+    smol::block_on(setting.deployment.platform_fault(&down(true)));
+    let refused = setting.run(&["set", "/", "in-flight=9"]);
     assert_eq!(refused.code, 4, "{}", refused.err);
-    smol::block_on(deployment.platform_fault(&down(false)));
-    operator(admin, &["set", "/", "in-flight=9"]).well();
+    smol::block_on(setting.deployment.platform_fault(&down(false)));
+    setting.run(&["set", "/", "in-flight=9"]).well();
 }
 
 #[test]
