Count events, show readiness and configuration version as metrics

Cause: an alert on an instance that is unready, or behind with its configuration, had nothing to look at. Change: ready, config_version, data_centres_out and events (by number and level) beside the metrics of the parts.

--- a/components/admin/src/api.rs
+++ b/components/admin/src/api.rs
@@ -6,13 +6,13 @@
 use events::{Event, emit};
 use hyper::{HeaderMap, Request, Response, Uri, body::Incoming};
 use net::{Body, Handler, Reply};
-use prometheus_client::encoding::text;
 
 use crate::{
     auth,
     body::read_json,
     document,
     message::{Ready, Status},
+    metrics,
     parts::AdminParts,
     problem::{Now, Problem},
     route::Route,
@@ -95,14 +95,9 @@
     }
 
     fn metrics(&self) -> Result<Response<Body>, Problem> {
-        let mut text = String::new();
-        text::encode(&mut text, &self.parts.registry).map_err(|e| {
-            Problem::new(
-                500,
-                "metrics",
-                "The metrics can't be written",
-                e.to_string(),
-            )
+        let text = metrics::text(&self.parts).map_err(|e| {
+            let title = "The metrics can't be written";
+            Problem::new(500, "metrics", title, e.to_string())
         })?;
         let reply = Reply::text(200, text).with_header("content-type", METRICS_TYPE);
         Ok(reply.done())
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 pub mod document;
 pub mod message;
+pub mod metrics;
 pub mod parts;
 pub mod problem;
 pub mod route;
--- /dev/null
+++ b/components/admin/src/metrics.rs
@@ -0,0 +1,54 @@
+//! Metrics: those of the process's parts, and what the API itself knows of its state.
+
+use std::fmt;
+
+use events::counts;
+use prometheus_client::{
+    encoding::text::{encode_eof, encode_registry},
+    metrics::gauge::Gauge,
+    registry::Registry,
+};
+
+use crate::parts::AdminParts;
+
+/// All metrics as OpenMetrics text.
+///
+/// # Errors
+/// The text can't be written.
+pub fn text(parts: &AdminParts) -> Result<String, fmt::Error> {
+    let mut text = String::new();
+    encode_registry(&mut text, &parts.registry)?;
+    encode_registry(&mut text, &own(parts))?;
+    encode_eof(&mut text)?;
+    Ok(text)
+}
+
+fn own(parts: &AdminParts) -> Registry {
+    let mut registry = Registry::default();
+    registry.register(
+        "ready",
+        "1 if the instance takes new work, otherwise 0",
+        gauge(i64::from(parts.readiness.ready().is_ok())),
+    );
+    let current = parts.config.current();
+    let version = current.as_ref().map_or(0, |c| c.snapshot.version);
+    registry.register(
+        "config_version",
+        "Version of the configuration in force, 0 before the first",
+        gauge(i64::try_from(version).unwrap_or(i64::MAX)),
+    );
+    let out = current.map_or(0, |c| c.in_force.out().len());
+    registry.register(
+        "data_centres_out",
+        "Data centres that operators have taken out",
+        gauge(i64::try_from(out).unwrap_or(i64::MAX)),
+    );
+    registry.register("events", "Events by number, see EVENTS.md", counts());
+    registry
+}
+
+fn gauge(value: i64) -> Gauge {
+    let gauge = Gauge::default();
+    gauge.set(value);
+    gauge
+}
--- a/components/admin/tests/api/state.rs
+++ b/components/admin/tests/api/state.rs
@@ -11,6 +11,9 @@
     }
     let metrics = api.get("/metrics");
     assert!(metrics.text.contains("asked_total 0"), "{}", metrics.text);
+    for line in ["ready 1", "config_version 6", "data_centres_out 0"] {
+        assert!(metrics.text.contains(&format!("\n{line}\n")), "{line}");
+    }
     assert!(metrics.text.ends_with("# EOF\n"));
 }
 
@@ -32,6 +35,8 @@
         }
         assert_eq!(api.get(path).status, 200, "{path}");
     }
+    let counted = r#"events_total{number="802",event="OperatorUnknown",level="warn"}"#;
+    assert!(api.get("/metrics").text.contains(counted));
 }
 
 // An instance that can't serve yet says so and why. Otherwise the balancer sends callers to it,
@@ -46,6 +51,7 @@
     let status: Status = api.get("/v1/status").read();
     assert!(!status.ready);
     assert_eq!(api.get("/health").status, 200);
+    assert!(api.get("/metrics").text.contains("\nready 0\n"));
 }
 
 #[test]
--- a/components/events/src/declare.rs
+++ b/components/events/src/declare.rs
@@ -5,21 +5,31 @@
 
 /// Severity of an event.
 #[derive(Clone, Copy, Debug, Display, Eq, Ord, PartialEq, PartialOrd)]
+#[display("{}", self.name())]
 pub enum Level {
     /// An operator is needed now.
-    #[display("error")]
     Error,
     /// An operator may be needed.
-    #[display("warn")]
     Warn,
     /// What happened.
-    #[display("info")]
     Info,
     /// Details for maintainers.
-    #[display("debug")]
     Debug,
 }
 
+impl Level {
+    /// Its name, as logs and metrics write it.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Error => "error",
+            Self::Warn => "warn",
+            Self::Info => "info",
+            Self::Debug => "debug",
+        }
+    }
+}
+
 /// What the catalogue tells about an event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CatalogueEntry {
--- a/components/events/src/log.rs
+++ b/components/events/src/log.rs
@@ -8,7 +8,7 @@
     terminal_style::StyleMode,
 };
 
-use crate::{declare::Level, event::Event, format::Format};
+use crate::{count::count, declare::Level, event::Event, format::Format};
 
 /// Sets up logging to standard error: the least severe level that is written, and the form.
 pub fn start(level: Level, format: Format) {
@@ -39,8 +39,9 @@
         .ok()
 }
 
-/// Logs an event.
+/// Logs and counts an event.
 pub fn emit(event: &Event) {
+    count(event);
     emit_to(&spdlog::default_logger(), event);
 }
 
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -57,7 +57,8 @@
     }
     for origin in &in_force.values {
         let from = origin.from.as_deref().unwrap_or("(default)");
-        println!("{:<14} {:<12} {from}", origin.knob, origin.value);
+        let value = origin.value.to_string();
+        println!("{:<14} {value:<14} {from}", origin.knob);
     }
     Ok(())
 }
