--- a/components/settings/src/keys.rs
+++ b/components/settings/src/keys.rs
@@ -137,7 +137,7 @@
         "objects",
         Kind::Url,
         Presence::Required,
-        "The object store.",
+        "The object store. Not used yet.",
     ),
     key(
         "platform",
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -3,14 +3,16 @@
 mod support;
 
 use std::{
+    collections::BTreeMap,
     fs,
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output, Stdio},
     sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
-use bench::deployment::{Deployment, OPERATOR_KEY, Plan};
+use bench::deployment::{Deployment, OPERATOR_KEY, Plan, key_of};
 use serde_json::Value;
 
 /// What a command printed and how it ended.
@@ -288,3 +290,50 @@
         assert!(shown.contains(part), "{part} in {shown}");
     }
 }
+
+/// What a row of the page of metrics, or a line of the metrics' own help, says.
+type Described = BTreeMap<String, String>;
+
+fn described(text: &str) -> Described {
+    let help = |line: &str| {
+        let (name, help) = line.strip_prefix("# HELP ")?.split_once(' ')?;
+        Some((name.to_owned(), help.trim_end_matches('.').to_owned()))
+    };
+    text.lines().filter_map(help).collect()
+}
+
+fn listed(page: &str) -> Described {
+    let row = |line: &str| {
+        let mut cells = line.strip_prefix("| `")?.split('|');
+        let name = cells.next()?.trim().trim_end_matches('`');
+        let about = cells.nth(1)?;
+        Some((name.to_owned(), about.trim().to_owned()))
+    };
+    page.lines().filter_map(row).collect()
+}
+
+fn fetch(addr: SocketAddr, path: &str, key: &str) -> String {
+    let req = hyper::Request::get(path)
+        .header("authorization", format!("Bearer {key}"))
+        .body(http_body_util::Full::default());
+    smol::block_on(async {
+        let client = net::Client::new();
+        let sent = client.send(addr, req.expect("a request"));
+        let body = sent.await.expect("an answer").into_body();
+        let buf = net::read_all(body, 1 << 20, Duration::from_secs(20)).await;
+        String::from_utf8(buf.expect("a body").to_vec()).expect("text")
+    })
+}
+
+#[test]
+fn the_page_of_metrics_lists_what_an_instance_serves() {
+    let setting = Setting::start();
+    // Metrics with labels show only after the first request that they count.
+    let callers = setting.deployment.entries()[0];
+    fetch(callers, "/titles/1", &key_of("viewers"));
+    fetch(callers, "/titles/1", "wrong");
+    let served = described(&fetch(setting.admin, "/metrics", ""));
+    let page = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("docs/METRICS.md");
+    let page = fs::read_to_string(page).expect("the page");
+    assert_eq!(listed(&page), served);
+}
