Move waiting asks by shares, keep one-slot blocks, tell the oracle lengths

And an entry whose refill was granted one slot gave it back and asked again every tick (50 permits/s an entry for nothing). Change: an entry moves its part of half the difference, once a summary, and counts the other instances' asks when it chooses; a one-slot block is kept. The oracle baseline now really tells owners the lengths. Ruled out: no moves at all (lines filled while another data centre idled).

--- a/components/bench/src/sweep/world.rs
+++ b/components/bench/src/sweep/world.rs
@@ -173,6 +173,7 @@
                 .collect(),
             limits: BTreeMap::from([(self.shard.service.clone(), Arc::new(limits))]),
             out: Vec::new(),
+            instances: 0,
         }
     }
 
--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -272,7 +272,12 @@
                 data_centre: me.data_centre.clone(),
                 incarnation: me.incarnation,
             };
-            Box::new(policy::Instance::new(identity, me.incarnation))
+            let instance = policy::Instance::new(identity, me.incarnation);
+            if settings.instance.strategy == Strategy::Oracle {
+                Box::new(instance.with_told_lengths())
+            } else {
+                Box::new(instance)
+            }
         }
         Strategy::RoundRobin => Box::new(Alone::new(Box::new(RoundRobin::default()))),
         Strategy::LeastLoaded => Box::new(Alone::new(Box::new(LeastLoaded))),
--- a/components/node/src/view.rs
+++ b/components/node/src/view.rs
@@ -32,6 +32,7 @@
         targets,
         limits,
         out: rules.out(),
+        instances: u32::try_from(listing.members.len()).unwrap_or(u32::MAX),
     }
 }
 
--- a/components/policy/src/api.rs
+++ b/components/policy/src/api.rs
@@ -108,6 +108,8 @@
     pub limits: BTreeMap<ServiceId, Arc<TargetLimits>>,
     /// Data centres that operators have taken out.
     pub out: Vec<DataCentreId>,
+    /// Instances listed, this one included; 0 if unknown.
+    pub instances: u32,
 }
 
 /// Something that happened.
--- a/components/policy/src/entry/calls.rs
+++ b/components/policy/src/entry/calls.rs
@@ -47,6 +47,12 @@
         demand.last = now;
     }
 
+    /// Whether a service is one of plain calls.
+    #[must_use]
+    pub fn known(&self, service: &ServiceId) -> bool {
+        self.by_service.contains_key(service)
+    }
+
     /// Slots to ask for.
     #[must_use]
     pub fn slots(&self, request: &Request) -> u32 {
--- a/components/policy/src/entry/grants.rs
+++ b/components/policy/src/entry/grants.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeSet;
 
-use types::{AskId, InstanceId, Moment, RouteId, ServiceKind, Target, WorkspaceId};
+use types::{AskId, InstanceId, Moment, RouteId, ServiceKind, Shard, Target, WorkspaceId};
 use wire::{Deny, Done, Grant, Message, Outcome, Query, Recall};
 
 use crate::{
     api::{Action, RequestId, Used},
     entry::{
         machine::Entry,
-        pending::{DENIED_PAUSE, MOVE_AFTER, MOVE_GAIN, Stage},
+        pending::{DENIED_PAUSE, MOVE_AFTER, Stage},
         permit::{Permit, PermitKey, Tally},
         refuse,
     },
@@ -40,7 +40,8 @@
             return;
         };
         let asker = request.and_then(|id| self.requests.get(&id));
-        if grant.slots <= 1 && asker.is_none() {
+        let block = self.calls.known(&grant.shard.service);
+        if asker.is_none() && !block {
             give_back(from, grant, out);
             return;
         }
@@ -170,42 +171,35 @@
         });
     }
 
-    /// Moves asks that wait long while another shard has become much less crowded.
+    /// Moves asks from long lines to shorter ones, those first that would wait longest.
     pub(super) fn move_asks(&mut self, now: Moment, out: &mut Vec<Action>) {
-        let mut moves: Vec<(AskId, RequestId)> = Vec::new();
-        for (ask, sent) in &self.asks {
-            let Some(id) = sent.request else { continue };
-            if now.saturating_sub(sent.at) >= MOVE_AFTER && self.better_elsewhere(id, &sent.shard) {
-                moves.push((*ask, id));
-            }
-        }
-        for (ask, id) in moves {
-            if self.better_elsewhere_for(ask, id) {
+        let shards: BTreeSet<Shard> = self.asks.values().map(|a| a.shard.clone()).collect();
+        for from in shards {
+            let mut mine = self.movable(now, &from);
+            let Some(plan) = self.shards.plan_move(&from, mine.len()) else {
+                continue;
+            };
+            mine.truncate(plan.count);
+            for (ask, id) in mine {
                 self.withdraw(ask, out);
-                self.ask_again(now, Some(id), out);
+                self.ask_at(now, id, plan.to.clone(), plan.owner.clone(), out);
             }
         }
     }
 
-    fn better_elsewhere_for(&self, ask: AskId, id: RequestId) -> bool {
-        // Each move makes the other shard look more crowded, so this is asked anew for each.
-        self.asks
-            .get(&ask)
-            .is_some_and(|sent| self.better_elsewhere(id, &sent.shard))
-    }
-
-    fn better_elsewhere(&self, id: RequestId, shard: &types::Shard) -> bool {
-        let Some(pending) = self.requests.get(&id) else {
-            return false;
-        };
-        let Some((other, _)) = self.shards.choose(&pending.request.service, &[]) else {
-            return false;
-        };
-        let (Some(here), Some(there)) = (self.shards.crowding(shard), self.shards.crowding(&other))
-        else {
-            return false;
-        };
-        other != *shard && there + MOVE_GAIN < here
+    /// This entry's asks that have waited at a shard for a while, the last in line first.
+    fn movable(&self, now: Moment, shard: &Shard) -> Vec<(AskId, RequestId)> {
+        let mut found = Vec::new();
+        for (ask, sent) in &self.asks {
+            let waits = now.saturating_sub(sent.at) >= MOVE_AFTER;
+            if let Some(id) = sent.request.filter(|_| waits && sent.shard == *shard)
+                && let Some(pending) = self.requests.get(&id)
+            {
+                found.push((pending.request.class, pending.request.deadline, *ask, id));
+            }
+        }
+        found.sort_by(|a, b| b.cmp(a));
+        found.into_iter().map(|(_, _, ask, id)| (ask, id)).collect()
     }
 }
 
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -31,6 +31,8 @@
     /// Shards about which an owner still has to be told that nothing is held any more.
     pub(super) reported: BTreeSet<Shard>,
     pub(super) last_report: Moment,
+    /// Whether owners are told the true lengths; for the oracle baseline only.
+    told: bool,
     next_ask: AskId,
 }
 
@@ -49,10 +51,18 @@
             budgets: Budgets::default(),
             reported: BTreeSet::new(),
             last_report: Moment::ZERO,
+            told: false,
             next_ask: 0,
         }
     }
 
+    /// Makes it the entry of the oracle baseline, which tells owners the true lengths.
+    #[must_use]
+    pub const fn with_told_lengths(mut self) -> Self {
+        self.told = true;
+        self
+    }
+
     /// The number of the newest ask.
     #[must_use]
     pub const fn last_ask(&self) -> AskId {
@@ -162,10 +172,27 @@
             return;
         };
         let request = &pending.request;
-        let Some((shard, owner)) = self.shards.choose(&request.service, &request.prefix) else {
+        if let Some((shard, owner)) = self.shards.choose(&request.service, &request.prefix) {
+            self.ask_at(now, id, shard, owner, out);
+        }
+    }
+
+    /// Asks a shard's owner for a permit for a request.
+    pub(super) fn ask_at(
+        &mut self,
+        now: Moment,
+        id: RequestId,
+        shard: Shard,
+        owner: InstanceId,
+        out: &mut Vec<Action>,
+    ) {
+        let ask = self.new_ask();
+        let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
-        let ask = self.next_ask + 1;
+        pending.stage = Stage::Asked(ask);
+        let request = &pending.request;
+        let told = request.true_output.filter(|_| self.told);
         let message = Ask {
             shard: shard.clone(),
             ask,
@@ -177,13 +204,12 @@
             within: request.deadline.saturating_sub(now),
             waited: now.saturating_sub(pending.since),
             prompt: request.prompt,
-            max_output: request.max_output,
+            max_output: told.unwrap_or(request.max_output),
             slots: self.calls.slots(request),
             prefix: request.prefix.clone(),
             avoid: pending.avoid.clone(),
         };
         self.shards.note_ask(&shard, &request.prefix);
-        self.next_ask = ask;
         let sent = AskOut {
             request: Some(id),
             shard,
@@ -191,9 +217,6 @@
             at: now,
         };
         self.asks.insert(ask, sent);
-        if let Some(pending) = self.requests.get_mut(&id) {
-            pending.stage = Stage::Asked(ask);
-        }
         out.push(Action::Send {
             to: owner,
             message: message.into(),
--- a/components/policy/src/entry/pending.rs
+++ b/components/policy/src/entry/pending.rs
@@ -61,8 +61,6 @@
 /// A request whose service has no target that takes work is refused after this time.
 pub const NO_TARGET_LIMIT: Duration = Duration::from_millis(500);
 /// An ask that waits longer than this may move to another shard.
-pub const MOVE_AFTER: Duration = Duration::from_millis(400);
-/// How much less crowded another shard must be for an ask to move there.
-pub const MOVE_GAIN: f32 = 0.6;
+pub const MOVE_AFTER: Duration = Duration::from_millis(300);
 /// After a denial without a time, an ask is made again after this long.
 pub const DENIED_PAUSE: Duration = Duration::from_millis(50);
--- a/components/policy/src/entry/shards.rs
+++ b/components/policy/src/entry/shards.rs
@@ -14,6 +14,8 @@
 /// Above this load a shared prefix no longer draws requests, or one popular prefix would fill
 /// one data centre while others idle.
 const AFFINITY_LOAD: f32 = 0.85;
+/// Part of the difference between two lines that moves at once.
+const MOVE_PART: f32 = 0.5;
 /// Callers are never told to come back sooner.
 const LEAST_WAIT: Duration = Duration::from_secs(1);
 /// Prefixes remembered.
@@ -32,12 +34,26 @@
     pub asked_since: u32,
     /// Targets that may take work.
     pub targets: u32,
+    /// Whether the summary has come since asks were last moved away.
+    pub fresh: bool,
+}
+
+/// Asks that should change shards.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Move {
+    /// Where to.
+    pub to: Shard,
+    /// Its owner.
+    pub owner: InstanceId,
+    /// How many.
+    pub count: usize,
 }
 
 /// All shards that an entry knows.
 #[derive(Debug, Default)]
 pub struct Shards {
     home: Option<DataCentreId>,
+    instances: u32,
     known: BTreeMap<Shard, ShardInfo>,
     prefixes: BTreeMap<u64, DataCentreId>,
 }
@@ -54,6 +70,7 @@
 
     /// Takes targets and data centres from a new view.
     pub fn update(&mut self, view: &View) {
+        self.instances = view.instances.max(1);
         for info in self.known.values_mut() {
             info.targets = 0;
         }
@@ -90,6 +107,7 @@
             if info.owner.as_ref() == Some(owner) && info.epoch == summary.epoch {
                 info.summary = Some(summary.clone());
                 info.asked_since = 0;
+                info.fresh = true;
             }
         }
     }
@@ -125,15 +143,6 @@
         Some((best.1.clone(), best.2))
     }
 
-    /// How crowded a shard looks; smaller is better. About 1 means that each target is full,
-    /// and 1 is added for each ask that waits before each target.
-    #[must_use]
-    pub fn crowding(&self, shard: &Shard) -> Option<f32> {
-        let info = self.known.get(shard)?;
-        info.owner.as_ref()?;
-        Some(self.score(shard, info, &[]))
-    }
-
     /// When a caller that was not served in time may come back with more hope.
     #[must_use]
     pub fn wait(&self, service: &ServiceId) -> Duration {
@@ -144,6 +153,33 @@
         Duration::from_millis(u64::from(shortest)).max(LEAST_WAIT)
     }
 
+    /// How many of `mine` asks that wait at a shard to move elsewhere, and where to.
+    ///
+    /// All instances see the same summaries. If each moved all its asks to the emptiest shard,
+    /// the line would jump from shard to shard; one would notice lines of hundreds beside empty
+    /// ones, changing places every heartbeat. So each moves its part of half the difference, and
+    /// only once for each summary.
+    pub fn plan_move(&mut self, from: &Shard, mine: usize) -> Option<Move> {
+        let here = self.known.get_mut(from)?;
+        if !std::mem::take(&mut here.fresh) {
+            return None;
+        }
+        let (queued, targets) = line(here)?;
+        let (to, owner) = self.choose(&from.service, &[])?;
+        let (queued_there, targets_there) = line(self.known.get(&to)?)?;
+        if to == *from {
+            return None;
+        }
+        let level = (queued * targets_there - queued_there * targets) / (targets + targets_there);
+        let part = mine as f32 / queued.max(1.0);
+        let count = (level * part * MOVE_PART).round();
+        (count >= 1.0).then_some(Move {
+            to,
+            owner,
+            count: count as usize,
+        })
+    }
+
     fn of(&self, service: &ServiceId) -> impl Iterator<Item = (&Shard, &ShardInfo)> {
         self.known
             .iter()
@@ -153,7 +189,10 @@
     fn score(&self, shard: &Shard, info: &ShardInfo, prefix: &[u64]) -> f32 {
         let summary = info.summary.as_ref();
         let load = summary.map_or(0.0, |s| s.load);
-        let queued = summary.map_or(0, |s| s.queued) + info.asked_since;
+        // The other instances see the same summaries and choose alike meanwhile; without
+        // counting them, all would rush to the same shard from one summary to the next.
+        let asked = info.asked_since * self.instances;
+        let queued = summary.map_or(0, |s| s.queued) + asked;
         let targets = summary.map_or(info.targets, |s| s.targets).max(1);
         let mut score = load + share(queued, targets);
         if self.home.as_ref() != Some(&shard.data_centre) {
@@ -171,8 +210,11 @@
 }
 
 fn share(queued: u32, targets: u32) -> f32 {
-    // Both are far below the numbers that f32 can't tell apart.
-    #[allow(clippy::cast_precision_loss)]
-    let share = queued as f32 / targets as f32;
-    share
+    queued as f32 / targets as f32
+}
+
+/// Asks that wait at a shard and its targets, as its owner said.
+fn line(info: &ShardInfo) -> Option<(f32, f32)> {
+    let summary = info.summary.as_ref().filter(|s| s.granting)?;
+    Some((summary.queued as f32, summary.targets.max(1) as f32))
 }
--- a/components/policy/src/instance.rs
+++ b/components/policy/src/instance.rs
@@ -7,6 +7,7 @@
     api::{Action, Decide, Event, RequestId},
     entry::Entry,
     owner::Owner,
+    tuning::{Admission, Tuning},
 };
 
 /// Who an instance is.
@@ -36,6 +37,18 @@
         Self { me, entry, owner }
     }
 
+    /// Makes it the oracle baseline: owners are told the true lengths and decide by them.
+    #[must_use]
+    pub fn with_told_lengths(mut self) -> Self {
+        let tuning = Tuning {
+            admission: Admission::Told,
+            ..Tuning::default()
+        };
+        self.entry = self.entry.with_told_lengths();
+        self.owner = self.owner.with_tuning(tuning);
+        self
+    }
+
     fn feed(&mut self, now: Moment, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::Received { message, .. } if is_for_entry(message) => {
--- a/components/policy/tests/support/mod.rs
+++ b/components/policy/tests/support/mod.rs
@@ -51,6 +51,7 @@
         targets,
         limits: BTreeMap::from([(ServiceId::from(SERVICE), Arc::new(limits))]),
         out: Vec::new(),
+        instances: 0,
     }
 }
 
