Chaos: faults by name, several at once, gentle faults must cut nothing

The harness waits until every instance has the newest configuration: before, callers met instances that said ready with version 0 and answered 401 to good keys. Control messages go over new connections, since a pooled one may have been made silent. A caller passes over an instance that is not there, as the balancer does.

--- a/components/bench/src/caller.rs
+++ b/components/bench/src/caller.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
-use net::Client;
+use net::{Client, SendError};
 use serde::{Deserialize, Serialize};
 use standins::service::Answer;
 use timer::Timer;
@@ -23,7 +23,7 @@
 const ANSWER_LIMIT: usize = 4 * 1024 * 1024;
 /// How often a plain call is sent when it is unknown whether it ran: callers do that, and keyed
 /// calls must bear it.
-const PLAIN_TRIES: usize = 3;
+const PLAIN_TRIES: u32 = 3;
 /// Time between two of these.
 const PLAIN_PAUSE: Duration = Duration::from_millis(200);
 /// Where streams are resumed.
@@ -181,31 +181,30 @@
     }
 
     async fn generate(&self, addrs: &[SocketAddr], wanted: &Wanted, r: &mut Reading) -> Outcome {
-        let mut left = addrs.iter();
-        let Some(first) = left.next() else {
-            return Outcome::Broken;
-        };
-        let mut outcome = self.stream(*first, ask(wanted), r).await;
-        for addr in left {
-            let Some(last) = r.last_id.clone().filter(|_| outcome == Outcome::Broken) else {
-                break;
-            };
-            let req = Request::get(STREAMS)
-                .header("authorization", format!("Bearer {}", wanted.key))
-                .header("last-event-id", last)
-                .body(Full::default());
-            r.record.resumed += 1;
-            outcome = self.stream(*addr, req, r).await;
+        let mut outcome = Outcome::Broken;
+        for addr in addrs {
+            let again = r.last_id.as_deref().map(|last| resume(wanted, last));
+            r.record.resumed += u32::from(again.is_some());
+            let req = again.unwrap_or_else(|| ask(wanted));
+            match self.stream(*addr, req, r).await {
+                // Not there: the balancer chooses another one.
+                None => {}
+                Some(Outcome::Broken) if r.last_id.is_some() => {}
+                Some(end) => return end,
+            }
+            outcome = Outcome::Broken;
         }
         outcome
     }
 
-    async fn stream(&self, addr: SocketAddr, req: Built, r: &mut Reading) -> Outcome {
-        let Some(resp) = self.send(addr, req).await else {
-            return Outcome::Broken;
+    /// Reads a stream; `None` if no connection could be made.
+    async fn stream(&self, addr: SocketAddr, req: Built, r: &mut Reading) -> Option<Outcome> {
+        let resp = match self.send(addr, req).await {
+            Ok(resp) => resp,
+            Err(end) => return end,
         };
         if resp.status() != 200 {
-            return self.refusal(resp).await;
+            return Some(self.refusal(resp).await);
         }
         let mut body = resp.into_body();
         let mut events = Events::default();
@@ -215,43 +214,68 @@
             };
             for event in events.push(&data) {
                 if let Some(outcome) = r.event(&event) {
-                    return outcome;
+                    return Some(outcome);
                 }
             }
         }
-        Outcome::Broken
+        Some(Outcome::Broken)
     }
 
     async fn plain(&self, addrs: &[SocketAddr], wanted: &Wanted, r: &mut Reading) -> Outcome {
         let mut outcome = Outcome::Broken;
-        for (number, addr) in addrs.iter().take(PLAIN_TRIES).enumerate() {
-            r.record.resumed = number as u32;
-            outcome = self.plain_once(*addr, wanted, r).await;
-            if !is_unsure(&outcome) {
+        let mut tries = 0;
+        for addr in addrs {
+            let Some(end) = self.plain_once(*addr, wanted, r).await else {
+                continue;
+            };
+            outcome = end;
+            tries += 1;
+            if tries == PLAIN_TRIES || !is_unsure(&outcome) {
                 break;
             }
+            r.record.resumed = tries;
             self.timer.sleep(PLAIN_PAUSE).await;
         }
         outcome
     }
 
-    async fn plain_once(&self, addr: SocketAddr, wanted: &Wanted, r: &mut Reading) -> Outcome {
-        let Some(resp) = self.send(addr, ask(wanted)).await else {
-            return Outcome::Broken;
+    /// Makes a plain call; `None` if no connection could be made.
+    async fn plain_once(
+        &self,
+        addr: SocketAddr,
+        wanted: &Wanted,
+        r: &mut Reading,
+    ) -> Option<Outcome> {
+        let resp = match self.send(addr, ask(wanted)).await {
+            Ok(resp) => resp,
+            Err(end) => return end,
         };
         if resp.status() != 200 {
-            return self.refusal(resp).await;
+            return Some(self.refusal(resp).await);
         }
         let Some(body) = self.read(resp).await else {
-            return Outcome::Broken;
+            return Some(Outcome::Broken);
         };
         r.token();
-        check(wanted, &body)
+        Some(check(wanted, &body))
     }
 
-    async fn send(&self, addr: SocketAddr, req: Built) -> Option<Response<Incoming>> {
-        let sent = self.client.send(addr, req.ok()?);
-        self.timer.within(PATIENCE, sent).await?.ok()
+    /// Sends a request; on failure tells how it ended, `None` if no byte of it left.
+    async fn send(
+        &self,
+        addr: SocketAddr,
+        req: Built,
+    ) -> Result<Response<Incoming>, Option<Outcome>> {
+        let req = req.map_err(|e| Some(wrong(e.to_string())))?;
+        match self
+            .timer
+            .within(PATIENCE, self.client.send(addr, req))
+            .await
+        {
+            Some(Ok(resp)) => Ok(resp),
+            Some(Err(SendError::Unsent { .. })) => Err(None),
+            _ => Err(Some(Outcome::Broken)),
+        }
     }
 
     async fn read(&self, resp: Response<Incoming>) -> Option<Bytes> {
@@ -378,6 +402,13 @@
     caller: &'a str,
 }
 
+fn resume(wanted: &Wanted, last: &str) -> Built {
+    Request::get(STREAMS)
+        .header("authorization", format!("Bearer {}", wanted.key))
+        .header("last-event-id", last)
+        .body(Full::default())
+}
+
 fn ask(wanted: &Wanted) -> Built {
     let authorization = format!("Bearer {}", wanted.key);
     match &wanted.what {
--- a/components/bench/src/chaos.rs
+++ b/components/bench/src/chaos.rs
@@ -15,72 +15,34 @@
     caller::{Outcome, Record, What},
     deployment::{Deployment, Standin},
     drive::send_all,
+    fault::Fault,
     process::{Programs, Signal},
     scenario::{Arrival, Scenario},
     verify::{Logs, breaches},
 };
 
 /// Time between two faults, in milliseconds.
-const PAUSE_MS: Range<u64> = 500..3000;
+const PAUSE_MS: Range<u64> = 300..1500;
 /// How long a fault lasts, in milliseconds.
-const LENGTH_MS: Range<u64> = 300..6000;
+const LENGTH_MS: Range<u64> = 300..4000;
 /// Time for an instance to end when it is stopped as planned.
 const STOP_PATIENCE: Duration = Duration::from_secs(40);
 /// One in so many keyed calls is sent at two instances at once.
 const TWINS: usize = 10;
 
-/// What goes wrong.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    KillInstance,
-    PauseInstance,
-    StopInstance,
-    CutOffInstance,
-    CutEngine,
-    SilenceEngine,
-    CrashEngine,
-    ColdEngine,
-    StallEngine,
-    LeaveEngine,
-    BreakEngineAnswers,
-    CutService,
-    SilenceService,
-    ColdService,
-    CrashService,
-    BreakServiceCalls,
-    BreakServiceAnswers,
-    TableDown,
-    TableSlow,
-    LoseAnswers,
-    DirectoryDown,
-    DataCentreOut,
+/// What is asked of a randomised run.
+#[derive(Clone, Debug)]
+pub struct Trial {
+    /// Load, in parts of what the engines bear.
+    pub load: f64,
+    /// Seed of arrivals and faults.
+    pub seed: u64,
+    /// How long.
+    pub time: Duration,
+    /// Faults to draw from; none for a calm run.
+    pub faults: Vec<Fault>,
 }
 
-const FAULTS: [Fault; 22] = [
-    Fault::KillInstance,
-    Fault::PauseInstance,
-    Fault::StopInstance,
-    Fault::CutOffInstance,
-    Fault::CutEngine,
-    Fault::SilenceEngine,
-    Fault::CrashEngine,
-    Fault::ColdEngine,
-    Fault::StallEngine,
-    Fault::LeaveEngine,
-    Fault::BreakEngineAnswers,
-    Fault::CutService,
-    Fault::SilenceService,
-    Fault::ColdService,
-    Fault::CrashService,
-    Fault::BreakServiceCalls,
-    Fault::BreakServiceAnswers,
-    Fault::TableDown,
-    Fault::TableSlow,
-    Fault::LoseAnswers,
-    Fault::DirectoryDown,
-    Fault::DataCentreOut,
-];
-
 /// What a run showed.
 #[derive(Debug)]
 pub struct Shown {
@@ -117,24 +79,23 @@
 pub async fn run(
     programs: &Programs,
     scenario: &Scenario,
-    load: f64,
-    seed: u64,
-    time: Duration,
+    trial: &Trial,
     dir: Option<&Path>,
 ) -> io::Result<Shown> {
     let deployment =
         Deployment::start(programs.clone(), &scenario.plan, Strategy::Owner, dir).await?;
     let timer = Timer::new();
-    let arrivals = twins(scenario.arrivals(load, seed, time));
+    let arrivals = twins(scenario.arrivals(trial.load, trial.seed, trial.time));
     let sending = workers::spawn(send_all(timer, deployment.entries(), arrivals));
     let mut chaos = Chaos {
         deployment,
-        rng: Rng::with_seed(seed),
+        rng: Rng::with_seed(trial.seed),
         timer,
+        faults: trial.faults.clone(),
         made: BTreeMap::new(),
         breaches: Vec::new(),
     };
-    while timer.now() < time {
+    while timer.now() < trial.time {
         chaos.pause().await;
         chaos.fault().await;
         chaos.look_at_instances();
@@ -170,6 +131,7 @@
     deployment: Deployment,
     rng: Rng,
     timer: Timer,
+    faults: Vec<Fault>,
     made: BTreeMap<String, u32>,
     breaches: Vec<String>,
 }
@@ -185,24 +147,46 @@
         self.timer.sleep(time).await;
     }
 
-    /// Makes one fault, and at times a lasting one of the platform on top of it.
+    /// Makes one fault; at times others come on top of it, and the table is down meanwhile.
     async fn fault(&mut self) {
-        let fault = FAULTS[self.rng.usize(..FAULTS.len())];
-        let platform_too = self.rng.usize(..4) == 0;
-        if platform_too {
+        if self.faults.is_empty() {
+            return;
+        }
+        let table_down = self.faults.contains(&Fault::TableDown) && self.rng.usize(..4) == 0;
+        if table_down {
             self.table(Some(true), None).await;
         }
-        eprintln!(
-            "{:?} {fault:?} platform down too: {platform_too}",
-            self.timer.now()
-        );
-        *self.made.entry(format!("{fault:?}")).or_default() += 1;
-        self.make(fault).await;
-        if platform_too {
+        loop {
+            let fault = self.faults[self.rng.usize(..self.faults.len())];
+            eprintln!("{:?} {fault:?}, table down: {table_down}", self.timer.now());
+            *self.made.entry(format!("{fault:?}")).or_default() += 1;
+            self.make(fault).await;
+            if !Fault::HARSH.contains(&fault) || self.rng.bool() {
+                break;
+            }
+        }
+        if table_down {
             self.table(Some(false), None).await;
         }
     }
 
+    /// Where nothing was made that may cut a request short, none may have been.
+    fn uncut(&mut self, records: &[Record]) {
+        if !self
+            .faults
+            .iter()
+            .all(|fault| Fault::GENTLE.contains(fault))
+        {
+            return;
+        }
+        let cut = records.iter().filter(|record| {
+            record.resumed > 0 || matches!(record.outcome, Outcome::Broken | Outcome::Partial)
+        });
+        let words =
+            |r: &Record| format!("{} was cut: {:?}, {} again", r.name, r.outcome, r.resumed);
+        self.breaches.extend(cut.map(words));
+    }
+
     async fn make(&mut self, fault: Fault) {
         let mut rng = self.rng.fork();
         match fault {
@@ -378,6 +362,7 @@
             services: logs(&self.deployment, &self.deployment.services).await,
         };
         self.breaches.extend(breaches(records, &logs));
+        self.uncut(records);
         if unended > 0 {
             self.breaches
                 .push(format!("{unended} requests did not end"));
--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -3,11 +3,14 @@
 use std::{fs, io, path::PathBuf, time::Duration};
 
 use clap::{Arg, ArgMatches, Command, value_parser};
+use serde::de::DeserializeOwned;
 use settings::Strategy;
 
 use crate::{
-    chaos, cost,
+    chaos::{self, Trial},
+    cost,
     drive::{self, Outing, Run},
+    fault::Fault,
     process::Programs,
     report,
     scenario::Scenario,
@@ -81,6 +84,12 @@
                 .default_value("0.5")
                 .help("Load, in parts of what the engines bear"),
         )
+        .arg(
+            Arg::new("faults")
+                .long("faults")
+                .value_delimiter(',')
+                .help("Faults to draw from, such as kill-instance,table-down; all by default"),
+        )
         .arg(path("out").help("Directory of the instances' logs"))
 }
 
@@ -149,11 +158,21 @@
 async fn run_chaos(args: &ArgMatches) -> io::Result<()> {
     let programs = Programs::beside_this()?;
     let minutes: f64 = args.get_one("minutes").copied().unwrap_or(1.0);
-    let time = Duration::from_secs_f64(minutes * 60.0);
-    let load = args.get_one("load").copied().unwrap_or(0.5);
-    let seed = args.get_one("seed").copied().unwrap_or(1);
+    let named = args.get_many::<String>("faults").into_iter().flatten();
+    let mut faults = named
+        .map(|name| by_name(name))
+        .collect::<io::Result<Vec<_>>>()?;
+    if faults.is_empty() {
+        faults = Fault::all();
+    }
+    let trial = Trial {
+        load: args.get_one("load").copied().unwrap_or(0.5),
+        seed: args.get_one("seed").copied().unwrap_or(1),
+        time: Duration::from_secs_f64(minutes * 60.0),
+        faults,
+    };
     let out = args.get_one::<PathBuf>("out").map(PathBuf::as_path);
-    let shown = chaos::run(&programs, &scenario_of(args)?, load, seed, time, out).await?;
+    let shown = chaos::run(&programs, &scenario_of(args)?, &trial, out).await?;
     println!("{shown}");
     if shown.breaches.is_empty() {
         return Ok(());
@@ -206,7 +225,7 @@
     for load in args.get_many::<f64>("load").into_iter().flatten() {
         for strategy in &strategies {
             runs.push(Run {
-                strategy: strategy_of(strategy)?,
+                strategy: by_name::<Strategy>(strategy)?,
                 load: *load,
                 seed: args.get_one("seed").copied().unwrap_or(1),
                 seconds: args.get_one("seconds").copied().unwrap_or(40.0),
@@ -225,7 +244,8 @@
     })
 }
 
-fn strategy_of(name: &str) -> io::Result<Strategy> {
+/// Reads a value by the name that files give it.
+fn by_name<T: DeserializeOwned>(name: &str) -> io::Result<T> {
     serde_json::from_str(&format!("\"{name}\"")).map_err(io::Error::other)
 }
 
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -30,6 +30,8 @@
 
 /// Time for instances to become ready, and for a configuration to be accepted.
 const START_PATIENCE: Duration = Duration::from_secs(60);
+/// Bytes of an answer of the administration API at most.
+const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(50);
 /// Key of the operator.
@@ -242,6 +244,17 @@
         path: &str,
         body: Bytes,
     ) -> Option<u16> {
+        let answer = self.ask(admin, method, path, body).await;
+        answer.map(|(status, _)| status)
+    }
+
+    async fn ask(
+        &self,
+        admin: SocketAddr,
+        method: &str,
+        path: &str,
+        body: Bytes,
+    ) -> Option<(u16, Bytes)> {
         let req = Request::builder()
             .method(method)
             .uri(path)
@@ -251,7 +264,10 @@
             .ok()?;
         let timer = timer::Timer::new();
         let resp = timer.within(START_PATIENCE, self.client.send(admin, req));
-        Some(resp.await?.ok()?.status().as_u16())
+        let resp = resp.await?.ok()?;
+        let status = resp.status().as_u16();
+        let body = net::read_all(resp.into_body(), ANSWER_LIMIT, START_PATIENCE);
+        Some((status, body.await.ok()?))
     }
 
     /// Where callers connect to the instances that run.
@@ -267,14 +283,25 @@
         self.operate(admin, "GET", "/ready", Bytes::new()).await == Some(200)
     }
 
-    /// Waits until all instances that run say that they take work.
+    /// The configuration version in force at an instance, 0 if it does not say.
+    pub async fn version(&self, number: usize) -> u64 {
+        let admin = self.instances[number].admin;
+        let answer = self.ask(admin, "GET", "/v1/status", Bytes::new()).await;
+        let status = answer.and_then(|(_, body)| serde_json::from_slice::<Status>(&body).ok());
+        status.and_then(|s| s.config_version).unwrap_or(0)
+    }
+
+    /// Waits until all instances that run say that they take work, and have the configuration
+    /// that the first one has.
     ///
     /// # Errors
     /// Names the first that does not in time.
     pub async fn until_ready(&self) -> io::Result<()> {
         let until = Instant::now() + START_PATIENCE;
+        let newest = self.version(0).await;
         for number in 0..self.instances.len() {
-            while self.instances[number].process.is_some() && !self.is_ready(number).await {
+            let runs = self.instances[number].process.is_some();
+            while runs && !(self.is_ready(number).await && self.version(number).await >= newest) {
                 if Instant::now() > until {
                     return Err(self.late(number));
                 }
@@ -430,6 +457,12 @@
     }
 }
 
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Status {
+    config_version: Option<u64>,
+}
+
 #[derive(Serialize)]
 struct Document {
     nodes: BTreeMap<NodePath, Node>,
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod cost;
 pub mod deployment;
 pub mod drive;
+pub mod fault;
 pub mod process;
 pub mod report;
 pub mod scenario;
--- a/components/standins/src/control.rs
+++ b/components/standins/src/control.rs
@@ -145,13 +145,14 @@
     pub leaving: bool,
 }
 
-/// Posts a JSON message to a stand-in's control port and tells the answer's status and body.
+/// Posts a JSON message to a stand-in's control port and gives the answer's body, empty if there
+/// is none. The connection is a new one: old ones may have been made silent.
 pub async fn post(client: &Client, addr: SocketAddr, path: &str, msg: &impl Serialize) -> Bytes {
     // Our own messages always become JSON.
     let text = serde_json::to_vec(msg).unwrap_or_default();
     let req = Request::post(path).body(http_body_util::Full::new(Bytes::from(text)));
     let Ok(req) = req else { return Bytes::new() };
-    let Ok(resp) = client.send(addr, req).await else {
+    let Ok(resp) = client.send_fresh(addr, req).await else {
         return Bytes::new();
     };
     read_limited(resp.into_body(), usize::MAX, BODY_PATIENCE)
--- a/components/standins/src/engine/batch.rs
+++ b/components/standins/src/engine/batch.rs
@@ -142,6 +142,17 @@
         self.waiting.len() as u32
     }
 
+    /// Generations in the batch or waiting, for a message.
+    #[must_use]
+    pub fn inside(&self) -> String {
+        let numbers = self.running.iter().chain(self.waiting.values());
+        let one = |number: &usize| {
+            let g = &self.all[*number];
+            format!("{} by {} since {} ms", g.caller, g.request, g.admitted_ms)
+        };
+        numbers.map(one).collect::<Vec<_>>().join(", ")
+    }
+
     /// Tokens in memory.
     #[must_use]
     pub const fn used(&self) -> u64 {
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -217,6 +217,12 @@
             Entry::Runs => {}
             Entry::Refused => return Err(control::not_run(503, "not-taking-work").into()),
             Entry::FellOver => {
+                let (name, inside) = (&self.settings.life.name, state.batch.inside());
+                let caller = &ask.metadata.caller;
+                let now = self.life.timer.now().as_millis();
+                eprintln!(
+                    "{name} at {now} ms: {caller} is too much for a cold engine with {inside}"
+                );
                 state.batch.drop_all();
                 return Err(control::hang_up(&call.link).into());
             }
