Bound what bodies hold together and what idle connections keep

Each body had its limit, but 4096 connections with one each could still take 4 GiB; request bodies now share 32 MiB, whole answers and plain answers 64 MiB each. Whole chat answers keep tool calls. A request whose caller leaves before an answer is counted as such.

--- a/components/gateway/src/flight.rs
+++ b/components/gateway/src/flight.rs
@@ -9,9 +9,12 @@
 };
 
 use parking_lot::Mutex;
-use types::{Refusal, WorkspaceId};
+use types::{Class, Refusal, WorkspaceId};
 
-use crate::{metrics::Metrics, refusals};
+use crate::{
+    metrics::{Metrics, Outcome},
+    refusals,
+};
 
 /// Counts requests in flight. Clones share the counts.
 #[derive(Clone)]
@@ -37,7 +40,12 @@
     }
 
     /// Lets a request of a workspace in, if the workspace has fewer than `limit`.
-    pub fn enter(&self, workspace: &WorkspaceId, limit: u32) -> Result<Flight, Refusal> {
+    pub fn enter(
+        &self,
+        workspace: &WorkspaceId,
+        limit: u32,
+        class: Class,
+    ) -> Result<Flight, Refusal> {
         let mut by_workspace = self.by_workspace.lock();
         let count = by_workspace
             .entry(WorkspaceId::clone(workspace))
@@ -52,14 +60,34 @@
         Ok(Flight {
             flights: self.clone(),
             workspace: WorkspaceId::clone(workspace),
+            class,
+            outcome: Mutex::new(Outcome::Left),
         })
     }
+
+    /// Requests in flight by workspace.
+    pub fn by_workspace(&self) -> Vec<(WorkspaceId, u32)> {
+        let by_workspace = self.by_workspace.lock();
+        let mut counts: Vec<_> = by_workspace.iter().map(|(w, n)| (w.clone(), *n)).collect();
+        counts.sort();
+        counts
+    }
 }
 
 /// One request in flight; over when dropped.
 pub struct Flight {
     flights: Flights,
     workspace: WorkspaceId,
+    class: Class,
+    /// A request dropped without a word is one whose caller went away.
+    outcome: Mutex<Outcome>,
+}
+
+impl Flight {
+    /// Notes how the request ends.
+    pub fn note(&self, outcome: Outcome) {
+        *self.outcome.lock() = outcome;
+    }
 }
 
 impl Drop for Flight {
@@ -74,5 +102,6 @@
         drop(by_workspace);
         self.flights.all.fetch_sub(1, Ordering::AcqRel);
         self.flights.metrics.left();
+        self.flights.metrics.ended(self.class, *self.outcome.lock());
     }
 }
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
-use net::Body;
+use net::{Body, Share};
 use relay::Running;
 use targets::{EngineCall, Piece, TargetError};
 use tree::RouteRule;
@@ -14,7 +14,6 @@
     admission::{Admitted, Ending, Wanted},
     call::{Api, Call},
     flight::Flight,
-    metrics::Outcome,
     parts::Core,
     prefix, refusals,
     request::{self, Caller, Wishes},
@@ -42,6 +41,8 @@
     pub max_output: Tokens,
     /// The request's body, read.
     pub call: Call,
+    /// Memory that the body takes up.
+    pub _share: Share,
     /// Counts it as in flight.
     pub flight: Flight,
 }
@@ -88,44 +89,36 @@
     req: Request<Incoming>,
 ) -> Result<Response<Body>, Refusal> {
     let wishes = Wishes::read(req.headers())?;
-    let body = request::body(req, &core.limits).await?;
-    let call = Call::read(api, &body)?;
+    let held = request::body(core, req).await?;
+    let call = Call::read(api, &held.bytes)?;
     let rule = caller
         .current
         .in_force
         .model(&caller.workspace, &call.model, &wishes.route)
         .ok_or_else(|| refusals::no_model(&call.model, &wishes.route))?;
     let limit = rule.knobs.in_flight.unwrap_or(DEFAULT_IN_FLIGHT);
-    let flight = core.flights.enter(&caller.workspace, limit)?;
+    let class = wishes.class(rule.knobs.class);
+    let flight = core.flights.enter(&caller.workspace, limit, class)?;
     let most = rule.knobs.max_output.unwrap_or(DEFAULT_MAX_OUTPUT);
     let generation = Generation {
         core: Arc::clone(core),
-        class: wishes.class(rule.knobs.class),
+        class,
         deadline: wishes.deadline(caller.arrived, rule.knobs.deadline_ms),
         max_output: call.max_output.map_or(most, |wish| wish.min(most)),
         caller,
         rule,
         call,
+        _share: held.share,
         flight,
     };
-    generation.run().await
+    if generation.call.stream {
+        writer::answer(generation).await
+    } else {
+        whole::answer(generation).await
+    }
 }
 
 impl Generation {
-    async fn run(self) -> Result<Response<Body>, Refusal> {
-        let core = Arc::clone(&self.core);
-        let class = self.class;
-        let result = if self.call.stream {
-            writer::answer(self).await
-        } else {
-            whole::answer(self).await
-        };
-        if let Err(refusal) = &result {
-            core.metrics.ended(class, Outcome::from(refusal.run));
-        }
-        result
-    }
-
     /// What admission needs to know.
     pub fn wanted(&self) -> Wanted {
         Wanted {
@@ -182,6 +175,18 @@
 
     /// Tries until one is good, within what admission allows.
     pub async fn tries<T, F>(
+        &self,
+        attempt: impl FnMut(Box<dyn Admitted>) -> F,
+    ) -> Result<(Box<dyn Admitted>, T), Refusal>
+    where
+        F: Future<Output = (Box<dyn Admitted>, Tried<T>)>,
+    {
+        self.try_on(attempt)
+            .await
+            .inspect_err(|refusal| self.flight.note(refusal.run.into()))
+    }
+
+    async fn try_on<T, F>(
         &self,
         mut attempt: impl FnMut(Box<dyn Admitted>) -> F,
     ) -> Result<(Box<dyn Admitted>, T), Refusal>
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -81,7 +81,9 @@
     let patience = request.core.left(request.wanted.deadline);
     let claimed = claims.claim(&call, patience).await;
     if !matches!(claimed, Ok(Claimed::Mine)) {
-        reply(&tx, settled(claimed)).await;
+        let outcome = settled(claimed);
+        request.note(&outcome);
+        reply(&tx, outcome).await;
         return;
     }
     if tx.is_closed() {
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod handler;
 mod keyed;
 mod linger;
+mod merge;
 pub mod metrics;
 mod pace;
 mod parts;
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -5,7 +5,6 @@
 use futures_lite::future;
 use relay::{Broken, End, Running, Sink};
 use targets::Piece;
-use types::Class;
 
 use crate::{
     admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
@@ -20,8 +19,6 @@
 pub struct Carried {
     /// The gateway.
     pub core: Arc<Core>,
-    /// Its urgency.
-    pub class: Class,
     /// The generation.
     pub running: Running,
     /// The way to the caller.
@@ -31,6 +28,12 @@
 }
 
 impl Carried {
+    fn note(&self, outcome: Outcome) {
+        if let Some(flight) = &self.flight {
+            flight.note(outcome);
+        }
+    }
+
     fn finished(&self) -> Ending {
         Ending::Finished {
             produced: self.running.produced(),
@@ -135,8 +138,7 @@
     // First, as a slow caller may take a while to read the rest.
     carried.writer.end(ending);
     let gone = left || carried.writer.done().await.is_err();
-    let outcome = if gone { Outcome::Left } else { Outcome::Whole };
-    carried.core.metrics.ended(carried.class, outcome);
+    carried.note(if gone { Outcome::Left } else { Outcome::Whole });
 }
 
 async fn broke_off(mut carried: Carried, broken: &Broken) {
@@ -144,25 +146,22 @@
     let refusal = refusals::partial(&format!("{broken}; {produced} tokens were produced"));
     carried.writer.end(Ending::Failed);
     carried.core.metrics.refused(&refusal.code);
+    carried.note(Outcome::Partial);
     // If the caller has gone as well there is nobody left to tell.
     let _ = carried.writer.partial(&refusal).await;
-    let metrics = &carried.core.metrics;
-    metrics.ended(carried.class, Outcome::Partial);
 }
 
 async fn cancelled(carried: Carried) {
     let Carried {
-        core,
-        class,
         running,
         mut writer,
         flight,
+        ..
     } = carried;
     let produced = running.produced();
     // The engine's memory must be free again before the account says so.
     running.cancel().await;
     writer.end(Ending::Cancelled { produced });
-    core.metrics.ended(class, Outcome::Left);
     drop(flight);
 }
 
@@ -171,7 +170,6 @@
 /// request as such is over here, and a shutdown does not wait for it.
 async fn superseded(mut carried: Carried) {
     carried.writer.close();
-    carried.core.metrics.ended(carried.class, Outcome::Left);
     carried.flight = None;
     let ended = read_on(&mut carried).await;
     let produced = carried.running.produced();
--- a/components/gateway/src/parts.rs
+++ b/components/gateway/src/parts.rs
@@ -11,6 +11,7 @@
 use async_trait::async_trait;
 use claims::Claims;
 use config::{Config, Current};
+use net::Budget;
 use relay::Relay;
 use settings::Limits;
 use targets::{Engine, Plain, StreamId};
@@ -22,6 +23,11 @@
     ticket::Tickets,
 };
 
+/// Bytes of request bodies held at once.
+const BODIES: usize = 32 * 1024 * 1024;
+/// Bytes of whole answers gathered at once.
+const ANSWERS: usize = 64 * 1024 * 1024;
+
 /// The parts that a gateway works with.
 pub struct GatewayParts {
     /// Decides who may send where and when.
@@ -74,6 +80,8 @@
     pub metrics: Metrics,
     pub relay: Relay,
     pub flights: Flights,
+    pub bodies: Budget,
+    pub answers: Budget,
     pub streams: Streams,
     pub tickets: Tickets,
     pub takeover: Option<Arc<dyn Takeover>>,
@@ -115,6 +123,20 @@
         self.core.flights.open()
     }
 
+    /// Writes the state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> Vec<String> {
+        let core = &self.core;
+        let mut lines = vec![format!("requests in flight: {}", core.flights.open())];
+        for (workspace, count) in core.flights.by_workspace() {
+            lines.push(format!("workspace {workspace}: {count} in flight"));
+        }
+        for (target, stream) in core.streams.list() {
+            lines.push(format!("stream {stream} at {target}"));
+        }
+        lines
+    }
+
     /// Another instance reads this stream for its caller now: let go of it without cancelling.
     pub fn taken_over(&self, target: &TargetId, stream: &StreamId) {
         self.core.streams.supersede(target, stream);
@@ -126,6 +148,8 @@
         Self {
             relay: Relay::new(parts.engine, parts.timer),
             flights: Flights::new(parts.metrics.clone()),
+            bodies: Budget::new(BODIES),
+            answers: Budget::new(ANSWERS),
             streams: Streams::default(),
             tickets: Tickets::new(&parts.stream_key),
             admission: parts.admission,
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -4,7 +4,7 @@
 
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
-use net::Body;
+use net::{Body, Share};
 use targets::{PlainAnswer, PlainCall, TargetError};
 use types::{Class, Moment, Refusal, Run};
 
@@ -31,8 +31,10 @@
     pub wanted: Wanted,
     /// The call for the service.
     pub call: PlainCall,
-    /// Counts it as in flight for as long as the request is held.
-    pub _flight: Flight,
+    /// Memory that the body takes up.
+    pub _share: Share,
+    /// Counts it as in flight.
+    pub flight: Flight,
 }
 
 /// Answers a plain call.
@@ -50,12 +52,12 @@
         .plain(&caller.workspace, method.as_str(), req.uri().path())
         .ok_or_else(|| refusals::no_route("no route of this workspace leads to this path"))?;
     let limit = rule.knobs.in_flight.unwrap_or(DEFAULT_IN_FLIGHT);
-    let flight = core.flights.enter(&caller.workspace, limit)?;
+    let class = wishes.class(rule.knobs.class);
+    let flight = core.flights.enter(&caller.workspace, limit, class)?;
     let key = request::header(req.headers(), KEY)?.map(str::to_owned);
     let headers = forward::request_headers(req.headers());
-    let body = request::body(req, &core.limits).await?;
+    let held = request::body(core, req).await?;
     let idempotent = rule.knobs.idempotent.unwrap_or_else(|| method.is_safe());
-    let class = wishes.class(rule.knobs.class);
     let deadline = wishes.deadline(caller.arrived, rule.knobs.deadline_ms);
     let request = PlainRequest {
         core: Arc::clone(core),
@@ -64,24 +66,20 @@
             method: method.as_str().into(),
             path,
             headers,
-            body,
+            body: held.bytes,
             request: core.request_name(),
         },
-        _flight: flight,
+        _share: held.share,
+        flight,
     };
-    let result = match key {
+    match key {
         Some(key) if !idempotent => keyed::answer(request, &caller, &key).await,
         // Without a key a caller that goes away drops all of this.
-        _ => request
-            .run(future::pending())
-            .await
-            .map(|answer| forward::response(&answer)),
-    };
-    let outcome = result
-        .as_ref()
-        .map_or_else(|refusal| refusal.run.into(), |_| Outcome::Whole);
-    core.metrics.ended(class, outcome);
-    result
+        _ => {
+            let answer = request.run(future::pending()).await?;
+            Ok(forward::response(&answer))
+        }
+    }
 }
 
 fn wanted(
@@ -110,6 +108,19 @@
     /// Runs the call: an idempotent one again as long as admission allows, any other one once.
     /// Nothing is sent any more once `gone` completes.
     pub async fn run(&self, gone: impl Future<Output = ()>) -> Result<PlainAnswer, Refusal> {
+        let result = self.try_on(gone).await;
+        self.note(&result);
+        result
+    }
+
+    /// Notes how the request ended.
+    pub fn note(&self, result: &Result<PlainAnswer, Refusal>) {
+        let run = result.as_ref().map_err(|refusal| refusal.run);
+        self.flight
+            .note(run.map_or_else(Into::into, |_| Outcome::Whole));
+    }
+
+    async fn try_on(&self, gone: impl Future<Output = ()>) -> Result<PlainAnswer, Refusal> {
         let mut gone = pin!(gone);
         let admit = self.core.admission.admit(self.wanted.clone());
         let mut permit = unless(gone.as_mut(), admit).await?;
--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -57,6 +57,17 @@
     )
 }
 
+/// The bodies of other requests take all the memory that there is for them.
+pub fn crowded() -> Refusal {
+    Refusal::new(
+        503,
+        "crowded",
+        "This instance holds too many bodies",
+        "ask again a little later; nothing was sent",
+    )
+    .with_retry_after(SOON)
+}
+
 /// The connection broke before the end of the body.
 pub fn broken_body() -> Refusal {
     bad_request(
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -5,8 +5,7 @@
 use bytes::Bytes;
 use config::Current;
 use hyper::{HeaderMap, Request, body::Incoming};
-use net::{BodyError, read_limited};
-use settings::Limits;
+use net::{BodyError, Share, SharedError, read_shared};
 use types::{Class, Moment, Refusal, WorkspaceId};
 
 use crate::{auth, parts::Core, refusals};
@@ -108,14 +107,25 @@
     refusals::bad_request("bad-header", &format!("`{name}` must be {right}"))
 }
 
+/// A request's body, and its share of what all bodies may hold.
+pub struct Held {
+    /// The body.
+    pub bytes: Bytes,
+    /// Given back when the request is over.
+    pub share: Share,
+}
+
 /// Reads the body within the limits.
-pub async fn body(req: Request<Incoming>, limits: &Limits) -> Result<Bytes, Refusal> {
-    let patience = Duration::from_secs(limits.sender_seconds);
-    read_limited(req.into_body(), limits.body_bytes, patience)
-        .await
-        .map_err(|e| match e {
-            BodyError::TooLarge => refusals::too_large(limits.body_bytes),
-            BodyError::TooSlow => refusals::too_slow(),
-            BodyError::Broken => refusals::broken_body(),
-        })
+pub async fn body(core: &Core, req: Request<Incoming>) -> Result<Held, Refusal> {
+    let limit = core.limits.body_bytes;
+    let patience = Duration::from_secs(core.limits.sender_seconds);
+    let mut share = core.bodies.share();
+    let read = read_shared(req.into_body(), limit, patience, &mut share).await;
+    let bytes = read.map_err(|e| match e {
+        SharedError::Body(BodyError::TooLarge) => refusals::too_large(limit),
+        SharedError::Body(BodyError::TooSlow) => refusals::too_slow(),
+        SharedError::Crowded => refusals::crowded(),
+        SharedError::Body(BodyError::Broken) => refusals::broken_body(),
+    })?;
+    Ok(Held { bytes, share })
 }
--- a/components/gateway/src/streams.rs
+++ b/components/gateway/src/streams.rs
@@ -18,6 +18,7 @@
 use crate::{
     admission::Wanted,
     generate::DEFAULT_IN_FLIGHT,
+    metrics::Outcome,
     parts::Core,
     refusals,
     request::{self, Caller, Wishes},
@@ -28,7 +29,8 @@
 /// Header in which a caller names the last event that it has.
 const LAST_EVENT_ID: &str = "last-event-id";
 
-type Key = (TargetId, StreamId);
+/// A target and the name of a stream there.
+pub type Key = (TargetId, StreamId);
 
 /// One stream held here.
 struct Entry {
@@ -73,6 +75,13 @@
         }
     }
 
+    /// Streams held here, as target and name.
+    pub fn list(&self) -> Vec<Key> {
+        let mut keys: Vec<_> = self.held.lock().keys().cloned().collect();
+        keys.sort();
+        keys
+    }
+
     /// Tells whoever carries a stream here to let go of it.
     pub fn supersede(&self, target: &TargetId, stream: &StreamId) {
         let key = (TargetId::clone(target), StreamId::clone(stream));
@@ -125,14 +134,14 @@
     let rule = caller.current.in_force.service(&target.service);
     let rule = rule.ok_or_else(refusals::stream_gone)?;
     let limit = rule.knobs.in_flight.unwrap_or(DEFAULT_IN_FLIGHT);
-    let flight = core.flights.enter(&caller.workspace, limit)?;
+    let flight = core.flights.enter(&caller.workspace, limit, ticket.class)?;
 
     let at = offset.saturating_add(1);
     let mut running = core.relay.adopt(&target, &ticket.stream, at);
-    running
-        .connect()
-        .await
-        .map_err(|_| refusals::stream_gone())?;
+    if running.connect().await.is_err() {
+        flight.note(Outcome::Partial);
+        return Err(refusals::stream_gone());
+    }
     let deadline = wishes.deadline(caller.arrived, rule.knobs.deadline_ms);
     let wanted = wanted(&caller, &target, &ticket, deadline);
     let permit = core.admission.adopt(&target, wanted, at);
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use net::{Body, Reply};
+use net::{Body, Reply, Share};
 use parking_lot::Mutex;
 use relay::Running;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Map, Value, json};
 use targets::Piece;
 use types::{Refusal, Tokens};
 
@@ -16,6 +16,7 @@
     admission::{Admitted, Ending},
     call::Api,
     generate::{self, Begun, Generation, Step, Tried},
+    merge::merge,
     metrics::Outcome,
     pace::Pace,
     problem, refusals,
@@ -37,15 +38,10 @@
 #[derive(Deserialize)]
 struct Choice {
     text: Option<String>,
-    delta: Option<Delta>,
+    delta: Option<Map<String, Value>>,
     finish_reason: Option<String>,
 }
 
-#[derive(Deserialize)]
-struct Delta {
-    content: Option<String>,
-}
-
 /// The document that a caller gets.
 #[derive(Serialize)]
 struct Document {
@@ -71,6 +67,8 @@
     created: Option<u64>,
     model: Option<String>,
     text: String,
+    /// Chat only: the message so far.
+    message: Map<String, Value>,
     finish_reason: Option<String>,
 }
 
@@ -78,6 +76,8 @@
 struct Gathered {
     running: Running,
     data: Vec<Bytes>,
+    /// Memory that the data takes up.
+    _share: Share,
 }
 
 /// Answers with one document. Until it is whole the caller has seen nothing, so the generation
@@ -97,18 +97,19 @@
             (permit, tried)
         })
         .await;
-    let (permit, Gathered { running, data }) = match tried {
+    let (permit, gathered) = match tried {
         Ok(good) => good,
         Err(refusal) => return incomplete(&generation, refusal, &cut.into_inner()),
     };
+    let Gathered { running, data, .. } = &gathered;
     core.metrics.resumed(running.resumes());
     permit.end(Ending::Finished {
         produced: running.produced(),
         first: running.first().unwrap_or_default(),
         took: running.took(),
     });
-    let sum = Sum::of(&data)?;
-    core.metrics.ended(generation.class, Outcome::Whole);
+    let sum = Sum::of(data).inspect_err(|e| generation.flight.note(e.run.into()))?;
+    generation.flight.note(Outcome::Whole);
     let document = sum.document(&generation, running.produced());
     Ok(Reply::json(200, &document).done())
 }
@@ -125,10 +126,9 @@
     }
     let mut partial = refusals::partial(&format!("no further try was possible: {refusal}"));
     partial.retry_after = refusal.retry_after;
-    let metrics = &generation.core.metrics;
-    metrics.refused(&partial.code);
-    metrics.ended(generation.class, Outcome::Partial);
-    let text = Sum::of(cut).map(|sum| sum.text).unwrap_or_default();
+    generation.core.metrics.refused(&partial.code);
+    generation.flight.note(Outcome::Partial);
+    let text = Sum::of(cut).map(Sum::into_text).unwrap_or_default();
     Ok(problem::response_with_text(&partial, &text))
 }
 
@@ -148,17 +148,24 @@
         mut piece,
     } = begun;
     let mut data = Vec::new();
-    let mut size = 0;
+    let mut share = core.answers.share();
     let mut pace = Pace::new(0, core.timer.now());
+    let mut size = 0;
     loop {
-        match piece {
-            Piece::End => return Tried::Good(Gathered { running, data }),
-            Piece::Tokens { data: more, .. } => {
-                size += more.iter().map(Bytes::len).sum::<usize>();
-                data.extend(more);
+        let more = match piece {
+            Piece::End => {
+                return Tried::Good(Gathered {
+                    running,
+                    data,
+                    _share: share,
+                });
             }
-        }
-        if size > GATHER_LIMIT {
+            Piece::Tokens { data, .. } => data,
+        };
+        let bytes = more.iter().map(Bytes::len).sum();
+        data.extend(more);
+        size += bytes;
+        if size > GATHER_LIMIT || !share.grow(bytes) {
             let produced = running.produced();
             running.cancel().await;
             return Tried::Over {
@@ -199,16 +206,24 @@
         let Some(choice) = chunk.choices.into_iter().next() else {
             return;
         };
-        let text = choice.text.or(choice.delta.and_then(|delta| delta.content));
-        self.text.push_str(&text.unwrap_or_default());
+        self.text.push_str(&choice.text.unwrap_or_default());
+        merge(&mut self.message, choice.delta.unwrap_or_default());
         self.finish_reason = choice.finish_reason.or(self.finish_reason.take());
     }
 
+    /// The text alone, of either API.
+    fn into_text(mut self) -> String {
+        if let Some(Value::String(content)) = self.message.get("content") {
+            self.text.push_str(content);
+        }
+        self.text
+    }
+
     fn document(self, generation: &Generation, produced: Tokens) -> Document {
         let call = &generation.call;
         let reason = self.finish_reason.unwrap_or_else(|| "stop".into());
         let (object, choice) = match call.api {
-            Api::Chat => ("chat.completion", chat_choice(self.text, reason)),
+            Api::Chat => ("chat.completion", chat_choice(self.message, reason)),
             Api::Text => ("text_completion", text_choice(self.text, reason)),
         };
         Document {
@@ -226,14 +241,12 @@
     }
 }
 
-fn chat_choice(text: String, reason: String) -> Value {
-    serde_json::json!({
-        "index": 0,
-        "message": { "role": "assistant", "content": text },
-        "finish_reason": reason,
-    })
+fn chat_choice(mut message: Map<String, Value>, reason: String) -> Value {
+    message.entry("role").or_insert_with(|| "assistant".into());
+    message.entry("content").or_insert(Value::Null);
+    json!({ "index": 0, "message": message, "finish_reason": reason })
 }
 
 fn text_choice(text: String, reason: String) -> Value {
-    serde_json::json!({ "index": 0, "text": text, "finish_reason": reason })
+    json!({ "index": 0, "text": text, "finish_reason": reason })
 }
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -120,7 +120,6 @@
     let writer = Writer::new(core, tx, &ticket, permit);
     let carried = Carried {
         core: Arc::clone(core),
-        class: account.class,
         running,
         writer,
         flight: Some(flight),
--- a/components/gateway/tests/fakes/engine.rs
+++ b/components/gateway/tests/fakes/engine.rs
@@ -13,6 +13,8 @@
 pub enum Step {
     /// Sends this many tokens from an offset on.
     Tokens(Tokens, Tokens),
+    /// Sends one event, of an offset, with this data.
+    Data(Tokens, &'static str),
     /// Waits.
     Pause(Duration),
     /// Breaks off; the engine knows nothing of it afterwards.
@@ -90,6 +92,13 @@
                         data: (first..first + count).map(token).collect(),
                     });
                 }
+                Some(Step::Data(first, data)) => {
+                    return Ok(Piece::Tokens {
+                        first,
+                        count: 1,
+                        data: vec![Bytes::from_static(data.as_bytes())],
+                    });
+                }
                 Some(Step::Pause(time)) => {
                     smol::Timer::after(time).await;
                 }
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -93,6 +93,34 @@
     });
 }
 
+#[test]
+fn a_whole_chat_answer_joins_text_and_tool_calls() {
+    smol::block_on(async {
+        let bed = Bed::new().await;
+        let events = [
+            r#"{"choices":[{"delta":{"role":"assistant","content":"He"}}]}"#,
+            r#"{"choices":[{"delta":{"role":"assistant","content":"llo"}}]}"#,
+            r#"{"choices":[{"delta":{"tool_calls":[{"index":0,"id":"c1","function":{"name":"f","arguments":"{\"a"}}]}}]}"#,
+            r#"{"choices":[{"delta":{"tool_calls":[{"index":0,"function":{"arguments":"\":1}"}},{"index":1,"id":"c2"}]},"finish_reason":"tool_calls"}]}"#,
+        ];
+        let data = |(at, data): (usize, &&'static str)| Step::Data(at as Tokens, data);
+        let mut steps: Vec<_> = events.iter().enumerate().map(data).collect();
+        steps.push(Step::End);
+        bed.engine.starts([Ok(steps)]);
+        let body = r#"{"model":"m","messages":[{"role":"user","content":"hello"}]}"#;
+        let answer = bed.send("POST", "/v1/chat/completions", &[], body).await;
+        let choice = answer.json()["choices"][0].clone();
+        let calls = &choice["message"]["tool_calls"];
+        assert_eq!(choice["message"]["content"], "Hello");
+        assert_eq!(choice["finish_reason"], "tool_calls");
+        assert_eq!(calls[0]["function"]["arguments"], r#"{"a":1}"#);
+        assert_eq!(
+            (&calls[0]["id"], &calls[1]["id"]),
+            (&"c1".into(), &"c2".into())
+        );
+    });
+}
+
 #[test]
 fn the_engine_gets_the_terms_in_force_and_admission_the_wishes() {
     smol::block_on(async {
--- a/components/net/src/body.rs
+++ b/components/net/src/body.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use derive_more::{Display, Error};
+use derive_more::{Display, Error, From};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use timer::Timer;
+use timer::{Alarm, Timer};
+
+use crate::budget::{Budget, Share};
 
 /// Why a body could not be read.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -22,6 +24,17 @@
     Broken,
 }
 
+/// Why a body could not be read within what many bodies may hold together.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, From, PartialEq)]
+pub enum SharedError {
+    /// It is wrong in itself.
+    Body(BodyError),
+    /// All bodies together take as much memory as they may.
+    #[display("too many bytes are held by other bodies")]
+    #[from(ignore)]
+    Crowded,
+}
+
 /// A body may take this many times the patience for one part. Without it a sender of one byte
 /// at a time, each just in time, would hold a connection and its buffers for days.
 const PARTS_PATIENCE: u32 = 6;
@@ -36,27 +49,47 @@
     limit: usize,
     patience: Duration,
 ) -> Result<Bytes, BodyError> {
+    let mut share = Budget::new(limit).share();
+    let read = read_shared(body, limit, patience, &mut share).await;
+    read.map_err(|e| match e {
+        SharedError::Body(e) => e,
+        // A budget of its own can't be used up by others.
+        SharedError::Crowded => BodyError::TooLarge,
+    })
+}
+
+/// The same, with the bytes taken from a share of what many bodies may hold together. The share
+/// must live as long as the bytes.
+///
+/// # Errors
+/// Tells what was wrong with the body.
+pub async fn read_shared(
+    body: Incoming,
+    limit: usize,
+    patience: Duration,
+    share: &mut Share,
+) -> Result<Bytes, SharedError> {
     // A body that says it is too long is not read at all.
     if body.size_hint().lower() > limit as u64 {
-        return Err(BodyError::TooLarge);
+        return Err(BodyError::TooLarge.into());
     }
-    let timer = Timer::new();
-    let parts = read_parts(body, limit, patience);
-    timer
+    let parts = read_parts(body, limit, patience, share);
+    Timer::new()
         .within(patience.saturating_mul(PARTS_PATIENCE), parts)
         .await
-        .unwrap_or(Err(BodyError::TooSlow))
+        .unwrap_or(Err(BodyError::TooSlow.into()))
 }
 
 async fn read_parts(
     mut body: Incoming,
     limit: usize,
     patience: Duration,
-) -> Result<Bytes, BodyError> {
-    let timer = Timer::new();
+    share: &mut Share,
+) -> Result<Bytes, SharedError> {
+    let mut alarm = Alarm::new();
     let mut buf = BytesMut::new();
     loop {
-        let frame = timer
+        let frame = alarm
             .within(patience, body.frame())
             .await
             .ok_or(BodyError::TooSlow)?;
@@ -68,7 +101,10 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            return Err(BodyError::TooLarge);
+            return Err(BodyError::TooLarge.into());
+        }
+        if !share.grow(data.len()) {
+            return Err(SharedError::Crowded);
         }
         buf.extend_from_slice(&data);
     }
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -1,11 +1,6 @@
 //! Calls over pooled connections.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -21,11 +16,8 @@
 use smol_hyper::rt::FuturesIo;
 use timer::Timer;
 
-/// An idle connection older than this is not used again: something on the way may have lost
-/// track of it.
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// Idle connections kept to one address.
-const IDLE_PER_ADDR: usize = 64;
+use crate::pool::Pool;
+
 /// Bytes of a connection's buffers, and so of one part of a body and of an answer's head.
 const BUFFER: usize = 64 * 1024;
 /// Time to connect.
@@ -50,17 +42,13 @@
     },
 }
 
-type Sender = SendRequest<Full<Bytes>>;
-
-struct Idle {
-    sender: Sender,
-    since: Instant,
-}
+/// A connection to send on.
+pub type Sender = SendRequest<Full<Bytes>>;
 
 /// An HTTP client that keeps idle connections. Clones share them.
 #[derive(Clone, Default)]
 pub struct Client {
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Idle>>>>,
+    pool: Arc<Mutex<Pool>>,
 }
 
 impl Client {
@@ -82,7 +70,8 @@
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         let req = with_host(req, addr);
-        let Some(sender) = self.take_idle(addr) else {
+        let idle = self.pool.lock().take(addr);
+        let Some(sender) = idle else {
             return self.send_new(addr, req).await;
         };
         match self.send_on(addr, sender, req).await {
@@ -108,13 +97,13 @@
 
     /// Closes all idle connections to an address.
     pub fn forget(&self, addr: SocketAddr) {
-        self.idle.lock().remove(&addr);
+        self.pool.lock().forget(addr);
     }
 
     /// Idle connections kept to an address.
     #[must_use]
     pub fn idle(&self, addr: SocketAddr) -> usize {
-        self.idle.lock().get(&addr).map_or(0, Vec::len)
+        self.pool.lock().count(addr)
     }
 
     async fn send_new(
@@ -150,30 +139,11 @@
         }
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Sender> {
-        let mut idle = self.idle.lock();
-        let list = idle.get_mut(&addr)?;
-        while let Some(last) = list.pop() {
-            if last.since.elapsed() < IDLE_LIMIT && last.sender.is_ready() {
-                return Some(last.sender);
-            }
-        }
-        None
-    }
-
     fn keep_when_ready(&self, addr: SocketAddr, mut sender: Sender) {
-        let pool = Arc::clone(&self.idle);
+        let pool = Arc::clone(&self.pool);
         let keep = async move {
-            if sender.ready().await.is_err() {
-                return;
-            }
-            let mut idle = pool.lock();
-            let list = idle.entry(addr).or_default();
-            if list.len() < IDLE_PER_ADDR {
-                list.push(Idle {
-                    sender,
-                    since: Instant::now(),
-                });
+            if sender.ready().await.is_ok() {
+                pool.lock().keep(addr, sender);
             }
         };
         workers::spawn(keep).detach();
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -1,12 +1,15 @@
 //! HTTP over `hyper` and `smol`: serving with limits, calling with pooled connections.
 
 pub mod body;
+pub mod budget;
 pub mod client;
+mod pool;
 pub mod reply;
 pub mod serve;
 mod stall;
 
-pub use body::{BodyError, read_all, read_limited};
+pub use body::{BodyError, SharedError, read_all, read_limited, read_shared};
+pub use budget::{Budget, Share};
 pub use client::{Client, SendError};
 pub use reply::{Body, Reply, channel, empty, full};
 pub use serve::{Guard, Handler, ServeLimits, Server};
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming};
-use net::{Client, read_limited};
+use net::{Budget, Client, Share, read_shared};
 use timer::Timer;
 use types::Target;
 
@@ -19,19 +19,27 @@
 
 /// Bytes of a plain service's answer at most.
 const BODY_LIMIT: usize = 16 * 1024 * 1024;
+/// Bytes of all answers that are being read: a service gone wild must not take the memory of
+/// everybody else's calls.
+const ANSWERS: usize = 64 * 1024 * 1024;
 
 /// The client of plain services.
 #[derive(Clone)]
 pub struct HttpPlain {
     client: Client,
     timer: Timer,
+    answers: Budget,
 }
 
 impl HttpPlain {
     /// Makes a client that calls over `client`.
     #[must_use]
-    pub const fn new(client: Client, timer: Timer) -> Self {
-        Self { client, timer }
+    pub fn new(client: Client, timer: Timer) -> Self {
+        Self {
+            client,
+            timer,
+            answers: Budget::new(ANSWERS),
+        }
     }
 
     async fn exchange(
@@ -46,7 +54,7 @@
         } else {
             self.client.send_fresh(target.addr, req).await?
         };
-        read(resp, patience).await
+        read(resp, patience, self.answers.share()).await
     }
 }
 
@@ -101,7 +109,11 @@
         .map_err(|e| answer::unsent(e.to_string()))
 }
 
-async fn read(resp: Response<Incoming>, patience: Duration) -> Result<PlainAnswer, TargetError> {
+async fn read(
+    resp: Response<Incoming>,
+    patience: Duration,
+    mut share: Share,
+) -> Result<PlainAnswer, TargetError> {
     let status = resp.status();
     let retry_after = answer::retry_after(resp.headers());
     let headers = resp
@@ -109,7 +121,7 @@
         .iter()
         .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect::<Vec<(Arc<str>, Arc<str>)>>();
-    let body = read_limited(resp.into_body(), BODY_LIMIT, patience)
+    let body = read_shared(resp.into_body(), BODY_LIMIT, patience, &mut share)
         .await
         .map_err(|e| answer::lost(e.to_string()))?;
     if answer::turned(status, &body, retry_after) {
