Count work whose link was lost; repeat a query that was lost

An entry that lost its link gave the permit back as failed and the owner took the work off its account, but engines go on generating for callers that may come back. Change: such permits count as orphans until the target's report, less what surely runs for others, shows that they ended; a cancellation that the engine did not confirm counts as lost too. Before, orphans of a busy target went only when it was nearly idle. Cause 2, from tests/path.rs (hung 30 s, one run in ten, then each): a new owner's Query was dropped because the link to the peer started later; the owner waited for the answer for good and gave its cold targets nothing. Change: asked again every 200 ms. Ruled out: ending the wait by time alone, an entry may hold work longer.

--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -242,18 +242,14 @@
 
 /// What a step other than a piece means while the caller has seen nothing. Cancels what runs.
 pub async fn give_up<T>(step: Step, running: Option<Running>) -> Tried<T> {
-    let produced = running.as_ref().map_or(0, Running::produced);
-    if let Some(running) = running {
-        // The engine's memory must be free again before the account says so.
-        running.cancel().await;
-    }
+    let ending = match running {
+        Some(running) => cancelled(running).await,
+        None => Ending::Cancelled { produced: 0 },
+    };
     match step {
-        Step::Piece(_) | Step::PulledBack => Tried::Again {
-            ending: Ending::Cancelled { produced },
-            ran: true,
-        },
+        Step::Piece(_) | Step::PulledBack => Tried::Again { ending, ran: true },
         Step::Late => Tried::Over {
-            ending: Ending::Cancelled { produced },
+            ending,
             refusal: refusals::deadline(Run::Unknown),
         },
         Step::Broken => Tried::Again {
@@ -264,6 +260,17 @@
     }
 }
 
+/// Cancels a generation. The engine's memory must be free again before the account says so; if
+/// the engine could not be told, the work may run on, and the account has to go on counting it.
+pub async fn cancelled(running: Running) -> Ending {
+    let produced = running.produced();
+    if running.cancel().await {
+        Ending::Cancelled { produced }
+    } else {
+        Ending::Failed
+    }
+}
+
 fn not_started<T>(error: TargetError) -> Tried<T> {
     match error {
         TargetError::Unsent { .. } => Tried::Again {
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -7,7 +7,7 @@
 use targets::Piece;
 
 use crate::{
-    admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
+    admission::Ending, flight::Flight, generate, metrics::Outcome, parts::Core, refusals,
     streams::Superseded, writer::Writer,
 };
 
@@ -158,10 +158,8 @@
         flight,
         ..
     } = carried;
-    let produced = running.produced();
-    // The engine's memory must be free again before the account says so.
-    running.cancel().await;
-    writer.end(Ending::Cancelled { produced });
+    let ending = generate::cancelled(running).await;
+    writer.end(ending);
     drop(flight);
 }
 
@@ -172,10 +170,9 @@
     carried.writer.close();
     carried.flight = None;
     let ended = read_on(&mut carried).await;
-    let produced = carried.running.produced();
     let ending = match ended {
         Ok(()) => carried.finished(),
-        Err(_) => Ending::Cancelled { produced },
+        Err(_) => Ending::Failed,
     };
     carried.writer.end(ending);
     carried.running.release();
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -166,10 +166,8 @@
         data.extend(more);
         size += bytes;
         if size > GATHER_LIMIT || !share.grow(bytes) {
-            let produced = running.produced();
-            running.cancel().await;
             return Tried::Over {
-                ending: Ending::Cancelled { produced },
+                ending: generate::cancelled(running).await,
                 refusal: refusals::answer_too_large(),
             };
         }
--- a/components/node/src/admitted.rs
+++ b/components/node/src/admitted.rs
@@ -99,7 +99,8 @@
 impl Drop for Placed {
     fn drop(&mut self) {
         if !self.ended {
-            self.finish(Outcome::Cancelled { produced: 0 });
+            // Nobody knows how far it came, so it may still run.
+            self.finish(Outcome::Failed);
         }
     }
 }
--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -60,6 +60,8 @@
     pub produced: Tokens,
     /// When that was heard.
     pub heard: Moment,
+    /// When it was first heard that the target produces.
+    pub started: Option<Moment>,
     /// Concurrent calls it covers.
     pub slots: u32,
     /// Whether the caller has seen any of the answer.
@@ -98,6 +100,7 @@
             max_output: held.max_output,
             produced: held.produced,
             heard: now,
+            started: (held.produced > 0).then_some(now),
             slots: held.slots,
             seen: held.seen,
             since: now,
@@ -324,6 +327,18 @@
         Some(permit)
     }
 
+    /// Keeps a permit whose entry has lost the link to the target: the work may still run there,
+    /// and a cold target that gets more in its place falls over. The target's reports tell when
+    /// it has ended. Tells what the permit was, unless it was lost before.
+    pub fn lose(&mut self, now: Moment, key: &PermitKey) -> Option<Permit> {
+        let permit = self.permits.get_mut(key)?;
+        if permit.orphaned.is_some() {
+            return None;
+        }
+        permit.orphaned = Some(now);
+        Some(permit.clone())
+    }
+
     /// Takes news of a permit's progress.
     pub fn progressed(&mut self, now: Moment, key: &PermitKey, held: &HeldPermit) {
         let Some(permit) = self.permits.get_mut(key) else {
@@ -337,6 +352,9 @@
         }
         permit.produced = permit.produced.max(held.produced);
         permit.heard = now;
+        if permit.produced > 0 {
+            permit.started.get_or_insert(now);
+        }
         permit.seen |= held.seen;
         permit.orphaned = None;
     }
@@ -377,16 +395,20 @@
         &self.projection
     }
 
-    /// Drops work of lost entries that has surely ended: of all that the target reports, at most
-    /// `bears` can be theirs. Without reports a generous bound ends it.
+    /// Drops lost work that has surely ended: of all that the target reports, what surely runs
+    /// for somebody else can't be lost work. Without reports a generous bound ends it.
     fn drop_orphans(&mut self, now: Moment, bears: u32) {
         let taken = self.report.map_or(Moment::ZERO, |report| report.taken);
-        let lost: Vec<PermitKey> = self
-            .permits
-            .iter()
-            .filter(|(_, permit)| permit.orphaned.is_some_and(|since| since < taken))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let mut lost: Vec<PermitKey> = Vec::new();
+        let mut running = 0;
+        for (key, permit) in &self.permits {
+            match permit.orphaned {
+                Some(since) if since < taken => lost.push(key.clone()),
+                None if permit.started.is_some_and(|at| at <= taken) => running += permit.slots,
+                _ => {}
+            }
+        }
+        let bears = bears.saturating_sub(running);
         let ended = lost.len().saturating_sub(bears as usize);
         for key in lost.iter().take(ended) {
             self.remove(key);
--- a/components/policy/src/serve.rs
+++ b/components/policy/src/serve.rs
@@ -348,6 +348,7 @@
         seen: false,
         since: now,
         lapses: grant.stamp + grant.life,
+        started: None,
         orphaned: None,
         recalled: false,
         late: false,
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -22,6 +22,8 @@
 /// Added to a permit's life where an owner waits for permits to lapse, for clocks that run at
 /// slightly different rates.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// Time between two questions to an entry that has not told what it holds.
+const QUERY_PERIOD: Duration = Duration::from_millis(200);
 /// How long cold targets wait for their first report when an entry has told nothing.
 const REPORT_WAIT: Duration = Duration::from_secs(3);
 /// How long urgent work is expected to go on after it was last asked for.
@@ -43,6 +45,7 @@
     /// How fast each class is served.
     pub pace: Pace,
     awaiting: BTreeSet<InstanceId>,
+    queried: Moment,
     missing: bool,
     began: Moment,
     urgent: Option<Moment>,
@@ -66,18 +69,26 @@
             accounts: BTreeMap::new(),
             pace: Pace::new(),
             awaiting: ask.iter().cloned().collect(),
+            queried: now,
             missing: false,
             began: now,
             urgent: None,
         };
-        for entry in ask {
-            let shard = shard.clone();
-            send(entry, Query { shard, epoch }.into(), out);
-        }
+        state.query(now, out);
         state.refresh(now, shared);
         state
     }
 
+    /// Asks those that have not told yet. A question may get lost, and without its answer cold
+    /// targets would never get work from this owner.
+    fn query(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.queried = now;
+        for entry in &self.awaiting {
+            let (shard, epoch) = (self.shard.clone(), self.epoch);
+            send(entry, Query { shard, epoch }.into(), out);
+        }
+    }
+
     /// Entries that have not yet told what they hold.
     #[must_use]
     pub const fn awaiting(&self) -> &BTreeSet<InstanceId> {
@@ -226,7 +237,12 @@
             permit: done.permit,
         };
         let occupied = account.occupied();
-        let Some(permit) = account.remove(&key) else {
+        let given_back = if done.outcome == Outcome::Failed {
+            account.lose(now, &key)
+        } else {
+            account.remove(&key)
+        };
+        let Some(permit) = given_back else {
             return;
         };
         judge(now, account, occupied, &done.outcome, limits);
@@ -292,6 +308,7 @@
                     key.entry == *from
                         && permit.entry_incarnation == incarnation
                         && held.stamp > permit.lapses
+                        && permit.orphaned.is_none()
                         && !listed.contains(&key.permit)
                 })
                 .map(|(key, _)| key.clone())
@@ -426,6 +443,9 @@
             self.refuse(now, &late, shared, out);
         }
         self.line.age(now);
+        if !self.awaiting.is_empty() && now >= self.queried + QUERY_PERIOD {
+            self.query(now, out);
+        }
         for account in self.accounts.values_mut() {
             account.drop_old_orphans(now);
         }
--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -256,14 +256,14 @@
         self.open = false;
     }
 
-    /// Cancels it at the engine and waits until the engine knows.
-    pub async fn cancel(mut self) {
+    /// Cancels it at the engine; tells whether the engine knows. If not, it may run on.
+    pub async fn cancel(mut self) -> bool {
         if !self.open {
-            return;
+            return true;
         }
         self.open = false;
         self.link = None;
-        cancel(&self.relay, &self.target, &self.id).await;
+        cancel(&self.relay, &self.target, &self.id).await
     }
 
     /// How long the present silence may last.
@@ -396,17 +396,21 @@
         let relay = self.relay.clone();
         let target = self.target.clone();
         let id = StreamId::clone(&self.id);
-        workers::spawn(async move { cancel(&relay, &target, &id).await }).detach();
+        workers::spawn(async move {
+            cancel(&relay, &target, &id).await;
+        })
+        .detach();
     }
 }
 
-async fn cancel(relay: &Relay, target: &Target, id: &StreamId) {
+async fn cancel(relay: &Relay, target: &Target, id: &StreamId) -> bool {
     let mut delay = BACKOFF;
     for _ in 0..CANCEL_TRIES {
         match relay.engine.cancel(target, id).await {
-            Ok(()) | Err(TargetError::Gone | TargetError::Wrong { .. }) => return,
+            Ok(()) | Err(TargetError::Gone | TargetError::Wrong { .. }) => return true,
             Err(_) => relay.timer.sleep(delay).await,
         }
         delay *= 2;
     }
+    false
 }
