--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -6,6 +6,7 @@
 };
 
 use types::{Class, Epoch, InstanceId, Moment, PermitId, Shard, TargetId};
+pub use wire::PERMIT_LIFE;
 use wire::{Ask, Done, Held, HeldPermit, Outcome, Query, ShardSummary, Withdraw};
 
 use crate::{
@@ -18,8 +19,6 @@
     shared::Shared,
 };
 
-/// How long after the stamp it names a permit may be used.
-pub const PERMIT_LIFE: Duration = Duration::from_secs(1);
 /// Added to a permit's life where an owner waits for permits to lapse, for clocks that run at
 /// slightly different rates.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
