--- a/components/policy/src/limit.rs
+++ b/components/policy/src/limit.rs
@@ -23,6 +23,12 @@
 /// Weight of a new window in the usual first-token time.
 const USUAL_WEIGHT: f64 = 0.1;
 
+/// The part of a limit that only urgent work may take while urgent work is expected.
+#[must_use]
+pub fn urgent_part(slots: u32) -> u32 {
+    if slots >= 4 { (slots / 10).max(1) } else { 0 }
+}
+
 /// One target's limit of concurrent requests.
 ///
 /// In cold start it is the small fixed bound, until enough requests finished and the target
@@ -98,6 +104,13 @@
         (self.limit as u32).clamp(cold_limit.max(1).min(limits.warm_limit), limits.warm_limit)
     }
 
+    /// Tells whether `occupied` requests use the limit up, but for the part of urgent work.
+    #[must_use]
+    pub fn is_busy(&self, limits: &TargetLimits, occupied: u32) -> bool {
+        let slots = self.slots(limits);
+        occupied + urgent_part(slots) >= slots
+    }
+
     /// Takes note that a request got its first token; `busy` tells whether the limit was used up.
     pub fn started(&mut self, limits: &TargetLimits, busy: bool) {
         if !self.cold && self.probing && busy {
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -13,6 +13,7 @@
     account::{Account, Permit, PermitKey, Report},
     api::{Action, TargetLimits},
     length::Source,
+    limit::urgent_part,
     line::{Line, Waiting},
     outbox::{deny, send},
     pace::Pace,
@@ -109,11 +110,7 @@
         let expected = self
             .urgent
             .is_some_and(|last| now.saturating_sub(last) < URGENT_MEMORY);
-        if expected && slots >= 4 {
-            (slots / 10).max(1)
-        } else {
-            0
-        }
+        if expected { urgent_part(slots) } else { 0 }
     }
 
     /// Takes an ask: it waits its turn or is refused at once.
@@ -332,7 +329,7 @@
         };
         let (before, since, late) = (known.produced, known.since, known.late);
         if before == 0 && held.produced > 0 {
-            let busy = account.occupied() >= account.limiter.slots(limits);
+            let busy = account.limiter.is_busy(limits, account.occupied());
             account.limiter.started(limits, busy);
         }
         account.progressed(now, &key, held);
@@ -478,7 +475,7 @@
     outcome: &Outcome,
     limits: &TargetLimits,
 ) {
-    let busy = occupied >= account.limiter.slots(limits);
+    let busy = account.limiter.is_busy(limits, occupied);
     let may_warm = account.may_warm();
     match outcome {
         Outcome::Finished { first, .. } => {
