Count what a cold target may have beyond its report

A random run found a cold target with three requests where it bears two: an entry and the owner had died, the new owner knew of the dead entry's work only from the target's report, and took a permit that was granted but not yet used for the one that the report counted. Until a permit is known to run, or could no longer be used at the time of the report, it now counts on top of it.

The random runs drive two owners, three entries and two targets through loss, delay, pauses, takeovers, deaths and restarts.

--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -14,6 +14,7 @@
     limit::Limiter,
     memory::{Projection, Running},
     prefixes::Prefixes,
+    shard::{LAPSE_MARGIN, PERMIT_LIFE},
     tuning::Tuning,
 };
 
@@ -66,6 +67,8 @@
     pub seen: bool,
     /// When it was granted or first heard of.
     pub since: Moment,
+    /// When it was first heard that it has produced something.
+    pub started: Option<Moment>,
     /// The entry's clock beyond which it can't be used for new work any more.
     pub lapses: Moment,
     /// When the entry was lost, if it was.
@@ -101,6 +104,7 @@
             slots: held.slots,
             seen: held.seen,
             since: now,
+            started: None,
             lapses: stamp,
             orphaned: None,
             recalled: false,
@@ -109,6 +113,14 @@
         }
     }
 
+    /// Tells whether its work surely ran at a moment, so that a report of then counts it: it was
+    /// heard to have produced something, or it could no longer be used for new work.
+    #[must_use]
+    pub fn ran_by(&self, at: Moment) -> bool {
+        self.started.is_some_and(|started| started <= at)
+            || self.since + PERMIT_LIFE + LAPSE_MARGIN <= at
+    }
+
     /// Tokens produced by now, going by the target's pace since the last news.
     #[must_use]
     pub fn produced_by(&self, now: Moment, rate: f64) -> Tokens {
@@ -197,13 +209,13 @@
         let Some(report) = self.report.filter(|_| self.strange) else {
             return occupied;
         };
-        let after: u32 = self
+        let not_in_it: u32 = self
             .permits
             .values()
-            .filter(|permit| permit.since > report.taken)
+            .filter(|permit| !permit.ran_by(report.taken))
             .map(|permit| permit.slots)
             .sum();
-        occupied.max(report.report.running + report.report.waiting + after)
+        occupied.max(report.report.running + report.report.waiting + not_in_it)
     }
 
     /// Tells whether it may get new work at all: listed as staying, in a data centre that is
@@ -338,6 +350,9 @@
         permit.produced = permit.produced.max(held.produced);
         permit.heard = now;
         permit.seen |= held.seen;
+        if held.produced > 0 {
+            permit.started.get_or_insert(now);
+        }
         permit.orphaned = None;
     }
 
--- a/components/policy/src/serve.rs
+++ b/components/policy/src/serve.rs
@@ -347,6 +347,7 @@
         slots: grant.slots,
         seen: false,
         since: now,
+        started: None,
         lapses: grant.stamp + grant.life,
         orphaned: None,
         recalled: false,
--- a/components/policy/tests/faults.rs
+++ b/components/policy/tests/faults.rs
@@ -9,10 +9,7 @@
 };
 
 use policy::{Action, EngineReport, Event, Owner, ShardRole, View};
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use proptest::{prelude::*, test_runner::Config};
 use support::{ask, limits, shard, target, view};
 use types::{Epoch, Incarnation, InstanceId, Moment, PermitId};
 use wire::{Done, Grant, Held, HeldPermit, Message, Outcome};
@@ -21,7 +18,7 @@
 const ENTRIES: usize = 3;
 const TARGETS: usize = 2;
 const COLD_LIMIT: u32 = 2;
-const WARM_AFTER: u32 = 6;
+const WARM_AFTER: u32 = 25;
 const TURN: Duration = Duration::from_millis(10);
 const HELD_EVERY: u64 = 20;
 const REPORT_EVERY: u64 = 20;
@@ -31,7 +28,7 @@
 /// What goes wrong, or goes on, next.
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    Ask { entry: usize },
+    Ask { entry: usize, count: u8 },
     Run { turns: u64 },
     Pause { owner: usize, turns: u64 },
     Replace,
@@ -42,11 +39,11 @@
 
 fn step() -> impl Strategy<Value = Step> {
     prop_oneof![
-        12 => (0..ENTRIES).prop_map(|entry| Step::Ask { entry }),
-        8 => (1..40_u64).prop_map(|turns| Step::Run { turns }),
+        16 => (0..ENTRIES, 1..5_u8).prop_map(|(entry, count)| Step::Ask { entry, count }),
+        12 => (1..80_u64).prop_map(|turns| Step::Run { turns }),
         1 => (0..OWNERS, 20..400_u64).prop_map(|(owner, turns)| Step::Pause { owner, turns }),
         1 => Just(Step::Replace),
-        1 => (0..ENTRIES).prop_map(|entry| Step::Kill { entry }),
+        2 => (0..ENTRIES).prop_map(|entry| Step::Kill { entry }),
         1 => (0..TARGETS).prop_map(|target| Step::Restart { target }),
         1 => (0..40_u8).prop_map(|percent| Step::Lossy { percent }),
     ]
@@ -235,7 +232,7 @@
         link.push_back(Mail { due, to, event });
     }
 
-    fn from_entry(&mut self, entry: usize, to: usize, message: impl Into<Message>) {
+    fn post_as(&mut self, entry: usize, to: usize, message: impl Into<Message>) {
         let event = Event::Received {
             from: entry_name(entry),
             incarnation: self.entries[entry].incarnation,
@@ -283,7 +280,7 @@
 
     fn act(&mut self, step: Step) {
         match step {
-            Step::Ask { entry } => self.ask(entry),
+            Step::Ask { entry, count } => (0..count).for_each(|_| self.ask(entry)),
             Step::Run { turns } => (0..turns).for_each(|_| self.run()),
             Step::Pause { owner, turns } => self.pause(owner, turns),
             Step::Replace => self.replace(),
@@ -301,7 +298,7 @@
         self.entries[entry].next_ask += 1;
         let mut ask = ask(self.entries[entry].next_ask, self.clock(entry));
         ask.within = Duration::from_secs(5);
-        self.from_entry(entry, self.leader, ask);
+        self.post_as(entry, self.leader, ask);
     }
 
     fn pause(&mut self, owner: usize, turns: u64) {
@@ -358,10 +355,10 @@
             );
         }
         self.tell_all(&Event::Tick);
-        if self.turn % HELD_EVERY == 0 {
+        if self.turn.is_multiple_of(HELD_EVERY) {
             (0..ENTRIES).for_each(|entry| self.tell_held(entry, self.leader));
         }
-        if self.turn % REPORT_EVERY == 0 {
+        if self.turn.is_multiple_of(REPORT_EVERY) {
             (0..TARGETS).for_each(|target| self.report(target));
         }
     }
@@ -450,7 +447,7 @@
             self.give_back(entry, owner, permit, Outcome::Unsent);
             return;
         }
-        let left = self.rng.u64(5..150);
+        let left = self.rng.u64(10..300);
         let incarnation = self.entries[entry].incarnation;
         self.engines[engine].jobs.push(Job {
             entry,
@@ -461,11 +458,17 @@
         let engine = &self.engines[engine];
         assert!(
             engine.finished >= WARM_AFTER || engine.jobs.len() <= COLD_LIMIT as usize,
-            "a cold target got {} requests",
-            engine.jobs.len()
+            "a cold target got {:?}; the owners say {:#?}",
+            engine.jobs,
+            self.dumps()
         );
     }
 
+    fn dumps(&self) -> Vec<Vec<String>> {
+        let owners = self.processes.iter();
+        owners.map(|p| p.owner.dump(self.now)).collect()
+    }
+
     fn give_back(&mut self, entry: usize, owner: usize, permit: PermitId, outcome: Outcome) {
         let Some(in_hand) = self.entries[entry].in_hand.remove(&permit) else {
             return;
@@ -476,7 +479,7 @@
             target: in_hand.grant.target,
             outcome,
         };
-        self.from_entry(entry, owner, done);
+        self.post_as(entry, owner, done);
     }
 
     /// Everything at the targets goes on, work of dead entries too, and held permits get used.
@@ -570,7 +573,7 @@
             stamp,
             permits: permits.collect(),
         };
-        self.from_entry(entry, to, held);
+        self.post_as(entry, to, held);
     }
 
     fn report(&mut self, target: usize) {
@@ -619,12 +622,10 @@
 #[test]
 fn no_fault_overfills_a_cold_target_or_leaks_a_permit() {
     let config = Config {
-        cases: 96,
         failure_persistence: None,
-        rng_seed: RngSeed::Fixed(20),
         ..Config::default()
     };
-    proptest!(config, |(seed in any::<u64>(), steps in prop::collection::vec(step(), 20..150))| {
+    proptest!(config, |(seed in any::<u64>(), steps in prop::collection::vec(step(), 50..400))| {
         let mut world = World::new(seed);
         for step in steps {
             world.act(step);
--- a/components/policy/tests/owner.rs
+++ b/components/policy/tests/owner.rs
@@ -132,6 +132,33 @@
     assert_eq!(bed.grants().len(), 1);
 }
 
+// A dead entry's work of before the term is known only from the target's own count, and a permit
+// that was just granted may not be in that count yet. An owner that takes the one for the other
+// gives a cold engine one request too many.
+#[test]
+fn a_report_that_may_lack_the_newest_permits_leaves_no_room_for_strange_work() {
+    let mut bed = Bed::new(view(vec![target("a", 1)], limits()));
+    bed.own(2, &["dead"]);
+    bed.exclusive(true);
+    bed.ask("entry", 1);
+    bed.advance(1600);
+    let cold = |running| policy::EngineReport {
+        warm: false,
+        running,
+        ..warm()
+    };
+    bed.report("a", cold(1));
+    bed.ask("entry", 2);
+    bed.event(Event::PeerGone {
+        peer: "dead".into(),
+    });
+    assert_eq!(bed.grants().len(), 1);
+    bed.advance(400);
+    bed.report("a", cold(1));
+    bed.ask("entry", 3);
+    assert!(bed.grants().is_empty());
+}
+
 // Operators see a target that still gets work after it was told to leave: its callers are cut
 // when it goes.
 #[test]
