Take only newer work as evidence that a cold target bears more

A target that turned cold under load left cold start again as soon as the work of before had finished, because every finished request counted as evidence. Found by the test of the jump in first-token time; only work granted since the target turned cold counts now. Tests of order, fairness, starvation, affinity, recall, blocks, cold start and ramps.

Ran: cargo test -p policy, all pass.

--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -226,7 +226,7 @@
         let Some(permit) = account.remove(&key) else {
             return;
         };
-        judge(now, account, occupied, &done.outcome, limits);
+        judge(now, account, &permit, occupied, &done.outcome, limits);
         let length = match done.outcome {
             Outcome::Finished { produced, .. } | Outcome::Cancelled { produced } => produced,
             _ => permit.produced,
@@ -472,12 +472,17 @@
 fn judge(
     now: Moment,
     account: &mut Account,
+    permit: &Permit,
     occupied: u32,
     outcome: &Outcome,
     limits: &TargetLimits,
 ) {
     let busy = account.limiter.is_busy(limits, occupied);
     let may_warm = account.may_warm();
+    if account.limiter.is_cold() && permit.since < account.limiter.since() {
+        // It ran before the target turned cold, and so says nothing about what it bears now.
+        return;
+    }
     match outcome {
         Outcome::Finished { first, .. } => {
             let turned = account
