--- a/components/bench/src/sweep/mod.rs
+++ b/components/bench/src/sweep/mod.rs
@@ -10,6 +10,8 @@
 mod requests;
 mod world;
 
+use std::time::Duration;
+
 use clap::{Arg, ArgMatches, Command, value_parser};
 use policy::{Admission, Tuning};
 
@@ -46,6 +48,14 @@
                 .default_value("300")
                 .help("Virtual time"),
         )
+        .arg(
+            Arg::new("warm-up")
+                .long("warm-up")
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u64))
+                .default_value("30")
+                .help("Virtual time before anything is counted; lengths are learned in it"),
+        )
         .arg(
             Arg::new("load")
                 .long("load")
@@ -86,12 +96,14 @@
 pub fn run(matches: &ArgMatches) {
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
     let seconds = matches.get_one::<u64>("seconds").copied().unwrap_or(300);
+    let warm_up = matches.get_one::<u64>("warm-up").copied().unwrap_or(30);
     println!("{}", Figures::header());
     for &load in matches.get_many::<u32>("load").into_iter().flatten() {
         for variant in variants(matches) {
             let setup = Setup {
                 seed,
                 seconds,
+                warm_up: Duration::from_secs(warm_up),
                 load: f64::from(load) / 100.0,
                 tuning: variant.tuning,
             };
@@ -103,35 +115,46 @@
 fn variants(matches: &ArgMatches) -> Vec<Variant> {
     let mut variants = Vec::new();
     for name in matches.get_many::<String>("variants").into_iter().flatten() {
-        for &share in matches.get_many::<f64>("share").into_iter().flatten() {
-            let base = Tuning {
-                share,
-                ..Tuning::default()
-            };
-            match name.as_str() {
-                "finals" => variants.push(Variant {
-                    name: format!("sum of finals, share {share}"),
-                    tuning: Tuning {
-                        admission: Admission::ExpectedFinals,
-                        ..base
-                    },
-                }),
-                "told" => variants.push(Variant {
-                    name: format!("told lengths, share {share}"),
-                    tuning: Tuning {
-                        admission: Admission::Told,
-                        ..base
-                    },
-                }),
-                _ => {
-                    for &spread in matches.get_many::<f64>("spread").into_iter().flatten() {
-                        variants.push(Variant {
-                            name: format!("peak, share {share}, spread {spread}"),
-                            tuning: Tuning { spread, ..base },
-                        });
-                    }
-                }
-            }
+        match name.as_str() {
+            "finals" => variants.push(finals()),
+            "told" => variants.push(told()),
+            _ => variants.extend(peaks(matches)),
+        }
+    }
+    variants
+}
+
+fn finals() -> Variant {
+    Variant {
+        name: "sum of finals".to_owned(),
+        tuning: Tuning {
+            admission: Admission::ExpectedFinals,
+            share: 1.0,
+            ..Tuning::default()
+        },
+    }
+}
+
+fn told() -> Variant {
+    Variant {
+        name: "told lengths".to_owned(),
+        tuning: Tuning::told(),
+    }
+}
+
+/// The projected peak with each share and spread that was asked for.
+fn peaks(matches: &ArgMatches) -> Vec<Variant> {
+    let mut variants = Vec::new();
+    for &share in matches.get_many::<f64>("share").into_iter().flatten() {
+        for &spread in matches.get_many::<f64>("spread").into_iter().flatten() {
+            variants.push(Variant {
+                name: format!("peak, share {share}, spread {spread}"),
+                tuning: Tuning {
+                    share,
+                    spread,
+                    ..Tuning::default()
+                },
+            });
         }
     }
     variants
--- a/components/bench/src/sweep/world.rs
+++ b/components/bench/src/sweep/world.rs
@@ -32,8 +32,6 @@
 const REPORT_EVERY: Duration = Duration::from_millis(250);
 /// Time between two ticks of the owner.
 const TICK_EVERY: Duration = Duration::from_millis(50);
-/// Nothing is counted before this, so that lengths are learned.
-const WARM_UP: Duration = Duration::from_secs(30);
 
 /// What to run.
 #[derive(Clone, Copy, Debug)]
@@ -42,6 +40,8 @@
     pub seed: u64,
     /// Virtual time.
     pub seconds: u64,
+    /// Nothing is counted before this, so that lengths are learned.
+    pub warm_up: Duration,
     /// Share of what the engines' memory can bear over time.
     pub load: f64,
     /// What the owner is tuned by.
@@ -73,6 +73,7 @@
     steps: Vec<Step>,
     requests: Vec<Drawn>,
     told: bool,
+    warm_up: Duration,
     figures: Figures,
     used_sum: f64,
     used_count: u64,
@@ -90,7 +91,7 @@
         world.now = at;
         world.happen(next);
     }
-    world.figures.seconds = (end - WARM_UP).as_secs_f64();
+    world.figures.seconds = end.saturating_sub(setup.warm_up).as_secs_f64();
     world.figures.used = world.used_sum / world.used_count.max(1) as f64;
     world.figures
 }
@@ -114,6 +115,7 @@
             steps: (0..ENGINES).map(|_| Step::default()).collect(),
             requests,
             told: setup.tuning.admission == Admission::Told,
+            warm_up: setup.warm_up,
             figures: Figures::new(),
             used_sum: 0.0,
             used_count: 0,
@@ -183,7 +185,7 @@
     }
 
     fn counts(&self) -> bool {
-        self.now >= WARM_UP
+        self.now >= self.warm_up
     }
 
     fn happen(&mut self, next: Next) {
