--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -13,6 +13,7 @@
     account::{Account, Permit, PermitKey, Report},
     api::{Action, TargetLimits},
     length::Source,
+    limit::urgent_part,
     line::{Line, Waiting},
     outbox::{deny, send},
     pace::Pace,
@@ -120,11 +121,7 @@
         let expected = self
             .urgent
             .is_some_and(|last| now.saturating_sub(last) < URGENT_MEMORY);
-        if expected && slots >= 4 {
-            (slots / 10).max(1)
-        } else {
-            0
-        }
+        if expected { urgent_part(slots) } else { 0 }
     }
 
     /// Takes an ask: it waits its turn or is refused at once.
@@ -245,7 +242,7 @@
         let Some(permit) = given_back else {
             return;
         };
-        judge(now, account, occupied, &done.outcome, limits);
+        judge(now, account, &permit, occupied, &done.outcome, limits);
         let length = match done.outcome {
             Outcome::Finished { produced, .. } | Outcome::Cancelled { produced } => produced,
             _ => permit.produced,
@@ -255,7 +252,8 @@
         }
         let spent = match done.outcome {
             Outcome::Unsent | Outcome::Overloaded => 0.0,
-            _ => (permit.prompt + length) as f64,
+            _ if Account::is_model(limits) => (permit.prompt + length) as f64,
+            _ => permit.charged,
         };
         self.line.settle(&permit.workspace, spent - permit.charged);
     }
@@ -349,10 +347,10 @@
         };
         let (before, since, late) = (known.produced, known.since, known.late);
         if before == 0 && held.produced > 0 {
-            let busy = account.occupied() >= account.limiter.slots(limits);
+            let busy = account.limiter.is_busy(limits, account.occupied());
             account.limiter.started(limits, busy);
         }
-        account.progressed(now, &key, held);
+        account.progressed(now, stamp, &key, held);
         if !Account::is_model(limits) {
             return;
         }
@@ -494,12 +492,17 @@
 fn judge(
     now: Moment,
     account: &mut Account,
+    permit: &Permit,
     occupied: u32,
     outcome: &Outcome,
     limits: &TargetLimits,
 ) {
-    let busy = occupied >= account.limiter.slots(limits);
+    let busy = account.limiter.is_busy(limits, occupied);
     let may_warm = account.may_warm();
+    if account.limiter.is_cold() && permit.since < account.limiter.since() {
+        // It ran before the target turned cold, and so says nothing about what it bears now.
+        return;
+    }
     match outcome {
         Outcome::Finished { first, .. } => {
             let turned = account
