Split the large files of the stand-ins and the bench

Wire forms, faults, settings and the feeding of streams, requests and records, and plans each stand in a module of their own; public paths stay through re-exports.

--- a/components/bench/src/caller.rs
+++ b/components/bench/src/caller.rs
@@ -1,21 +1,25 @@
 //! A caller: sends requests, checks what comes back, and keeps a record of each.
 
-use std::{
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Request, Response, body::Incoming};
+use http_body_util::BodyExt;
+use hyper::{Response, body::Incoming};
 use net::{Client, SendError};
-use serde::{Deserialize, Serialize};
-use standins::service::Answer;
+use serde::Deserialize;
 use timer::Timer;
-use types::{Class, Run};
-use xxhash_rust::xxh3::xxh3_64;
+use types::Run;
 
-use crate::sse::{Event, Events};
+use crate::{
+    record::{Reading, wrong},
+    request::{Built, ask, check, resume},
+    sse::Events,
+};
+
+pub use crate::{
+    record::{Outcome, Record},
+    request::{Wanted, What},
+};
 
 /// A connection on which nothing arrives for so long is given up.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -26,107 +30,6 @@
 const PLAIN_TRIES: u32 = 3;
 /// Time between two of these.
 const PLAIN_PAUSE: Duration = Duration::from_millis(200);
-/// Where streams are resumed.
-const STREAMS: &str = "/v1/streams";
-
-/// What a caller wants.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Wanted {
-    /// The caller's own name for it, unique in a run.
-    pub name: String,
-    /// Which kind of request of the mix it is.
-    pub kind: String,
-    /// Its urgency by the mix.
-    pub class: Class,
-    /// Bearer key.
-    pub key: String,
-    /// What to send.
-    pub what: What,
-}
-
-/// What to send.
-#[derive(Clone, Debug, PartialEq)]
-pub enum What {
-    /// A streamed chat completion.
-    Generate {
-        /// The model.
-        model: String,
-        /// The route, if not the default.
-        route: Option<String>,
-        /// The prompt.
-        prompt: String,
-        /// How long the answer will be; engines know, instances don't.
-        output: u64,
-        /// The most tokens asked for.
-        most: u64,
-    },
-    /// A plain call.
-    Plain {
-        /// HTTP method.
-        method: String,
-        /// Path and query.
-        path: String,
-        /// Idempotency key.
-        idempotency_key: Option<String>,
-    },
-}
-
-/// How a request ended, as its caller sees it.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case", tag = "outcome")]
-pub enum Outcome {
-    /// The whole answer.
-    Whole,
-    /// A part, and an explicit end of it.
-    Partial,
-    /// A refusal.
-    Refused {
-        /// HTTP status.
-        status: u16,
-        /// What is known about the execution; `None` if the refusal does not say.
-        run: Option<Run>,
-        /// Its code.
-        code: String,
-        /// Whether it says when to come back.
-        retry_after: bool,
-    },
-    /// The connection to the instance broke, could not be made or fell silent.
-    Broken,
-    /// The answer is wrong.
-    Wrong {
-        /// What is wrong with it.
-        fault: String,
-    },
-}
-
-/// What became of one request.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Record {
-    /// The caller's own name for it.
-    pub name: String,
-    /// Which kind of request of the mix it is.
-    pub kind: String,
-    /// Its urgency by the mix.
-    pub class: Class,
-    /// When it was sent, in milliseconds since the run began.
-    pub sent_ms: u64,
-    /// Time to the first token or the whole plain answer, in microseconds.
-    pub first_us: Option<u64>,
-    /// Time to the end, in microseconds.
-    pub took_us: u64,
-    /// Time between any two tokens, in microseconds.
-    #[serde(skip)]
-    pub gaps_us: Vec<u32>,
-    /// The engine's stream, empty for plain calls.
-    pub stream: String,
-    /// Tokens received.
-    pub tokens: u64,
-    /// How often the caller asked again or went on at another instance.
-    pub resumed: u32,
-    /// How it ended.
-    #[serde(flatten)]
-    pub outcome: Outcome,
-}
 
 /// Sends requests to instances.
 #[derive(Clone)]
@@ -135,23 +38,6 @@
     timer: Timer,
 }
 
-#[derive(Deserialize)]
-struct Chunk {
-    id: String,
-    choices: Vec<Choice>,
-}
-
-#[derive(Deserialize)]
-struct Choice {
-    delta: Delta,
-}
-
-#[derive(Deserialize)]
-struct Delta {
-    #[serde(default)]
-    content: String,
-}
-
 #[derive(Deserialize)]
 struct Problem {
     run: Option<Run>,
@@ -303,193 +189,8 @@
     }
 }
 
-/// What has been read of one answer.
-struct Reading {
-    start: Instant,
-    last: Instant,
-    last_id: Option<String>,
-    record: Record,
-}
-
-impl Reading {
-    fn new(timer: Timer, wanted: &Wanted) -> Self {
-        let now = Instant::now();
-        Self {
-            start: now,
-            last: now,
-            last_id: None,
-            record: Record {
-                name: wanted.name.clone(),
-                kind: wanted.kind.clone(),
-                class: wanted.class,
-                sent_ms: timer.now().as_millis() as u64,
-                first_us: None,
-                took_us: 0,
-                gaps_us: Vec::new(),
-                stream: String::new(),
-                tokens: 0,
-                resumed: 0,
-                outcome: Outcome::Broken,
-            },
-        }
-    }
-
-    fn token(&mut self) {
-        let now = Instant::now();
-        if self.record.first_us.is_none() {
-            self.record.first_us = Some(self.start.elapsed().as_micros() as u64);
-        } else {
-            let gap = now.duration_since(self.last).as_micros();
-            self.record
-                .gaps_us
-                .push(u32::try_from(gap).unwrap_or(u32::MAX));
-        }
-        self.last = now;
-    }
-
-    /// Takes one event; tells the outcome once there is one.
-    fn event(&mut self, event: &Event) -> Option<Outcome> {
-        if event.kind == "partial" {
-            return Some(Outcome::Partial);
-        }
-        if event.data == "[DONE]" {
-            return Some(Outcome::Whole);
-        }
-        let Ok(chunk) = serde_json::from_str::<Chunk>(&event.data) else {
-            return Some(wrong(format!("not a chunk: {event:?}")));
-        };
-        if self.record.stream.is_empty() {
-            self.record.stream = chunk.id;
-        }
-        let text = chunk.choices.first().map(|c| c.delta.content.as_str());
-        let right = standins::engine::text::token(&self.record.stream, self.record.tokens);
-        if text != Some(&right) {
-            return Some(wrong(format!("{text:?} in place of {right:?}")));
-        }
-        self.last_id.clone_from(&event.id);
-        self.record.tokens += 1;
-        self.token();
-        None
-    }
-
-    fn done(mut self, outcome: Outcome) -> Record {
-        self.record.outcome = outcome;
-        self.record.took_us = self.start.elapsed().as_micros() as u64;
-        self.record
-    }
-}
-
-type Built = Result<Request<Full<Bytes>>, hyper::http::Error>;
-
-#[derive(Serialize)]
-struct Chat<'a> {
-    model: &'a str,
-    messages: [Message<'a>; 1],
-    stream: bool,
-    max_tokens: u64,
-    metadata: Metadata<'a>,
-}
-
-#[derive(Serialize)]
-struct Message<'a> {
-    role: &'static str,
-    content: &'a str,
-}
-
-#[derive(Serialize)]
-struct Metadata<'a> {
-    output_tokens: String,
-    caller: &'a str,
-}
-
-fn resume(wanted: &Wanted, last: &str) -> Built {
-    Request::get(STREAMS)
-        .header("authorization", format!("Bearer {}", wanted.key))
-        .header("last-event-id", last)
-        .body(Full::default())
-}
-
-fn ask(wanted: &Wanted) -> Built {
-    let authorization = format!("Bearer {}", wanted.key);
-    match &wanted.what {
-        What::Generate {
-            model,
-            route,
-            prompt,
-            output,
-            most,
-        } => {
-            let chat = Chat {
-                model,
-                messages: [Message {
-                    role: "user",
-                    content: prompt,
-                }],
-                stream: true,
-                max_tokens: *most,
-                metadata: Metadata {
-                    output_tokens: output.to_string(),
-                    caller: &wanted.name,
-                },
-            };
-            // A struct of text and numbers always becomes JSON.
-            let body = serde_json::to_vec(&chat).unwrap_or_default();
-            let mut req = Request::post("/v1/chat/completions")
-                .header("authorization", authorization)
-                .header("content-type", "application/json");
-            if let Some(route) = route {
-                req = req.header("x-route", route);
-            }
-            req.body(Full::new(body.into()))
-        }
-        What::Plain {
-            method,
-            path,
-            idempotency_key,
-        } => {
-            let mut req = Request::builder()
-                .method(method.as_str())
-                .uri(path)
-                .header("authorization", authorization)
-                .header("x-echo", &wanted.name)
-                .header("x-effect", &wanted.name);
-            if let Some(key) = idempotency_key {
-                req = req.header("idempotency-key", key);
-            }
-            req.body(Full::new(body_of(wanted, method)))
-        }
-    }
-}
-
-fn body_of(wanted: &Wanted, method: &str) -> Bytes {
-    if method == "GET" {
-        Bytes::new()
-    } else {
-        format!(r#"{{"name":"{}"}}"#, wanted.name).into()
-    }
-}
-
-/// Whether a plain answer belongs to its own request.
-fn check(wanted: &Wanted, body: &[u8]) -> Outcome {
-    let What::Plain { method, path, .. } = &wanted.what else {
-        return wrong("a plain answer to a generation".to_owned());
-    };
-    let Ok(answer) = serde_json::from_slice::<Answer>(body) else {
-        return wrong(format!("not an answer: {}", String::from_utf8_lossy(body)));
-    };
-    let sent = format!("{:016x}", xxh3_64(&body_of(wanted, method)));
-    if answer.path != *path || answer.seen != wanted.name || answer.body != sent {
-        return wrong(format!("{answer:?} to {}", wanted.name));
-    }
-    Outcome::Whole
-}
-
 fn is_unsure(outcome: &Outcome) -> bool {
     let unknown = Some(Run::Unknown);
     matches!(outcome, Outcome::Refused { run, .. } if *run == unknown)
         || *outcome == Outcome::Broken
 }
-
-const fn wrong(fault: String) -> Outcome {
-    Outcome::Wrong { fault }
-}
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -5,7 +5,6 @@
     fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
-    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -14,19 +13,18 @@
 use hyper::Request;
 use net::Client;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use settings::{Admin, Instance as Place, Limits, Log, Peers, Platform, Settings, Strategy};
-use sha2::{Digest, Sha256};
+use settings::Strategy;
 use smol::Timer;
 use standins::{
     control::{self, Listed},
-    engine::EngineSettings,
     life::{Faults, LifeSettings},
     platform,
-    service::ServiceSettings,
 };
 use tree::{Node, NodePath};
 
-use crate::process::{Process, Programs, Signal, free_addr};
+use crate::process::{Process, Programs, Signal};
+
+pub use crate::plan::{OPERATOR_KEY, Plan, key_of};
 
 /// Time for instances to become ready, and for a configuration to be accepted.
 const START_PATIENCE: Duration = Duration::from_secs(60);
@@ -34,47 +32,9 @@
 const ANSWER_LIMIT: usize = 16 * 1024 * 1024;
 /// Time between two looks.
 const POLL: Duration = Duration::from_millis(50);
-/// Key of the operator.
-pub const OPERATOR_KEY: &str = "operator-key-of-the-bench";
-/// Key between instances.
-const PEER_KEY: &str = "peer-key-of-the-bench";
 /// Name under which instances are listed.
 const MEMBERS: &str = "celerystand";
 
-/// What a deployment is made of.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct Plan {
-    /// The data centres; everything is spread over them in turn.
-    pub data_centres: Vec<String>,
-    /// Number of instances.
-    pub instances: usize,
-    /// Worker threads of each instance.
-    pub workers: usize,
-    /// Name of the model's service.
-    pub model: String,
-    /// Number of engines.
-    pub engines: usize,
-    /// Their settings.
-    #[serde(default)]
-    pub engine: EngineSettings,
-    /// Name of the plain service.
-    pub service: String,
-    /// Number of its targets.
-    pub replicas: usize,
-    /// Their settings.
-    #[serde(default)]
-    pub replica: ServiceSettings,
-    /// Faults and rates of the platform.
-    #[serde(default)]
-    pub platform: platform::Faults,
-    /// The configuration tree; `/data-centres/...` and `/workspaces/W` keys are added.
-    #[serde(default)]
-    pub tree: BTreeMap<NodePath, Node>,
-    /// Workspaces; the bearer key of workspace `w` is `key-w`.
-    pub workspaces: Vec<String>,
-}
-
 /// One instance.
 pub struct Instance {
     /// Its name.
@@ -121,12 +81,6 @@
     keep: bool,
 }
 
-/// The bearer key of a workspace.
-#[must_use]
-pub fn key_of(workspace: &str) -> String {
-    format!("key-{workspace}")
-}
-
 impl Deployment {
     /// Starts everything and waits until all instances take work. Logs and settings lie in `dir`
     /// afterwards, or in a directory that goes with the deployment.
@@ -330,7 +284,7 @@
         let life = |base: &LifeSettings, service: &str, name: String, number: usize| LifeSettings {
             name,
             service: service.to_owned(),
-            zone: zone(plan, number),
+            zone: plan.zone(number),
             platform: Some(platform),
             ..base.clone()
         };
@@ -357,43 +311,13 @@
         strategy: Strategy,
         number: usize,
     ) -> io::Result<Instance> {
-        let name = format!("i{number}");
-        let platform: Arc<str> = format!("http://{}", self.platform.addr).into();
-        let settings = Settings {
-            instance: Place {
-                id: name.as_str().into(),
-                data_centre: zone(plan, number).into(),
-                listen: free_addr()?,
-                admin: free_addr()?,
-                peer: free_addr()?,
-                workers: Some(plan.workers),
-                strategy,
-            },
-            platform: Platform {
-                table: Arc::clone(&platform),
-                objects: Arc::clone(&platform),
-                directory: platform,
-                // The platform tells instances apart by it, so that it can cut off one of them.
-                token: Some(name.as_str().into()),
-            },
-            peers: Peers {
-                key: PEER_KEY.into(),
-                heartbeat_ms: 200,
-            },
-            admin: Admin {
-                key_hashes: vec![sha256(OPERATOR_KEY)],
-            },
-            limits: Limits {
-                drain_grace_seconds: 1,
-                ..Limits::default()
-            },
-            log: Log::default(),
-        };
+        let settings = plan.settings(strategy, number, self.platform.addr)?;
+        let name = settings.instance.id.to_string();
         let path = self.dir.join(format!("{name}.yml"));
         let text = serde_saphyr::to_string(&settings).map_err(io::Error::other)?;
         fs::write(&path, text)?;
         Ok(Instance {
-            zone: zone(plan, number),
+            zone: plan.zone(number),
             listen: settings.instance.listen,
             admin: settings.instance.admin,
             peer: settings.instance.peer,
@@ -406,7 +330,7 @@
 
     async fn write_tree(&self, plan: &Plan) -> io::Result<()> {
         let document = Document {
-            nodes: whole_tree(plan),
+            nodes: plan.nodes(),
         };
         let body = Bytes::from(serde_json::to_vec(&document).map_err(io::Error::other)?);
         let until = Instant::now() + START_PATIENCE;
@@ -468,31 +392,6 @@
     nodes: BTreeMap<NodePath, Node>,
 }
 
-fn whole_tree(plan: &Plan) -> BTreeMap<NodePath, Node> {
-    let mut nodes = plan.tree.clone();
-    nodes.entry("/".into()).or_default();
-    for zone in &plan.data_centres {
-        let path = format!("/data-centres/{zone}");
-        nodes.entry(path.into()).or_default();
-    }
-    for workspace in &plan.workspaces {
-        let path = format!("/workspaces/{workspace}");
-        let node = nodes.entry(path.into()).or_default();
-        node.key_hashes.push(sha256(&key_of(workspace)));
-    }
-    nodes
-}
-
-fn zone(plan: &Plan, number: usize) -> String {
-    plan.data_centres[number % plan.data_centres.len()].clone()
-}
-
-fn sha256(text: &str) -> Arc<str> {
-    let digest = Sha256::digest(text.as_bytes());
-    let hex: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
-    hex.into()
-}
-
 fn start_platform(programs: &Programs, plan: &Plan) -> io::Result<Standin> {
     let life = LifeSettings {
         name: "platform".to_owned(),
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -1,16 +1,17 @@
 //! A model engine with the OpenAI API.
 
 pub mod batch;
+mod feed;
 pub mod prefix;
+pub mod settings;
 pub mod text;
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender, bounded};
 use async_trait::async_trait;
-use bytes::{Bytes, BytesMut};
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Handler, Reply, full};
+use net::{Body, Handler, Reply};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -20,79 +21,17 @@
         batch::{Batch, End, Generation, Totals, Work},
         text::{Api, Ask},
     },
-    life::{Entry, Faults, Life, LifeLog, LifeSettings, Load},
+    life::{Entry, Faults, Life, LifeLog, Load},
     link::{self, Running},
 };
 
+pub use settings::EngineSettings;
+
 /// Code of the refusal of an order that a newer one has overtaken.
 const OLD_FENCE: &str = "old-fence";
 /// Where streams are resumed and cancelled.
 const STREAMS: &str = "/v1/streams/";
 
-/// Settings of an engine.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct EngineSettings {
-    /// Its life.
-    pub life: LifeSettings,
-    /// Seed of the lengths that callers don't set.
-    pub seed: u64,
-    /// Memory in tokens.
-    pub capacity: u64,
-    /// Most generations in one step.
-    pub most_running: usize,
-    /// Most generations waiting for room.
-    pub most_waiting: u32,
-    /// Milliseconds of a step.
-    pub step_ms: f64,
-    /// Milliseconds more for each generation in it.
-    pub step_ms_per_stream: f64,
-    /// Milliseconds more for each thousand tokens in memory.
-    pub step_ms_per_ktoken: f64,
-    /// Milliseconds more for each token of a prompt.
-    pub prefill_ms_per_token: f64,
-    /// Tokens of prompts in one step at most.
-    pub prefill_chunk: u64,
-    /// Factor on a step while cold.
-    pub cold_factor: f64,
-    /// Blocks in the prefix cache.
-    pub prefix_blocks: usize,
-    /// Milliseconds by which cache events lag.
-    pub cache_lag_ms: u64,
-    /// Milliseconds after which a generation that nobody reads is dropped.
-    pub unobserved_ms: u64,
-    /// Whether orders with an old fencing number are refused.
-    pub checks_fences: bool,
-    /// Median of the lengths that callers don't set, in tokens.
-    pub median_output: f64,
-    /// Spread of the logarithm of these lengths.
-    pub spread_output: f64,
-}
-
-impl Default for EngineSettings {
-    fn default() -> Self {
-        Self {
-            life: LifeSettings::default(),
-            seed: 1,
-            capacity: 16_384,
-            most_running: 64,
-            most_waiting: 64,
-            step_ms: 20.0,
-            step_ms_per_stream: 0.25,
-            step_ms_per_ktoken: 0.1,
-            prefill_ms_per_token: 0.01,
-            prefill_chunk: 2048,
-            cold_factor: 2.0,
-            prefix_blocks: 1024,
-            cache_lag_ms: 1000,
-            unobserved_ms: 10_000,
-            checks_fences: true,
-            median_output: 60.0,
-            spread_output: 1.0,
-        }
-    }
-}
-
 /// An order.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Order {
@@ -266,76 +205,6 @@
         (known.stream == stream && here && readable).then_some(number)
     }
 
-    /// Streams a generation from an offset to one caller.
-    fn stream(self: &Arc<Self>, number: usize, from: u64, woken: Receiver<()>) -> Body {
-        let (tx, body) = net::channel();
-        let feed = Arc::clone(self).feed(number, from, woken, tx);
-        workers::spawn(feed).detach();
-        body
-    }
-
-    async fn feed(
-        self: Arc<Self>,
-        number: usize,
-        mut at: u64,
-        woken: Receiver<()>,
-        tx: Sender<Bytes>,
-    ) {
-        loop {
-            let (api, stream, produced, wanted, end) = {
-                let state = self.state.lock();
-                let known = &state.batch.all[number];
-                (
-                    known.api,
-                    known.stream.clone(),
-                    known.produced,
-                    known.wanted,
-                    known.end,
-                )
-            };
-            let mut buf = BytesMut::new();
-            while at < produced {
-                text::event(&mut buf, api, &stream, at, at + 1 == wanted);
-                at += 1;
-            }
-            if end == Some(End::Finished) {
-                buf.extend_from_slice(b"data: [DONE]\n\n");
-            }
-            if !buf.is_empty() && tx.send(buf.freeze()).await.is_err() {
-                return;
-            }
-            if end.is_some() || !next(&woken, &tx).await {
-                return;
-            }
-        }
-    }
-
-    async fn whole(&self, number: usize, woken: Receiver<()>, call: &Call) -> Reply {
-        loop {
-            {
-                let state = self.state.lock();
-                let known = &state.batch.all[number];
-                match known.end {
-                    Some(End::Finished) => {
-                        let (prompt, produced) = (known.prompt, known.produced);
-                        let body = text::whole(known.api, &known.stream, prompt, produced);
-                        return Reply::new(200)
-                            .with_header("content-type", "application/json")
-                            .with_body(full(body));
-                    }
-                    Some(_) => {
-                        call.link.cut();
-                        return Reply::new(500);
-                    }
-                    None => {}
-                }
-            }
-            if woken.recv().await.is_err() {
-                return Reply::new(500);
-            }
-        }
-    }
-
     async fn generate(self: &Arc<Self>, call: &Call, api: Api) -> Response<Body> {
         let ask: Ask = match call.json() {
             Ok(ask) => ask,
@@ -469,19 +338,6 @@
     }
 }
 
-/// Waits until there may be more; false once the caller has gone.
-async fn next(woken: &Receiver<()>, tx: &Sender<Bytes>) -> bool {
-    // A caller that went away is only noticed by writing; looking now and then is enough here.
-    let look = Duration::from_millis(500);
-    while !tx.is_closed() {
-        match timer::Timer::new().within(look, woken.recv()).await {
-            Some(woken) => return woken.is_ok(),
-            None => continue,
-        }
-    }
-    false
-}
-
 fn sse(body: Body) -> Reply {
     Reply::new(200)
         .with_header("content-type", "text/event-stream")
--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod control;
 pub mod engine;
+pub mod fault;
 pub mod life;
 pub mod link;
 pub mod platform;
--- a/components/standins/src/life.rs
+++ b/components/standins/src/life.rs
@@ -13,6 +13,8 @@
     link::{Link, Links},
 };
 
+pub use crate::fault::{Act, Cut, Faults};
+
 /// Time between two looks at restarts, reports and the listing.
 const TICK: Duration = Duration::from_millis(20);
 /// Reports kept.
@@ -86,64 +88,6 @@
     pub warm: bool,
 }
 
-/// What a target is told to do on the spot.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Act {
-    /// Turn cold without a word.
-    Cold,
-    /// Turn warm.
-    Warm,
-    /// Drop everything and come back cold with the next incarnation.
-    Crash,
-    /// Start to leave: finish what runs, take nothing new.
-    Leave,
-    /// Take work again.
-    Stay,
-    /// Make every open connection silent for good.
-    Silence,
-    /// Cut every open connection.
-    Cut,
-}
-
-/// A cut of the next connections.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
-pub struct Cut {
-    /// After how many more bytes.
-    pub bytes: u64,
-    /// For how many requests.
-    pub times: u32,
-}
-
-impl Cut {
-    fn take(&mut self) -> Option<u64> {
-        self.times = self.times.checked_sub(1)?;
-        Some(self.bytes)
-    }
-}
-
-/// Faults of a target; a message sets those that it names.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Faults {
-    /// Done at once.
-    pub act: Option<Act>,
-    /// Factor on all times.
-    pub slow: Option<f64>,
-    /// Milliseconds during which nothing moves, from now on.
-    pub stall_ms: Option<u64>,
-    /// So many requests are answered 503 `not-run`.
-    pub not_run: Option<u32>,
-    /// Connections are cut while a request is read.
-    pub cut_reading: Option<Cut>,
-    /// Connections are cut while an answer is written.
-    pub cut_answer: Option<Cut>,
-    /// So many requests of a plain service take effect and are never answered.
-    pub never_answer: Option<u32>,
-    /// Milliseconds by which the load report lags.
-    pub load_lag_ms: Option<u64>,
-}
-
 /// What the log tells of a target's life.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
 pub struct LifeLog {
@@ -308,12 +252,7 @@
     /// Sets faults; tells whether all work was dropped.
     pub fn set(&self, new: Faults) -> bool {
         let mut state = self.state.lock();
-        let faults = &mut state.faults;
-        faults.slow = new.slow.or(faults.slow);
-        faults.not_run = new.not_run.or(faults.not_run);
-        faults.cut_answer = new.cut_answer.or(faults.cut_answer);
-        faults.never_answer = new.never_answer.or(faults.never_answer);
-        faults.load_lag_ms = new.load_lag_ms.or(faults.load_lag_ms);
+        state.faults.set(&new);
         if let Some(cut) = new.cut_reading {
             self.links.cut_reading(cut.bytes, cut.times as usize);
         }
--- a/components/standins/src/platform/mod.rs
+++ b/components/standins/src/platform/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod directory;
 pub mod table;
+mod table_form;
 
 use std::{
     collections::{BTreeMap, HashMap},
--- a/components/standins/src/platform/table.rs
+++ b/components/standins/src/platform/table.rs
@@ -3,9 +3,12 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use derive_more::{Display, Error};
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Serialize, de::DeserializeOwned};
 
-use crate::platform::{Faults, Log};
+use crate::platform::{
+    Faults, Log,
+    table_form::{Commit, FaultBody, Found, Get, Got, Item, Key, Query, Reason, Write},
+};
 
 /// Prefix of the operation's name.
 pub const PROTOCOL: &str = "DynamoDB_20120810.";
@@ -71,130 +74,6 @@
     }
 }
 
-#[derive(Serialize)]
-struct FaultBody<'a> {
-    #[serde(rename = "__type")]
-    kind: String,
-    message: String,
-    #[serde(rename = "CancellationReasons", skip_serializing_if = "Vec::is_empty")]
-    reasons: Vec<Reason<'a>>,
-}
-
-#[derive(Serialize)]
-struct Reason<'a> {
-    #[serde(rename = "Code")]
-    code: &'a str,
-}
-
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Text {
-    #[serde(rename = "S")]
-    s: String,
-}
-
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-struct Number {
-    #[serde(rename = "N")]
-    n: String,
-}
-
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-struct Item {
-    pk: Text,
-    sk: Text,
-    ver: Number,
-    body: Text,
-}
-
-#[derive(Clone, Debug, Deserialize, Serialize)]
-struct Key {
-    pk: Text,
-    sk: Text,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Get {
-    table_name: String,
-    key: Key,
-    #[serde(default)]
-    consistent_read: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Query {
-    table_name: String,
-    key_condition_expression: String,
-    expression_attribute_values: Range,
-    #[serde(default)]
-    limit: Option<usize>,
-    #[serde(default)]
-    consistent_read: bool,
-}
-
-#[derive(Deserialize)]
-struct Range {
-    #[serde(rename = ":p")]
-    partition: Text,
-    #[serde(rename = ":s")]
-    after: Text,
-}
-
-#[derive(Deserialize)]
-struct Seen {
-    #[serde(rename = ":v")]
-    version: Number,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Commit {
-    transact_items: Vec<Write>,
-}
-
-#[derive(Deserialize)]
-enum Write {
-    Put(Put),
-    Delete(Delete),
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Put {
-    table_name: String,
-    item: Item,
-    condition_expression: String,
-    #[serde(default)]
-    expression_attribute_values: Option<Seen>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct Delete {
-    table_name: String,
-    key: Key,
-    condition_expression: String,
-    expression_attribute_values: Seen,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Got<'a> {
-    #[serde(skip_serializing_if = "Option::is_none")]
-    item: Option<&'a Item>,
-}
-
-#[derive(Serialize)]
-#[serde(rename_all = "PascalCase")]
-struct Found<'a> {
-    count: usize,
-    items: Vec<&'a Item>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    last_evaluated_key: Option<Key>,
-}
-
 /// Allows so many calls a second, and a second's worth at once.
 #[derive(Default)]
 struct Bucket {
