Spare the control connection from faults of all connections

Silencing all open connections silenced the one that had asked for it, so the chaos run waited 30 s for an answer that could not come, and made one such fault where it should have made a dozen.

--- a/components/standins/src/control.rs
+++ b/components/standins/src/control.rs
@@ -39,6 +39,9 @@
     pub async fn read(req: Request<Incoming>) -> Option<Self> {
         let (head, body) = req.into_parts();
         let link = head.extensions.get::<Arc<Link>>().cloned()?;
+        if head.uri.path().starts_with("/control/") {
+            link.spare();
+        }
         let body = read_limited(body, BODY_LIMIT, BODY_PATIENCE).await.ok()?;
         Some(Self {
             method: head.method.to_string(),
--- a/components/standins/src/link.rs
+++ b/components/standins/src/link.rs
@@ -29,6 +29,7 @@
 pub struct Link {
     stream: TcpStream,
     silent: AtomicBool,
+    spared: AtomicBool,
     in_left: AtomicU64,
     out_left: AtomicU64,
 }
@@ -48,6 +49,12 @@
         }
     }
 
+    /// Spares the connection from faults of all connections: the answer to the message that
+    /// makes the fault goes over it.
+    pub fn spare(&self) {
+        self.spared.store(true, Ordering::Release);
+    }
+
     /// From now on nothing is heard or said on this connection, though it stays open.
     pub fn silence(&self) {
         self.silent.store(true, Ordering::Release);
@@ -91,6 +98,7 @@
             .lock()
             .iter()
             .filter_map(Weak::upgrade)
+            .filter(|link| !link.spared.load(Ordering::Acquire))
             .for_each(|link| act(&link));
     }
 
@@ -173,6 +181,7 @@
         let link = Arc::new(Link {
             stream: stream.clone(),
             silent: AtomicBool::new(false),
+            spared: AtomicBool::new(false),
             in_left: AtomicU64::new(u64::MAX),
             out_left: AtomicU64::new(u64::MAX),
         });
