--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -119,7 +119,7 @@
         let pending = self.open.lock().pending();
         for open in pending {
             match settle(&*self.table, &self.group, &open).await {
-                Ok(()) => self.open.lock().settled(&open.row.id),
+                Ok(()) => self.open.lock().settled(&open),
                 // The next one would fail as well; the next round tries again.
                 Err(PlatformError::Unavailable { .. } | PlatformError::Unknown { .. }) => return,
                 Err(_) => {}
@@ -304,7 +304,7 @@
             body: open.row.body(),
         };
         if self.group.commit(write).await.is_ok() {
-            self.open.lock().settled(&open.row.id);
+            self.open.lock().settled(&open);
         }
     }
 
--- a/components/claims/src/open.rs
+++ b/components/claims/src/open.rs
@@ -1,6 +1,6 @@
 //! Claims of this instance that are not settled in the table service yet.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 use platform::RowKey;
 use types::Moment;
@@ -32,8 +32,9 @@
 #[derive(Default)]
 pub struct OpenClaims {
     running: HashMap<RowKey, Open>,
-    /// By claim id: a key may have an abandoned claim and a later one at the same time.
-    pending: HashMap<Arc<str>, Open>,
+    /// A key may have an abandoned claim and a later one at the same time.
+    pending: HashMap<RowKey, Vec<Open>>,
+    count: usize,
     bytes: usize,
 }
 
@@ -64,28 +65,38 @@
             open.row.state = crate::answer::without_body(&open.row.state);
         }
         self.bytes += answer_size(&open.row.state);
-        self.pending.insert(Arc::clone(&open.row.id), open);
+        self.count += 1;
+        self.pending.entry(open.key.clone()).or_default().push(open);
     }
 
     /// The claim was settled.
-    pub fn settled(&mut self, id: &str) {
-        if let Some(open) = self.pending.remove(id) {
-            self.bytes -= answer_size(&open.row.state);
+    pub fn settled(&mut self, settled: &Open) {
+        let Some(list) = self.pending.get_mut(&settled.key) else {
+            return;
+        };
+        let Some(place) = list.iter().position(|open| open.row.id == settled.row.id) else {
+            return;
+        };
+        let open = list.remove(place);
+        if list.is_empty() {
+            self.pending.remove(&settled.key);
         }
+        self.count -= 1;
+        self.bytes -= answer_size(&open.row.state);
     }
 
     /// The outcome of a call at this place that the table service has not taken yet.
     #[must_use]
     pub fn outcome(&self, key: &RowKey) -> Option<&ClaimRow> {
-        let at_place = self.pending.values().filter(|open| open.key == *key);
-        let done = |open: &&Open| matches!(open.row.state, State::Done(_));
-        at_place.filter(done).map(|open| &open.row).next()
+        let at_place = self.pending.get(key)?.iter();
+        let mut done = at_place.filter(|open| matches!(open.row.state, State::Done(_)));
+        done.next().map(|open| &open.row)
     }
 
     /// All that have to be settled.
     #[must_use]
     pub fn pending(&self) -> Vec<Open> {
-        self.pending.values().cloned().collect()
+        self.pending.values().flatten().cloned().collect()
     }
 
     /// Running claims older than `limit`.
@@ -99,13 +110,13 @@
     /// Whether no further claim may be made.
     #[must_use]
     pub fn is_full(&self) -> bool {
-        self.pending.len() >= PENDING_LIMIT
+        self.count >= PENDING_LIMIT
     }
 
     /// Counts of running and pending claims and bytes of pending answers.
     #[must_use]
     pub fn counts(&self) -> (usize, usize, usize) {
-        (self.running.len(), self.pending.len(), self.bytes)
+        (self.running.len(), self.count, self.bytes)
     }
 }
 
--- a/components/config/src/keeper.rs
+++ b/components/config/src/keeper.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -54,7 +54,8 @@
     reading: AsyncMutex<()>,
     asking: AsyncMutex<()>,
     attempts: AtomicU64,
-    fresh: AtomicBool,
+    /// Rounds in which news of overrides are still told.
+    news: AtomicU32,
 }
 
 /// What there is to spread.
@@ -62,7 +63,7 @@
 pub(crate) struct ToSpread {
     /// Some override is known.
     pub any: bool,
-    /// Some override was learned since the last time.
+    /// Some override was learned a few rounds ago at most.
     pub fresh: bool,
 }
 
@@ -84,7 +85,7 @@
             reading: AsyncMutex::new(()),
             asking: AsyncMutex::new(()),
             attempts: AtomicU64::new(0),
-            fresh: AtomicBool::new(false),
+            news: AtomicU32::new(0),
         })
     }
 
@@ -171,7 +172,7 @@
             });
         }
         if !news.is_empty() {
-            self.fresh.store(true, Ordering::Release);
+            self.news.store(spread::NEWS_ROUNDS, Ordering::Release);
         }
         !news.is_empty()
     }
@@ -183,10 +184,18 @@
         held.expire_overrides(self.timer.now());
         ToSpread {
             any: !held.overrides().is_empty(),
-            fresh: self.fresh.swap(false, Ordering::AcqRel),
+            fresh: self.take_news_round(),
         }
     }
 
+    fn take_news_round(&self) -> bool {
+        let one_less = |rounds: u32| rounds.checked_sub(1);
+        let taken = self
+            .news
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, one_less);
+        taken.is_ok()
+    }
+
     /// Peers that are heard.
     pub(crate) fn peers(&self) -> Vec<InstanceId> {
         self.peers.peers()
--- a/components/config/src/spread.rs
+++ b/components/config/src/spread.rs
@@ -23,6 +23,9 @@
 const QUIET_ROUNDS: u32 = 10;
 /// Peers told of news in a round.
 const FAN_OUT: usize = 4;
+/// Rounds in which news are told. With one round of four, one instance in fifty hears nothing
+/// and waits for a comparison; with three, hardly one in a hundred thousand.
+pub const NEWS_ROUNDS: u32 = 3;
 /// Peers that the instance which takes an order tells itself.
 const FIRST_PEERS: usize = 32;
 
