--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -108,6 +108,19 @@
         }
     }
 
+    /// Waits until nothing is left to be settled, at most this long; tells how much is.
+    pub async fn drain(&self, patience: Duration) -> usize {
+        let end = self.timer.now() + patience;
+        loop {
+            let (_, pending, _) = self.counts();
+            if pending == 0 || self.timer.now() >= end {
+                return pending;
+            }
+            self.settle_pending().await;
+            self.timer.sleep(TRY_PAUSE).await;
+        }
+    }
+
     fn give_up_overdue(&self) {
         let mut open = self.open.lock();
         for key in open.overdue(self.timer.now(), OPEN_LIMIT) {
--- a/components/claims/src/store.rs
+++ b/components/claims/src/store.rs
@@ -42,6 +42,15 @@
     }
 }
 
+impl StoreClaims {
+    /// Waits until the table service has taken every outcome, at most this long; tells how many
+    /// it has not taken. For a planned stop: an outcome that dies with its instance leaves
+    /// `unknown` to repeats of a call whose answer was known.
+    pub async fn drain(&self, patience: Duration) -> usize {
+        self.desk.drain(patience).await
+    }
+}
+
 #[async_trait]
 impl Claims for StoreClaims {
     /// A caller that goes away drops its request at any point. The claim's write could then take
--- a/components/claims/tests/claiming/one.rs
+++ b/components/claims/tests/claiming/one.rs
@@ -224,6 +224,26 @@
     });
 }
 
+// An instance is stopped on purpose just after a call ran whose answer the table service has not
+// taken. If it left without waiting, a repeat would be told `unknown` about a known answer.
+#[test]
+fn a_planned_stop_waits_for_outcomes_to_be_recorded() {
+    smol::block_on(async {
+        let all = Deployment::default();
+        let (a, b) = (all.start("a", 1), all.start("b", 1));
+        let call = call("k", "d");
+        assert_eq!(a.claim(&call).await, Ok(Claimed::Mine));
+        all.table.set_down(true);
+        a.claims.record(&call, answer("placed")).await;
+        assert_eq!(a.claims.drain(SHORT).await, 1);
+        all.table.set_down(false);
+        assert_eq!(a.claims.drain(PATIENCE).await, 0);
+        drop(a);
+        all.gone.add("a", 1);
+        assert_eq!(b.claim(&call).await, Ok(Claimed::Before(answer("placed"))));
+    });
+}
+
 #[test]
 fn an_answer_too_large_to_keep_is_told_as_run() {
     smol::block_on(async {
--- a/components/config/src/keeper.rs
+++ b/components/config/src/keeper.rs
@@ -38,6 +38,8 @@
 const MISSING_PERIOD: Duration = Duration::from_secs(10);
 /// Peers asked at the start.
 const START_PEERS: usize = 5;
+/// Most changes of one answer about history.
+const HISTORY_PAGE: usize = 1000;
 /// Changes read at once when catching up; more of them cost more than the whole tree.
 const CATCH_UP_LIMIT: usize = 256;
 
@@ -322,6 +324,21 @@
         Ok(())
     }
 
+    /// Writes the state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> Vec<String> {
+        let held = self.held.lock();
+        let version = held.version();
+        let nodes = held.whole().snapshot.nodes.len();
+        let overridden = held.overridden();
+        drop(held);
+        let polls = pollers::polls(&self.me, &self.peers.peers());
+        vec![format!(
+            "configuration: version {version:?}, {nodes} nodes, overridden {overridden:?}, polls \
+             the table service: {polls}"
+        )]
+    }
+
     fn version(&self) -> ConfigVersion {
         self.held.lock().version().unwrap_or(0)
     }
@@ -385,6 +402,7 @@
     async fn history(&self, limit: usize) -> Result<Vec<Entry>, ChangeError> {
         let down = |_| ChangeError::StoreDown;
         let head = self.store.head().await.map_err(down)?;
+        let limit = limit.min(HISTORY_PAGE);
         let after = head.version.saturating_sub(limit as u64);
         let mut entries = self.store.changes(after, limit).await.map_err(down)?;
         entries.reverse();
--- a/components/platform/src/paced.rs
+++ b/components/platform/src/paced.rs
@@ -120,6 +120,18 @@
     pub fn is_up(&self) -> bool {
         !self.shared.health.lock().down
     }
+
+    /// Writes the state for a dump.
+    #[must_use]
+    pub fn dump(&self) -> Vec<String> {
+        let (down, failures) = {
+            let health = self.shared.health.lock();
+            (health.down, health.failures)
+        };
+        vec![format!(
+            "table service: down {down}, {failures} failures in a row"
+        )]
+    }
 }
 
 impl Shared {
