--- a/components/claims/src/lib.rs
+++ b/components/claims/src/lib.rs
@@ -9,7 +9,7 @@
 mod row;
 mod settle;
 pub mod store;
-mod sweep;
+pub mod sweep;
 
 pub use api::{ClaimError, Claimed, Claims, KeyedCall, Recorded};
 pub use liveness::Liveness;
--- a/components/claims/tests/claiming/main.rs
+++ b/components/claims/tests/claiming/main.rs
@@ -4,3 +4,4 @@
 mod one;
 mod platform;
 mod random;
+mod sweep;
