--- a/components/claims/examples/measure_claims.rs
+++ b/components/claims/examples/measure_claims.rs
@@ -1,13 +1,17 @@
-//! Measures claims over a table that answers after some milliseconds: `cargo run --release -p
+//! Measures claims over a table in memory that answers after some milliseconds, and over the real
+//! client against a stand-in on this machine: `cargo run --release -p
 //! claims --example measure_claims`.
 
 use std::{
+    net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
 };
 
 use claims::{Claimed, Claims, KeyedCall, Liveness, Recorded, StoreClaims};
-use platform::MemoryTable;
+use net::Client;
+use platform::{DynamoTable, MemoryTable, Table};
+use standins::platform::{Faults, start};
 use timer::Timer;
 use types::{Incarnation, InstanceId};
 
@@ -26,43 +30,72 @@
 
 fn main() {
     for at_once in [1, 10, 100, 1000] {
-        smol::block_on(run(at_once));
+        let table = Arc::new(MemoryTable::new());
+        table.set_delay(TABLE);
+        let commits = smol::block_on(run(at_once, table.clone()));
+        println!(
+            "  {:.2} commits a call",
+            table.commits() as f64 / commits as f64
+        );
     }
+    smol::block_on(over_http());
 }
 
-async fn run(at_once: usize) {
-    let table = Arc::new(MemoryTable::new());
-    table.set_delay(TABLE);
+/// The same over the real client, the stand-in's rates lifted.
+async fn over_http() {
+    let addr = SocketAddr::from(([127, 0, 0, 1], 0));
+    let faults = Faults {
+        write_rate: Some(1e9),
+        read_rate: Some(1e9),
+        ..Faults::default()
+    };
+    let platform = start(addr, faults).await.expect("a free port");
+    println!("over HTTP:");
+    for at_once in [1, 10, 100] {
+        let base = format!("http://{}", platform.addr);
+        let table = DynamoTable::new(Client::new(), &base, None).expect("a valid address");
+        run(at_once, Arc::new(table)).await;
+    }
+}
+
+/// Claims and records many keys; tells how many.
+async fn run(at_once: usize, table: Arc<dyn Table>) -> usize {
     let timer = Timer::new();
-    let claims = StoreClaims::new("i".into(), 1, table.clone(), Arc::new(Nobody), timer);
+    let me = format!("i{at_once}").into();
+    let claims = StoreClaims::new(me, 1, table, Arc::new(Nobody), timer);
     let calls = (CALLS / 10).max(at_once * 4).min(CALLS);
-    let start = Instant::now();
+    let begin = Instant::now();
     let callers: Vec<_> = (0..at_once)
-        .map(|caller| workers::spawn(call_often(claims.clone(), caller, calls / at_once)))
+        .map(|caller| workers::spawn(call_often(claims.clone(), at_once, caller, calls / at_once)))
         .collect();
     let mut times = Vec::new();
     for caller in callers {
         times.extend(caller.await);
     }
-    let took = start.elapsed();
+    let took = begin.elapsed();
     times.sort_unstable();
     let at = |share: usize| times[(times.len() - 1) * share / 100];
     println!(
-        "{at_once} at once: {:.0} calls a second, claim p50 {:?} p99 {:?}, {:.2} commits a call",
+        "{at_once} at once: {:.0} calls a second, claim p50 {:?} p99 {:?}",
         times.len() as f64 / took.as_secs_f64(),
         at(50),
         at(99),
-        table.commits() as f64 / times.len() as f64,
     );
+    times.len()
 }
 
 /// Claims and records one key after the other; tells how long each claim took.
-async fn call_often(claims: Arc<StoreClaims>, caller: usize, count: usize) -> Vec<Duration> {
+async fn call_often(
+    claims: Arc<StoreClaims>,
+    at_once: usize,
+    caller: usize,
+    count: usize,
+) -> Vec<Duration> {
     let mut times = Vec::new();
     for number in 0..count {
         let call = KeyedCall {
             workspace: "w".into(),
-            key: format!("{caller}-{number}").into(),
+            key: format!("{at_once}-{caller}-{number}").into(),
             digest: "d".into(),
         };
         let start = Instant::now();
