--- a/components/config/src/overrides.rs
+++ b/components/config/src/overrides.rs
@@ -94,13 +94,15 @@
     }
 
     /// Data centres kept out; `changed` tells the accepted version that last wrote a data centre.
+    /// One that is not in the accepted tree was there when the order was given, so it has been
+    /// deleted since.
     pub fn out(
         &self,
         changed: impl Fn(&DataCentreId) -> Option<ConfigVersion>,
     ) -> Vec<DataCentreId> {
         let holds = |kept: &&Kept| {
             let order = &kept.order;
-            order.out && changed(&order.data_centre).unwrap_or(0) <= order.base
+            order.out && changed(&order.data_centre).is_some_and(|v| v <= order.base)
         };
         let out = self.kept.values().filter(holds);
         out.map(|kept| Arc::clone(&kept.order.data_centre))
--- a/components/config/tests/keeping/overrides.rs
+++ b/components/config/tests/keeping/overrides.rs
@@ -120,6 +120,23 @@
     });
 }
 
+// An operator deletes the data centre's node, which also brings it back into service. That is a
+// later accepted change like any other.
+#[test]
+fn an_override_gives_way_to_the_deletion_of_its_data_centre() {
+    smol::block_on(async {
+        let all = Deployment::default();
+        let a = all.start_up_to_date("a").await;
+        let added = a.change(change(PATH, Some(Node::default()), None)).await;
+        assert_eq!(added, Ok(1));
+        let told = a.override_out(order(true, OVERRIDE_LIMIT)).await;
+        assert!(told.is_ok(), "{told:?}");
+        assert!(is_out(&a));
+        assert_eq!(a.change(change(PATH, None, Some(1))).await, Ok(2));
+        assert!(!is_out(&a));
+    });
+}
+
 #[test]
 fn an_override_ends_by_itself_and_can_be_withdrawn() {
     smol::block_on(async {
--- a/components/config/tests/keeping/random.rs
+++ b/components/config/tests/keeping/random.rs
@@ -10,15 +10,17 @@
 };
 
 use crate::common::{Deployment, PATIENCE, change, service, version};
-use config::{ChangeError, Config, Entry, Keeper};
+use config::{ChangeError, Config, Entry, Keeper, OverrideOrder, overrides::OVERRIDE_LIMIT};
 use parking_lot::Mutex;
 use platform::memory::Fault;
 use proptest::prelude::*;
 use timer::Timer;
-use tree::Snapshot;
+use tree::{Node, Snapshot};
 
 const INSTANCES: usize = 3;
-const NODES: usize = 3;
+/// The last one is a data centre.
+const NODES: usize = 4;
+const DATA_CENTRE: &str = "d";
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -34,6 +36,15 @@
         peer: usize,
         ahead: u64,
     },
+    /// An operator keeps the data centre out without the table service, or withdraws that.
+    Override {
+        instance: usize,
+        out: bool,
+    },
+    Exchange {
+        instance: usize,
+        peer: usize,
+    },
     CatchUp(usize),
     Restart(usize),
     Cut(usize),
@@ -59,6 +70,10 @@
         4 => (0..INSTANCES, 0..INSTANCES, 0..3_u64).prop_map(|(instance, peer, ahead)| {
             Step::Heard { instance, peer, ahead }
         }),
+        2 => (0..INSTANCES, any::<bool>())
+            .prop_map(|(instance, out)| Step::Override { instance, out }),
+        2 => (0..INSTANCES, 0..INSTANCES)
+            .prop_map(|(instance, peer)| Step::Exchange { instance, peer }),
         2 => (0..INSTANCES).prop_map(Step::CatchUp),
         1 => (0..INSTANCES).prop_map(Step::Restart),
         1 => (0..INSTANCES).prop_map(Step::Cut),
@@ -71,7 +86,20 @@
 }
 
 fn path(node: usize) -> String {
-    format!("/services/s{node}")
+    match node {
+        3 => format!("/data-centres/{DATA_CENTRE}"),
+        _ => format!("/services/s{node}"),
+    }
+}
+
+fn content(node: usize, mark: u64) -> Option<Node> {
+    match node {
+        3 => Some(Node {
+            out: Some(mark.is_multiple_of(2)),
+            ..Node::default()
+        }),
+        _ => service(mark),
+    }
 }
 
 /// What operators were told; each change carries a mark of its own.
@@ -102,7 +130,7 @@
         let content = if delete && seen.is_some() {
             None
         } else {
-            service(mark)
+            content(node, mark)
         };
         let mut wanted = change(&path, content, seen);
         wanted.who = mark.to_string().into();
@@ -144,6 +172,21 @@
                     async move { keeper.heard(&name, heard).await },
                 ));
             }
+            Step::Override { instance, out } => {
+                let keeper = self.keeper(instance);
+                let order = OverrideOrder {
+                    data_centre: DATA_CENTRE.into(),
+                    out,
+                    within: OVERRIDE_LIMIT,
+                    who: "operator".into(),
+                };
+                // Without a configuration or the data centre in it, it is refused.
+                let _ = keeper.override_out(order).await;
+            }
+            Step::Exchange { instance, peer } => {
+                let (keeper, peer) = (self.keeper(instance), self.keeper(peer));
+                keeper.exchange(&peer.overrides());
+            }
             Step::CatchUp(instance) => {
                 // During an outage it fails, and what is in force stays.
                 let _ = self.keeper(instance).catch_up().await;
@@ -210,6 +253,32 @@
         assert_eq!(current.snapshot, expected);
     }
     check_told(&run.told.lock(), &history);
+    check_overrides(&keepers, &expected);
+}
+
+/// All agree on the data centre, and no override stands against a later accepted change.
+fn check_overrides(keepers: &[Arc<Keeper>], accepted: &Snapshot) {
+    for keeper in keepers {
+        for peer in keepers {
+            keeper.exchange(&peer.overrides());
+        }
+    }
+    for keeper in keepers {
+        keeper.exchange(&keepers[0].overrides());
+    }
+    let path = format!("/data-centres/{DATA_CENTRE}");
+    let written = accepted.nodes.get(&*path).and_then(|node| node.out);
+    let orders = keepers[0].overrides();
+    let order = orders.first();
+    let overridden = order.is_some_and(|order| {
+        let changed = keepers[0].changed(&path);
+        order.out && changed.is_some_and(|version| version <= order.base)
+    });
+    for keeper in keepers {
+        let current = keeper.current().expect("it is in force");
+        let out = !current.in_force.out().is_empty();
+        assert_eq!(out, written == Some(true) || overridden, "{orders:?}");
+    }
 }
 
 fn check_told(told: &Told, history: &[Entry]) {
