Tell a busy table service from one that is down

Cause: refusals for rate counted as failures, so a busy service was taken for down: lookups of keys that it would have answered were refused and E600 called for an operator. PlatformError gains Busy (additive; no one outside platform, config and claims matches it). The test of throttling now wants Busy, which is stricter than before; the paced test takes the table down for its failures.

--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -134,7 +134,11 @@
             match settle(&*self.table, &self.group, &open).await {
                 Ok(()) => self.open.lock().settled(&open),
                 // The next one would fail as well; the next round tries again.
-                Err(PlatformError::Unavailable { .. } | PlatformError::Unknown { .. }) => return,
+                Err(
+                    PlatformError::Busy { .. }
+                    | PlatformError::Unavailable { .. }
+                    | PlatformError::Unknown { .. },
+                ) => return,
                 Err(_) => {}
             }
         }
@@ -233,7 +237,7 @@
                     Err(_) if lost == 0 => return Tried::Down,
                     Err(_) => return Tried::Lost,
                 },
-                Err(PlatformError::Unavailable { .. }) => down += 1,
+                Err(PlatformError::Busy { .. } | PlatformError::Unavailable { .. }) => down += 1,
                 Err(PlatformError::Unknown { .. } | PlatformError::Garbled { .. }) => lost += 1,
             }
             let late = self.timer.now() >= end;
--- a/components/config/src/commit.rs
+++ b/components/config/src/commit.rs
@@ -100,7 +100,9 @@
     match store.commit(&writes).await {
         Ok(()) => Ok(Attempt::Accepted),
         Err(PlatformError::Conflict) => Ok(Attempt::Overtaken),
-        Err(PlatformError::Unavailable { .. }) => Err(ChangeError::StoreDown),
+        Err(PlatformError::Busy { .. } | PlatformError::Unavailable { .. }) => {
+            Err(ChangeError::StoreDown)
+        }
         Err(PlatformError::Unknown { .. } | PlatformError::Garbled { .. }) => {
             settle(store, timer, entry, &writes).await
         }
--- a/components/platform/src/api.rs
+++ b/components/platform/src/api.rs
@@ -13,6 +13,13 @@
     /// A condition of a commit did not hold; nothing was written.
     #[display("a condition of the commit did not hold; nothing was written")]
     Conflict,
+    /// The platform answers, but takes no more calls at present; this one had no effect.
+    #[display("the platform takes no more calls at present: {reason}")]
+    Busy {
+        /// Why.
+        #[error(not(source))]
+        reason: Arc<str>,
+    },
     /// The call certainly had no effect; it may be tried again.
     #[display("the platform did not take the call: {reason}")]
     Unavailable {
--- a/components/platform/src/dynamo_form.rs
+++ b/components/platform/src/dynamo_form.rs
@@ -236,6 +236,13 @@
     })
 }
 
+/// Errors by which the service says that it takes no more calls at present.
+const THROTTLING: [&str; 3] = [
+    "ProvisionedThroughputExceededException",
+    "RequestLimitExceeded",
+    "ThrottlingException",
+];
+
 /// An error as the service tells it.
 #[derive(Debug, Default, Deserialize)]
 struct Refusal {
@@ -277,8 +284,15 @@
 /// Reads the refusal of a read.
 #[must_use]
 pub fn read_refusal(status: StatusCode, body: &[u8]) -> PlatformError {
-    let text = Refusal::read(body).map_or_else(|| status_text(status), |refusal| refusal.text());
-    PlatformError::Unavailable { reason: text }
+    let Some(refusal) = Refusal::read(body) else {
+        let reason = status_text(status);
+        return PlatformError::Unavailable { reason };
+    };
+    let reason = refusal.text();
+    match THROTTLING.contains(&refusal.name()) {
+        true => PlatformError::Busy { reason },
+        false => PlatformError::Unavailable { reason },
+    }
 }
 
 /// Reads the refusal of a commit.
@@ -296,6 +310,7 @@
         "TransactionCanceledException" => read_cancellation(&refusal, reason),
         "ConditionalCheckFailedException" => PlatformError::Conflict,
         "InternalServerError" => PlatformError::Unknown { reason },
+        name if THROTTLING.contains(&name) => PlatformError::Busy { reason },
         // The service's own errors: it looked at the call and did not take it.
         _ if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
             PlatformError::Unavailable { reason }
@@ -317,5 +332,5 @@
     if has("ConditionalCheckFailed") || !transient.into_iter().any(has) {
         return PlatformError::Conflict;
     }
-    PlatformError::Unavailable { reason }
+    PlatformError::Busy { reason }
 }
--- a/components/platform/src/memory.rs
+++ b/components/platform/src/memory.rs
@@ -24,7 +24,7 @@
     CommitLost,
     /// Its answer is lost, and it takes effect only at `land`, if its conditions hold then.
     Late,
-    /// The service refuses it.
+    /// The service refuses it because it is busy.
     Refused,
 }
 
@@ -201,7 +201,7 @@
                 state.late.push_back(writes.to_vec());
                 Err(lost())
             }
-            Fault::Refused => Err(PlatformError::Unavailable {
+            Fault::Refused => Err(PlatformError::Busy {
                 reason: "throttled".into(),
             }),
         }
--- a/components/platform/src/paced.rs
+++ b/components/platform/src/paced.rs
@@ -137,11 +137,15 @@
 impl Shared {
     async fn pace(&self, pace: &Mutex<Pace>, count: usize) -> Result<(), PlatformError> {
         if self.health.lock().down {
-            return Err(unavailable("the table service is down"));
+            return Err(PlatformError::Unavailable {
+                reason: "the table service is down".into(),
+            });
         }
         let wait = pace.lock().take(self.timer.now(), count);
         match wait {
-            None => Err(unavailable("this instance's budget is used up")),
+            None => Err(PlatformError::Busy {
+                reason: "this instance's budget is used up".into(),
+            }),
             Some(wait) if wait.is_zero() => Ok(()),
             Some(wait) => {
                 self.timer.sleep(wait).await;
@@ -153,7 +157,12 @@
     fn note<T>(self: &Arc<Self>, result: &Result<T, PlatformError>) {
         match result {
             // An answer that says no is an answer.
-            Ok(_) | Err(PlatformError::Conflict | PlatformError::Garbled { .. }) => {
+            Ok(_)
+            | Err(
+                PlatformError::Busy { .. }
+                | PlatformError::Conflict
+                | PlatformError::Garbled { .. },
+            ) => {
                 self.health.lock().failures = 0;
             }
             Err(PlatformError::Unavailable { reason } | PlatformError::Unknown { reason }) => {
@@ -194,12 +203,6 @@
     }
 }
 
-fn unavailable(reason: &str) -> PlatformError {
-    PlatformError::Unavailable {
-        reason: reason.into(),
-    }
-}
-
 #[async_trait]
 impl Table for PacedTable {
     async fn read(&self, key: &RowKey) -> Result<Option<Row>, PlatformError> {
--- a/components/platform/tests/paced.rs
+++ b/components/platform/tests/paced.rs
@@ -61,16 +61,34 @@
         let memory = Arc::new(MemoryTable::new());
         let table = PacedTable::new(memory.clone(), Budget::default(), Timer::new());
         for round in 0..5 {
-            memory.add_faults([Fault::Refused, Fault::Refused]);
+            memory.set_down(true);
             for _ in 0..2 {
                 assert!(table.commit(&[insert("x")]).await.is_err());
             }
+            memory.set_down(false);
             assert_eq!(table.commit(&[insert(&round.to_string())]).await, Ok(()));
         }
         assert!(table.is_up());
     });
 }
 
+// The service is up and refuses calls above its rate. Were it taken for down, lookups of keys
+// that it would have answered were refused too, and an operator called for nothing.
+#[test]
+fn a_busy_table_is_not_taken_for_one_that_is_down() {
+    smol::block_on(async {
+        let memory = Arc::new(MemoryTable::new());
+        let table = PacedTable::new(memory.clone(), Budget::default(), Timer::new());
+        memory.add_faults([Fault::Refused; 10]);
+        for _ in 0..10 {
+            let busy = table.commit(&[insert("a")]).await;
+            assert!(matches!(busy, Err(PlatformError::Busy { .. })), "{busy:?}");
+        }
+        assert!(table.is_up());
+        assert_eq!(table.commit(&[insert("a")]).await, Ok(()));
+    });
+}
+
 // One instance with a flood of keyed requests must not use up what the service bears for all.
 #[test]
 fn a_budget_bounds_what_reaches_the_table() {
@@ -85,7 +103,7 @@
         assert_eq!(table.commit(&[insert("first")]).await, Ok(()));
         for sort in 0..50 {
             let refused = table.commit(&[insert(&sort.to_string())]).await;
-            assert!(matches!(refused, Err(PlatformError::Unavailable { .. })));
+            assert!(matches!(refused, Err(PlatformError::Busy { .. })));
         }
         assert_eq!(memory.commits(), 1);
         assert!(table.is_up(), "a full budget is no outage");
--- a/components/platform/tests/table.rs
+++ b/components/platform/tests/table.rs
@@ -119,7 +119,7 @@
 // The service refuses calls above its rate. That is certain to have had no effect, so a keyed
 // request may be refused as not run.
 #[test]
-fn a_throttled_call_is_told_as_unavailable() {
+fn a_throttled_call_is_told_as_busy() {
     smol::block_on(async {
         let faults = Faults {
             write_rate: Some(0.0),
@@ -129,14 +129,11 @@
         let (_running, table) = table(faults).await;
         let commit = table.commit(&[insert("a", "1")]).await;
         assert!(
-            matches!(commit, Err(PlatformError::Unavailable { .. })),
+            matches!(commit, Err(PlatformError::Busy { .. })),
             "{commit:?}"
         );
         let read = table.read(&RowKey::new("p", "a")).await;
-        assert!(
-            matches!(read, Err(PlatformError::Unavailable { .. })),
-            "{read:?}"
-        );
+        assert!(matches!(read, Err(PlatformError::Busy { .. })), "{read:?}");
     });
 }
 
