--- a/components/platform/src/memory.rs
+++ b/components/platform/src/memory.rs
@@ -24,7 +24,7 @@
     CommitLost,
     /// Its answer is lost, and it takes effect only at `land`, if its conditions hold then.
     Late,
-    /// The service refuses it.
+    /// The service refuses it because it is busy.
     Refused,
 }
 
@@ -125,7 +125,9 @@
         for write in writes {
             match write {
                 Write::Insert { key, body } => self.put(key, 1, body),
-                Write::Replace { key, version, body } => self.put(key, version + 1, body),
+                Write::Replace { key, version, body } => {
+                    self.put(key, version.saturating_add(1), body)
+                }
                 Write::Delete { key, .. } => {
                     self.rows.remove(key);
                 }
@@ -199,7 +201,7 @@
                 state.late.push_back(writes.to_vec());
                 Err(lost())
             }
-            Fault::Refused => Err(PlatformError::Unavailable {
+            Fault::Refused => Err(PlatformError::Busy {
                 reason: "throttled".into(),
             }),
         }
