--- a/components/relay/tests/scripted/mod.rs
+++ b/components/relay/tests/scripted/mod.rs
@@ -101,6 +101,7 @@
     }
 
     async fn next(&mut self) -> Result<Piece, TargetError> {
+        self.steps.retain(|step| !matches!(step, Step::Other));
         match self.steps.pop_front() {
             Some(Step::Tokens(first, count)) => Ok(Piece::Tokens {
                 first,
