--- a/components/relay/src/rhythm.rs
+++ b/components/relay/src/rhythm.rs
@@ -9,6 +9,17 @@
 /// Means that still count as ordinary: a few gaps say little about their deviation.
 const MEANS: f64 = 4.0;
 
+/// Tokens closer than this came together: the engine or something on the way sends in bursts,
+/// and what counts is the time between bursts.
+const TOGETHER: Duration = Duration::from_millis(5);
+
+/// Bounds of the silence between tokens. The floor is above a long step of a crowded engine.
+pub const GAP: Bounds = Bounds {
+    floor: Duration::from_millis(400),
+    ceiling: Duration::from_secs(4),
+    unknown: Duration::from_secs(2),
+};
+
 /// Bounds within which a silence is judged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Bounds {
@@ -41,6 +52,9 @@
 
     /// Takes note of a gap.
     pub fn observe(&mut self, gap: Duration) {
+        if gap < TOGETHER {
+            return;
+        }
         let gap = gap.as_secs_f64();
         let Some(mean) = self.mean else {
             self.mean = Some(gap);
--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -11,15 +11,9 @@
 
 use crate::{
     relay::Relay,
-    rhythm::{Bounds, Rhythm},
+    rhythm::{GAP, Rhythm},
 };
 
-/// Bounds of the silence between tokens. The floor is above a long step of a crowded engine.
-const GAP: Bounds = Bounds {
-    floor: Duration::from_millis(400),
-    ceiling: Duration::from_secs(4),
-    unknown: Duration::from_secs(2),
-};
 /// After this time without a token the generation is given up: longer than any preemption.
 const STALL_LIMIT: Duration = Duration::from_secs(30);
 /// Time for the head of a resumed stream to arrive.
@@ -300,11 +294,11 @@
             self.next,
         );
         self.next += count;
-        self.note_tokens(count);
+        self.note_tokens();
         Some(Piece::Tokens { first, count, data })
     }
 
-    fn note_tokens(&mut self, count: Tokens) {
+    fn note_tokens(&mut self) {
         let now = self.relay.timer.now();
         let gap = now.saturating_sub(self.last_token);
         if self.first_at.is_none() {
@@ -313,9 +307,8 @@
                 self.relay.firsts.observe(&self.target.service, gap);
             }
         } else if self.tries == 0 {
-            let count = u32::try_from(count).unwrap_or(u32::MAX).max(1);
-            // Tokens that arrive together are one gap, not many of zero length.
-            self.rhythm.observe(gap / count.min(2));
+            // Not after a resumption: that gap tells of the link, not of the engine.
+            self.rhythm.observe(gap);
         }
         self.last_token = now;
         self.quiet = 0;
