--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -7,7 +7,7 @@
 
 use std::sync::Arc;
 
-use types::{ConfigVersion, DataCentreId, Epoch, InstanceId, Shard};
+use types::{ConfigVersion, DataCentreId, Epoch, InstanceId, Shard, TargetId, WorkspaceId};
 
 use crate::declare::declare_events;
 
@@ -75,6 +75,40 @@
         203, Info, "no longer owner of {shard}",
         "Nothing.",
     ),
+    /// A generation stopped before its end, and its caller got a part of the answer.
+    AnswerCut {
+        /// Who asked.
+        workspace: WorkspaceId,
+        /// Where it ran.
+        target: TargetId,
+        /// Why it stopped.
+        reason: Arc<str>,
+    } = (
+        400, Warn, "an answer for workspace {workspace} from {target} was cut short: {reason}",
+        "If it comes often from one target, look at that target and at the link to it.",
+    ),
+    /// A call that must not be repeated was sent, and its answer was lost; the caller was told `unknown`.
+    CallLost {
+        /// Who asked.
+        workspace: WorkspaceId,
+        /// Where it was sent.
+        target: TargetId,
+        /// The request's name, as the target got it in `x-request-id`.
+        request: Arc<str>,
+    } = (
+        401, Warn, "call {request} of workspace {workspace} to {target} may have run: its answer was lost",
+        "Ask the service what became of the call. If it comes often, look at the target and at the link to it.",
+    ),
+    /// The link to a target broke or fell silent under a stream, which went on over new ones.
+    LinkReplaced {
+        /// The target.
+        target: TargetId,
+        /// New connections that the stream needed.
+        times: u32,
+    } = (
+        500, Info, "a stream from {target} needed {times} new connections",
+        "If it comes often, look at the link to the target: something on the way drops connections.",
+    ),
     /// The table service can't be reached.
     TableDown {
         /// Why.
--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -4,7 +4,7 @@
 
 use hyper::{HeaderMap, Response, Uri, header};
 use net::{Body, Reply, full};
-use targets::PlainAnswer;
+use targets::{PlainAnswer, openai::REQUEST_ID};
 use types::Refusal;
 
 use crate::{refusals, request};
@@ -81,13 +81,13 @@
     plain == "." || plain == ".."
 }
 
-/// A service's answer for the caller.
-pub fn response(answer: &PlainAnswer) -> Response<Body> {
+/// A service's answer for the caller, with the request's name.
+pub fn response(answer: &PlainAnswer, request: &str) -> Response<Body> {
     let mut reply = Reply::new(answer.status).with_body(full(answer.body.clone()));
     for (name, value) in &answer.headers {
         if !HOP_BY_HOP.contains(&name.as_ref()) {
             reply = reply.with_header(name, value);
         }
     }
-    reply.done()
+    reply.with_header(REQUEST_ID, request).done()
 }
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -168,7 +168,11 @@
         };
         let step = guarded(permit, future::or(work, late)).await;
         match (step, running) {
-            (Step::Piece(piece), Some(running)) => Tried::Good(Begun { running, piece }),
+            (Step::Piece(piece), Some(running)) => Tried::Good(Begun {
+                running,
+                piece,
+                request: call.request,
+            }),
             (step, running) => give_up(step, running).await,
         }
     }
@@ -220,6 +224,8 @@
     pub running: Running,
     /// Its first piece.
     pub piece: Piece,
+    /// The request's name, as the engine got it.
+    pub request: Arc<str>,
 }
 
 /// Waits for the next piece.
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -47,12 +47,13 @@
         key: key.into(),
         digest: digest(&request.call),
     };
+    let name = Arc::clone(&request.call.request);
     let (tx, rx) = bounded(1);
     workers::spawn(run(request, call, tx)).detach();
     // The task always answers; if it did not, nothing would be known.
     let outcome = rx.recv().await;
     let outcome = outcome.unwrap_or_else(|_| Err(refusals::outcome_unknown()));
-    outcome.map(|answer| forward::response(&answer))
+    outcome.map(|answer| forward::response(&answer, &name))
 }
 
 fn check(key: &str) -> Result<(), Refusal> {
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -2,9 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
+use events::Event;
 use futures_lite::future;
 use relay::{Broken, End, Running, Sink};
 use targets::Piece;
+use types::WorkspaceId;
 
 use crate::{
     admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
@@ -21,6 +23,8 @@
     pub core: Arc<Core>,
     /// The generation.
     pub running: Running,
+    /// Who asked.
+    pub workspace: WorkspaceId,
     /// The way to the caller.
     pub writer: Writer,
     /// Counts it as in flight; `None` once the request as such is over here.
@@ -124,7 +128,7 @@
 }
 
 async fn finish(carried: Carried, stop: Stop, left: bool) {
-    carried.core.metrics.resumed(carried.running.resumes());
+    tell_resumes(&carried.core, &carried.running);
     match stop {
         Stop::End(End::Finished) => finished(carried, left).await,
         Stop::End(End::Broken(broken)) => broke_off(carried, &broken).await,
@@ -133,6 +137,19 @@
     }
 }
 
+/// Counts and logs the new connections that a stream needed.
+pub fn tell_resumes(core: &Core, running: &Running) {
+    let times = running.resumes();
+    if times == 0 {
+        return;
+    }
+    core.metrics.resumed(times);
+    events::emit(&Event::LinkReplaced {
+        target: running.target().id.clone(),
+        times,
+    });
+}
+
 async fn finished(mut carried: Carried, left: bool) {
     let ending = carried.finished();
     // First, as a slow caller may take a while to read the rest.
@@ -147,6 +164,11 @@
     carried.writer.end(Ending::Failed);
     carried.core.metrics.refused(&refusal.code);
     carried.note(Outcome::Partial);
+    events::emit(&Event::AnswerCut {
+        workspace: carried.workspace.clone(),
+        target: carried.running.target().id.clone(),
+        reason: broken.to_string().into(),
+    });
     // If the caller has gone as well there is nobody left to tell.
     let _ = carried.writer.partial(&refusal).await;
 }
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, sync::Arc};
 
+use events::Event;
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Share};
@@ -77,7 +78,7 @@
         // Without a key a caller that goes away drops all of this.
         _ => {
             let answer = request.run(future::pending()).await?;
-            Ok(forward::response(&answer))
+            Ok(forward::response(&answer, &request.call.request))
         }
     }
 }
@@ -132,6 +133,7 @@
                     return Ok(answer);
                 }
                 Err((ending, ran)) if ran && !self.wanted.idempotent => {
+                    self.tell_lost(permit.as_ref());
                     permit.end(ending);
                     return Err(refusals::lost(
                         "the call was sent once and may have run; it was not sent again",
@@ -148,6 +150,14 @@
         }
     }
 
+    fn tell_lost(&self, permit: &dyn Admitted) {
+        events::emit(&Event::CallLost {
+            workspace: self.wanted.workspace.clone(),
+            target: permit.target().id.clone(),
+            request: Arc::clone(&self.call.request),
+        });
+    }
+
     /// One try. Without an answer: how it ended, and whether it may have run.
     async fn attempt(
         &self,
--- a/components/gateway/src/streams.rs
+++ b/components/gateway/src/streams.rs
@@ -154,9 +154,8 @@
         prompt: ticket.prompt,
         max_output: ticket.max_output,
     };
-    Ok(writer::carry_from(
-        core, account, permit, running, None, flight,
-    ))
+    let reply = writer::carry(core, &account, permit, running, None, flight);
+    Ok(reply.done())
 }
 
 /// Whoever held the stream must not cancel it now.
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -9,13 +9,14 @@
 use relay::Running;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
-use targets::Piece;
+use targets::{Piece, openai::REQUEST_ID};
 use types::{Refusal, Tokens};
 
 use crate::{
     admission::{Admitted, Ending},
     call::Api,
     generate::{self, Begun, Generation, Step, Tried},
+    linger,
     merge::merge,
     metrics::Outcome,
     pace::Pace,
@@ -75,6 +76,7 @@
 /// A generation gathered to its end.
 struct Gathered {
     running: Running,
+    request: Arc<str>,
     data: Vec<Bytes>,
     /// Memory that the data takes up.
     _share: Share,
@@ -102,7 +104,7 @@
         Err(refusal) => return incomplete(&generation, refusal, &cut.into_inner()),
     };
     let Gathered { running, data, .. } = &gathered;
-    core.metrics.resumed(running.resumes());
+    linger::tell_resumes(&core, running);
     permit.end(Ending::Finished {
         produced: running.produced(),
         first: running.first().unwrap_or_default(),
@@ -111,7 +113,9 @@
     let sum = Sum::of(data).inspect_err(|e| generation.flight.note(e.run.into()))?;
     generation.flight.note(Outcome::Whole);
     let document = sum.document(&generation, running.produced());
-    Ok(Reply::json(200, &document).done())
+    Ok(Reply::json(200, &document)
+        .with_header(REQUEST_ID, &gathered.request)
+        .done())
 }
 
 /// No further try was allowed: if an engine broke off in the middle, the caller gets what there
@@ -146,6 +150,7 @@
     let Begun {
         mut running,
         mut piece,
+        request,
     } = begun;
     let mut data = Vec::new();
     let mut share = core.answers.share();
@@ -156,6 +161,7 @@
             Piece::End => {
                 return Tried::Good(Gathered {
                     running,
+                    request,
                     data,
                     _share: share,
                 });
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -8,7 +8,7 @@
 use net::{Body, Reply, channel};
 use relay::{Closed, Running, Sink};
 use smol::channel::{Sender, TrySendError};
-use targets::Piece;
+use targets::{Piece, openai::REQUEST_ID};
 use timer::Timer;
 use types::{Class, Moment, Refusal, Tokens, WorkspaceId};
 
@@ -51,7 +51,14 @@
     let since = core.admission.now().saturating_sub(arrived);
     core.metrics.first_token(since);
     let account = Account::of(&generation);
-    Ok(carry(&core, account, permit, begun, generation.flight))
+    let Begun {
+        running,
+        piece,
+        request,
+    } = begun;
+    let flight = generation.flight;
+    let reply = carry(&core, &account, permit, running, Some(piece), flight);
+    Ok(reply.with_header(REQUEST_ID, &request).done())
 }
 
 /// For whom a stream runs, and under which terms.
@@ -93,34 +100,23 @@
     }
 }
 
-/// Starts to carry a stream to its caller and gives the answer's head. The first piece may be
-/// `None` if the stream was taken up again.
+/// Starts to carry a stream to its caller, with the first piece if it has come, and gives the
+/// answer's head.
 pub fn carry(
     core: &Arc<Core>,
-    account: Account,
-    permit: Box<dyn Admitted>,
-    begun: Begun,
-    flight: Flight,
-) -> Response<Body> {
-    let Begun { running, piece } = begun;
-    carry_from(core, account, permit, running, Some(piece), flight)
-}
-
-/// The same, with or without a first piece at hand.
-pub fn carry_from(
-    core: &Arc<Core>,
-    account: Account,
+    account: &Account,
     permit: Box<dyn Admitted>,
     running: Running,
     piece: Option<Piece>,
     flight: Flight,
-) -> Response<Body> {
+) -> Reply {
     let (tx, body) = channel();
     let ticket = account.ticket(core, &running);
     let writer = Writer::new(core, tx, &ticket, permit);
     let carried = Carried {
         core: Arc::clone(core),
         running,
+        workspace: account.workspace.clone(),
         writer,
         flight: Some(flight),
     };
@@ -129,7 +125,6 @@
         .with_header("content-type", "text/event-stream")
         .with_header("cache-control", "no-cache")
         .with_body(body)
-        .done()
 }
 
 /// Writes a stream's events to its caller and reports progress.
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -72,6 +72,8 @@
         let answer = bed.complete(true, &[]).await;
         assert_eq!(answer.status, 200);
         assert_eq!(answer.headers["content-type"], "text/event-stream");
+        let name = bed.engine.calls.lock()[0].1.request.clone();
+        assert_eq!(answer.headers["x-request-id"], *name);
         check_stream(&answer.body, 43);
         bed.idle().await;
         assert!(bed.admission.endings().iter().all(produced(43)));
--- a/components/gateway/tests/plain_calls.rs
+++ b/components/gateway/tests/plain_calls.rs
@@ -56,6 +56,7 @@
         assert_eq!(answer.headers["x-shop"], "1");
         assert!(!answer.headers.contains_key("keep-alive"));
         let call = bed.plain.calls.lock()[0].clone();
+        assert_eq!(answer.headers["x-request-id"], *call.request);
         assert_eq!((&*call.method, &*call.path), ("POST", "/shop/a%20b?q=1"));
         assert_eq!(&call.body[..], b"body");
         let names: Vec<_> = call.headers.iter().map(|(name, _)| &**name).collect();
--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -222,6 +222,8 @@
         while self.link.is_none() {
             self.resume().await?;
         }
+        // This was the first connection here, not a mended one.
+        self.resumes = 0;
         Ok(())
     }
 
