Survive a port that is taken in between; log strange keys once a second

Cause: two demonstrations at once may find the same free port; a stranger who sends wrong keys could fill the log. Change: try starts again on other ports; event 802 at most once a second; the lines to copy name the program by its path.

--- a/components/admin/src/api.rs
+++ b/components/admin/src/api.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
-use events::{Event, emit};
+use events::Event;
 use hyper::{HeaderMap, Request, Response, Uri, body::Incoming};
 use net::{Body, Handler, Reply};
 
@@ -17,6 +17,7 @@
     problem::{Now, Problem},
     route::Route,
     scrub::scrub,
+    throttle::Throttle,
     tree_api,
 };
 
@@ -30,13 +31,17 @@
 /// Answers requests on the admin address.
 pub struct AdminApi {
     parts: AdminParts,
+    wrong_keys: Throttle,
 }
 
 impl AdminApi {
     /// Makes it of its parts.
     #[must_use]
-    pub const fn new(parts: AdminParts) -> Self {
-        Self { parts }
+    pub fn new(parts: AdminParts) -> Self {
+        Self {
+            parts,
+            wrong_keys: Throttle::new(),
+        }
     }
 
     async fn answer(
@@ -48,7 +53,7 @@
         let route = Route::find(&head.method, head.uri.path())?;
         if !route.is_open() && !auth::allows(&head.headers, &self.parts.key_hashes) {
             let peer = peer.ip().to_string().into();
-            emit(&Event::OperatorUnknown { peer });
+            self.wrong_keys.emit(&Event::OperatorUnknown { peer });
             return Err(unauthorized());
         }
         self.serve(route, &head.uri, &head.headers, body).await
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod problem;
 pub mod route;
 pub mod scrub;
+pub mod throttle;
 pub mod tree_api;
 
 pub use api::AdminApi;
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -152,7 +152,7 @@
         801, Info, "the change of {path} by {who} was not accepted: {reason}",
         "Nothing; the operator was told the same.",
     ),
-    /// A request to the administration API carried no valid operator's key.
+    /// A request to the administration API carried no valid operator's key. Logged at most once a second.
     OperatorUnknown {
         /// Where it came from.
         peer: Arc<str>,
--- a/src/cmd/try_out.rs
+++ b/src/cmd/try_out.rs
@@ -6,6 +6,7 @@
 use clap::ArgMatches;
 use errors::Context;
 use hyper::Method;
+use node::Instance;
 use settings::{Log, LogLevel};
 use smol::future;
 use timer::Timer;
@@ -17,6 +18,8 @@
     failure::{FailureKind, Outcome},
 };
 
+/// How often the instance is tried to be started.
+const ATTEMPTS: usize = 5;
 /// Time for the instance to take the tree.
 const PATIENCE: Duration = Duration::from_secs(60);
 /// Time between two tries.
@@ -31,10 +34,8 @@
         level: LogLevel::Error,
         ..Log::default()
     });
-    let place = Place::find().context("finding free ports")?;
     let around = smol::block_on(Surroundings::start()).context("starting the stand-ins")?;
-    let settings = place.settings(around.platform.addr);
-    let instance = smol::block_on(node::Instance::start(&settings))?;
+    let (place, instance) = start_instance(&around)?;
     around.list_instance(place.peer);
     println!("One instance, two engines, a plain service and a platform, in one process.");
     println!("  callers    http://{}", place.listen);
@@ -51,6 +52,22 @@
     smol::block_on(future::pending())
 }
 
+/// Starts the instance on free ports. Between finding a port and listening on it another process
+/// may take it, for instance a second `try`; so it is tried again with others.
+fn start_instance(around: &Surroundings) -> Outcome<(Place, Instance)> {
+    let mut attempts_left = ATTEMPTS;
+    loop {
+        attempts_left -= 1;
+        let place = Place::find().context("finding free ports")?;
+        let settings = place.settings(around.platform.addr);
+        match smol::block_on(Instance::start(&settings)) {
+            Ok(instance) => return Ok((place, instance)),
+            Err(_) if attempts_left > 0 => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
 /// Writes the tree as an operator would. Until the instance has read the table service for the
 /// first time it takes no change.
 fn seed(place: &Place) -> Outcome {
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -1,6 +1,7 @@
 //! What the demonstration shows, step by step.
 
 use std::{
+    env,
     io::{self, Write},
     time::Duration,
 };
@@ -142,13 +143,22 @@
 /// Prints lines to copy.
 pub fn lines_to_copy(place: &Place) {
     let Place { listen, admin, .. } = place;
+    let program = program();
     let body = chat("Draft a sign for a tea shop.", 40, true);
     println!("\nIt stays up until Ctrl-C. To copy:\n");
     println!(
         "  curl -N http://{listen}{CHAT} -H 'Authorization: Bearer {CALLER_KEY}' -d '{body}'\n"
     );
-    println!("  CELERYSTAND_KEY={OPERATOR_KEY} celerystand status --admin {admin}");
-    println!("  CELERYSTAND_KEY={OPERATOR_KEY} celerystand export --admin {admin}\n");
+    for command in ["status", "export", "dump"] {
+        println!("  CELERYSTAND_KEY={OPERATOR_KEY} {program} {command} --admin {admin}");
+    }
+    println!();
+}
+
+/// How to call this program: it need not lie on the path.
+fn program() -> String {
+    let path = env::current_exe();
+    path.map_or_else(|_| "celerystand".to_owned(), |p| p.display().to_string())
 }
 
 fn chat(prompt: &str, most: u32, stream: bool) -> String {
