Let operators keep a data centre out while the table service is down

Change: PUT and DELETE /v1/data-centres/{id}/override, data-centre override and withdraw, shown by status; out tells of it when the table service is down. Events 805 and 806.

--- a/components/admin/src/api.rs
+++ b/components/admin/src/api.rs
@@ -10,7 +10,7 @@
 use crate::{
     auth,
     body::read_json,
-    document,
+    data_centre, document,
     message::{Ready, Status},
     metrics,
     parts::AdminParts,
@@ -87,8 +87,13 @@
             Route::Validate => document::validate(config, &read_json(body).await?),
             Route::History => self.history(uri).await,
             Route::DataCentre(id, direction) => {
-                tree_api::turn(config, headers, &id, direction).await
+                data_centre::turn(config, headers, &id, direction).await
             }
+            Route::Override(id) => {
+                let ask = read_json(body).await?;
+                data_centre::keep_out(config, headers, &id, &ask).await
+            }
+            Route::Withdraw(id) => data_centre::withdraw(config, headers, &id).await,
         }
     }
 
@@ -125,6 +130,7 @@
             reason,
             config_version: current.as_ref().map(|current| current.snapshot.version),
             out: current.map_or_else(Vec::new, |current| current.in_force.out()),
+            overrides: data_centre::overrides(&*self.parts.config),
         }
     }
 
--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod auth;
 pub mod body;
+pub mod data_centre;
 pub mod document;
 pub mod message;
 pub mod metrics;
--- a/components/admin/src/message.rs
+++ b/components/admin/src/message.rs
@@ -32,8 +32,46 @@
     pub reason: Option<Arc<str>>,
     /// Version of the configuration in force; `None` before the first was found.
     pub config_version: Option<ConfigVersion>,
-    /// Data centres that operators have taken out.
+    /// Data centres that are out of service.
     pub out: Vec<DataCentreId>,
+    /// Those that are kept out by an order that was not accepted.
+    pub overrides: Vec<OverrideView>,
+}
+
+/// An order that keeps a data centre out although the table service is down.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct OverrideView {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// Who gave the order.
+    pub who: Arc<str>,
+    /// Seconds until it ends by itself.
+    pub seconds_left: u64,
+}
+
+/// How long a data centre is to be kept out.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OverrideAsk {
+    /// Minutes, 60 at most.
+    pub minutes: u32,
+}
+
+/// How far an order got that was not accepted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Overridden {
+    /// The data centre.
+    pub data_centre: DataCentreId,
+    /// `true` if it is kept out, `false` if that was withdrawn.
+    pub out: bool,
+    /// Seconds until the order ends by itself.
+    pub seconds_left: u64,
+    /// Instances that have taken it.
+    pub taken: Vec<InstanceId>,
+    /// Instances that are heard but did not answer; they are told again.
+    pub missed: Vec<InstanceId>,
 }
 
 /// One node as written.
--- a/components/admin/src/route.rs
+++ b/components/admin/src/route.rs
@@ -38,6 +38,10 @@
     History,
     /// Takes a data centre out or back in.
     DataCentre(DataCentreId, Direction),
+    /// Keeps a data centre out for a limited time although the table service is down.
+    Override(DataCentreId),
+    /// Withdraws that.
+    Withdraw(DataCentreId),
 }
 
 /// Whether a data centre goes out of service or comes back.
@@ -67,6 +71,8 @@
     ("get", "/v1/history"),
     ("post", "/v1/data-centres/{id}/out"),
     ("post", "/v1/data-centres/{id}/in"),
+    ("put", "/v1/data-centres/{id}/override"),
+    ("delete", "/v1/data-centres/{id}/override"),
 ];
 
 impl Route {
@@ -117,15 +123,17 @@
 }
 
 fn data_centre_route(method: &Method, path: &str, rest: &str) -> Result<Route, Problem> {
-    let (id, direction) = match rest.split_once('/') {
-        Some((id, "out")) => (id, Direction::Out),
-        Some((id, "in")) => (id, Direction::In),
-        _ => return Err(not_found(path)),
-    };
-    if method != Method::POST {
-        return Err(wrong_method("POST"));
+    let (id, order) = rest.split_once('/').ok_or_else(|| not_found(path))?;
+    let id: DataCentreId = id.into();
+    match (order, method.as_str()) {
+        ("out", "POST") => Ok(Route::DataCentre(id, Direction::Out)),
+        ("in", "POST") => Ok(Route::DataCentre(id, Direction::In)),
+        ("override", "PUT") => Ok(Route::Override(id)),
+        ("override", "DELETE") => Ok(Route::Withdraw(id)),
+        ("out" | "in", _) => Err(wrong_method("POST")),
+        ("override", _) => Err(wrong_method("PUT, DELETE")),
+        _ => Err(not_found(path)),
     }
-    Ok(Route::DataCentre(id.into(), direction))
 }
 
 fn wrong_method(allowed: &str) -> Problem {
--- a/components/admin/src/tree_api.rs
+++ b/components/admin/src/tree_api.rs
@@ -10,21 +10,18 @@
 };
 use net::{Body, Reply};
 use tree::{Node, NodePath, origins};
-use types::{ConfigVersion, DataCentreId};
+use types::ConfigVersion;
 
 use crate::{
     document::not_loaded,
     message::{Accepted, InForceValues, Written},
-    problem::{CONFLICT, Now, Problem},
-    route::Direction,
+    problem::{Now, Problem},
 };
 
 /// Who made a change, if the operator does not say.
 const NAMELESS: &str = "operator";
 /// Longest name of an operator.
 const WHO_LIMIT: usize = 100;
-/// How often a change that can be repeated without harm is tried against other operators.
-const ATTEMPTS: usize = 5;
 
 /// Who makes a change, by the `From` header.
 #[must_use]
@@ -117,52 +114,6 @@
     }
 }
 
-/// Takes a data centre out of service or back in. It is idempotent, so it is tried again after a
-/// conflict.
-///
-/// # Errors
-/// 404 if the tree has no such data centre, otherwise as [`write`].
-pub async fn turn(
-    config: &dyn Config,
-    headers: &HeaderMap,
-    id: &DataCentreId,
-    direction: Direction,
-) -> Result<Response<Body>, Problem> {
-    let path: NodePath = format!("/data-centres/{id}").into();
-    let out = direction == Direction::Out;
-    let mut attempts_left = ATTEMPTS;
-    loop {
-        let before = now(config, &path);
-        let mut node = before.node.ok_or_else(|| unknown_data_centre(config, id))?;
-        // Also if it is so here already: this instance may be behind, and the operator would be
-        // told that a data centre is out which another operator has just brought back.
-        node.out = Some(out);
-        let change = Change {
-            path: Arc::clone(&path),
-            node: Some(node),
-            seen: before.version,
-            who: who(headers),
-        };
-        attempts_left -= 1;
-        match commit(config, change).await {
-            Err(problem) if problem.status == CONFLICT && attempts_left > 0 => {}
-            outcome => {
-                let version = outcome?;
-                tell_turn(id, direction, who(headers));
-                return Ok(Reply::json(200, &Accepted { version }).done());
-            }
-        }
-    }
-}
-
-fn tell_turn(id: &DataCentreId, direction: Direction, who: Arc<str>) {
-    let data_centre = Arc::clone(id);
-    match direction {
-        Direction::Out => emit(&Event::DataCentreOut { data_centre, who }),
-        Direction::In => emit(&Event::DataCentreIn { data_centre, who }),
-    }
-}
-
 /// The version of the configuration in force.
 #[must_use]
 pub fn current_version(config: &dyn Config) -> Option<ConfigVersion> {
@@ -225,20 +176,3 @@
     );
     Problem::new(404, "not-found", "No node can stand there", detail)
 }
-
-fn unknown_data_centre(config: &dyn Config, id: &str) -> Problem {
-    let current = config.current();
-    let known: Vec<&str> =
-        current
-            .iter()
-            .flat_map(|c| c.snapshot.nodes.keys())
-            .fold(Vec::new(), |mut known, path| {
-                known.extend(path.strip_prefix("/data-centres/"));
-                known
-            });
-    let detail = format!(
-        "the tree has no data centre {id}; it has {}",
-        known.join(", ")
-    );
-    Problem::new(404, "not-found", "There is no such data centre", detail)
-}
--- a/components/admin/tests/api/support.rs
+++ b/components/admin/tests/api/support.rs
@@ -10,7 +10,10 @@
 use admin::{AdminApi, AdminParts, Dump, Readiness, auth::hash_key};
 use async_trait::async_trait;
 use bytes::Bytes;
-use config::{Change, ChangeError, Config, Current, Entry, Fault, Update};
+use config::{
+    Change, ChangeError, Config, Current, Entry, Fault, Override, OverrideError, OverrideOrder,
+    Told, Update,
+};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request};
 use net::{Client, ServeLimits, Server, read_all};
@@ -34,6 +37,7 @@
     loaded: bool,
     next_error: Option<ChangeError>,
     rival: Option<(NodePath, Node)>,
+    overrides: Vec<Override>,
 }
 
 /// A configuration in memory.
@@ -164,6 +168,32 @@
 
     async fn heard(&self, _peer: &InstanceId, _version: ConfigVersion) {}
 
+    async fn override_out(&self, order: OverrideOrder) -> Result<Told, OverrideError> {
+        let path = format!("/data-centres/{}", order.data_centre);
+        if self.node(&path).is_none() {
+            return Err(OverrideError::NoSuchDataCentre);
+        }
+        let order = Override {
+            data_centre: order.data_centre,
+            out: order.out,
+            number: 1,
+            by: "entry-1".into(),
+            who: order.who,
+            base: self.version(),
+            left: order.within,
+        };
+        self.state.lock().overrides = vec![order.clone()];
+        Ok(Told {
+            order,
+            taken: vec!["entry-1".into()],
+            missed: vec!["entry-2".into()],
+        })
+    }
+
+    fn overrides(&self) -> Vec<Override> {
+        self.state.lock().overrides.clone()
+    }
+
     fn since(&self, _version: ConfigVersion) -> Update {
         Update::Changes(Vec::new())
     }
--- a/components/admin/tests/api/tree.rs
+++ b/components/admin/tests/api/tree.rs
@@ -3,7 +3,9 @@
 use crate::support::{Api, FakeConfig};
 use ::tree::Node;
 use admin::{
-    message::{Accepted, Document, DocumentOutcome, InForceValues, Verdict, Written},
+    message::{
+        Accepted, Document, DocumentOutcome, InForceValues, Overridden, Status, Verdict, Written,
+    },
     problem::Problem,
 };
 use config::{ChangeError, Entry};
@@ -191,6 +193,45 @@
     assert_eq!(config.version(), before + 2);
 }
 
+// The table service is down together with a data centre. The operator must be able to keep the
+// data centre out all the same, and see that it is not accepted and who has not heard of it.
+#[test]
+fn a_data_centre_is_kept_out_for_a_time_without_being_accepted() {
+    let config = FakeConfig::with_tree();
+    let api = Api::start(&config);
+    let before = config.version();
+    let path = "/v1/data-centres/north/override";
+    let answer = api.ask("PUT", path, &[("from", "mona")], r#"{"minutes":30}"#);
+    let overridden: Overridden = answer.read();
+    assert!(overridden.out);
+    assert_eq!(overridden.seconds_left, 1800);
+    assert_eq!(overridden.missed, vec!["entry-2".into()]);
+    let status: Status = api.get("/v1/status").read();
+    assert_eq!(&*status.overrides[0].who, "mona");
+    assert_eq!(config.version(), before);
+
+    let withdrawn: Overridden = api.ask("DELETE", path, &[], "").read();
+    assert!(!withdrawn.out);
+    let status: Status = api.get("/v1/status").read();
+    assert!(status.overrides.is_empty());
+}
+
+#[test]
+fn a_data_centre_is_not_kept_out_for_a_time_out_of_range() {
+    let api = Api::start(&FakeConfig::with_tree());
+    let path = "/v1/data-centres/north/override";
+    for body in [
+        r#"{"minutes":0}"#,
+        r#"{"minutes":61}"#,
+        r#"{"hours":1}"#,
+        "{}",
+    ] {
+        assert_eq!(api.ask("PUT", path, &[], body).status, 400, "{body}");
+    }
+    let unknown = "/v1/data-centres/nrth/override";
+    assert_eq!(api.ask("PUT", unknown, &[], r#"{"minutes":5}"#).status, 404);
+}
+
 #[test]
 fn a_document_writes_only_the_nodes_that_differ() {
     let config = FakeConfig::with_tree();
--- a/components/admin/tests/openapi.rs
+++ b/components/admin/tests/openapi.rs
@@ -8,7 +8,8 @@
 
 use admin::{
     message::{
-        Accepted, Document, DocumentOutcome, InForceValues, Ready, Status, Verdict, Written,
+        Accepted, Document, DocumentOutcome, InForceValues, Overridden, OverrideAsk, OverrideView,
+        Ready, Status, Verdict, Written,
     },
     problem::{Now, Problem},
     route::{ROUTES, Route},
@@ -140,6 +141,19 @@
         reason: None,
         config_version: None,
         out: Vec::new(),
+        overrides: Vec::new(),
+    };
+    let view = OverrideView {
+        data_centre: "".into(),
+        who: "".into(),
+        seconds_left: 0,
+    };
+    let overridden = Overridden {
+        data_centre: "".into(),
+        out: true,
+        seconds_left: 0,
+        taken: Vec::new(),
+        missed: Vec::new(),
     };
     let written = Written {
         path: "/".into(),
@@ -185,6 +199,9 @@
         ("Knobs", fields(&Knobs::defaults())),
         ("Node", fields(&full_node())),
         ("Origin", fields(&origin)),
+        ("Overridden", fields(&overridden)),
+        ("OverrideAsk", fields(&OverrideAsk { minutes: 1 })),
+        ("OverrideView", fields(&view)),
         ("Problem", fields(&problem)),
         ("Ready", fields(&ready)),
         ("Status", fields(&status)),
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -180,4 +180,26 @@
         804, Info, "{who} brought data centre {data_centre} back",
         "Nothing.",
     ),
+    /// An operator keeps a data centre out for a limited time although the table service is down.
+    OverrideGiven {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+        /// For how long, in minutes.
+        minutes: u32,
+    } = (
+        805, Warn, "{who} keeps data centre {data_centre} out for {minutes} minutes, not accepted",
+        "When the table service is back it becomes an ordinary change. If it ends before, repeat it.",
+    ),
+    /// An operator withdrew such an order.
+    OverrideWithdrawn {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+    } = (
+        806, Info, "{who} no longer keeps data centre {data_centre} out",
+        "Nothing.",
+    ),
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -170,7 +170,7 @@
 }
 
 fn data_centre() -> Command {
-    let turn = |name: &'static str, about: &'static str| {
+    let order = |name: &'static str, about: &'static str| {
         remote(name).about(about).arg(
             Arg::new("name")
                 .value_name("NAME")
@@ -178,15 +178,34 @@
                 .help("The data centre"),
         )
     };
+    let minutes = Arg::new("minutes")
+        .long("minutes")
+        .value_name("NUMBER")
+        .value_parser(value_parser!(u32).range(1..=60))
+        .required(true)
+        .help("For how long, 60 at most; repeat the order if it must hold longer");
     Command::new("data-centre")
         .about("Takes a data centre out of service or back in")
         .after_help(
-            "Examples:\n  celerystand data-centre out amman-2\n  celerystand data-centre in amman-2",
+            "Examples:\n  celerystand data-centre out amman-2\n  \
+             celerystand data-centre in amman-2\n  \
+             celerystand data-centre override amman-2 --minutes 30",
         )
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(turn("out", "No new work goes there; what runs is finished"))
-        .subcommand(turn("in", "New work goes there again, slowly at first"))
+        .subcommand(order(
+            "out",
+            "No new work goes there; what runs is finished",
+        ))
+        .subcommand(order("in", "New work goes there again, slowly at first"))
+        .subcommand(
+            order(
+                "override",
+                "Keeps it out for a limited time while the table service is down",
+            )
+            .arg(minutes),
+        )
+        .subcommand(order("withdraw", "Takes such an order back"))
 }
 
 fn status() -> Command {
--- a/src/cmd/state.rs
+++ b/src/cmd/state.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use admin::message::Status;
+use admin::message::{OverrideView, Status};
 use clap::ArgMatches;
 use config::Entry;
 use serde_json::Value;
@@ -33,13 +33,23 @@
         [] => "none".to_owned(),
         list => list.join(", "),
     };
+    let overrides: String = status.overrides.iter().map(override_line).collect();
     format!(
         "instance       {}\ndata centre    {}\nprogram        {}\nready          {ready}\n\
-         configuration  {version}\ntaken out      {out}",
+         configuration  {version}\ntaken out      {out}{overrides}",
         status.instance, status.data_centre, status.program
     )
 }
 
+fn override_line(order: &OverrideView) -> String {
+    let OverrideView {
+        data_centre,
+        who,
+        seconds_left,
+    } = order;
+    format!("\nnot accepted   {data_centre}, kept out by {who} for another {seconds_left} s")
+}
+
 /// Prints the state of an instance.
 ///
 /// # Errors
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -229,7 +229,7 @@
 }
 
 // The table service is down when an operator changes something. The exit code says that nothing
-// was changed and that it is worth trying again.
+// was changed and that it is worth trying again. A data centre can still be kept out for a time.
 #[test]
 fn a_change_during_an_outage_of_the_table_service_is_unavailable() {
     let setting = Setting::start();
@@ -240,6 +240,29 @@
     smol::block_on(setting.deployment.platform_fault(&down(true)));
     let refused = setting.run(&["set", "/", "in-flight=9"]);
     assert_eq!(refused.code, 4, "{}", refused.err);
+
+    let refused = setting.run(&["data-centre", "out", "dc-1"]);
+    assert_eq!(refused.code, 4, "{}", refused.err);
+    assert!(
+        refused.err.contains("data-centre override dc-1"),
+        "{}",
+        refused.err
+    );
+    let keep = ["data-centre", "override", "dc-1", "--minutes", "5"];
+    assert!(setting.run(&keep).well().contains("not accepted"));
+    let status = setting.run(&["status"]).well();
+    assert!(status.contains("taken out      dc-1\n"), "{status}");
+    assert!(
+        status.contains("not accepted   dc-1, kept out by"),
+        "{status}"
+    );
+    setting.run(&["data-centre", "withdraw", "dc-1"]).well();
+    assert!(
+        setting
+            .run(&["status"])
+            .well()
+            .ends_with("taken out      none\n")
+    );
     smol::block_on(setting.deployment.platform_fault(&down(false)));
     setting.run(&["set", "/", "in-flight=9"]).well();
 }
