--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -141,10 +141,9 @@
 fn check_value(path: &str, key: &Key, value: &RawValue, faults: &mut Vec<Fault>) {
     if let (Kind::Hashes, Raw::List(items)) = (key.kind, &value.value) {
         for (index, item) in items.iter().enumerate() {
-            if !is_hash(&item.value) {
-                let path = format!("{path}[{index}]");
-                faults.push(wrong(&path, key, "this is not a SHA-256 hash", item.place));
-            }
+            let path = format!("{path}[{index}]");
+            let fault = what_is_wrong_with_hash(&item.value);
+            faults.extend(fault.map(|what| wrong(&path, key, &what, item.place)));
         }
         return;
     }
@@ -153,6 +152,19 @@
     }
 }
 
+fn what_is_wrong_with_hash(value: &Raw) -> Option<String> {
+    match value {
+        Raw::Text(text) if is_hash(text) => None,
+        // Some hashes have digits only, or look like a power of ten.
+        Raw::Int(_) | Raw::Float(_) => Some(unquoted(value)),
+        _ => Some("this is not a SHA-256 hash".to_owned()),
+    }
+}
+
+fn unquoted(value: &Raw) -> String {
+    format!("this is {}, put quotes around it", value.describe())
+}
+
 fn wrong(path: &str, key: &Key, what: &str, place: Place) -> Fault {
     Fault::new(what, key.kind.right())
         .with_path(path)
@@ -204,9 +216,6 @@
     addr.parse::<SocketAddr>().is_ok()
 }
 
-fn is_hash(value: &Raw) -> bool {
-    let Raw::Text(text) = value else {
-        return false;
-    };
+fn is_hash(text: &str) -> bool {
     text.len() == HASH_DIGITS && text.chars().all(|c| c.is_ascii_hexdigit())
 }
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -6,7 +6,7 @@
 use errors::Error;
 use settings::Settings;
 
-use crate::{cmd::file, failure::Outcome};
+use crate::{cmd::file, failure::Outcome, output};
 
 /// Checks a settings file.
 ///
@@ -15,7 +15,7 @@
 pub fn run(args: &ArgMatches) -> Outcome {
     let path = file(args, "file")?;
     load(path)?;
-    println!("{}: no faults", path.display());
+    output::line(format_args!("{}: no faults", path.display()))?;
     Ok(())
 }
 
--- a/src/cmd/complete.rs
+++ b/src/cmd/complete.rs
@@ -1,12 +1,10 @@
 //! `celerystand completions`: completions for a shell.
 
-use std::io;
-
 use clap::ArgMatches;
 use clap_complete::{Shell, generate};
 use errors::Error;
 
-use crate::{cli, failure::Outcome};
+use crate::{cli, failure::Outcome, output};
 
 /// Prints the completions.
 ///
@@ -16,11 +14,7 @@
     let shell = args
         .get_one::<Shell>("shell")
         .ok_or_else(|| Error::new("no shell was named"))?;
-    generate(
-        *shell,
-        &mut cli::command(),
-        "celerystand",
-        &mut io::stdout(),
-    );
-    Ok(())
+    let mut buf = Vec::new();
+    generate(*shell, &mut cli::command(), "celerystand", &mut buf);
+    Ok(output::text(&String::from_utf8_lossy(&buf))?)
 }
--- a/src/cmd/docs.rs
+++ b/src/cmd/docs.rs
@@ -3,7 +3,7 @@
 use clap::ArgMatches;
 use errors::Error;
 
-use crate::{cmd::text, failure::Outcome};
+use crate::{cmd::text, failure::Outcome, output};
 
 /// Prints a page.
 ///
@@ -15,6 +15,6 @@
         "settings" => settings::reference::page(),
         other => return Err(Error::new(format!("there is no page {other}")).into()),
     };
-    print!("{page}");
+    output::text(&page)?;
     Ok(())
 }
--- a/src/cmd/key.rs
+++ b/src/cmd/key.rs
@@ -6,7 +6,7 @@
 use clap::ArgMatches;
 use errors::{Context, Error};
 
-use crate::failure::Outcome;
+use crate::{failure::Outcome, output};
 
 /// Prints the hash of the key on standard input, without the line's end.
 ///
@@ -24,6 +24,6 @@
     if key.is_empty() {
         return Err(Error::new("standard input holds no key").into());
     }
-    println!("{}", hash_key(key));
+    output::line(hash_key(key))?;
     Ok(())
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -14,7 +14,11 @@
 pub mod state;
 pub mod try_out;
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    io::{self, Write},
+    path::PathBuf,
+    process::ExitCode,
+};
 
 use clap::ArgMatches;
 use errors::Error;
@@ -27,7 +31,8 @@
     match dispatch(matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
-            eprintln!("celerystand: {failure}");
+            // Where even this can't be written, the exit code still tells.
+            let _ = writeln!(io::stderr(), "celerystand: {failure}");
             failure.exit_code()
         }
     }
--- a/src/cmd/node.rs
+++ b/src/cmd/node.rs
@@ -15,6 +15,7 @@
     client::{AdminClient, Seen},
     cmd::{operator, print, text},
     failure::{Failure, Outcome},
+    output,
 };
 
 /// Fields that stand in the node itself; all others are knobs.
@@ -58,7 +59,7 @@
     for origin in &in_force.values {
         let from = origin.from.as_deref().unwrap_or("(default)");
         let value = origin.value.to_string();
-        println!("{:<14} {value:<14} {from}", origin.knob);
+        output::line(format_args!("{:<14} {value:<14} {from}", origin.knob))?;
     }
     Ok(())
 }
--- a/src/cmd/print.rs
+++ b/src/cmd/print.rs
@@ -4,6 +4,8 @@
 use errors::{Context, Result};
 use serde::Serialize;
 
+use crate::output;
+
 /// Whether the command line asks for JSON.
 #[must_use]
 pub fn wants_json(args: &ArgMatches) -> bool {
@@ -16,8 +18,7 @@
 /// The content can't be written as JSON.
 pub fn json(content: &impl Serialize) -> Result<()> {
     let text = serde_json::to_string_pretty(content).context("writing JSON")?;
-    println!("{text}");
-    Ok(())
+    output::line(text)
 }
 
 /// Prints YAML.
@@ -26,8 +27,7 @@
 /// The content can't be written as YAML.
 pub fn yaml(content: &impl Serialize) -> Result<()> {
     let text = serde_saphyr::to_string(content).context("writing YAML")?;
-    print!("{text}");
-    Ok(())
+    output::text(&text)
 }
 
 /// Prints JSON if the command line asks for it, otherwise a line for people.
@@ -38,6 +38,5 @@
     if wants_json(args) {
         return json(content);
     }
-    println!("{line}");
-    Ok(())
+    output::line(line)
 }
--- a/src/cmd/state.rs
+++ b/src/cmd/state.rs
@@ -10,6 +10,7 @@
 use crate::{
     cmd::{operator, print},
     failure::Outcome,
+    output,
 };
 
 /// Shows a summary of an instance.
@@ -71,7 +72,7 @@
         return Ok(print::json(&entries)?);
     }
     for entry in &entries {
-        println!("{}", history_line(entry, SystemTime::now()));
+        output::line(history_line(entry, SystemTime::now()))?;
     }
     Ok(())
 }
--- a/src/cmd/try_out.rs
+++ b/src/cmd/try_out.rs
@@ -16,6 +16,7 @@
     cmd::logging,
     demo::{OPERATOR_KEY, Place, Surroundings, call::Caller, place, show},
     failure::{FailureKind, Outcome},
+    output,
 };
 
 /// How often the instance is tried to be started.
@@ -37,9 +38,9 @@
     let around = smol::block_on(Surroundings::start()).context("starting the stand-ins")?;
     let (place, instance) = start_instance(&around)?;
     around.list_instance(place.peer);
-    println!("One instance, two engines, a plain service and a platform, in one process.");
-    println!("  callers    http://{}", place.listen);
-    println!("  operators  http://{}", place.admin);
+    output::line("One instance, two engines, a plain service and a platform, in one process.")?;
+    output::line(format_args!("  callers    http://{}", place.listen))?;
+    output::line(format_args!("  operators  http://{}", place.admin))?;
 
     seed(&place)?;
     smol::block_on(demonstrate(&place, &around))?;
@@ -47,7 +48,7 @@
         smol::block_on(instance.shut_down());
         return Ok(());
     }
-    show::lines_to_copy(&place);
+    show::lines_to_copy(&place)?;
     // Ctrl-C ends the process: nothing here outlives it.
     smol::block_on(future::pending())
 }
@@ -82,11 +83,11 @@
             outcome => break outcome?,
         }
     };
-    println!(
+    output::line(format_args!(
         "  tree       {} nodes written, version {}",
         outcome.written.len(),
         outcome.version
-    );
+    ))?;
     Ok(())
 }
 
--- a/src/demo/call.rs
+++ b/src/demo/call.rs
@@ -71,8 +71,13 @@
     /// Sends a request for a streamed answer and hands on each line as it comes.
     ///
     /// # Errors
-    /// The answer is no stream, or broke off.
-    pub async fn stream(&self, path: &str, body: &str, mut each: impl FnMut(&str)) -> Result<()> {
+    /// The answer is no stream, or broke off, or a line could not be dealt with.
+    pub async fn stream(
+        &self,
+        path: &str,
+        body: &str,
+        mut each: impl FnMut(&str) -> Result<()>,
+    ) -> Result<()> {
         let resp = self.send("POST", path, &[], body).await?;
         let status = resp.status();
         if !status.is_success() {
@@ -93,7 +98,7 @@
                 buf.push_str(&String::from_utf8_lossy(data));
             }
             while let Some(end) = buf.find('\n') {
-                each(buf[..end].trim_end());
+                each(buf[..end].trim_end())?;
                 buf.drain(..=end);
             }
         }
--- a/src/demo/show.rs
+++ b/src/demo/show.rs
@@ -1,16 +1,15 @@
 //! What the demonstration shows, step by step.
 
-use std::{
-    env,
-    io::{self, Write},
-    time::Duration,
-};
+use std::{env, time::Duration};
 
 use errors::{Context, Error, Result};
 use serde_json::{Value, json};
 use timer::Timer;
 
-use crate::demo::{CALLER_KEY, MODEL, OPERATOR_KEY, Place, Surroundings, call::Caller};
+use crate::{
+    demo::{CALLER_KEY, MODEL, OPERATOR_KEY, Place, Surroundings, call::Caller},
+    output,
+};
 
 /// Time for the instance to become ready.
 const READY_PATIENCE: Duration = Duration::from_secs(60);
@@ -58,7 +57,7 @@
 /// # Errors
 /// The stream did not end well.
 pub async fn streamed_answer(caller: &Caller) -> Result<()> {
-    println!("\nA streamed answer:");
+    output::line("\nA streamed answer:")?;
     let body = chat("Draft a sign for a tea shop.", 24, true);
     let mut tokens = 0;
     let mut ended = false;
@@ -66,13 +65,12 @@
         ended |= line == "data: [DONE]";
         if let Some(text) = token(line) {
             tokens += 1;
-            print!("{text}");
-            // Without it the tokens would show all at once, at the end of the line.
-            let _ = io::stdout().flush();
+            output::text(&text)?;
         }
+        Ok(())
     };
     caller.stream(CHAT, &body, each).await?;
-    println!("\n  ({tokens} tokens)");
+    output::line(format_args!("\n  ({tokens} tokens)"))?;
     if !ended || tokens == 0 {
         return Err(Error::new("the stream ended too early"));
     }
@@ -84,17 +82,20 @@
 /// # Errors
 /// It was not answered, or ran twice.
 pub async fn keyed_call(caller: &Caller, around: &Surroundings) -> Result<()> {
-    println!("\nAn order with an idempotency key, sent twice and run once:");
+    output::line("\nAn order with an idempotency key, sent twice and run once:")?;
     let headers = [("idempotency-key", "order-1")];
     let mut answers = Vec::new();
     for _ in 0..2 {
         let answer = caller
             .ask("POST", "/orders", &headers, r#"{"sheets":3}"#)
             .await?;
-        println!("  {} {}", answer.status, answer.text);
+        output::line(format_args!("  {} {}", answer.status, answer.text))?;
         answers.push((answer.status, answer.text));
     }
-    println!("  effects at the service: {}", around.effects());
+    output::line(format_args!(
+        "  effects at the service: {}",
+        around.effects()
+    ))?;
     if answers[0] != answers[1] || answers[0].0 != 200 || around.effects() != 1 {
         return Err(Error::new("the order did not run exactly once"));
     }
@@ -106,17 +107,20 @@
 /// # Errors
 /// It was not refused.
 pub async fn refusal(caller: &Caller, around: &Surroundings) -> Result<()> {
-    println!(
-        "\nThe table service goes down. A keyed order is refused, and says that it did not run:"
-    );
+    output::line(
+        "\nThe table service goes down. A keyed order is refused, and says that it did not run:",
+    )?;
     around.set_table_down(true);
     let headers = [("idempotency-key", "order-2")];
     let answer = caller.ask("POST", "/orders", &headers, "{}").await;
     around.set_table_down(false);
     let answer = answer?;
     let retry_after = answer.retry_after.unwrap_or_default();
-    println!("  {} (Retry-After: {retry_after})", answer.status);
-    println!("  {}", answer.text);
+    output::line(format_args!(
+        "  {} (Retry-After: {retry_after})",
+        answer.status
+    ))?;
+    output::line(format_args!("  {}", answer.text))?;
     let problem: Value = serde_json::from_str(&answer.text).context("reading the refusal")?;
     if problem["run"] != "not-run" {
         return Err(Error::new("the order was not refused"));
@@ -129,30 +133,38 @@
 /// # Errors
 /// They can't be read.
 pub async fn metrics(place: &Place) -> Result<()> {
-    println!("\nSome of its metrics (http://{}/metrics):", place.admin);
+    output::line(format_args!(
+        "\nSome of its metrics (http://{}/metrics):",
+        place.admin
+    ))?;
     let answer = Caller::new(place.admin)
         .ask("GET", "/metrics", &[], "")
         .await?;
     let shown = |line: &&str| SHOWN_METRICS.iter().any(|name| line.starts_with(name));
     for line in answer.text.lines().filter(shown) {
-        println!("  {line}");
+        output::line(format_args!("  {line}"))?;
     }
     Ok(())
 }
 
 /// Prints lines to copy.
-pub fn lines_to_copy(place: &Place) {
+///
+/// # Errors
+/// Standard output can't be written.
+pub fn lines_to_copy(place: &Place) -> Result<()> {
     let Place { listen, admin, .. } = place;
     let program = program();
     let body = chat("Draft a sign for a tea shop.", 40, true);
-    println!("\nIt stays up until Ctrl-C. To copy:\n");
-    println!(
+    output::line("\nIt stays up until Ctrl-C. To copy:\n")?;
+    output::line(format_args!(
         "  curl -N http://{listen}{CHAT} -H 'Authorization: Bearer {CALLER_KEY}' -d '{body}'\n"
-    );
+    ))?;
     for command in ["status", "export", "dump"] {
-        println!("  CELERYSTAND_KEY={OPERATOR_KEY} {program} {command} --admin {admin}");
+        output::line(format_args!(
+            "  CELERYSTAND_KEY={OPERATOR_KEY} {program} {command} --admin {admin}"
+        ))?;
     }
-    println!();
+    output::line("")
 }
 
 /// How to call this program: it need not lie on the path.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod cmd;
 pub mod demo;
 pub mod failure;
+pub mod output;
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -301,6 +301,30 @@
     assert_eq!(plain(&["nonsense"]).code, 2);
 }
 
+// An operator looks at the first lines only, or the disk is full. The first is no failure, the
+// second must not pass for a written file.
+#[test]
+fn a_reader_that_leaves_is_no_failure_and_a_full_disk_is_one() {
+    let mut child = celerystand()
+        .args(["docs", "settings"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    drop(child.stdout.take());
+    let left = Ended::of(child.wait_with_output().expect("it ends"));
+    assert_eq!((left.code, left.err.as_str()), (0, ""));
+
+    let full = fs::File::options().write(true).open("/dev/full");
+    let output = celerystand()
+        .args(["docs", "settings"])
+        .stdout(full.expect("the device"))
+        .output();
+    let full = Ended::of(output.expect("it starts"));
+    assert_eq!(full.code, 1);
+    assert!(full.err.contains("standard output"), "{}", full.err);
+}
+
 #[test]
 fn the_demonstration_ends_well() {
     let shown = plain(&["try", "--once"]).well();
