Count permits of a target's former life until they are given back

The engine fell over 11 times in 42 s. Tried and ruled out: dropping those whose work had been heard to run (8 falls left: what was heard may have run in the new life already). Change: begin_life drops nothing; entries give back at once what died, as their links break.

--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -303,13 +303,14 @@
         self.report.is_none_or(|report| report.report.warm)
     }
 
-    /// Starts a life of the target: the work of earlier ones died with it.
+    /// Starts a life of the target. Permits of earlier lives go on counting until they are given
+    /// back: the platform's list lags, so one of them may have been sent to the new life, which
+    /// can't tell, and a cold target that got its bound on top of that would fall over. Entries
+    /// give those back at once whose work died with an earlier life, for their links broke.
     pub fn begin_life(&mut self, now: Moment, incarnation: Incarnation) {
         if self.life.replace(incarnation).is_none() {
             return;
         }
-        self.permits
-            .retain(|_, permit| permit.incarnation >= incarnation);
         self.limiter = Limiter::new(now);
         self.prefixes.clear();
         self.may_trust = false;
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -332,10 +332,6 @@
             .accounts
             .entry(held.target.clone())
             .or_insert_with(|| Account::new(now));
-        let listed = account.listed.as_ref().map(|listed| listed.incarnation);
-        if listed.is_some_and(|listed| listed > held.incarnation) {
-            return;
-        }
         let key = PermitKey {
             entry: from.clone(),
             permit: held.permit,
--- a/components/policy/tests/lost_links.rs
+++ b/components/policy/tests/lost_links.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use policy::Event;
 use support::{Bed, limits, target, view};
 use wire::{Message, Outcome};
 
@@ -67,3 +68,50 @@
     bed.held("entry", 1, Vec::new());
     assert_eq!(bed.grants().len(), 1);
 }
+
+// An engine dies and comes back at the same address. An entry that has a permit of before sends
+// its request just then: the new life takes it, and no engine can tell whom a permit was for.
+// An owner that forgets such permits grants the new life's whole bound on top of them, and the
+// cold engine falls over, again and again.
+// Found by `celerystand-bench chaos --seed 2`.
+#[test]
+fn permits_of_a_former_life_count_until_they_are_given_back() {
+    let mut bed = Bed::owning(view(vec![target("a", 1)], limits()));
+    bed.ask("entry", 1);
+    let first = bed.grants()[0].clone();
+    bed.ask("entry", 2);
+    bed.event(Event::Changed(view(vec![target("a", 2)], limits())));
+    bed.ask("entry", 3);
+    assert!(bed.grants().is_empty(), "two may still be on their way");
+    bed.done("entry", &first, Outcome::Unsent);
+    assert_eq!(bed.grants().len(), 1);
+}
+
+// As above, and the work has begun: the list lags, so it may have begun in the new life. Only
+// its entry knows that it died.
+#[test]
+fn work_under_a_permit_of_a_former_life_counts_until_its_entry_gives_it_back() {
+    let mut bed = Bed::owning(view(vec![target("a", 1)], limits()));
+    bed.ask("entry", 1);
+    let first = bed.grants()[0].clone();
+    bed.held("entry", 1, vec![support::held(first.permit, "a", 5)]);
+    bed.event(Event::Changed(view(vec![target("a", 2)], limits())));
+    bed.ask("entry", 2);
+    assert_eq!(bed.grants().len(), 1);
+    bed.ask("entry", 3);
+    assert!(bed.grants().is_empty());
+    bed.done("entry", &first, Outcome::Cancelled { produced: 5 });
+    assert_eq!(bed.grants().len(), 1);
+}
+
+// As above, and the owner changes too: the new one hears of the permit from the entry only.
+#[test]
+fn a_new_owner_counts_permits_of_a_former_life_that_it_hears_of() {
+    let mut bed = Bed::new(view(vec![target("a", 2)], limits()));
+    bed.own(1, &["entry"]);
+    bed.exclusive(true);
+    let held = [support::held(1, "a", 0), support::held(2, "a", 7)];
+    bed.held("entry", 1, held.to_vec());
+    bed.ask("entry", 3);
+    assert!(bed.grants().is_empty());
+}
