Refuse waiting asks as soon as they can't be met

Asks that could no longer be served in time were held to their deadline. The line is now judged every 250 ms against the pace of its class, earliest deadline first; whoever won't be served is told at once and gives its place to those behind.

A test for cold targets whose entry died untold, which no test covered: found by taking the check out.

--- a/components/bench/src/sweep/mod.rs
+++ b/components/bench/src/sweep/mod.rs
@@ -56,6 +56,13 @@
                 .default_value("30")
                 .help("Virtual time before anything is counted; lengths are learned in it"),
         )
+        .arg(
+            Arg::new("takeover")
+                .long("takeover")
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u64))
+                .help("When another owner takes over, who knows nothing"),
+        )
         .arg(
             Arg::new("load")
                 .long("load")
@@ -97,6 +104,7 @@
     let seed = matches.get_one::<u64>("seed").copied().unwrap_or(1);
     let seconds = matches.get_one::<u64>("seconds").copied().unwrap_or(300);
     let warm_up = matches.get_one::<u64>("warm-up").copied().unwrap_or(30);
+    let takeover = matches.get_one::<u64>("takeover").copied();
     println!("{}", Figures::header());
     for &load in matches.get_many::<u32>("load").into_iter().flatten() {
         for variant in variants(matches) {
@@ -104,6 +112,7 @@
                 seed,
                 seconds,
                 warm_up: Duration::from_secs(warm_up),
+                takeover: takeover.map(Duration::from_secs),
                 load: f64::from(load) / 100.0,
                 tuning: variant.tuning,
             };
--- a/components/bench/src/sweep/world.rs
+++ b/components/bench/src/sweep/world.rs
@@ -11,7 +11,7 @@
     Action, Admission, EngineReport, Event, Owner, ShardRole, TargetLimits, Tuning, View,
 };
 use types::{
-    InstanceId, Moment, ServiceId, ServiceKind, Shard, Standing, Target, TargetId, Tokens,
+    Epoch, InstanceId, Moment, ServiceId, ServiceKind, Shard, Standing, Target, TargetId, Tokens,
 };
 use wire::{Grant, Message, Outcome, Recall};
 
@@ -42,6 +42,8 @@
     pub seconds: u64,
     /// Nothing is counted before this, so that lengths are learned.
     pub warm_up: Duration,
+    /// When another owner takes over, who knows nothing.
+    pub takeover: Option<Duration>,
     /// Share of what the engines' memory can bear over time.
     pub load: f64,
     /// What the owner is tuned by.
@@ -56,6 +58,7 @@
     ToEntry(usize),
     Held(usize),
     Report(usize),
+    Takeover,
     Tick,
 }
 
@@ -67,12 +70,14 @@
     mail_out: BTreeMap<usize, (usize, Message)>,
     mails: usize,
     owner: Owner,
+    epoch: Epoch,
     shard: Shard,
     entries: Vec<Entry>,
     engines: Vec<Engine>,
     steps: Vec<Step>,
     requests: Vec<Drawn>,
     told: bool,
+    tuning: Tuning,
     warm_up: Duration,
     figures: Figures,
     used_sum: f64,
@@ -109,35 +114,28 @@
             mail_out: BTreeMap::new(),
             mails: 0,
             owner: Owner::new("owner".into(), 1, setup.seed).with_tuning(setup.tuning),
+            epoch: 0,
             shard: Shard::new(&service, &data_centre),
             entries: (0..ENTRIES).map(|_| Entry::default()).collect(),
             engines: (0..ENGINES).map(|_| Engine::default()).collect(),
             steps: (0..ENGINES).map(|_| Step::default()).collect(),
             requests,
             told: setup.tuning.admission == Admission::Told,
+            tuning: setup.tuning,
             warm_up: setup.warm_up,
             figures: Figures::new(),
             used_sum: 0.0,
             used_count: 0,
         };
-        world.start();
+        world.start(setup);
         world
     }
 
-    fn start(&mut self) {
-        let view = self.view();
-        self.tell(&Event::Changed(view));
-        let role = ShardRole::Own {
-            epoch: 1,
-            ask: Vec::new(),
-        };
-        let shard = self.shard.clone();
-        self.tell(&Event::Role { shard, role });
-        let shard = self.shard.clone();
-        self.tell(&Event::Exclusive {
-            shard,
-            exclusive: true,
-        });
+    fn start(&mut self, setup: &Setup) {
+        self.own(Vec::new());
+        if let Some(at) = setup.takeover {
+            self.at(at, Next::Takeover);
+        }
         for at in 0..self.requests.len() {
             self.at(self.requests[at].at, Next::Arrive(at));
         }
@@ -152,6 +150,33 @@
         self.at(TICK_EVERY, Next::Tick);
     }
 
+    /// Makes the owner own the shard, in a new term.
+    fn own(&mut self, ask: Vec<InstanceId>) {
+        let view = self.view();
+        self.tell(&Event::Changed(view));
+        self.epoch += 1;
+        let epoch = self.epoch;
+        let shard = self.shard.clone();
+        let role = ShardRole::Own { epoch, ask };
+        self.tell(&Event::Role { shard, role });
+        let shard = self.shard.clone();
+        let exclusive = true;
+        self.tell(&Event::Exclusive { shard, exclusive });
+    }
+
+    /// Another owner takes over; what waited at the first asks again.
+    fn take_over(&mut self) {
+        self.owner = Owner::new("other".into(), 1, 0).with_tuning(self.tuning);
+        self.mail_out.clear();
+        self.own((0..ENTRIES).map(name).collect());
+        for entry in 0..ENTRIES {
+            let waiting = std::mem::take(&mut self.entries[entry].asks);
+            for request in waiting.into_values() {
+                self.ask(entry, request);
+            }
+        }
+    }
+
     fn view(&self) -> View {
         let limits = TargetLimits {
             kind: ServiceKind::Model,
@@ -204,6 +229,7 @@
             }
             Next::Held(entry) => self.held(entry),
             Next::Report(engine) => self.report(engine),
+            Next::Takeover => self.take_over(),
             Next::Tick => {
                 self.tell(&Event::Tick);
                 self.at(self.now + TICK_EVERY, Next::Tick);
@@ -264,6 +290,7 @@
                     self.figures.refused[index(self.requests[request].class)] += 1;
                 }
             }
+            Message::Query(_) => self.tell_held(entry),
             Message::Recall(recall) => self.recalled(entry, &recall),
             _ => {}
         }
@@ -381,14 +408,19 @@
     }
 
     fn held(&mut self, entry: usize) {
+        self.tell_held(entry);
+        self.at(self.now + HELD_EVERY, Next::Held(entry));
+    }
+
+    fn tell_held(&mut self, entry: usize) {
         let shape = |request: usize| Shape {
             drawn: &self.requests[request],
             told: self.told,
         };
         let produced = |target: &TargetId, request| self.produced(engine_of(target), request);
-        let held = self.entries[entry].held(self.now, &self.shard, shape, produced);
+        let mut held = self.entries[entry].held(self.now, &self.shard, shape, produced);
+        held.epoch = self.epoch;
         self.mail(entry, held);
-        self.at(self.now + HELD_EVERY, Next::Held(entry));
     }
 
     fn report(&mut self, at: usize) {
--- a/components/policy/src/line.rs
+++ b/components/policy/src/line.rs
@@ -164,6 +164,31 @@
             .collect()
     }
 
+    /// Takes out the asks of a class that will not be served before their deadline, if one is
+    /// served every `between` and the earliest deadline goes first. They give their places to
+    /// those behind them.
+    pub fn drain_hopeless(&mut self, now: Moment, class: Class, between: Duration) -> Vec<Waiting> {
+        let mut turns: Vec<Turn> = self.classes[class as usize]
+            .values()
+            .flatten()
+            .copied()
+            .collect();
+        turns.sort_unstable();
+        let mut wait = Duration::ZERO;
+        let mut hopeless = Vec::new();
+        for turn in turns {
+            if now + wait > turn.deadline {
+                hopeless.push(turn.place);
+            } else {
+                wait += between;
+            }
+        }
+        hopeless
+            .into_iter()
+            .filter_map(|place| self.take(place))
+            .collect()
+    }
+
     /// Takes out the youngest ask of the least urgent class below `class`.
     pub fn displace(&mut self, class: Class) -> Option<Waiting> {
         let place = *self
--- a/components/policy/src/pace.rs
+++ b/components/policy/src/pace.rs
@@ -43,18 +43,25 @@
         self.classes[class as usize].last.get_or_insert(now);
     }
 
-    /// Expected wait behind `ahead` asks of the same class; `None` before anything is known.
+    /// Expected time between two grants of a class while asks of it wait; `None` before anything
+    /// is known.
     #[must_use]
-    pub fn wait(&self, now: Moment, class: Class, ahead: usize) -> Option<Duration> {
+    pub fn between(&self, now: Moment, class: Class) -> Option<Duration> {
         let pace = &self.classes[class as usize];
-        if ahead == 0 {
-            return Some(Duration::ZERO);
-        }
+        let mut between = pace.between?;
         let stalled = pace
             .last
             .map_or(0.0, |last| now.saturating_sub(last).as_secs_f64());
-        let mut between = pace.between?;
         between += WEIGHT * (stalled - between).max(0.0);
-        Some(Duration::from_secs_f64(between * ahead as f64))
+        Some(Duration::from_secs_f64(between))
+    }
+
+    /// Expected wait behind `ahead` asks of the same class; `None` before anything is known.
+    #[must_use]
+    pub fn wait(&self, now: Moment, class: Class, ahead: usize) -> Option<Duration> {
+        if ahead == 0 {
+            return Some(Duration::ZERO);
+        }
+        Some(self.between(now, class)?.mul_f64(ahead as f64))
     }
 }
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -25,6 +25,11 @@
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
 /// How long cold targets wait for their first report when an entry has told nothing.
 const REPORT_WAIT: Duration = Duration::from_secs(3);
+/// Time between two looks for asks that can't be served in time.
+const JUDGE_EVERY: Duration = Duration::from_millis(250);
+/// Part of the expected wait that an ask's patience must last for, so that one that would just
+/// be served isn't refused for a wrong guess.
+const HOPE: f64 = 0.7;
 /// How long urgent work is expected to go on after it was last asked for.
 const URGENT_MEMORY: Duration = Duration::from_secs(60);
 
@@ -46,6 +51,7 @@
     awaiting: BTreeSet<InstanceId>,
     missing: bool,
     began: Moment,
+    judged: Moment,
     urgent: Option<Moment>,
 }
 
@@ -69,6 +75,7 @@
             awaiting: ask.iter().cloned().collect(),
             missing: false,
             began: now,
+            judged: now,
             urgent: None,
         };
         for entry in ask {
@@ -420,15 +427,30 @@
 
     /// Time passed: ends what has waited too long.
     pub fn tick(&mut self, now: Moment, shared: &mut Shared, out: &mut Vec<Action>) {
-        for late in self.line.drain_if(|waiting| waiting.deadline <= now) {
-            self.refuse(now, &late, shared, out);
-        }
+        self.give_up(now, shared, out);
         self.line.age(now);
         for account in self.accounts.values_mut() {
             account.drop_old_orphans(now);
         }
     }
 
+    /// Refuses what can't be served in time any more, as soon as that is clear: whoever is told
+    /// only at the end of its patience has waited for nothing and can't go elsewhere.
+    fn give_up(&mut self, now: Moment, shared: &mut Shared, out: &mut Vec<Action>) {
+        let mut hopeless = self.line.drain_if(|waiting| waiting.deadline <= now);
+        if now.saturating_sub(self.judged) >= JUDGE_EVERY {
+            self.judged = now;
+            for class in Class::ALL {
+                let between = self.pace.between(now, class).unwrap_or_default();
+                let between = between.mul_f64(HOPE);
+                hopeless.extend(self.line.drain_hopeless(now, class, between));
+            }
+        }
+        for waiting in hopeless {
+            self.refuse(now, &waiting, shared, out);
+        }
+    }
+
     /// What others should know.
     #[must_use]
     pub fn summary(&self, now: Moment, shared: &Shared) -> ShardSummary {
--- a/components/policy/tests/order.rs
+++ b/components/policy/tests/order.rs
@@ -305,3 +305,27 @@
     bed.message("entry", patient);
     assert!(bed.denials().is_empty());
 }
+
+// When service slows down, some of those that wait will not be served in time. Told only at the
+// end of their patience they would have waited for nothing.
+#[test]
+fn a_waiting_ask_is_refused_as_soon_as_it_can_not_be_met() {
+    let mut bed = narrow();
+    let mut grants = fill(&mut bed);
+    for number in 10..40 {
+        bed.ask("entry", number);
+    }
+    let mut refused = 0;
+    for number in 50..58 {
+        for _ in 0..20 {
+            bed.advance(250);
+            refused += bed.denials().len();
+        }
+        bed.ask("entry", number);
+        let grant = grants.remove(0);
+        bed.done("entry", &grant, finished(10));
+        grants.extend(bed.grants());
+    }
+    // One every 5 s, and 60 s of patience: a third of the thirty is refused long before its end.
+    assert!((8..30).contains(&refused), "{refused}");
+}
--- a/components/policy/tests/owner.rs
+++ b/components/policy/tests/owner.rs
@@ -159,6 +159,26 @@
     assert!(bed.grants().is_empty());
 }
 
+// An entry that died before it told what it holds may have left work at a cold target. Until
+// the target itself has said what runs there, the bound may be used up.
+#[test]
+fn a_cold_target_waits_for_its_report_where_an_entry_died_untold() {
+    let mut bed = Bed::new(view(vec![target("a", 1)], limits()));
+    bed.own(2, &["dead"]);
+    bed.exclusive(true);
+    bed.event(Event::PeerGone {
+        peer: "dead".into(),
+    });
+    bed.ask("entry", 1);
+    assert!(bed.grants().is_empty());
+    let cold = policy::EngineReport {
+        warm: false,
+        ..warm()
+    };
+    bed.report("a", cold);
+    assert_eq!(bed.grants().len(), 1);
+}
+
 // Operators see a target that still gets work after it was told to leave: its callers are cut
 // when it goes.
 #[test]
