--- a/components/admin/src/lib.rs
+++ b/components/admin/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod auth;
 pub mod body;
+pub mod data_centre;
 pub mod document;
 pub mod message;
 pub mod metrics;
@@ -13,6 +14,7 @@
 pub mod problem;
 pub mod route;
 pub mod scrub;
+pub mod throttle;
 pub mod tree_api;
 
 pub use api::AdminApi;
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -2,12 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
+use events::Event;
 use futures_lite::future;
 use relay::{Broken, End, Running, Sink};
 use targets::Piece;
+use types::WorkspaceId;
 
 use crate::{
-    admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
+    admission::Ending, flight::Flight, generate, metrics::Outcome, parts::Core, refusals,
     streams::Superseded, writer::Writer,
 };
 
@@ -21,6 +23,8 @@
     pub core: Arc<Core>,
     /// The generation.
     pub running: Running,
+    /// Who asked.
+    pub workspace: WorkspaceId,
     /// The way to the caller.
     pub writer: Writer,
     /// Counts it as in flight; `None` once the request as such is over here.
@@ -124,7 +128,7 @@
 }
 
 async fn finish(carried: Carried, stop: Stop, left: bool) {
-    carried.core.metrics.resumed(carried.running.resumes());
+    tell_resumes(&carried.core, &carried.running);
     match stop {
         Stop::End(End::Finished) => finished(carried, left).await,
         Stop::End(End::Broken(broken)) => broke_off(carried, &broken).await,
@@ -133,6 +137,19 @@
     }
 }
 
+/// Counts and logs the new connections that a stream needed.
+pub fn tell_resumes(core: &Core, running: &Running) {
+    let times = running.resumes();
+    if times == 0 {
+        return;
+    }
+    core.metrics.resumed(times);
+    events::emit(&Event::LinkReplaced {
+        target: running.target().id.clone(),
+        times,
+    });
+}
+
 async fn finished(mut carried: Carried, left: bool) {
     let ending = carried.finished();
     // First, as a slow caller may take a while to read the rest.
@@ -147,6 +164,11 @@
     carried.writer.end(Ending::Failed);
     carried.core.metrics.refused(&refusal.code);
     carried.note(Outcome::Partial);
+    events::emit(&Event::AnswerCut {
+        workspace: carried.workspace.clone(),
+        target: carried.running.target().id.clone(),
+        reason: broken.to_string().into(),
+    });
     // If the caller has gone as well there is nobody left to tell.
     let _ = carried.writer.partial(&refusal).await;
 }
@@ -158,10 +180,8 @@
         flight,
         ..
     } = carried;
-    let produced = running.produced();
-    // The engine's memory must be free again before the account says so.
-    running.cancel().await;
-    writer.end(Ending::Cancelled { produced });
+    let ending = generate::cancelled(running).await;
+    writer.end(ending);
     drop(flight);
 }
 
@@ -172,10 +192,9 @@
     carried.writer.close();
     carried.flight = None;
     let ended = read_on(&mut carried).await;
-    let produced = carried.running.produced();
     let ending = match ended {
         Ok(()) => carried.finished(),
-        Err(_) => Ending::Cancelled { produced },
+        Err(_) => Ending::Failed,
     };
     carried.writer.end(ending);
     carried.running.release();
--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -14,6 +14,7 @@
     limit::Limiter,
     memory::{Projection, Running},
     prefixes::Prefixes,
+    shard::{LAPSE_MARGIN, PERMIT_LIFE},
     tuning::Tuning,
 };
 
@@ -66,6 +67,8 @@
     pub seen: bool,
     /// When it was granted or first heard of.
     pub since: Moment,
+    /// When it was first heard that it has produced something.
+    pub started: Option<Moment>,
     /// The entry's clock beyond which it can't be used for new work any more.
     pub lapses: Moment,
     /// When the entry was lost, if it was.
@@ -98,6 +101,7 @@
             max_output: held.max_output,
             produced: held.produced,
             heard: now,
+            started: (held.produced > 0).then_some(now),
             slots: held.slots,
             seen: held.seen,
             since: now,
@@ -109,6 +113,14 @@
         }
     }
 
+    /// Tells whether its work surely ran at a moment, so that a report of then counts it: it was
+    /// heard to have produced something, or it could no longer be used for new work.
+    #[must_use]
+    pub fn ran_by(&self, at: Moment) -> bool {
+        self.started.is_some_and(|started| started <= at)
+            || self.since + PERMIT_LIFE + LAPSE_MARGIN <= at
+    }
+
     /// Tokens produced by now, going by the target's pace since the last news.
     #[must_use]
     pub fn produced_by(&self, now: Moment, rate: f64) -> Tokens {
@@ -197,13 +209,13 @@
         let Some(report) = self.report.filter(|_| self.strange) else {
             return occupied;
         };
-        let after: u32 = self
+        let not_in_it: u32 = self
             .permits
             .values()
-            .filter(|permit| permit.since > report.taken)
+            .filter(|permit| !permit.ran_by(report.taken))
             .map(|permit| permit.slots)
             .sum();
-        occupied.max(report.report.running + report.report.waiting + after)
+        occupied.max(report.report.running + report.report.waiting + not_in_it)
     }
 
     /// Tells whether it may get new work at all: listed as staying, in a data centre that is
@@ -324,8 +336,21 @@
         Some(permit)
     }
 
-    /// Takes news of a permit's progress.
-    pub fn progressed(&mut self, now: Moment, key: &PermitKey, held: &HeldPermit) {
+    /// Keeps a permit whose entry has lost the link to the target: the work may still run there,
+    /// and a cold target that gets more in its place falls over. The target's reports tell when
+    /// it has ended. Tells what the permit was, unless it was lost before.
+    pub fn lose(&mut self, now: Moment, key: &PermitKey) -> Option<Permit> {
+        let permit = self.permits.get_mut(key)?;
+        if permit.orphaned.is_some() {
+            return None;
+        }
+        permit.orphaned = Some(now);
+        Some(permit.clone())
+    }
+
+    /// Takes news of a permit's progress; `stamp` is the entry's clock at saying so. A block that
+    /// can't be used for new calls any more covers only those that still run.
+    pub fn progressed(&mut self, now: Moment, stamp: Moment, key: &PermitKey, held: &HeldPermit) {
         let Some(permit) = self.permits.get_mut(key) else {
             return;
         };
@@ -338,6 +363,12 @@
         permit.produced = permit.produced.max(held.produced);
         permit.heard = now;
         permit.seen |= held.seen;
+        if stamp > permit.lapses {
+            permit.slots = permit.slots.min(held.slots);
+        }
+        if held.produced > 0 {
+            permit.started.get_or_insert(now);
+        }
         permit.orphaned = None;
     }
 
@@ -377,16 +408,20 @@
         &self.projection
     }
 
-    /// Drops work of lost entries that has surely ended: of all that the target reports, at most
-    /// `bears` can be theirs. Without reports a generous bound ends it.
+    /// Drops lost work that has surely ended: of all that the target reports, what surely runs
+    /// for somebody else can't be lost work. Without reports a generous bound ends it.
     fn drop_orphans(&mut self, now: Moment, bears: u32) {
         let taken = self.report.map_or(Moment::ZERO, |report| report.taken);
-        let lost: Vec<PermitKey> = self
-            .permits
-            .iter()
-            .filter(|(_, permit)| permit.orphaned.is_some_and(|since| since < taken))
-            .map(|(key, _)| key.clone())
-            .collect();
+        let mut lost: Vec<PermitKey> = Vec::new();
+        let mut running = 0;
+        for (key, permit) in &self.permits {
+            match permit.orphaned {
+                Some(since) if since < taken => lost.push(key.clone()),
+                None if permit.started.is_some_and(|at| at <= taken) => running += permit.slots,
+                _ => {}
+            }
+        }
+        let bears = bears.saturating_sub(running);
         let ended = lost.len().saturating_sub(bears as usize);
         for key in lost.iter().take(ended) {
             self.remove(key);
--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -11,15 +11,9 @@
 
 use crate::{
     relay::Relay,
-    rhythm::{Bounds, Rhythm},
+    rhythm::{GAP, Rhythm},
 };
 
-/// Bounds of the silence between tokens. The floor is above a long step of a crowded engine.
-const GAP: Bounds = Bounds {
-    floor: Duration::from_millis(400),
-    ceiling: Duration::from_secs(4),
-    unknown: Duration::from_secs(2),
-};
 /// After this time without a token the generation is given up: longer than any preemption.
 const STALL_LIMIT: Duration = Duration::from_secs(30);
 /// Time for the head of a resumed stream to arrive.
@@ -228,6 +222,8 @@
         while self.link.is_none() {
             self.resume().await?;
         }
+        // This was the first connection here, not a mended one.
+        self.resumes = 0;
         Ok(())
     }
 
@@ -256,14 +252,14 @@
         self.open = false;
     }
 
-    /// Cancels it at the engine and waits until the engine knows.
-    pub async fn cancel(mut self) {
+    /// Cancels it at the engine; tells whether the engine knows. If not, it may run on.
+    pub async fn cancel(mut self) -> bool {
         if !self.open {
-            return;
+            return true;
         }
         self.open = false;
         self.link = None;
-        cancel(&self.relay, &self.target, &self.id).await;
+        cancel(&self.relay, &self.target, &self.id).await
     }
 
     /// How long the present silence may last.
@@ -300,11 +296,11 @@
             self.next,
         );
         self.next += count;
-        self.note_tokens(count);
+        self.note_tokens();
         Some(Piece::Tokens { first, count, data })
     }
 
-    fn note_tokens(&mut self, count: Tokens) {
+    fn note_tokens(&mut self) {
         let now = self.relay.timer.now();
         let gap = now.saturating_sub(self.last_token);
         if self.first_at.is_none() {
@@ -313,9 +309,8 @@
                 self.relay.firsts.observe(&self.target.service, gap);
             }
         } else if self.tries == 0 {
-            let count = u32::try_from(count).unwrap_or(u32::MAX).max(1);
-            // Tokens that arrive together are one gap, not many of zero length.
-            self.rhythm.observe(gap / count.min(2));
+            // Not after a resumption: that gap tells of the link, not of the engine.
+            self.rhythm.observe(gap);
         }
         self.last_token = now;
         self.quiet = 0;
@@ -396,17 +391,21 @@
         let relay = self.relay.clone();
         let target = self.target.clone();
         let id = StreamId::clone(&self.id);
-        workers::spawn(async move { cancel(&relay, &target, &id).await }).detach();
+        workers::spawn(async move {
+            cancel(&relay, &target, &id).await;
+        })
+        .detach();
     }
 }
 
-async fn cancel(relay: &Relay, target: &Target, id: &StreamId) {
+async fn cancel(relay: &Relay, target: &Target, id: &StreamId) -> bool {
     let mut delay = BACKOFF;
     for _ in 0..CANCEL_TRIES {
         match relay.engine.cancel(target, id).await {
-            Ok(()) | Err(TargetError::Gone | TargetError::Wrong { .. }) => return,
+            Ok(()) | Err(TargetError::Gone | TargetError::Wrong { .. }) => return true,
             Err(_) => relay.timer.sleep(delay).await,
         }
         delay *= 2;
     }
+    false
 }
--- a/src/cmd/state.rs
+++ b/src/cmd/state.rs
@@ -2,7 +2,7 @@
 
 use std::time::SystemTime;
 
-use admin::message::Status;
+use admin::message::{OverrideView, Status};
 use clap::ArgMatches;
 use config::Entry;
 use serde_json::Value;
@@ -10,6 +10,7 @@
 use crate::{
     cmd::{operator, print},
     failure::Outcome,
+    output,
 };
 
 /// Shows a summary of an instance.
@@ -33,13 +34,23 @@
         [] => "none".to_owned(),
         list => list.join(", "),
     };
+    let overrides: String = status.overrides.iter().map(override_line).collect();
     format!(
         "instance       {}\ndata centre    {}\nprogram        {}\nready          {ready}\n\
-         configuration  {version}\ntaken out      {out}",
+         configuration  {version}\ntaken out      {out}{overrides}",
         status.instance, status.data_centre, status.program
     )
 }
 
+fn override_line(order: &OverrideView) -> String {
+    let OverrideView {
+        data_centre,
+        who,
+        seconds_left,
+    } = order;
+    format!("\nnot accepted   {data_centre}, kept out by {who} for another {seconds_left} s")
+}
+
 /// Prints the state of an instance.
 ///
 /// # Errors
@@ -61,7 +72,7 @@
         return Ok(print::json(&entries)?);
     }
     for entry in &entries {
-        println!("{}", history_line(entry, SystemTime::now()));
+        output::line(history_line(entry, SystemTime::now()))?;
     }
     Ok(())
 }
