--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -49,6 +49,7 @@
     pub plain: Arc<FakePlain>,
     pub claims: Arc<FakeClaims>,
     pub gateway: Gateway,
+    pub metrics: Metrics,
     pub addr: SocketAddr,
     pub client: Client,
 }
@@ -94,6 +95,7 @@
         let admission = Arc::new(FakeAdmission::new(timer));
         let plain = Arc::new(FakePlain::default());
         let claims = Arc::new(FakeClaims::default());
+        let metrics = Metrics::new();
         let parts = GatewayParts {
             admission: admission.clone(),
             engine: engine.clone(),
@@ -107,7 +109,7 @@
                 ..Limits::default()
             },
             instance: instance.into(),
-            metrics: Metrics::new(),
+            metrics: metrics.clone(),
             stream_key: "a key for all instances".into(),
         };
         let gateway = match takeover {
@@ -126,6 +128,7 @@
             plain,
             claims,
             gateway,
+            metrics,
             addr,
             client: Client::new(),
         }
