--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -108,6 +108,19 @@
         }
     }
 
+    /// Waits until nothing is left to be settled, at most this long; tells how much is.
+    pub async fn drain(&self, patience: Duration) -> usize {
+        let end = self.timer.now() + patience;
+        loop {
+            let (_, pending, _) = self.counts();
+            if pending == 0 || self.timer.now() >= end {
+                return pending;
+            }
+            self.settle_pending().await;
+            self.timer.sleep(TRY_PAUSE).await;
+        }
+    }
+
     fn give_up_overdue(&self) {
         let mut open = self.open.lock();
         for key in open.overdue(self.timer.now(), OPEN_LIMIT) {
@@ -119,9 +132,13 @@
         let pending = self.open.lock().pending();
         for open in pending {
             match settle(&*self.table, &self.group, &open).await {
-                Ok(()) => self.open.lock().settled(&open.row.id),
+                Ok(()) => self.open.lock().settled(&open),
                 // The next one would fail as well; the next round tries again.
-                Err(PlatformError::Unavailable { .. } | PlatformError::Unknown { .. }) => return,
+                Err(
+                    PlatformError::Busy { .. }
+                    | PlatformError::Unavailable { .. }
+                    | PlatformError::Unknown { .. },
+                ) => return,
                 Err(_) => {}
             }
         }
@@ -220,7 +237,7 @@
                     Err(_) if lost == 0 => return Tried::Down,
                     Err(_) => return Tried::Lost,
                 },
-                Err(PlatformError::Unavailable { .. }) => down += 1,
+                Err(PlatformError::Busy { .. } | PlatformError::Unavailable { .. }) => down += 1,
                 Err(PlatformError::Unknown { .. } | PlatformError::Garbled { .. }) => lost += 1,
             }
             let late = self.timer.now() >= end;
@@ -300,11 +317,11 @@
         };
         let write = Write::Replace {
             key,
-            version: open.base + 1,
+            version: open.base.saturating_add(1),
             body: open.row.body(),
         };
         if self.group.commit(write).await.is_ok() {
-            self.open.lock().settled(&open.row.id);
+            self.open.lock().settled(&open);
         }
     }
 
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -162,6 +162,16 @@
         703, Info, "the override of data centre {data_centre} is accepted as version {version}",
         "Nothing. Bring the data centre back as usual when you want it.",
     ),
+    /// The table service has an older configuration than the one in force: it was set back.
+    StoreBehind {
+        /// The version at the table service.
+        store: ConfigVersion,
+        /// The version in force here.
+        here: ConfigVersion,
+    } = (
+        704, Error, "the table service has configuration {store}, older than {here} in force; no change is accepted",
+        "What is in force stays. Restore the table service to a newer state; or export the tree, stop all instances, start them anew and apply it.",
+    ),
     /// An operator's change was accepted.
     ChangeAccepted {
         /// Who made it.
@@ -186,7 +196,7 @@
         801, Info, "the change of {path} by {who} was not accepted: {reason}",
         "Nothing; the operator was told the same.",
     ),
-    /// A request to the administration API carried no valid operator's key.
+    /// A request to the administration API carried no valid operator's key. Logged at most once a second.
     OperatorUnknown {
         /// Where it came from.
         peer: Arc<str>,
@@ -214,4 +224,26 @@
         804, Info, "{who} brought data centre {data_centre} back",
         "Nothing.",
     ),
+    /// An operator keeps a data centre out for a limited time although the table service is down.
+    OverrideGiven {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+        /// For how long, in minutes.
+        minutes: u32,
+    } = (
+        805, Warn, "{who} keeps data centre {data_centre} out for {minutes} minutes, not accepted",
+        "When the table service is back it becomes an ordinary change. If it ends before, repeat it.",
+    ),
+    /// An operator withdrew such an order.
+    OverrideWithdrawn {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Who did it.
+        who: Arc<str>,
+    } = (
+        806, Info, "{who} no longer keeps data centre {data_centre} out",
+        "Nothing.",
+    ),
 }
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -9,7 +9,7 @@
 use types::WorkspaceId;
 
 use crate::{
-    admission::Ending, flight::Flight, metrics::Outcome, parts::Core, refusals,
+    admission::Ending, flight::Flight, generate, metrics::Outcome, parts::Core, refusals,
     streams::Superseded, writer::Writer,
 };
 
@@ -180,10 +180,8 @@
         flight,
         ..
     } = carried;
-    let produced = running.produced();
-    // The engine's memory must be free again before the account says so.
-    running.cancel().await;
-    writer.end(Ending::Cancelled { produced });
+    let ending = generate::cancelled(running).await;
+    writer.end(ending);
     drop(flight);
 }
 
@@ -194,10 +192,9 @@
     carried.writer.close();
     carried.flight = None;
     let ended = read_on(&mut carried).await;
-    let produced = carried.running.produced();
     let ending = match ended {
         Ok(()) => carried.finished(),
-        Err(_) => Ending::Cancelled { produced },
+        Err(_) => Ending::Failed,
     };
     carried.writer.end(ending);
     carried.running.release();
--- a/components/policy/src/shard.rs
+++ b/components/policy/src/shard.rs
@@ -13,6 +13,7 @@
     account::{Account, Permit, PermitKey, Report},
     api::{Action, TargetLimits},
     length::Source,
+    limit::urgent_part,
     line::{Line, Waiting},
     outbox::{deny, send},
     pace::Pace,
@@ -22,6 +23,8 @@
 /// Added to a permit's life where an owner waits for permits to lapse, for clocks that run at
 /// slightly different rates.
 pub const LAPSE_MARGIN: Duration = Duration::from_millis(250);
+/// Time between two questions to an entry that has not told what it holds.
+const QUERY_PERIOD: Duration = Duration::from_millis(200);
 /// How long cold targets wait for their first report when an entry has told nothing.
 const REPORT_WAIT: Duration = Duration::from_secs(3);
 /// How long urgent work is expected to go on after it was last asked for.
@@ -43,6 +46,7 @@
     /// How fast each class is served.
     pub pace: Pace,
     awaiting: BTreeSet<InstanceId>,
+    queried: Moment,
     missing: bool,
     began: Moment,
     urgent: Option<Moment>,
@@ -66,18 +70,26 @@
             accounts: BTreeMap::new(),
             pace: Pace::new(),
             awaiting: ask.iter().cloned().collect(),
+            queried: now,
             missing: false,
             began: now,
             urgent: None,
         };
-        for entry in ask {
-            let shard = shard.clone();
-            send(entry, Query { shard, epoch }.into(), out);
-        }
+        state.query(now, out);
         state.refresh(now, shared);
         state
     }
 
+    /// Asks those that have not told yet. A question may get lost, and without its answer cold
+    /// targets would never get work from this owner.
+    fn query(&mut self, now: Moment, out: &mut Vec<Action>) {
+        self.queried = now;
+        for entry in &self.awaiting {
+            let (shard, epoch) = (self.shard.clone(), self.epoch);
+            send(entry, Query { shard, epoch }.into(), out);
+        }
+    }
+
     /// Entries that have not yet told what they hold.
     #[must_use]
     pub const fn awaiting(&self) -> &BTreeSet<InstanceId> {
@@ -109,11 +121,7 @@
         let expected = self
             .urgent
             .is_some_and(|last| now.saturating_sub(last) < URGENT_MEMORY);
-        if expected && slots >= 4 {
-            (slots / 10).max(1)
-        } else {
-            0
-        }
+        if expected { urgent_part(slots) } else { 0 }
     }
 
     /// Takes an ask: it waits its turn or is refused at once.
@@ -226,10 +234,15 @@
             permit: done.permit,
         };
         let occupied = account.occupied();
-        let Some(permit) = account.remove(&key) else {
+        let given_back = if done.outcome == Outcome::Failed {
+            account.lose(now, &key)
+        } else {
+            account.remove(&key)
+        };
+        let Some(permit) = given_back else {
             return;
         };
-        judge(now, account, occupied, &done.outcome, limits);
+        judge(now, account, &permit, occupied, &done.outcome, limits);
         let length = match done.outcome {
             Outcome::Finished { produced, .. } | Outcome::Cancelled { produced } => produced,
             _ => permit.produced,
@@ -239,7 +252,8 @@
         }
         let spent = match done.outcome {
             Outcome::Unsent | Outcome::Overloaded => 0.0,
-            _ => (permit.prompt + length) as f64,
+            _ if Account::is_model(limits) => (permit.prompt + length) as f64,
+            _ => permit.charged,
         };
         self.line.settle(&permit.workspace, spent - permit.charged);
     }
@@ -292,6 +306,7 @@
                     key.entry == *from
                         && permit.entry_incarnation == incarnation
                         && held.stamp > permit.lapses
+                        && permit.orphaned.is_none()
                         && !listed.contains(&key.permit)
                 })
                 .map(|(key, _)| key.clone())
@@ -332,10 +347,10 @@
         };
         let (before, since, late) = (known.produced, known.since, known.late);
         if before == 0 && held.produced > 0 {
-            let busy = account.occupied() >= account.limiter.slots(limits);
+            let busy = account.limiter.is_busy(limits, account.occupied());
             account.limiter.started(limits, busy);
         }
-        account.progressed(now, &key, held);
+        account.progressed(now, stamp, &key, held);
         if !Account::is_model(limits) {
             return;
         }
@@ -426,6 +441,9 @@
             self.refuse(now, &late, shared, out);
         }
         self.line.age(now);
+        if !self.awaiting.is_empty() && now >= self.queried + QUERY_PERIOD {
+            self.query(now, out);
+        }
         for account in self.accounts.values_mut() {
             account.drop_old_orphans(now);
         }
@@ -474,12 +492,17 @@
 fn judge(
     now: Moment,
     account: &mut Account,
+    permit: &Permit,
     occupied: u32,
     outcome: &Outcome,
     limits: &TargetLimits,
 ) {
-    let busy = occupied >= account.limiter.slots(limits);
+    let busy = account.limiter.is_busy(limits, occupied);
     let may_warm = account.may_warm();
+    if account.limiter.is_cold() && permit.since < account.limiter.since() {
+        // It ran before the target turned cold, and so says nothing about what it bears now.
+        return;
+    }
     match outcome {
         Outcome::Finished { first, .. } => {
             let turned = account
