Keep repeated headers, lengths of bodiless answers, and readable records

Of two Set-Cookie headers of a service only the last reached the caller; an answer to HEAD said length 0; a recorded answer that the service had compressed was replayed without its encoding, so keyed calls no longer offer one. Before the first change of the configuration an instance now says that it is not ready, in place of calling every key wrong.

--- a/components/gateway/src/forward.rs
+++ b/components/gateway/src/forward.rs
@@ -85,8 +85,10 @@
 pub fn response(answer: &PlainAnswer, request: &str) -> Response<Body> {
     let mut reply = Reply::new(answer.status).with_body(full(answer.body.clone()));
     for (name, value) in &answer.headers {
-        if !HOP_BY_HOP.contains(&name.as_ref()) {
-            reply = reply.with_header(name, value);
+        // An answer to `HEAD` tells the length of a body that it does not have.
+        let bodiless = answer.body.is_empty() && **name == *"content-length";
+        if bodiless || !HOP_BY_HOP.contains(&name.as_ref()) {
+            reply = reply.with_added(name, value);
         }
     }
     reply.with_header(REQUEST_ID, request).done()
--- a/components/gateway/src/keyed.rs
+++ b/components/gateway/src/keyed.rs
@@ -11,7 +11,7 @@
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use claims::{ClaimError, Claimed, KeyedCall, Recorded};
-use hyper::Response;
+use hyper::{Response, header::ACCEPT_ENCODING};
 use net::Body;
 use sha2::{Digest, Sha256};
 use smol::channel::{Sender, bounded};
@@ -37,7 +37,7 @@
 /// It runs on a task of its own: once it is sent, its outcome is worth recording even if the
 /// caller goes away, and a claim must never be left without an end.
 pub async fn answer(
-    request: PlainRequest,
+    mut request: PlainRequest,
     caller: &Caller,
     key: &str,
 ) -> Result<Response<Body>, Refusal> {
@@ -47,6 +47,9 @@
         key: key.into(),
         digest: digest(&request.call),
     };
+    // The record keeps no encoding: replayed, a compressed answer could not be read.
+    let plain_text = |name: &str| name != ACCEPT_ENCODING.as_str();
+    request.call.headers.retain(|(name, _)| plain_text(name));
     let name = Arc::clone(&request.call.request);
     let (tx, rx) = bounded(1);
     workers::spawn(run(request, call, tx)).detach();
--- a/components/gateway/src/parts.rs
+++ b/components/gateway/src/parts.rs
@@ -172,7 +172,12 @@
         if !self.admission.ready() {
             return Err(refusals::not_ready());
         }
-        self.config.current().ok_or_else(refusals::not_ready)
+        let current = self.config.current().ok_or_else(refusals::not_ready)?;
+        // Before the first change there are no workspaces: calling each key wrong would mislead.
+        if current.in_force.version() == 0 {
+            return Err(refusals::not_ready());
+        }
+        Ok(current)
     }
 
     /// A name for a request, unique in the deployment.
--- a/components/gateway/tests/fakes/plain.rs
+++ b/components/gateway/tests/fakes/plain.rs
@@ -14,7 +14,8 @@
         status: 200,
         headers: vec![
             ("content-type".into(), "text/plain".into()),
-            ("x-shop".into(), "1".into()),
+            ("set-cookie".into(), "a=1".into()),
+            ("set-cookie".into(), "b=2".into()),
             ("keep-alive".into(), "5".into()),
         ],
         body: body.into(),
--- a/components/gateway/tests/plain_calls.rs
+++ b/components/gateway/tests/plain_calls.rs
@@ -53,7 +53,8 @@
         ];
         let answer = bed.send("POST", "/shop/a%20b?q=1", &headers, "body").await;
         assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
-        assert_eq!(answer.headers["x-shop"], "1");
+        let cookies: Vec<_> = answer.headers.get_all("set-cookie").iter().collect();
+        assert_eq!(cookies, ["a=1", "b=2"]);
         assert!(!answer.headers.contains_key("keep-alive"));
         let call = bed.plain.calls.lock()[0].clone();
         assert_eq!(answer.headers["x-request-id"], *call.request);
@@ -64,6 +65,18 @@
     });
 }
 
+#[test]
+fn an_answer_without_a_body_keeps_the_length_that_it_tells() {
+    smol::block_on(async {
+        let bed = Bed::new().await;
+        let mut head = answer("");
+        head.headers.push(("content-length".into(), "41".into()));
+        bed.plain.script([Ok(head)]);
+        let answer = bed.send("HEAD", "/shop/title", &[], "").await;
+        assert_eq!(answer.headers["content-length"], "41");
+    });
+}
+
 #[test]
 fn a_lost_lookup_is_asked_again() {
     // The service dies with a viewer's lookup. Asked again it is answered, and the page is not
@@ -129,8 +142,11 @@
 fn a_keyed_call_runs_once_and_its_answer_is_recorded() {
     smol::block_on(async {
         let bed = Bed::new().await;
-        let answer = bed.send("POST", ORDER, &KEY, "sheet").await;
+        let headers = [KEY[0], ("accept-encoding", "gzip")];
+        let answer = bed.send("POST", ORDER, &headers, "sheet").await;
         assert_eq!((answer.status, answer.body.as_str()), (200, "fine"));
+        let sent = bed.plain.calls.lock()[0].headers.clone();
+        assert!(sent.iter().all(|(name, _)| **name != *"accept-encoding"));
         bed.idle().await;
         let recorded = Recorded {
             status: 200,
--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -109,6 +109,17 @@
         self
     }
 
+    /// Adds a header beside those of the same name, as `Set-Cookie` may need; one that HTTP does
+    /// not allow is left out.
+    #[must_use]
+    pub fn with_added(mut self, name: &str, value: &str) -> Self {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_str(value)) {
+            self.inner.headers_mut().append(name, value);
+        }
+        self
+    }
+
     /// Sets the body.
     #[must_use]
     pub fn with_body(mut self, body: Body) -> Self {
