--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -19,7 +19,7 @@
 use crate::pool::{Conn, Pool};
 
 /// Bytes of a connection's buffers, and so of one part of a body and of an answer's head.
-const BUFFER: usize = 32 * 1024;
+const BUFFER: usize = 16 * 1024;
 /// Time to connect.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
 
--- a/components/relay/src/running.rs
+++ b/components/relay/src/running.rs
@@ -1,79 +1,24 @@
 //! One generation under way.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use async_trait::async_trait;
 use bytes::Bytes;
-use derive_more::{Display, Error};
 use targets::{Piece, Stream, StreamId, TargetError};
 use timer::Alarm;
 use types::{Moment, Target, Tokens};
 
 use crate::{
+    end::{Broken, End, STALL_LIMIT, Sink},
     relay::Relay,
     rhythm::{GAP, Rhythm},
+    tries::{BACKOFF, Tries},
 };
 
-/// After this time without a token the generation is given up: longer than any preemption.
-const STALL_LIMIT: Duration = Duration::from_secs(30);
 /// Time for the head of a resumed stream to arrive.
 const RESUME_PATIENCE: Duration = Duration::from_secs(2);
-/// Refused connections in a row after which an engine counts as gone.
-const REFUSED_LIMIT: u32 = 6;
-/// Delay before the second try to resume; it doubles with each further one.
-const BACKOFF: Duration = Duration::from_millis(50);
-/// Longest delay between two tries.
-const BACKOFF_LIMIT: Duration = Duration::from_secs(1);
 /// Tries to cancel a generation.
 const CANCEL_TRIES: u32 = 3;
 
-/// Why a generation can't go on.
-#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
-pub enum Broken {
-    /// The engine does not know the stream any more.
-    #[display("the engine lost the generation")]
-    Gone,
-    /// The engine refuses connections.
-    #[display("the engine can't be reached: {reason}")]
-    Unreachable {
-        /// Why.
-        #[error(not(source))]
-        reason: Arc<str>,
-    },
-    /// The link broke and was not to be mended.
-    #[display("the link broke")]
-    LinkLost,
-    /// No token came for too long.
-    #[display("no token came for {STALL_LIMIT:?}")]
-    Stalled,
-}
-
-/// The receiver of tokens does not take any more.
-#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
-#[display("the receiver went away")]
-pub struct Closed;
-
-/// Takes a generation's tokens.
-#[async_trait]
-pub trait Sink: Send {
-    /// Takes tokens, of which `first` is the offset of the first.
-    ///
-    /// # Errors
-    /// Fails when the receiver went away.
-    async fn tokens(&mut self, first: Tokens, data: Vec<Bytes>) -> Result<(), Closed>;
-}
-
-/// How pumping a generation ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum End {
-    /// The engine ended it.
-    Finished,
-    /// The sink did not take any more; the generation is still running.
-    Closed,
-    /// It can't go on.
-    Broken(Broken),
-}
-
 /// A generation under way. Dropping it before its end cancels it at the engine.
 pub struct Running {
     relay: Relay,
@@ -89,12 +34,7 @@
     last_token: Moment,
     rhythm: Rhythm,
     alarm: Alarm,
-    /// Silences in a row that a resumption did not end.
-    quiet: u32,
-    /// Refused connections in a row.
-    refused: u32,
-    /// Tries to resume in a row.
-    tries: u32,
+    tries: Tries,
     resumes: u32,
     /// Whether a broken link stays broken.
     passive: bool,
@@ -135,9 +75,7 @@
             last_token: begun,
             rhythm: Rhythm::new(GAP),
             alarm: Alarm::new(),
-            quiet: 0,
-            refused: 0,
-            tries: 0,
+            tries: Tries::default(),
             resumes: 0,
             passive: false,
             open: false,
@@ -208,7 +146,7 @@
                     // Something on the way may have lost track of the connection: then nothing
                     // would ever come over it again, while a new one works.
                     self.link = None;
-                    self.quiet += 1;
+                    self.tries.note_silence();
                 }
             }
         }
@@ -269,10 +207,7 @@
         } else {
             self.rhythm.limit()
         };
-        // A link that was just proven good and is silent all the same: the engine itself has
-        // stopped, for instance by a preemption, and asking more often helps nobody.
-        let longer = usual.saturating_mul(1 << self.quiet.min(8));
-        longer.min(GAP.ceiling.max(usual))
+        self.tries.patience(usual)
     }
 
     /// Takes tokens off the link: repeats are passed over, a gap makes the link useless.
@@ -308,14 +243,12 @@
             if self.from == 0 {
                 self.relay.firsts.observe(&self.target.service, gap);
             }
-        } else if self.tries == 0 {
+        } else if self.tries.is_none() {
             // Not after a resumption: that gap tells of the link, not of the engine.
             self.rhythm.observe(gap);
         }
         self.last_token = now;
-        self.quiet = 0;
-        self.refused = 0;
-        self.tries = 0;
+        self.tries = Tries::default();
     }
 
     /// One try to go on over a new connection, after a delay that grows with the tries.
@@ -326,34 +259,19 @@
         if self.relay.timer.now().saturating_sub(self.last_token) > STALL_LIMIT {
             return Err(self.broken(Broken::Stalled));
         }
-        self.relay.timer.sleep(self.delay()).await;
-        self.tries += 1;
+        self.relay.timer.sleep(self.tries.delay()).await;
+        self.tries.note_try();
         match self.reconnect().await {
-            Ok(()) => self.refused = 0,
+            Ok(()) => self.tries.note_connection(),
             Err(TargetError::Gone) => return Err(self.broken(Broken::Gone)),
-            Err(TargetError::Unsent { reason }) => {
-                self.refused += 1;
-                if self.refused >= REFUSED_LIMIT {
-                    return Err(self.broken(Broken::Unreachable { reason }));
-                }
+            Err(TargetError::Unsent { reason }) if self.tries.note_refusal() => {
+                return Err(self.broken(Broken::Unreachable { reason }));
             }
             Err(_) => {}
         }
         Ok(())
     }
 
-    /// The first try comes at once. The spread keeps all streams of a broken link from coming
-    /// back in the same instant.
-    fn delay(&self) -> Duration {
-        if self.tries == 0 {
-            return Duration::ZERO;
-        }
-        let full = BACKOFF
-            .saturating_mul(1 << (self.tries - 1).min(10))
-            .min(BACKOFF_LIMIT);
-        full.mul_f64(fastrand::f64().mul_add(0.5, 0.5))
-    }
-
     async fn reconnect(&mut self) -> Result<(), TargetError> {
         let resume = self.relay.engine.resume(&self.target, &self.id, self.next);
         let link = self
