--- a/components/admin/src/data_centre.rs
+++ b/components/admin/src/data_centre.rs
@@ -26,7 +26,7 @@
 /// conflict.
 ///
 /// # Errors
-/// 404 if the tree has no such data centre, otherwise as [`write`].
+/// 404 if the tree has no such data centre, otherwise as [`crate::tree_api::write`].
 pub async fn turn(
     config: &dyn Config,
     headers: &HeaderMap,
