--- a/components/admin/src/tree_api.rs
+++ b/components/admin/src/tree_api.rs
@@ -97,7 +97,7 @@
 /// Commits a change and logs what became of it.
 ///
 /// # Errors
-/// As [`write`].
+/// As [`write()`].
 pub async fn commit(config: &dyn Config, change: Change) -> Result<ConfigVersion, Problem> {
     let (path, who) = (Arc::clone(&change.path), Arc::clone(&change.who));
     match config.change(change).await {
