Spread overrides between instances; log lost shards; ports out of the way

Cause: the override of a data centre stayed on the instance that took it, as nobody carried it between peers; the view was only made anew for a new version, which an override does not make. Event 203 was never logged. Change: peers exchange overrides over a sealed path; the view follows them; Disowned is logged; the harness picks ports from 10000 to 31999.

--- a/components/bench/src/process.rs
+++ b/components/bench/src/process.rs
@@ -7,8 +7,10 @@
     fs::File,
     io::{self, BufRead, BufReader},
     net::{SocketAddr, TcpListener},
+    ops::Range,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 
@@ -175,10 +177,25 @@
     }
 }
 
+/// Ports below those that the system gives to outgoing connections: one of those could take a
+/// listener's port while its instance is down, and the instance could not come back.
+const PORTS: Range<u16> = 10_000..32_000;
+
 /// Picks a port on the loopback address that is free at present.
 ///
 /// # Errors
-/// Passes on why there is none.
+/// Tells that there is none.
 pub fn free_addr() -> io::Result<SocketAddr> {
-    TcpListener::bind(("127.0.0.1", 0))?.local_addr()
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let span = u32::from(PORTS.end - PORTS.start);
+    // Tests in other processes look for ports at the same time, so each begins elsewhere.
+    let begin = std::process::id().wrapping_mul(997);
+    for _ in 0..span {
+        let step = begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % span;
+        let port = PORTS.start + step as u16;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no port is free"))
 }
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -1,7 +1,7 @@
 //! The shared tables: membership and decisions, and what their answers lead to.
 
 use std::{
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -15,7 +15,7 @@
 use policy::{Action, Decide, Event, RequestId, ShardRole, Used, View};
 use smol::channel::{Receiver, Sender, bounded};
 use timer::{Pauses, Timer};
-use types::{Incarnation, InstanceId, Moment, Refusal};
+use types::{Incarnation, InstanceId, Moment, Refusal, Shard};
 use wire::Message;
 
 use crate::outbox::Outbox;
@@ -60,6 +60,8 @@
     waiting: Mutex<HashMap<RequestId, Waiting>>,
     pauses: Mutex<Pauses>,
     view: Mutex<Arc<View>>,
+    /// Shards whose ownership was logged.
+    owned: Mutex<BTreeSet<Shard>>,
     outbox: Outbox,
     config_hints: Sender<ConfigHint>,
     next_request: AtomicU64,
@@ -85,6 +87,7 @@
             waiting: Mutex::default(),
             pauses: Mutex::new(Pauses::new(now, PAUSE)),
             view: Mutex::default(),
+            owned: Mutex::default(),
             outbox,
             config_hints,
             next_request: AtomicU64::new(1),
@@ -225,6 +228,7 @@
     fn apply(&self, change: Change) {
         match change {
             Change::Own { shard, epoch, ask } => {
+                self.owned.lock().insert(shard.clone());
                 events::emit(&Log::Owning {
                     shard: shard.clone(),
                     epoch,
@@ -239,6 +243,10 @@
                 owner,
                 epoch,
             } => {
+                if self.owned.lock().remove(&shard) {
+                    let shard = shard.clone();
+                    events::emit(&Log::Disowned { shard });
+                }
                 self.feed(Event::Role {
                     shard,
                     role: ShardRole::Follow { owner, epoch },
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -2,11 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use config::Config;
+use config::{Config, Current};
 use members::Input;
 use parking_lot::Mutex;
 use platform::Directory;
-use types::{ConfigVersion, Listing};
+use types::{ConfigVersion, DataCentreId, Listing};
 
 use crate::{core::Core, view};
 
@@ -64,7 +64,7 @@
     /// Puts a new view in force whenever the list or the configuration has changed.
     pub async fn follow(self: Arc<Self>) {
         let mut ticks = self.core.timer.every(LOOK_PERIOD);
-        let mut seen: Option<(ConfigVersion, Arc<Listing>)> = None;
+        let mut seen: Option<Seen> = None;
         loop {
             ticks.next().await;
             let Some(current) = self.config.current() else {
@@ -73,16 +73,38 @@
             let Some(listing) = self.listing.lock().clone() else {
                 continue;
             };
-            let version = current.snapshot.version;
-            let same =
-                |(v, l): &(ConfigVersion, Arc<Listing>)| *v == version && Arc::ptr_eq(l, &listing);
-            if seen.as_ref().is_some_and(same) {
+            let now = Seen::new(&current, listing);
+            if seen.as_ref().is_some_and(|before| before.is_same(&now)) {
                 continue;
             }
-            let view = view::view(&current, &listing);
+            let view = view::view(&current, &now.listing);
             self.core.member(Input::Shards(view::shards(&view)));
             self.core.set_view(view);
-            seen = Some((version, listing));
+            seen = Some(now);
         }
     }
 }
+
+/// What a view was made of.
+struct Seen {
+    version: ConfigVersion,
+    /// Operators may override which data centres are out without a new version.
+    out: Vec<DataCentreId>,
+    listing: Arc<Listing>,
+}
+
+impl Seen {
+    fn new(current: &Current, listing: Arc<Listing>) -> Self {
+        Self {
+            version: current.snapshot.version,
+            out: current.in_force.out(),
+            listing,
+        }
+    }
+
+    fn is_same(&self, other: &Self) -> bool {
+        self.version == other.version
+            && self.out == other.out
+            && Arc::ptr_eq(&self.listing, &other.listing)
+    }
+}
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -4,16 +4,16 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use config::{Config, PeerConfig, Update};
+use config::{Config, Override, PeerConfig, Update};
 use gateway::{Gateway, Takeover};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Client, Handler, Reply};
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use targets::StreamId;
 use types::{Incarnation, InstanceId, TargetId};
-use wire::{Envelope, Key, SIZE_LIMIT};
+use wire::{Envelope, Key, SIZE_LIMIT, WireError};
 
 use crate::{core::Core, outbox::MESSAGES_PATH};
 
@@ -21,6 +21,8 @@
 const CONFIG_PATH: &str = "/peer/v1/config";
 /// Where peers tell that a caller goes on with a stream there.
 const TAKEOVER_PATH: &str = "/peer/v1/taken-over";
+/// Where peers exchange operators' overrides.
+const OVERRIDES_PATH: &str = "/peer/v1/overrides";
 /// Tries of telling it.
 const TAKEOVER_TRIES: u32 = 3;
 /// Time for a peer to send a whole envelope, or an answer.
@@ -43,6 +45,37 @@
     stream: StreamId,
 }
 
+/// The overrides that the sender knows; the answer is a list of those the receiver knows.
+#[derive(Debug, Deserialize, Serialize)]
+struct Overrides {
+    to: InstanceId,
+    known: Vec<Override>,
+}
+
+/// A question that names its receiver, so that it can't be replayed to somebody else.
+trait Addressed: DeserializeOwned {
+    /// The receiver.
+    fn to(&self) -> &InstanceId;
+}
+
+impl Addressed for ConfigQuestion {
+    fn to(&self) -> &InstanceId {
+        &self.to
+    }
+}
+
+impl Addressed for TakenOver {
+    fn to(&self) -> &InstanceId {
+        &self.to
+    }
+}
+
+impl Addressed for Overrides {
+    fn to(&self) -> &InstanceId {
+        &self.to
+    }
+}
+
 /// Serves the peer address.
 pub struct PeerServer {
     core: Arc<Core>,
@@ -93,28 +126,30 @@
         newer
     }
 
-    fn answer_config(&self, sealed: &[u8]) -> Reply {
-        match self.key.open::<ConfigQuestion>(sealed) {
-            Ok(question) if question.to == self.core.me => {
-                let update = self.config.since(question.version);
-                Reply::new(200).with_body(net::full(self.key.seal(&update)))
-            }
-            Ok(_) => Reply::text(400, wire::WireError::OtherReceiver.to_string()),
+    /// Answers a question that is meant for this instance.
+    fn answer<T: Addressed>(&self, sealed: &[u8], answer: impl FnOnce(T) -> Reply) -> Reply {
+        match self.key.open::<T>(sealed) {
+            Ok(question) if *question.to() == self.core.me => answer(question),
+            Ok(_) => Reply::text(400, WireError::OtherReceiver.to_string()),
             Err(error) => Reply::text(400, error.to_string()),
         }
     }
-}
 
-impl PeerServer {
-    fn let_go(&self, sealed: &[u8]) -> Reply {
-        match self.key.open::<TakenOver>(sealed) {
-            Ok(word) if word.to == self.core.me => {
-                self.gateway.taken_over(&word.target, &word.stream);
-                Reply::new(204)
-            }
-            Ok(_) => Reply::text(400, wire::WireError::OtherReceiver.to_string()),
-            Err(error) => Reply::text(400, error.to_string()),
-        }
+    fn sealed(&self, content: &impl Serialize) -> Reply {
+        Reply::new(200).with_body(net::full(self.key.seal(content)))
+    }
+
+    fn answer_config(&self, question: &ConfigQuestion) -> Reply {
+        self.sealed(&self.config.since(question.version))
+    }
+
+    fn let_go(&self, word: &TakenOver) -> Reply {
+        self.gateway.taken_over(&word.target, &word.stream);
+        Reply::new(204)
+    }
+
+    fn exchange(&self, theirs: &Overrides) -> Reply {
+        self.sealed(&self.config.exchange(&theirs.known))
     }
 }
 
@@ -128,8 +163,9 @@
         };
         let reply = match path.as_str() {
             MESSAGES_PATH => self.take(&body),
-            CONFIG_PATH => self.answer_config(&body),
-            TAKEOVER_PATH => self.let_go(&body),
+            CONFIG_PATH => self.answer(&body, |q| self.answer_config(&q)),
+            TAKEOVER_PATH => self.answer(&body, |word| self.let_go(&word)),
+            OVERRIDES_PATH => self.answer(&body, |theirs| self.exchange(&theirs)),
             _ => Reply::new(404),
         };
         reply.done()
@@ -191,6 +227,15 @@
     fn peers(&self) -> Vec<InstanceId> {
         self.core.with_members(|members, now| members.alive(now))
     }
+
+    async fn exchange(&self, peer: &InstanceId, ours: &[Override]) -> Option<Vec<Override>> {
+        let question = Overrides {
+            to: peer.clone(),
+            known: ours.to_vec(),
+        };
+        let sealed = self.ask(peer, OVERRIDES_PATH, &question).await?;
+        self.key.open(&sealed).ok()
+    }
 }
 
 #[async_trait]
