Measure what peers, shards, targets and requests cost

Wall time was ruled out, the machine is shared; processor time of the thread is counted instead. Change: celerystand-bench slopes feeds membership, owner and entry in process, weighs messages and memory, and watches real idle instances; Markdown tables with least-squares fit and residual.

--- a/components/bench/src/cli.rs
+++ b/components/bench/src/cli.rs
@@ -14,6 +14,7 @@
     process::Programs,
     report,
     scenario::Scenario,
+    slopes,
     summary::{Summary, strategy_name},
     sweep,
 };
@@ -32,6 +33,7 @@
             run_command(),
             chaos_command(),
             cost_command(),
+            slopes::command(),
             sweep::command(),
         ])
 }
@@ -140,6 +142,7 @@
         Some(("run", args)) => smol::block_on(run_all(args)),
         Some(("chaos", args)) => smol::block_on(run_chaos(args)),
         Some(("cost", args)) => smol::block_on(run_cost(args)),
+        Some(("slopes", args)) => smol::block_on(slopes::run(args)),
         Some(("sweep", args)) => {
             sweep::run(args);
             Ok(())
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod report;
 pub mod request;
 pub mod scenario;
+pub mod slopes;
 pub mod sse;
 pub mod summary;
 pub mod sweep;
