--- a/components/bench/src/slopes/mod.rs
+++ b/components/bench/src/slopes/mod.rs
@@ -7,6 +7,7 @@
 mod fit;
 mod heartbeats;
 mod idle;
+mod listing;
 mod memory;
 mod meter;
 mod sizes;
@@ -20,7 +21,9 @@
 
 use crate::process::Programs;
 
-const PARTS: [&str; 6] = ["sizes", "members", "owner", "entry", "memory", "idle"];
+const PARTS: [&str; 7] = [
+    "sizes", "members", "owner", "entry", "listing", "memory", "idle",
+];
 
 /// The command line.
 #[must_use]
@@ -32,7 +35,7 @@
                 .long("part")
                 .value_delimiter(',')
                 .value_parser(PARTS)
-                .default_value("sizes,members,owner,entry,memory,idle")
+                .default_value("sizes,members,owner,entry,listing,memory,idle")
                 .help("What to measure"),
         )
         .arg(
@@ -64,6 +67,7 @@
             "members" => heartbeats::tables().iter().for_each(|t| println!("{t}")),
             "owner" => println!("{}", decisions::owner()),
             "entry" => println!("{}", decisions::entry()),
+            "listing" => println!("{}", listing::table()),
             "memory" => println!("{}", memory::table()),
             _ => {
                 let numbers: Vec<usize> = args
