Split the owner's large files by job

Permits, load reports, waiting asks, what comes back, the summary and the choice of a target now have files of their own; no behaviour changes.

--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use types::{
-    Class, Epoch, Incarnation, InstanceId, Moment, PermitId, RouteId, ServiceId, ServiceKind,
-    Standing, Target, Tokens, WorkspaceId,
-};
+use types::{Incarnation, Moment, ServiceId, ServiceKind, Standing, Target, Tokens};
 use wire::HeldPermit;
 
 use crate::{
@@ -13,125 +10,18 @@
     length::{Lengths, Source},
     limit::Limiter,
     memory::{Projection, Running},
+    permit::{Permit, PermitKey},
     prefixes::Prefixes,
-    shard::{LAPSE_MARGIN, PERMIT_LIFE},
     tuning::Tuning,
 };
 
 /// Age at which a projection is made anew from what has been produced since.
 const PROJECTION_LIFE: Duration = Duration::from_millis(100);
-/// How long work of a lost entry counts where the target reports nothing about it.
-const ORPHAN_BOUND: Duration = Duration::from_secs(300);
-/// How long nothing is admitted after a target reported preemptions.
-const PREEMPTED_HOLD: Duration = Duration::from_millis(500);
 /// Age at which a report no longer says anything about memory in use.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 /// Weight of one observation in the estimate of a target's tokens per second.
 const RATE_WEIGHT: f64 = 0.1;
 
-/// Which permit of which entry.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct PermitKey {
-    /// The entry.
-    pub entry: InstanceId,
-    /// The permit.
-    pub permit: PermitId,
-}
-
-/// A permit that occupies a target.
-#[derive(Clone, Debug)]
-pub struct Permit {
-    /// The term it was granted in.
-    pub epoch: Epoch,
-    /// Which life of the target.
-    pub incarnation: Incarnation,
-    /// Which life of the entry.
-    pub entry_incarnation: Incarnation,
-    /// Urgency.
-    pub class: Class,
-    /// Who the work is for.
-    pub workspace: WorkspaceId,
-    /// The route.
-    pub route: RouteId,
-    /// Tokens in the prompt.
-    pub prompt: Tokens,
-    /// The most tokens to produce.
-    pub max_output: Tokens,
-    /// Tokens produced, as last heard.
-    pub produced: Tokens,
-    /// When that was heard.
-    pub heard: Moment,
-    /// Concurrent calls it covers.
-    pub slots: u32,
-    /// Whether the caller has seen any of the answer.
-    pub seen: bool,
-    /// When it was granted or first heard of.
-    pub since: Moment,
-    /// When it was first heard that it has produced something.
-    pub started: Option<Moment>,
-    /// The entry's clock beyond which it can't be used for new work any more.
-    pub lapses: Moment,
-    /// When the entry was lost, if it was.
-    pub orphaned: Option<Moment>,
-    /// Whether it has been asked back.
-    pub recalled: bool,
-    /// Whether its missing first token has been taken as evidence of a cold target.
-    pub late: bool,
-    /// Tokens that its workspace was charged for it.
-    pub charged: f64,
-}
-
-impl Permit {
-    /// Takes over what an entry says it holds; `stamp` is the entry's clock at saying so.
-    #[must_use]
-    pub fn adopted(
-        held: &HeldPermit,
-        entry_incarnation: Incarnation,
-        stamp: Moment,
-        now: Moment,
-    ) -> Self {
-        Self {
-            epoch: held.epoch,
-            incarnation: held.incarnation,
-            entry_incarnation,
-            class: held.class,
-            workspace: held.workspace.clone(),
-            route: held.route.clone(),
-            prompt: held.prompt,
-            max_output: held.max_output,
-            produced: held.produced,
-            heard: now,
-            started: (held.produced > 0).then_some(now),
-            slots: held.slots,
-            seen: held.seen,
-            since: now,
-            lapses: stamp,
-            orphaned: None,
-            recalled: false,
-            late: true,
-            charged: (held.prompt + held.produced) as f64,
-        }
-    }
-
-    /// Tells whether its work surely ran at a moment, so that a report of then counts it: it was
-    /// heard to have produced something, or it could no longer be used for new work.
-    #[must_use]
-    pub fn ran_by(&self, at: Moment) -> bool {
-        self.started.is_some_and(|started| started <= at)
-            || self.since + PERMIT_LIFE + LAPSE_MARGIN <= at
-    }
-
-    /// Tokens produced by now, going by the target's pace since the last news.
-    #[must_use]
-    pub fn produced_by(&self, now: Moment, rate: f64) -> Tokens {
-        if self.produced == 0 {
-            return 0;
-        }
-        let since = now.saturating_sub(self.heard).as_secs_f64();
-        (self.produced + (since * rate) as Tokens).min(self.max_output.max(self.produced))
-    }
-}
-
 /// A load report and the moment it describes.
 #[derive(Clone, Copy, Debug)]
 pub struct Report {
@@ -163,11 +53,11 @@
     pub strange: bool,
     /// When work was last asked back.
     pub recalled: Moment,
-    created: Moment,
-    hold_until: Moment,
+    pub(crate) created: Moment,
+    pub(crate) hold_until: Moment,
     rate: f64,
     projection: Projection,
-    projected: Option<Moment>,
+    pub(crate) projected: Option<Moment>,
 }
 
 impl Account {
@@ -260,49 +150,6 @@
         now < self.hold_until || self.used_share(now) > tuning.stop_share
     }
 
-    /// Takes a report; tells whether it was news.
-    pub fn reported(&mut self, now: Moment, report: Report, limits: &TargetLimits) -> bool {
-        if self.report.is_some_and(|last| last.taken > report.taken) {
-            return false;
-        }
-        let last = self.report.replace(report);
-        let same_life = |last: &Report| last.report.incarnation == report.report.incarnation;
-        if let Some(last) = last.filter(same_life)
-            && report.report.preemptions > last.report.preemptions
-        {
-            self.hold_until = now + PREEMPTED_HOLD;
-        }
-        let bears = report.report.running + report.report.waiting;
-        if bears == 0 && report.taken > self.created {
-            self.strange = false;
-        }
-        self.drop_orphans(now, bears);
-        self.judge(now, limits);
-        true
-    }
-
-    /// Draws conclusions from the newest report on whether the target is cold.
-    pub fn judge(&mut self, now: Moment, limits: &TargetLimits) {
-        let Some(report) = self.report else { return };
-        if !report.report.warm {
-            if report.taken >= self.limiter.since() {
-                self.limiter.chill(now);
-                self.may_trust = false;
-            }
-        } else if self.limiter.is_cold() && self.may_trust && self.is_life(report) {
-            self.may_trust = false;
-            self.limiter.trust(now, limits, report.report.running);
-        } else {
-            self.limiter.consider(now, limits, true);
-        }
-    }
-
-    /// Tells whether the target doesn't deny being warm.
-    #[must_use]
-    pub fn may_warm(&self) -> bool {
-        self.report.is_none_or(|report| report.report.warm)
-    }
-
     /// Starts a life of the target. Permits of earlier lives go on counting until they are given
     /// back: the platform's list lags, so one of them may have been sent to the new life, which
     /// can't tell, and a cold target that got its bound on top of that would fall over. Entries
@@ -409,49 +256,6 @@
         &self.projection
     }
 
-    /// Drops lost work that has surely ended: of all that the target reports, what surely runs
-    /// for somebody else can't be lost work. Without reports a generous bound ends it.
-    fn drop_orphans(&mut self, now: Moment, bears: u32) {
-        let taken = self.report.map_or(Moment::ZERO, |report| report.taken);
-        let mut lost: Vec<PermitKey> = Vec::new();
-        let mut running = 0;
-        for (key, permit) in &self.permits {
-            match permit.orphaned {
-                Some(since) if since < taken => lost.push(key.clone()),
-                None if permit.started.is_some_and(|at| at <= taken) => running += permit.slots,
-                _ => {}
-            }
-        }
-        let bears = bears.saturating_sub(running);
-        let ended = lost.len().saturating_sub(bears as usize);
-        for key in lost.iter().take(ended) {
-            self.remove(key);
-        }
-        self.drop_old_orphans(now);
-    }
-
-    /// Drops work of entries that were lost very long ago.
-    pub fn drop_old_orphans(&mut self, now: Moment) {
-        let before = self.permits.len();
-        self.permits.retain(|_, permit| {
-            permit
-                .orphaned
-                .is_none_or(|since| now.saturating_sub(since) < ORPHAN_BOUND)
-        });
-        if self.permits.len() < before {
-            self.projected = None;
-        }
-        if now.saturating_sub(self.created) > ORPHAN_BOUND {
-            self.strange = false;
-        }
-    }
-
-    fn is_life(&self, report: Report) -> bool {
-        self.listed
-            .as_ref()
-            .is_some_and(|listed| listed.incarnation == report.report.incarnation)
-    }
-
     /// Tells whether a permit is for a generation.
     #[must_use]
     pub const fn is_model(limits: &TargetLimits) -> bool {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod account;
 pub mod api;
+pub mod asks;
 pub mod baseline;
+pub mod choose;
 pub mod dump;
 pub mod entry;
 pub mod instance;
@@ -17,12 +19,16 @@
 pub mod outbox;
 pub mod owner;
 pub mod pace;
+pub mod permit;
 pub mod prefixes;
 pub mod recall;
+pub mod reports;
 pub mod retry;
+pub mod returns;
 pub mod serve;
 pub mod shard;
 pub mod shared;
+pub mod summary;
 pub mod tuning;
 
 pub use api::{
--- a/components/policy/src/recall.rs
+++ b/components/policy/src/recall.rs
@@ -10,9 +10,10 @@
 use wire::Recall;
 
 use crate::{
-    account::{Account, PermitKey},
+    account::Account,
     api::{Action, TargetLimits},
     outbox::send,
+    permit::PermitKey,
     shard::ShardState,
     shared::Shared,
 };
--- /dev/null
+++ b/components/policy/src/returns.rs
@@ -0,0 +1,193 @@
+//! What comes back from entries: ended permits, and what is held still.
+
+use std::collections::BTreeSet;
+
+use types::{InstanceId, Moment, PermitId};
+use wire::{Done, Held, HeldPermit, Outcome};
+
+use crate::{
+    account::Account,
+    api::TargetLimits,
+    length::Source,
+    permit::{Permit, PermitKey},
+    shard::ShardState,
+    shared::Shared,
+};
+
+impl ShardState {
+    /// Takes a permit back.
+    pub fn done(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        done: &Done,
+        limits: &TargetLimits,
+        shared: &mut Shared,
+    ) {
+        let Some(account) = self.accounts.get_mut(&done.target) else {
+            return;
+        };
+        let key = PermitKey {
+            entry: from.clone(),
+            permit: done.permit,
+        };
+        let occupied = account.occupied();
+        let given_back = if done.outcome == Outcome::Failed {
+            account.lose(now, &key)
+        } else {
+            account.remove(&key)
+        };
+        let Some(permit) = given_back else {
+            return;
+        };
+        judge(now, account, &permit, occupied, &done.outcome, limits);
+        let length = match done.outcome {
+            Outcome::Finished { produced, .. } | Outcome::Cancelled { produced } => produced,
+            _ => permit.produced,
+        };
+        if Account::is_model(limits) {
+            self.learn(&permit, length, &done.outcome, shared);
+        }
+        let spent = match done.outcome {
+            Outcome::Unsent | Outcome::Overloaded => 0.0,
+            _ if Account::is_model(limits) => (permit.prompt + length) as f64,
+            _ => permit.charged,
+        };
+        self.line.settle(&permit.workspace, spent - permit.charged);
+    }
+
+    fn learn(&self, permit: &Permit, length: u64, outcome: &Outcome, shared: &mut Shared) {
+        let source = Source {
+            service: &self.shard.service,
+            route: &permit.route,
+            workspace: &permit.workspace,
+        };
+        let whole = matches!(outcome, Outcome::Finished { .. }) && length < permit.max_output;
+        if whole {
+            shared.lengths.ended(&source, permit.produced, length);
+        } else {
+            shared.lengths.passed(&source, permit.produced, length);
+        }
+    }
+
+    /// Takes an entry's account of what it holds.
+    pub fn held(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        incarnation: u64,
+        held: &Held,
+        limits: &TargetLimits,
+        shared: &mut Shared,
+    ) {
+        if held.epoch == self.epoch {
+            self.awaiting.remove(from);
+        }
+        self.drop_unlisted(from, incarnation, held);
+        for permit in &held.permits {
+            self.held_one(now, from, incarnation, held.stamp, permit, limits, shared);
+        }
+    }
+
+    /// Drops an entry's permits that it no longer lists and can no longer use.
+    ///
+    /// A `Done` or a `Grant` that gets lost would otherwise leave its place reserved for good,
+    /// and with time the targets would stand idle. A grant may be on its way while the entry
+    /// lists what it holds, so a permit goes only once the entry's clock is past its life.
+    fn drop_unlisted(&mut self, from: &InstanceId, incarnation: u64, held: &Held) {
+        let listed: BTreeSet<PermitId> = held.permits.iter().map(|p| p.permit).collect();
+        for account in self.accounts.values_mut() {
+            let gone: Vec<PermitKey> = account
+                .permits
+                .iter()
+                .filter(|(key, permit)| {
+                    key.entry == *from
+                        && permit.entry_incarnation == incarnation
+                        && held.stamp > permit.lapses
+                        && permit.orphaned.is_none()
+                        && !listed.contains(&key.permit)
+                })
+                .map(|(key, _)| key.clone())
+                .collect();
+            for key in gone {
+                account.remove(&key);
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)] // the message's parts
+    fn held_one(
+        &mut self,
+        now: Moment,
+        from: &InstanceId,
+        incarnation: u64,
+        stamp: Moment,
+        held: &HeldPermit,
+        limits: &TargetLimits,
+        shared: &mut Shared,
+    ) {
+        let account = self
+            .accounts
+            .entry(held.target.clone())
+            .or_insert_with(|| Account::new(now));
+        let key = PermitKey {
+            entry: from.clone(),
+            permit: held.permit,
+        };
+        let Some(known) = account.permits.get(&key) else {
+            let permit = Permit::adopted(held, incarnation, stamp, now);
+            account.insert(key, permit);
+            return;
+        };
+        let (before, since, late) = (known.produced, known.since, known.late);
+        if before == 0 && held.produced > 0 {
+            let busy = account.limiter.is_busy(limits, account.occupied());
+            account.limiter.started(limits, busy);
+        }
+        account.progressed(now, stamp, &key, held);
+        if !Account::is_model(limits) {
+            return;
+        }
+        let source = Source {
+            service: &self.shard.service,
+            route: &held.route,
+            workspace: &held.workspace,
+        };
+        shared.lengths.passed(&source, before, held.produced);
+        if held.produced == 0 && !late {
+            let turned = account.limiter.late(now, now.saturating_sub(since));
+            if let Some(permit) = account.permits.get_mut(&key) {
+                permit.late = turned;
+            }
+        }
+    }
+}
+
+/// What an ended request says about its target's limit.
+fn judge(
+    now: Moment,
+    account: &mut Account,
+    permit: &Permit,
+    occupied: u32,
+    outcome: &Outcome,
+    limits: &TargetLimits,
+) {
+    let busy = account.limiter.is_busy(limits, occupied);
+    let may_warm = account.may_warm();
+    if account.limiter.is_cold() && permit.since < account.limiter.since() {
+        // It ran before the target turned cold, and so says nothing about what it bears now.
+        return;
+    }
+    match outcome {
+        Outcome::Finished { first, .. } => {
+            let turned = account
+                .limiter
+                .finished(now, limits, *first, busy, may_warm);
+            if turned {
+                account.may_trust = false;
+            }
+        }
+        Outcome::Overloaded => account.limiter.overloaded(occupied),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/components/policy/src/summary.rs
@@ -0,0 +1,46 @@
+//! What an owner tells others about a shard.
+
+use types::{Class, Moment};
+use wire::ShardSummary;
+
+use crate::{account::Account, shard::ShardState, shared::Shared};
+
+impl ShardState {
+    /// What others should know.
+    #[must_use]
+    pub fn summary(&self, now: Moment, shared: &Shared) -> ShardSummary {
+        let Some(limits) = shared.view.limits.get(&self.shard.service) else {
+            return self.summary_of(now, 0.0, 0);
+        };
+        let open: Vec<&Account> = self
+            .accounts
+            .values()
+            .filter(|account| account.is_open(&shared.view))
+            .collect();
+        let slots: u32 = open.iter().map(|a| a.limiter.slots(limits)).sum();
+        let occupied: u32 = open.iter().map(|a| a.occupied()).sum();
+        let memory: u64 = open.iter().map(|a| a.capacity(limits)).sum();
+        let peaks: f64 = open
+            .iter()
+            .map(|a| a.last_projection().peak(&shared.tuning))
+            .sum();
+        let by_slots = f64::from(occupied) / f64::from(slots.max(1));
+        let by_memory = peaks / memory.max(1) as f64;
+        self.summary_of(now, by_slots.max(by_memory), open.len())
+    }
+
+    fn summary_of(&self, now: Moment, load: f64, targets: usize) -> ShardSummary {
+        let ahead = self.line.len_of(Class::Normal) + self.line.len_of(Class::Urgent);
+        let wait = self.pace.wait(now, Class::Normal, ahead);
+        let wait = wait.unwrap_or_default().as_millis();
+        ShardSummary {
+            shard: self.shard.clone(),
+            epoch: self.epoch,
+            granting: self.granting(now),
+            load: load as f32,
+            queued: u32::try_from(self.line.len()).unwrap_or(u32::MAX),
+            wait_ms: u32::try_from(wait).unwrap_or(u32::MAX),
+            targets: u32::try_from(targets).unwrap_or(u32::MAX),
+        }
+    }
+}
