End a permit only when the engine has let go of the work

A caller that left before its first token, or while a whole answer was being gathered, had its connection dropped: the permit ended at once and the cancellation followed later, so the owner could put other work on top of what still ran; a cold engine would get more than it bears. Work under a permit is now one value that, dropped, cancels first and ends the permit then; a request that was sent and not answered ends as failed, because it may run without a name. A passed deadline is told at once and does not wait for the cancellation any more.

--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -6,12 +6,13 @@
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Share};
 use relay::Running;
-use targets::{EngineCall, Piece, TargetError};
+use targets::{EngineCall, Piece};
 use tree::RouteRule;
-use types::{Class, Moment, Refusal, Run, Tokens};
+use types::{Class, Moment, Refusal, Tokens};
 
 use crate::{
-    admission::{Admitted, Ending, Wanted},
+    admission::{Ending, Wanted},
+    attempt::{self, Step, Tried, Work, truthful},
     call::{Api, Call},
     flight::Flight,
     parts::Core,
@@ -47,40 +48,6 @@
     pub flight: Flight,
 }
 
-/// What one try came to.
-pub enum Tried<T> {
-    /// It gave this.
-    Good(T),
-    /// It gave nothing; another try may be made.
-    Again {
-        /// How it ended.
-        ending: Ending,
-        /// Whether the engine may have run any of it.
-        ran: bool,
-    },
-    /// It failed for good.
-    Over {
-        /// How it ended.
-        ending: Ending,
-        /// What to tell the caller.
-        refusal: Refusal,
-    },
-}
-
-/// What happened first.
-pub enum Step {
-    /// A piece came.
-    Piece(Piece),
-    /// The permit was pulled back.
-    PulledBack,
-    /// The deadline passed.
-    Late,
-    /// The engine did not start it.
-    NotStarted(TargetError),
-    /// It can't go on.
-    Broken,
-}
-
 /// Answers a request for a generation.
 pub async fn answer(
     core: &Arc<Core>,
@@ -147,70 +114,101 @@
     }
 
     /// One try: starts the generation and waits for its first piece.
-    pub async fn begin(&self, permit: &dyn Admitted) -> Tried<Begun> {
-        if !permit.may_send() {
+    pub async fn begin(&self, work: &mut Work) -> Tried<Begun> {
+        if !work.permit().may_send() {
             return Tried::Again {
                 ending: Ending::Unsent,
                 ran: false,
             };
         }
         let call = self.engine_call();
-        let mut running = None;
-        let work = async {
-            match self.core.relay.start(permit.target(), &call).await {
-                Ok(started) => next(running.insert(started)).await,
-                Err(e) => Step::NotStarted(e),
-            }
+        let target = work.permit().target().clone();
+        work.sent = true;
+        let start = async {
+            let start = self.core.relay.start(&target, &call);
+            let late = async {
+                self.late().await;
+                Err(Step::Late)
+            };
+            let started = async { start.await.map_err(Step::NotStarted) };
+            future::or(started, late).await
         };
+        match self.started(work, start).await {
+            Ok(()) => {}
+            Err(step) => return work.give_up(step).await,
+        }
         let late = async {
-            self.core.timer.sleep(self.core.left(self.deadline)).await;
+            self.late().await;
             Step::Late
         };
-        let step = guarded(permit, future::or(work, late)).await;
-        match (step, running) {
-            (Step::Piece(piece), Some(running)) => Tried::Good(Begun {
-                running,
+        match future::or(work.next(), late).await {
+            Step::Piece(piece) => Tried::Good(Begun {
                 piece,
                 request: call.request,
             }),
-            (step, running) => give_up(step, running).await,
+            step => work.give_up(step).await,
         }
     }
 
-    /// Tries until one is good, within what admission allows.
-    pub async fn tries<T, F>(
+    /// Waits for the engine to take the request, until the permit is pulled back.
+    async fn started(
         &self,
-        attempt: impl FnMut(Box<dyn Admitted>) -> F,
-    ) -> Result<(Box<dyn Admitted>, T), Refusal>
+        work: &mut Work,
+        start: impl Future<Output = Result<Running, Step>>,
+    ) -> Result<(), Step> {
+        let mut running = None;
+        let step = attempt::guarded(work.permit(), async {
+            match start.await {
+                Ok(started) => {
+                    running = Some(started);
+                    // Not looked at: `running` says that it started.
+                    Step::Broken
+                }
+                Err(step) => step,
+            }
+        })
+        .await;
+        work.running = running;
+        match work.running {
+            Some(_) => Ok(()),
+            None => Err(step),
+        }
+    }
+
+    async fn late(&self) {
+        self.core.timer.sleep(self.core.left(self.deadline)).await;
+    }
+
+    /// Tries until one is good, within what admission allows.
+    pub async fn tries<T, F>(&self, attempt: impl FnMut(Work) -> F) -> Result<(Work, T), Refusal>
     where
-        F: Future<Output = (Box<dyn Admitted>, Tried<T>)>,
+        F: Future<Output = (Work, Tried<T>)>,
     {
         self.try_on(attempt)
             .await
             .inspect_err(|refusal| self.flight.note(refusal.run.into()))
     }
 
-    async fn try_on<T, F>(
-        &self,
-        mut attempt: impl FnMut(Box<dyn Admitted>) -> F,
-    ) -> Result<(Box<dyn Admitted>, T), Refusal>
+    async fn try_on<T, F>(&self, mut attempt: impl FnMut(Work) -> F) -> Result<(Work, T), Refusal>
     where
-        F: Future<Output = (Box<dyn Admitted>, Tried<T>)>,
+        F: Future<Output = (Work, Tried<T>)>,
     {
         let mut permit = self.core.admission.admit(self.wanted()).await?;
         let mut ever_ran = false;
         loop {
-            let (tried_permit, tried) = attempt(permit).await;
+            let (work, tried) = attempt(Work::new(permit)).await;
             match tried {
-                Tried::Good(good) => return Ok((tried_permit, good)),
+                Tried::Good(good) => return Ok((work, good)),
                 Tried::Over { ending, refusal } => {
-                    tried_permit.end(ending);
+                    if let Some(ending) = ending {
+                        work.take().0.end(ending);
+                    }
                     return Err(truthful(refusal, ever_ran));
                 }
                 Tried::Again { ending, ran } => {
                     ever_ran |= ran;
                     self.core.metrics.retried();
-                    let again = tried_permit.again(ending).await;
+                    let again = work.take().0.again(ending).await;
                     permit = again.map_err(|refusal| truthful(refusal, ever_ran))?;
                 }
             }
@@ -220,99 +218,18 @@
 
 /// A generation whose first piece has come.
 pub struct Begun {
-    /// The generation.
-    pub running: Running,
     /// Its first piece.
     pub piece: Piece,
     /// The request's name, as the engine got it.
     pub request: Arc<str>,
 }
 
-/// Waits for the next piece.
-pub async fn next(running: &mut Running) -> Step {
-    match running.next().await {
-        Ok(piece) => Step::Piece(piece),
-        Err(_) => Step::Broken,
-    }
-}
-
-/// Does something that no caller sees yet, until the permit is pulled back. Pulling back comes
-/// first, so that no token goes out after it.
-pub async fn guarded(admitted: &dyn Admitted, work: impl Future<Output = Step>) -> Step {
-    let pulled = async {
-        admitted.pulled_back().await;
-        Step::PulledBack
-    };
-    future::or(pulled, work).await
-}
-
-/// What a step other than a piece means while the caller has seen nothing. Cancels what runs.
-pub async fn give_up<T>(step: Step, running: Option<Running>) -> Tried<T> {
-    let ending = match running {
-        Some(running) => cancelled(running).await,
-        None => Ending::Cancelled { produced: 0 },
-    };
-    match step {
-        Step::Piece(_) | Step::PulledBack => Tried::Again { ending, ran: true },
-        Step::Late => Tried::Over {
-            ending,
-            refusal: refusals::deadline(Run::Unknown),
-        },
-        Step::Broken => Tried::Again {
-            ending: Ending::Failed,
-            ran: true,
-        },
-        Step::NotStarted(e) => not_started(e),
-    }
-}
-
-/// Cancels a generation. The engine's memory must be free again before the account says so; if
-/// the engine could not be told, the work may run on, and the account has to go on counting it.
-pub async fn cancelled(running: Running) -> Ending {
-    let produced = running.produced();
-    if running.cancel().await {
-        Ending::Cancelled { produced }
-    } else {
-        Ending::Failed
-    }
-}
-
-fn not_started<T>(error: TargetError) -> Tried<T> {
-    match error {
-        TargetError::Unsent { .. } => Tried::Again {
-            ending: Ending::Failed,
-            ran: false,
-        },
-        TargetError::Turned { .. } => Tried::Again {
-            ending: Ending::Overloaded,
-            ran: false,
-        },
-        TargetError::Wrong { status, body } => Tried::Over {
-            ending: Ending::Cancelled { produced: 0 },
-            refusal: engine_refusal(status, &body),
-        },
-        TargetError::Lost { .. } | TargetError::Gone => Tried::Again {
-            ending: Ending::Failed,
-            ran: true,
-        },
-    }
-}
-
-/// The engine found the request wrong: it tells so before it runs anything.
-fn engine_refusal(status: u16, body: &[u8]) -> Refusal {
-    let said = String::from_utf8_lossy(&body[..body.len().min(500)]);
-    Refusal::new(
-        status,
-        "engine-refused",
-        "The engine refused the request",
-        &said,
-    )
-}
-
-/// A refusal of a later try must not say `not-run` when an earlier one may have run.
-pub fn truthful(refusal: Refusal, ran: bool) -> Refusal {
-    if ran && refusal.run == Run::NotRun {
-        return refusal.with_run(Run::Unknown);
+impl Begun {
+    /// Tokens so far.
+    pub const fn produced(&self) -> Tokens {
+        match self.piece {
+            Piece::Tokens { first, count, .. } => first + count,
+            Piece::End => 0,
+        }
     }
-    refusal
 }
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The callers' HTTP API.
 
 pub mod admission;
+mod attempt;
 mod auth;
 mod call;
 mod flight;
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -9,7 +9,7 @@
 use types::WorkspaceId;
 
 use crate::{
-    admission::Ending, flight::Flight, generate, metrics::Outcome, parts::Core, refusals,
+    admission::Ending, attempt, flight::Flight, metrics::Outcome, parts::Core, refusals,
     streams::Superseded, writer::Writer,
 };
 
@@ -180,7 +180,7 @@
         flight,
         ..
     } = carried;
-    let ending = generate::cancelled(running).await;
+    let ending = attempt::cancelled(running).await;
     writer.end(ending);
     drop(flight);
 }
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -11,9 +11,10 @@
 
 use crate::{
     admission::{Admitted, Ending, Wanted},
+    attempt::truthful,
     flight::Flight,
     forward,
-    generate::{DEFAULT_IN_FLIGHT, truthful},
+    generate::DEFAULT_IN_FLIGHT,
     keyed,
     metrics::Outcome,
     parts::Core,
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -6,20 +6,21 @@
 use hyper::Response;
 use net::{Body, Reply, Share};
 use parking_lot::Mutex;
-use relay::Running;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
 use targets::{Piece, openai::REQUEST_ID};
 use types::{Refusal, Tokens};
 
 use crate::{
-    admission::{Admitted, Ending},
+    admission::Ending,
+    attempt::{Step, Tried, Work},
     call::Api,
-    generate::{self, Begun, Generation, Step, Tried},
+    generate::{Begun, Generation},
     linger,
     merge::merge,
     metrics::Outcome,
     pace::Pace,
+    parts::Core,
     problem, refusals,
 };
 
@@ -75,7 +76,6 @@
 
 /// A generation gathered to its end.
 struct Gathered {
-    running: Running,
     request: Arc<str>,
     data: Vec<Bytes>,
     /// Memory that the data takes up.
@@ -90,34 +90,44 @@
     let cut = Mutex::new(Vec::new());
     let cut_off = &cut;
     let tried = ask
-        .tries(|permit| async move {
-            let tried = match ask.begin(permit.as_ref()).await {
-                Tried::Good(begun) => gather(ask, permit.as_ref(), begun, cut_off).await,
+        .tries(|mut work| async move {
+            let tried = match ask.begin(&mut work).await {
+                Tried::Good(begun) => gather(ask, &mut work, begun, cut_off).await,
                 Tried::Again { ending, ran } => Tried::Again { ending, ran },
                 Tried::Over { ending, refusal } => Tried::Over { ending, refusal },
             };
-            (permit, tried)
+            (work, tried)
         })
         .await;
-    let (permit, gathered) = match tried {
+    let (work, gathered) = match tried {
         Ok(good) => good,
         Err(refusal) => return incomplete(&generation, refusal, &cut.into_inner()),
     };
-    let Gathered { running, data, .. } = &gathered;
-    linger::tell_resumes(&core, running);
-    permit.end(Ending::Finished {
-        produced: running.produced(),
-        first: running.first().unwrap_or_default(),
-        took: running.took(),
-    });
-    let sum = Sum::of(data).inspect_err(|e| generation.flight.note(e.run.into()))?;
+    let produced = finish(&core, work);
+    let sum = Sum::of(&gathered.data).inspect_err(|e| generation.flight.note(e.run.into()))?;
     generation.flight.note(Outcome::Whole);
-    let document = sum.document(&generation, running.produced());
+    let document = sum.document(&generation, produced);
     Ok(Reply::json(200, &document)
         .with_header(REQUEST_ID, &gathered.request)
         .done())
 }
 
+/// Ends the permit of a generation that has ended; tells the tokens that it produced.
+fn finish(core: &Core, work: Work) -> Tokens {
+    let (permit, running) = work.take();
+    let Some(running) = running else {
+        return 0;
+    };
+    linger::tell_resumes(core, &running);
+    let produced = running.produced();
+    permit.end(Ending::Finished {
+        produced,
+        first: running.first().unwrap_or_default(),
+        took: running.took(),
+    });
+    produced
+}
+
 /// No further try was allowed: if an engine broke off in the middle, the caller gets what there
 /// was, marked as a part.
 fn incomplete(
@@ -139,7 +149,7 @@
 /// Gathers a generation to its end. What an engine that broke off had produced goes to `cut`.
 async fn gather(
     ask: &Generation,
-    permit: &dyn Admitted,
+    work: &mut Work,
     begun: Begun,
     cut: &Mutex<Vec<Bytes>>,
 ) -> Tried<Gathered> {
@@ -147,46 +157,42 @@
     let arrived = ask.caller.arrived;
     core.metrics
         .first_token(core.admission.now().saturating_sub(arrived));
-    let Begun {
-        mut running,
-        mut piece,
-        request,
-    } = begun;
+    let Begun { mut piece, request } = begun;
     let mut data = Vec::new();
     let mut share = core.answers.share();
     let mut pace = Pace::new(0, core.timer.now());
     let mut size = 0;
     loop {
-        let more = match piece {
+        let (first, more) = match piece {
+            Piece::Tokens { first, data, .. } => (first, data),
             Piece::End => {
                 return Tried::Good(Gathered {
-                    running,
                     request,
                     data,
                     _share: share,
                 });
             }
-            Piece::Tokens { data, .. } => data,
         };
+        let produced = first + more.len() as Tokens;
         let bytes = more.iter().map(Bytes::len).sum();
         data.extend(more);
         size += bytes;
         if size > GATHER_LIMIT || !share.grow(bytes) {
             return Tried::Over {
-                ending: generate::cancelled(running).await,
+                ending: None,
                 refusal: refusals::answer_too_large(),
             };
         }
-        if pace.due(running.produced(), core.timer.now()) {
-            permit.gathered(running.produced());
+        if pace.due(produced, core.timer.now()) {
+            work.permit().gathered(produced);
         }
-        piece = match generate::guarded(permit, generate::next(&mut running)).await {
+        piece = match work.next().await {
             Step::Piece(piece) => piece,
             step => {
                 if matches!(step, Step::Broken) {
                     *cut.lock() = data;
                 }
-                return generate::give_up(step, Some(running)).await;
+                return work.give_up(step).await;
             }
         };
     }
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -14,8 +14,9 @@
 
 use crate::{
     admission::{Admitted, Ending},
+    attempt::Tried,
     flight::Flight,
-    generate::{Begun, Generation, Tried},
+    generate::{Begun, Generation},
     linger::{self, Carried},
     metrics::Metrics,
     pace::Pace,
@@ -37,25 +38,23 @@
 pub async fn answer(generation: Generation) -> Result<Response<Body>, Refusal> {
     let core = Arc::clone(&generation.core);
     let ask = &generation;
-    let (permit, begun) = ask
-        .tries(|permit| async move {
-            let tried = ask.begin(permit.as_ref()).await;
+    let (work, begun) = ask
+        .tries(|mut work| async move {
+            let tried = ask.begin(&mut work).await;
             if let Tried::Good(begun) = &tried {
                 // Before any token goes out: from now on the permit can't be pulled back.
-                permit.progress(begun.running.produced());
+                work.permit().progress(begun.produced());
             }
-            (permit, tried)
+            (work, tried)
         })
         .await?;
+    let (permit, running) = work.take();
+    let running = running.expect("a generation that has begun is running");
     let arrived = generation.caller.arrived;
     let since = core.admission.now().saturating_sub(arrived);
     core.metrics.first_token(since);
     let account = Account::of(&generation);
-    let Begun {
-        running,
-        piece,
-        request,
-    } = begun;
+    let Begun { piece, request } = begun;
     let flight = generation.flight;
     let reply = carry(&core, &account, permit, running, Some(piece), flight);
     Ok(reply.with_header(REQUEST_ID, &request).done())
--- a/components/gateway/tests/fakes/engine.rs
+++ b/components/gateway/tests/fakes/engine.rs
@@ -1,6 +1,13 @@
 //! An engine whose streams follow a script.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -41,6 +48,8 @@
     pub calls: Mutex<Vec<(TargetId, EngineCall)>>,
     pub resumed: Mutex<Vec<Tokens>>,
     pub cancelled: Mutex<Vec<StreamId>>,
+    /// Streams that were asked for a token and have none.
+    silent: Arc<AtomicUsize>,
 }
 
 impl FakeEngine {
@@ -58,6 +67,10 @@
         self.calls.lock().len()
     }
 
+    pub fn silent(&self) -> usize {
+        self.silent.load(Ordering::Acquire)
+    }
+
     pub fn cancels(&self) -> usize {
         self.cancelled.lock().len()
     }
@@ -66,14 +79,18 @@
 struct Scene {
     id: StreamId,
     steps: VecDeque<Step>,
+    silent: Arc<AtomicUsize>,
 }
 
-fn scene(id: &str, script: Option<Script>) -> Result<Box<dyn Stream>, TargetError> {
-    let steps = script.unwrap_or(Err(TargetError::Gone))?;
-    Ok(Box::new(Scene {
-        id: id.into(),
-        steps: steps.into(),
-    }))
+impl FakeEngine {
+    fn scene(&self, id: &str, script: Option<Script>) -> Result<Box<dyn Stream>, TargetError> {
+        let steps = script.unwrap_or(Err(TargetError::Gone))?;
+        Ok(Box::new(Scene {
+            id: id.into(),
+            steps: steps.into(),
+            silent: Arc::clone(&self.silent),
+        }))
+    }
 }
 
 #[async_trait]
@@ -103,7 +120,10 @@
                     smol::Timer::after(time).await;
                 }
                 Some(Step::End) => return Ok(Piece::End),
-                Some(Step::Silent) => std::future::pending().await,
+                Some(Step::Silent) => {
+                    self.silent.fetch_add(1, Ordering::AcqRel);
+                    std::future::pending().await
+                }
                 Some(Step::Die) | None => {
                     return Err(TargetError::Lost {
                         reason: "cut".into(),
@@ -123,7 +143,8 @@
     ) -> Result<Box<dyn Stream>, TargetError> {
         let mut calls = self.calls.lock();
         calls.push((target.id.clone(), call.clone()));
-        scene(&format!("s{}", calls.len()), self.starts.lock().pop_front())
+        let name = format!("s{}", calls.len());
+        self.scene(&name, self.starts.lock().pop_front())
     }
 
     async fn resume(
@@ -133,7 +154,7 @@
         at: Tokens,
     ) -> Result<Box<dyn Stream>, TargetError> {
         self.resumed.lock().push(at);
-        scene(stream, self.resumes.lock().pop_front())
+        self.scene(stream, self.resumes.lock().pop_front())
     }
 
     async fn cancel(&self, _: &Target, stream: &StreamId) -> Result<(), TargetError> {
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -237,8 +237,7 @@
             bed.engine
                 .starts([Ok(vec![Step::Tokens(0, tokens), Step::Silent]), whole(2)]);
             let pull = async {
-                until(|| bed.engine.started() == 1).await;
-                smol::Timer::after(Duration::from_millis(30)).await;
+                until(|| bed.engine.silent() == 1).await;
                 bed.admission.pull_back();
             };
             let (answer, ()) = futures_lite::future::zip(bed.complete(stream, &[]), pull).await;
@@ -332,6 +331,25 @@
     });
 }
 
+#[test]
+fn a_caller_that_leaves_before_the_first_token_frees_the_engine_and_then_its_place() {
+    // A viewer closes the page while an engine works on the first token. If the place were free
+    // before the engine has let go, a cold engine would get more than it can bear.
+    smol::block_on(async {
+        for stream in [true, false] {
+            let bed = Bed::new().await;
+            bed.engine.starts([Ok(vec![Step::Silent])]);
+            let asking = async { drop(bed.complete(stream, &[]).await) };
+            let leaving = until(|| bed.engine.silent() == 1);
+            futures_lite::future::or(asking, leaving).await;
+            until(|| !bed.admission.endings().is_empty()).await;
+            assert_eq!(bed.engine.cancels(), 1);
+            let ending = Ending::Cancelled { produced: 0 };
+            assert_eq!(bed.admission.endings(), [Note::End(ending)]);
+        }
+    });
+}
+
 #[test]
 fn a_caller_that_leaves_a_stream_has_it_cancelled_after_the_grace() {
     // An editor closes the page in the middle of a draft and does not come back. The engine
