--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -185,6 +185,7 @@
         let answer = raw(watch.addr, b"GET /echo HTTP/1.1\r\nhost: x\r\n\r\n").await;
         assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
         assert!(answer.contains("retry-after: 1") && answer.contains("not-run"));
+        until(|| watch.open.load(Ordering::Acquire) == 1).await;
         let _second = TcpStream::connect(watch.addr).await.expect("a connection");
         until(|| watch.open.load(Ordering::Acquire) == 2).await;
         assert_eq!(
