--- a/components/node/src/dump.rs
+++ b/components/node/src/dump.rs
@@ -6,8 +6,9 @@
 };
 
 use admin::{Dump, Readiness};
-use claims::Claims;
-use config::Config;
+use claims::{Claims, StoreClaims};
+use config::{Config, Keeper};
+use platform::PacedTable;
 use serde_json::{Value, json};
 
 use crate::{core::Core, directory::Watch};
@@ -15,9 +16,10 @@
 /// What an operator may see.
 pub struct State {
     core: Arc<Core>,
-    config: Arc<dyn Config>,
+    config: Arc<Keeper>,
     watch: Arc<Watch>,
-    claims: Arc<dyn Claims>,
+    claims: Arc<StoreClaims>,
+    table: Arc<PacedTable>,
     draining: Arc<AtomicBool>,
 }
 
@@ -26,9 +28,10 @@
     #[must_use]
     pub const fn new(
         core: Arc<Core>,
-        config: Arc<dyn Config>,
+        config: Arc<Keeper>,
         watch: Arc<Watch>,
-        claims: Arc<dyn Claims>,
+        claims: Arc<StoreClaims>,
+        table: Arc<PacedTable>,
         draining: Arc<AtomicBool>,
     ) -> Self {
         Self {
@@ -36,6 +39,7 @@
             config,
             watch,
             claims,
+            table,
             draining,
         }
     }
@@ -78,7 +82,8 @@
         json!({
             "instance": self.core.me,
             "incarnation": self.core.incarnation,
-            "configuration": self.config.current().map(|c| c.snapshot.version),
+            "configuration": self.config.dump(),
+            "table": self.table.dump(),
             "members": members,
             "decisions": decisions,
             "claims": self.claims.dump(),
