Let less urgent work pass waiting work less often

Change: one of a less urgent class counts as four. Ruled out: no passing at all between classes (the room left over would idle).

--- a/components/policy/src/line.rs
+++ b/components/policy/src/line.rs
@@ -244,9 +244,9 @@
     }
 
     /// Takes note that an ask behind this one was served.
-    pub fn bypass(&mut self, place: Place) {
+    pub fn bypass(&mut self, place: Place, times: u32) {
         if let Some(waiting) = self.waiting.get_mut(&place) {
-            waiting.bypassed += 1;
+            waiting.bypassed += times;
         }
     }
 
--- a/components/policy/src/serve.rs
+++ b/components/policy/src/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use types::{Moment, Target, TargetId};
+use types::{Class, Moment, Target, TargetId};
 use wire::{Ask, Grant};
 
 use crate::{
@@ -19,6 +19,11 @@
 /// Asks that may go ahead of one that doesn't fit anywhere, before a target is kept free for it.
 const BYPASS_LIMIT: u32 = 8;
 
+/// A less urgent ask that goes ahead counts as this many: urgent work goes first, and small
+/// background work would otherwise take up, piece by piece, the room that larger normal work
+/// waits for.
+const BYPASS_BY_LESS_URGENT: u32 = 4;
+
 /// Tokens that a plain call counts as in the fairness between workspaces.
 const CALL_TOKENS: f64 = 256.0;
 
@@ -55,7 +60,7 @@
             };
             let need = self.need(&waiting, limits, shared);
             if let Some(target) = self.choose(now, &need, &kept, limits, shared) {
-                passed.into_iter().for_each(|place| self.line.bypass(place));
+                self.bypass(&passed, waiting.rank);
                 self.grant(now, place, &target, peer, limits, shared, out);
                 return true;
             }
@@ -67,6 +72,19 @@
         false
     }
 
+    /// Takes note that an ask of class `rank` goes ahead of others.
+    fn bypass(&mut self, passed: &[Place], rank: Class) {
+        for place in passed {
+            let less_urgent = self.line.get(*place).is_some_and(|w| w.rank < rank);
+            let times = if less_urgent {
+                BYPASS_BY_LESS_URGENT
+            } else {
+                1
+            };
+            self.line.bypass(*place, times);
+        }
+    }
+
     fn project(&mut self, now: Moment, limits: &TargetLimits, shared: &mut Shared) {
         if !Account::is_model(limits) {
             return;
