Test that a passed deadline is told while the engine is deaf

The test looked at the cancellation right after the answer, which it no longer follows; it holds the cancellation back now and checks both orders.

--- a/components/gateway/tests/fakes/engine.rs
+++ b/components/gateway/tests/fakes/engine.rs
@@ -4,7 +4,7 @@
     collections::VecDeque,
     sync::{
         Arc,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -48,6 +48,8 @@
     pub calls: Mutex<Vec<(TargetId, EngineCall)>>,
     pub resumed: Mutex<Vec<Tokens>>,
     pub cancelled: Mutex<Vec<StreamId>>,
+    /// While set, cancellations are not answered.
+    pub deaf: AtomicBool,
     /// Streams that were asked for a token and have none.
     silent: Arc<AtomicUsize>,
 }
@@ -158,6 +160,9 @@
     }
 
     async fn cancel(&self, _: &Target, stream: &StreamId) -> Result<(), TargetError> {
+        while self.deaf.load(Ordering::Acquire) {
+            smol::Timer::after(Duration::from_millis(2)).await;
+        }
         self.cancelled.lock().push(Arc::clone(stream));
         Ok(())
     }
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -2,7 +2,10 @@
 
 mod fakes;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use fakes::{
@@ -302,13 +305,17 @@
 
 #[test]
 fn a_deadline_without_a_token_is_told_at_once_and_frees_the_engine() {
-    // The engine accepts the request and writes nothing. The caller must not wait beyond the
-    // time it gave.
+    // The engine accepts the request, writes nothing and answers nothing. The caller must not wait
+    // beyond the time it gave, not even for the engine to let go; the place must.
     smol::block_on(async {
         let bed = Bed::new().await;
         bed.engine.starts([Ok(vec![Step::Silent])]);
+        bed.engine.deaf.store(true, Ordering::Release);
         let answer = bed.complete(true, &[("x-deadline-ms", "50")]).await;
         assert_eq!(answer.problem(), problem(504, "deadline", "unknown"));
+        assert!(bed.admission.endings().is_empty());
+        bed.engine.deaf.store(false, Ordering::Release);
+        until(|| !bed.admission.endings().is_empty()).await;
         assert_eq!(bed.engine.cancels(), 1);
         let ending = Ending::Cancelled { produced: 0 };
         assert_eq!(bed.admission.endings(), [Note::End(ending)]);
