Cut absurd figures in messages before they are summed

A broken peer's deadline, clock or token counts overflowed sums and would have stopped the process of every caller. Deadlines and clocks saturate now, and tokens and slots are cut to bounds far above any real request. Ran: cargo test -p policy, all pass.

--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -9,6 +9,7 @@
     api::{EngineReport, TargetLimits, View},
     length::{Lengths, Source},
     limit::Limiter,
+    line::TOKENS_MOST,
     memory::{Projection, Running},
     permit::{Permit, PermitKey},
     prefixes::Prefixes,
@@ -208,7 +209,7 @@
             let weight = if self.rate > 0.0 { RATE_WEIGHT } else { 1.0 };
             self.rate += weight * (rate - self.rate);
         }
-        permit.produced = permit.produced.max(held.produced);
+        permit.produced = permit.produced.max(held.produced.min(TOKENS_MOST));
         permit.heard = now;
         permit.seen |= held.seen;
         if stamp > permit.lapses {
--- a/components/policy/src/line.rs
+++ b/components/policy/src/line.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use types::{AskId, Class, InstanceId, Moment, WorkspaceId};
+use types::{AskId, Class, InstanceId, Moment, Tokens, WorkspaceId};
 use wire::Ask;
 
 /// Tokens by which two workspaces may differ and still count as served alike.
@@ -25,6 +25,9 @@
 /// Served workspaces that are remembered while none of their asks waits.
 const REMEMBERED: usize = 1024;
 
+/// Tokens that a message may name; larger figures are cut to this, so that sums can't overflow.
+pub const TOKENS_MOST: Tokens = 1 << 32;
+
 /// Number of a waiting ask within its line.
 pub type Place = u64;
 
@@ -49,13 +52,16 @@
     /// Takes an ask that has just come.
     #[must_use]
     pub fn new(entry: &InstanceId, ask: &Ask, now: Moment) -> Self {
+        let mut ask = ask.clone();
+        ask.prompt = ask.prompt.min(TOKENS_MOST);
+        ask.max_output = ask.max_output.min(TOKENS_MOST);
         Self {
             entry: entry.clone(),
-            ask: ask.clone(),
             since: now,
-            deadline: now + ask.within,
+            deadline: now.saturating_add(ask.within),
             bypassed: 0,
             rank: ask.class,
+            ask,
         }
     }
 }
@@ -206,7 +212,7 @@
             .waiting
             .iter()
             .filter(|(_, w)| w.rank == Class::Background)
-            .filter(|(_, w)| now.saturating_sub(w.since) + w.ask.waited >= AGED)
+            .filter(|(_, w)| w.ask.waited.saturating_add(now.saturating_sub(w.since)) >= AGED)
             .map(|(place, _)| *place)
             .collect();
         for place in aged {
--- a/components/policy/src/permit.rs
+++ b/components/policy/src/permit.rs
@@ -5,7 +5,13 @@
 };
 use wire::HeldPermit;
 
-use crate::shard::{LAPSE_MARGIN, PERMIT_LIFE};
+use crate::{
+    line::TOKENS_MOST,
+    shard::{LAPSE_MARGIN, PERMIT_LIFE},
+};
+
+/// Calls that one permit may cover; larger figures of a message are cut to this.
+const SLOTS_MOST: u32 = 1 << 16;
 
 /// Which permit of which entry.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -75,19 +81,19 @@
             class: held.class,
             workspace: held.workspace.clone(),
             route: held.route.clone(),
-            prompt: held.prompt,
-            max_output: held.max_output,
-            produced: held.produced,
+            prompt: held.prompt.min(TOKENS_MOST),
+            max_output: held.max_output.min(TOKENS_MOST),
+            produced: held.produced.min(TOKENS_MOST),
             heard: now,
             started: (held.produced > 0).then_some(now),
-            slots: held.slots,
+            slots: held.slots.min(SLOTS_MOST),
             seen: held.seen,
             since: now,
             lapses: stamp,
             orphaned: None,
             recalled: false,
             late: true,
-            charged: (held.prompt + held.produced) as f64,
+            charged: held.prompt as f64 + held.produced as f64,
         }
     }
 
--- a/components/policy/src/returns.rs
+++ b/components/policy/src/returns.rs
@@ -50,7 +50,7 @@
         }
         let spent = match done.outcome {
             Outcome::Unsent | Outcome::Overloaded => 0.0,
-            _ if Account::is_model(limits) => (permit.prompt + length) as f64,
+            _ if Account::is_model(limits) => permit.prompt as f64 + length as f64,
             _ => permit.charged,
         };
         self.line.settle(&permit.workspace, spent - permit.charged);
--- a/components/policy/src/serve.rs
+++ b/components/policy/src/serve.rs
@@ -172,7 +172,7 @@
         slots: grant.slots,
         seen: false,
         since: now,
-        lapses: grant.stamp + grant.life,
+        lapses: grant.stamp.saturating_add(grant.life),
         started: None,
         orphaned: None,
         recalled: false,
--- a/components/policy/tests/owner.rs
+++ b/components/policy/tests/owner.rs
@@ -255,3 +255,39 @@
     bed.ask_of(Class::Urgent, 21);
     assert!(matches!(bed.denials()[..], [(16, Some(_))]));
 }
+
+// A broken peer sends figures that no request has. Sums of them must not stop the process: every
+// caller of every workspace would lose its stream.
+#[test]
+fn absurd_figures_in_messages_harm_nobody() {
+    let mut bed = Bed::owning(view(vec![target("a", 1)], limits()));
+    for number in 1..=3 {
+        let mut absurd = ask(number, Duration::MAX);
+        absurd.within = Duration::MAX;
+        absurd.waited = Duration::MAX;
+        absurd.prompt = u64::MAX;
+        absurd.max_output = u64::MAX;
+        absurd.slots = u32::MAX;
+        absurd.class = Class::Background;
+        bed.message("broken", absurd);
+        assert!(bed.grants().is_empty());
+    }
+    let absurd = wire::HeldPermit {
+        prompt: u64::MAX,
+        max_output: u64::MAX,
+        slots: u32::MAX,
+        ..held(7, "a", u64::MAX)
+    };
+    for _ in 0..2 {
+        bed.held("broken", 1, vec![absurd.clone()]);
+        bed.advance(300);
+    }
+    bed.ask("entry", 4);
+    assert!(bed.grants().is_empty(), "the target counts as full");
+    bed.event(Event::PeerGone {
+        peer: "broken".into(),
+    });
+    bed.advance(300);
+    bed.report("a", warm());
+    assert_eq!(bed.grants().len(), 1);
+}
