Take what engines bear without preemption as load 1

Cause: load 1 was the rate of an engine that lets everything in and preempts, which no admission should aim at. Now each generation is let in as soon as the known lengths leave room for it, in virtual time.

--- a/components/bench/src/scenario.rs
+++ b/components/bench/src/scenario.rs
@@ -15,8 +15,6 @@
 /// Virtual time over which an engine's rate is taken, and the time before that.
 const MEASURED: Duration = Duration::from_secs(300);
 const SETTLING: Duration = Duration::from_secs(60);
-/// Generations that wait while an engine's rate is taken.
-const BACKLOG: u32 = 8;
 
 /// A deployment and what its callers do.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -162,16 +160,21 @@
         all
     }
 
-    /// Generations a second that all engines together finish when there is always more to do.
+    /// Generations a second that all engines together finish without preempting any, when there
+    /// is always more to do and each is let in as soon as the known lengths leave room for it.
     #[must_use]
     pub fn bearable(&self, seed: u64) -> f64 {
         let mut rng = Rng::with_seed(seed);
         let mut batch = Batch::new(self.plan.engine.clone());
+        let mut live: Vec<usize> = Vec::new();
         let mut now = Duration::ZERO;
         let mut finished = 0;
+        let mut next = self.work(&mut rng);
         while now < SETTLING + MEASURED {
-            while batch.waiting() < BACKLOG {
-                batch.add(now, 1, self.work(&mut rng));
+            live.retain(|number| batch.all[*number].end.is_none());
+            while fits(&batch, &live, &next) {
+                live.push(batch.add(now, 1, next));
+                next = self.work(&mut rng);
             }
             let Some(step) = batch.plan(now) else { break };
             now += step;
@@ -238,6 +241,26 @@
     }
 }
 
+/// Whether a batch whose lengths are known never outgrows its memory with one generation more.
+fn fits(batch: &Batch, live: &[usize], more: &Work) -> bool {
+    let settings = batch.settings();
+    let known = live.iter().map(|number| {
+        let one = &batch.all[*number];
+        (one.prompt + one.produced, one.wanted - one.produced)
+    });
+    let mut all: Vec<(u64, u64)> = known.chain([(more.prompt_tokens, more.wanted)]).collect();
+    all.sort_unstable_by_key(|(_, left)| *left);
+    // Memory peaks right before one of them ends; each has one token more by the next step.
+    let peak = (0..all.len()).map(|first| {
+        let left = all[first].1;
+        all[first..]
+            .iter()
+            .map(|(size, _)| size + left + 1)
+            .sum::<u64>()
+    });
+    live.len() < settings.most_running && peak.max() <= Some(settings.capacity)
+}
+
 /// Draws a generation.
 pub fn generation(model: &str, shape: &Shape, name: &str, rng: &mut Rng) -> What {
     let prefix = rng.u32(..shape.prefixes.max(1));
--- a/components/standins/src/engine/batch.rs
+++ b/components/standins/src/engine/batch.rs
@@ -130,6 +130,12 @@
         }
     }
 
+    /// Its settings.
+    #[must_use]
+    pub const fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
     /// Generations in the batch.
     #[must_use]
     pub fn running(&self) -> u32 {
