Tell an unreachable target from a lost link

Cause: a refused connection ended its permit as failed, and the owner went on counting work that certainly had not been sent, until the target's report; each try at a dead target held a place of its next life. Change: an outcome of its own, Unreachable, which frees the place, still avoids the target and still costs a retry. The gateway's test of a call that surely did not run expects it now in place of Failed: the stricter answer.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -176,7 +176,7 @@
 fn not_started<T>(error: TargetError) -> Tried<T> {
     match error {
         TargetError::Unsent { .. } => Tried::Again {
-            ending: Ending::Failed,
+            ending: Ending::Unreachable,
             ran: false,
         },
         TargetError::Turned { .. } => Tried::Again {
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -188,7 +188,7 @@
                 };
                 Ok((Ending::Cancelled { produced: 0 }, answer))
             }
-            Err(TargetError::Unsent { .. }) => Err((Ending::Failed, false)),
+            Err(TargetError::Unsent { .. }) => Err((Ending::Unreachable, false)),
             Err(TargetError::Turned { .. }) => Err((Ending::Overloaded, false)),
             Err(TargetError::Lost { .. } | TargetError::Gone) => Err((Ending::Failed, true)),
         }
--- a/components/gateway/tests/plain_calls.rs
+++ b/components/gateway/tests/plain_calls.rs
@@ -133,7 +133,7 @@
         let answer = bed.send("POST", ORDER, &[], "sheet").await;
         assert_eq!((answer.status, answer.body.as_str()), (200, "ordered"));
         let endings = bed.admission.endings();
-        assert_eq!(endings[0], Note::Again(Ending::Failed));
+        assert_eq!(endings[0], Note::Again(Ending::Unreachable));
         assert_eq!(endings[1], Note::Again(Ending::Overloaded));
     });
 }
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -298,7 +298,10 @@
         let Stage::Placed(key) = std::mem::replace(&mut pending.stage, Stage::Waiting) else {
             return;
         };
-        let failed = matches!(outcome, Outcome::Overloaded | Outcome::Failed);
+        let failed = matches!(
+            outcome,
+            Outcome::Overloaded | Outcome::Unreachable | Outcome::Failed
+        );
         let service = pending.request.service.clone();
         if failed && let Some(permit) = self.permits.get(&key) {
             pending.avoid.push(permit.target.id.clone());
--- a/components/policy/src/entry/permit.rs
+++ b/components/policy/src/entry/permit.rs
@@ -108,7 +108,7 @@
     /// Takes one call's end into account.
     pub fn add(&mut self, outcome: Outcome) {
         match outcome {
-            Outcome::Unsent => {}
+            Outcome::Unsent | Outcome::Unreachable => {}
             Outcome::Finished {
                 produced,
                 first,
--- a/components/policy/src/returns.rs
+++ b/components/policy/src/returns.rs
@@ -49,7 +49,7 @@
             self.learn(&permit, length, &done.outcome, shared);
         }
         let spent = match done.outcome {
-            Outcome::Unsent | Outcome::Overloaded => 0.0,
+            Outcome::Unsent | Outcome::Unreachable | Outcome::Overloaded => 0.0,
             _ if Account::is_model(limits) => permit.prompt as f64 + length as f64,
             _ => permit.charged,
         };
--- a/components/wire/src/permit.rs
+++ b/components/wire/src/permit.rs
@@ -114,7 +114,9 @@
     },
     /// The target refused it as too much.
     Overloaded,
-    /// The target failed or could not be reached.
+    /// The target could not be reached: no byte was sent.
+    Unreachable,
+    /// The link to the target was lost: the work may still run there.
     Failed,
 }
 
