--- a/tests/chaos.rs
+++ b/tests/chaos.rs
@@ -62,3 +62,12 @@
     let shown = run(3, &[Fault::KillInstance, Fault::PauseInstance]);
     assert!(shown.breaches.is_empty(), "{shown}");
 }
+
+// Targets crash and come back cold as another incarnation, sooner than the directory shows it.
+// Work that was on its way reaches the new incarnation uncounted; with that and its full share of
+// new work it would fall over again, and callers would see their streams end for good.
+#[test]
+fn crashed_targets_come_back_cold_and_get_no_more_than_they_bear() {
+    let shown = run(4, &[Fault::CrashEngine, Fault::CrashService]);
+    assert!(shown.breaches.is_empty(), "{shown}");
+}
