--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -11,9 +11,10 @@
 
 use crate::{
     admission::{Admitted, Ending, Wanted},
+    attempt::truthful,
     flight::Flight,
     forward,
-    generate::{DEFAULT_IN_FLIGHT, truthful},
+    generate::DEFAULT_IN_FLIGHT,
     keyed,
     metrics::Outcome,
     parts::Core,
@@ -187,7 +188,7 @@
                 };
                 Ok((Ending::Cancelled { produced: 0 }, answer))
             }
-            Err(TargetError::Unsent { .. }) => Err((Ending::Failed, false)),
+            Err(TargetError::Unsent { .. }) => Err((Ending::Unreachable, false)),
             Err(TargetError::Turned { .. }) => Err((Ending::Overloaded, false)),
             Err(TargetError::Lost { .. } | TargetError::Gone) => Err((Ending::Failed, true)),
         }
