--- a/components/policy/src/instance.rs
+++ b/components/policy/src/instance.rs
@@ -7,7 +7,7 @@
     api::{Action, Decide, Event, RequestId},
     entry::Entry,
     owner::Owner,
-    tuning::{Admission, Tuning},
+    tuning::Tuning,
 };
 
 /// Who an instance is.
@@ -40,12 +40,8 @@
     /// Makes it the oracle baseline: owners are told the true lengths and decide by them.
     #[must_use]
     pub fn with_told_lengths(mut self) -> Self {
-        let tuning = Tuning {
-            admission: Admission::Told,
-            ..Tuning::default()
-        };
         self.entry = self.entry.with_told_lengths();
-        self.owner = self.owner.with_tuning(tuning);
+        self.owner = self.owner.with_tuning(Tuning::told());
         self
     }
 
