Claim shards at ticks, and rank owners only when candidates change

Cause: every heartbeat ranked all candidates for every shard, so an instance's time grew by the square of its peers times the shards. Ruled out: a cheaper hash alone, the growth stays. Change: heartbeats only note what they say, the next tick judges; ranking is kept until candidates or shards change.

--- a/components/members/src/membership.rs
+++ b/components/members/src/membership.rs
@@ -40,6 +40,9 @@
     follows: Follows,
     changed: BTreeMap<Shard, Moment>,
     terms: BTreeMap<Shard, Term>,
+    /// Shards that should be owned here, going by these candidates.
+    mine: BTreeSet<Shard>,
+    candidates: Vec<Candidate>,
 }
 
 impl Membership {
@@ -56,11 +59,17 @@
             follows: Follows::default(),
             changed: BTreeMap::new(),
             terms: BTreeMap::new(),
+            mine: BTreeSet::new(),
+            candidates: Vec::new(),
         }
     }
 
     /// Takes one input and appends what others have to know to `out`.
     pub fn handle(&mut self, now: Moment, input: Input, out: &mut Vec<Change>) {
+        // Looking at all peers and shards for each peer's heartbeat would take time by the
+        // square of their number; the next tick is soon enough, since whatever rests on a
+        // heartbeat lapses by the clock alone.
+        let heard = matches!(input, Input::Heartbeat { .. });
         match input {
             Input::Listed(members) => self.list(members),
             Input::Heartbeat {
@@ -81,9 +90,11 @@
             Input::Drain => self.drain(out),
             Input::Tick => {}
         }
-        self.judge(now, out);
-        self.claim(now, out);
-        self.update_exclusive(now, out);
+        if !heard {
+            self.judge(now, out);
+            self.claim(now, out);
+            self.update_exclusive(now, out);
+        }
         self.assert_invariants();
     }
 
@@ -280,7 +291,10 @@
         for shard in ended {
             self.give_up(&shard, out);
         }
-        self.shards = shards;
+        if self.shards != shards {
+            self.shards = shards;
+            self.candidates.clear();
+        }
     }
 
     /// A process that was frozen believes what it knew before. It owns nothing until it has
@@ -357,10 +371,15 @@
             return;
         }
         let candidates = self.candidates(now);
+        if candidates != self.candidates {
+            let mine = |s: &&Shard| pick(s, &candidates) == Some(&self.me.id);
+            self.mine = self.shards.iter().filter(mine).cloned().collect();
+            self.candidates = candidates;
+        }
         let wanted: Vec<Shard> = self
-            .shards
+            .mine
             .iter()
-            .filter(|s| self.should_claim(now, s, &candidates))
+            .filter(|s| self.should_claim(now, s))
             .cloned()
             .collect();
         for shard in wanted {
@@ -368,8 +387,8 @@
         }
     }
 
-    fn should_claim(&self, now: Moment, shard: &Shard, candidates: &[Candidate]) -> bool {
-        if self.terms.contains_key(shard) || pick(shard, candidates) != Some(&self.me.id) {
+    fn should_claim(&self, now: Moment, shard: &Shard) -> bool {
+        if self.terms.contains_key(shard) {
             return false;
         }
         let owner = self.follows.owner(shard).and_then(|id| self.peers.get(id));
@@ -414,6 +433,9 @@
     }
 
     fn update_exclusive(&mut self, now: Moment, out: &mut Vec<Change>) {
+        if self.terms.is_empty() {
+            return;
+        }
         // Instances that are heard but not listed yet count too: the list lags.
         let mut everyone: BTreeSet<&InstanceId> = self.listed.keys().collect();
         everyone.extend(
