Prove with real processes that a call runs at most once

One key sent at three instances at once, another body under a key, a claimant killed between effect and record, a table that is down, and a link cut behind the effect of a call without a key. All asserted from outside: by the answers and by the services' effect counts.

Reading all targets' logs moves from the randomised runs to the deployment, so that tests share it. Deployments of one test program now take turns in tests/support rather than in tests/commands.rs alone; no check is changed there.

--- a/components/bench/src/chaos.rs
+++ b/components/bench/src/chaos.rs
@@ -3,7 +3,6 @@
 use std::{collections::BTreeMap, fmt, io, ops::Range, path::Path, time::Duration};
 
 use fastrand::Rng;
-use serde::de::DeserializeOwned;
 use settings::Strategy;
 use standins::{
     life::{Act, Cut, Faults},
@@ -13,12 +12,12 @@
 
 use crate::{
     caller::{Outcome, Record, What},
-    deployment::{Deployment, Standin},
+    deployment::Deployment,
     drive::send_all,
     fault::Fault,
     process::{Programs, Signal},
     scenario::{Arrival, Scenario},
-    verify::{Logs, breaches},
+    verify::breaches,
 };
 
 /// Time between two faults, in milliseconds.
@@ -357,10 +356,7 @@
     }
 
     async fn shown(mut self, records: &[Record], unended: usize) -> Shown {
-        let logs = Logs {
-            engines: logs(&self.deployment, &self.deployment.engines).await,
-            services: logs(&self.deployment, &self.deployment.services).await,
-        };
+        let logs = self.deployment.logs().await;
         self.breaches.extend(breaches(records, &logs));
         self.uncut(records);
         if unended > 0 {
@@ -383,19 +379,6 @@
     }
 }
 
-async fn logs<T: DeserializeOwned>(
-    deployment: &Deployment,
-    standins: &[Standin],
-) -> BTreeMap<String, T> {
-    let mut logs = BTreeMap::new();
-    for standin in standins {
-        if let Some(log) = deployment.log(standin.addr, "/control/log").await {
-            logs.insert(standin.name.clone(), log);
-        }
-    }
-    logs
-}
-
 fn short(record: &Record) -> String {
     let outcome = match &record.outcome {
         Outcome::Whole => "whole".to_owned(),
--- a/components/bench/src/deployment.rs
+++ b/components/bench/src/deployment.rs
@@ -22,7 +22,10 @@
 };
 use tree::{Node, NodePath};
 
-use crate::process::{Process, Programs, Signal};
+use crate::{
+    process::{Process, Programs, Signal},
+    verify::Logs,
+};
 
 pub use crate::plan::{OPERATOR_KEY, Plan, key_of};
 
@@ -175,6 +178,24 @@
         serde_json::from_slice(&body).ok()
     }
 
+    /// Reads the logs of all targets that answer.
+    pub async fn logs(&self) -> Logs {
+        Logs {
+            engines: self.logs_of(&self.engines).await,
+            services: self.logs_of(&self.services).await,
+        }
+    }
+
+    async fn logs_of<T: DeserializeOwned>(&self, standins: &[Standin]) -> BTreeMap<String, T> {
+        let mut logs = BTreeMap::new();
+        for standin in standins {
+            if let Some(log) = self.log(standin.addr, "/control/log").await {
+                logs.insert(standin.name.clone(), log);
+            }
+        }
+        logs
+    }
+
     /// Takes a data centre out or back in, through any instance that accepts it.
     pub async fn turn(&self, zone: &str, direction: &str) -> bool {
         let path = format!("/v1/data-centres/{zone}/{direction}");
--- a/components/bench/src/request.rs
+++ b/components/bench/src/request.rs
@@ -55,6 +55,19 @@
     },
 }
 
+impl Wanted {
+    /// Wants something of normal urgency.
+    pub fn new(name: impl Into<String>, key: impl Into<String>, what: What) -> Self {
+        Self {
+            name: name.into(),
+            kind: "single".to_owned(),
+            class: Class::Normal,
+            key: key.into(),
+            what,
+        }
+    }
+}
+
 /// A request, or why HTTP does not allow it.
 pub type Built = Result<Request<Full<Bytes>>, hyper::http::Error>;
 
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -8,11 +8,10 @@
     net::SocketAddr,
     path::PathBuf,
     process::{Command, Output, Stdio},
-    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bench::deployment::{Deployment, OPERATOR_KEY, Plan, key_of};
+use bench::deployment::{OPERATOR_KEY, Plan, key_of};
 use serde_json::Value;
 
 /// What a command printed and how it ended.
@@ -80,25 +79,18 @@
     }
 }
 
-/// A deployment picks ports that are free at present; a second one that starts at the same time
-/// may take them in between. So these tests take turns.
-static TURN: Mutex<()> = Mutex::new(());
-
-/// A deployment of one instance, and the turn to have one.
+/// A deployment of one instance.
 struct Setting {
-    deployment: Deployment,
+    started: support::Setting,
     admin: SocketAddr,
-    _turn: MutexGuard<'static, ()>,
 }
 
 impl Setting {
     fn start() -> Self {
-        let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-        let deployment = smol::block_on(support::start(&one_instance()));
+        let started = support::start(&one_instance());
         Self {
-            admin: deployment.instances[0].admin,
-            deployment,
-            _turn: turn,
+            admin: started.deployment.instances[0].admin,
+            started,
         }
     }
 
@@ -237,7 +229,7 @@
         table_down: Some(down),
         ..standins::platform::Faults::default()
     };
-    smol::block_on(setting.deployment.platform_fault(&down(true)));
+    smol::block_on(setting.started.deployment.platform_fault(&down(true)));
     let refused = setting.run(&["set", "/", "in-flight=9"]);
     assert_eq!(refused.code, 4, "{}", refused.err);
 
@@ -263,7 +255,7 @@
             .well()
             .ends_with("taken out      none\n")
     );
-    smol::block_on(setting.deployment.platform_fault(&down(false)));
+    smol::block_on(setting.started.deployment.platform_fault(&down(false)));
     setting.run(&["set", "/", "in-flight=9"]).well();
 }
 
@@ -376,7 +368,7 @@
 fn the_page_of_metrics_lists_what_an_instance_serves() {
     let setting = Setting::start();
     // Metrics with labels show only after the first request that they count.
-    let callers = setting.deployment.entries()[0];
+    let callers = setting.started.deployment.entries()[0];
     fetch(callers, "/titles/1", &key_of("viewers"));
     fetch(callers, "/titles/1", "wrong");
     let served = described(&fetch(setting.admin, "/metrics", ""));
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -4,17 +4,6 @@
 
 use bench::caller::{Caller, Outcome, Wanted, What};
 use timer::Timer;
-use types::Class;
-
-fn wanted(name: &str, key: &str, what: What) -> Wanted {
-    Wanted {
-        name: name.into(),
-        kind: "test".into(),
-        class: Class::Normal,
-        key: key.into(),
-        what,
-    }
-}
 
 fn generation(name: &str) -> Wanted {
     let what = What::Generate {
@@ -24,7 +13,7 @@
         output: 20,
         most: 100,
     };
-    wanted(name, "key-editors", what)
+    Wanted::new(name, "key-editors", what)
 }
 
 fn call(name: &str, method: &str, path: &str, idempotency_key: Option<&str>) -> Wanted {
@@ -33,13 +22,14 @@
         path: path.into(),
         idempotency_key: idempotency_key.map(String::from),
     };
-    wanted(name, "key-viewers", what)
+    Wanted::new(name, "key-viewers", what)
 }
 
 #[test]
 fn each_kind_of_request_gets_its_whole_answer_through_each_instance() {
+    let setting = support::start(&support::plan());
+    let deployment = &setting.deployment;
     smol::block_on(async {
-        let deployment = support::start(&support::plan()).await;
         let caller = Caller::new(Timer::new());
         for (number, addr) in deployment.entries().into_iter().enumerate() {
             let requests = [
--- /dev/null
+++ b/tests/promises_calls.rs
@@ -0,0 +1,223 @@
+//! A call that is not idempotent runs at most once, and refusals tell the truth about it.
+
+mod support;
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use bench::{
+    caller::{Caller, Outcome, Record, Wanted, What},
+    deployment::{Deployment, Plan},
+    process::Signal,
+    verify::breaches,
+};
+use standins::{
+    life::{Act, Faults},
+    platform,
+};
+use timer::Timer;
+use types::Run;
+
+/// Time between two looks at something that takes a while.
+const POLL: Duration = Duration::from_millis(20);
+/// Looks before a test gives up.
+const LOOKS: usize = 1500;
+
+fn plan() -> Plan {
+    let mut plan = support::plan();
+    plan.replica.life.warm = true;
+    // Long enough that calls sent together are in flight together.
+    plan.replica.latency_ms = 150.0;
+    plan
+}
+
+fn save(name: &str, idempotency_key: Option<&str>) -> Wanted {
+    let what = What::Plain {
+        method: "POST".into(),
+        path: "/watchlist".into(),
+        idempotency_key: idempotency_key.map(String::from),
+    };
+    Wanted::new(name, "key-viewers", what)
+}
+
+async fn effects(deployment: &Deployment, name: &str) -> u32 {
+    let logs = deployment.logs().await;
+    let counts = logs
+        .services
+        .values()
+        .filter_map(|log| log.effects.get(name));
+    counts.sum()
+}
+
+async fn until_effect(deployment: &Deployment, name: &str) {
+    for _ in 0..LOOKS {
+        if effects(deployment, name).await > 0 {
+            return;
+        }
+        smol::Timer::after(POLL).await;
+    }
+    panic!("{name} never took effect");
+}
+
+/// Sends a call, again while it is said to run still, as the answer asks callers to do.
+async fn settled(caller: &Caller, addr: SocketAddr, wanted: &Wanted) -> Record {
+    for _ in 0..LOOKS {
+        let record = caller.follow(&[addr], wanted).await;
+        let running =
+            matches!(&record.outcome, Outcome::Refused { code, .. } if code == "still-running");
+        if !running {
+            return record;
+        }
+        smol::Timer::after(POLL).await;
+    }
+    panic!("{} runs for ever", wanted.name);
+}
+
+async fn never_answer(deployment: &Deployment, times: u32) {
+    let faults = Faults {
+        never_answer: Some(times),
+        ..Faults::default()
+    };
+    for service in &deployment.services {
+        deployment.fault(service.addr, &faults).await;
+    }
+}
+
+async fn cut_services(deployment: &Deployment) {
+    let faults = Faults {
+        act: Some(Act::Cut),
+        ..Faults::default()
+    };
+    for service in &deployment.services {
+        deployment.fault(service.addr, &faults).await;
+    }
+}
+
+async fn table_down(deployment: &Deployment, down: bool) {
+    let faults = platform::Faults {
+        table_down: Some(down),
+        ..platform::Faults::default()
+    };
+    deployment.platform_fault(&faults).await;
+}
+
+fn refusal(record: &Record) -> (u16, &str, Option<Run>) {
+    match &record.outcome {
+        Outcome::Refused {
+            status, code, run, ..
+        } => (*status, code, *run),
+        other => panic!("{} was not refused: {other:?}", record.name),
+    }
+}
+
+async fn assert_no_breach(deployment: &Deployment, records: &[Record]) {
+    let breaches = breaches(records, &deployment.logs().await);
+    assert_eq!(breaches, Vec::<String>::new());
+}
+
+// An impatient caller, or a proxy before it, sends one save through three instances at the same
+// moment. Without a claim that all instances see, a viewer's list has the title three times.
+#[test]
+fn a_key_sent_at_three_instances_at_once_takes_effect_once() {
+    let mut setting = support::start(&plan());
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        let caller = Caller::new(Timer::new());
+        let entries = deployment.entries();
+        let mut records = Vec::new();
+        for round in 0..5 {
+            let name = format!("save-{round}");
+            let wanted = save(&name, Some(&format!("key-{round}")));
+            let sends: Vec<_> = entries
+                .iter()
+                .map(|addr| {
+                    let (caller, addr, wanted) = (caller.clone(), *addr, wanted.clone());
+                    workers::spawn(async move { settled(&caller, addr, &wanted).await })
+                })
+                .collect();
+            for send in sends {
+                let record = send.await;
+                assert_eq!(record.outcome, Outcome::Whole, "{name}");
+                records.push(record);
+            }
+            assert_eq!(effects(deployment, &name).await, 1, "{name}");
+        }
+        // Another body under a key that is known.
+        let other = save("other", Some("key-0"));
+        for addr in entries {
+            let record = caller.follow(&[addr], &other).await;
+            assert_eq!(refusal(&record), (422, "key-reused", Some(Run::NotRun)));
+            records.push(record);
+        }
+        assert_eq!(effects(deployment, "other").await, 0);
+        assert_no_breach(deployment, &records).await;
+    });
+}
+
+// The instance that holds a key's claim dies after it sent the call and before it wrote down the
+// answer, or the table service is down, or the link breaks behind the effect. Whoever then sends
+// the call again to be safe doubles an order; whoever says that it did not run makes the caller
+// double it.
+#[test]
+fn a_call_whose_outcome_was_lost_never_runs_again() {
+    let mut setting = support::start(&plan());
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        let caller = Caller::new(Timer::new());
+        let entries = deployment.entries();
+        let mut records = Vec::new();
+
+        // The link is cut behind the effect, and there is no key.
+        never_answer(deployment, 1).await;
+        let keyless = save("keyless", None);
+        let sending = {
+            let (caller, addr) = (caller.clone(), entries[0]);
+            workers::spawn(async move { caller.follow(&[addr], &keyless).await })
+        };
+        until_effect(deployment, "keyless").await;
+        cut_services(deployment).await;
+        let record = sending.await;
+        assert_eq!(refusal(&record), (504, "answer-lost", Some(Run::Unknown)));
+        records.push(record);
+        assert_eq!(effects(deployment, "keyless").await, 1);
+
+        // The table is down.
+        never_answer(deployment, 0).await;
+        table_down(deployment, true).await;
+        for (number, addr) in entries.iter().enumerate() {
+            let name = format!("outage-{number}");
+            let record = caller.follow(&[*addr], &save(&name, Some(&name))).await;
+            assert_eq!(refusal(&record), (503, "store-down", Some(Run::NotRun)));
+            assert_eq!(effects(deployment, &name).await, 0);
+            records.push(record);
+            // Calls without a key go on.
+            let name = format!("meanwhile-{number}");
+            let record = caller.follow(&[*addr], &save(&name, None)).await;
+            assert_eq!(record.outcome, Outcome::Whole);
+            assert_eq!(effects(deployment, &name).await, 1);
+            records.push(record);
+        }
+        table_down(deployment, false).await;
+
+        // The claimant is killed between effect and record.
+        never_answer(deployment, 1).await;
+        let keyed = save("keyed", Some("kept"));
+        let sending = {
+            let (caller, addr, keyed) = (caller.clone(), entries[0], keyed.clone());
+            workers::spawn(async move { caller.follow(&[addr], &keyed).await })
+        };
+        until_effect(deployment, "keyed").await;
+        deployment.signal(0, Signal::Kill);
+        assert_eq!(sending.await.outcome, Outcome::Broken);
+        never_answer(deployment, 0).await;
+        let mut told = BTreeMap::new();
+        for addr in &entries[1..] {
+            let record = settled(&caller, *addr, &keyed).await;
+            let (_, code, run) = refusal(&record);
+            told.insert(code.to_owned(), run);
+        }
+        let unknown = BTreeMap::from([("outcome-unknown".to_owned(), Some(Run::Unknown))]);
+        assert_eq!(told, unknown, "all instances tell the same");
+        assert_eq!(effects(deployment, "keyed").await, 1);
+        assert_no_breach(deployment, &records).await;
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,6 +1,10 @@
 //! What the tests with real processes share.
 
-use std::{collections::BTreeMap, path::PathBuf};
+use std::{
+    collections::BTreeMap,
+    path::PathBuf,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
 
 use bench::{
     deployment::{Deployment, Plan},
@@ -71,10 +75,26 @@
     .collect()
 }
 
+/// A deployment, and the turn to have one. Deployments of one test program take turns: another
+/// that starts at the same time may take a port that this one is about to listen on.
+pub struct Setting {
+    /// The deployment.
+    pub deployment: Deployment,
+    // Given back after the deployment has gone, for fields are dropped in this order.
+    _turn: MutexGuard<'static, ()>,
+}
+
+static TURN: Mutex<()> = Mutex::new(());
+
 /// Starts a deployment; the test fails with the reason if it can't be started.
-pub async fn start(plan: &Plan) -> Deployment {
-    match Deployment::start(programs(), plan, Strategy::Owner, None).await {
-        Ok(deployment) => deployment,
+pub fn start(plan: &Plan) -> Setting {
+    // A test that failed before says nothing about this one.
+    let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    match smol::block_on(Deployment::start(programs(), plan, Strategy::Owner, None)) {
+        Ok(deployment) => Setting {
+            deployment,
+            _turn: turn,
+        },
         Err(error) => panic!("the deployment did not start: {error}"),
     }
 }
