--- a/components/gateway/tests/fakes/engine.rs
+++ b/components/gateway/tests/fakes/engine.rs
@@ -1,6 +1,13 @@
 //! An engine whose streams follow a script.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -41,6 +48,10 @@
     pub calls: Mutex<Vec<(TargetId, EngineCall)>>,
     pub resumed: Mutex<Vec<Tokens>>,
     pub cancelled: Mutex<Vec<StreamId>>,
+    /// While set, cancellations are not answered.
+    pub deaf: AtomicBool,
+    /// Streams that were asked for a token and have none.
+    silent: Arc<AtomicUsize>,
 }
 
 impl FakeEngine {
@@ -58,6 +69,10 @@
         self.calls.lock().len()
     }
 
+    pub fn silent(&self) -> usize {
+        self.silent.load(Ordering::Acquire)
+    }
+
     pub fn cancels(&self) -> usize {
         self.cancelled.lock().len()
     }
@@ -66,14 +81,18 @@
 struct Scene {
     id: StreamId,
     steps: VecDeque<Step>,
+    silent: Arc<AtomicUsize>,
 }
 
-fn scene(id: &str, script: Option<Script>) -> Result<Box<dyn Stream>, TargetError> {
-    let steps = script.unwrap_or(Err(TargetError::Gone))?;
-    Ok(Box::new(Scene {
-        id: id.into(),
-        steps: steps.into(),
-    }))
+impl FakeEngine {
+    fn scene(&self, id: &str, script: Option<Script>) -> Result<Box<dyn Stream>, TargetError> {
+        let steps = script.unwrap_or(Err(TargetError::Gone))?;
+        Ok(Box::new(Scene {
+            id: id.into(),
+            steps: steps.into(),
+            silent: Arc::clone(&self.silent),
+        }))
+    }
 }
 
 #[async_trait]
@@ -103,7 +122,10 @@
                     smol::Timer::after(time).await;
                 }
                 Some(Step::End) => return Ok(Piece::End),
-                Some(Step::Silent) => std::future::pending().await,
+                Some(Step::Silent) => {
+                    self.silent.fetch_add(1, Ordering::AcqRel);
+                    std::future::pending().await
+                }
                 Some(Step::Die) | None => {
                     return Err(TargetError::Lost {
                         reason: "cut".into(),
@@ -123,7 +145,8 @@
     ) -> Result<Box<dyn Stream>, TargetError> {
         let mut calls = self.calls.lock();
         calls.push((target.id.clone(), call.clone()));
-        scene(&format!("s{}", calls.len()), self.starts.lock().pop_front())
+        let name = format!("s{}", calls.len());
+        self.scene(&name, self.starts.lock().pop_front())
     }
 
     async fn resume(
@@ -133,10 +156,13 @@
         at: Tokens,
     ) -> Result<Box<dyn Stream>, TargetError> {
         self.resumed.lock().push(at);
-        scene(stream, self.resumes.lock().pop_front())
+        self.scene(stream, self.resumes.lock().pop_front())
     }
 
     async fn cancel(&self, _: &Target, stream: &StreamId) -> Result<(), TargetError> {
+        while self.deaf.load(Ordering::Acquire) {
+            smol::Timer::after(Duration::from_millis(2)).await;
+        }
         self.cancelled.lock().push(Arc::clone(stream));
         Ok(())
     }
