--- a/tests/promises_calls.rs
+++ b/tests/promises_calls.rs
@@ -55,7 +55,10 @@
         }
         smol::Timer::after(POLL).await;
     }
-    panic!("{name} never took effect");
+    let tails: Vec<String> = (0..deployment.instances.len())
+        .map(|number| deployment.tail(number))
+        .collect();
+    panic!("{name} never took effect\n{}", tails.join("\n\n"));
 }
 
 /// Sends a call, again while it is said to run still, as the answer asks callers to do.
@@ -72,6 +75,19 @@
     panic!("{} runs for ever", wanted.name);
 }
 
+/// Waits until keyed calls are taken again after an outage, and tells how the first one ended.
+async fn after_outage(caller: &Caller, addr: SocketAddr, wanted: &Wanted) -> Record {
+    for _ in 0..LOOKS {
+        let record = caller.follow(&[addr], wanted).await;
+        let down = matches!(&record.outcome, Outcome::Refused { code, .. } if code == "store-down");
+        if !down {
+            return record;
+        }
+        smol::Timer::after(POLL).await;
+    }
+    panic!("the table service is still said to be down");
+}
+
 async fn never_answer(deployment: &Deployment, times: u32) {
     let faults = Faults {
         never_answer: Some(times),
@@ -197,6 +213,9 @@
             records.push(record);
         }
         table_down(deployment, false).await;
+        let record = after_outage(&caller, entries[0], &save("after", Some("after"))).await;
+        assert_eq!(record.outcome, Outcome::Whole);
+        assert_eq!(effects(deployment, "after").await, 1);
 
         // The claimant is killed between effect and record.
         never_answer(deployment, 1).await;
