Wait before a refill after one that brought a cold place

Cause, from a dump during the return of a data centre: an entry fetched a place at a cold plain service ahead of need, gave it back unused at once and asked again every tick, 50 to 100 permits a second for nothing. Change: the next refill waits 500 ms. Ruled out: keeping such a place unused, one entry could hoard the two that a cold target bears. Left: under light load calls go on to warm targets, so a cold one warms slowly. Measured: policy tests green.

--- a/components/policy/src/entry/calls.rs
+++ b/components/policy/src/entry/calls.rs
@@ -18,6 +18,8 @@
 const REFILL_BEFORE: Duration = Duration::from_millis(500);
 /// A service without calls for this long gets no blocks ahead of time.
 const QUIET: Duration = Duration::from_secs(2);
+/// After a refill that brought a place at a cold target the next one waits this long.
+const COLD_PAUSE: Duration = Duration::from_millis(500);
 /// Slots of one block at most.
 const SLOTS_MOST: u32 = 8;
 
@@ -28,6 +30,8 @@
     last_request: Option<Request>,
     /// The most calls at once since the last refill.
     peak: u32,
+    /// No refill before this moment.
+    pause_until: Moment,
 }
 
 /// Demand of all plain services.
@@ -43,6 +47,7 @@
             last: now,
             last_request: None,
             peak: 1,
+            pause_until: Moment::ZERO,
         });
         demand.last = now;
     }
@@ -53,6 +58,14 @@
         self.by_service.contains_key(service)
     }
 
+    /// Takes note that a refill brought a place at a cold target. It is given back unused, as
+    /// such places are few; asking again at once would only pass it to and fro.
+    pub fn pause(&mut self, now: Moment, service: &ServiceId) {
+        if let Some(demand) = self.by_service.get_mut(service) {
+            demand.pause_until = now + COLD_PAUSE;
+        }
+    }
+
     /// Slots to ask for.
     #[must_use]
     pub fn slots(&self, request: &Request) -> u32 {
@@ -163,7 +176,11 @@
         let Some(demand) = self.calls.by_service.get_mut(service) else {
             return;
         };
-        if fresh || out_already || now.saturating_sub(demand.last) >= QUIET {
+        if fresh
+            || out_already
+            || now < demand.pause_until
+            || now.saturating_sub(demand.last) >= QUIET
+        {
             return;
         }
         let Some(request) = demand.last_request.clone() else {
--- a/components/policy/src/entry/grants.rs
+++ b/components/policy/src/entry/grants.rs
@@ -45,6 +45,9 @@
             give_back(from, grant, out);
             return;
         }
+        if grant.cold && request.is_none() {
+            self.calls.pause(now, &grant.shard.service);
+        }
         let permit = self.permit(from, grant, request, target);
         let key = permit.key;
         self.permits.insert(key, permit);
