Split membership and the entry's machine by job

Change: claiming shards and exclusiveness, reading, asking owners, changes of configuration and owners, and refusing what is late are modules of their own. Measured: tests of members and policy green.

--- a/components/members/src/lib.rs
+++ b/components/members/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod exclusive;
 pub mod follow;
 pub mod membership;
+mod ownership;
 pub mod peer;
+mod reading;
 pub mod rendezvous;
 pub mod times;
 
--- a/components/members/src/membership.rs
+++ b/components/members/src/membership.rs
@@ -1,48 +1,41 @@
 //! The state machine: heartbeats and the platform's list in, ownership out.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
-use types::{ConfigVersion, Epoch, Incarnation, InstanceId, Member, Moment, Shard};
-use wire::{Heartbeat, ShardSummary};
+use types::{Epoch, Incarnation, InstanceId, Member, Moment, Shard};
+use wire::Heartbeat;
 
 use crate::{
     api::{Change, Identity, Input},
-    exclusive::{self, Count, Exclusivity},
+    exclusive::Exclusivity,
     follow::Follows,
     peer::{Following, Peer},
-    rendezvous::{Candidate, next_epoch, pick},
+    rendezvous::Candidate,
     times::START_WAIT,
 };
 
-/// After a shard changed hands it stays there for this long, unless its owner is lost. Instances
-/// that see different peers would otherwise take it from each other with every heartbeat.
-const SETTLE: Duration = Duration::from_millis(500);
-
 /// A shard that this instance owns.
 #[derive(Clone, Debug, PartialEq)]
-struct Term {
-    epoch: Epoch,
-    exclusivity: Exclusivity,
+pub(crate) struct Term {
+    pub(crate) epoch: Epoch,
+    pub(crate) exclusivity: Exclusivity,
 }
 
 /// Membership and ownership as one instance sees them.
 #[derive(Debug)]
 pub struct Membership {
-    me: Identity,
-    ready_at: Moment,
-    draining: bool,
-    listed: BTreeMap<InstanceId, Member>,
-    peers: BTreeMap<InstanceId, Peer>,
-    shards: BTreeSet<Shard>,
-    follows: Follows,
-    changed: BTreeMap<Shard, Moment>,
-    terms: BTreeMap<Shard, Term>,
+    pub(crate) me: Identity,
+    pub(crate) ready_at: Moment,
+    pub(crate) draining: bool,
+    pub(crate) listed: BTreeMap<InstanceId, Member>,
+    pub(crate) peers: BTreeMap<InstanceId, Peer>,
+    pub(crate) shards: BTreeSet<Shard>,
+    pub(crate) follows: Follows,
+    pub(crate) changed: BTreeMap<Shard, Moment>,
+    pub(crate) terms: BTreeMap<Shard, Term>,
     /// Shards that should be owned here, going by these candidates.
-    mine: BTreeSet<Shard>,
-    candidates: Vec<Candidate>,
+    pub(crate) mine: BTreeSet<Shard>,
+    pub(crate) candidates: Vec<Candidate>,
 }
 
 impl Membership {
@@ -98,102 +91,6 @@
         self.assert_invariants();
     }
 
-    /// The heartbeat for one peer.
-    #[must_use]
-    pub fn heartbeat(
-        &self,
-        now: Moment,
-        to: &InstanceId,
-        owned: Vec<ShardSummary>,
-        config_version: ConfigVersion,
-    ) -> Heartbeat {
-        let mut follows = self.follows.claims_of(to);
-        if let Some(peer) = self.peers.get(to) {
-            follows.extend(self.follows.newer_than(&peer.claims));
-        }
-        Heartbeat {
-            stamp: now,
-            echo: self.peers.get(to).map(|p| p.stamp),
-            data_centre: self.me.data_centre.clone(),
-            config_version,
-            draining: self.draining,
-            owned,
-            follows,
-        }
-    }
-
-    /// Peers to send heartbeats to.
-    #[must_use]
-    pub fn peers(&self) -> Vec<Member> {
-        self.listed
-            .values()
-            .filter(|m| m.id != self.me.id)
-            .cloned()
-            .collect()
-    }
-
-    /// Shards owned here.
-    #[must_use]
-    pub fn owned(&self) -> BTreeSet<Shard> {
-        self.terms.keys().cloned().collect()
-    }
-
-    /// Peers that are alive.
-    #[must_use]
-    pub fn alive(&self, now: Moment) -> Vec<InstanceId> {
-        self.peers
-            .iter()
-            .filter(|(_, p)| p.alive(now))
-            .map(|(id, _)| id.clone())
-            .collect()
-    }
-
-    /// Whether a life of an instance may still be running: it is this one, or it was heard and
-    /// is not gone, or it was never heard and may just be starting.
-    #[must_use]
-    pub fn may_run(&self, now: Moment, id: &InstanceId, incarnation: Incarnation) -> bool {
-        if *id == self.me.id {
-            return incarnation == self.me.incarnation;
-        }
-        match self.peers.get(id) {
-            Some(peer) => peer.incarnation <= incarnation && !peer.gone(now),
-            None => self.listed.contains_key(id) && now < self.ready_at,
-        }
-    }
-
-    /// Whether this instance hears nobody although others are listed.
-    #[must_use]
-    pub fn isolated(&self, now: Moment) -> bool {
-        let others = self.listed.keys().any(|id| *id != self.me.id);
-        others && now >= self.ready_at && !self.peers.values().any(|p| p.alive(now))
-    }
-
-    /// Lines for a dump.
-    #[must_use]
-    pub fn dump(&self, now: Moment) -> Vec<String> {
-        let mut lines = Vec::new();
-        for (id, peer) in &self.peers {
-            let heard = now.saturating_sub(peer.heard).as_millis();
-            let state = if peer.alive(now) { "alive" } else { "silent" };
-            lines.push(format!("peer {id} {state}, heard {heard} ms ago"));
-        }
-        for (shard, followed) in self.follows.iter() {
-            let owner = followed.owner.as_deref().unwrap_or("nobody");
-            lines.push(format!(
-                "shard {shard} owner {owner} term {}",
-                followed.epoch
-            ));
-        }
-        for (shard, term) in &self.terms {
-            let exclusive = term.exclusivity.exclusive;
-            lines.push(format!(
-                "owns {shard} term {} exclusive {exclusive}",
-                term.epoch
-            ));
-        }
-        lines
-    }
-
     fn list(&mut self, members: Vec<Member>) {
         self.listed = members.into_iter().map(|m| (m.id.clone(), m)).collect();
         // An instance that is no longer listed and no longer heard is history.
@@ -366,109 +263,6 @@
         }
     }
 
-    fn claim(&mut self, now: Moment, out: &mut Vec<Change>) {
-        if now < self.ready_at || self.draining || self.listed.is_empty() || self.isolated(now) {
-            return;
-        }
-        let candidates = self.candidates(now);
-        if candidates != self.candidates {
-            let mine = |s: &&Shard| pick(s, &candidates) == Some(&self.me.id);
-            self.mine = self.shards.iter().filter(mine).cloned().collect();
-            self.candidates = candidates;
-        }
-        let wanted: Vec<Shard> = self
-            .mine
-            .iter()
-            .filter(|s| self.should_claim(now, s))
-            .cloned()
-            .collect();
-        for shard in wanted {
-            self.start_term(now, shard, out);
-        }
-    }
-
-    fn should_claim(&self, now: Moment, shard: &Shard) -> bool {
-        if self.terms.contains_key(shard) {
-            return false;
-        }
-        let owner = self.follows.owner(shard).and_then(|id| self.peers.get(id));
-        let lost = owner.is_none_or(|p| !p.alive(now) || p.draining);
-        let settled = self
-            .changed
-            .get(shard)
-            .is_none_or(|at| now.saturating_sub(*at) >= SETTLE);
-        lost || settled
-    }
-
-    fn start_term(&mut self, now: Moment, shard: Shard, out: &mut Vec<Change>) {
-        let epoch = next_epoch(self.follows.epoch(&shard), &self.me.id, self.me.incarnation);
-        self.follows.follow(&shard, &self.me.id, epoch);
-        self.changed.insert(shard.clone(), now);
-        let mut ask = self.alive(now);
-        ask.push(self.me.id.clone());
-        let term = Term {
-            epoch,
-            exclusivity: Exclusivity::default(),
-        };
-        self.terms.insert(shard.clone(), term);
-        out.push(Change::Own { shard, epoch, ask });
-    }
-
-    fn candidates(&self, now: Moment) -> Vec<Candidate> {
-        let me = Candidate {
-            id: self.me.id.clone(),
-            data_centre: self.me.data_centre.clone(),
-        };
-        let mut candidates = vec![me];
-        for (id, peer) in &self.peers {
-            if peer.alive(now) && !peer.draining && self.listed.contains_key(id) {
-                let data_centre = peer.data_centre.clone();
-                candidates.push(Candidate {
-                    id: id.clone(),
-                    data_centre,
-                });
-            }
-        }
-        candidates
-    }
-
-    fn update_exclusive(&mut self, now: Moment, out: &mut Vec<Change>) {
-        if self.terms.is_empty() {
-            return;
-        }
-        // Instances that are heard but not listed yet count too: the list lags.
-        let mut everyone: BTreeSet<&InstanceId> = self.listed.keys().collect();
-        everyone.extend(
-            self.peers
-                .iter()
-                .filter(|(_, p)| p.alive(now))
-                .map(|(id, _)| id),
-        );
-        everyone.insert(&self.me.id);
-        for (shard, term) in &mut self.terms {
-            let follows = |id: &&&InstanceId| {
-                **id == &self.me.id
-                    || exclusive::follows(self.peers.get(**id), shard, term.epoch, now)
-            };
-            let following = everyone.iter().filter(follows).count();
-            let before = term.exclusivity.exclusive;
-            term.exclusivity.update(
-                now,
-                Count {
-                    following,
-                    listed: everyone.len(),
-                },
-            );
-            let exclusive = term.exclusivity.exclusive;
-            if exclusive != before {
-                out.push(Change::Exclusive {
-                    shard: shard.clone(),
-                    exclusive,
-                });
-            }
-        }
-    }
-
     fn assert_invariants(&self) {
         for (shard, term) in &self.terms {
             assert!(
--- /dev/null
+++ b/components/policy/src/entry/changes.rs
@@ -0,0 +1,65 @@
+//! New configuration, new owners, lost owners.
+
+use types::{AskId, InstanceId, Moment, Shard};
+
+use crate::{
+    api::{Action, RequestId, ShardRole, View},
+    entry::machine::Entry,
+};
+
+impl Entry {
+    pub(super) fn change(&mut self, now: Moment, view: &View, out: &mut Vec<Action>) {
+        self.view = view.clone();
+        self.shards.update(view);
+        // Asks to shards that no longer take work move on at once.
+        let closed: Vec<(AskId, Option<RequestId>)> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| self.shards.get(&a.shard).is_none_or(|i| i.targets == 0))
+            .map(|(ask, a)| (*ask, a.request))
+            .collect();
+        for (ask, request) in closed {
+            self.withdraw(ask, out);
+            self.ask_again(now, request, out);
+        }
+        self.place_waiting(now, out);
+    }
+
+    pub(super) fn role(
+        &mut self,
+        now: Moment,
+        shard: &Shard,
+        role: &ShardRole,
+        out: &mut Vec<Action>,
+    ) {
+        let (owner, epoch) = match role {
+            ShardRole::Own { epoch, .. } => (Some(self.me.clone()), *epoch),
+            ShardRole::Follow { owner, epoch } => (owner.clone(), *epoch),
+        };
+        self.shards.follow(shard, owner, epoch);
+        let lost: Vec<AskId> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| a.shard == *shard)
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in lost {
+            let request = self.asks.remove(&ask).and_then(|a| a.request);
+            self.ask_again(now, request, out);
+        }
+        self.place_waiting(now, out);
+    }
+
+    pub(super) fn lose_owner(&mut self, now: Moment, peer: &InstanceId, out: &mut Vec<Action>) {
+        let lost: Vec<AskId> = self
+            .asks
+            .iter()
+            .filter(|(_, a)| a.owner == *peer)
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in lost {
+            let request = self.asks.remove(&ask).and_then(|a| a.request);
+            self.ask_again(now, request, out);
+        }
+    }
+}
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -3,13 +3,13 @@
 use std::collections::BTreeSet;
 
 use types::{AskId, DataCentreId, InstanceId, Moment, ServiceKind, Shard, Standing};
-use wire::{Ask, Message, Outcome, Withdraw};
+use wire::{Message, Outcome};
 
 use crate::{
-    api::{Action, Event, Request, RequestId, ShardRole, View},
+    api::{Action, Event, Request, RequestId, View},
     entry::{
         calls::Calls,
-        pending::{AskOut, Asks, NO_OWNER_LIMIT, NO_TARGET_LIMIT, Pending, Requests, Stage},
+        pending::{Asks, Pending, Requests, Stage},
         permit::Permits,
         refuse,
         shards::Shards,
@@ -32,8 +32,8 @@
     pub(super) reported: BTreeSet<Shard>,
     pub(super) last_report: Moment,
     /// Whether owners are told the true lengths; for the oracle baseline only.
-    told: bool,
-    next_ask: AskId,
+    pub(super) told: bool,
+    pub(super) next_ask: AskId,
 }
 
 impl Entry {
@@ -167,82 +167,6 @@
         self.ask(now, id, out);
     }
 
-    pub(super) fn ask(&mut self, now: Moment, id: RequestId, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get(&id) else {
-            return;
-        };
-        let request = &pending.request;
-        if let Some((shard, owner)) = self.shards.choose(&request.service, &request.prefix) {
-            self.ask_at(now, id, shard, owner, out);
-        }
-    }
-
-    /// Asks a shard's owner for a permit for a request.
-    pub(super) fn ask_at(
-        &mut self,
-        now: Moment,
-        id: RequestId,
-        shard: Shard,
-        owner: InstanceId,
-        out: &mut Vec<Action>,
-    ) {
-        let ask = self.new_ask();
-        let Some(pending) = self.requests.get_mut(&id) else {
-            return;
-        };
-        pending.stage = Stage::Asked(ask);
-        let request = &pending.request;
-        let told = request.true_output.filter(|_| self.told);
-        let message = Ask {
-            shard: shard.clone(),
-            ask,
-            stamp: now,
-            kind: request.kind,
-            class: request.class,
-            workspace: request.workspace.clone(),
-            route: request.route.clone(),
-            within: request.deadline.saturating_sub(now),
-            waited: now.saturating_sub(pending.since),
-            prompt: request.prompt,
-            max_output: told.unwrap_or(request.max_output),
-            slots: self.calls.slots(request),
-            prefix: request.prefix.clone(),
-            avoid: pending.avoid.clone(),
-        };
-        self.shards.note_ask(&shard, &request.prefix);
-        let sent = AskOut {
-            request: Some(id),
-            shard,
-            owner: owner.clone(),
-            at: now,
-        };
-        self.asks.insert(ask, sent);
-        out.push(Action::Send {
-            to: owner,
-            message: message.into(),
-        });
-    }
-
-    pub(super) const fn new_ask(&mut self) -> AskId {
-        self.next_ask += 1;
-        self.next_ask
-    }
-
-    /// Takes an ask back. A grant that crosses this is given back when it comes.
-    pub(super) fn withdraw(&mut self, ask: AskId, out: &mut Vec<Action>) {
-        let Some(sent) = self.asks.remove(&ask) else {
-            return;
-        };
-        let message = Withdraw {
-            shard: sent.shard,
-            ask,
-        };
-        out.push(Action::Send {
-            to: sent.owner,
-            message: message.into(),
-        });
-    }
-
     pub(super) fn refuse(&mut self, id: RequestId, refusal: types::Refusal, out: &mut Vec<Action>) {
         self.requests.remove(&id);
         out.push(Action::Refuse {
@@ -303,8 +227,10 @@
             Outcome::Overloaded | Outcome::Unreachable | Outcome::Failed
         );
         let service = pending.request.service.clone();
-        if failed && let Some(permit) = self.permits.get(&key) {
+        if failed && let Some(permit) = self.permits.get_mut(&key) {
             pending.avoid.push(permit.target.id.clone());
+            // The target may have died and come back cold: no further call under this permit.
+            permit.until = permit.until.min(now);
         }
         self.release(now, key, id, outcome, out);
         if failed && !self.budgets.spend(&service) {
@@ -330,69 +256,7 @@
         }
     }
 
-    fn change(&mut self, now: Moment, view: &View, out: &mut Vec<Action>) {
-        self.view = view.clone();
-        self.shards.update(view);
-        // Asks to shards that no longer take work move on at once.
-        let closed: Vec<(AskId, Option<RequestId>)> = self
-            .asks
-            .iter()
-            .filter(|(_, a)| self.shards.get(&a.shard).is_none_or(|i| i.targets == 0))
-            .map(|(ask, a)| (*ask, a.request))
-            .collect();
-        for (ask, request) in closed {
-            self.withdraw(ask, out);
-            self.ask_again(now, request, out);
-        }
-        self.place_waiting(now, out);
-    }
-
-    fn role(&mut self, now: Moment, shard: &Shard, role: &ShardRole, out: &mut Vec<Action>) {
-        let (owner, epoch) = match role {
-            ShardRole::Own { epoch, .. } => (Some(self.me.clone()), *epoch),
-            ShardRole::Follow { owner, epoch } => (owner.clone(), *epoch),
-        };
-        self.shards.follow(shard, owner, epoch);
-        let lost: Vec<AskId> = self
-            .asks
-            .iter()
-            .filter(|(_, a)| a.shard == *shard)
-            .map(|(ask, _)| *ask)
-            .collect();
-        for ask in lost {
-            let request = self.asks.remove(&ask).and_then(|a| a.request);
-            self.ask_again(now, request, out);
-        }
-        self.place_waiting(now, out);
-    }
-
-    fn lose_owner(&mut self, now: Moment, peer: &InstanceId, out: &mut Vec<Action>) {
-        let lost: Vec<AskId> = self
-            .asks
-            .iter()
-            .filter(|(_, a)| a.owner == *peer)
-            .map(|(ask, _)| *ask)
-            .collect();
-        for ask in lost {
-            let request = self.asks.remove(&ask).and_then(|a| a.request);
-            self.ask_again(now, request, out);
-        }
-    }
-
-    pub(super) fn ask_again(
-        &mut self,
-        now: Moment,
-        request: Option<RequestId>,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(id) = request else { return };
-        if let Some(pending) = self.requests.get_mut(&id) {
-            pending.stage = Stage::Waiting;
-            self.place(now, id, out);
-        }
-    }
-
-    fn place_waiting(&mut self, now: Moment, out: &mut Vec<Action>) {
+    pub(super) fn place_waiting(&mut self, now: Moment, out: &mut Vec<Action>) {
         let waiting = |p: &&Pending| p.stage == Stage::Waiting && p.pause_until <= now;
         let mut ready: Vec<&Pending> = self.requests.values().filter(waiting).collect();
         ready.sort_by_key(|p| (p.request.class, p.request.deadline));
@@ -411,50 +275,6 @@
         self.report_held(now, out);
     }
 
-    /// What can't be served in time is told so at once, with the time to come back.
-    fn refuse_late(&mut self, now: Moment, out: &mut Vec<Action>) {
-        let late = |p: &&Pending| match p.stage {
-            Stage::Placed(_) => false,
-            Stage::Asked(_) => p.request.deadline <= now,
-            Stage::Waiting => p.request.deadline <= now || self.waits_in_vain(now, p),
-        };
-        let late: Vec<RequestId> = self
-            .requests
-            .values()
-            .filter(late)
-            .map(|p| p.request.id)
-            .collect();
-        for id in late {
-            let pending = &self.requests[&id];
-            let expired = pending.request.deadline <= now;
-            let stage = pending.stage.clone();
-            let service = pending.request.service.clone();
-            if let Stage::Asked(ask) = stage {
-                self.withdraw(ask, out);
-            }
-            let refusal = if expired {
-                refuse::too_late(self.shards.wait(&service))
-            } else if self.shards.serves(&service) {
-                refuse::no_owner()
-            } else {
-                refuse::no_target()
-            };
-            self.refuse(id, refusal, out);
-        }
-    }
-
-    /// Whether a request that nobody could be asked for has waited long enough: the list of
-    /// targets lags, and owners change hands, so neither is taken for the truth at once.
-    fn waits_in_vain(&self, now: Moment, pending: &Pending) -> bool {
-        let serves = self.shards.serves(&pending.request.service);
-        let limit = if serves {
-            NO_OWNER_LIMIT
-        } else {
-            NO_TARGET_LIMIT
-        };
-        now.saturating_sub(pending.since) >= limit
-    }
-
     pub(super) fn open(&self, target: &str, incarnation: types::Incarnation) -> bool {
         self.view.targets.iter().any(|t| {
             *t.id == *target
--- a/components/policy/src/entry/mod.rs
+++ b/components/policy/src/entry/mod.rs
@@ -1,7 +1,10 @@
 //! The entry: callers' requests, from arrival until a permit lets them be sent.
 
+mod asks;
 mod calls;
+mod changes;
 mod grants;
+mod late;
 mod machine;
 mod pending;
 mod permit;
