--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -50,6 +50,9 @@
     /// Whether its own word is enough to count as warm: it was there before this owner, which
     /// therefore hasn't seen it start.
     pub may_trust: bool,
+    /// When it refused a connection last while it counted as warm; only a later report that it
+    /// is warm is believed.
+    pub doubted: Option<Moment>,
     /// Whether work of before this owner's term, whose entry is lost, may still run there.
     pub strange: bool,
     /// When work was last asked back.
@@ -73,6 +76,7 @@
             report: None,
             prefixes: Prefixes::new(),
             may_trust: false,
+            doubted: None,
             strange: true,
             recalled: Moment::ZERO,
             created: now,
@@ -166,6 +170,17 @@
         self.projected = None;
     }
 
+    /// Takes note that the target refused a connection. Its process may be gone, and back again
+    /// cold before the platform's list says so; what is granted on the word of before would be
+    /// too much for it. A report of the same life that it is warm ends the doubt.
+    pub fn doubt(&mut self, now: Moment) {
+        if !self.limiter.is_cold() {
+            self.limiter.chill(now);
+            self.may_trust = true;
+            self.doubted = Some(now);
+        }
+    }
+
     /// Puts the target back to cold start.
     pub fn chill(&mut self, now: Moment) {
         self.limiter.chill(now);
--- a/components/policy/src/reports.rs
+++ b/components/policy/src/reports.rs
@@ -46,7 +46,7 @@
                 self.limiter.chill(now);
                 self.may_trust = false;
             }
-        } else if self.limiter.is_cold() && self.may_trust && self.is_life(report) {
+        } else if self.limiter.is_cold() && self.may_trust && self.is_believed(report) {
             self.may_trust = false;
             self.limiter.trust(now, limits, report.report.running);
         } else {
@@ -110,6 +110,10 @@
         }
     }
 
+    fn is_believed(&self, report: Report) -> bool {
+        self.is_life(report) && self.doubted.is_none_or(|at| report.taken > at)
+    }
+
     fn is_life(&self, report: Report) -> bool {
         self.listed
             .as_ref()
--- a/components/policy/src/returns.rs
+++ b/components/policy/src/returns.rs
@@ -188,6 +188,7 @@
             }
         }
         Outcome::Overloaded => account.limiter.overloaded(occupied),
+        Outcome::Unreachable => account.doubt(now),
         _ => {}
     }
 }
--- a/components/policy/tests/lost_links.rs
+++ b/components/policy/tests/lost_links.rs
@@ -165,3 +165,33 @@
     bed.report("a", report);
     assert_eq!(bed.grants().len(), 1, "one of the two places is taken");
 }
+
+// A warm service dies and is back at the same address, cold, before the platform's list says so.
+// Blocks of places that are granted for the warm one meanwhile reach the cold one, which falls
+// over. That its connections were refused is the first sign that anybody has.
+// Found by `celerystand-bench chaos --seed 32 --minutes 0.4
+// --faults kill-instance,crash-service,cold-service`.
+#[test]
+fn a_target_that_refuses_connections_gets_no_more_than_a_cold_one_until_it_reports() {
+    let mut bed = Bed::new(view(vec![target("a", 1)], limits()));
+    let mut report = support::warm();
+    report.running = 6;
+    bed.report("a", report);
+    bed.own(1, &[]);
+    let mut granted = Vec::new();
+    for number in 1..=4 {
+        bed.ask("entry", number);
+        granted.extend(bed.grants());
+    }
+    assert_eq!(granted.len(), 4, "it is warm");
+    bed.done("entry", &granted[0], Outcome::Unreachable);
+    bed.ask("entry", 5);
+    assert!(bed.grants().is_empty(), "three of two places are taken");
+    bed.advance(300);
+    report.age = std::time::Duration::from_millis(400);
+    bed.report("a", report);
+    assert!(bed.grants().is_empty(), "a report of before");
+    report.age = std::time::Duration::ZERO;
+    bed.report("a", report);
+    assert_eq!(bed.grants().len(), 1, "it is warm all the same");
+}
