--- a/components/bench/src/slopes/listing.rs
+++ b/components/bench/src/slopes/listing.rs
@@ -1,6 +1,6 @@
 //! What reading the platform's list costs.
 
-use platform::slices;
+use stores::slices;
 
 use super::{
     fit::{Row, Table},
--- a/components/claims/examples/measure_claims.rs
+++ b/components/claims/examples/measure_claims.rs
@@ -10,8 +10,8 @@
 
 use claims::{Claimed, Claims, KeyedCall, Liveness, Recorded, StoreClaims};
 use net::Client;
-use platform::{DynamoTable, MemoryTable, Table};
 use standins::platform::{Faults, start};
+use stores::{DynamoTable, MemoryTable, Table};
 use timer::Timer;
 use types::{Incarnation, InstanceId};
 
--- a/components/claims/src/desk.rs
+++ b/components/claims/src/desk.rs
@@ -9,7 +9,7 @@
 };
 
 use parking_lot::Mutex;
-use platform::{PlatformError, Row, RowKey, Table, Write};
+use stores::{PlatformError, Row, RowKey, Table, Write};
 use timer::Timer;
 use types::{Incarnation, InstanceId};
 
--- a/components/claims/src/group.rs
+++ b/components/claims/src/group.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashSet, sync::Arc};
 
 use parking_lot::Mutex;
-use platform::{PlatformError, RowKey, Table, Write};
 use smol::channel::{Sender, bounded};
+use stores::{PlatformError, RowKey, Table, Write};
 
 /// Most writes in one commit.
 pub const GROUP_LIMIT: usize = 25;
--- a/components/claims/src/open.rs
+++ b/components/claims/src/open.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, time::Duration};
 
-use platform::RowKey;
+use stores::RowKey;
 use types::Moment;
 
 use crate::row::{ClaimRow, State};
--- a/components/claims/src/row.rs
+++ b/components/claims/src/row.rs
@@ -6,9 +6,9 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use platform::{PlatformError, Row, RowKey};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use stores::{PlatformError, Row, RowKey};
 use types::{Incarnation, InstanceId};
 
 use crate::api::{KeyedCall, Recorded};
--- a/components/claims/src/settle.rs
+++ b/components/claims/src/settle.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use platform::{PlatformError, Row, Table, Write};
+use stores::{PlatformError, Row, Table, Write};
 
 use crate::{
     group::Group,
--- a/components/claims/src/store.rs
+++ b/components/claims/src/store.rs
@@ -3,8 +3,8 @@
 use std::{sync::Arc, time::Duration};
 
 use async_trait::async_trait;
-use platform::Table;
 use smol::channel::bounded;
+use stores::Table;
 use timer::Timer;
 use types::{Incarnation, InstanceId};
 
--- a/components/claims/src/sweep.rs
+++ b/components/claims/src/sweep.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{Row, Table, Write};
+use stores::{Row, Table, Write};
 use types::{InstanceId, Moment};
 
 use crate::row::{ClaimRow, PARTITIONS, now_seconds, partition};
--- a/components/claims/tests/claiming/common.rs
+++ b/components/claims/tests/claiming/common.rs
@@ -8,8 +8,8 @@
 
 use claims::{Claimed, Claims, KeyedCall, Liveness, Recorded, StoreClaims};
 use parking_lot::Mutex;
-use platform::MemoryTable;
 use smol::Task;
+use stores::MemoryTable;
 use timer::Timer;
 use types::{Incarnation, InstanceId};
 
--- a/components/claims/tests/claiming/one.rs
+++ b/components/claims/tests/claiming/one.rs
@@ -4,7 +4,7 @@
 
 use crate::common::{Deployment, PATIENCE, answer, call};
 use claims::{ClaimError, Claimed, Claims};
-use platform::memory::Fault;
+use stores::memory::Fault;
 use timer::Timer;
 
 const SHORT: Duration = Duration::from_millis(50);
--- a/components/claims/tests/claiming/platform.rs
+++ b/components/claims/tests/claiming/platform.rs
@@ -5,12 +5,12 @@
 use crate::common::{Gone, PATIENCE, answer, call};
 use claims::{ClaimError, Claimed, Claims, StoreClaims};
 use net::Client;
-use platform::{Budget, DynamoTable, PacedTable};
 use smol::Task;
 use standins::{
     Running,
     platform::{Faults, Platform, start},
 };
+use stores::{Budget, DynamoTable, PacedTable};
 use timer::Timer;
 
 struct Instance {
--- a/components/claims/tests/claiming/random.rs
+++ b/components/claims/tests/claiming/random.rs
@@ -14,8 +14,8 @@
 use crate::common::{Deployment, Instance, PATIENCE, answer, call};
 use claims::{ClaimError, Claimed, Claims, KeyedCall};
 use parking_lot::Mutex;
-use platform::memory::Fault;
 use proptest::prelude::*;
+use stores::memory::Fault;
 use timer::Timer;
 
 const INSTANCES: usize = 4;
--- a/components/claims/tests/claiming/sweep.rs
+++ b/components/claims/tests/claiming/sweep.rs
@@ -6,7 +6,7 @@
 };
 
 use claims::{RETENTION_SECONDS, sweep::Sweep};
-use platform::{MemoryTable, RowKey, Table, Write};
+use stores::{MemoryTable, RowKey, Table, Write};
 
 const HOUR: u64 = 3600;
 /// More pages than there are partitions.
--- a/components/config/examples/measure_config.rs
+++ b/components/config/examples/measure_config.rs
@@ -14,7 +14,7 @@
     held::{Held, Whole},
 };
 use parking_lot::Mutex;
-use platform::MemoryTable;
+use stores::MemoryTable;
 use timer::Timer;
 use tree::{InForce, Knobs, Node, Rules, Snapshot};
 use types::{ConfigVersion, InstanceId};
--- a/components/config/src/commit.rs
+++ b/components/config/src/commit.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime},
 };
 
-use platform::{PlatformError, Write};
+use stores::{PlatformError, Write};
 use timer::Timer;
 use tree::{Snapshot, check};
 use types::ConfigVersion;
--- a/components/config/src/fetching.rs
+++ b/components/config/src/fetching.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use events::{Event, emit};
-use platform::PlatformError;
+use stores::PlatformError;
 use types::{ConfigVersion, InstanceId};
 
 use crate::{api::Update, held::Whole, keeper::Keeper, pollers};
--- a/components/config/src/keeper.rs
+++ b/components/config/src/keeper.rs
@@ -10,8 +10,8 @@
 
 use async_trait::async_trait;
 use parking_lot::Mutex;
-use platform::Table;
 use smol::lock::Mutex as AsyncMutex;
+use stores::Table;
 use timer::Timer;
 use types::{ConfigVersion, InstanceId, Moment};
 
--- a/components/config/src/rows.rs
+++ b/components/config/src/rows.rs
@@ -12,8 +12,8 @@
 
 use std::sync::Arc;
 
-use platform::{PlatformError, Row, RowKey};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use stores::{PlatformError, Row, RowKey};
 use tree::{Node, NodePath};
 use types::ConfigVersion;
 
--- a/components/config/tests/keeping/common.rs
+++ b/components/config/tests/keeping/common.rs
@@ -9,7 +9,7 @@
 use async_trait::async_trait;
 use config::{Change, Config, Keeper, Override, PeerConfig, Update};
 use parking_lot::Mutex;
-use platform::MemoryTable;
+use stores::MemoryTable;
 use timer::Timer;
 use tree::{Knobs, Node};
 use types::{ConfigVersion, InstanceId};
--- a/components/config/tests/keeping/keeper.rs
+++ b/components/config/tests/keeping/keeper.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use config::{ChangeError, Config, Keeper, PeerConfig, Update};
 use parking_lot::Mutex;
-use platform::{MemoryTable, PlatformError, Row, RowKey, Table, Write, memory::Fault};
+use stores::{MemoryTable, PlatformError, Row, RowKey, Table, Write, memory::Fault};
 use timer::Timer;
 use types::{ConfigVersion, InstanceId};
 
--- a/components/config/tests/keeping/random.rs
+++ b/components/config/tests/keeping/random.rs
@@ -12,8 +12,8 @@
 use crate::common::{Deployment, PATIENCE, change, service, version};
 use config::{ChangeError, Config, Entry, Keeper, OverrideOrder, overrides::OVERRIDE_LIMIT};
 use parking_lot::Mutex;
-use platform::memory::Fault;
 use proptest::prelude::*;
+use stores::memory::Fault;
 use timer::Timer;
 use tree::{Node, Snapshot};
 
--- a/components/node/src/directory.rs
+++ b/components/node/src/directory.rs
@@ -5,7 +5,7 @@
 use config::{Config, Current};
 use members::Input;
 use parking_lot::Mutex;
-use platform::Directory;
+use stores::Directory;
 use types::{ConfigVersion, DataCentreId, Listing};
 
 use crate::{core::Core, view};
--- a/components/node/src/dump.rs
+++ b/components/node/src/dump.rs
@@ -8,8 +8,8 @@
 use admin::{Dump, Readiness};
 use claims::{Claims, StoreClaims};
 use config::{Config, Keeper};
-use platform::PacedTable;
 use serde_json::{Value, json};
+use stores::PacedTable;
 
 use crate::{core::Core, directory::Watch};
 
--- a/components/node/src/parts.rs
+++ b/components/node/src/parts.rs
@@ -7,7 +7,6 @@
 use errors::Result;
 use gateway::{Gateway, GatewayParts, Metrics};
 use net::Client;
-use platform::{Budget, DynamoTable, PacedTable, SliceDirectory, Table};
 use policy::{
     Decide,
     baseline::{Alone, FixedShare, LeastLoaded, RoundRobin},
@@ -15,6 +14,7 @@
 use prometheus_client::registry::Registry;
 use settings::{Settings, Strategy};
 use smol::channel::{Receiver, bounded};
+use stores::{Budget, DynamoTable, PacedTable, SliceDirectory, Table};
 use targets::{Engine, HttpPlain, OpenAiEngine, Plain};
 use timer::Timer;
 use wire::Key;
--- a/components/platform/tests/fence.rs
+++ b/components/stores/tests/fence.rs
@@ -2,8 +2,8 @@
 
 use std::{collections::BTreeSet, sync::Arc};
 
-use platform::{MemoryTable, fence, memory::Fault};
 use proptest::prelude::*;
+use stores::{MemoryTable, fence, memory::Fault};
 
 fn fault() -> impl Strategy<Value = Fault> {
     prop_oneof![
--- a/components/platform/tests/paced.rs
+++ b/components/stores/tests/paced.rs
@@ -2,9 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use platform::{
-    Budget, MemoryTable, PacedTable, PlatformError, RowKey, Table, Write, memory::Fault,
-};
+use stores::{Budget, MemoryTable, PacedTable, PlatformError, RowKey, Table, Write, memory::Fault};
 use timer::Timer;
 
 fn insert(sort: &str) -> Write {
--- a/components/platform/tests/stores.rs
+++ b/components/stores/tests/stores.rs
@@ -4,14 +4,12 @@
 
 use bytes::Bytes;
 use net::Client;
-use platform::{
-    Directory, Objects, PlatformError, S3Objects, SliceDirectory, slices::read_listing,
-};
 use proptest::prelude::*;
 use standins::{
     control::Listed,
     platform::{Faults, start},
 };
+use stores::{Directory, Objects, PlatformError, S3Objects, SliceDirectory, slices::read_listing};
 use types::Standing;
 
 fn any_port() -> SocketAddr {
--- a/components/platform/tests/table.rs
+++ b/components/stores/tests/table.rs
@@ -5,8 +5,8 @@
 use async_trait::async_trait;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Client, Handler, Reply, ServeLimits, Server, full};
-use platform::{DynamoTable, PlatformError, Row, RowKey, Table, Write};
 use standins::platform::{Faults, Platform, start};
+use stores::{DynamoTable, PlatformError, Row, RowKey, Table, Write};
 
 fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
