--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -3,7 +3,7 @@
 //! To add one: take the next free number of your range, write it below, and run
 //! `cargo run -- docs events > docs/EVENTS.md`. Numbers never change meaning. Ranges: 100 life of
 //! the process, 200 members and ownership, 300 decisions, 400 callers, 500 targets, 600 platform
-//! and claims, 700 configuration, 800 administration.
+//! and claims, 700 configuration, 800 administration, 900 requests by declared routes.
 
 use std::sync::Arc;
 
@@ -246,4 +246,234 @@
         806, Info, "{who} no longer keeps data centre {data_centre} out",
         "Nothing.",
     ),
+    /// A request got an answer of our own in place of a target's.
+    RequestRefused {
+        /// Its id.
+        id: Arc<str>,
+        /// The status that the caller got.
+        status: u16,
+        /// Why.
+        reason: Arc<str>,
+        /// When the caller may come back, in milliseconds; 0 if it was not told.
+        retry_ms: u64,
+        /// How long it was held, in milliseconds.
+        held_ms: u64,
+        /// The version of the configuration that decided.
+        rules: ConfigVersion,
+        /// Age of that knowledge in milliseconds.
+        age_ms: u64,
+    } = (
+        900, Info, "{id}: answered {status} after {held_ms} ms: {reason}",
+        "The reason tells; many at once mean that targets or the store are short.",
+    ),
+    /// A request goes to a target.
+    RequestSent {
+        /// Its id.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// Which sending of this request it is, from 1.
+        sending: u32,
+        /// How long it was held before, in milliseconds.
+        held_ms: u64,
+        /// Time that the caller still waits, in milliseconds.
+        left_ms: u64,
+    } = (
+        901, Info, "{id}: sent to {target} after {held_ms} ms, sending {sending}",
+        "Nothing.",
+    ),
+    /// A sending of a request brought no answer that could be passed on.
+    SendingFailed {
+        /// Its id.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// What came instead.
+        reason: Arc<str>,
+        /// Whether it is certain that the request did not run there.
+        not_run: bool,
+    } = (
+        902, Info, "{id}: {target} failed it: {reason} (certainly not run: {not_run})",
+        "Many for one target mean that the target is in trouble.",
+    ),
+    /// A target's whole answer was passed on.
+    RequestAnswered {
+        /// Its id.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// The status.
+        status: u16,
+        /// Time from the request's arrival, in milliseconds.
+        took_ms: u64,
+    } = (
+        903, Info, "{id}: {target} answered {status} after {took_ms} ms",
+        "Nothing.",
+    ),
+    /// The first event of a generation came.
+    FirstEvent {
+        /// The request's id.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// Time from the request's arrival, in milliseconds.
+        took_ms: u64,
+    } = (
+        904, Info, "{id}: first event from {target} after {took_ms} ms",
+        "Nothing.",
+    ),
+    /// A generation's stream could not be continued, and the caller got a part of it.
+    StreamCut {
+        /// The request's id.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// Why.
+        reason: Arc<str>,
+        /// The last event that was passed on; 0 if none was.
+        last_event: u64,
+    } = (
+        905, Warn, "{id}: cut after event {last_event} from {target}: {reason}",
+        "Look for the target's end, and whether 907 tells why it was not carried over.",
+    ),
+    /// A generation goes on at another engine.
+    GenerationCarried {
+        /// The request's id.
+        id: Arc<str>,
+        /// Where it ran.
+        from: TargetId,
+        /// Where it runs now.
+        to: TargetId,
+        /// Time of the first copy, in milliseconds.
+        copy_ms: u64,
+        /// Time of the final copy and the splice, in milliseconds.
+        pause_ms: u64,
+    } = (
+        906, Info, "{id}: carried from {from} to {to}, paused {pause_ms} ms",
+        "Nothing.",
+    ),
+    /// A generation could not be carried over.
+    CarryFailed {
+        /// The request's id.
+        id: Arc<str>,
+        /// Where it runs.
+        from: TargetId,
+        /// Where it was to go on.
+        to: TargetId,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        907, Info, "{id}: not carried from {from} to {to}: {reason}",
+        "Nothing, unless it comes for most generations.",
+    ),
+    /// Another version of the configuration is in force.
+    RulesInForce {
+        /// The version.
+        version: ConfigVersion,
+        /// The version before; 0 if there was none.
+        from: ConfigVersion,
+    } = (
+        910, Info, "configuration {version} is in force, before it {from}",
+        "Nothing.",
+    ),
+    /// A target takes work.
+    TargetJoined {
+        /// The target.
+        target: TargetId,
+    } = (
+        911, Info, "target {target} takes work",
+        "Nothing.",
+    ),
+    /// A target leaves.
+    TargetLeaving {
+        /// The target.
+        target: TargetId,
+    } = (
+        912, Info, "target {target} leaves",
+        "Nothing.",
+    ),
+    /// A target began a new life under its old id.
+    TargetReborn {
+        /// The target.
+        target: TargetId,
+    } = (
+        913, Info, "target {target} has started again",
+        "Nothing, unless it comes often.",
+    ),
+    /// A data centre gets no more work, or work again.
+    DataCentreSwitched {
+        /// The data centre.
+        data_centre: DataCentreId,
+        /// Whether it is taken out.
+        out: bool,
+    } = (
+        914, Info, "data centre {data_centre} is taken out: {out}",
+        "Nothing.",
+    ),
+    /// A topic of the store can't be followed.
+    StoreLost {
+        /// The topic.
+        topic: Arc<str>,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        915, Warn, "the store is lost for {topic}: {reason}",
+        "Look at the store and the way to it; keys are honoured only for a short while.",
+    ),
+    /// A topic of the store is followed again.
+    StoreRegained {
+        /// The topic.
+        topic: Arc<str>,
+        /// How long it was lost, in milliseconds.
+        lost_ms: u64,
+    } = (
+        916, Info, "the store is back for {topic} after {lost_ms} ms",
+        "Nothing.",
+    ),
+    /// Something in the store can't be read; it names nothing.
+    RowUnreadable {
+        /// The topic.
+        topic: Arc<str>,
+        /// Its key.
+        key: Arc<str>,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        917, Warn, "row {key} of {topic} can't be read: {reason}",
+        "Find out who wrote it.",
+    ),
+    /// A peer does not answer.
+    PeerLost {
+        /// The peer.
+        peer: InstanceId,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        918, Warn, "peer {peer} does not answer: {reason}",
+        "If you did not stop it, look at that instance and at the link to it.",
+    ),
+    /// A peer answers again.
+    PeerRegained {
+        /// The peer.
+        peer: InstanceId,
+    } = (
+        919, Info, "peer {peer} answers again",
+        "Nothing.",
+    ),
+    /// The settings file was read again.
+    SettingsReloaded {
+        /// Whether anything in it had changed.
+        changed: bool,
+    } = (
+        920, Info, "the settings were read again, changed: {changed}",
+        "Nothing.",
+    ),
+    /// The settings file could not be read again; the settings before stay.
+    SettingsKept {
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        921, Warn, "the settings can't be read, those before stay: {reason}",
+        "Mend the file.",
+    ),
 }
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -11,4 +11,4 @@
 pub use declare::{CatalogueEntry, Level};
 pub use event::Event;
 pub use format::Format;
-pub use log::{emit, start};
+pub use log::{Output, emit, start};
--- a/components/events/src/log.rs
+++ b/components/events/src/log.rs
@@ -4,16 +4,29 @@
 
 use spdlog::{
     LevelFilter, Logger,
-    sink::{Sink, SinkPropAccess, StdStreamSink},
+    sink::{Sink, SinkPropAccess, StdStream, StdStreamSink},
     terminal_style::StyleMode,
 };
 
 use crate::{count::count, declare::Level, event::Event, format::Format};
 
-/// Sets up logging to standard error: the least severe level that is written, and the form.
-pub fn start(level: Level, format: Format) {
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Standard output, where a process has nothing else to write there.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// Sets up logging: the least severe level that is written, the form, and where lines go.
+pub fn start(level: Level, format: Format, output: Output) {
+    let stream = match output {
+        Output::Stdout => StdStream::Stdout,
+        Output::Stderr => StdStream::Stderr,
+    };
     let sink = StdStreamSink::builder()
-        .stderr()
+        .std_stream(stream)
         .style_mode(StyleMode::Never)
         .build_arc();
     // Without a log the process can still serve.
--- /dev/null
+++ b/components/front/src/call.rs
@@ -0,0 +1,81 @@
+//! One request while it is served.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hyper::http;
+use timer::boot_time;
+use types::{Moment, WorkspaceId};
+use view::{Kind, Route, Service};
+
+use crate::face::Asked;
+
+/// One request while it is served.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What it asks.
+    pub asked: Asked,
+    /// Its head as it came.
+    pub head: http::request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that the route chose for it.
+    pub service: Arc<Service>,
+    /// The caller's workspace, if the configuration has workspaces.
+    pub workspace: Option<WorkspaceId>,
+    /// Its rank, the lowest first.
+    pub rank: u32,
+    /// When it had arrived.
+    pub arrived: Moment,
+    /// Until when the caller waits.
+    pub deadline: Moment,
+    /// Until when it must be answered.
+    pub due: Moment,
+    /// The version of the configuration that it is served by.
+    pub rules: u64,
+}
+
+impl Call {
+    /// How long it has been held.
+    #[must_use]
+    pub fn held(&self) -> Duration {
+        boot_time().saturating_sub(self.arrived)
+    }
+
+    /// Time that the caller still waits.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_sub(boot_time())
+    }
+
+    /// Time until it must be answered.
+    #[must_use]
+    pub fn until_due(&self) -> Duration {
+        self.due.saturating_sub(boot_time())
+    }
+
+    /// Time until the answer should be there. A caller that waits less long than the route
+    /// allows has waited already: it was refused before, and came back.
+    #[must_use]
+    pub fn aim_left(&self) -> Duration {
+        let whole = self.route.timeout;
+        let waited = self
+            .asked
+            .left
+            .map_or(Duration::ZERO, |left| whole.saturating_sub(left));
+        let aim = self.route.aim.saturating_sub(waited);
+        aim.saturating_sub(self.held())
+    }
+
+    /// Its kind, as metrics name it.
+    #[must_use]
+    pub fn kind(&self) -> &'static str {
+        match self.route.kind {
+            Kind::Idempotent => "idempotent",
+            Kind::NonIdempotent => "non_idempotent",
+            Kind::Generation => "generation",
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/choice.rs
@@ -0,0 +1,146 @@
+//! Chooses a target for a plain call.
+//!
+//! Each instance knows its own calls exactly, and the others' only from the load that targets say
+//! in their answers, which is old when it arrives. So the load that was said counts for a short
+//! while, one's own calls always, and a target that failed is put aside for a moment, though
+//! never more than half of a service at once: the failures may be the callers' or our own.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use types::{DataCentreId, Moment, TargetId};
+use view::Target;
+
+use crate::face::SaidLoad;
+
+/// How long a load that was said counts.
+const SAID_LIFE: Duration = Duration::from_millis(1_000);
+/// What a target in another data centre costs, as a part of its places: bytes between data
+/// centres are priced, and each way takes as long as a tenth of a call.
+const DISTANCE: f64 = 0.6;
+/// How long a target is put aside after its first failure in a row; doubled with each further.
+const ASIDE: Duration = Duration::from_millis(300);
+/// The longest time that a target is put aside before it is tried again.
+const ASIDE_MOST: Duration = Duration::from_secs(4);
+/// Failures in a row after which a target is put aside.
+const FAILURES: u32 = 2;
+/// What a target that is put aside costs where all are.
+const ASIDE_COST: f64 = 10.0;
+
+#[derive(Clone, Debug, Default)]
+struct Known {
+    mine: u32,
+    said: Option<(Moment, SaidLoad)>,
+    failures: u32,
+    aside_until: Moment,
+}
+
+/// What this instance knows of the targets of plain services.
+#[derive(Debug, Default)]
+pub struct Choice {
+    known: HashMap<TargetId, Known>,
+}
+
+impl Choice {
+    /// Picks one of the targets that may get work, less those that this call has tried. `luck`
+    /// from 0 up to 1 breaks ties, so that instances don't all pick the same one.
+    #[must_use]
+    pub fn pick(
+        &self,
+        now: Moment,
+        targets: &[Arc<Target>],
+        tried: &[TargetId],
+        near: &DataCentreId,
+        luck: f64,
+    ) -> Option<Arc<Target>> {
+        let fresh: Vec<&Arc<Target>> = targets
+            .iter()
+            .filter(|target| !tried.contains(&target.id))
+            .collect();
+        let aside = fresh.iter().filter(|t| self.is_aside(now, &t.id)).count();
+        let all_count = aside * 2 > fresh.len();
+        let mut best: Option<(f64, &Arc<Target>)> = None;
+        for (number, target) in fresh.iter().enumerate() {
+            let mut cost = self.load(now, target);
+            if target.data_centre != *near {
+                cost += DISTANCE;
+            }
+            if self.is_aside(now, &target.id) && !all_count {
+                cost += ASIDE_COST;
+            }
+            let tie = (luck + as_f64(number) / as_f64(fresh.len())).fract();
+            cost += tie * 0.01;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, target));
+            }
+        }
+        best.map(|(_, target)| Arc::clone(target))
+    }
+
+    /// Notes that a call goes to a target.
+    pub fn sent(&mut self, target: &TargetId) {
+        self.entry(target).mine += 1;
+    }
+
+    /// Notes that a call has left a target, whatever came of it.
+    pub fn ended(&mut self, target: &TargetId) {
+        let known = self.entry(target);
+        known.mine = known.mine.saturating_sub(1);
+    }
+
+    /// Notes the load that a target said.
+    pub fn said(&mut self, now: Moment, target: &TargetId, load: SaidLoad) {
+        self.entry(target).said = Some((now, load));
+    }
+
+    /// Notes that a target served a call.
+    pub fn served(&mut self, target: &TargetId) {
+        let known = self.entry(target);
+        known.failures = 0;
+        known.aside_until = Duration::ZERO;
+    }
+
+    /// Notes that a target failed a call in a way that it might fail others.
+    pub fn failed(&mut self, now: Moment, target: &TargetId) {
+        let known = self.entry(target);
+        known.failures = known.failures.saturating_add(1);
+        if known.failures >= FAILURES {
+            let doubled = ASIDE.saturating_mul(1 << (known.failures - FAILURES).min(8));
+            known.aside_until = now + doubled.min(ASIDE_MOST);
+        }
+    }
+
+    /// Forgets targets that are gone.
+    pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
+        self.known.retain(|id, known| known.mine > 0 || listed(id));
+    }
+
+    /// Whether a target is put aside.
+    #[must_use]
+    pub fn is_aside(&self, now: Moment, target: &TargetId) -> bool {
+        let known = self.known.get(target);
+        known.is_some_and(|known| known.aside_until > now)
+    }
+
+    /// Calls at a target as a part of its places: our own, or those that it said if more.
+    fn load(&self, now: Moment, target: &Target) -> f64 {
+        let Some(known) = self.known.get(&target.id) else {
+            return 0.0;
+        };
+        let said = known
+            .said
+            .filter(|(at, _)| now.saturating_sub(*at) < SAID_LIFE)
+            .map_or(0, |(_, load)| load.running + load.waiting);
+        f64::from(said.max(known.mine)) / f64::from(target.slots.max(1))
+    }
+
+    fn entry(&mut self, target: &TargetId) -> &mut Known {
+        self.known.entry(Arc::clone(target)).or_default()
+    }
+}
+
+/// A count of targets; far below the 52 bits that are exact.
+fn as_f64(count: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "far below 52 bits")]
+    let value = count as f64;
+    value
+}
--- /dev/null
+++ b/components/front/src/dump.rs
@@ -0,0 +1,60 @@
+//! The state of an instance, for people.
+
+use serde::Serialize;
+use types::{ConfigVersion, DataCentreId, InstanceId, TargetId};
+
+use crate::{
+    refuse::millis,
+    state::{Front, age},
+};
+
+/// The state of an instance; it holds no keys.
+#[derive(Debug, Serialize)]
+pub struct Dump {
+    instance: InstanceId,
+    ready: bool,
+    rules: Option<ConfigVersion>,
+    /// Age of what is known of the configuration, in milliseconds.
+    rules_age_ms: Option<u64>,
+    /// Age of what is known of the targets, in milliseconds.
+    targets_age_ms: Option<u64>,
+    targets: Vec<TargetState>,
+    members: Vec<InstanceId>,
+    generations: Vec<placing::Running>,
+    /// Engines in the account that this instance keeps.
+    account: Vec<placing::Load>,
+}
+
+#[derive(Debug, Serialize)]
+struct TargetState {
+    id: TargetId,
+    data_centre: DataCentreId,
+    takes_work: bool,
+    aside: bool,
+}
+
+impl Front {
+    /// Its state.
+    #[must_use]
+    pub fn dump(&self) -> Dump {
+        let now = timer::boot_time();
+        let choice = self.choice.lock();
+        let state = |target: &std::sync::Arc<view::Target>| TargetState {
+            id: target.id.clone(),
+            data_centre: target.data_centre.clone(),
+            takes_work: self.view.takes_work(target),
+            aside: choice.is_aside(now, &target.id),
+        };
+        Dump {
+            instance: self.cfg.instance.clone(),
+            ready: self.is_ready(),
+            rules: self.view.rules().map(|rules| rules.version),
+            rules_age_ms: self.view.rules_read().map(|read| millis(age(read))),
+            targets_age_ms: self.view.targets_read().map(|read| millis(age(read))),
+            targets: self.view.targets().values().map(state).collect(),
+            members: self.peers.all(),
+            generations: self.live.running(),
+            account: self.placement.owner.lock().loads(now),
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/face.rs
@@ -0,0 +1,262 @@
+//! How requests, targets and the store are spoken to; implemented for each platform.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode, http};
+use placing::{Member, RunId};
+use types::{DataCentreId, TargetId, Tokens};
+use view::{Rules, Target};
+
+/// Sizes that a caller declares for a generation.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Sizes {
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens of the longest answer allowed.
+    pub longest: Tokens,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<Tokens>,
+}
+
+/// What a caller asks, as far as it decides anything. Body and other headers stay as they are.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Asked {
+    /// Id of this try.
+    pub id: RunId,
+    /// The host it addresses.
+    pub host: Arc<str>,
+    /// The path without the query.
+    pub path: Arc<str>,
+    /// How long the caller waits, if it says so.
+    pub left: Option<Duration>,
+    /// Its key, if it has one.
+    pub key: Option<Arc<str>>,
+    /// Sizes of a generation, if it declares them.
+    pub sizes: Option<Sizes>,
+}
+
+/// Why a request is not served at all.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum BadRequest {
+    /// It has no id of its own.
+    #[display("the request has no id")]
+    NoId,
+    /// It names no host.
+    #[display("the request names no host")]
+    NoHost,
+}
+
+/// Where a generation goes on from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Resume {
+    /// The engine that made the copy.
+    pub source: SocketAddr,
+    /// The copy's name there.
+    pub copy: Arc<str>,
+    /// The last event that the caller has.
+    pub after: Option<u64>,
+}
+
+/// One sending of a request to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Sending<'a> {
+    /// The caller's request.
+    pub head: &'a http::request::Parts,
+    /// Its body.
+    pub body: &'a Bytes,
+    /// The target.
+    pub target: &'a Target,
+    /// Time that the caller still waits.
+    pub left: Duration,
+    /// The caller's workspace.
+    pub workspace: Option<&'a str>,
+    /// Set where a generation goes on.
+    pub resume: Option<&'a Resume>,
+}
+
+/// A target's load, as it says in its answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct SaidLoad {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests in its queue.
+    pub waiting: u32,
+}
+
+/// What the head of a target's answer says.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Heading {
+    /// It answers the request that was sent.
+    pub ours: bool,
+    /// The target says that it did not run the request.
+    pub not_run: bool,
+    /// It bears the target's proof.
+    pub sealed: bool,
+    /// Its body is not the target's own.
+    pub encoded: bool,
+    /// The target's load.
+    pub load: Option<SaidLoad>,
+}
+
+/// Speaks with callers and targets.
+pub trait Face: Send + Sync {
+    /// Reads a caller's request.
+    ///
+    /// # Errors
+    /// Tells what it lacks.
+    fn read(&self, head: &http::request::Parts) -> Result<Asked, BadRequest>;
+
+    /// Makes the request that goes to a target.
+    fn request(&self, sending: &Sending<'_>) -> Request<Full<Bytes>>;
+
+    /// Reads the head of a target's answer to a request.
+    fn heading(&self, id: &str, head: &http::response::Parts) -> Heading;
+
+    /// The headers of a target's answer that go to the caller.
+    fn passed(&self, head: &http::response::Parts) -> HeaderMap;
+
+    /// Headers of an answer of our own to a request.
+    fn own(&self, id: Option<&str>, status: StatusCode) -> HeaderMap;
+
+    /// Whether a path asks whether this instance takes callers.
+    fn asks_ready(&self, path: &str) -> bool;
+}
+
+/// An order to copy a running generation's memory.
+#[derive(Clone, Copy, Debug)]
+pub struct CopyOrder<'a> {
+    /// The generation.
+    pub run: &'a str,
+    /// Where it runs.
+    pub from: SocketAddr,
+    /// Where the copy goes.
+    pub to: SocketAddr,
+    /// Stop the generation first, so that the copy is complete.
+    pub last: bool,
+    /// How long to wait for the copy.
+    pub patience: Duration,
+}
+
+/// How copying ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Copied {
+    /// The copy is complete.
+    Whole {
+        /// Its name at the source.
+        copy: Arc<str>,
+    },
+    /// The other engine has no room or can't be reached. After a last copy the generation has
+    /// stopped, and goes on from the source's own memory under this name.
+    NoRoom {
+        /// Its name at the source.
+        copy: Option<Arc<str>>,
+    },
+    /// No such generation runs there: not begun, or ended.
+    NoRun,
+    /// Another copy of it is under way.
+    Busy,
+    /// No answer; whether anything was done is unknown.
+    Unknown {
+        /// Why.
+        reason: Arc<str>,
+    },
+}
+
+/// Gives engines orders.
+#[async_trait]
+pub trait Engines: Send + Sync {
+    /// Copies a running generation's memory to another engine.
+    async fn copy(&self, order: &CopyOrder<'_>) -> Copied;
+}
+
+/// What is followed in the store.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Topic {
+    /// Configuration and data centres that are taken out.
+    #[display("operator")]
+    Operator,
+    /// Listings of targets.
+    #[display("targets")]
+    Targets,
+    /// Instances of this system.
+    #[display("members")]
+    Members,
+}
+
+/// One thing that the store says.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Record {
+    /// The configuration.
+    Rules(Box<Rules>),
+    /// A data centre is taken out.
+    Closed(DataCentreId),
+    /// A data centre is no longer taken out.
+    Opened(DataCentreId),
+    /// A target is listed.
+    Listed(Target),
+    /// A target is not listed any more.
+    Unlisted(TargetId),
+    /// An instance.
+    Member(Member),
+    /// Something that can't be read; it names nothing.
+    Unreadable {
+        /// Its key.
+        key: Arc<str>,
+        /// Why.
+        reason: Arc<str>,
+    },
+}
+
+/// What one read of the store brought.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// It.
+    pub records: Vec<Record>,
+    /// Where to go on following.
+    pub version: u64,
+}
+
+/// Why the store did not answer as hoped.
+#[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
+pub enum StoreError {
+    /// It refuses for now; nothing was done.
+    #[display("the store refuses with status {status}")]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+    /// It no longer has the changes since that version.
+    #[display("the store has dropped its history")]
+    HistoryGone,
+    /// No answer; a change may have been made.
+    #[display("no answer from the store: {reason}")]
+    Silent {
+        /// Why.
+        #[error(not(source))]
+        reason: Arc<str>,
+    },
+    /// An answer that makes no sense.
+    #[display("an answer of the store can't be read: {reason}")]
+    Garbled {
+        /// Why.
+        #[error(not(source))]
+        reason: Arc<str>,
+    },
+}
+
+/// The platform's store.
+#[async_trait]
+pub trait Store: Send + Sync {
+    /// Reads all there is on a topic.
+    async fn read(&self, topic: Topic) -> Result<Batch, StoreError>;
+
+    /// Waits for what has changed since a version, at most this long.
+    async fn follow(&self, topic: Topic, after: u64, wait: Duration) -> Result<Batch, StoreError>;
+
+    /// Makes an instance known.
+    async fn announce(&self, member: &Member) -> Result<(), StoreError>;
+}
--- /dev/null
+++ b/components/front/src/generation.rs
@@ -0,0 +1,229 @@
+//! Generations: a place first, then the stream.
+
+use std::{sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use hyper::{Response, http};
+use net::{Body, fed};
+use placing::{Answer, Ask, Note};
+use timer::boot_time;
+use types::TargetId;
+use view::Target;
+
+use crate::{
+    call::Call,
+    face::Sizes,
+    live::Live,
+    refuse::{Refusal, millis},
+    relay::Relay,
+    send::{Sent, collect, send},
+    state::Front,
+};
+
+/// When a caller may come back whose generation found no engine that would take it.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(1_000);
+/// Engines that may say in a row that they did not run a generation before its caller is told.
+const NOT_RUN_MOST: usize = 4;
+/// Sizes of a generation that declares none: that of a short question.
+const UNKNOWN_SIZES: Sizes = Sizes {
+    prompt: 1_000,
+    longest: 1_000,
+    hint: None,
+};
+
+/// A generation's place on an engine, as its owner counts it. The owner is told when it is given
+/// up, however that comes about: a place that nobody holds would stay taken.
+pub struct Place {
+    front: Arc<Front>,
+    /// The generation.
+    pub live: Arc<Live>,
+    doubt: bool,
+}
+
+impl Place {
+    fn new(front: &Arc<Front>, live: Live) -> Self {
+        let live = Arc::new(live);
+        front.live.add(&live);
+        Self {
+            front: Arc::clone(front),
+            live,
+            doubt: false,
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.live.close();
+        self.front.live.remove(&self.live.run);
+        let note = Note::Ended {
+            run: Arc::clone(&self.live.run),
+            doubt: self.doubt,
+        };
+        Front::note(&self.front, &self.live.service, note);
+    }
+}
+
+/// Serves a generation.
+pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
+    let mut avoid = Vec::new();
+    loop {
+        let target = match find(&front, &call, &avoid).await {
+            Ok(target) => target,
+            Err(refusal) => return front.refuse_call(&call, &refusal),
+        };
+        match attempt(&front, &call, target, &mut avoid).await {
+            Attempt::Answer(resp) => return resp,
+            Attempt::Again => {}
+            Attempt::GiveUp(refusal) => return front.refuse_call(&call, &refusal),
+        }
+    }
+}
+
+/// Asks for an engine until there is one, or until it is no use any more.
+async fn find(front: &Arc<Front>, call: &Call, avoid: &[TargetId]) -> Result<Arc<Target>, Refusal> {
+    loop {
+        if call.until_due().is_zero() {
+            return Err(Refusal::not_run(
+                "no engine came free in time",
+                NO_TARGET_RETRY,
+            ));
+        }
+        let ask = ask(front, call, avoid);
+        let after = match front.place(&ask).await {
+            Answer::Go { target } => match front.view.target(&target) {
+                Some(target) => return Ok(target),
+                None => {
+                    // The owner knows a target that this instance has not heard of yet.
+                    let run = Arc::clone(&call.asked.id);
+                    let note = Note::Ended { run, doubt: false };
+                    Front::note(front, &call.service.name, note);
+                    UNHEARD_PAUSE
+                }
+            },
+            Answer::Wait { after } => after,
+            Answer::Full { after } => {
+                return Err(Refusal::not_run("no engine can begin it in time", after));
+            }
+        };
+        smol::Timer::after(after.min(call.until_due())).await;
+    }
+}
+
+/// Time for the listing of a new target to arrive here too.
+const UNHEARD_PAUSE: Duration = Duration::from_millis(20);
+
+fn ask(front: &Front, call: &Call, avoid: &[TargetId]) -> Ask {
+    let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
+    Ask {
+        run: Arc::clone(&call.asked.id),
+        entry: Arc::clone(&front.cfg.instance),
+        data_centre: Arc::clone(&front.cfg.data_centre),
+        service: Arc::clone(&call.service.name),
+        prompt: sizes.prompt,
+        longest: sizes.longest,
+        hint: sizes.hint,
+        rank: call.rank,
+        aim_left: call.aim_left(),
+        waited: call.held(),
+        avoid: avoid.to_vec(),
+    }
+}
+
+enum Attempt {
+    Answer(Response<Body>),
+    Again,
+    GiveUp(Refusal),
+}
+
+async fn attempt(
+    front: &Arc<Front>,
+    call: &Call,
+    target: Arc<Target>,
+    avoid: &mut Vec<TargetId>,
+) -> Attempt {
+    let mut place = Place::new(front, live(front, call, &target));
+    let sending = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
+    if !front.take_cold(&call.service, &target) {
+        avoid.push(Arc::clone(&target.id));
+        return again_or("every engine is cold", front, call, avoid);
+    }
+    emit(&Event::RequestSent {
+        id: Arc::clone(&call.asked.id),
+        target: Arc::clone(&target.id),
+        sending,
+        held_ms: millis(call.held()),
+        left_ms: millis(call.left()),
+    });
+    front.metrics.held(call.held());
+    match send(front, call, &target, None, call.until_due()).await {
+        Sent::Head { head, body, .. } if head.status.is_success() => {
+            Attempt::Answer(stream(front, call, place, &head, body))
+        }
+        Sent::Head { head, body, .. } => {
+            match collect(front, &head, body, call.until_due()).await {
+                Ok(resp) => {
+                    front.metrics.ended(call.kind(), "failed");
+                    Attempt::Answer(resp)
+                }
+                Err(reason) => Attempt::GiveUp(Refusal::unknown(reason)),
+            }
+        }
+        Sent::NotRun { reason } => {
+            place.doubt = true;
+            avoid.push(Arc::clone(&target.id));
+            again_or(&reason, front, call, avoid)
+        }
+        Sent::Unknown { reason, late } => {
+            place.doubt = !late;
+            let refusal = if late {
+                Refusal::late
+            } else {
+                Refusal::unknown
+            };
+            Attempt::GiveUp(refusal(reason))
+        }
+    }
+}
+
+/// Tries again where that is allowed; it has not run yet.
+fn again_or(reason: &str, front: &Front, call: &Call, avoid: &[TargetId]) -> Attempt {
+    let service = &call.service.name;
+    let instances = front.instances();
+    let granted =
+        avoid.len() < NOT_RUN_MOST && front.budget.lock().take(boot_time(), service, instances);
+    if !granted {
+        return Attempt::GiveUp(Refusal::not_run(reason, NO_TARGET_RETRY));
+    }
+    front.metrics.repeats.inc();
+    Attempt::Again
+}
+
+fn live(front: &Front, call: &Call, target: &Arc<Target>) -> Live {
+    let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
+    let expected = front.placement.expected(sizes.longest, sizes.hint);
+    let per_event = call
+        .service
+        .engine
+        .as_ref()
+        .map_or(1, |engine| engine.tokens_per_event);
+    let run = Arc::clone(&call.asked.id);
+    let service = Arc::clone(&call.service.name);
+    Live::new(run, service, Arc::clone(target))
+        .with_sizes(sizes.prompt, expected, per_event)
+        .with_rank(call.rank)
+}
+
+fn stream(
+    front: &Arc<Front>,
+    call: &Call,
+    place: Place,
+    head: &http::response::Parts,
+    body: hyper::body::Incoming,
+) -> Response<Body> {
+    let relay = Relay::new(Arc::clone(front), call.clone(), place, body);
+    let mut resp = Response::new(fed(move |tx| relay.run(tx)));
+    *resp.status_mut() = head.status;
+    *resp.headers_mut() = front.face.passed(head);
+    resp
+}
--- /dev/null
+++ b/components/front/src/handler.rs
@@ -0,0 +1,195 @@
+//! Takes callers' requests in.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::AtomicUsize, atomic::Ordering},
+    time::Duration,
+};
+
+use async_trait::async_trait;
+use hyper::{Request, Response, StatusCode, body::Incoming, http};
+use net::{Body, BodyError, Handler, SharedError, read_shared};
+use timer::boot_time;
+use types::Moment;
+use view::{Identity, Kind};
+
+use crate::{
+    call::Call,
+    face::Asked,
+    generation, plain,
+    refuse::Refusal,
+    state::{Front, age},
+};
+
+/// When a caller may come back to an instance that knows too little; one that has just started
+/// knows enough after a read of the store.
+const IGNORANT_RETRY: Duration = Duration::from_millis(300);
+/// Knowledge older than this may lack a route or a key, so that neither is denied by it.
+const DENY_AGE: Duration = Duration::from_millis(4_500);
+/// Longest body where the configuration sets no bound, in bytes.
+const BODY_LIMIT: usize = 4 * 1_024 * 1_024;
+/// Longest pause within a body where the configuration sets no bound.
+const BODY_PAUSE: Duration = Duration::from_secs(3);
+/// Time that a caller is kept waiting where neither it nor the route says.
+const DEFAULT_LEFT: Duration = Duration::from_secs(30);
+
+/// Takes callers' requests in.
+pub struct Callers {
+    front: Arc<Front>,
+}
+
+impl Callers {
+    /// Makes it for an instance.
+    #[must_use]
+    pub const fn new(front: Arc<Front>) -> Self {
+        Self { front }
+    }
+}
+
+/// Counts a request for as long as it is served.
+struct Open(Arc<AtomicUsize>);
+
+impl Open {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+#[async_trait]
+impl Handler for Callers {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        let _open = Open::new(&self.front.open);
+        let arrived = boot_time();
+        let (head, body) = req.into_parts();
+        // Read to its end before any answer: a connection that is closed with unread bytes is
+        // reset, and the answer may be lost with it.
+        let body = self.read_body(body).await;
+        let asked = match self.front.face.read(&head) {
+            Ok(asked) => asked,
+            Err(e) => {
+                let refusal = Refusal::new(StatusCode::BAD_REQUEST, e.to_string());
+                return self.front.refuse(None, age(arrived), &refusal);
+            }
+        };
+        let admitted = body.and_then(|body| self.admit(asked.clone(), head, body, arrived));
+        match admitted {
+            Ok(call) => self.serve(call).await,
+            Err(refusal) => self.front.refuse(Some(&asked.id), age(arrived), &refusal),
+        }
+    }
+}
+
+impl Callers {
+    async fn serve(&self, call: Call) -> Response<Body> {
+        let front = Arc::clone(&self.front);
+        let service = Arc::clone(&call.service.name);
+        front.budget.lock().count(boot_time(), &service);
+        match call.route.kind {
+            Kind::Generation => generation::serve(front, call).await,
+            Kind::Idempotent | Kind::NonIdempotent => plain::serve(&front, &call).await,
+        }
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+        let limits = self.front.view.rules().and_then(|rules| rules.limits);
+        let limit = limits.map_or(BODY_LIMIT, |limits| limits.body_bytes);
+        let pause = limits.map_or(BODY_PAUSE, |limits| limits.header_time);
+        let mut share = self.front.bodies.share();
+        let read = read_shared(body, limit, pause, &mut share).await;
+        read.map_err(|e| match e {
+            SharedError::Body(BodyError::TooLarge) => {
+                Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, e.to_string())
+            }
+            SharedError::Body(BodyError::TooSlow) => {
+                Refusal::new(StatusCode::REQUEST_TIMEOUT, e.to_string())
+            }
+            SharedError::Body(BodyError::Broken) => {
+                Refusal::new(StatusCode::BAD_REQUEST, e.to_string())
+            }
+            SharedError::Crowded => Refusal::not_run(e.to_string(), IGNORANT_RETRY),
+        })
+    }
+
+    fn admit(
+        &self,
+        asked: Asked,
+        head: http::request::Parts,
+        body: bytes::Bytes,
+        arrived: Moment,
+    ) -> Result<Call, Refusal> {
+        let front = &self.front;
+        let rules = front.view.rules();
+        let rules = rules.ok_or_else(|| ignorant("no configuration is known yet"))?;
+        let read = front.view.rules_read().unwrap_or_default();
+        let old = age(read) > DENY_AGE;
+        let Some(route) = rules.route(&asked.host, &asked.path) else {
+            return Err(deny(old, StatusCode::NOT_FOUND, "no route takes this path"));
+        };
+        let identity = rules
+            .identify(route, asked.key.as_deref())
+            .map_err(|_| deny(old, StatusCode::UNAUTHORIZED, "no workspace has this key"))?;
+        if identity != Identity::Anonymous && !front.keys_fresh() {
+            return Err(ignorant("knowledge of keys is too old"));
+        }
+        let service = route
+            .pick(fastrand::f64())
+            .and_then(|name| rules.service(name))
+            .ok_or_else(|| ignorant("the route's service is not configured"))?;
+        let left = asked.left.unwrap_or(route.timeout);
+        Ok(Call {
+            rank: rank(&identity, route.rank),
+            workspace: workspace(identity),
+            deadline: arrived + left,
+            due: arrived + left.min(timeout(route.timeout)),
+            route: Arc::clone(route),
+            service: Arc::clone(service),
+            asked,
+            head,
+            body,
+            arrived,
+            rules: rules.version,
+        })
+    }
+}
+
+fn ignorant(reason: &str) -> Refusal {
+    Refusal::not_run(reason, IGNORANT_RETRY)
+}
+
+/// Denies what the configuration does not allow. Where it may lack the newest version, the caller
+/// is told to come back: a wrong denial is final for it.
+fn deny(old: bool, status: StatusCode, reason: &str) -> Refusal {
+    if old {
+        return ignorant("the configuration that is known may lack this");
+    }
+    Refusal::new(status, reason)
+}
+
+fn rank(identity: &Identity, route: u32) -> u32 {
+    match identity {
+        Identity::Holder(holder) => holder.rank.unwrap_or(route),
+        Identity::Anonymous => route,
+    }
+}
+
+fn workspace(identity: Identity) -> Option<Arc<str>> {
+    match identity {
+        Identity::Holder(holder) => Some(holder.workspace),
+        Identity::Anonymous => None,
+    }
+}
+
+const fn timeout(timeout: Duration) -> Duration {
+    if timeout.is_zero() {
+        DEFAULT_LEFT
+    } else {
+        timeout
+    }
+}
--- /dev/null
+++ b/components/front/src/leaving.rs
@@ -0,0 +1,72 @@
+//! Moves generations off an engine that leaves, one after the other.
+
+use std::{collections::HashSet, sync::Arc, time::Duration};
+
+use placing::{Carried, Carry, Message, Reply, RunId};
+use timer::boot_time;
+use types::TargetId;
+use view::Target;
+
+use crate::{carry::carry, state::Front};
+
+/// How long an engine that leaves is watched. It is gone some two seconds after its notice.
+const WATCH: Duration = Duration::from_millis(3_000);
+/// Pause before the account is looked at again where nothing can be moved just now.
+const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// Time for an entry to carry one generation over.
+const CARRY_PATIENCE: Duration = Duration::from_millis(3_500);
+
+/// Moves off an engine what this instance has in its account there.
+pub async fn empty(front: Arc<Front>, source: Arc<Target>) {
+    let until = boot_time() + WATCH;
+    let mut unfit: HashSet<(RunId, Option<TargetId>)> = HashSet::new();
+    while boot_time() < until {
+        let engines = front.engines_of(&source.service);
+        let is_unfit = |run: &RunId, to: &TargetId| {
+            unfit.contains(&(Arc::clone(run), None))
+                || unfit.contains(&(Arc::clone(run), Some(Arc::clone(to))))
+        };
+        let next = front.placement.owner.lock().next_carry(
+            boot_time(),
+            &source.id,
+            &source.data_centre,
+            &engines,
+            &is_unfit,
+        );
+        let Some(order) = next else {
+            smol::Timer::after(LOOK_AGAIN).await;
+            continue;
+        };
+        let outcome = send(&front, &order).await;
+        front
+            .placement
+            .owner
+            .lock()
+            .carried(boot_time(), &order, outcome);
+        match outcome {
+            Carried::Done => {}
+            Carried::NoRoom => {
+                unfit.insert((order.run, Some(order.to)));
+            }
+            Carried::Nothing | Carried::Lost => {
+                unfit.insert((order.run, None));
+            }
+        }
+    }
+    front.placement.owner.lock().forget(&source.id);
+}
+
+/// Gives the order to the entry that holds the generation.
+async fn send(front: &Arc<Front>, order: &Carry) -> Carried {
+    let Some(entry) = front.placement.entry_of(&order.run) else {
+        return Carried::Nothing;
+    };
+    if entry == front.cfg.instance {
+        return carry(front, order).await;
+    }
+    let message = Message::Carry(order.clone());
+    match front.peers.call(&entry, &message, CARRY_PATIENCE).await {
+        Some(Reply::Carried(outcome)) => outcome,
+        _ => Carried::Lost,
+    }
+}
--- /dev/null
+++ b/components/front/src/lib.rs
@@ -0,0 +1,36 @@
+//! Serves requests by declared routes on a platform that lists targets and keeps the
+//! configuration: who may ask what, where it goes, what comes back, and what happens when
+//! something on the way fails.
+
+pub mod budget;
+pub mod call;
+pub mod carry;
+pub mod choice;
+pub mod cold;
+pub mod config;
+pub mod dump;
+pub mod face;
+pub mod follow;
+pub mod generation;
+pub mod handler;
+pub mod leaving;
+pub mod live;
+pub mod message;
+pub mod metrics;
+pub mod peers;
+pub mod placement;
+pub mod plain;
+pub mod refuse;
+pub mod relay;
+pub mod run;
+pub mod send;
+pub mod side;
+pub mod split;
+pub mod state;
+
+pub use config::{Bounds, Config};
+pub use face::{
+    Asked, BadRequest, Batch, Copied, CopyOrder, Engines, Face, Heading, Record, Resume, SaidLoad,
+    Sending, Sizes, Store, StoreError, Topic,
+};
+pub use run::{Outside, serve};
--- /dev/null
+++ b/components/front/src/message.rs
@@ -0,0 +1,82 @@
+//! Takes the other instances' messages.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_trait::async_trait;
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Handler, Reply as HttpReply, full, read_limited};
+use placing::{Message, Peers as Members, Reply};
+use timer::boot_time;
+
+use crate::{
+    carry,
+    peers::{MESSAGE_LIMIT, MESSAGES_PATH},
+    state::Front,
+};
+
+/// Time for a message to arrive whole.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Takes the other instances' messages.
+pub struct Messages {
+    front: Arc<Front>,
+}
+
+impl Messages {
+    /// Makes it for an instance.
+    #[must_use]
+    pub const fn new(front: Arc<Front>) -> Self {
+        Self { front }
+    }
+
+    async fn take(&self, message: Message) -> Reply {
+        let front = &self.front;
+        let now = boot_time();
+        match message {
+            Message::Ask(ask) => Reply::Answer(front.decide(&ask)),
+            Message::Notes(notes) => {
+                let mut owner = front.placement.owner.lock();
+                for note in &notes {
+                    owner.note(now, note);
+                }
+                Reply::Noted
+            }
+            Message::Sync(sync) => {
+                front.placement.owner.lock().sync(now, &sync);
+                front.peers.heard(sync.entry);
+                Reply::Peers(self.members())
+            }
+            Message::Hello(hello) => {
+                front.peers.heard(hello.member);
+                Reply::Peers(self.members())
+            }
+            Message::Carry(order) => Reply::Carried(carry::carry(front, &order).await),
+        }
+    }
+
+    fn members(&self) -> Members {
+        Members {
+            members: self.front.peers.lately(),
+        }
+    }
+}
+
+#[async_trait]
+impl Handler for Messages {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        if req.uri().path() != MESSAGES_PATH {
+            return HttpReply::new(404).done();
+        }
+        let Ok(body) = read_limited(req.into_body(), MESSAGE_LIMIT, PATIENCE).await else {
+            return HttpReply::new(400).done();
+        };
+        let Ok(message) = rmp_serde::from_slice(&body) else {
+            return HttpReply::text(400, "not a message").done();
+        };
+        let reply = self.take(message).await;
+        match rmp_serde::to_vec(&reply) {
+            Ok(buf) => HttpReply::new(200).with_body(full(buf)).done(),
+            Err(e) => HttpReply::text(500, e.to_string()).done(),
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/peers.rs
@@ -0,0 +1,214 @@
+//! The other instances: who they are, who answers, and calls to them.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use events::{Event, emit};
+use http_body_util::Full;
+use hyper::Request;
+use net::{Client, read_all};
+use parking_lot::Mutex;
+use placing::{Member, Message, Reply, ranked};
+use timer::{Timer, boot_time};
+use types::{InstanceId, Moment};
+
+/// Where instances take each other's messages.
+pub const MESSAGES_PATH: &str = "/peer/v2/messages";
+/// Bytes of a message at most.
+pub const MESSAGE_LIMIT: usize = 4 * 1_024 * 1_024;
+/// How long a peer that did not answer is left alone at first; doubled with each further time.
+const SUSPECT: Duration = Duration::from_millis(1_500);
+/// The longest time that a peer is left alone.
+const SUSPECT_MOST: Duration = Duration::from_secs(20);
+/// A peer is told of to others if it was heard within this time.
+const HEARD_LATELY: Duration = Duration::from_secs(4);
+
+#[derive(Clone, Debug)]
+struct Known {
+    member: Member,
+    heard: Option<Moment>,
+    failures: u32,
+    suspect_until: Moment,
+}
+
+/// The other instances.
+pub struct Peers {
+    me: Member,
+    known: Mutex<BTreeMap<InstanceId, Known>>,
+    client: Client,
+    timer: Timer,
+}
+
+impl Peers {
+    /// Knows only itself.
+    #[must_use]
+    pub fn new(me: Member, client: Client) -> Self {
+        Self {
+            me,
+            known: Mutex::default(),
+            client,
+            timer: Timer::new(),
+        }
+    }
+
+    /// This instance as a member.
+    #[must_use]
+    pub const fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Instances that share budgets, this one included.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.known.lock().len() + 1
+    }
+
+    /// Takes word of a member. One that began a later life replaces what was known of it.
+    pub fn learn(&self, member: Member) {
+        if member.id == self.me.id {
+            return;
+        }
+        let mut known = self.known.lock();
+        let newer = known
+            .get(&member.id)
+            .is_none_or(|known| known.member.born < member.born);
+        if newer {
+            let fresh = Known {
+                member: member.clone(),
+                heard: None,
+                failures: 0,
+                suspect_until: Duration::ZERO,
+            };
+            known.insert(Arc::clone(&member.id), fresh);
+        }
+    }
+
+    /// Notes that a member was heard.
+    pub fn heard(&self, member: Member) {
+        let id = Arc::clone(&member.id);
+        self.learn(member);
+        self.answered(&id);
+    }
+
+    /// Members that were heard lately, this one included.
+    #[must_use]
+    pub fn lately(&self) -> Vec<Member> {
+        let oldest = boot_time().saturating_sub(HEARD_LATELY);
+        let known = self.known.lock();
+        let heard = known
+            .values()
+            .filter(|known| known.heard.is_some_and(|at| at >= oldest));
+        heard
+            .map(|known| known.member.clone())
+            .chain([self.me.clone()])
+            .collect()
+    }
+
+    /// All members that are known.
+    #[must_use]
+    pub fn all(&self) -> Vec<InstanceId> {
+        self.known.lock().keys().cloned().collect()
+    }
+
+    /// Instances in the order in which they own a service, less those that don't answer.
+    #[must_use]
+    pub fn owners(&self, service: &str) -> Vec<InstanceId> {
+        let now = boot_time();
+        let known = self.known.lock();
+        let answering = known
+            .values()
+            .filter(|known| known.suspect_until <= now && known.failures == 0)
+            .map(|known| Arc::clone(&known.member.id));
+        ranked(service, answering.chain([Arc::clone(&self.me.id)]))
+    }
+
+    /// Members that did not answer and may be tried again.
+    #[must_use]
+    pub fn to_try_again(&self) -> Vec<InstanceId> {
+        let now = boot_time();
+        let known = self.known.lock();
+        known
+            .values()
+            .filter(|known| known.failures > 0 && known.suspect_until <= now)
+            .map(|known| Arc::clone(&known.member.id))
+            .collect()
+    }
+
+    /// Sends a message and waits for the reply; none if the peer does not answer in time.
+    pub async fn call(
+        &self,
+        to: &InstanceId,
+        message: &Message,
+        patience: Duration,
+    ) -> Option<Reply> {
+        let addr = self.known.lock().get(to)?.member.addr;
+        let buf = match rmp_serde::to_vec(message) {
+            Ok(buf) => buf,
+            Err(e) => {
+                self.failed(to, &format!("the message can't be encoded: {e}"));
+                return None;
+            }
+        };
+        let req = Request::post(MESSAGES_PATH).body(Full::new(Bytes::from(buf)));
+        // The path is a constant.
+        let req = req.ok()?;
+        let exchange = async {
+            let resp = self.client.send(addr, req).await;
+            let resp = resp.map_err(|e| e.to_string())?;
+            let body = read_all(resp.into_body(), MESSAGE_LIMIT, patience).await;
+            let body = body.map_err(|e| e.to_string())?;
+            rmp_serde::from_slice(&body).map_err(|e| e.to_string())
+        };
+        let answer = self.timer.within(patience, exchange).await;
+        match answer {
+            Some(Ok(reply)) => {
+                self.answered(to);
+                Some(reply)
+            }
+            Some(Err(reason)) => {
+                self.failed(to, &reason);
+                self.client.forget(addr);
+                None
+            }
+            None => {
+                self.failed(to, "no answer in time");
+                self.client.forget(addr);
+                None
+            }
+        }
+    }
+
+    fn answered(&self, id: &InstanceId) {
+        let mut known = self.known.lock();
+        let Some(peer) = known.get_mut(id) else {
+            return;
+        };
+        peer.heard = Some(boot_time());
+        peer.suspect_until = Duration::ZERO;
+        let was = std::mem::take(&mut peer.failures);
+        drop(known);
+        if was > 0 {
+            emit(&Event::PeerRegained {
+                peer: Arc::clone(id),
+            });
+        }
+    }
+
+    fn failed(&self, id: &InstanceId, reason: &str) {
+        let mut known = self.known.lock();
+        let Some(peer) = known.get_mut(id) else {
+            return;
+        };
+        let doubled = SUSPECT.saturating_mul(1 << peer.failures.min(8));
+        peer.suspect_until = boot_time() + doubled.min(SUSPECT_MOST);
+        peer.failures = peer.failures.saturating_add(1);
+        let first = peer.failures == 1;
+        drop(known);
+        if first {
+            emit(&Event::PeerLost {
+                peer: Arc::clone(id),
+                reason: reason.into(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/placement.rs
@@ -0,0 +1,120 @@
+//! Engines for generations: asks the owner, or decides itself.
+
+use std::{sync::Arc, time::Duration};
+
+use parking_lot::Mutex;
+use placing::{Answer, Ask, Engine, Message, Note, Owner, Reply, Tuning};
+use timer::boot_time;
+use types::{InstanceId, Tokens};
+
+use crate::state::Front;
+
+/// Time for an owner to answer. It answers at once, within a millisecond or two between data
+/// centres; one that does not is stopped, cut off or drowned.
+const ASK_PATIENCE: Duration = Duration::from_millis(150);
+/// Time for a note to be taken.
+const NOTE_PATIENCE: Duration = Duration::from_millis(300);
+/// Owners that are asked before an instance decides for itself.
+const OWNERS_ASKED: usize = 2;
+
+/// The account that this instance keeps: as owner for all, else for itself while no owner answers.
+#[derive(Debug)]
+pub struct Placement {
+    /// The account.
+    pub owner: Mutex<Owner>,
+}
+
+impl Default for Placement {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Placement {
+    /// Starts with an empty account.
+    #[must_use]
+    pub fn new() -> Self {
+        Self {
+            owner: Mutex::new(Owner::new(Tuning::default())),
+        }
+    }
+
+    /// Tokens that a generation is expected to make.
+    #[must_use]
+    pub fn expected(&self, longest: Tokens, hint: Option<Tokens>) -> Tokens {
+        self.owner.lock().expected(longest, hint)
+    }
+
+    /// The entry that holds a generation's caller.
+    #[must_use]
+    pub fn entry_of(&self, run: &str) -> Option<InstanceId> {
+        let owner = self.owner.lock();
+        owner.run(run).map(|run| Arc::clone(&run.entry))
+    }
+}
+
+impl Front {
+    /// Asks for an engine.
+    pub async fn place(&self, ask: &Ask) -> Answer {
+        for owner in self
+            .peers
+            .owners(&ask.service)
+            .into_iter()
+            .take(OWNERS_ASKED)
+        {
+            if owner == self.cfg.instance {
+                break;
+            }
+            let message = Message::Ask(ask.clone());
+            if let Some(Reply::Answer(answer)) =
+                self.peers.call(&owner, &message, ASK_PATIENCE).await
+            {
+                return answer;
+            }
+        }
+        self.decide(ask)
+    }
+
+    /// Answers an ask from this instance's own account.
+    #[must_use]
+    pub fn decide(&self, ask: &Ask) -> Answer {
+        let engines = self.engines_of(&ask.service);
+        self.placement.owner.lock().ask(boot_time(), ask, &engines)
+    }
+
+    /// Engines of a service that may get work.
+    #[must_use]
+    pub fn engines_of(&self, service: &str) -> Vec<Engine> {
+        let Some(service) = self.view.rules().and_then(|r| r.service(service).cloned()) else {
+            return Vec::new();
+        };
+        let memory = service.engine.as_ref().map_or(Tokens::MAX, |e| e.memory);
+        let engine = |target: &Arc<view::Target>| Engine {
+            id: Arc::clone(&target.id),
+            data_centre: Arc::clone(&target.data_centre),
+            slots: target.slots,
+            memory,
+        };
+        self.usable(&service).iter().map(engine).collect()
+    }
+
+    /// Tells a service's owner what happened to a generation. The word may get lost; the next
+    /// sync makes up for it.
+    pub fn note(front: &Arc<Self>, service: &str, note: Note) {
+        // This instance may have decided for itself; its own account must forget it too.
+        front.placement.owner.lock().note(boot_time(), &note);
+        let owner = front.peers.owners(service).into_iter().next();
+        let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
+            return;
+        };
+        let front = Arc::clone(front);
+        let tell = async move { front.tell(&owner, note).await };
+        workers::spawn(tell).detach();
+    }
+
+    async fn tell(&self, owner: &InstanceId, note: Note) {
+        let message = Message::Notes(vec![note]);
+        // An answer says nothing beyond that it was taken.
+        let _ = self.peers.call(owner, &message, NOTE_PATIENCE).await;
+    }
+}
--- /dev/null
+++ b/components/front/src/plain.rs
@@ -0,0 +1,246 @@
+//! Plain calls: one answer, whole or not at all.
+
+use std::{sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use hyper::Response;
+use net::Body;
+use timer::boot_time;
+use types::TargetId;
+use view::{Kind, Target};
+
+use crate::{
+    call::Call,
+    refuse::{Refusal, millis},
+    send::{Sent, collect, log_failure, send},
+    state::Front,
+};
+
+/// How long an idempotent call waits for one target before it is tried at another, as a multiple
+/// of the route's aim. Calls take 15 ms as a rule against aims of 100 ms, and 110 ms at most.
+const PATIENCE_AIMS: f64 = 1.6;
+/// Part of the time left that one target may take of a call that could be tried elsewhere.
+const PATIENCE_PART: f64 = 0.5;
+/// When a caller may come back that found no target.
+const NO_TARGET_RETRY: Duration = Duration::from_millis(400);
+/// Pause before targets are looked for again while none is usable.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// How long a call waits for a usable target, as a part of its aim.
+const LOOK_PART: f64 = 1.0;
+/// Targets that may say in a row that they did not run a call before its caller is told so.
+const NOT_RUN_MOST: usize = 4;
+
+/// Counts a call at a target for as long as it is there.
+struct AtTarget<'a> {
+    front: &'a Front,
+    target: &'a TargetId,
+}
+
+impl<'a> AtTarget<'a> {
+    fn new(front: &'a Front, target: &'a TargetId) -> Self {
+        front.choice.lock().sent(target);
+        Self { front, target }
+    }
+}
+
+impl Drop for AtTarget<'_> {
+    fn drop(&mut self) {
+        self.front.choice.lock().ended(self.target);
+    }
+}
+
+/// What one try brought.
+enum Try {
+    /// An answer for the caller.
+    Answer(Response<Body>),
+    /// An answer for the caller, if no other target has a better one.
+    Failure(Response<Body>),
+    /// Not run.
+    NotRun,
+    /// Perhaps run.
+    Unknown { reason: Arc<str>, late: bool },
+}
+
+/// What the tries so far came to.
+#[derive(Default)]
+struct Tries {
+    /// Targets that it may have run on.
+    run: u32,
+    /// Targets that are not tried again.
+    tried: Vec<TargetId>,
+    sendings: u32,
+    /// The answer that passes if no better one comes.
+    spare: Option<Response<Body>>,
+    late: bool,
+    reason: Option<Arc<str>>,
+}
+
+impl Tries {
+    /// What the caller gets when there are no more tries.
+    fn give_up(self, front: &Front, call: &Call) -> Response<Body> {
+        if let Some(resp) = self.spare {
+            front.metrics.ended(call.kind(), "failed");
+            return resp;
+        }
+        let reason = self.reason.unwrap_or_else(|| "no target takes it".into());
+        let refusal = match (self.run, self.late) {
+            (0, _) => Refusal::not_run(reason, NO_TARGET_RETRY),
+            (_, true) => Refusal::late(reason),
+            (_, false) => Refusal::unknown(reason),
+        };
+        front.refuse_call(call, &refusal)
+    }
+}
+
+/// Serves a plain call.
+pub async fn serve(front: &Front, call: &Call) -> Response<Body> {
+    let mut tries = Tries::default();
+    loop {
+        if !may_try(front, call, &tries) {
+            return tries.give_up(front, call);
+        }
+        let Some(target) = find(front, call, &tries.tried).await else {
+            return tries.give_up(front, call);
+        };
+        tries.sendings += 1;
+        tries.tried.push(Arc::clone(&target.id));
+        match attempt(front, call, &target, tries.sendings).await {
+            Try::Answer(resp) => {
+                front.metrics.ended(call.kind(), "answered");
+                return resp;
+            }
+            Try::Failure(resp) => {
+                tries.run += 1;
+                tries.spare = Some(resp);
+            }
+            Try::NotRun => {}
+            Try::Unknown { reason, late } => {
+                tries.run += 1;
+                tries.late = late;
+                tries.reason = Some(reason);
+            }
+        }
+    }
+}
+
+/// Whether a call may go to one more target.
+fn may_try(front: &Front, call: &Call, tries: &Tries) -> bool {
+    if call.until_due().is_zero() {
+        return false;
+    }
+    if tries.sendings == 0 {
+        return true;
+    }
+    let run_out = match call.route.kind {
+        Kind::Idempotent => tries.run >= call.route.max_targets,
+        Kind::NonIdempotent | Kind::Generation => tries.run > 0,
+    };
+    if run_out || tries.tried.len() >= NOT_RUN_MOST {
+        return false;
+    }
+    let instances = front.instances();
+    let service = &call.service.name;
+    let granted = front.budget.lock().take(boot_time(), service, instances);
+    if granted {
+        front.metrics.repeats.inc();
+    }
+    granted
+}
+
+/// Finds a target; waits a little where none is usable just now.
+async fn find(front: &Front, call: &Call, tried: &[TargetId]) -> Option<Arc<Target>> {
+    let patience = call.route.aim.mul_f64(LOOK_PART).min(call.until_due());
+    let until = boot_time() + patience;
+    loop {
+        let targets = front.usable(&call.service);
+        let near = &front.cfg.data_centre;
+        let now = boot_time();
+        let picked = front
+            .choice
+            .lock()
+            .pick(now, &targets, tried, near, fastrand::f64());
+        if let Some(target) = picked.filter(|target| front.take_cold(&call.service, target)) {
+            return Some(target);
+        }
+        // Others than those tried may come, but a call that was sent is not held for them.
+        if now >= until || !tried.is_empty() {
+            return None;
+        }
+        smol::Timer::after(LOOK_AGAIN).await;
+    }
+}
+
+async fn attempt(front: &Front, call: &Call, target: &Target, sending: u32) -> Try {
+    let _at = AtTarget::new(front, &target.id);
+    emit(&Event::RequestSent {
+        id: Arc::clone(&call.asked.id),
+        target: Arc::clone(&target.id),
+        sending,
+        held_ms: millis(call.held()),
+        left_ms: millis(call.left()),
+    });
+    if sending == 1 {
+        front.metrics.held(call.held());
+    }
+    let limit = patience(call, sending);
+    let from = boot_time();
+    match send(front, call, target, None, limit).await {
+        Sent::Head {
+            head,
+            heading,
+            body,
+        } => {
+            let now = boot_time();
+            if let Some(load) = heading.load {
+                front.choice.lock().said(now, &target.id, load);
+            }
+            let rest = limit.saturating_sub(now.saturating_sub(from));
+            match collect(front, &head, body, rest.max(LOOK_AGAIN)).await {
+                Ok(resp) => answered(front, call, target, resp),
+                Err(reason) => {
+                    log_failure(call, target, &reason, false);
+                    front.choice.lock().failed(now, &target.id);
+                    Try::Unknown {
+                        reason,
+                        late: false,
+                    }
+                }
+            }
+        }
+        Sent::NotRun { .. } => {
+            front.choice.lock().failed(boot_time(), &target.id);
+            Try::NotRun
+        }
+        Sent::Unknown { reason, late } => {
+            front.choice.lock().failed(boot_time(), &target.id);
+            Try::Unknown { reason, late }
+        }
+    }
+}
+
+fn answered(front: &Front, call: &Call, target: &Target, resp: Response<Body>) -> Try {
+    let status = resp.status();
+    emit(&Event::RequestAnswered {
+        id: Arc::clone(&call.asked.id),
+        target: Arc::clone(&target.id),
+        status: status.as_u16(),
+        took_ms: millis(call.held()),
+    });
+    if status.is_server_error() {
+        front.choice.lock().failed(boot_time(), &target.id);
+        return Try::Failure(resp);
+    }
+    front.choice.lock().served(&target.id);
+    Try::Answer(resp)
+}
+
+/// How long one target may take.
+fn patience(call: &Call, sending: u32) -> Duration {
+    let left = call.until_due();
+    let may_go_on = call.route.kind == Kind::Idempotent && sending < call.route.max_targets;
+    if !may_go_on {
+        return left;
+    }
+    let aims = call.route.aim.mul_f64(PATIENCE_AIMS);
+    aims.min(left.mul_f64(PATIENCE_PART))
+}
--- /dev/null
+++ b/components/front/src/relay.rs
@@ -0,0 +1,298 @@
+//! Passes a generation's events on, across moves from engine to engine.
+
+use std::{sync::Arc, time::Duration};
+
+use async_channel::Sender;
+use bytes::Bytes;
+use events::{Event, emit};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use net::Cut;
+use placing::Note;
+use smol::future;
+use timer::Timer;
+use view::Target;
+
+use crate::{
+    call::Call,
+    face::Resume,
+    generation::Place,
+    live::Order,
+    refuse::millis,
+    send::{Sent, send},
+    split::Splitter,
+    state::Front,
+};
+
+/// Time for a stopped engine's last events to arrive and its stream to close.
+const LAST_EVENTS: Duration = Duration::from_millis(30);
+/// Time for the outcome of a move after its stream has closed: the final copy, and a little.
+const OUTCOME_PATIENCE: Duration = Duration::from_millis(1_500);
+/// Time for the next engine to answer. It admits what goes on first, at its next step; a caller
+/// has left long before this.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// Where the events go.
+pub type Out = Sender<Result<Bytes, Cut>>;
+
+/// Passes one generation's events on.
+pub struct Relay {
+    front: Arc<Front>,
+    call: Call,
+    place: Place,
+    body: Incoming,
+    split: Splitter,
+    /// The last event that was passed on.
+    last: Option<u64>,
+    /// The engine is stopping it for a move.
+    expecting: bool,
+}
+
+/// What the engine's stream does next.
+enum Step {
+    Bytes(Bytes),
+    End,
+    Broken(Arc<str>),
+    Order(Option<Order>),
+    Due,
+}
+
+/// Why a stream can't be passed on any further.
+enum Stop {
+    /// It is complete.
+    Whole,
+    /// The caller has gone.
+    Unread,
+    /// Something is missing.
+    Cut(Arc<str>),
+}
+
+impl Relay {
+    /// A relay of a stream that has just begun.
+    #[must_use]
+    pub fn new(front: Arc<Front>, call: Call, place: Place, body: Incoming) -> Self {
+        Self {
+            front,
+            call,
+            place,
+            body,
+            split: Splitter::new(),
+            last: None,
+            expecting: false,
+        }
+    }
+
+    /// Passes events on to the stream's end.
+    pub async fn run(mut self, out: Out) {
+        let stop = self.pass_all(&out).await;
+        let target = self.place.live.target();
+        match stop {
+            Stop::Whole => {
+                self.front.metrics.ended(self.call.kind(), "answered");
+                emit(&Event::RequestAnswered {
+                    id: Arc::clone(&self.call.asked.id),
+                    target: Arc::clone(&target.id),
+                    status: 200,
+                    took_ms: millis(self.call.held()),
+                });
+            }
+            Stop::Unread => {}
+            Stop::Cut(reason) => {
+                self.front.metrics.ended(self.call.kind(), "cut");
+                emit(&Event::StreamCut {
+                    id: Arc::clone(&self.call.asked.id),
+                    target: Arc::clone(&target.id),
+                    reason,
+                    last_event: self.last.unwrap_or_default(),
+                });
+                // Fails only where the caller has gone.
+                let _ = out.send(Err(Cut)).await;
+            }
+        }
+    }
+
+    async fn pass_all(&mut self, out: &Out) -> Stop {
+        loop {
+            let stop = match self.step().await {
+                Step::Bytes(bytes) => self.pass(&bytes, out).await.err(),
+                Step::End => self.ended(out).await,
+                Step::Broken(reason) => self.broken(reason, out).await,
+                Step::Order(order) => self.obey(order, out).await,
+                Step::Due => Some(Stop::Cut("the time that the route allows is over".into())),
+            };
+            if let Some(stop) = stop {
+                return stop;
+            }
+        }
+    }
+
+    /// Waits for the next thing to happen.
+    async fn step(&mut self) -> Step {
+        let left = self.call.until_due();
+        let live = Arc::clone(&self.place.live);
+        let frame = next_bytes(&mut self.body);
+        let order = async { Step::Order(live.next_order().await) };
+        Timer::new()
+            .within(left, future::or(frame, order))
+            .await
+            .unwrap_or(Step::Due)
+    }
+
+    /// Passes the whole events of some bytes on.
+    async fn pass(&mut self, bytes: &[u8], out: &Out) -> Result<(), Stop> {
+        if self.split.push(bytes).is_err() {
+            return Err(Stop::Cut("an event of the stream does not end".into()));
+        }
+        let mut ready = Vec::new();
+        while let Some(event) = self.split.next_event() {
+            // What the caller has already may come again after a move.
+            if event.id.is_some() && event.id <= self.last {
+                continue;
+            }
+            self.last = event.id.or(self.last);
+            self.count_event();
+            ready.push(event.bytes);
+        }
+        for event in ready {
+            out.send(Ok(event)).await.map_err(|_| Stop::Unread)?;
+        }
+        Ok(())
+    }
+
+    fn count_event(&self) {
+        let live = &self.place.live;
+        if !live.event() {
+            return;
+        }
+        emit(&Event::FirstEvent {
+            id: Arc::clone(&self.call.asked.id),
+            target: Arc::clone(&live.target().id),
+            took_ms: millis(self.call.held()),
+        });
+        let run = Arc::clone(&live.run);
+        Front::note(&self.front, &live.service, Note::Started { run });
+    }
+
+    /// The stream has ended as complete.
+    async fn ended(&mut self, out: &Out) -> Option<Stop> {
+        if self.expecting {
+            // A stream without a length ends like this also where its engine was told to stop.
+            return match self.outcome().await {
+                Some(order) => self.obey(Some(order), out).await,
+                None => Some(self.whole(out).await),
+            };
+        }
+        Some(self.whole(out).await)
+    }
+
+    async fn whole(&mut self, out: &Out) -> Stop {
+        let rest = self.split.rest();
+        if !rest.is_empty() && out.send(Ok(rest)).await.is_err() {
+            return Stop::Unread;
+        }
+        Stop::Whole
+    }
+
+    /// The stream has broken off.
+    async fn broken(&mut self, reason: Arc<str>, out: &Out) -> Option<Stop> {
+        if self.expecting
+            && let Some(order) = self.outcome().await
+        {
+            return self.obey(Some(order), out).await;
+        }
+        let Some((target, resume)) = self.place.live.take_copy() else {
+            return Some(Stop::Cut(reason));
+        };
+        match self.go_on(&target, resume).await {
+            Ok(()) => None,
+            Err(why) => Some(Stop::Cut(format!("{reason}; from its copy: {why}").into())),
+        }
+    }
+
+    /// Waits for how a move ends whose engine has closed the stream already.
+    async fn outcome(&mut self) -> Option<Order> {
+        let live = Arc::clone(&self.place.live);
+        let order = Timer::new()
+            .within(OUTCOME_PATIENCE, live.next_order())
+            .await;
+        self.expecting = false;
+        match order.flatten() {
+            Some(Order::Forget) | None => None,
+            order => order,
+        }
+    }
+
+    async fn obey(&mut self, order: Option<Order>, out: &Out) -> Option<Stop> {
+        match order {
+            Some(Order::Expect) => self.expecting = true,
+            Some(Order::Forget) => self.expecting = false,
+            Some(Order::Resume {
+                target,
+                resume,
+                done,
+            }) => {
+                self.expecting = false;
+                if let Err(stop) = self.pass_last(out).await {
+                    return Some(stop);
+                }
+                let went = self.go_on(&target, resume).await;
+                // Fails only where nobody waits for it any more.
+                let _ = done.try_send(went.is_ok());
+                return went.err().map(Stop::Cut);
+            }
+            // The sender lives in `live`, which this relay holds.
+            None => {}
+        }
+        None
+    }
+
+    /// Passes on what a stopped engine still sends.
+    async fn pass_last(&mut self, out: &Out) -> Result<(), Stop> {
+        let timer = Timer::new();
+        let from = timer.now();
+        loop {
+            let left = LAST_EVENTS.saturating_sub(timer.now().saturating_sub(from));
+            if left.is_zero() {
+                return Ok(());
+            }
+            let step = timer.within(left, next_bytes(&mut self.body)).await;
+            match step {
+                Some(Step::Bytes(bytes)) => self.pass(&bytes, out).await?,
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    /// Goes on at another engine, from a copy.
+    async fn go_on(&mut self, target: &Arc<Target>, mut resume: Resume) -> Result<(), Arc<str>> {
+        resume.after = self.last;
+        // A part of an event that the engine before did not finish; it comes again whole.
+        let _ = self.split.rest();
+        let limit = RESUME_PATIENCE.min(self.call.until_due());
+        match send(&self.front, &self.call, target, Some(&resume), limit).await {
+            Sent::Head { head, body, .. } if head.status.is_success() => {
+                self.body = body;
+                self.place.live.moved(Arc::clone(target));
+                Ok(())
+            }
+            Sent::Head { head, .. } => Err(format!("status {}", head.status).into()),
+            Sent::NotRun { reason } | Sent::Unknown { reason, .. } => Err(reason),
+        }
+    }
+}
+
+/// The next bytes of a stream, or its end.
+async fn next_bytes(body: &mut Incoming) -> Step {
+    loop {
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Ok(bytes) = frame.into_data() {
+                    return Step::Bytes(bytes);
+                }
+            }
+            Some(Err(e)) => return Step::Broken(format!("the stream broke off: {e}").into()),
+            None if body.is_end_stream() => return Step::End,
+            None => return Step::End,
+        }
+    }
+}
--- /dev/null
+++ b/components/front/src/send.rs
@@ -0,0 +1,159 @@
+//! One sending of a request to a target, judged.
+
+use std::{sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use http_body_util::BodyExt;
+use hyper::{Response, StatusCode, body::Incoming, http};
+use net::{Body, SendError, full};
+use timer::{Timer, boot_time};
+use view::Target;
+
+use crate::{
+    call::Call,
+    face::{Heading, Resume, Sending},
+    refuse::millis,
+    state::Front,
+};
+
+/// What came of a sending.
+#[derive(Debug)]
+pub enum Sent {
+    /// The target answers.
+    Head {
+        /// The head.
+        head: Box<http::response::Parts>,
+        /// What it says.
+        heading: Heading,
+        /// The body as it comes.
+        body: Incoming,
+    },
+    /// It certainly did not run.
+    NotRun {
+        /// What the target or the connection said.
+        reason: Arc<str>,
+    },
+    /// It may have run.
+    Unknown {
+        /// What came instead of an answer.
+        reason: Arc<str>,
+        /// Whether it was the time that ran out.
+        late: bool,
+    },
+}
+
+/// Sends a call to a target, and waits at most `limit` for the head of an answer.
+pub async fn send(
+    front: &Front,
+    call: &Call,
+    target: &Target,
+    resume: Option<&Resume>,
+    limit: Duration,
+) -> Sent {
+    let sending = Sending {
+        head: &call.head,
+        body: &call.body,
+        target,
+        left: call.left(),
+        workspace: call.workspace.as_deref(),
+        resume,
+    };
+    let req = front.face.request(&sending);
+    let from = boot_time();
+    let answer = Timer::new()
+        .within(limit, front.client.send(target.addr, req))
+        .await;
+    let sent = match answer {
+        None => Sent::Unknown {
+            reason: format!("no answer within {} ms", millis(limit)).into(),
+            late: true,
+        },
+        Some(Err(SendError::Unsent { reason })) => Sent::NotRun { reason },
+        Some(Err(SendError::Lost { reason })) => Sent::Unknown {
+            reason,
+            late: false,
+        },
+        Some(Ok(resp)) => judge(front, call, resp),
+    };
+    match &sent {
+        Sent::Head { .. } => front.metrics.head(boot_time().saturating_sub(from)),
+        Sent::NotRun { reason } => log_failure(call, target, reason, true),
+        Sent::Unknown { reason, .. } => log_failure(call, target, reason, false),
+    }
+    sent
+}
+
+/// Logs that a sending failed.
+pub fn log_failure(call: &Call, target: &Target, reason: &Arc<str>, not_run: bool) {
+    emit(&Event::SendingFailed {
+        id: Arc::clone(&call.asked.id),
+        target: Arc::clone(&target.id),
+        reason: Arc::clone(reason),
+        not_run,
+    });
+}
+
+/// Judges the head of an answer. Only what surely is the target's whole answer to this request
+/// may pass: bytes of a late answer, or of a broken target, would be another caller's.
+fn judge(front: &Front, call: &Call, resp: Response<Incoming>) -> Sent {
+    let (head, body) = resp.into_parts();
+    let heading = front.face.heading(&call.asked.id, &head);
+    let unknown = |reason: String| Sent::Unknown {
+        reason: reason.into(),
+        late: false,
+    };
+    if !heading.ours {
+        return unknown("the answer belongs to another request".into());
+    }
+    if heading.not_run {
+        return Sent::NotRun {
+            reason: format!("the target refused it with status {}", head.status).into(),
+        };
+    }
+    if promises(head.status) {
+        // Passed on, it would promise that the request has not run, which nobody knows.
+        return unknown(format!("status {} without a proof", head.status));
+    }
+    if !heading.sealed || heading.encoded {
+        return unknown(format!(
+            "status {} that is not the target's own",
+            head.status
+        ));
+    }
+    Sent::Head {
+        head: Box::new(head),
+        heading,
+        body,
+    }
+}
+
+/// Whether a status promises that the request has not run.
+const fn promises(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+/// Bytes of an answer that is collected before it is passed on.
+const WHOLE_LIMIT: usize = 8 * 1_024 * 1_024;
+
+/// Collects a whole answer, at most until `limit` has passed.
+///
+/// # Errors
+/// Tells why it is not whole.
+pub async fn collect(
+    front: &Front,
+    head: &http::response::Parts,
+    body: Incoming,
+    limit: Duration,
+) -> Result<Response<Body>, Arc<str>> {
+    let whole = http_body_util::Limited::new(body, WHOLE_LIMIT).collect();
+    let whole = Timer::new().within(limit, whole).await;
+    let bytes = match whole {
+        Some(Ok(whole)) => whole.to_bytes(),
+        Some(Err(e)) => return Err(format!("the answer broke off: {e}").into()),
+        None => return Err("the answer did not end in time".into()),
+    };
+    let mut resp = Response::new(full(bytes));
+    *resp.status_mut() = head.status;
+    *resp.headers_mut() = front.face.passed(head);
+    Ok(resp)
+}
--- /dev/null
+++ b/components/front/src/side.rs
@@ -0,0 +1,62 @@
+//! What is asked beside callers' requests: readiness, metrics, the state dump.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_trait::async_trait;
+use hyper::{Request, Response, body::Incoming};
+use net::{Body, Handler, Reply};
+
+use crate::state::Front;
+
+/// Where metrics are.
+pub const METRICS_PATH: &str = "/metrics";
+/// Where the state dump is.
+pub const DUMP_PATH: &str = "/dump";
+
+/// Answers the balancer's question.
+pub struct Readiness {
+    front: Arc<Front>,
+}
+
+impl Readiness {
+    /// Makes it for an instance.
+    #[must_use]
+    pub const fn new(front: Arc<Front>) -> Self {
+        Self { front }
+    }
+}
+
+#[async_trait]
+impl Handler for Readiness {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        if !self.front.face.asks_ready(req.uri().path()) {
+            return Reply::new(404).done();
+        }
+        let status = if self.front.is_ready() { 200 } else { 503 };
+        Reply::new(status).done()
+    }
+}
+
+/// Answers operators.
+pub struct Admin {
+    front: Arc<Front>,
+}
+
+impl Admin {
+    /// Makes it for an instance.
+    #[must_use]
+    pub const fn new(front: Arc<Front>) -> Self {
+        Self { front }
+    }
+}
+
+#[async_trait]
+impl Handler for Admin {
+    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+        match req.uri().path() {
+            METRICS_PATH => Reply::text(200, self.front.metrics.page()).done(),
+            DUMP_PATH => Reply::json(200, &self.front.dump()).done(),
+            _ => Reply::new(404).done(),
+        }
+    }
+}
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -46,9 +46,19 @@
 pub type Sender = SendRequest<Full<Bytes>>;
 
 /// An HTTP client that keeps idle connections. Clones share them.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Client {
     pool: Arc<Mutex<Pool>>,
+    connect_limit: Duration,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self {
+            pool: Arc::default(),
+            connect_limit: CONNECT_LIMIT,
+        }
+    }
 }
 
 impl Client {
@@ -58,6 +68,13 @@
         Self::default()
     }
 
+    /// Sets the time to connect.
+    #[must_use]
+    pub const fn with_connect_limit(mut self, limit: Duration) -> Self {
+        self.connect_limit = limit;
+        self
+    }
+
     /// Sends a request over an idle connection, or a new one, and waits for the answer's head.
     /// The connection returns to the pool once the answer's body was read to its end; if the
     /// body is dropped before, the connection is closed.
@@ -111,7 +128,7 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        let conn = connect(addr).await?;
+        let conn = connect(addr, self.connect_limit).await?;
         self.send_on(addr, conn, req)
             .await
             .map_err(|(error, _)| error)
@@ -150,14 +167,14 @@
     }
 }
 
-async fn connect(addr: SocketAddr) -> Result<Conn, SendError> {
+async fn connect(addr: SocketAddr, limit: Duration) -> Result<Conn, SendError> {
     let unsent = |reason: String| SendError::Unsent {
         reason: reason.into(),
     };
     let stream = Timer::new()
-        .within(CONNECT_LIMIT, TcpStream::connect(addr))
+        .within(limit, TcpStream::connect(addr))
         .await
-        .ok_or_else(|| unsent(format!("no connection to {addr} within {CONNECT_LIMIT:?}")))?
+        .ok_or_else(|| unsent(format!("no connection to {addr} within {limit:?}")))?
         .map_err(|e| unsent(format!("no connection to {addr}: {e}")))?;
     stream
         .set_nodelay(true)
@@ -175,7 +192,11 @@
     Ok(Conn::new(sender))
 }
 
+/// Names the address as host, unless the request names one already.
 fn with_host(mut req: Request<Full<Bytes>>, addr: SocketAddr) -> Request<Full<Bytes>> {
+    if req.headers().contains_key(HOST) {
+        return req;
+    }
     if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
         req.headers_mut().insert(HOST, host);
     }
--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -1,12 +1,12 @@
 //! Bodies and answers.
 
 use std::{
-    convert::Infallible,
     pin::Pin,
     task::{Context, Poll},
 };
 
 use bytes::Bytes;
+use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use hyper::{
     Response, StatusCode,
@@ -15,12 +15,19 @@
 };
 use serde::Serialize;
 use smol::{
-    channel::{Receiver, Sender, bounded},
-    stream::Stream,
+    Task,
+    channel::{Sender, bounded},
+    stream::{Stream, StreamExt},
 };
 
+/// The body can't be continued. The connection is closed without the body's end, so that the
+/// receiver can tell that something is missing.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+#[display("the body was cut before its end")]
+pub struct Cut;
+
 /// Body of an answer.
-pub type Body = UnsyncBoxBody<Bytes, Infallible>;
+pub type Body = UnsyncBoxBody<Bytes, Cut>;
 
 /// Pieces of a streamed body that may wait for a slow receiver. With the client's buffers it
 /// bounds what one receiver that does not read can hold.
@@ -29,7 +36,9 @@
 /// A body of known content.
 #[must_use]
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Full::new(content.into()).boxed_unsync()
+    Full::new(content.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
 }
 
 /// An empty body.
@@ -43,25 +52,42 @@
 #[must_use]
 pub fn channel() -> (Sender<Bytes>, Body) {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
-    (tx, Fed { rx: Box::pin(rx) }.boxed_unsync())
+    let rx = Box::pin(rx.map(Ok));
+    (tx, Fed { rx, feeder: None }.boxed_unsync())
+}
+
+/// A body fed by a task, which gets the sending end. A [`Cut`] ends the connection with it. The
+/// task is dropped with the body: when the receiver goes away, nothing works on for nobody.
+#[must_use]
+pub fn fed<F>(feed: impl FnOnce(Sender<Result<Bytes, Cut>>) -> F) -> Body
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (tx, rx) = bounded(CHANNEL_DEPTH);
+    let feeder = Some(workers::spawn(feed(tx)));
+    let rx = Box::pin(rx);
+    Fed { rx, feeder }.boxed_unsync()
 }
 
 struct Fed {
-    rx: Pin<Box<Receiver<Bytes>>>,
+    rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
+    /// Held for its drop.
+    #[expect(dead_code, reason = "dropping it ends the task")]
+    feeder: Option<Task<()>>,
 }
 
 impl HttpBody for Fed {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Cut;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         self.rx
             .as_mut()
             .poll_next(cx)
-            .map(|piece| piece.map(|buf| Ok(Frame::data(buf))))
+            .map(|piece| piece.map(|buf| buf.map(Frame::data)))
     }
 }
 
--- /dev/null
+++ b/components/placing/src/account.rs
@@ -0,0 +1,88 @@
+//! What is known to run on one engine.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use types::{DataCentreId, InstanceId, Moment, ServiceId, TargetId, Tokens};
+
+use crate::{message::RunId, tuning::Tuning};
+
+/// An engine that may get work, as listings and configuration describe it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Engine {
+    /// The engine.
+    pub id: TargetId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Generations that it runs at once.
+    pub slots: u32,
+    /// Its memory.
+    pub memory: Tokens,
+}
+
+/// One generation on an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Run {
+    /// The entry that holds its caller.
+    pub entry: InstanceId,
+    /// Its service.
+    pub service: ServiceId,
+    /// The engine.
+    pub target: TargetId,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens that it is expected to make in all.
+    pub expected: Tokens,
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// When it was granted.
+    pub granted: Moment,
+    /// When its first event came.
+    pub started: Option<Moment>,
+    /// Tokens made, as known at `counted`.
+    pub made: Tokens,
+    /// When they were counted.
+    pub counted: Moment,
+    /// When its entry last confirmed it.
+    pub confirmed: Moment,
+    /// The engine that its memory is being copied to.
+    pub copying_to: Option<TargetId>,
+}
+
+impl Run {
+    /// Tokens made by now, estimated.
+    #[must_use]
+    pub fn made_by(&self, now: Moment, tuning: &Tuning) -> Tokens {
+        if self.started.is_none() {
+            return 0;
+        }
+        self.made + tuning.made_in(now.saturating_sub(self.counted))
+    }
+
+    /// Memory that it takes at its end, estimated; never less than it takes now.
+    #[must_use]
+    pub fn size(&self, now: Moment, tuning: &Tuning) -> Tokens {
+        self.prompt + self.expected.max(self.made_by(now, tuning))
+    }
+
+    /// Time that it still runs, estimated.
+    #[must_use]
+    pub fn rest(&self, now: Moment, tuning: &Tuning) -> Duration {
+        let left = self.expected.saturating_sub(self.made_by(now, tuning));
+        tuning.time_for(left)
+    }
+}
+
+/// What is known to run on one engine.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    /// Its generations.
+    pub runs: BTreeSet<RunId>,
+    /// Copies that come in, or wait here to be used.
+    pub copies: BTreeSet<RunId>,
+    /// When it has read all prompts that it was given.
+    pub busy_until: Moment,
+    /// When it was first seen.
+    pub since: Moment,
+    /// It gets nothing until then.
+    pub doubted_until: Moment,
+}
--- /dev/null
+++ b/components/placing/src/lib.rs
@@ -0,0 +1,20 @@
+//! Decides on which engine a generation runs, and where it goes on when its engine leaves.
+//!
+//! For each service one instance, its owner, keeps the account of what runs on which engine. The
+//! decisions take the time and what happened as arguments; there is no I/O and no clock in here.
+
+pub mod account;
+pub mod carry;
+pub mod message;
+pub mod owner;
+pub mod rank;
+pub mod tuning;
+
+pub use account::{Engine, Run};
+pub use message::{
+    Answer, Ask, Carried, Carry, Hello, Load, Member, Message, Note, Peers, Reply, RunId, Running,
+    Sync,
+};
+pub use owner::Owner;
+pub use rank::ranked;
+pub use tuning::Tuning;
--- /dev/null
+++ b/components/placing/src/message.rs
@@ -0,0 +1,192 @@
+//! What instances tell one another about generations.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use types::{DataCentreId, InstanceId, ServiceId, TargetId, Tokens};
+
+/// Id of one generation: that of its request.
+pub type RunId = Arc<str>;
+
+/// An entry asks for an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Ask {
+    /// The generation.
+    pub run: RunId,
+    /// Who asks.
+    pub entry: InstanceId,
+    /// The entry's data centre.
+    pub data_centre: DataCentreId,
+    /// The service.
+    pub service: ServiceId,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens of the longest answer allowed.
+    pub longest: Tokens,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<Tokens>,
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// Time left until the first event should be out.
+    pub aim_left: Duration,
+    /// How long it has waited already.
+    pub waited: Duration,
+    /// Engines that have refused or failed it.
+    pub avoid: Vec<TargetId>,
+}
+
+/// The owner's answer.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Answer {
+    /// Send it there.
+    Go {
+        /// The engine.
+        target: TargetId,
+    },
+    /// No room now; ask again.
+    Wait {
+        /// When.
+        after: Duration,
+    },
+    /// No room in time; the caller should come back.
+    Full {
+        /// When.
+        after: Duration,
+    },
+}
+
+/// What happened to a generation.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Note {
+    /// Its first event has come.
+    Started {
+        /// The generation.
+        run: RunId,
+    },
+    /// It holds nothing any more.
+    Ended {
+        /// The generation.
+        run: RunId,
+        /// The engine refused or failed it.
+        doubt: bool,
+    },
+}
+
+/// A generation that an entry holds.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Running {
+    /// The generation.
+    pub run: RunId,
+    /// Its service.
+    pub service: ServiceId,
+    /// The engine.
+    pub target: TargetId,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Tokens made so far.
+    pub made: Tokens,
+    /// Tokens that it is expected to make in all.
+    pub expected: Tokens,
+    /// Rank, the lowest first.
+    pub rank: u32,
+    /// Whether its first event has come.
+    pub started: bool,
+}
+
+/// All that an entry holds, sent to the owner from time to time: what single notes lost on their
+/// way, and what a new owner must learn.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Sync {
+    /// The entry.
+    pub entry: Member,
+    /// What it holds.
+    pub runs: Vec<Running>,
+}
+
+/// How full an engine is.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Load {
+    /// The engine.
+    pub target: TargetId,
+    /// Time until it has read the prompts that it was given.
+    pub busy: Duration,
+    /// Generations there.
+    pub runs: u32,
+}
+
+/// An instance, as others reach it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub id: InstanceId,
+    /// Where it listens for other instances.
+    pub addr: SocketAddr,
+    /// When this life of it began, in Unix milliseconds.
+    pub born: u64,
+}
+
+/// The members that the sender has heard of lately.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Peers {
+    /// The members.
+    pub members: Vec<Member>,
+}
+
+/// A member makes itself known.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Hello {
+    /// Who.
+    pub member: Member,
+}
+
+/// An order to an entry: carry a generation over to another engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Carry {
+    /// The generation.
+    pub run: RunId,
+    /// Where it runs.
+    pub from: TargetId,
+    /// Where it is to go on.
+    pub to: TargetId,
+}
+
+/// How carrying over ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Carried {
+    /// It goes on at the other engine.
+    Done,
+    /// The other engine has no room, or can't be reached; the generation still runs.
+    NoRoom,
+    /// There is nothing to move: not begun, ended, or held by somebody else.
+    Nothing,
+    /// It was lost on the way.
+    Lost,
+}
+
+/// What one instance sends to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// An ask for an engine.
+    Ask(Ask),
+    /// What happened, several at a time.
+    Notes(Vec<Note>),
+    /// All that an entry holds.
+    Sync(Sync),
+    /// An order to carry a generation over.
+    Carry(Carry),
+    /// A member makes itself known.
+    Hello(Hello),
+}
+
+/// What comes back.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// To an ask.
+    Answer(Answer),
+    /// To notes.
+    Noted,
+    /// To a sync or a hello.
+    Peers(Peers),
+    /// To an order to carry over.
+    Carried(Carried),
+}
--- /dev/null
+++ b/components/placing/src/owner.rs
@@ -0,0 +1,386 @@
+//! The account of a service's engines, and the choice among them.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use types::{InstanceId, Moment, TargetId, Tokens};
+
+use crate::{
+    account::{Account, Engine, Run},
+    message::{Answer, Ask, Load, Note, RunId, Running, Sync},
+    tuning::{Tuning, as_f64},
+};
+
+/// A waiting ask. The lowest goes first: by rank, then by how long it has waited.
+type Turn = (u32, Reverse<Duration>, RunId);
+
+/// The account of all generations that this instance has granted or was told of.
+///
+/// It is soft state: a new owner learns it from the entries' syncs, and one that is wrong costs
+/// waiting or preemption, never a wrong answer.
+#[derive(Debug, Default)]
+pub struct Owner {
+    pub(crate) tuning: Tuning,
+    pub(crate) accounts: BTreeMap<TargetId, Account>,
+    pub(crate) runs: HashMap<RunId, Run>,
+    /// Asks that were told to wait: rank, time waited, and when they last asked.
+    waiting: HashMap<RunId, (u32, Duration, Moment)>,
+}
+
+impl Owner {
+    /// Starts with an empty account.
+    #[must_use]
+    pub fn new(tuning: Tuning) -> Self {
+        Self {
+            tuning,
+            ..Self::default()
+        }
+    }
+
+    /// Answers an ask, given the engines of its service that may get work.
+    pub fn ask(&mut self, now: Moment, ask: &Ask, engines: &[Engine]) -> Answer {
+        self.forget_stale(now);
+        // Asked again after an answer that got lost: the grant before holds nothing.
+        self.release(&ask.run);
+        let expected = self.expected(ask.longest, ask.hint);
+        let Some((first_event, target)) = self.best(now, ask, expected, engines) else {
+            return self.wait_for_memory(now, ask);
+        };
+        let read = self.tuning.read_time(ask.prompt);
+        if first_event > ask.aim_left && first_event > read + self.tuning.idle_slack {
+            return self.wait_for_readers(now, ask, first_event);
+        }
+        if self.others_first(now, ask) {
+            return self.wait(now, ask);
+        }
+        self.waiting.remove(&ask.run);
+        self.grant(now, ask, expected, &target);
+        Answer::Go { target }
+    }
+
+    /// Tokens that a generation is expected to make.
+    #[must_use]
+    pub fn expected(&self, longest: Tokens, hint: Option<Tokens>) -> Tokens {
+        let unknown = as_f64(longest) * self.tuning.unknown_share;
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a part"
+        )]
+        let unknown = unknown as Tokens;
+        hint.unwrap_or(unknown).clamp(1, longest.max(1))
+    }
+
+    /// Notes what happened to a generation.
+    pub fn note(&mut self, now: Moment, note: &Note) {
+        match note {
+            Note::Started { run } => self.start(now, run),
+            Note::Ended { run, doubt } => {
+                let target = self.release(run);
+                if let (true, Some(target)) = (*doubt, target) {
+                    self.doubt(now, &target);
+                }
+            }
+        }
+    }
+
+    /// Takes all that an entry holds.
+    pub fn sync(&mut self, now: Moment, sync: &Sync) {
+        let held: BTreeSet<&RunId> = sync.runs.iter().map(|running| &running.run).collect();
+        // A grant may be on its way still; what is older and unknown to the entry has ended.
+        let settled = now.saturating_sub(self.tuning.wait_life);
+        let gone: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(id, run)| {
+                run.entry == sync.entry.id && run.granted <= settled && !held.contains(*id)
+            })
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for run in gone {
+            self.release(&run);
+        }
+        for running in &sync.runs {
+            self.confirm(now, &sync.entry.id, running);
+        }
+    }
+
+    /// How full the engines are.
+    #[must_use]
+    pub fn loads(&self, now: Moment) -> Vec<Load> {
+        let load = |(target, account): (&TargetId, &Account)| Load {
+            target: Arc::clone(target),
+            busy: account.busy_until.saturating_sub(now),
+            runs: u32::try_from(account.runs.len()).unwrap_or(u32::MAX),
+        };
+        self.accounts.iter().map(load).collect()
+    }
+
+    /// A generation in the account.
+    #[must_use]
+    pub fn run(&self, id: &str) -> Option<&Run> {
+        self.runs.get(id)
+    }
+
+    /// Puts an engine aside for a while.
+    pub fn doubt(&mut self, now: Moment, target: &TargetId) {
+        let until = now + self.tuning.doubt;
+        self.account(now, target).doubted_until = until;
+    }
+
+    /// Forgets engines that hold nothing and are no longer listed.
+    pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
+        self.accounts.retain(|id, account| {
+            !account.runs.is_empty() || !account.copies.is_empty() || listed(id)
+        });
+    }
+
+    /// Forgets an engine that is gone, or began a new life.
+    pub fn forget(&mut self, target: &TargetId) {
+        let Some(account) = self.accounts.remove(target) else {
+            return;
+        };
+        for run in account.runs {
+            self.runs.remove(&run);
+        }
+    }
+
+    fn best(
+        &mut self,
+        now: Moment,
+        ask: &Ask,
+        expected: Tokens,
+        engines: &[Engine],
+    ) -> Option<(Duration, TargetId)> {
+        let size = ask.prompt + expected;
+        let mut best: Option<(Duration, Duration, &Engine)> = None;
+        for engine in engines {
+            if ask.avoid.contains(&engine.id) || !self.has_room(now, engine, size) {
+                continue;
+            }
+            let first_event = self.first_event(now, engine, ask.prompt);
+            let cost = first_event + self.surcharge(now, ask, engine);
+            if best.is_none_or(|(least, ..)| cost < least) {
+                best = Some((cost, first_event, engine));
+            }
+        }
+        best.map(|(_, first_event, engine)| (first_event, Arc::clone(&engine.id)))
+    }
+
+    /// Time until the first event of a prompt given to an engine now.
+    fn first_event(&mut self, now: Moment, engine: &Engine, prompt: Tokens) -> Duration {
+        let busy = self.account(now, &engine.id).busy_until;
+        busy.saturating_sub(now) + self.tuning.read_time(prompt)
+    }
+
+    fn surcharge(&mut self, now: Moment, ask: &Ask, engine: &Engine) -> Duration {
+        let tuning = self.tuning;
+        let filled = as_f64(self.promised(now, &engine.id)) / as_f64(engine.memory.max(1));
+        let mut extra = tuning.crowding.mul_f64(filled.clamp(0.0, 1.0));
+        if engine.data_centre != ask.data_centre {
+            extra += tuning.distance;
+        }
+        if now.saturating_sub(self.account(now, &engine.id).since) < tuning.new_for {
+            extra += tuning.newness;
+        }
+        extra
+    }
+
+    /// Whether an engine has a place and memory for one more generation.
+    pub(crate) fn has_room(&mut self, now: Moment, engine: &Engine, size: Tokens) -> bool {
+        let account = self.account(now, &engine.id);
+        if account.doubted_until > now {
+            return false;
+        }
+        let places = account.runs.len() + account.copies.len();
+        if places >= usize::try_from(engine.slots).unwrap_or(usize::MAX) {
+            return false;
+        }
+        let limit = as_f64(engine.memory) * self.tuning.memory_share;
+        as_f64(self.promised(now, &engine.id) + size) <= limit
+    }
+
+    /// Memory promised on an engine: what its generations and copies take at their ends.
+    fn promised(&self, now: Moment, target: &TargetId) -> Tokens {
+        let Some(account) = self.accounts.get(target) else {
+            return 0;
+        };
+        let all = account.runs.iter().chain(&account.copies);
+        all.filter_map(|run| self.runs.get(run))
+            .map(|run| run.size(now, &self.tuning))
+            .sum()
+    }
+
+    /// Memory comes free when generations end, so waiting helps as long as the prompt can still
+    /// be read in time after it.
+    fn wait_for_memory(&mut self, now: Moment, ask: &Ask) -> Answer {
+        let read = self.tuning.read_time(ask.prompt);
+        if ask.aim_left > read || ask.waited < self.tuning.late_wait {
+            return self.wait(now, ask);
+        }
+        self.refuse(ask, read)
+    }
+
+    /// Prompts are read at a fixed speed: one that can't be read in time now can't be later
+    /// either, for what is left of its time shrinks as fast as the queue. A caller that is late
+    /// already waits a little for an idle engine; others are told at once, and work that can
+    /// still be in time is not held up by theirs.
+    fn wait_for_readers(&mut self, now: Moment, ask: &Ask, first_event: Duration) -> Answer {
+        if ask.aim_left.is_zero() && ask.waited < self.tuning.late_wait {
+            return self.wait(now, ask);
+        }
+        self.refuse(ask, first_event.saturating_sub(ask.aim_left))
+    }
+
+    fn refuse(&mut self, ask: &Ask, after: Duration) -> Answer {
+        self.waiting.remove(&ask.run);
+        Answer::Full {
+            after: after.max(self.tuning.wait),
+        }
+    }
+
+    fn wait(&mut self, now: Moment, ask: &Ask) -> Answer {
+        let turn = (ask.rank, ask.waited, now);
+        self.waiting.insert(Arc::clone(&ask.run), turn);
+        Answer::Wait {
+            after: self.tuning.wait,
+        }
+    }
+
+    /// Whether somebody waits whose turn comes before this one.
+    fn others_first(&mut self, now: Moment, ask: &Ask) -> bool {
+        let life = self.tuning.wait_life;
+        self.waiting
+            .retain(|_, (_, _, asked)| now.saturating_sub(*asked) < life);
+        let mine: Turn = (ask.rank, Reverse(ask.waited), Arc::clone(&ask.run));
+        self.waiting.iter().any(|(run, (rank, waited, asked))| {
+            let waited = *waited + now.saturating_sub(*asked);
+            *run != ask.run && (*rank, Reverse(waited), Arc::clone(run)) < mine
+        })
+    }
+
+    fn grant(&mut self, now: Moment, ask: &Ask, expected: Tokens, target: &TargetId) {
+        let run = Run {
+            entry: Arc::clone(&ask.entry),
+            service: Arc::clone(&ask.service),
+            target: Arc::clone(target),
+            prompt: ask.prompt,
+            expected,
+            rank: ask.rank,
+            granted: now,
+            started: None,
+            made: 0,
+            counted: now,
+            confirmed: now,
+            copying_to: None,
+        };
+        let read = self.tuning.read_time(ask.prompt);
+        let account = self.account(now, target);
+        account.busy_until = account.busy_until.max(now) + read;
+        account.runs.insert(Arc::clone(&ask.run));
+        self.runs.insert(Arc::clone(&ask.run), run);
+    }
+
+    fn start(&mut self, now: Moment, id: &RunId) {
+        let Some(run) = self.runs.get_mut(id) else {
+            return;
+        };
+        run.started = Some(now);
+        run.counted = now;
+        let target = Arc::clone(&run.target);
+        self.settle_reading(now, &target);
+    }
+
+    /// Sets an engine free whose prompts are all read.
+    fn settle_reading(&mut self, now: Moment, target: &TargetId) {
+        let Some(account) = self.accounts.get(target) else {
+            return;
+        };
+        let unread: Tokens = account
+            .runs
+            .iter()
+            .filter_map(|run| self.runs.get(run))
+            .filter(|run| run.started.is_none())
+            .map(|run| run.prompt)
+            .sum();
+        let most = now + self.tuning.read_time(unread);
+        let account = self.account(now, target);
+        account.busy_until = account.busy_until.min(most);
+    }
+
+    /// Takes a generation out of the account; tells where it ran.
+    fn release(&mut self, id: &RunId) -> Option<TargetId> {
+        let run = self.runs.remove(id)?;
+        if let Some(account) = self.accounts.get_mut(&run.target) {
+            account.runs.remove(id);
+        }
+        if let Some(account) = run.copying_to.and_then(|to| self.accounts.get_mut(&to)) {
+            account.copies.remove(id);
+        }
+        Some(run.target)
+    }
+
+    fn confirm(&mut self, now: Moment, entry: &InstanceId, running: &Running) {
+        let known = self.runs.get(&running.run);
+        let moved = known.is_some_and(|run| run.target != running.target);
+        let copying = known.is_some_and(|run| run.copying_to.is_some());
+        if moved && copying {
+            return;
+        }
+        if moved {
+            self.release(&running.run);
+        }
+        let account = self.account(now, &running.target);
+        account.runs.insert(Arc::clone(&running.run));
+        let run = self
+            .runs
+            .entry(Arc::clone(&running.run))
+            .or_insert_with(|| Run {
+                entry: Arc::clone(entry),
+                service: Arc::clone(&running.service),
+                target: Arc::clone(&running.target),
+                prompt: running.prompt,
+                expected: running.expected,
+                rank: running.rank,
+                granted: now,
+                started: None,
+                made: 0,
+                counted: now,
+                confirmed: now,
+                copying_to: None,
+            });
+        run.confirmed = now;
+        run.made = running.made;
+        run.counted = now;
+        if running.started && run.started.is_none() {
+            run.started = Some(now);
+        }
+    }
+
+    /// Forgets what its entry has not confirmed for long: the entry is gone.
+    fn forget_stale(&mut self, now: Moment) {
+        let oldest = now.saturating_sub(self.tuning.run_life);
+        let stale: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.confirmed < oldest)
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for run in stale {
+            self.release(&run);
+        }
+    }
+
+    pub(crate) fn account(&mut self, now: Moment, target: &TargetId) -> &mut Account {
+        self.accounts
+            .entry(Arc::clone(target))
+            .or_insert_with(|| Account {
+                since: now,
+                ..Account::default()
+            })
+    }
+}
--- a/components/timer/src/lib.rs
+++ b/components/timer/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use alarm::Alarm;
 pub use pause::Pauses;
-pub use service::{Ticks, Timer};
+pub use service::{Ticks, Timer, boot_time};
--- a/components/timer/src/service.rs
+++ b/components/timer/src/service.rs
@@ -7,6 +7,20 @@
 
 use smol::{Timer as Sleep, future, stream::StreamExt};
 
+/// Time since the machine started, the time that it was suspended included.
+///
+/// The steady clock of the standard library stands still while a machine is suspended. What was
+/// believed before would look younger than it is: a key that was taken away meanwhile would be
+/// honoured. So ages of beliefs are measured with this clock.
+#[must_use]
+pub fn boot_time() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // Neither is ever negative.
+    let secs = u64::try_from(now.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(now.tv_nsec).unwrap_or_default();
+    Duration::new(secs, nanos)
+}
+
 /// The clock and the timers of a process. Cheap to copy; all copies show the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Timer {
--- /dev/null
+++ b/components/view/src/believed.rs
@@ -0,0 +1,233 @@
+//! The beliefs of one instance: newest configuration, targets, evacuated data centres.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use parking_lot::RwLock;
+use types::{ConfigVersion, DataCentreId, Moment, Standing, TargetId};
+
+use crate::{rules::Rules, target::Target};
+
+/// How long after an outage of the store a listing that lapsed meanwhile is still believed.
+/// Targets list themselves again within about two seconds of the store's return; one that is
+/// still missing then is gone.
+const LAPSE_GRACE: Duration = Duration::from_millis(2200);
+
+/// Age of a belief: when the read that confirmed it last was sent.
+pub type Age = Option<Moment>;
+
+/// What a new belief changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Another version of the configuration is in force.
+    Rules {
+        /// The version before, if there was one.
+        from: Option<ConfigVersion>,
+        /// The version in force now.
+        to: ConfigVersion,
+    },
+    /// A target is listed that takes work.
+    Joined(Arc<Target>),
+    /// A target has begun to leave, or is no longer listed.
+    Leaving(Arc<Target>),
+    /// A target began a new life under its old id.
+    Reborn(Arc<Target>),
+    /// A data centre gets no more work.
+    Closed(DataCentreId),
+    /// A data centre gets work again.
+    Opened(DataCentreId),
+}
+
+#[derive(Debug, Default)]
+struct Beliefs {
+    rules: Option<Arc<Rules>>,
+    rules_read: Age,
+    targets: Arc<BTreeMap<TargetId, Arc<Target>>>,
+    targets_read: Age,
+    /// Listings that lapsed while the store was away, and until when they are believed.
+    lapsed: BTreeMap<TargetId, Moment>,
+    closed: BTreeSet<DataCentreId>,
+}
+
+/// The beliefs of one instance. Its one lock is held for look-ups and updates only.
+#[derive(Debug, Default)]
+pub struct View {
+    beliefs: RwLock<Beliefs>,
+}
+
+impl View {
+    /// Believes nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn rules(&self) -> Option<Arc<Rules>> {
+        self.beliefs.read().rules.clone()
+    }
+
+    /// When the read was sent that last confirmed the configuration.
+    #[must_use]
+    pub fn rules_read(&self) -> Age {
+        self.beliefs.read().rules_read
+    }
+
+    /// When the read was sent that last confirmed the targets.
+    #[must_use]
+    pub fn targets_read(&self) -> Age {
+        self.beliefs.read().targets_read
+    }
+
+    /// All targets that are listed, those that leave among them.
+    #[must_use]
+    pub fn targets(&self) -> Arc<BTreeMap<TargetId, Arc<Target>>> {
+        Arc::clone(&self.beliefs.read().targets)
+    }
+
+    /// A listed target.
+    #[must_use]
+    pub fn target(&self, id: &str) -> Option<Arc<Target>> {
+        self.beliefs.read().targets.get(id).cloned()
+    }
+
+    /// Whether a target may get new work, as far as listings and the operator tell.
+    #[must_use]
+    pub fn takes_work(&self, target: &Target) -> bool {
+        target.takes_work() && !self.beliefs.read().closed.contains(&target.data_centre)
+    }
+
+    /// Whether an operator has taken a data centre out.
+    #[must_use]
+    pub fn is_closed(&self, data_centre: &str) -> bool {
+        self.beliefs.read().closed.contains(data_centre)
+    }
+
+    /// Notes that configuration and evacuations were confirmed by a read sent at `read`.
+    pub fn confirm_rules(&self, read: Moment) {
+        let mut beliefs = self.beliefs.write();
+        beliefs.rules_read = beliefs.rules_read.max(Some(read));
+    }
+
+    /// Notes that the targets were confirmed by a read sent at `read`.
+    pub fn confirm_targets(&self, read: Moment) {
+        let mut beliefs = self.beliefs.write();
+        beliefs.targets_read = beliefs.targets_read.max(Some(read));
+    }
+
+    /// Takes a configuration, unless one as new is in force already: a configuration never goes
+    /// back, whoever tells it.
+    pub fn learn_rules(&self, rules: Rules) -> Option<Change> {
+        let mut beliefs = self.beliefs.write();
+        let from = beliefs.rules.as_ref().map(|rules| rules.version);
+        if from.is_some_and(|version| version >= rules.version) {
+            return None;
+        }
+        let to = rules.version;
+        beliefs.rules = Some(Arc::new(rules));
+        Some(Change::Rules { from, to })
+    }
+
+    /// Takes word on whether a data centre is taken out.
+    pub fn learn_closed(&self, data_centre: &DataCentreId, closed: bool) -> Option<Change> {
+        let mut beliefs = self.beliefs.write();
+        if closed {
+            let new = beliefs.closed.insert(Arc::clone(data_centre));
+            return new.then(|| Change::Closed(Arc::clone(data_centre)));
+        }
+        let was = beliefs.closed.remove(data_centre);
+        was.then(|| Change::Opened(Arc::clone(data_centre)))
+    }
+
+    /// Takes word that exactly these data centres are taken out.
+    pub fn learn_all_closed(&self, closed: &BTreeSet<DataCentreId>) -> Vec<Change> {
+        let before = self.beliefs.read().closed.clone();
+        let opened = before.difference(closed).map(|dc| (dc, false));
+        let now = closed.iter().map(|dc| (dc, true));
+        now.chain(opened)
+            .filter_map(|(dc, is_closed)| self.learn_closed(dc, is_closed))
+            .collect()
+    }
+
+    /// Takes the listing of a target.
+    pub fn learn_target(&self, target: Target) -> Option<Change> {
+        let mut beliefs = self.beliefs.write();
+        let id = Arc::clone(&target.id);
+        beliefs.lapsed.remove(&id);
+        let targets = Arc::make_mut(&mut beliefs.targets);
+        let now = Arc::new(target);
+        let before = targets.insert(Arc::clone(&id), Arc::clone(&now));
+        let Some(before) = before else {
+            return now.takes_work().then_some(Change::Joined(now));
+        };
+        let reborn = now.born.is_some() && before.born.is_some() && now.born != before.born;
+        if reborn {
+            return Some(Change::Reborn(now));
+        }
+        match (before.takes_work(), now.takes_work()) {
+            (true, false) => Some(Change::Leaving(now)),
+            (false, true) => Some(Change::Joined(now)),
+            _ => None,
+        }
+    }
+
+    /// Takes word that a target is no longer listed. `outage_end` tells when the store came back
+    /// from an outage that may have let the listing lapse: the target itself may be well, and
+    /// all targets at once would be lost if each lapse were believed.
+    pub fn unlist_target(
+        &self,
+        id: &TargetId,
+        now: Moment,
+        outage_end: Option<Moment>,
+    ) -> Option<Change> {
+        let mut beliefs = self.beliefs.write();
+        let standing = beliefs.targets.get(id)?.standing;
+        let believed = outage_end.map(|at| at + LAPSE_GRACE);
+        if let Some(until) = believed.filter(|until| *until > now && standing == Standing::Live) {
+            beliefs.lapsed.insert(Arc::clone(id), until);
+            return None;
+        }
+        remove(&mut beliefs, id)
+    }
+
+    /// Takes word that exactly these targets are listed.
+    pub fn keep_targets(
+        &self,
+        listed: &BTreeSet<TargetId>,
+        now: Moment,
+        outage_end: Option<Moment>,
+    ) -> Vec<Change> {
+        let targets = self.targets();
+        let missing = targets.keys().filter(|id| !listed.contains(*id));
+        missing
+            .filter_map(|id| self.unlist_target(id, now, outage_end))
+            .collect()
+    }
+
+    /// Forgets lapsed listings that nobody renewed in time.
+    pub fn expire_lapsed(&self, now: Moment) -> Vec<Change> {
+        let mut beliefs = self.beliefs.write();
+        let due: Vec<TargetId> = beliefs
+            .lapsed
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        due.iter()
+            .filter_map(|id| {
+                beliefs.lapsed.remove(id);
+                remove(&mut beliefs, id)
+            })
+            .collect()
+    }
+}
+
+fn remove(beliefs: &mut Beliefs, id: &TargetId) -> Option<Change> {
+    let targets = Arc::make_mut(&mut beliefs.targets);
+    let was = targets.remove(id)?;
+    was.takes_work().then_some(Change::Leaving(was))
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -31,6 +31,7 @@
         .subcommand_required(true)
         .arg_required_else_help(true)
         .subcommand(serve())
+        .subcommand(platform())
         .subcommand(try_out())
         .subcommand(check())
         .subcommand(get())
@@ -58,6 +59,21 @@
         .arg(file_arg("settings", "The settings of this instance").long("settings"))
 }
 
+fn platform() -> Command {
+    Command::new("platform")
+        .about("Runs one instance on the users' platform until it is told to stop")
+        .after_help(
+            "The settings are read from the file that the platform wrote for this instance.\n\n\
+             Example:\n  celerystand platform",
+        )
+        .arg(
+            Arg::new("quiet")
+                .long("quiet")
+                .action(ArgAction::SetTrue)
+                .help("Log warnings and errors only"),
+        )
+}
+
 fn try_out() -> Command {
     Command::new("try")
         .about("Runs an instance with built-in stand-ins for platform, engines and a service")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 pub mod logging;
 pub mod node;
 pub mod operator;
+pub mod platform;
 pub mod print;
 pub mod serve;
 pub mod state;
@@ -44,6 +45,7 @@
     };
     match name {
         "serve" => serve::run(args),
+        "platform" => platform::run(args),
         "try" => try_out::run(args),
         "check" => check::run(args),
         "get" => node::get(args),
--- /dev/null
+++ b/src/cmd/platform.rs
@@ -0,0 +1,38 @@
+//! `celerystand platform`: runs one instance on the users' platform.
+
+use std::sync::Arc;
+
+use clap::ArgMatches;
+use errors::Context;
+use events::{Format, Level, Output};
+use front::Outside;
+use net::Client;
+use platform::{EngineClient, HttpFace, RowStore};
+
+use crate::failure::Outcome;
+
+/// Worker threads. An instance has a part of one core, and threads only take turns on it.
+const WORKERS: usize = 1;
+
+/// Runs one instance until it is told to stop. The settings are those that the platform wrote.
+///
+/// # Errors
+/// Tells why it could not start.
+pub fn run(args: &ArgMatches) -> Outcome {
+    let level = if args.get_flag("quiet") {
+        Level::Warn
+    } else {
+        Level::Info
+    };
+    events::start(level, Format::Json, Output::Stdout);
+    let path = platform::path().context("settings")?;
+    let cfg = platform::load(&path).context(path.display().to_string())?;
+    workers::start(WORKERS);
+    let outside = Outside {
+        face: Arc::new(HttpFace::new()),
+        engines: Arc::new(EngineClient::new(Client::new())),
+        store: Arc::new(RowStore::new(Client::new(), cfg.store)),
+        reload: Box::new(move || platform::load(&path).context(path.display().to_string())),
+    };
+    Ok(front::serve(cfg, outside)?)
+}
