--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -40,6 +40,8 @@
     pub admin: Option<SocketAddr>,
     /// Where other instances come in.
     pub peers: SocketAddr,
+    /// Where some instances may listen for operators and newcomers; some may be gone.
+    pub seeds: Vec<SocketAddr>,
     /// Where the store is.
     pub store: SocketAddr,
     /// Memory that the process may use, in bytes.
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -7,10 +7,12 @@
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, http};
-use placing::{Member, RunId};
+use placing::RunId;
 use types::{DataCentreId, TargetId, Tokens};
 use view::{Rules, Target};
 
+use crate::wire::{Member, News, Row, Topic};
+
 /// Sizes that a caller declares for a generation.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Sizes {
@@ -173,20 +175,6 @@
     async fn copy(&self, order: &CopyOrder<'_>) -> Copied;
 }
 
-/// What is followed in the store.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum Topic {
-    /// Configuration and data centres that are taken out.
-    #[display("operator")]
-    Operator,
-    /// Listings of targets.
-    #[display("targets")]
-    Targets,
-    /// Instances of this system.
-    #[display("members")]
-    Members,
-}
-
 /// One thing that the store says.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Record {
@@ -211,15 +199,6 @@
     },
 }
 
-/// What one read of the store brought.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Batch {
-    /// It.
-    pub records: Vec<Record>,
-    /// Where to go on following.
-    pub version: u64,
-}
-
 /// Why the store did not answer as hoped.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum StoreError {
@@ -252,10 +231,13 @@
 #[async_trait]
 pub trait Store: Send + Sync {
     /// Reads all there is on a topic.
-    async fn read(&self, topic: Topic) -> Result<Batch, StoreError>;
+    async fn read(&self, topic: Topic) -> Result<News, StoreError>;
 
     /// Waits for what has changed since a version, at most this long.
-    async fn follow(&self, topic: Topic, after: u64, wait: Duration) -> Result<Batch, StoreError>;
+    async fn follow(&self, topic: Topic, after: u64, wait: Duration) -> Result<News, StoreError>;
+
+    /// What a row says, if it is of any use to us.
+    fn decode(&self, topic: Topic, row: &Row) -> Option<Record>;
 
     /// Makes an instance known.
     async fn announce(&self, member: &Member) -> Result<(), StoreError>;
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -1,37 +1,67 @@
-//! Follows the store, and acts on what it says.
+//! Follows the store, at the store itself or at instances that follow it, and acts on what is new.
+//!
+//! Each call to the store has its price, and a store that turns some instances away serves the
+//! others still. So two instances read each topic at the store, and the rest follow it there: an
+//! instance that is cut off from the store learns as early as the others, and as truthfully, for
+//! the age of the knowledge comes along.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use events::{Event, emit};
 use timer::boot_time;
-use types::{DataCentreId, Moment, TargetId};
+use types::{DataCentreId, InstanceId, Moment};
 use view::Change;
 
 use crate::{
-    face::{Batch, Record, Store, StoreError, Topic},
+    face::{Record, Store, StoreError},
     leaving,
     refuse::millis,
+    shelf::Shelf,
     state::Front,
+    wire::{Message, News, Reply, Row, Topic},
 };
 
-/// How long one call waits for changes of the configuration. Keys are honoured for five seconds
-/// after a read was sent; two calls in a row and their answers must fit into that.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_800);
+/// Instances that read a topic at the store. A second one, so that nobody has to wait when the
+/// first is stopped.
+const READERS: usize = 2;
+/// How long one call to the store waits for changes of the configuration. Keys are honoured for
+/// less than five seconds after a read was sent. A follower's knowledge is two such calls old when
+/// it comes; that, a reader that falls silent and the turn to the next must fit into it.
+const OPERATOR_WAIT: Duration = Duration::from_millis(800);
 /// How long one call waits for changes of the targets. A connection that went silent shows only
 /// by the answer that does not come, and targets that leave must be noticed within seconds.
-const TARGETS_WAIT: Duration = Duration::from_millis(2_500);
+const TARGETS_WAIT: Duration = Duration::from_millis(1_800);
+/// How long a peer may wait with its answer, as a part of a reader's own wait. It answers when its
+/// own call ends, which is a little later than its wait.
+const PEER_WAIT_PART: f64 = 1.4;
+/// Time for a peer to answer beyond what it was allowed to wait.
+const PEER_PATIENCE: Duration = Duration::from_millis(350);
+/// Knowledge of a peer that is older than this means that the peer itself has lost the store.
+const PEER_AGE: Duration = Duration::from_millis(2_800);
 /// Pause after a failed call, at first.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls in a row.
-const PAUSE_MOST: Duration = Duration::from_millis(800);
+const PAUSE_MOST: Duration = Duration::from_millis(600);
+/// How long another source than the first choice is kept before the first is tried again.
+const KEEP_SOURCE: Duration = Duration::from_millis(1_500);
 
-/// Follows one topic of the store for good.
+/// Where a topic is followed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Source {
+    Store,
+    Peer(InstanceId),
+}
+
+/// Follows one topic for good.
 pub struct Follower {
     front: Arc<Front>,
     store: Arc<dyn Store>,
     topic: Topic,
-    /// Where to go on; none if everything must be read anew.
-    version: Option<u64>,
+    shelf: Arc<Shelf>,
+    /// Sources that failed in a row, which are passed over.
+    skipped: usize,
+    /// When a source behind the first was taken.
+    strayed: Option<Moment>,
     failures: u32,
     /// When the first of the failures in a row came.
     lost: Option<Moment>,
@@ -42,12 +72,14 @@
 impl Follower {
     /// Follows nothing yet.
     #[must_use]
-    pub const fn new(front: Arc<Front>, store: Arc<dyn Store>, topic: Topic) -> Self {
+    pub fn new(front: Arc<Front>, store: Arc<dyn Store>, topic: Topic) -> Self {
         Self {
+            shelf: front.shelf(topic),
             front,
             store,
             topic,
-            version: None,
+            skipped: 0,
+            strayed: None,
             failures: 0,
             lost: None,
             outage_end: None,
@@ -57,19 +89,57 @@
     /// Follows.
     pub async fn run(mut self) {
         loop {
-            let sent = boot_time();
-            let result = match self.version {
-                None => self.store.read(self.topic).await,
-                Some(after) => self.store.follow(self.topic, after, self.wait()).await,
-            };
-            match result {
-                Ok(batch) => self.take(batch, sent),
-                Err(StoreError::HistoryGone) => self.version = None,
-                Err(e) => self.fail(&e).await,
+            let sources = self.sources();
+            let source = sources[self.skipped % sources.len()].clone();
+            match self.ask(&source).await {
+                Ok((news, read)) => {
+                    if self.is_newer(&source, &news, read) {
+                        self.take(&news, read);
+                    } else {
+                        let error = silent(format!("{source:?} knows nothing newer"));
+                        self.fail(&error, sources.len()).await;
+                    }
+                }
+                Err(e) => self.fail(&e, sources.len()).await,
             }
         }
     }
 
+    /// Whether a source knows more than this instance. Two instances that lost the store might
+    /// follow each other, each content with what the other had from it.
+    fn is_newer(&self, source: &Source, news: &News, read: Moment) -> bool {
+        *source == Source::Store
+            || Some(news.version) > self.shelf.version()
+            || self.shelf.read().is_none_or(|known| read > known)
+    }
+
+    /// Sources in the order in which they are tried.
+    fn sources(&mut self) -> Vec<Source> {
+        if self
+            .strayed
+            .is_some_and(|at| at + KEEP_SOURCE < boot_time())
+        {
+            self.skipped = 0;
+            self.strayed = None;
+        }
+        let me = &self.front.cfg.instance;
+        let order = self
+            .front
+            .peers
+            .owners(&format!("reader of {}", self.topic));
+        let reads = order.iter().take(READERS).any(|id| id == me);
+        let others = order.into_iter().filter(|id| id != me).map(Source::Peer);
+        let mut sources: Vec<Source> = others.take(READERS).collect();
+        if reads {
+            // Twice: a connection that the store cut says nothing about the store.
+            sources.insert(0, Source::Store);
+            sources.insert(0, Source::Store);
+        } else {
+            sources.push(Source::Store);
+        }
+        sources
+    }
+
     const fn wait(&self) -> Duration {
         match self.topic {
             Topic::Operator => OPERATOR_WAIT,
@@ -77,60 +147,95 @@
         }
     }
 
-    fn take(&mut self, batch: Batch, sent: Moment) {
-        self.regain();
-        if self.version.is_none() {
-            self.take_all(&batch);
-        }
-        for record in batch.records {
-            self.learn(record);
-        }
-        for change in self.front.view.expire_lapsed(boot_time()) {
-            self.act(change);
+    /// Asks a source; gives what is new and when the read was sent that confirmed it.
+    async fn ask(&self, source: &Source) -> Result<(News, Moment), StoreError> {
+        let sent = boot_time();
+        let after = self.shelf.version();
+        match source {
+            Source::Store => {
+                let news = match after {
+                    None => self.store.read(self.topic).await,
+                    Some(after) => self.store.follow(self.topic, after, self.wait()).await,
+                };
+                match news {
+                    Err(StoreError::HistoryGone) => self.store.read(self.topic).await,
+                    news => news,
+                }
+                .map(|news| (news, sent))
+            }
+            Source::Peer(peer) => self.ask_peer(peer, after).await,
         }
-        match self.topic {
-            Topic::Operator => self.front.view.confirm_rules(sent),
-            Topic::Targets => self.front.view.confirm_targets(sent),
-            Topic::Members => {}
+    }
+
+    async fn ask_peer(
+        &self,
+        peer: &InstanceId,
+        after: Option<u64>,
+    ) -> Result<(News, Moment), StoreError> {
+        let sent = boot_time();
+        let wait = self.wait().mul_f64(PEER_WAIT_PART);
+        let message = Message::Follow {
+            topic: self.topic,
+            after,
+            wait,
+        };
+        let patience = wait + PEER_PATIENCE;
+        let reply = self.front.peers.call(peer, &message, patience).await;
+        match reply {
+            Some(Reply::News {
+                news,
+                before,
+                after,
+            }) if before < PEER_AGE => Ok((news, (sent + after).saturating_sub(before))),
+            Some(Reply::News { .. } | Reply::Nothing) => {
+                Err(silent(format!("{peer} has lost the store itself")))
+            }
+            _ => Err(silent(format!("{peer} does not answer"))),
         }
-        self.version = Some(batch.version);
     }
 
-    /// What a complete read does not name is not there any more.
-    fn take_all(&self, batch: &Batch) {
+    fn take(&mut self, news: &News, read: Moment) {
+        self.regain();
+        let mut changed = self.shelf.take(news, read);
         let now = boot_time();
-        let changes = match self.topic {
-            Topic::Operator => self.front.view.learn_all_closed(&closed(batch)),
-            Topic::Targets => {
-                let listed = listed(batch);
-                self.front.view.keep_targets(&listed, now, self.outage_end)
-            }
-            Topic::Members => Vec::new(),
-        };
-        for change in changes {
+        // A dropped row may stand for a listing that lapsed; take them last, for the same answer
+        // may list others.
+        changed.sort_by_key(|row| row.value.is_none());
+        for row in &changed {
+            self.learn(row, now);
+        }
+        for change in self.front.view.expire_lapsed(now) {
             self.act(change);
         }
+        let Some(read) = self.shelf.read() else {
+            return;
+        };
+        match self.topic {
+            Topic::Operator => self.front.view.confirm_rules(read),
+            Topic::Targets => self.front.view.confirm_targets(read),
+            Topic::Members => {}
+        }
     }
 
-    fn learn(&self, record: Record) {
+    fn learn(&self, row: &Row, now: Moment) {
         let view = &self.front.view;
-        let now = boot_time();
-        let change = match record {
-            Record::Rules(rules) => view.learn_rules(*rules),
-            Record::Closed(data_centre) => view.learn_closed(&data_centre, true),
-            Record::Opened(data_centre) => view.learn_closed(&data_centre, false),
-            Record::Listed(target) => {
+        let change = match self.store.decode(self.topic, row) {
+            None => None,
+            Some(Record::Rules(rules)) => view.learn_rules(*rules),
+            Some(Record::Closed(data_centre)) => view.learn_closed(&data_centre, true),
+            Some(Record::Opened(data_centre)) => view.learn_closed(&data_centre, false),
+            Some(Record::Listed(target)) => {
                 let mut cold = self.front.cold.lock();
                 cold.note(now, &target.id, target.cold_left);
                 drop(cold);
                 view.learn_target(target)
             }
-            Record::Unlisted(id) => view.unlist_target(&id, now, self.outage_end),
-            Record::Member(member) => {
+            Some(Record::Unlisted(id)) => view.unlist_target(&id, now, self.outage_end),
+            Some(Record::Member(member)) => {
                 self.front.peers.learn(member);
                 None
             }
-            Record::Unreadable { key, reason } => {
+            Some(Record::Unreadable { key, reason }) => {
                 emit(&Event::RowUnreadable {
                     topic: self.topic.to_string().into(),
                     key: Arc::clone(&key),
@@ -189,7 +294,13 @@
         });
     }
 
-    async fn fail(&mut self, error: &StoreError) {
+    /// Turns to the next source; pauses once all have failed.
+    async fn fail(&mut self, error: &StoreError, sources: usize) {
+        self.skipped += 1;
+        self.strayed = Some(boot_time());
+        if !self.skipped.is_multiple_of(sources) {
+            return;
+        }
         if self.lost.is_none() {
             self.lost = Some(boot_time());
             emit(&Event::StoreLost {
@@ -206,24 +317,12 @@
     }
 }
 
-fn switched(data_centre: DataCentreId, out: bool) {
-    emit(&Event::DataCentreSwitched { data_centre, out });
-}
-
-fn closed(batch: &Batch) -> BTreeSet<DataCentreId> {
-    let all = batch.records.iter();
-    all.filter_map(|record| match record {
-        Record::Closed(data_centre) => Some(Arc::clone(data_centre)),
-        _ => None,
-    })
-    .collect()
+fn silent(reason: String) -> StoreError {
+    StoreError::Silent {
+        reason: reason.into(),
+    }
 }
 
-fn listed(batch: &Batch) -> BTreeSet<TargetId> {
-    let all = batch.records.iter();
-    all.filter_map(|record| match record {
-        Record::Listed(target) => Some(Arc::clone(&target.id)),
-        _ => None,
-    })
-    .collect()
+fn switched(data_centre: DataCentreId, out: bool) {
+    emit(&Event::DataCentreSwitched { data_centre, out });
 }
--- a/components/front/src/leaving.rs
+++ b/components/front/src/leaving.rs
@@ -2,12 +2,16 @@
 
 use std::{collections::HashSet, sync::Arc, time::Duration};
 
-use placing::{Carried, Carry, Message, Reply, RunId};
+use placing::{Carried, Carry, RunId};
 use timer::boot_time;
 use types::TargetId;
 use view::Target;
 
-use crate::{carry::carry, state::Front};
+use crate::{
+    carry::carry,
+    state::Front,
+    wire::{Message, Reply},
+};
 
 /// How long an engine that leaves is watched. It is gone some two seconds after its notice.
 const WATCH: Duration = Duration::from_millis(3_000);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -24,13 +24,16 @@
 pub mod relay;
 pub mod run;
 pub mod send;
+pub mod shelf;
 pub mod side;
 pub mod split;
 pub mod state;
+pub mod wire;
 
 pub use config::{Bounds, Config};
 pub use face::{
-    Asked, BadRequest, Batch, Copied, CopyOrder, Engines, Face, Heading, Record, Resume, SaidLoad,
-    Sending, Sizes, Store, StoreError, Topic,
+    Asked, BadRequest, Copied, CopyOrder, Engines, Face, Heading, Record, Resume, SaidLoad,
+    Sending, Sizes, Store, StoreError,
 };
 pub use run::{Outside, serve};
+pub use wire::{Member, News, Row, Topic};
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -5,18 +5,21 @@
 use async_trait::async_trait;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply as HttpReply, full, read_limited};
-use placing::{Message, Peers as Members, Reply};
 use timer::boot_time;
 
 use crate::{
     carry,
     peers::{MESSAGE_LIMIT, MESSAGES_PATH},
     state::Front,
+    wire::{Message, Reply, Topic},
 };
 
 /// Time for a message to arrive whole.
 const PATIENCE: Duration = Duration::from_secs(1);
 
+/// The longest time that an instance is kept waiting for news.
+const FOLLOW_MOST: Duration = Duration::from_secs(3);
+
 /// Takes the other instances' messages.
 pub struct Messages {
     front: Arc<Front>,
@@ -41,22 +44,34 @@
                 }
                 Reply::Noted
             }
-            Message::Sync(sync) => {
-                front.placement.owner.lock().sync(now, &sync);
-                front.peers.heard(sync.entry);
-                Reply::Peers(self.members())
+            Message::Sync { member, held } => {
+                front.placement.owner.lock().sync(now, &held);
+                front.peers.heard(member);
+                Reply::Members(front.peers.lately())
             }
-            Message::Hello(hello) => {
-                front.peers.heard(hello.member);
-                Reply::Peers(self.members())
+            Message::Hello(member) => {
+                front.peers.heard(member);
+                Reply::Members(front.peers.lately())
             }
+            Message::Follow { topic, after, wait } => self.news(topic, after, wait).await,
             Message::Carry(order) => Reply::Carried(carry::carry(front, &order).await),
         }
     }
 
-    fn members(&self) -> Members {
-        Members {
-            members: self.front.peers.lately(),
+    /// What is new on a topic; waits until something is, or until what is known was confirmed.
+    async fn news(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Reply {
+        let arrived = boot_time();
+        let shelf = self.front.shelf(topic);
+        if after.is_some() && shelf.version() == after {
+            shelf.wait(wait.min(FOLLOW_MOST)).await;
+        }
+        match shelf.news(after) {
+            Some((news, read)) => Reply::News {
+                news,
+                before: arrived.saturating_sub(read),
+                after: read.saturating_sub(arrived),
+            },
+            None => Reply::Nothing,
         }
     }
 }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -1,6 +1,6 @@
 //! The other instances: who they are, who answers, and calls to them.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use events::{Event, emit};
@@ -8,10 +8,12 @@
 use hyper::Request;
 use net::{Client, read_all};
 use parking_lot::Mutex;
-use placing::{Member, Message, Reply, ranked};
+use placing::ranked;
 use timer::{Timer, boot_time};
 use types::{InstanceId, Moment};
 
+use crate::wire::{Member, Message, Reply};
+
 /// Where instances take each other's messages.
 pub const MESSAGES_PATH: &str = "/peer/v2/messages";
 /// Bytes of a message at most.
@@ -142,40 +144,46 @@
         patience: Duration,
     ) -> Option<Reply> {
         let addr = self.known.lock().get(to)?.member.addr;
-        let buf = match rmp_serde::to_vec(message) {
-            Ok(buf) => buf,
-            Err(e) => {
-                self.failed(to, &format!("the message can't be encoded: {e}"));
-                return None;
+        match self.exchange(addr, message, patience).await {
+            Ok(reply) => {
+                self.answered(to);
+                Some(reply)
             }
-        };
-        let req = Request::post(MESSAGES_PATH).body(Full::new(Bytes::from(buf)));
-        // The path is a constant.
-        let req = req.ok()?;
-        let exchange = async {
+            Err(reason) => {
+                self.failed(to, &reason);
+                None
+            }
+        }
+    }
+
+    /// Sends a message to an address, whoever listens there.
+    ///
+    /// # Errors
+    /// Tells why there is no reply.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        message: &Message,
+        patience: Duration,
+    ) -> Result<Reply, String> {
+        let buf = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
+        let req = Request::post(MESSAGES_PATH)
+            .body(Full::new(Bytes::from(buf)))
+            .map_err(|e| e.to_string())?;
+        let sent = async {
             let resp = self.client.send(addr, req).await;
             let resp = resp.map_err(|e| e.to_string())?;
             let body = read_all(resp.into_body(), MESSAGE_LIMIT, patience).await;
             let body = body.map_err(|e| e.to_string())?;
             rmp_serde::from_slice(&body).map_err(|e| e.to_string())
         };
-        let answer = self.timer.within(patience, exchange).await;
-        match answer {
-            Some(Ok(reply)) => {
-                self.answered(to);
-                Some(reply)
-            }
-            Some(Err(reason)) => {
-                self.failed(to, &reason);
-                self.client.forget(addr);
-                None
-            }
-            None => {
-                self.failed(to, "no answer in time");
-                self.client.forget(addr);
-                None
-            }
+        let answer = self.timer.within(patience, sent).await;
+        let answer = answer.unwrap_or_else(|| Err(format!("nothing within {patience:?}")));
+        if answer.is_err() {
+            // Other connections to it may have gone silent as well.
+            self.client.forget(addr);
         }
+        answer
     }
 
     fn answered(&self, id: &InstanceId) {
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -3,11 +3,14 @@
 use std::{sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
-use placing::{Answer, Ask, Engine, Message, Note, Owner, Reply, Tuning};
+use placing::{Answer, Ask, Engine, Note, Owner, Tuning};
 use timer::boot_time;
 use types::{InstanceId, Tokens};
 
-use crate::state::Front;
+use crate::{
+    state::Front,
+    wire::{Message, Reply},
+};
 
 /// Time for an owner to answer. It answers at once, within a millisecond or two between data
 /// centres; one that does not is stopped, cut off or drowned.
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -13,7 +13,7 @@
 use events::{Event, emit};
 use net::{Client, Handler, ServeLimits, Server};
 use parking_lot::Mutex;
-use placing::{Hello, Member, Message, Reply, Sync};
+use placing::Sync;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use timer::{Timer, boot_time};
 use types::ServiceId;
@@ -24,7 +24,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::Config,
-    face::{Engines, Face, Store, Topic},
+    face::{Engines, Face, Record, Store},
     follow::Follower,
     handler::Callers,
     live::LiveRuns,
@@ -32,8 +32,10 @@
     metrics::Metrics,
     peers::Peers,
     placement::Placement,
+    shelf::Shelf,
     side::{Admin, Readiness},
     state::Front,
+    wire::{Member, Message, Reply, Topic},
 };
 
 /// Time to connect to a target, the store or a peer. They are a few milliseconds away; where an
@@ -50,8 +52,11 @@
 const SYNC_PERIOD: Duration = Duration::from_millis(700);
 /// Time for a peer to take a sync.
 const SYNC_PATIENCE: Duration = Duration::from_millis(300);
-/// Time between two looks at the members in the store.
-const MEMBERS_PERIOD: Duration = Duration::from_secs(12);
+/// Time between two looks at the members in the store. Instances also hear of each other from
+/// the owners that they sync with.
+const MEMBERS_PERIOD: Duration = Duration::from_secs(30);
+/// Tries to reach an instance that the settings name; all start at about the same time.
+const SEED_TRIES: usize = 5;
 /// Time before the store is asked again for the members, when it failed.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two looks for a signal or a changed settings file.
@@ -150,6 +155,9 @@
         peers: Peers::new(me, Client::new().with_connect_limit(CONNECT_LIMIT)),
         placement: Placement::new(),
         live: LiveRuns::default(),
+        operator_rows: Arc::new(Shelf::new()),
+        target_rows: Arc::new(Shelf::new()),
+        member_rows: Arc::new(Shelf::new()),
         choice: Mutex::new(Choice::default()),
         budget: Mutex::new(Budget::new(
             bounds.retry_window,
@@ -185,19 +193,24 @@
         .context(format!("listening on {addr}"))
 }
 
-/// Makes this instance known, and gets to know the others.
+/// Makes this instance known, and gets to know the others: from instances that the settings name,
+/// so that it works while the store is away, and from the store.
 async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
+    for seed in front.cfg.seeds.clone() {
+        let front = Arc::clone(&front);
+        workers::spawn(async move { greet_seed(&front, seed).await }).detach();
+    }
     while store.announce(front.peers.me()).await.is_err() {
         smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
     }
     let mut greeted = false;
     loop {
-        let Ok(batch) = store.read(Topic::Members).await else {
+        let Ok(news) = store.read(Topic::Members).await else {
             smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             continue;
         };
-        for record in batch.records {
-            if let crate::face::Record::Member(member) = record {
+        for row in &news.rows {
+            if let Some(Record::Member(member)) = store.decode(Topic::Members, row) {
                 front.peers.learn(member);
             }
         }
@@ -209,6 +222,18 @@
     }
 }
 
+async fn greet_seed(front: &Front, seed: SocketAddr) {
+    let message = Message::Hello(front.peers.me().clone());
+    for _ in 0..SEED_TRIES {
+        let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
+        if let Ok(reply) = reply {
+            learn_members(front, Some(reply));
+            return;
+        }
+        smol::Timer::after(MEMBERS_PAUSE).await;
+    }
+}
+
 /// Makes this instance known to all that it knows: two that don't know of each other would both
 /// take themselves for the owner.
 async fn greet(front: &Arc<Front>) {
@@ -219,16 +244,14 @@
 }
 
 async fn say_hello(front: &Front, peer: &types::InstanceId) {
-    let message = Message::Hello(Hello {
-        member: front.peers.me().clone(),
-    });
+    let message = Message::Hello(front.peers.me().clone());
     let reply = front.peers.call(peer, &message, SYNC_PATIENCE).await;
     learn_members(front, reply);
 }
 
 fn learn_members(front: &Front, reply: Option<Reply>) {
-    if let Some(Reply::Peers(peers)) = reply {
-        for member in peers.members {
+    if let Some(Reply::Members(members)) = reply {
+        for member in members {
             front.peers.learn(member);
         }
     }
@@ -267,18 +290,19 @@
 async fn sync_service(front: &Front, service: &ServiceId) {
     let mut runs = front.live.running();
     runs.retain(|running| running.service == *service);
-    let message = Sync {
-        entry: front.peers.me().clone(),
+    let held = Sync {
+        entry: Arc::clone(&front.cfg.instance),
         runs,
     };
     let Some(owner) = front.peers.owners(service).into_iter().next() else {
         return;
     };
     if owner == front.cfg.instance {
-        front.placement.owner.lock().sync(boot_time(), &message);
+        front.placement.owner.lock().sync(boot_time(), &held);
         return;
     }
-    let message = Message::Sync(message);
+    let member = front.peers.me().clone();
+    let message = Message::Sync { member, held };
     let reply = front.peers.call(&owner, &message, SYNC_PATIENCE).await;
     learn_members(front, reply);
 }
--- a/components/front/src/side.rs
+++ b/components/front/src/side.rs
@@ -6,7 +6,7 @@
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply};
 
-use crate::state::Front;
+use crate::{message::Messages, peers::MESSAGES_PATH, state::Front};
 
 /// Where metrics are.
 pub const METRICS_PATH: &str = "/metrics";
@@ -37,24 +37,29 @@
     }
 }
 
-/// Answers operators.
+/// Answers operators, and instances that know nobody yet.
 pub struct Admin {
     front: Arc<Front>,
+    messages: Messages,
 }
 
 impl Admin {
     /// Makes it for an instance.
     #[must_use]
-    pub const fn new(front: Arc<Front>) -> Self {
-        Self { front }
+    pub fn new(front: Arc<Front>) -> Self {
+        Self {
+            messages: Messages::new(Arc::clone(&front)),
+            front,
+        }
     }
 }
 
 #[async_trait]
 impl Handler for Admin {
-    async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
+    async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
         match req.uri().path() {
             METRICS_PATH => Reply::text(200, self.front.metrics.page()).done(),
+            MESSAGES_PATH => self.messages.handle(peer, req).await,
             DUMP_PATH => Reply::json(200, &self.front.dump()).done(),
             _ => Reply::new(404).done(),
         }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -24,6 +24,8 @@
     metrics::Metrics,
     peers::Peers,
     placement::Placement,
+    shelf::Shelf,
+    wire::Topic,
 };
 
 /// Part of a revoked key's life after which knowledge is too old to honour any key: a request
@@ -48,6 +50,12 @@
     pub placement: Placement,
     /// Generations that run for its callers.
     pub live: LiveRuns,
+    /// Rows of the operator.
+    pub operator_rows: Arc<Shelf>,
+    /// Rows of the targets.
+    pub target_rows: Arc<Shelf>,
+    /// Rows of the instances.
+    pub member_rows: Arc<Shelf>,
     /// Targets for plain calls.
     pub choice: Mutex<Choice>,
     /// Second sendings.
@@ -93,6 +101,16 @@
         known && !self.stopping.load(Ordering::Acquire) && self.keys_fresh()
     }
 
+    /// The rows of a topic.
+    #[must_use]
+    pub fn shelf(&self, topic: Topic) -> Arc<Shelf> {
+        Arc::clone(match topic {
+            Topic::Operator => &self.operator_rows,
+            Topic::Targets => &self.target_rows,
+            Topic::Members => &self.member_rows,
+        })
+    }
+
     /// Instances that share budgets, this one included.
     #[must_use]
     pub fn instances(&self) -> usize {
--- /dev/null
+++ b/components/front/src/wire.rs
@@ -0,0 +1,112 @@
+//! What instances send one another.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use derive_more::Display;
+use placing::{Answer, Ask, Carried, Carry, Note, Sync};
+use serde::{Deserialize, Serialize};
+use types::InstanceId;
+
+/// An instance, as others reach it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub id: InstanceId,
+    /// Where it listens for other instances.
+    pub addr: SocketAddr,
+    /// When this life of it began, in Unix milliseconds.
+    pub born: u64,
+}
+
+/// What is followed in the store.
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
+pub enum Topic {
+    /// Configuration and data centres that are taken out.
+    #[display("operator")]
+    Operator,
+    /// Listings of targets.
+    #[display("targets")]
+    Targets,
+    /// Instances of this system.
+    #[display("members")]
+    Members,
+}
+
+/// One row of the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Its key.
+    pub key: Arc<str>,
+    /// Its content; none if it was dropped.
+    pub value: Option<Arc<[u8]>>,
+    /// The version that wrote or dropped it.
+    pub version: u64,
+}
+
+/// What one read of a topic brought.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// Rows that changed, or all.
+    pub rows: Vec<Row>,
+    /// Changes up to here are in.
+    pub version: u64,
+    /// Changes from here on are in, where not all rows are.
+    pub after: u64,
+    /// All rows there are.
+    pub whole: bool,
+}
+
+/// What one instance sends to another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Message {
+    /// An ask for an engine.
+    Ask(Ask),
+    /// What happened to generations.
+    Notes(Vec<Note>),
+    /// All that an entry holds.
+    Sync {
+        /// The entry as a member.
+        member: Member,
+        /// What it holds.
+        held: Sync,
+    },
+    /// An order to carry a generation over.
+    Carry(Carry),
+    /// A member makes itself known.
+    Hello(Member),
+    /// A question for what is new on a topic.
+    Follow {
+        /// The topic.
+        topic: Topic,
+        /// What the asker knows already.
+        after: Option<u64>,
+        /// How long it may be kept waiting.
+        wait: Duration,
+    },
+}
+
+/// What comes back.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// To an ask.
+    Answer(Answer),
+    /// To notes.
+    Noted,
+    /// To a sync or a hello: members that were heard lately.
+    Members(Vec<Member>),
+    /// To an order to carry over.
+    Carried(Carried),
+    /// What is new on a topic, and when the read was sent that confirmed it, as told from when
+    /// the question arrived: the asker knows when it sent the question, and nothing else that
+    /// both clocks have in common.
+    News {
+        /// It.
+        news: News,
+        /// The read was sent so long before the question arrived, if it was.
+        before: Duration,
+        /// The read was sent so long after the question arrived, if it was.
+        after: Duration,
+    },
+    /// The receiver knows nothing of a topic.
+    Nothing,
+}
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -11,10 +11,7 @@
 pub mod tuning;
 
 pub use account::{Engine, Run};
-pub use message::{
-    Answer, Ask, Carried, Carry, Hello, Load, Member, Message, Note, Peers, Reply, RunId, Running,
-    Sync,
-};
+pub use message::{Answer, Ask, Carried, Carry, Load, Note, RunId, Running, Sync};
 pub use owner::Owner;
 pub use rank::ranked;
 pub use tuning::Tuning;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -1,6 +1,6 @@
 //! What instances tell one another about generations.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
 use types::{DataCentreId, InstanceId, ServiceId, TargetId, Tokens};
@@ -98,7 +98,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Sync {
     /// The entry.
-    pub entry: Member,
+    pub entry: InstanceId,
     /// What it holds.
     pub runs: Vec<Running>,
 }
@@ -114,31 +114,6 @@
     pub runs: u32,
 }
 
-/// An instance, as others reach it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Member {
-    /// Its name.
-    pub id: InstanceId,
-    /// Where it listens for other instances.
-    pub addr: SocketAddr,
-    /// When this life of it began, in Unix milliseconds.
-    pub born: u64,
-}
-
-/// The members that the sender has heard of lately.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct Peers {
-    /// The members.
-    pub members: Vec<Member>,
-}
-
-/// A member makes itself known.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Hello {
-    /// Who.
-    pub member: Member,
-}
-
 /// An order to an entry: carry a generation over to another engine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Carry {
@@ -162,31 +137,3 @@
     /// It was lost on the way.
     Lost,
 }
-
-/// What one instance sends to another.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Message {
-    /// An ask for an engine.
-    Ask(Ask),
-    /// What happened, several at a time.
-    Notes(Vec<Note>),
-    /// All that an entry holds.
-    Sync(Sync),
-    /// An order to carry a generation over.
-    Carry(Carry),
-    /// A member makes itself known.
-    Hello(Hello),
-}
-
-/// What comes back.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub enum Reply {
-    /// To an ask.
-    Answer(Answer),
-    /// To notes.
-    Noted,
-    /// To a sync or a hello.
-    Peers(Peers),
-    /// To an order to carry over.
-    Carried(Carried),
-}
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -97,7 +97,7 @@
             .runs
             .iter()
             .filter(|(id, run)| {
-                run.entry == sync.entry.id && run.granted <= settled && !held.contains(*id)
+                run.entry == sync.entry && run.granted <= settled && !held.contains(*id)
             })
             .map(|(id, _)| Arc::clone(id))
             .collect();
@@ -105,7 +105,7 @@
             self.release(&run);
         }
         for running in &sync.runs {
-            self.confirm(now, &sync.entry.id, running);
+            self.confirm(now, &sync.entry, running);
         }
     }
 
--- a/components/view/src/believed.rs
+++ b/components/view/src/believed.rs
@@ -143,16 +143,6 @@
         was.then(|| Change::Opened(Arc::clone(data_centre)))
     }
 
-    /// Takes word that exactly these data centres are taken out.
-    pub fn learn_all_closed(&self, closed: &BTreeSet<DataCentreId>) -> Vec<Change> {
-        let before = self.beliefs.read().closed.clone();
-        let opened = before.difference(closed).map(|dc| (dc, false));
-        let now = closed.iter().map(|dc| (dc, true));
-        now.chain(opened)
-            .filter_map(|(dc, is_closed)| self.learn_closed(dc, is_closed))
-            .collect()
-    }
-
     /// Takes the listing of a target.
     pub fn learn_target(&self, target: Target) -> Option<Change> {
         let mut beliefs = self.beliefs.write();
@@ -194,20 +184,6 @@
         remove(&mut beliefs, id)
     }
 
-    /// Takes word that exactly these targets are listed.
-    pub fn keep_targets(
-        &self,
-        listed: &BTreeSet<TargetId>,
-        now: Moment,
-        outage_end: Option<Moment>,
-    ) -> Vec<Change> {
-        let targets = self.targets();
-        let missing = targets.keys().filter(|id| !listed.contains(*id));
-        missing
-            .filter_map(|id| self.unlist_target(id, now, outage_end))
-            .collect()
-    }
-
     /// Forgets lapsed listings that nobody renewed in time.
     pub fn expire_lapsed(&self, now: Moment) -> Vec<Change> {
         let mut beliefs = self.beliefs.write();
