--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -91,12 +91,16 @@
         let Some(service) = self.view.rules().and_then(|r| r.service(service).cloned()) else {
             return Vec::new();
         };
-        let memory = service.engine.as_ref().map_or(Tokens::MAX, |e| e.memory);
+        let Some(kind) = &service.engine else {
+            return Vec::new();
+        };
         let engine = |target: &Arc<view::Target>| Engine {
             id: Arc::clone(&target.id),
             data_centre: Arc::clone(&target.data_centre),
             slots: target.slots,
-            memory,
+            memory: kind.memory,
+            token_copy: kind.token_copy(),
+            backups: kind.backups,
         };
         self.usable(&service).iter().map(engine).collect()
     }
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -42,12 +42,21 @@
     },
 }
 
+/// What is said to an engine beside the call itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Aside<'a> {
+    /// Where the generation goes on from.
+    pub resume: Option<&'a Resume>,
+    /// The engine that is to keep a copy of its memory.
+    pub backup: Option<&'a Target>,
+}
+
 /// Sends a call to a target, and waits at most `limit` for the head of an answer.
 pub async fn send(
     front: &Front,
     call: &Call,
     target: &Target,
-    resume: Option<&Resume>,
+    aside: Aside<'_>,
     limit: Duration,
 ) -> Sent {
     let sending = Sending {
@@ -56,7 +65,8 @@
         target,
         left: call.left(),
         workspace: call.workspace.as_deref(),
-        resume,
+        resume: aside.resume,
+        backup: aside.backup.map(|target| target.addr),
     };
     let req = front.face.request(&sending);
     let from = boot_time();
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -6,7 +6,7 @@
 //! So the owner plans for all of them: one generation at a time off each engine, the long first
 //! copy and the short final one, then the next.
 
-use std::{cmp::Reverse, sync::Arc};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
 
 use types::{DataCentreId, Moment, TargetId};
 
@@ -16,6 +16,15 @@
     owner::Owner,
 };
 
+/// Between data centres a copy takes this many times as long.
+const FAR_COPY: u32 = 2;
+/// Part of the time in which a destination reads prompts that delays what goes on there: each
+/// step of the batch waits for a chunk of a prompt.
+const READING_PART: f64 = 0.3;
+/// What each generation at a destination adds in the same sense: steps grow with the batch, and
+/// more is at stake on one engine.
+const CROWD: Duration = Duration::from_millis(12);
+
 impl Owner {
     /// The next generation to carry over from an engine that leaves, given its data centre, the
     /// engines that may get work, and which pairs not to try. `None` if none can be moved now; one that has not begun may be later.
@@ -38,6 +47,7 @@
             };
             self.reserve(now, &id, &to);
             return Some(Carry {
+                backup: self.next_backup(now, &id, engines),
                 run: id,
                 from: Arc::clone(from),
                 to,
@@ -59,6 +69,10 @@
             return;
         }
         run.target = Arc::clone(&carry.to);
+        self.leave_backup(now, &carry.run);
+        if let Some(at) = &carry.backup {
+            self.put_backup(now, &carry.run, at);
+        }
         if let Some(account) = self.accounts.get_mut(&carry.from) {
             account.runs.remove(&carry.run);
         }
@@ -109,10 +123,17 @@
             if !self.has_room(now, engine, size) {
                 continue;
             }
+            let copies = u32::try_from(size).unwrap_or(u32::MAX);
+            let mut copy = engine.token_copy.saturating_mul(copies);
+            if *home != engine.data_centre {
+                copy = copy.saturating_mul(FAR_COPY);
+            }
             let account = self.account(now, &engine.id);
-            let far = *home != engine.data_centre;
-            let busy = account.busy_until.saturating_sub(now);
-            let cost = (account.copies.len(), far, busy, account.runs.len());
+            let incoming = u32::try_from(account.copies.len()).unwrap_or(u32::MAX);
+            let queued = copy.saturating_mul(incoming);
+            let reading = account.busy_until.saturating_sub(now).mul_f64(READING_PART);
+            let crowd = CROWD.saturating_mul(u32::try_from(account.runs.len()).unwrap_or(0));
+            let cost = copy + queued + reading + crowd;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Arc::clone(&engine.id)));
             }
--- a/components/view/src/rules.rs
+++ b/components/view/src/rules.rs
@@ -86,6 +86,17 @@
     pub copy_life: Duration,
 }
 
+impl Engine {
+    /// Time to copy one token's memory over an engine's link.
+    #[must_use]
+    pub fn token_copy(&self) -> Duration {
+        let bits = u32::try_from(self.token_bytes * 8).unwrap_or(u32::MAX);
+        // A megabit a second is a bit a microsecond.
+        let micros = f64::from(bits) / self.link_mbps.max(1.0);
+        Duration::from_secs_f64(micros / 1e6)
+    }
+}
+
 /// What all targets of a service have in common.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
