--- a/components/placing/src/backup.rs
+++ b/components/placing/src/backup.rs
@@ -53,7 +53,7 @@
             if !self.has_room(now, engine, size) {
                 continue;
             }
-            let same = home.as_ref() == Some(&engine.data_centre);
+            let same = home.as_ref() != Some(&engine.data_centre);
             let promised = self.promised(now, &engine.id);
             let candidate = (same, promised, Arc::clone(&engine.id));
             if best.as_ref().is_none_or(|least| candidate < *least) {
