Take backups out again; turn from a silent reader to the store first

Change: after a silent reader the store comes next; a call waits 0.8 s for targets too, so that a change is in force within two seconds.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -366,18 +366,6 @@
         907, Info, "{id}: not carried from {from} to {to}: {reason}",
         "Nothing, unless it comes for most generations.",
     ),
-    /// A generation whose engine failed goes on at the engine that kept a copy of it.
-    GenerationSaved {
-        /// The request's id.
-        id: Arc<str>,
-        /// The engine that failed.
-        from: TargetId,
-        /// Where it runs now.
-        to: TargetId,
-    } = (
-        908, Info, "{id}: {from} failed it, it goes on from its copy at {to}",
-        "Look at the engine that failed, if it comes often.",
-    ),
     /// Another version of the configuration is in force.
     RulesInForce {
         /// The version.
--- a/components/front/src/carry.rs
+++ b/components/front/src/carry.rs
@@ -120,13 +120,12 @@
     };
     match front.engines.copy(&last).await {
         Copied::Whole { copy } => {
-            let backup = order.backup.as_ref().and_then(|id| front.view.target(id));
-            splice(live, &to, resume(source, copy), backup).await?;
+            splice(live, &to, resume(source, copy)).await?;
             Ok(stopped)
         }
         Copied::NoRoom { copy: Some(copy) } => {
             // It has stopped, and can only go on where it was.
-            splice(live, source, resume(source, copy), None).await?;
+            splice(live, source, resume(source, copy)).await?;
             Err(Failure::new(Carried::NoRoom, "no room for the final copy"))
         }
         other => {
@@ -156,17 +155,11 @@
     }
 }
 
-async fn splice(
-    live: &Live,
-    target: &Arc<Target>,
-    resume: Resume,
-    backup: Option<Arc<Target>>,
-) -> Result<(), Failure> {
+async fn splice(live: &Live, target: &Arc<Target>, resume: Resume) -> Result<(), Failure> {
     let (tx, rx) = bounded(1);
     let order = Order::Resume {
         target: Arc::clone(target),
         resume,
-        backup,
         done: tx,
     };
     if !live.order(order) {
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -78,8 +78,6 @@
     pub workspace: Option<&'a str>,
     /// Set where a generation goes on.
     pub resume: Option<&'a Resume>,
-    /// The engine that is to keep a copy of its memory.
-    pub backup: Option<SocketAddr>,
 }
 
 /// A target's load, as it says in its answers.
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -24,18 +24,16 @@
 /// Instances that read a topic at the store. A second one, so that nobody has to wait when the
 /// first is stopped.
 const READERS: usize = 2;
-/// How long one call to the store waits for changes of the configuration. Keys are honoured for
-/// less than five seconds after a read was sent. A follower's knowledge is two such calls old when
-/// it comes; that, a reader that falls silent and the turn to the next must fit into it.
-const OPERATOR_WAIT: Duration = Duration::from_millis(800);
-/// How long one call waits for changes of the targets. A connection that went silent shows only
-/// by the answer that does not come, and targets that leave must be noticed within seconds.
-const TARGETS_WAIT: Duration = Duration::from_millis(1_800);
+/// How long one call to the store waits for changes. Keys are honoured for less than five seconds
+/// after a read was sent; a follower's knowledge is two such calls old when it comes, and a reader
+/// that falls silent and the turn to the next source must fit into that too. What changes must be
+/// in force everywhere within two seconds: a peer's wait and patience, then a read of the store.
+const STORE_WAIT: Duration = Duration::from_millis(800);
 /// How long a peer may wait with its answer, as a part of a reader's own wait. It answers when its
 /// own call ends, which is a little later than its wait.
-const PEER_WAIT_PART: f64 = 1.4;
+const PEER_WAIT_PART: f64 = 1.25;
 /// Time for a peer to answer beyond what it was allowed to wait.
-const PEER_PATIENCE: Duration = Duration::from_millis(350);
+const PEER_PATIENCE: Duration = Duration::from_millis(250);
 /// Knowledge of a peer that is older than this means that the peer itself has lost the store.
 const PEER_AGE: Duration = Duration::from_millis(2_800);
 /// Pause after a failed call, at first.
@@ -57,6 +55,8 @@
     front: Arc<Front>,
     store: Arc<dyn Store>,
     topic: Topic,
+    /// Which of two readers this instance follows.
+    turn: bool,
     shelf: Arc<Shelf>,
     /// Sources that failed in a row, which are passed over.
     skipped: usize,
@@ -75,6 +75,7 @@
     pub fn new(front: Arc<Front>, store: Arc<dyn Store>, topic: Topic) -> Self {
         Self {
             shelf: front.shelf(topic),
+            turn: fastrand::bool(),
             front,
             store,
             topic,
@@ -127,24 +128,27 @@
             .front
             .peers
             .owners(&format!("reader of {}", self.topic));
-        let reads = order.iter().take(READERS).any(|id| id == me);
-        let others = order.into_iter().filter(|id| id != me).map(Source::Peer);
-        let mut sources: Vec<Source> = others.take(READERS).collect();
+        let readers: Vec<InstanceId> = order.into_iter().take(READERS).collect();
+        let reads = readers.contains(me);
+        let mut others: Vec<Source> = readers
+            .into_iter()
+            .filter(|id| id != me)
+            .map(Source::Peer)
+            .collect();
         if reads {
             // Twice: a connection that the store cut says nothing about the store.
-            sources.insert(0, Source::Store);
-            sources.insert(0, Source::Store);
-        } else {
-            sources.push(Source::Store);
+            others.insert(0, Source::Store);
+            others.insert(0, Source::Store);
+            return others;
         }
-        sources
-    }
-
-    const fn wait(&self) -> Duration {
-        match self.topic {
-            Topic::Operator => OPERATOR_WAIT,
-            Topic::Targets | Topic::Members => TARGETS_WAIT,
+        // Followers spread over the readers. Where one's reader fails the store comes next: the
+        // other reader may have failed with it, and two waits would be too long.
+        if self.turn && others.len() > 1 {
+            others.swap(0, 1);
         }
+        let second = others.len().min(1);
+        others.insert(second, Source::Store);
+        others
     }
 
     /// Asks a source; gives what is new and when the read was sent that confirmed it.
@@ -155,7 +159,7 @@
             Source::Store => {
                 let news = match after {
                     None => self.store.read(self.topic).await,
-                    Some(after) => self.store.follow(self.topic, after, self.wait()).await,
+                    Some(after) => self.store.follow(self.topic, after, STORE_WAIT).await,
                 };
                 match news {
                     Err(StoreError::HistoryGone) => self.store.read(self.topic).await,
@@ -173,7 +177,7 @@
         after: Option<u64>,
     ) -> Result<(News, Moment), StoreError> {
         let sent = boot_time();
-        let wait = self.wait().mul_f64(PEER_WAIT_PART);
+        let wait = STORE_WAIT.mul_f64(PEER_WAIT_PART);
         let message = Message::Follow {
             topic: self.topic,
             after,
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -16,7 +16,7 @@
     live::Live,
     refuse::{Refusal, millis},
     relay::Relay,
-    send::{Aside, Sent, collect, send},
+    send::{Sent, collect, send},
     state::Front,
 };
 
@@ -68,11 +68,11 @@
 pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
     let mut avoid = Vec::new();
     loop {
-        let found = match find(&front, &call, &avoid).await {
-            Ok(found) => found,
+        let target = match find(&front, &call, &avoid).await {
+            Ok(target) => target,
             Err(refusal) => return front.refuse_call(&call, &refusal),
         };
-        match attempt(&front, &call, found, &mut avoid).await {
+        match attempt(&front, &call, target, &mut avoid).await {
             Attempt::Answer(resp) => return resp,
             Attempt::Again => {}
             Attempt::GiveUp(refusal) => return front.refuse_call(&call, &refusal),
@@ -80,14 +80,8 @@
     }
 }
 
-/// Where a generation goes.
-struct Found {
-    target: Arc<Target>,
-    backup: Option<Arc<Target>>,
-}
-
 /// Asks for an engine until there is one, or until it is no use any more.
-async fn find(front: &Arc<Front>, call: &Call, avoid: &[TargetId]) -> Result<Found, Refusal> {
+async fn find(front: &Arc<Front>, call: &Call, avoid: &[TargetId]) -> Result<Arc<Target>, Refusal> {
     loop {
         if call.until_due().is_zero() {
             return Err(Refusal::not_run(
@@ -97,11 +91,8 @@
         }
         let ask = ask(front, call, avoid);
         let after = match front.place(&ask).await {
-            Answer::Go { target, backup } => match front.view.target(&target) {
-                Some(target) => {
-                    let backup = backup.and_then(|id| front.view.target(&id));
-                    return Ok(Found { target, backup });
-                }
+            Answer::Go { target } => match front.view.target(&target) {
+                Some(target) => return Ok(target),
                 None => {
                     // The owner knows a target that this instance has not heard of yet.
                     let run = Arc::clone(&call.asked.id);
@@ -148,12 +139,10 @@
 async fn attempt(
     front: &Arc<Front>,
     call: &Call,
-    found: Found,
+    target: Arc<Target>,
     avoid: &mut Vec<TargetId>,
 ) -> Attempt {
-    let target = found.target;
-    let live = live(front, call, &target).with_backup(found.backup);
-    let mut place = Place::new(front, live);
+    let mut place = Place::new(front, live(front, call, &target));
     let sending = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
     if !front.take_cold(&call.service, &target) {
         avoid.push(Arc::clone(&target.id));
@@ -167,12 +156,7 @@
         left_ms: millis(call.left()),
     });
     front.metrics.held(call.held());
-    let backup = place.live.backup();
-    let aside = Aside {
-        backup: backup.as_deref(),
-        resume: None,
-    };
-    match send(front, call, &target, aside, call.until_due()).await {
+    match send(front, call, &target, None, call.until_due()).await {
         Sent::Head { head, body, .. } if head.status.is_success() => {
             Attempt::Answer(stream(front, call, place, &head, body))
         }
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -29,8 +29,6 @@
         target: Arc<Target>,
         /// The copy.
         resume: Resume,
-        /// The engine that is to keep a copy from then on.
-        backup: Option<Arc<Target>>,
         /// Told whether it goes on.
         done: Sender<bool>,
     },
@@ -52,8 +50,6 @@
     /// Its rank.
     pub rank: u32,
     target: Mutex<Arc<Target>>,
-    /// The engine that keeps a copy of its memory.
-    backup: Mutex<Option<Arc<Target>>>,
     started: AtomicBool,
     events: AtomicU64,
     /// Set while it is being carried over.
@@ -75,7 +71,6 @@
             per_event: 1,
             rank: 0,
             target: Mutex::new(target),
-            backup: Mutex::new(None),
             started: AtomicBool::new(false),
             events: AtomicU64::new(0),
             carrying: AtomicBool::new(false),
@@ -100,29 +95,15 @@
         self
     }
 
-    /// Sets the engine that keeps a copy of its memory.
-    #[must_use]
-    pub fn with_backup(self, backup: Option<Arc<Target>>) -> Self {
-        *self.backup.lock() = backup;
-        self
-    }
-
-    /// The engine that keeps a copy of its memory.
-    #[must_use]
-    pub fn backup(&self) -> Option<Arc<Target>> {
-        self.backup.lock().clone()
-    }
-
     /// Where it runs.
     #[must_use]
     pub fn target(&self) -> Arc<Target> {
         Arc::clone(&self.target.lock())
     }
 
-    /// Notes that it runs elsewhere now, and who keeps a copy.
-    pub fn moved(&self, target: Arc<Target>, backup: Option<Arc<Target>>) {
+    /// Notes that it runs elsewhere now.
+    pub fn moved(&self, target: Arc<Target>) {
         *self.target.lock() = target;
-        *self.backup.lock() = backup;
         *self.copy.lock() = None;
     }
 
@@ -188,7 +169,6 @@
             expected: self.expected,
             rank: self.rank,
             started: self.has_started(),
-            backup: self.backup().map(|target| Arc::clone(&target.id)),
         }
     }
 }
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -100,7 +100,6 @@
             slots: target.slots,
             memory: kind.memory,
             token_copy: kind.token_copy(),
-            backups: kind.backups,
         };
         self.usable(&service).iter().map(engine).collect()
     }
--- a/components/front/src/plain.rs
+++ b/components/front/src/plain.rs
@@ -12,7 +12,7 @@
 use crate::{
     call::Call,
     refuse::{Refusal, millis},
-    send::{Aside, Sent, collect, log_failure, send},
+    send::{Sent, collect, log_failure, send},
     state::Front,
 };
 
@@ -184,7 +184,7 @@
     }
     let limit = patience(call, sending);
     let from = boot_time();
-    match send(front, call, target, Aside::default(), limit).await {
+    match send(front, call, target, None, limit).await {
         Sent::Head {
             head,
             heading,
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use net::Cut;
 use placing::Note;
 use smol::future;
@@ -15,11 +15,11 @@
 
 use crate::{
     call::Call,
-    face::{Copied, CopyOrder, Resume},
+    face::Resume,
     generation::Place,
     live::Order,
     refuse::millis,
-    send::{Aside, Sent, send},
+    send::{Sent, send},
     split::Splitter,
     state::Front,
 };
@@ -32,10 +32,6 @@
 /// has left long before this.
 const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
 
-/// Time for an engine whose stream broke off to say whether it still runs the generation. One
-/// that has crashed refuses at once; one without power says nothing, and the caller waits.
-const CHECK_PATIENCE: Duration = Duration::from_millis(60);
-
 /// Where the events go.
 pub type Out = Sender<Result<Bytes, Cut>>;
 
@@ -204,51 +200,13 @@
         {
             return self.obey(Some(order), out).await;
         }
-        if let Some((target, resume)) = self.place.live.take_copy() {
-            let went = self.go_on(&target, resume, None).await;
-            return went.err().map(|why| cut(&reason, "the copy of a move", &why));
-        }
-        let Some(backup) = self.place.live.backup() else {
+        let Some((target, resume)) = self.place.live.take_copy() else {
             return Some(Stop::Cut(reason));
         };
-        let went = self.go_on_at_backup(&backup).await;
-        went.err().map(|why| cut(&reason, "the backup", &why))
-    }
-
-    /// Goes on at the engine that kept a copy as the generation grew.
-    async fn go_on_at_backup(&mut self, backup: &Arc<Target>) -> Result<(), Arc<str>> {
-        let before = self.place.live.target();
-        let run = Arc::clone(&self.place.live.run);
-        // Only the connection may have been lost. An engine that still runs it must stop before
-        // another goes on; it then hands over a copy that lacks nothing.
-        let last = CopyOrder {
-            run: &run,
-            from: before.addr,
-            to: backup.addr,
-            last: true,
-            patience: CHECK_PATIENCE,
-        };
-        let resume = match self.front.engines.copy(&last).await {
-            Copied::Whole { copy } => Resume {
-                source: before.addr,
-                copy,
-                after: None,
-            },
-            _ => Resume {
-                source: backup.addr,
-                copy: Arc::clone(&run),
-                after: None,
-            },
-        };
-        self.go_on(backup, resume, None).await?;
-        emit(&Event::GenerationSaved {
-            id: Arc::clone(&run),
-            from: Arc::clone(&before.id),
-            to: Arc::clone(&backup.id),
-        });
-        let note = Note::Saved { run };
-        Front::note(&self.front, &self.place.live.service, note);
-        Ok(())
+        match self.go_on(&target, resume).await {
+            Ok(()) => None,
+            Err(why) => Some(Stop::Cut(format!("{reason}; from its copy: {why}").into())),
+        }
     }
 
     /// Waits for how a move ends whose engine has closed the stream already.
@@ -271,14 +229,13 @@
             Some(Order::Resume {
                 target,
                 resume,
-                backup,
                 done,
             }) => {
                 self.expecting = false;
                 if let Err(stop) = self.pass_last(out).await {
                     return Some(stop);
                 }
-                let went = self.go_on(&target, resume, backup).await;
+                let went = self.go_on(&target, resume).await;
                 // Fails only where nobody waits for it any more.
                 let _ = done.try_send(went.is_ok());
                 return went.err().map(Stop::Cut);
@@ -307,24 +264,15 @@
     }
 
     /// Goes on at another engine, from a copy.
-    async fn go_on(
-        &mut self,
-        target: &Arc<Target>,
-        mut resume: Resume,
-        backup: Option<Arc<Target>>,
-    ) -> Result<(), Arc<str>> {
+    async fn go_on(&mut self, target: &Arc<Target>, mut resume: Resume) -> Result<(), Arc<str>> {
         resume.after = self.last;
         // A part of an event that the engine before did not finish; it comes again whole.
         let _ = self.split.rest();
         let limit = RESUME_PATIENCE.min(self.call.until_due());
-        let aside = Aside {
-            resume: Some(&resume),
-            backup: backup.as_deref(),
-        };
-        match send(&self.front, &self.call, target, aside, limit).await {
+        match send(&self.front, &self.call, target, Some(&resume), limit).await {
             Sent::Head { head, body, .. } if head.status.is_success() => {
                 self.body = body;
-                self.place.live.moved(Arc::clone(target), backup);
+                self.place.live.moved(Arc::clone(target));
                 Ok(())
             }
             Sent::Head { head, .. } => Err(format!("status {}", head.status).into()),
@@ -333,10 +281,6 @@
     }
 }
 
-fn cut(reason: &str, from: &str, why: &str) -> Stop {
-    Stop::Cut(format!("{reason}; and from {from}: {why}").into())
-}
-
 /// The next bytes of a stream, or its end.
 async fn next_bytes(body: &mut Incoming) -> Step {
     loop {
@@ -347,6 +291,7 @@
                 }
             }
             Some(Err(e)) => return Step::Broken(format!("the stream broke off: {e}").into()),
+            None if body.is_end_stream() => return Step::End,
             None => return Step::End,
         }
     }
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -42,21 +42,12 @@
     },
 }
 
-/// What is said to an engine beside the call itself.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Aside<'a> {
-    /// Where the generation goes on from.
-    pub resume: Option<&'a Resume>,
-    /// The engine that is to keep a copy of its memory.
-    pub backup: Option<&'a Target>,
-}
-
 /// Sends a call to a target, and waits at most `limit` for the head of an answer.
 pub async fn send(
     front: &Front,
     call: &Call,
     target: &Target,
-    aside: Aside<'_>,
+    resume: Option<&Resume>,
     limit: Duration,
 ) -> Sent {
     let sending = Sending {
@@ -65,8 +56,7 @@
         target,
         left: call.left(),
         workspace: call.workspace.as_deref(),
-        resume: aside.resume,
-        backup: aside.backup.map(|target| target.addr),
+        resume,
     };
     let req = front.face.request(&sending);
     let from = boot_time();
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -19,8 +19,6 @@
     pub memory: Tokens,
     /// Time to copy one token's memory over its link, within a data centre.
     pub token_copy: Duration,
-    /// Whether a generation's memory can be kept at a second engine as it grows.
-    pub backups: bool,
 }
 
 /// One generation on an engine.
@@ -50,8 +48,6 @@
     pub confirmed: Moment,
     /// The engine that its memory is being copied to.
     pub copying_to: Option<TargetId>,
-    /// The engine that keeps a copy of its memory as it grows.
-    pub backup: Option<TargetId>,
 }
 
 impl Run {
@@ -83,12 +79,8 @@
 pub struct Account {
     /// Its generations.
     pub runs: BTreeSet<RunId>,
-    /// Copies that come in now, of generations that are being moved here.
+    /// Copies that come in, or wait here to be used.
     pub copies: BTreeSet<RunId>,
-    /// Copies that are kept here as their generations grow.
-    pub backups: BTreeSet<RunId>,
-    /// Memory of copies that nobody uses any more, and when the engine gives it back.
-    pub leftover: Vec<(Moment, Tokens)>,
     /// When it has read all prompts that it was given.
     pub busy_until: Moment,
     /// When it was first seen.
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -47,7 +47,6 @@
             };
             self.reserve(now, &id, &to);
             return Some(Carry {
-                backup: self.next_backup(now, &id, engines),
                 run: id,
                 from: Arc::clone(from),
                 to,
@@ -69,10 +68,6 @@
             return;
         }
         run.target = Arc::clone(&carry.to);
-        self.leave_backup(now, &carry.run);
-        if let Some(at) = &carry.backup {
-            self.put_backup(now, &carry.run, at);
-        }
         if let Some(account) = self.accounts.get_mut(&carry.from) {
             account.runs.remove(&carry.run);
         }
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -4,7 +4,6 @@
 //! decisions take the time and what happened as arguments; there is no I/O and no clock in here.
 
 pub mod account;
-pub mod backup;
 pub mod carry;
 pub mod message;
 pub mod owner;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -42,8 +42,6 @@
     Go {
         /// The engine.
         target: TargetId,
-        /// An engine that is to keep a copy of its memory as it grows.
-        backup: Option<TargetId>,
     },
     /// No room now; ask again.
     Wait {
@@ -65,11 +63,6 @@
         /// The generation.
         run: RunId,
     },
-    /// It goes on at the engine that kept a copy of it: the one before has failed.
-    Saved {
-        /// The generation.
-        run: RunId,
-    },
     /// It holds nothing any more.
     Ended {
         /// The generation.
@@ -98,8 +91,6 @@
     pub rank: u32,
     /// Whether its first event has come.
     pub started: bool,
-    /// The engine that keeps a copy of it.
-    pub backup: Option<TargetId>,
 }
 
 /// All that an entry holds, sent to the owner from time to time: what single notes lost on their
@@ -132,8 +123,6 @@
     pub from: TargetId,
     /// Where it is to go on.
     pub to: TargetId,
-    /// An engine that is to keep a copy of its memory from then on.
-    pub backup: Option<TargetId>,
 }
 
 /// How carrying over ended.
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -59,8 +59,7 @@
         }
         self.waiting.remove(&ask.run);
         self.grant(now, ask, expected, &target);
-        let backup = self.keep_backup(now, &ask.run, engines);
-        Answer::Go { target, backup }
+        Answer::Go { target }
     }
 
     /// Tokens that a generation is expected to make.
@@ -80,7 +79,6 @@
     pub fn note(&mut self, now: Moment, note: &Note) {
         match note {
             Note::Started { run } => self.start(now, run),
-            Note::Saved { run } => self.saved(now, run),
             Note::Ended { run, doubt } => {
                 let target = self.release(run);
                 if let (true, Some(target)) = (*doubt, target) {
@@ -198,7 +196,7 @@
         if account.doubted_until > now {
             return false;
         }
-        let places = account.runs.len() + account.copies.len() + account.backups.len();
+        let places = account.runs.len() + account.copies.len();
         if places >= usize::try_from(engine.slots).unwrap_or(usize::MAX) {
             return false;
         }
@@ -207,18 +205,14 @@
     }
 
     /// Memory promised on an engine: what its generations and copies take at their ends.
-    pub(crate) fn promised(&self, now: Moment, target: &TargetId) -> Tokens {
+    fn promised(&self, now: Moment, target: &TargetId) -> Tokens {
         let Some(account) = self.accounts.get(target) else {
             return 0;
         };
-        let copies = account.copies.iter().chain(&account.backups);
-        let all = account.runs.iter().chain(copies);
-        let held: Tokens = all
-            .filter_map(|run| self.runs.get(run))
+        let all = account.runs.iter().chain(&account.copies);
+        all.filter_map(|run| self.runs.get(run))
             .map(|run| run.size(now, &self.tuning))
-            .sum();
-        let left = account.leftover.iter().filter(|(until, _)| *until > now);
-        held + left.map(|(_, size)| size).sum::<Tokens>()
+            .sum()
     }
 
     /// Memory comes free when generations end, so waiting helps as long as the prompt can still
@@ -283,7 +277,6 @@
             counted: now,
             confirmed: now,
             copying_to: None,
-            backup: None,
         };
         let read = self.tuning.read_time(ask.prompt);
         let account = self.account(now, target);
@@ -328,9 +321,6 @@
         if let Some(account) = run.copying_to.and_then(|to| self.accounts.get_mut(&to)) {
             account.copies.remove(id);
         }
-        if let Some(account) = run.backup.and_then(|at| self.accounts.get_mut(&at)) {
-            account.backups.remove(id);
-        }
         Some(run.target)
     }
 
@@ -362,20 +352,13 @@
                 counted: now,
                 confirmed: now,
                 copying_to: None,
-                backup: None,
             });
-        let backup = running.backup.clone().filter(|_| run.backup.is_none());
-        run.backup = run.backup.take().or(backup.clone());
         run.confirmed = now;
         run.made = running.made;
         run.counted = now;
         if running.started && run.started.is_none() {
             run.started = Some(now);
         }
-        if let Some(at) = backup {
-            let account = self.account(now, &at);
-            account.backups.insert(Arc::clone(&running.run));
-        }
     }
 
     /// Forgets what its entry has not confirmed for long: the entry is gone.
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -42,15 +42,6 @@
     /// A generation that is expected to end within this time is not moved: the move itself
     /// takes about as long.
     pub least_rest: Duration,
-    /// A generation gets a backup while no more than this part of all engines' memory is promised.
-    /// Backups are for crashes without notice; beyond it they would take the room of generations
-    /// themselves, and engines would preempt.
-    pub backup_share: f64,
-    /// A generation that is expected to be shorter than this gets no backup: it is cheap to lose,
-    /// and mostly over before anything happens.
-    pub backup_least: Tokens,
-    /// How long an engine keeps a copy that nobody uses any more.
-    pub leftover_life: Duration,
     /// Length that is assumed where nobody estimated one, as a part of the longest allowed.
     pub unknown_share: f64,
 }
@@ -72,9 +63,6 @@
             wait_life: Duration::from_millis(200),
             run_life: Duration::from_secs(3),
             least_rest: Duration::from_millis(200),
-            backup_share: 0.6,
-            backup_least: 150,
-            leftover_life: Duration::from_secs(5),
             unknown_share: 0.4,
         }
     }
