Ask engines whether they leave while the store is lost; tell the owner of leaving engines

Change: an instance whose knowledge of targets is older than 2.3 s asks engines for their state; an entry with generations on a leaving engine tells the owner.

--- /dev/null
+++ b/components/front/src/blind.rs
@@ -0,0 +1,55 @@
+//! Asks engines themselves whether they leave, while nobody else tells.
+//!
+//! An instance that reaches neither the store nor a peer still reaches its engines and callers.
+//! It would see an engine's leaving only when its streams break off. Each question has a price,
+//! so engines are asked only while what is known of them is old.
+
+use std::{sync::Arc, time::Duration};
+
+use timer::{Timer, boot_time};
+use view::Target;
+
+use crate::{face::EngineState, follow, state::Front};
+
+/// Knowledge of the targets is old after this: two calls of a reader and the answer to a follower
+/// fit into it.
+const OLD: Duration = Duration::from_millis(2_300);
+/// Time between two rounds of questions. Engines leave 1.5 s after their notice at the earliest,
+/// and their reports may be half a second old.
+const PERIOD: Duration = Duration::from_millis(300);
+/// Time for an engine to answer.
+const PATIENCE: Duration = Duration::from_millis(200);
+
+/// Asks for as long as the instance runs.
+pub async fn watch(front: Arc<Front>) {
+    let mut ticks = Timer::new().every(PERIOD);
+    loop {
+        ticks.next().await;
+        let read = front.view.targets_read().unwrap_or_default();
+        if boot_time().saturating_sub(read) < OLD || front.live.count() == 0 {
+            continue;
+        }
+        for target in engines(&front) {
+            let front = Arc::clone(&front);
+            workers::spawn(async move { ask(&front, target).await }).detach();
+        }
+    }
+}
+
+/// Engines that are listed as taking work.
+fn engines(front: &Front) -> Vec<Arc<Target>> {
+    let Some(rules) = front.view.rules() else {
+        return Vec::new();
+    };
+    rules
+        .services()
+        .filter(|service| service.engine.is_some())
+        .flat_map(|service| front.usable(service))
+        .collect()
+}
+
+async fn ask(front: &Arc<Front>, target: Arc<Target>) {
+    if front.engines.state(target.addr, PATIENCE).await == Some(EngineState::Leaving) {
+        follow::hear_leaving(front, &target.id);
+    }
+}
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -168,11 +168,23 @@
     },
 }
 
-/// Gives engines orders.
+/// Whether an engine stays, as it says itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EngineState {
+    /// It takes work.
+    Ready,
+    /// It leaves.
+    Leaving,
+}
+
+/// Gives engines orders, and asks them.
 #[async_trait]
 pub trait Engines: Send + Sync {
     /// Copies a running generation's memory to another engine.
     async fn copy(&self, order: &CopyOrder<'_>) -> Copied;
+
+    /// Asks an engine for its state; none if it does not say.
+    async fn state(&self, addr: SocketAddr, patience: Duration) -> Option<EngineState>;
 }
 
 /// One thing that the store says.
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -9,7 +9,7 @@
 
 use events::{Event, emit};
 use timer::boot_time;
-use types::{DataCentreId, InstanceId, Moment};
+use types::{DataCentreId, InstanceId, Moment, TargetId};
 use view::Change;
 
 use crate::{
@@ -209,7 +209,7 @@
             self.learn(row, now);
         }
         for change in self.front.view.expire_lapsed(now) {
-            self.act(change);
+            act(&self.front, change);
         }
         let Some(read) = self.shelf.read() else {
             return;
@@ -253,35 +253,7 @@
             }
         };
         if let Some(change) = change {
-            self.act(change);
-        }
-    }
-
-    /// Acts on what has changed.
-    fn act(&self, change: Change) {
-        match change {
-            Change::Rules { from, to } => emit(&Event::RulesInForce {
-                version: to,
-                from: from.unwrap_or_default(),
-            }),
-            Change::Joined(target) => emit(&Event::TargetJoined {
-                target: Arc::clone(&target.id),
-            }),
-            Change::Leaving(target) => {
-                emit(&Event::TargetLeaving {
-                    target: Arc::clone(&target.id),
-                });
-                workers::spawn(leaving::empty(Arc::clone(&self.front), target)).detach();
-            }
-            Change::Reborn(target) => {
-                emit(&Event::TargetReborn {
-                    target: Arc::clone(&target.id),
-                });
-                self.front.client.forget(target.addr);
-                self.front.placement.owner.lock().forget(&target.id);
-            }
-            Change::Closed(data_centre) => switched(data_centre, true),
-            Change::Opened(data_centre) => switched(data_centre, false),
+            act(&self.front, change);
         }
     }
 
@@ -321,6 +293,42 @@
     }
 }
 
+/// Takes word from somebody else than the store that a target leaves.
+pub fn hear_leaving(front: &Arc<Front>, id: &TargetId) {
+    if let Some(change) = front.view.hear_leaving(id) {
+        act(front, change);
+    }
+}
+
+/// Acts on what has changed.
+fn act(front: &Arc<Front>, change: Change) {
+    match change {
+        Change::Rules { from, to } => emit(&Event::RulesInForce {
+            version: to,
+            from: from.unwrap_or_default(),
+        }),
+        Change::Joined(target) => emit(&Event::TargetJoined {
+            target: Arc::clone(&target.id),
+        }),
+        Change::Leaving(target) => {
+            emit(&Event::TargetLeaving {
+                target: Arc::clone(&target.id),
+            });
+            workers::spawn(leaving::tell_owner(Arc::clone(front), Arc::clone(&target))).detach();
+            workers::spawn(leaving::empty(Arc::clone(front), target)).detach();
+        }
+        Change::Reborn(target) => {
+            emit(&Event::TargetReborn {
+                target: Arc::clone(&target.id),
+            });
+            front.client.forget(target.addr);
+            front.placement.owner.lock().forget(&target.id);
+        }
+        Change::Closed(data_centre) => switched(data_centre, true),
+        Change::Opened(data_centre) => switched(data_centre, false),
+    }
+}
+
 fn silent(reason: String) -> StoreError {
     StoreError::Silent {
         reason: reason.into(),
--- a/components/front/src/leaving.rs
+++ b/components/front/src/leaving.rs
@@ -20,6 +20,9 @@
 /// Time for an entry to carry one generation over.
 const CARRY_PATIENCE: Duration = Duration::from_millis(3_500);
 
+/// Time for the owner to take word of a leaving engine.
+const TELL_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Moves off an engine what this instance has in its account there.
 pub async fn empty(front: Arc<Front>, source: Arc<Target>) {
     let until = boot_time() + WATCH;
@@ -60,6 +63,23 @@
     front.placement.owner.lock().forget(&source.id);
 }
 
+/// Tells the owner that an engine leaves on which generations of this instance run. The owner may
+/// follow the store through a reader that has just died, and hear of it a second later: too late
+/// to move much.
+pub async fn tell_owner(front: Arc<Front>, target: Arc<Target>) {
+    let running = front.live.running();
+    if !running.iter().any(|run| run.target == target.id) {
+        return;
+    }
+    let owner = front.peers.owners(&target.service).into_iter().next();
+    let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
+        return;
+    };
+    let message = Message::Leaving(Arc::clone(&target.id));
+    // An answer says nothing beyond that it was taken; other entries tell the owner as well.
+    let _ = front.peers.call(&owner, &message, TELL_PATIENCE).await;
+}
+
 /// Gives the order to the entry that holds the generation.
 async fn send(front: &Arc<Front>, order: &Carry) -> Carried {
     let Some(entry) = front.placement.entry_of(&order.run) else {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -2,6 +2,7 @@
 //! configuration: who may ask what, where it goes, what comes back, and what happens when
 //! something on the way fails.
 
+pub mod blind;
 pub mod budget;
 pub mod call;
 pub mod carry;
@@ -32,8 +33,8 @@
 
 pub use config::{Bounds, Config};
 pub use face::{
-    Asked, BadRequest, Copied, CopyOrder, Engines, Face, Heading, Record, Resume, SaidLoad,
-    Sending, Sizes, Store, StoreError,
+    Asked, BadRequest, Copied, CopyOrder, EngineState, Engines, Face, Heading, Record, Resume,
+    SaidLoad, Sending, Sizes, Store, StoreError,
 };
 pub use run::{Outside, serve};
 pub use wire::{Member, News, Row, Topic};
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -8,7 +8,7 @@
 use timer::boot_time;
 
 use crate::{
-    carry,
+    carry, follow,
     peers::{MESSAGE_LIMIT, MESSAGES_PATH},
     state::Front,
     wire::{Message, Reply, Topic},
@@ -54,6 +54,10 @@
                 Reply::Members(front.peers.lately())
             }
             Message::Follow { topic, after, wait } => self.news(topic, after, wait).await,
+            Message::Leaving(target) => {
+                follow::hear_leaving(front, &target);
+                Reply::Noted
+            }
             Message::Carry(order) => Reply::Carried(carry::carry(front, &order).await),
         }
     }
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -20,6 +20,7 @@
 use view::View;
 
 use crate::{
+    blind,
     budget::Budget,
     choice::Choice,
     cold::ColdTargets,
@@ -126,6 +127,7 @@
     }
     workers::spawn(meet(Arc::clone(&front), Arc::clone(&outside.store))).detach();
     workers::spawn(sync(Arc::clone(&front))).detach();
+    workers::spawn(blind::watch(Arc::clone(&front))).detach();
     emit(&Event::Started {
         instance: Arc::clone(&front.cfg.instance),
     });
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use placing::{Answer, Ask, Carried, Carry, Note, Sync};
 use serde::{Deserialize, Serialize};
-use types::InstanceId;
+use types::{InstanceId, TargetId};
 
 /// An instance, as others reach it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -72,6 +72,8 @@
     },
     /// An order to carry a generation over.
     Carry(Carry),
+    /// The sender has heard that an engine leaves, on which it has generations running.
+    Leaving(TargetId),
     /// A member makes itself known.
     Hello(Member),
     /// A question for what is new on a topic.
--- a/components/view/src/believed.rs
+++ b/components/view/src/believed.rs
@@ -165,6 +165,20 @@
         }
     }
 
+    /// Takes word from somebody else than the store that a target leaves. Its listing, which may be
+    /// older than that word, says nothing against it until it changes.
+    pub fn hear_leaving(&self, id: &TargetId) -> Option<Change> {
+        let mut beliefs = self.beliefs.write();
+        let target = beliefs.targets.get(id).filter(|t| t.takes_work())?;
+        let leaving = Arc::new(Target {
+            standing: Standing::Leaving,
+            ..Target::clone(target)
+        });
+        let targets = Arc::make_mut(&mut beliefs.targets);
+        targets.insert(Arc::clone(id), Arc::clone(&leaving));
+        Some(Change::Leaving(leaving))
+    }
+
     /// Takes word that a target is no longer listed. `outage_end` tells when the store came back
     /// from an outage that may have let the listing lapse: the target itself may be well, and
     /// all targets at once would be lost if each lapse were believed.
