--- a/components/front/src/shelf.rs
+++ b/components/front/src/shelf.rs
@@ -130,6 +130,9 @@
     changed.extend(news.rows.iter().filter(|row| is_new(rows, row)).cloned());
     put(rows, &changed);
     rows.version = news.version;
+    // A whole read does not tell what was dropped before it. One who follows from further back
+    // would never hear of those drops, and must be told everything.
+    rows.forgotten = news.version;
     changed
 }
 
--- /dev/null
+++ b/components/front/tests/shelf.rs
@@ -0,0 +1,151 @@
+//! Rows as they are known, and passed on from instance to instance.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use front::{News, Row, shelf::Shelf};
+use proptest::prelude::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn row(key: &str, value: Option<&str>, version: u64) -> Row {
+    Row {
+        key: key.into(),
+        value: value.map(|text| text.as_bytes().into()),
+        version,
+    }
+}
+
+fn whole(version: u64, rows: Vec<Row>) -> News {
+    News {
+        rows,
+        version,
+        after: 0,
+        whole: true,
+    }
+}
+
+fn changes(after: u64, version: u64, rows: Vec<Row>) -> News {
+    News {
+        rows,
+        version,
+        after,
+        whole: false,
+    }
+}
+
+#[test]
+fn what_a_whole_read_does_not_name_is_dropped() {
+    let shelf = Shelf::new();
+    shelf.take(
+        &whole(5, vec![row("a", Some("1"), 3), row("b", Some("2"), 5)]),
+        SECOND,
+    );
+    let changed = shelf.take(&whole(9, vec![row("b", Some("2"), 5)]), 2 * SECOND);
+    assert_eq!(changed, [row("a", None, 9)]);
+    assert_eq!(shelf.version(), Some(9));
+}
+
+/// Changes come that begin further on than what is known, as after a lost answer. Taken, a row
+/// that changed between would be missed for good, a key that was taken away, say.
+#[test]
+fn changes_after_a_gap_are_not_taken() {
+    let shelf = Shelf::new();
+    shelf.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
+    let changed = shelf.take(&changes(7, 8, vec![row("b", Some("2"), 8)]), 2 * SECOND);
+    assert!(changed.is_empty());
+    assert_eq!(shelf.version(), Some(5));
+    // Nor does it confirm what is known.
+    assert_eq!(shelf.read(), Some(SECOND));
+}
+
+/// A peer that lies behind answers after one that does not.
+#[test]
+fn older_news_changes_and_confirms_nothing() {
+    let shelf = Shelf::new();
+    shelf.take(&whole(9, vec![row("a", Some("new"), 9)]), SECOND);
+    let changed = shelf.take(&whole(4, vec![row("a", Some("old"), 4)]), 5 * SECOND);
+    assert!(changed.is_empty());
+    assert_eq!(shelf.read(), Some(SECOND));
+}
+
+#[test]
+fn news_is_what_the_asker_lacks() {
+    let shelf = Shelf::new();
+    assert!(shelf.news(None).is_none());
+    shelf.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
+    shelf.take(&changes(5, 6, vec![row("b", Some("2"), 6)]), 2 * SECOND);
+    let (news, read) = shelf.news(Some(5)).expect("news");
+    assert_eq!(news, changes(5, 6, vec![row("b", Some("2"), 6)]));
+    assert_eq!(read, 2 * SECOND);
+    let (news, _) = shelf.news(None).expect("news");
+    assert!(news.whole);
+    assert_eq!(news.rows.len(), 2);
+    // One who knows more than this instance, from a store that was set back, is told everything.
+    let (news, _) = shelf.news(Some(70)).expect("news");
+    assert!(news.whole);
+}
+
+/// What a store of one table went through: for each version, the key that was written or dropped.
+type History = Vec<(u8, Option<u8>)>;
+
+/// The rows as of a version.
+fn state(history: &History, version: usize) -> BTreeMap<Arc<str>, Row> {
+    let mut rows = BTreeMap::new();
+    for (at, (key, value)) in history.iter().take(version).enumerate() {
+        let key: Arc<str> = format!("k{key}").into();
+        let text = value.map(|v| v.to_string());
+        let version = u64::try_from(at + 1).expect("a small number");
+        rows.insert(Arc::clone(&key), row(&key, text.as_deref(), version));
+    }
+    rows
+}
+
+proptest! {
+    /// Two instances follow a store and each other in any order, from any version, whole or by
+    /// changes. What one knows is always exactly the store's state at the version that it names.
+    #[test]
+    fn knowledge_is_the_state_of_some_moment_and_never_goes_back(
+        history in prop::collection::vec((0..5_u8, prop::option::of(any::<u8>())), 1..25),
+        steps in prop::collection::vec((0..4_u8, any::<prop::sample::Index>(), any::<bool>()), 1..40),
+    ) {
+        let shelves = [Shelf::new(), Shelf::new()];
+        let mut read = SECOND;
+        for (step, at, first) in steps {
+            read += SECOND;
+            let number = usize::from(first);
+            let (mine, other) = (&shelves[number], &shelves[1 - number]);
+            let before = mine.version();
+            let now = at.index(history.len()) + 1;
+            let version = u64::try_from(now).expect("a small number");
+            let rows = state(&history, now);
+            match step {
+                0 => {
+                    let all = rows.into_values().filter(|row| row.value.is_some()).collect();
+                    mine.take(&whole(version, all), read);
+                }
+                1 | 2 => {
+                    let after = before.unwrap_or_default().min(version);
+                    let new = rows.into_values().filter(|row| row.version > after).collect();
+                    mine.take(&changes(after, version, new), read);
+                }
+                _ => {
+                    if let Some((news, confirmed)) = other.news(mine.version()) {
+                        mine.take(&news, confirmed);
+                    }
+                }
+            }
+            prop_assert!(mine.version() >= before);
+            if let Some((news, _)) = mine.news(None) {
+                let at = usize::try_from(news.version).expect("a small number");
+                let known: BTreeMap<Arc<str>, Option<Arc<[u8]>>> =
+                    news.rows.into_iter().map(|row| (row.key, row.value)).collect();
+                let want: BTreeMap<Arc<str>, Option<Arc<[u8]>>> = state(&history, at)
+                    .into_values()
+                    .filter(|row| row.value.is_some())
+                    .map(|row| (row.key, row.value))
+                    .collect();
+                prop_assert_eq!(known, want);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/view/tests/believed.rs
@@ -0,0 +1,169 @@
+//! What an instance believes, and what it does not let itself be told.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use types::Standing;
+use view::{Change, Holder, Identity, Kind, Route, Rules, Share, Target, Unidentified, View};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.into(),
+        host: host.into(),
+        prefix: prefix.into(),
+        kind: Kind::Idempotent,
+        timeout: SECOND,
+        aim: SECOND / 10,
+        max_targets: 1,
+        rank: 0,
+        anonymous: false,
+        shares: vec![Share {
+            service: "a-service".into(),
+            weight: 1.0,
+        }],
+    }
+}
+
+fn target(id: &str, standing: Standing, born: Option<u64>) -> Target {
+    Target {
+        id: id.into(),
+        service: "a-service".into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        data_centre: "dc-1".into(),
+        slots: 4,
+        standing,
+        cold_left: Duration::ZERO,
+        born,
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let rules = Rules::new(1).with_routes([
+        route("short", "a.example", "/x/"),
+        route("long", "a.example", "/x/y/"),
+        route("other", "b.example", "/x/y/z/"),
+    ]);
+    let name = |host, path| rules.route(host, path).map(|route| route.name.to_string());
+    assert_eq!(name("a.example", "/x/y/z/1").as_deref(), Some("long"));
+    assert_eq!(name("A.example:8080", "/x/1").as_deref(), Some("short"));
+    assert_eq!(name("a.example", "/xx/"), None);
+    assert_eq!(name("c.example", "/x/"), None);
+}
+
+#[test]
+fn a_route_spreads_its_requests_by_weight() {
+    let mut route = route("r", "a.example", "/");
+    route.shares = vec![
+        Share {
+            service: "most".into(),
+            weight: 9.0,
+        },
+        Share {
+            service: "few".into(),
+            weight: 1.0,
+        },
+    ];
+    let picked = |at| route.pick(at).map(|service| service.to_string());
+    assert_eq!(picked(0.0).as_deref(), Some("most"));
+    assert_eq!(picked(0.89).as_deref(), Some("most"));
+    assert_eq!(picked(0.91).as_deref(), Some("few"));
+    assert_eq!(picked(0.999_999).as_deref(), Some("few"));
+}
+
+/// A wrong key on a route that also takes callers without one. Let through, its owner would take
+/// it for a good key, and notice only elsewhere.
+#[test]
+fn a_wrong_key_is_refused_also_where_none_is_needed() {
+    let holder = Holder {
+        workspace: "editors".into(),
+        rank: None,
+    };
+    let rules = Rules::new(1).with_holders(HashMap::from([(Arc::from("good"), holder.clone())]));
+    let mut route = route("r", "a.example", "/");
+    assert_eq!(
+        rules.identify(&route, Some("good")),
+        Ok(Identity::Holder(holder))
+    );
+    assert_eq!(rules.identify(&route, Some("bad")), Err(Unidentified));
+    assert_eq!(rules.identify(&route, None), Err(Unidentified));
+    route.anonymous = true;
+    assert_eq!(rules.identify(&route, None), Ok(Identity::Anonymous));
+    assert_eq!(rules.identify(&route, Some("bad")), Err(Unidentified));
+}
+
+/// A peer or a slow answer tells of an older configuration after a newer one is in force. Taken,
+/// callers would see routes and keys come back that the operator took away.
+#[test]
+fn a_configuration_never_goes_back() {
+    let view = View::new();
+    let changed = view.learn_rules(Rules::new(7));
+    assert_eq!(changed, Some(Change::Rules { from: None, to: 7 }));
+    assert_eq!(view.learn_rules(Rules::new(5)), None);
+    assert_eq!(view.learn_rules(Rules::new(7)), None);
+    assert_eq!(view.rules().map(|rules| rules.version), Some(7));
+}
+
+/// The store was away, and with it the targets' heartbeats; their listings have lapsed when it is
+/// back. Believed at once, every target would be gone and every caller refused.
+#[test]
+fn listings_that_lapsed_in_an_outage_are_believed_for_a_while() {
+    let view = View::new();
+    view.learn_target(target("t-1", Standing::Live, None));
+    view.learn_target(target("t-2", Standing::Live, None));
+    let back = 100 * SECOND;
+    assert_eq!(view.unlist_target(&"t-1".into(), back, Some(back)), None);
+    assert_eq!(view.unlist_target(&"t-2".into(), back, Some(back)), None);
+    assert!(view.target("t-1").is_some());
+    view.learn_target(target("t-1", Standing::Live, None));
+    let later = view.expire_lapsed(back + 3 * SECOND);
+    assert!(matches!(&later[..], [Change::Leaving(gone)] if &*gone.id == "t-2"));
+    assert!(view.target("t-1").is_some());
+}
+
+#[test]
+fn a_listing_dropped_on_a_calm_day_is_gone_at_once() {
+    let view = View::new();
+    view.learn_target(target("t-1", Standing::Live, None));
+    let change = view.unlist_target(&"t-1".into(), SECOND, None);
+    assert!(matches!(change, Some(Change::Leaving(_))));
+    assert!(view.target("t-1").is_none());
+}
+
+/// A peer hears that a target leaves before this instance reads it. Its old listing says that it
+/// stays, and new work would go to a target that is about to end.
+#[test]
+fn word_that_a_target_leaves_counts_before_its_listing_says_so() {
+    let view = View::new();
+    view.learn_target(target("t-1", Standing::Live, None));
+    let change = view.hear_leaving(&"t-1".into());
+    assert!(matches!(change, Some(Change::Leaving(_))));
+    assert_eq!(view.hear_leaving(&"t-1".into()), None);
+    let known = view.target("t-1").expect("still listed");
+    assert!(!view.takes_work(&known));
+}
+
+/// A target starts again under its old id. What ran there is gone, though nothing in the listing
+/// but the time of birth tells.
+#[test]
+fn a_new_life_under_an_old_id_is_noticed() {
+    let view = View::new();
+    view.learn_target(target("t-1", Standing::Live, Some(1)));
+    let change = view.learn_target(target("t-1", Standing::Live, Some(2)));
+    assert!(matches!(change, Some(Change::Reborn(_))));
+    let again = view.learn_target(target("t-1", Standing::Live, Some(2)));
+    assert_eq!(again, None);
+}
+
+#[test]
+fn a_closed_data_centre_gets_no_work_until_it_is_opened() {
+    let view = View::new();
+    view.learn_target(target("t-1", Standing::Live, None));
+    let known = view.target("t-1").expect("listed");
+    assert!(view.takes_work(&known));
+    view.learn_closed(&"dc-1".into(), true);
+    assert!(!view.takes_work(&known));
+    view.learn_closed(&"dc-1".into(), false);
+    assert!(view.takes_work(&known));
+}
--- /dev/null
+++ b/tests/platform/calls.rs
@@ -0,0 +1,244 @@
+//! Plain calls on the users' platform, with real processes before stand-ins that fail.
+
+use std::time::Duration;
+
+use crate::support::{Caller, Platform, eventually, page, status};
+use platform_standin::plain::Fault;
+use smol::Timer;
+
+#[test]
+fn a_call_goes_through_unchanged_and_the_key_stays_here() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("through").await;
+        let caller = Caller::new("key-1");
+        let got = caller
+            .call(instance.addr, "POST", "/grants/9?x=1", "r-1")
+            .await;
+        assert_eq!(
+            (got.status, got.body.as_str()),
+            (200, "POST /grants/9?x=1 a body")
+        );
+        let seen = platform.plain[0]
+            .seen()
+            .pop()
+            .expect("the near process got it");
+        assert_eq!(seen.get("tenant").expect("a workspace"), "editors");
+        assert!(seen.get("authorization").is_none());
+        let denied = Caller::new("other")
+            .call(instance.addr, "GET", "/titles/9", "r-2")
+            .await;
+        assert_eq!(denied.status, 401);
+        let nowhere = caller.call(instance.addr, "GET", "/nowhere/9", "r-3").await;
+        assert_eq!(nowhere.status, 404);
+    });
+}
+
+/// A target answers 500 to a call that may be repeated. The caller should not notice: another
+/// target has the answer.
+#[test]
+fn an_idempotent_call_is_tried_again_and_another_is_not() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("again").await;
+        let caller = Caller::new("key-1");
+        platform.plain[0].set_fault(Fault::Fails);
+        let got = caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+        assert_eq!(got.status, 200);
+        assert_eq!((platform.plain[0].ran(), platform.plain[1].ran()), (1, 1));
+        let got = caller.call(instance.addr, "POST", "/grants/9", "r-2").await;
+        assert_eq!(got.status, 500);
+        assert_eq!((platform.plain[0].ran(), platform.plain[1].ran()), (2, 1));
+    });
+}
+
+/// A grant was run and its answer lost, crossed with another, torn or unproven. Sent again it
+/// would be granted twice; refused as not run, the caller would send it again itself.
+#[test]
+fn a_call_that_may_have_run_is_neither_repeated_nor_called_not_run() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("once").await;
+        let caller = Caller::new("key-1");
+        for (number, fault) in [Fault::Crossed, Fault::Torn, Fault::Unsealed]
+            .into_iter()
+            .enumerate()
+        {
+            for process in &platform.plain {
+                process.set_fault(fault);
+            }
+            let before: usize = platform.plain.iter().map(|p| p.ran()).sum();
+            let id = format!("r-{number}");
+            let got = caller.call(instance.addr, "POST", "/grants/9", &id).await;
+            let after: usize = platform.plain.iter().map(|p| p.ran()).sum();
+            assert_eq!((got.status, after - before), (502, 1), "{fault:?}");
+            let story = instance.story(&id);
+            let failed = story.iter().find(|line| line["event"] == "SendingFailed");
+            assert_eq!(
+                failed.expect("a line")["fields"]["not_run"],
+                false,
+                "{fault:?}"
+            );
+        }
+    });
+}
+
+/// Every target says that it did not run the call. That is certain, and the caller is told so and
+/// when to come back.
+#[test]
+fn a_call_that_surely_did_not_run_is_refused_with_a_time_to_come_back() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("refused").await;
+        let caller = Caller::new("key-1");
+        for process in &platform.plain {
+            process.set_fault(Fault::Full);
+        }
+        let got = caller.call(instance.addr, "POST", "/grants/9", "r-1").await;
+        assert_eq!(got.status, 503);
+        assert!(got.retry_after.is_some());
+        assert!(got.body.contains("not-run"), "{}", got.body);
+        platform.plain[1].set_fault(Fault::None);
+        let got = caller.call(instance.addr, "POST", "/grants/9", "r-2").await;
+        assert_eq!(got.status, 200);
+    });
+}
+
+/// A target takes a call and says nothing more. One that may be repeated is asked of another in
+/// time for its caller.
+#[test]
+fn a_silent_target_does_not_keep_an_idempotent_call() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("silent").await;
+        platform.plain[0].set_fault(Fault::Silent);
+        let got = Caller::new("key-1")
+            .call(instance.addr, "GET", "/titles/9", "r-1")
+            .await;
+        assert_eq!(got.status, 200);
+        assert_eq!(platform.plain[1].ran(), 1);
+    });
+}
+
+/// The store goes away, and an operator may take a key back meanwhile that nobody here hears of.
+/// After a while no key is honoured, and callers are told that the request has not run.
+#[test]
+fn without_the_store_keys_are_honoured_for_a_short_while_only() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("revoked").await;
+        let caller = Caller::new("key-1");
+        platform.store.set_down(true);
+        let got = caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+        assert_eq!(got.status, 200);
+        Timer::after(Duration::from_millis(2_600)).await;
+        let got = caller.call(instance.addr, "GET", "/titles/9", "r-2").await;
+        assert_eq!(got.status, 503);
+        assert!(got.retry_after.is_some());
+        assert_eq!(status(instance.ready, "/v1/readiness").await, Some(503));
+        platform.configure(&["key-2"]);
+        platform.store.set_down(false);
+        let caller = &caller;
+        eventually("the key is dead", || async {
+            caller
+                .call(instance.addr, "GET", "/titles/9", "r-3")
+                .await
+                .status
+                == 401
+        })
+        .await;
+        let fresh = Caller::new("key-2");
+        assert_eq!(
+            fresh
+                .call(instance.addr, "GET", "/titles/9", "r-4")
+                .await
+                .status,
+            200
+        );
+        let events = instance.events();
+        for name in ["StoreLost", "StoreRegained"] {
+            assert!(events.iter().any(|event| event == name), "{name}");
+        }
+    });
+}
+
+/// The store forgets its history while an instance follows it. What it says next must not be
+/// missed.
+#[test]
+fn a_configuration_comes_into_force_also_after_the_history_is_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("history").await;
+        platform.configure(&["key-2"]);
+        platform.store.forget_history();
+        platform.configure(&["key-3"]);
+        let caller = Caller::new("key-3");
+        let caller = &caller;
+        eventually("the newest key is good", || async {
+            caller
+                .call(instance.addr, "GET", "/titles/9", "r-1")
+                .await
+                .status
+                == 200
+        })
+        .await;
+        let old = Caller::new("key-2")
+            .call(instance.addr, "GET", "/titles/9", "r-2")
+            .await;
+        assert_eq!(old.status, 401);
+    });
+}
+
+#[test]
+fn metrics_and_the_dump_are_served_and_hold_no_keys() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("metrics").await;
+        let caller = Caller::new("key-1");
+        caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+        let metrics = page(instance.admin, "/metrics")
+            .await
+            .expect("metrics")
+            .body;
+        let line = "celerystand_requests_total{kind=\"idempotent\",outcome=\"answered\"} 1";
+        assert!(metrics.contains(line), "{metrics}");
+        let dump = page(instance.admin, "/dump").await.expect("a dump").body;
+        assert!(
+            dump.contains("\"ready\":true") && !dump.contains("key-1"),
+            "{dump}"
+        );
+    });
+}
+
+/// Two instances follow one store. One of them reads it; word of a change reaches both, and the
+/// store is asked far less often than each for itself would ask.
+#[test]
+fn instances_follow_the_store_through_each_other() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let mut instances = Vec::new();
+        for name in ["one", "two", "three", "four"] {
+            instances.push(platform.instance(name).await);
+        }
+        Timer::after(Duration::from_secs(2)).await;
+        let before = platform.store.calls();
+        Timer::after(Duration::from_secs(4)).await;
+        // Two readers of two topics make one call each 0.8 s: 20 in four seconds. Each of four
+        // instances alone would make 40 and more.
+        let calls = platform.store.calls() - before;
+        assert!(calls <= 30, "{calls}");
+        platform.configure(&["key-9"]);
+        let caller = Caller::new("key-9");
+        let caller = &caller;
+        for instance in &instances {
+            eventually("the new key is good everywhere", || async {
+                caller
+                    .call(instance.addr, "GET", "/titles/9", "r-1")
+                    .await
+                    .status
+                    == 200
+            })
+            .await;
+        }
+    });
+}
--- /dev/null
+++ b/tests/platform/generations.rs
@@ -0,0 +1,162 @@
+//! Generations on the users' platform, with real processes before engines that leave and fail.
+
+use std::time::Duration;
+
+use crate::support::{Caller, Platform, all_events, eventually, read, status};
+use smol::Timer;
+
+/// Events of a generation that takes about two seconds.
+const LONG: u32 = 130;
+
+#[test]
+fn a_generation_comes_whole_and_in_order() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("whole").await;
+        let got = Caller::new("key-1")
+            .generate(instance.addr, "g-1", 20)
+            .await;
+        assert_eq!((got.status, got.whole), (200, true));
+        assert_eq!(got.body, all_events(20));
+    });
+}
+
+/// An engine is reclaimed while it generates. Without a move its caller gets a part of the answer;
+/// with one it gets every event once, and the second engine begins nothing anew.
+#[test]
+fn a_generation_is_carried_over_when_its_engine_leaves() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("carried").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        assert_eq!(platform.engines[0].working(), 1);
+        platform.engine_leaves(0);
+        eventually("it runs at the other engine", || async {
+            platform.engines[1].working() == 1
+        })
+        .await;
+        // The first one is gone for good.
+        platform.engines[0].crash();
+        let got = read(resp.expect("an answer")).await;
+        assert!(got.whole);
+        assert_eq!(got.body, all_events(LONG));
+        assert!(platform.engines[1].began().is_empty());
+        let story = instance.story("g-1");
+        let carried = story
+            .iter()
+            .find(|line| line["event"] == "GenerationCarried");
+        assert_eq!(carried.expect("a line")["fields"]["to"], "e-2");
+    });
+}
+
+/// The instance has lost the store, and nobody tells it that an engine leaves but the engine
+/// itself.
+#[test]
+fn a_generation_is_carried_over_also_while_the_store_is_lost() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("blind").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", 300)
+            .await;
+        platform.store.set_down(true);
+        Timer::after(Duration::from_millis(2_400)).await;
+        platform.engines[0].set_leaving();
+        eventually("it runs at the other engine", || async {
+            platform.engines[1].working() == 1
+        })
+        .await;
+        platform.engines[0].crash();
+        let got = read(resp.expect("an answer")).await;
+        assert!(got.whole);
+        assert_eq!(got.body, all_events(300));
+    });
+}
+
+/// An engine crashes without notice. What the caller has is a part, and must not look whole.
+#[test]
+fn a_generation_whose_engine_crashed_does_not_look_whole() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("crashed").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        platform.engines[0].crash();
+        let got = read(resp.expect("an answer")).await;
+        assert!(!got.whole);
+        assert!(all_events(LONG).starts_with(&got.body));
+        let story = instance.story("g-1");
+        let cut = story.iter().find(|line| line["event"] == "StreamCut");
+        assert_eq!(cut.expect("a line")["fields"]["target"], "e-1");
+    });
+}
+
+/// An engine refuses, saying that it did not run it. The generation goes to another, once.
+#[test]
+fn a_generation_that_an_engine_refused_runs_elsewhere() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("elsewhere").await;
+        platform.engines[0].set_full(true);
+        let got = Caller::new("key-1").generate(instance.addr, "g-1", 5).await;
+        assert_eq!(got.body, all_events(5));
+        assert!(platform.engines[0].began().is_empty());
+        assert_eq!(platform.engines[1].began(), ["g-1"]);
+    });
+}
+
+/// A caller goes away in the middle. An engine that works on for nobody lacks the place for
+/// somebody else.
+#[test]
+fn a_generation_ends_when_its_caller_leaves() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("gone").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        assert_eq!(platform.engines[0].working(), 1);
+        drop(resp);
+        eventually("the engine has stopped", || async {
+            platform.engines[0].working() == 0
+        })
+        .await;
+    });
+}
+
+/// An instance is told to stop while generations run. It takes no new callers from the balancer,
+/// and cuts none that it has.
+#[test]
+fn a_planned_stop_cuts_no_generation() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let mut instance = platform.instance("stop").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        instance.terminate();
+        eventually("it is no longer ready", || async {
+            status(instance.ready, "/v1/readiness").await == Some(503)
+        })
+        .await;
+        let late = caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+        assert_eq!(late.status, 200);
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        eventually("the process has ended", || {
+            let stopped = instance.has_stopped();
+            async move { stopped }
+        })
+        .await;
+    });
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,6 @@
+//! The program on the users' platform: real processes before stand-ins for its store, engines and
+//! plain services.
+
+mod calls;
+mod generations;
+mod support;
