Wait for log lines in the platform tests

Cause: a_call_that_may_have_run... failed once of two runs: the line was looked for before the pipe had brought it (the thread that reads it runs beside the test). Change: lines are waited for.

--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -72,13 +72,8 @@
             let got = caller.call(instance.addr, "POST", "/grants/9", &id).await;
             let after: usize = platform.plain.iter().map(|p| p.ran()).sum();
             assert_eq!((got.status, after - before), (502, 1), "{fault:?}");
-            let story = instance.story(&id);
-            let failed = story.iter().find(|line| line["event"] == "SendingFailed");
-            assert_eq!(
-                failed.expect("a line")["fields"]["not_run"],
-                false,
-                "{fault:?}"
-            );
+            let line = instance.line(&id, "SendingFailed").await;
+            assert_eq!(line["fields"]["not_run"], false, "{fault:?}");
         }
     });
 }
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -45,11 +45,8 @@
         assert!(got.whole);
         assert_eq!(got.body, all_events(LONG));
         assert!(platform.engines[1].began().is_empty());
-        let story = instance.story("g-1");
-        let carried = story
-            .iter()
-            .find(|line| line["event"] == "GenerationCarried");
-        assert_eq!(carried.expect("a line")["fields"]["to"], "e-2");
+        let line = instance.line("g-1", "GenerationCarried").await;
+        assert_eq!(line["fields"]["to"], "e-2");
     });
 }
 
@@ -93,9 +90,8 @@
         let got = read(resp.expect("an answer")).await;
         assert!(!got.whole);
         assert!(all_events(LONG).starts_with(&got.body));
-        let story = instance.story("g-1");
-        let cut = story.iter().find(|line| line["event"] == "StreamCut");
-        assert_eq!(cut.expect("a line")["fields"]["target"], "e-1");
+        let line = instance.line("g-1", "StreamCut").await;
+        assert_eq!(line["fields"]["target"], "e-1");
     });
 }
 
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -185,11 +185,23 @@
         matches!(self.child.try_wait(), Ok(Some(status)) if status.success())
     }
 
-    /// Lines about a request so far, by the names of their events.
-    pub fn story(&self, id: &str) -> Vec<Value> {
+    /// The line about a request with this event's name, once it is there: lines come through a
+    /// pipe, and may arrive after the answer.
+    pub async fn line(&self, id: &str, event: &str) -> Value {
+        let timer = Timer::new();
+        while timer.now() < SOON {
+            if let Some(line) = self.find(id, event) {
+                return line;
+            }
+            timer.sleep(POLL).await;
+        }
+        panic!("no line {event} about {id}");
+    }
+
+    fn find(&self, id: &str, event: &str) -> Option<Value> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        let about = |line: &&Value| line["fields"]["id"] == id;
-        log.iter().filter(about).cloned().collect()
+        let fits = |line: &&Value| line["fields"]["id"] == id && line["event"] == event;
+        log.iter().find(fits).cloned()
     }
 
     /// Names of all events so far.
