Promise engines' memory by the worst moment to come, with learned lengths

Change: lengths are learned by route, an estimate moves the expectation by a quarter; memory is the worst moment to come over the chances that each still runs, with one standard deviation.

--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -38,6 +38,8 @@
     /// The generation.
     pub live: Arc<Live>,
     doubt: bool,
+    /// It came to its end, so that its length says something.
+    pub whole: bool,
 }
 
 impl Place {
@@ -48,6 +50,7 @@
             front: Arc::clone(front),
             live,
             doubt: false,
+            whole: false,
         }
     }
 }
@@ -59,6 +62,7 @@
         let note = Note::Ended {
             run: Arc::clone(&self.live.run),
             doubt: self.doubt,
+            made: self.whole.then(|| self.live.made()),
         };
         Front::note(&self.front, &self.live.service, note);
     }
@@ -96,7 +100,11 @@
                 None => {
                     // The owner knows a target that this instance has not heard of yet.
                     let run = Arc::clone(&call.asked.id);
-                    let note = Note::Ended { run, doubt: false };
+                    let note = Note::Ended {
+                        run,
+                        doubt: false,
+                        made: None,
+                    };
                     Front::note(front, &call.service.name, note);
                     UNHEARD_PAUSE
                 }
@@ -120,6 +128,7 @@
         entry: Arc::clone(&front.cfg.instance),
         data_centre: Arc::clone(&front.cfg.data_centre),
         service: Arc::clone(&call.service.name),
+        route: Arc::clone(&call.route.name),
         prompt: sizes.prompt,
         longest: sizes.longest,
         hint: sizes.hint,
@@ -142,7 +151,7 @@
     target: Arc<Target>,
     avoid: &mut Vec<TargetId>,
 ) -> Attempt {
-    let mut place = Place::new(front, live(front, call, &target));
+    let mut place = Place::new(front, live(call, &target));
     let sending = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
     if !front.take_cold(&call.service, &target) {
         avoid.push(Arc::clone(&target.id));
@@ -199,9 +208,8 @@
     Attempt::Again
 }
 
-fn live(front: &Front, call: &Call, target: &Arc<Target>) -> Live {
+fn live(call: &Call, target: &Arc<Target>) -> Live {
     let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
-    let expected = front.placement.expected(sizes.longest, sizes.hint);
     let per_event = call
         .service
         .engine
@@ -210,8 +218,8 @@
     let run = Arc::clone(&call.asked.id);
     let service = Arc::clone(&call.service.name);
     Live::new(run, service, Arc::clone(target))
-        .with_sizes(sizes.prompt, expected, per_event)
-        .with_rank(call.rank)
+        .with_sizes(sizes, per_event)
+        .with_route(Arc::clone(&call.route.name), call.rank)
 }
 
 fn stream(
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -11,10 +11,10 @@
 use async_channel::{Receiver, Sender, unbounded};
 use parking_lot::Mutex;
 use placing::{RunId, Running};
-use types::{ServiceId, Tokens};
+use types::{RouteId, ServiceId, Tokens};
 use view::Target;
 
-use crate::face::Resume;
+use crate::face::{Resume, Sizes};
 
 /// An order to the task that relays a generation.
 #[derive(Debug)]
@@ -43,8 +43,12 @@
     pub service: ServiceId,
     /// Tokens of its prompt.
     pub prompt: Tokens,
-    /// Tokens that it is expected to make.
-    pub expected: Tokens,
+    /// Its route.
+    pub route: RouteId,
+    /// Tokens of the longest answer allowed.
+    pub longest: Tokens,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<Tokens>,
     /// Tokens in one event.
     pub per_event: Tokens,
     /// Its rank.
@@ -67,7 +71,9 @@
             run,
             service,
             prompt: 0,
-            expected: 0,
+            route: "".into(),
+            longest: 0,
+            hint: None,
             per_event: 1,
             rank: 0,
             target: Mutex::new(target),
@@ -79,22 +85,30 @@
         }
     }
 
-    /// Sets its sizes in tokens: prompt, expected answer, one event.
+    /// Sets its sizes, and the tokens in one event.
     #[must_use]
-    pub const fn with_sizes(mut self, prompt: Tokens, expected: Tokens, per_event: Tokens) -> Self {
-        self.prompt = prompt;
-        self.expected = expected;
+    pub const fn with_sizes(mut self, sizes: Sizes, per_event: Tokens) -> Self {
+        self.prompt = sizes.prompt;
+        self.longest = sizes.longest;
+        self.hint = sizes.hint;
         self.per_event = per_event;
         self
     }
 
-    /// Sets its rank.
+    /// Sets its route and its rank.
     #[must_use]
-    pub const fn with_rank(mut self, rank: u32) -> Self {
+    pub fn with_route(mut self, route: RouteId, rank: u32) -> Self {
+        self.route = route;
         self.rank = rank;
         self
     }
 
+    /// Tokens made so far.
+    #[must_use]
+    pub fn made(&self) -> Tokens {
+        self.events.load(Ordering::Relaxed) * self.per_event
+    }
+
     /// Where it runs.
     #[must_use]
     pub fn target(&self) -> Arc<Target> {
@@ -165,8 +179,10 @@
             service: Arc::clone(&self.service),
             target: Arc::clone(&self.target.lock().id),
             prompt: self.prompt,
-            made: self.events.load(Ordering::Relaxed) * self.per_event,
-            expected: self.expected,
+            made: self.made(),
+            route: Arc::clone(&self.route),
+            longest: self.longest,
+            hint: self.hint,
             rank: self.rank,
             started: self.has_started(),
         }
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -5,7 +5,7 @@
 use parking_lot::Mutex;
 use placing::{Answer, Ask, Engine, Note, Owner, Tuning};
 use timer::boot_time;
-use types::{InstanceId, Tokens};
+use types::InstanceId;
 
 use crate::{
     state::Front,
@@ -42,12 +42,6 @@
         }
     }
 
-    /// Tokens that a generation is expected to make.
-    #[must_use]
-    pub fn expected(&self, longest: Tokens, hint: Option<Tokens>) -> Tokens {
-        self.owner.lock().expected(longest, hint)
-    }
-
     /// The entry that holds a generation's caller.
     #[must_use]
     pub fn entry_of(&self, run: &str) -> Option<InstanceId> {
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -88,6 +88,7 @@
         let target = self.place.live.target();
         match stop {
             Stop::Whole => {
+                self.place.whole = true;
                 self.front.metrics.ended(self.call.kind(), "answered");
                 emit(&Event::RequestAnswered {
                     id: Arc::clone(&self.call.asked.id),
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use types::{DataCentreId, InstanceId, Moment, ServiceId, TargetId, Tokens};
+use types::{DataCentreId, InstanceId, Moment, RouteId, ServiceId, TargetId, Tokens};
 
-use crate::{message::RunId, tuning::Tuning};
+use crate::{length::Length, memory::Holder, message::RunId, tuning::Tuning};
 
 /// An engine that may get work, as listings and configuration describe it.
 #[derive(Clone, Debug, PartialEq)]
@@ -32,8 +32,12 @@
     pub target: TargetId,
     /// Tokens of the prompt.
     pub prompt: Tokens,
-    /// Tokens that it is expected to make in all.
-    pub expected: Tokens,
+    /// Its route.
+    pub route: RouteId,
+    /// Tokens of the longest answer allowed.
+    pub longest: Tokens,
+    /// What is expected of its length.
+    pub length: Length,
     /// Rank, the lowest first.
     pub rank: u32,
     /// When it was granted.
@@ -60,17 +64,20 @@
         self.made + tuning.made_in(now.saturating_sub(self.counted))
     }
 
-    /// Memory that it takes at its end, estimated; never less than it takes now.
+    /// What it holds and will hold.
     #[must_use]
-    pub fn size(&self, now: Moment, tuning: &Tuning) -> Tokens {
-        self.prompt + self.expected.max(self.made_by(now, tuning))
+    pub fn holder(&self, now: Moment, tuning: &Tuning) -> Holder {
+        Holder {
+            prompt: self.prompt,
+            made: self.made_by(now, tuning),
+            length: self.length,
+        }
     }
 
     /// Time that it still runs, estimated.
     #[must_use]
     pub fn rest(&self, now: Moment, tuning: &Tuning) -> Duration {
-        let left = self.expected.saturating_sub(self.made_by(now, tuning));
-        tuning.time_for(left)
+        tuning.time_for(self.length.rest(self.made_by(now, tuning)))
     }
 }
 
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -109,13 +109,14 @@
         engines: &[Engine],
         refused: &dyn Fn(&TargetId) -> bool,
     ) -> Option<TargetId> {
-        let size = run.size(now, &self.tuning);
+        let holder = run.holder(now, &self.tuning);
+        let size = holder.prompt + holder.made;
         let mut best = None;
         for engine in engines {
             if engine.id == run.target || refused(&engine.id) {
                 continue;
             }
-            if !self.has_room(now, engine, size) {
+            if !self.has_room(now, engine, holder) {
                 continue;
             }
             let copies = u32::try_from(size).unwrap_or(u32::MAX);
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -5,12 +5,15 @@
 
 pub mod account;
 pub mod carry;
+pub mod length;
+pub mod memory;
 pub mod message;
 pub mod owner;
 pub mod rank;
 pub mod tuning;
 
 pub use account::{Engine, Run};
+pub use length::{Length, Lengths};
 pub use message::{Answer, Ask, Carried, Carry, Load, Note, RunId, Running, Sync};
 pub use owner::Owner;
 pub use rank::ranked;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, ServiceId, TargetId, Tokens};
+use types::{DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens};
 
 /// Id of one generation: that of its request.
 pub type RunId = Arc<str>;
@@ -19,6 +19,8 @@
     pub data_centre: DataCentreId,
     /// The service.
     pub service: ServiceId,
+    /// The route, by which lengths are learned.
+    pub route: RouteId,
     /// Tokens of the prompt.
     pub prompt: Tokens,
     /// Tokens of the longest answer allowed.
@@ -69,6 +71,8 @@
         run: RunId,
         /// The engine refused or failed it.
         doubt: bool,
+        /// Tokens that it made, if it came to its end.
+        made: Option<Tokens>,
     },
 }
 
@@ -85,8 +89,12 @@
     pub prompt: Tokens,
     /// Tokens made so far.
     pub made: Tokens,
-    /// Tokens that it is expected to make in all.
-    pub expected: Tokens,
+    /// Its route.
+    pub route: RouteId,
+    /// Tokens of the longest answer allowed.
+    pub longest: Tokens,
+    /// The caller's estimate of the answer's tokens.
+    pub hint: Option<Tokens>,
     /// Rank, the lowest first.
     pub rank: u32,
     /// Whether its first event has come.
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -13,8 +13,9 @@
     pub prompt_tokens_per_ms: f64,
     /// Time between two tokens of a generation: a step of 7 ms and what a batch of some ten adds.
     pub token_time: Duration,
-    /// Part of an engine's memory that may be promised. The rest is for generations that get
-    /// longer than expected; without it the engine preempts, and reads prompts anew.
+    /// Part of an engine's memory that may be taken at the worst moment to come. The rest is for
+    /// generations that get longer than expected; without it the engine preempts, and reads
+    /// prompts anew.
     pub memory_share: f64,
     /// What an engine in another data centre costs, as if its first event came so much later:
     /// bytes between data centres are priced, and moves take twice as long.
@@ -42,8 +43,6 @@
     /// A generation that is expected to end within this time is not moved: the move itself
     /// takes about as long.
     pub least_rest: Duration,
-    /// Length that is assumed where nobody estimated one, as a part of the longest allowed.
-    pub unknown_share: f64,
 }
 
 impl Default for Tuning {
@@ -51,7 +50,7 @@
         Self {
             prompt_tokens_per_ms: 7.0,
             token_time: Duration::from_micros(9_000),
-            memory_share: 0.92,
+            memory_share: 0.95,
             distance: Duration::from_millis(40),
             crowding: Duration::from_millis(300),
             newness: Duration::from_millis(200),
@@ -63,7 +62,6 @@
             wait_life: Duration::from_millis(200),
             run_life: Duration::from_secs(3),
             least_rest: Duration::from_millis(200),
-            unknown_share: 0.4,
         }
     }
 }
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -26,6 +26,7 @@
         entry: "entry-1".into(),
         data_centre: "dc-1".into(),
         service: "drafts".into(),
+        route: "drafts".into(),
         prompt: 3_000,
         longest: 2_000,
         hint: Some(1_000),
