--- a/components/placing/src/length.rs
+++ b/components/placing/src/length.rs
@@ -59,7 +59,8 @@
         let mut sum = 0.0;
         let mut at = 0;
         while at < left {
-            sum += self.survives(made, at) * as_f64(step.min(left - at));
+            let wide = step.min(left - at);
+            sum += self.survives(made, at + wide / 2) * as_f64(wide);
             at += step;
         }
         whole(sum)
