Tell a request's story from logs: celerystand explain; weigh owners by their strength

Cause: (1) the users want a way from a request's id to its cause. (3) an ask that fits nowhere held up others that fit. (4) instances that reach nobody filled engines that others had filled. Change: 'explain' gathers one request's lines and what its logs and targets say around them; the strongest instances own and read; those that wait ask less often the more they are; an ask waits only behind as many as there are engines with room; engines' reports count while they are asked.

--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -1,7 +1,8 @@
-//! Asks engines themselves whether they leave, while nobody else tells.
+//! Asks engines themselves whether they leave and what they hold, while nobody else tells.
 //!
 //! An instance that reaches neither the store nor a peer still reaches its engines and callers.
-//! It would see an engine's leaving only when its streams break off. Each question has a price,
+//! It would see an engine's leaving only when its streams break off, and take engines for empty
+//! that others have filled. Each question has a price,
 //! so engines are asked only while what is known of them is old.
 
 use std::{sync::Arc, time::Duration};
@@ -49,7 +50,13 @@
 }
 
 async fn ask(front: &Arc<Front>, target: Arc<Target>) {
-    if front.engines.state(target.addr, PATIENCE).await == Some(EngineState::Leaving) {
+    let Some(report) = front.engines.report(target.addr, PATIENCE).await else {
+        return;
+    };
+    let mut owner = front.placement.owner.lock();
+    owner.reported(boot_time(), &target.id, report.load);
+    drop(owner);
+    if report.state == EngineState::Leaving {
         follow::hear_leaving(front, &target.id);
     }
 }
--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -44,6 +44,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the store is.
     pub store: SocketAddr,
+    /// Its share of processors, in thousandths of a core.
+    pub capacity: u32,
     /// Memory that the process may use, in bytes.
     pub memory: usize,
     /// Connections that the process may have open.
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -7,7 +7,7 @@
 use derive_more::{Display, Error};
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, StatusCode, http};
-use placing::RunId;
+use placing::{Report, RunId};
 use types::{DataCentreId, TargetId, Tokens};
 use view::{Rules, Target};
 
@@ -177,14 +177,23 @@
     Leaving,
 }
 
+/// What an engine says of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Whether it stays.
+    pub state: EngineState,
+    /// What it holds.
+    pub load: Report,
+}
+
 /// Gives engines orders, and asks them.
 #[async_trait]
 pub trait Engines: Send + Sync {
     /// Copies a running generation's memory to another engine.
     async fn copy(&self, order: &CopyOrder<'_>) -> Copied;
 
-    /// Asks an engine for its state; none if it does not say.
-    async fn state(&self, addr: SocketAddr, patience: Duration) -> Option<EngineState>;
+    /// Asks an engine for its report; none if it does not say.
+    async fn report(&self, addr: SocketAddr, patience: Duration) -> Option<EngineReport>;
 }
 
 /// One thing that the store says.
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -33,8 +33,8 @@
 
 pub use config::{Bounds, Config};
 pub use face::{
-    Asked, BadRequest, Copied, CopyOrder, EngineState, Engines, Face, Heading, Record, Resume,
-    SaidLoad, Sending, Sizes, Store, StoreError,
+    Asked, BadRequest, Copied, CopyOrder, EngineReport, EngineState, Engines, Face, Heading,
+    Record, Resume, SaidLoad, Sending, Sizes, Store, StoreError,
 };
 pub use run::{Outside, serve};
 pub use wire::{Member, News, Row, Topic};
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -8,7 +8,7 @@
 use hyper::Request;
 use net::{Client, read_all};
 use parking_lot::Mutex;
-use placing::ranked;
+use placing::{Candidate, ranked};
 use timer::{Timer, boot_time};
 use types::{InstanceId, Moment};
 
@@ -120,8 +120,12 @@
         let answering = known
             .values()
             .filter(|known| known.suspect_until <= now && known.failures == 0)
-            .map(|known| Arc::clone(&known.member.id));
-        ranked(service, answering.chain([Arc::clone(&self.me.id)]))
+            .map(|known| &known.member);
+        let all = answering.chain([&self.me]).map(|member| Candidate {
+            id: Arc::clone(&member.id),
+            capacity: member.capacity,
+        });
+        ranked(service, all)
     }
 
     /// Members that did not answer and may be tried again.
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -147,6 +147,7 @@
         id: Arc::clone(&cfg.instance),
         addr: cfg.peers,
         born: unix_millis(),
+        capacity: cfg.capacity,
     };
     let bounds = cfg.bounds;
     Front {
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -16,6 +16,8 @@
     pub addr: SocketAddr,
     /// When this life of it began, in Unix milliseconds.
     pub born: u64,
+    /// Its share of processors, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// What is followed in the store.
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -81,9 +81,20 @@
     }
 }
 
+/// What an engine says of itself. It is old when it arrives.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Tokens that its generations hold.
+    pub held: Tokens,
+    /// Generations in its queue.
+    pub waiting: u32,
+}
+
 /// What is known to run on one engine.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
+    /// What it said itself, and when that came.
+    pub report: Option<(Moment, Report)>,
     /// Its generations.
     pub runs: BTreeSet<RunId>,
     /// Copies that come in, or wait here to be used.
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -12,9 +12,9 @@
 pub mod rank;
 pub mod tuning;
 
-pub use account::{Engine, Run};
+pub use account::{Engine, Report, Run};
 pub use length::{Length, Lengths};
 pub use message::{Answer, Ask, Carried, Carry, Load, Note, RunId, Running, Sync};
 pub use owner::Owner;
-pub use rank::ranked;
+pub use rank::{Candidate, ranked};
 pub use tuning::Tuning;
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -10,7 +10,7 @@
 use types::{InstanceId, Moment, TargetId, Tokens};
 
 use crate::{
-    account::{Account, Engine, Run},
+    account::{Account, Engine, Report, Run},
     length::{Length, Lengths},
     memory::{Holder, peak},
     message::{Answer, Ask, Load, Note, RunId, Running, Sync},
@@ -57,8 +57,8 @@
         if first_event > ask.aim_left && first_event > read + self.tuning.idle_slack {
             return self.wait_for_readers(now, ask, first_event);
         }
-        if self.others_first(now, ask) {
-            return self.wait(now, ask);
+        if self.others_before(now, ask) >= self.open_engines(now, ask, length, engines) {
+            return self.wait_for_memory(now, ask);
         }
         self.waiting.remove(&ask.run);
         self.grant(now, ask, length, &target);
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Takes what an engine says of itself. An instance that reaches nobody else knows only its own
+    /// generations; without reports it would take engines for empty that others have filled.
+    pub fn reported(&mut self, now: Moment, target: &TargetId, report: Report) {
+        self.account(now, target).report = Some((now, report));
+    }
+
     /// How full the engines are.
     #[must_use]
     pub fn loads(&self, now: Moment) -> Vec<Load> {
@@ -169,7 +175,24 @@
     /// Time until the first event of a prompt given to an engine now.
     fn first_event(&mut self, now: Moment, engine: &Engine, prompt: Tokens) -> Duration {
         let busy = self.account(now, &engine.id).busy_until;
-        busy.saturating_sub(now) + self.tuning.read_time(prompt)
+        let known = busy.saturating_sub(now);
+        let queued = self.fresh_report(now, &engine.id).map_or(0, |r| r.waiting);
+        let said = self.tuning.queued_read.saturating_mul(queued);
+        known.max(said) + self.tuning.read_time(prompt)
+    }
+
+    fn fresh_report(&self, now: Moment, target: &TargetId) -> Option<Report> {
+        let (at, report) = self.accounts.get(target)?.report?;
+        (now.saturating_sub(at) < self.tuning.report_life).then_some(report)
+    }
+
+    /// Tokens that others hold on an engine, as far as its own report tells.
+    fn held_by_others(&self, now: Moment, target: &TargetId, mine: &[Holder]) -> f64 {
+        let Some(report) = self.fresh_report(now, target) else {
+            return 0.0;
+        };
+        let mine: Tokens = mine.iter().map(|holder| holder.prompt + holder.made).sum();
+        as_f64(report.held.saturating_sub(mine))
     }
 
     fn surcharge(&mut self, now: Moment, ask: &Ask, engine: &Engine) -> Duration {
@@ -196,8 +219,9 @@
             return false;
         }
         let mut holders = self.holders(now, &engine.id);
+        let others = self.held_by_others(now, &engine.id, &holders);
         holders.push(more);
-        peak(&holders) <= as_f64(engine.memory) * self.tuning.memory_share
+        peak(&holders) + others <= as_f64(engine.memory) * self.tuning.memory_share
     }
 
     /// All that holds memory on an engine: its generations, and copies that come in.
@@ -249,21 +273,45 @@
     fn wait(&mut self, now: Moment, ask: &Ask) -> Answer {
         let turn = (ask.rank, ask.waited, now);
         self.waiting.insert(Arc::clone(&ask.run), turn);
+        // Each that waits asks again and again; together they must leave the owner its time.
+        let many = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX) / self.tuning.wait_crowd;
+        let after = self.tuning.wait.saturating_mul(many + 1);
         Answer::Wait {
-            after: self.tuning.wait,
+            after: after.min(self.tuning.wait_most),
         }
     }
 
-    /// Whether somebody waits whose turn comes before this one.
-    fn others_first(&mut self, now: Moment, ask: &Ask) -> bool {
+    /// Engines that have room for an ask. Those that wait before it may take one each.
+    fn open_engines(
+        &mut self,
+        now: Moment,
+        ask: &Ask,
+        length: Length,
+        engines: &[Engine],
+    ) -> usize {
+        if self.waiting.is_empty() {
+            return engines.len();
+        }
+        let holder = Holder {
+            prompt: ask.prompt,
+            made: 0,
+            length,
+        };
+        let open = |engine: &&Engine| self.has_room(now, engine, holder);
+        engines.iter().filter(open).count()
+    }
+
+    /// How many wait whose turn comes before this one.
+    fn others_before(&mut self, now: Moment, ask: &Ask) -> usize {
         let life = self.tuning.wait_life;
         self.waiting
             .retain(|_, (_, _, asked)| now.saturating_sub(*asked) < life);
         let mine: Turn = (ask.rank, Reverse(ask.waited), Arc::clone(&ask.run));
-        self.waiting.iter().any(|(run, (rank, waited, asked))| {
+        let before = |(run, (rank, waited, asked)): &(&RunId, &(u32, Duration, Moment))| {
             let waited = *waited + now.saturating_sub(*asked);
-            *run != ask.run && (*rank, Reverse(waited), Arc::clone(run)) < mine
-        })
+            **run != ask.run && (*rank, Reverse(waited), Arc::clone(run)) < mine
+        };
+        self.waiting.iter().filter(before).count()
     }
 
     fn grant(&mut self, now: Moment, ask: &Ask, length: Length, target: &TargetId) {
--- a/components/placing/src/rank.rs
+++ b/components/placing/src/rank.rs
@@ -3,14 +3,32 @@
 use types::InstanceId;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Instances in the order in which they should own `service`: rendezvous hashing, so that a
-/// member that comes or goes moves only the services that it owns.
+/// An instance that may own.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its share of processors, in thousandths of a core.
+    pub capacity: u32,
+}
+
+/// Instances in the order in which they should own `service`: the strongest first, and among
+/// equals rendezvous hashing, so that a member that comes or goes moves only what it owns.
+///
+/// An owner answers every entry's asks. One with a small part of a core answered late at sixty
+/// asks a second; entries then took it for dead, decided for themselves and overfilled engines.
 #[must_use]
-pub fn ranked(service: &str, members: impl IntoIterator<Item = InstanceId>) -> Vec<InstanceId> {
-    let mut all: Vec<(u64, InstanceId)> = members
+pub fn ranked(service: &str, members: impl IntoIterator<Item = Candidate>) -> Vec<InstanceId> {
+    let mut all: Vec<(u32, u64, InstanceId)> = members
         .into_iter()
-        .map(|id| (xxh3_64(format!("{service}\n{id}").as_bytes()), id))
+        .map(|c| {
+            (
+                c.capacity,
+                xxh3_64(format!("{service}\n{}", c.id).as_bytes()),
+                c.id,
+            )
+        })
         .collect();
     all.sort_by(|a, b| b.cmp(a));
-    all.into_iter().map(|(_, id)| id).collect()
+    all.into_iter().map(|(.., id)| id).collect()
 }
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -29,8 +29,16 @@
     pub new_for: Duration,
     /// How long an engine gets nothing after it refused or failed a request.
     pub doubt: Duration,
+    /// How long an engine's own report counts.
+    pub report_life: Duration,
+    /// Time that each generation in an engine's queue stands for: to read a prompt of 2,700 tokens.
+    pub queued_read: Duration,
     /// How soon an entry asks again that was told to wait.
     pub wait: Duration,
+    /// Asks that wait before each is told to wait twice as long; with twice as many, three times.
+    pub wait_crowd: u32,
+    /// The longest time that an entry is told to wait before it asks again.
+    pub wait_most: Duration,
     /// How long a caller that is late already waits for an engine. Longer, and the caller is
     /// better off knowing.
     pub late_wait: Duration,
@@ -56,10 +64,14 @@
             newness: Duration::from_millis(200),
             new_for: Duration::from_millis(1_500),
             doubt: Duration::from_millis(1_000),
+            report_life: Duration::from_millis(1_200),
+            queued_read: Duration::from_millis(390),
             wait: Duration::from_millis(40),
+            wait_crowd: 15,
+            wait_most: Duration::from_millis(200),
             late_wait: Duration::from_millis(1_000),
             idle_slack: Duration::from_millis(150),
-            wait_life: Duration::from_millis(200),
+            wait_life: Duration::from_millis(400),
             run_life: Duration::from_secs(3),
             least_rest: Duration::from_millis(200),
         }
--- a/components/placing/tests/choosing.rs
+++ b/components/placing/tests/choosing.rs
@@ -4,10 +4,9 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use placing::{Answer, Engine, Note, Running, Sync, ranked};
+use placing::{Answer, Candidate, Engine, Note, Running, Sync, ranked};
 use proptest::prelude::*;
 use support::{MEMORY, ask, engine, owner, sent};
-use types::InstanceId;
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -175,6 +174,39 @@
     assert!(owner.run("a").is_none());
 }
 
+/// An instance that reaches nobody knows only its own generations. An engine that others have
+/// filled would take its work into a queue, and its caller wait for somebody else's end.
+#[test]
+fn an_engine_that_says_it_is_full_gets_nothing() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1"), engine("e-2", "dc-2")];
+    let full = placing::Report {
+        held: MEMORY - 1_000,
+        waiting: 0,
+    };
+    owner.reported(now, &"e-1".into(), full);
+    assert_eq!(
+        sent(owner.ask(now, &ask("a"), &engines)).as_deref(),
+        Some("e-2")
+    );
+    let queue = placing::Report {
+        held: 0,
+        waiting: 9,
+    };
+    owner.reported(now, &"e-1".into(), queue);
+    assert_eq!(
+        sent(owner.ask(now, &ask("b"), &engines)).as_deref(),
+        Some("e-2")
+    );
+    // What it said long ago says nothing.
+    let later = now + 2_500 * MS;
+    owner.note(later, &Note::Started { run: "b".into() });
+    assert_eq!(
+        sent(owner.ask(later, &ask("c"), &engines)).as_deref(),
+        Some("e-1")
+    );
+}
+
 /// A new owner knows nothing of what runs. The entries' syncs tell it, and it must not give an
 /// engine's memory out twice.
 #[test]
@@ -203,13 +235,74 @@
     }
 }
 
+fn candidate(id: &str, capacity: u32) -> Candidate {
+    Candidate {
+        id: id.into(),
+        capacity,
+    }
+}
+
+/// Instances are of unequal size. A small one that owns answers late when it is asked often, and
+/// entries that get no answer decide for themselves.
+#[test]
+fn the_strongest_owns() {
+    let all = [
+        candidate("small-1", 120),
+        candidate("big", 500),
+        candidate("small-2", 120),
+    ];
+    for service in ["a", "b", "c", "d"] {
+        assert_eq!(&*ranked(service, all.clone())[0], "big");
+    }
+}
+
+/// A large prompt waits that fits nowhere just now. A small one that does fit must not wait behind
+/// it while memory lies idle.
+#[test]
+fn what_fits_does_not_wait_behind_what_does_not() {
+    let (mut owner, mut now) = owner();
+    let engines = [engine("e-1", "dc-1"), engine("e-2", "dc-1")];
+    let patient = |run: &str, prompt| placing::Ask {
+        prompt,
+        aim_left: Duration::from_secs(600),
+        ..ask(run)
+    };
+    for (run, prompt) in [("a", 20_000), ("b", 20_000)] {
+        assert!(sent(owner.ask(now, &patient(run, prompt), &engines)).is_some());
+    }
+    let waits = |answer| matches!(answer, Answer::Wait { .. });
+    assert!(waits(owner.ask(now, &patient("huge", 25_000), &engines)));
+    now += 10 * MS;
+    assert!(sent(owner.ask(now, &patient("small", 1_000), &engines)).is_some());
+}
+
+/// Many wait for memory. If each asked again as often as one alone, the asks themselves would take
+/// all of the owner's time.
+#[test]
+fn many_that_wait_ask_less_often() {
+    let (mut owner, now) = owner();
+    let engines: [Engine; 0] = [];
+    let after = |answer| match answer {
+        Answer::Wait { after } => after,
+        _ => Duration::ZERO,
+    };
+    let first = after(owner.ask(now, &ask("first"), &engines));
+    for number in 0..60 {
+        owner.ask(now, &ask(&format!("run-{number}")), &engines);
+    }
+    let last = after(owner.ask(now, &ask("last"), &engines));
+    assert!(!first.is_zero() && last >= 3 * first, "{first:?} {last:?}");
+}
+
 #[test]
 fn a_member_that_goes_moves_only_what_it_owned() {
-    let all: Vec<InstanceId> = (0..9).map(|n| format!("instance-{n}").into()).collect();
+    let all: Vec<Candidate> = (0..9)
+        .map(|n| candidate(&format!("instance-{n}"), 250))
+        .collect();
     for service in ["a", "b", "c", "d"] {
         let order = ranked(service, all.clone());
         let without = order[4].clone();
-        let rest = all.iter().filter(|id| **id != without).cloned();
+        let rest = all.iter().filter(|c| c.id != without).cloned();
         let now = ranked(service, rest);
         assert_eq!(now[..4], order[..4]);
         assert_eq!(now[4..], order[5..]);
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -47,6 +47,7 @@
         .subcommand(key())
         .subcommand(completions())
         .subcommand(docs())
+        .subcommand(explain())
 }
 
 fn serve() -> Command {
@@ -74,6 +75,28 @@
         )
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tells from logs what happened to one request, and what went on around it")
+        .after_help(
+            "Reads logs in JSON, of all instances that may have touched the request.\n\n\
+             Example:\n  celerystand explain 8a3c555e8d39c018 instance-1.log instance-2.log",
+        )
+        .arg(
+            Arg::new("id")
+                .value_name("ID")
+                .required(true)
+                .help("The request's id"),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs to read; standard input if none is named"),
+        )
+}
+
 fn try_out() -> Command {
     Command::new("try")
         .about("Runs an instance with built-in stand-ins for platform, engines and a service")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 pub mod data_centre;
 pub mod docs;
 pub mod document;
+pub mod explain;
 pub mod key;
 pub mod logging;
 pub mod node;
@@ -61,6 +62,7 @@
         "key" => key::run(args),
         "completions" => complete::run(args),
         "docs" => docs::run(args),
+        "explain" => explain::run(args),
         _ => Err(Error::new("there is no such command").into()),
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,5 +2,6 @@
 //! plain services.
 
 mod calls;
+mod explaining;
 mod generations;
 mod support;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -204,6 +204,23 @@
         log.iter().find(fits).cloned()
     }
 
+    /// What `celerystand explain` makes of the log so far.
+    pub fn explain(&self, id: &str) -> String {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let text: Vec<String> = log.iter().map(Value::to_string).collect();
+        drop(log);
+        let file = self.settings.with_extension("log");
+        fs::write(&file, text.join("\n")).expect("a log");
+        let out = Command::new(env!("CARGO_BIN_EXE_celerystand"))
+            .arg("explain")
+            .arg(id)
+            .arg(&file)
+            .output()
+            .expect("the program runs");
+        let _ = fs::remove_file(file);
+        String::from_utf8_lossy(&out.stdout).into_owned()
+    }
+
     /// Names of all events so far.
     pub fn events(&self) -> Vec<String> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
