--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -2,6 +2,7 @@
 //! configuration: who may ask what, where it goes, what comes back, and what happens when
 //! something on the way fails.
 
+pub mod acquaint;
 pub mod blind;
 pub mod budget;
 pub mod call;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -13,19 +13,17 @@
 use events::{Event, emit};
 use net::{Client, Handler, ServeLimits, Server};
 use parking_lot::Mutex;
-use placing::Sync;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use timer::{Timer, boot_time};
-use types::ServiceId;
+use timer::Timer;
 use view::View;
 
 use crate::{
-    blind,
+    acquaint, blind,
     budget::Budget,
     choice::Choice,
     cold::ColdTargets,
     config::Config,
-    face::{Engines, Face, Record, Store},
+    face::{Engines, Face, Store},
     follow::Follower,
     handler::Callers,
     live::LiveRuns,
@@ -36,7 +34,7 @@
     shelf::Shelf,
     side::{Admin, Readiness},
     state::Front,
-    wire::{Member, Message, Reply, Topic},
+    wire::{Member, Topic},
 };
 
 /// Time to connect to a target, the store or a peer. They are a few milliseconds away; where an
@@ -49,17 +47,6 @@
 /// Time that a caller's connection may be idle, or take for its headers. Callers use connections
 /// again that were idle for up to 12 s.
 const IDLE_TIME: Duration = Duration::from_secs(16);
-/// Time between two syncs with the owners.
-const SYNC_PERIOD: Duration = Duration::from_millis(700);
-/// Time for a peer to take a sync.
-const SYNC_PATIENCE: Duration = Duration::from_millis(300);
-/// Time between two looks at the members in the store. Instances also hear of each other from
-/// the owners that they sync with.
-const MEMBERS_PERIOD: Duration = Duration::from_secs(30);
-/// Tries to reach an instance that the settings name; all start at about the same time.
-const SEED_TRIES: usize = 5;
-/// Time before the store is asked again for the members, when it failed.
-const MEMBERS_PAUSE: Duration = Duration::from_millis(700);
 /// Time between two looks for a signal or a changed settings file.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
 /// After an order to stop new connections are still taken for this long: the balancer needs two
@@ -125,8 +112,12 @@
         let follower = Follower::new(Arc::clone(&front), Arc::clone(&outside.store), topic);
         workers::spawn(follower.run()).detach();
     }
-    workers::spawn(meet(Arc::clone(&front), Arc::clone(&outside.store))).detach();
-    workers::spawn(sync(Arc::clone(&front))).detach();
+    workers::spawn(acquaint::meet(
+        Arc::clone(&front),
+        Arc::clone(&outside.store),
+    ))
+    .detach();
+    workers::spawn(acquaint::sync(Arc::clone(&front))).detach();
     workers::spawn(blind::watch(Arc::clone(&front))).detach();
     emit(&Event::Started {
         instance: Arc::clone(&front.cfg.instance),
@@ -196,120 +187,6 @@
         .context(format!("listening on {addr}"))
 }
 
-/// Makes this instance known, and gets to know the others: from instances that the settings name,
-/// so that it works while the store is away, and from the store.
-async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
-    for seed in front.cfg.seeds.clone() {
-        let front = Arc::clone(&front);
-        workers::spawn(async move { greet_seed(&front, seed).await }).detach();
-    }
-    while store.announce(front.peers.me()).await.is_err() {
-        smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-    }
-    let mut greeted = false;
-    loop {
-        let Ok(news) = store.read(Topic::Members).await else {
-            smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
-            continue;
-        };
-        for row in &news.rows {
-            if let Some(Record::Member(member)) = store.decode(Topic::Members, row) {
-                front.peers.learn(member);
-            }
-        }
-        if !greeted {
-            greet(&front).await;
-            greeted = true;
-        }
-        smol::Timer::after(MEMBERS_PERIOD).await;
-    }
-}
-
-async fn greet_seed(front: &Front, seed: SocketAddr) {
-    let message = Message::Hello(front.peers.me().clone());
-    for _ in 0..SEED_TRIES {
-        let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
-        if let Ok(reply) = reply {
-            learn_members(front, Some(reply));
-            return;
-        }
-        smol::Timer::after(MEMBERS_PAUSE).await;
-    }
-}
-
-/// Makes this instance known to all that it knows: two that don't know of each other would both
-/// take themselves for the owner.
-async fn greet(front: &Arc<Front>) {
-    for peer in front.peers.all() {
-        let front = Arc::clone(front);
-        workers::spawn(async move { say_hello(&front, &peer).await }).detach();
-    }
-}
-
-async fn say_hello(front: &Front, peer: &types::InstanceId) {
-    let message = Message::Hello(front.peers.me().clone());
-    let reply = front.peers.call(peer, &message, SYNC_PATIENCE).await;
-    learn_members(front, reply);
-}
-
-fn learn_members(front: &Front, reply: Option<Reply>) {
-    if let Some(Reply::Members(members)) = reply {
-        for member in members {
-            front.peers.learn(member);
-        }
-    }
-}
-
-/// Tells owners from time to time what this instance holds.
-async fn sync(front: Arc<Front>) {
-    let mut ticks = Timer::new().every(SYNC_PERIOD);
-    loop {
-        ticks.next().await;
-        for peer in front.peers.to_try_again() {
-            say_hello(&front, &peer).await;
-        }
-        for service in services(&front) {
-            sync_service(&front, &service).await;
-        }
-        let targets = front.view.targets();
-        front.choice.lock().retain(|id| targets.contains_key(id));
-        let mut owner = front.placement.owner.lock();
-        owner.retain(|id| targets.contains_key(id));
-    }
-}
-
-/// Services whose engines have an owner.
-fn services(front: &Front) -> Vec<ServiceId> {
-    let Some(rules) = front.view.rules() else {
-        return Vec::new();
-    };
-    rules
-        .services()
-        .filter(|service| service.engine.is_some())
-        .map(|service| Arc::clone(&service.name))
-        .collect()
-}
-
-async fn sync_service(front: &Front, service: &ServiceId) {
-    let mut runs = front.live.running();
-    runs.retain(|running| running.service == *service);
-    let held = Sync {
-        entry: Arc::clone(&front.cfg.instance),
-        runs,
-    };
-    let Some(owner) = front.peers.owners(service).into_iter().next() else {
-        return;
-    };
-    if owner == front.cfg.instance {
-        front.placement.owner.lock().sync(boot_time(), &held);
-        return;
-    }
-    let member = front.peers.me().clone();
-    let message = Message::Sync { member, held };
-    let reply = front.peers.call(&owner, &message, SYNC_PATIENCE).await;
-    learn_members(front, reply);
-}
-
 async fn wait_for_stop(front: &Front, outside: &Outside, stop: &AtomicBool, reload: &AtomicBool) {
     let mut ticks = Timer::new().every(SIGNAL_POLL);
     while !stop.load(Ordering::Acquire) {
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod memory;
 pub mod message;
 pub mod owner;
+mod queue;
 pub mod rank;
+mod sync;
 pub mod tuning;
 
 pub use account::{Engine, Report, Run};
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -1,25 +1,21 @@
 //! The account of a service's engines, and the choice among them.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
 
-use types::{InstanceId, Moment, TargetId, Tokens};
+use types::{Moment, TargetId, Tokens};
 
 use crate::{
     account::{Account, Engine, Report, Run},
     length::{Length, Lengths},
     memory::{Holder, peak},
-    message::{Answer, Ask, Load, Note, RunId, Running, Sync},
+    message::{Answer, Ask, Load, Note, RunId},
     tuning::{Tuning, as_f64},
 };
 
-/// A waiting ask. The lowest goes first: by rank, then by how long it has waited.
-type Turn = (u32, Reverse<Duration>, RunId);
-
 /// The account of all generations that this instance has granted or was told of.
 ///
 /// It is soft state: a new owner learns it from the entries' syncs, and one that is wrong costs
@@ -29,9 +25,9 @@
     pub(crate) tuning: Tuning,
     pub(crate) accounts: BTreeMap<TargetId, Account>,
     pub(crate) runs: HashMap<RunId, Run>,
-    lengths: Lengths,
+    pub(crate) lengths: Lengths,
     /// Asks that were told to wait: rank, time waited, and when they last asked.
-    waiting: HashMap<RunId, (u32, Duration, Moment)>,
+    pub(crate) waiting: HashMap<RunId, (u32, Duration, Moment)>,
 }
 
 impl Owner {
@@ -79,27 +75,6 @@
         }
     }
 
-    /// Takes all that an entry holds.
-    pub fn sync(&mut self, now: Moment, sync: &Sync) {
-        let held: BTreeSet<&RunId> = sync.runs.iter().map(|running| &running.run).collect();
-        // A grant may be on its way still; what is older and unknown to the entry has ended.
-        let settled = now.saturating_sub(self.tuning.wait_life);
-        let gone: Vec<RunId> = self
-            .runs
-            .iter()
-            .filter(|(id, run)| {
-                run.entry == sync.entry && run.granted <= settled && !held.contains(*id)
-            })
-            .map(|(id, _)| Arc::clone(id))
-            .collect();
-        for run in gone {
-            self.release(&run);
-        }
-        for running in &sync.runs {
-            self.confirm(now, &sync.entry, running);
-        }
-    }
-
     /// Takes what an engine says of itself. An instance that reaches nobody else knows only its own
     /// generations; without reports it would take engines for empty that others have filled.
     pub fn reported(&mut self, now: Moment, target: &TargetId, report: Report) {
@@ -242,78 +217,6 @@
         }
     }
 
-    /// Memory comes free when generations end, so waiting helps as long as the prompt can still
-    /// be read in time after it.
-    fn wait_for_memory(&mut self, now: Moment, ask: &Ask) -> Answer {
-        let read = self.tuning.read_time(ask.prompt);
-        if ask.aim_left > read || ask.waited < self.tuning.late_wait {
-            return self.wait(now, ask);
-        }
-        self.refuse(ask, read)
-    }
-
-    /// Prompts are read at a fixed speed: one that can't be read in time now can't be later
-    /// either, for what is left of its time shrinks as fast as the queue. A caller that is late
-    /// already waits a little for an idle engine; others are told at once, and work that can
-    /// still be in time is not held up by theirs.
-    fn wait_for_readers(&mut self, now: Moment, ask: &Ask, first_event: Duration) -> Answer {
-        if ask.aim_left.is_zero() && ask.waited < self.tuning.late_wait {
-            return self.wait(now, ask);
-        }
-        self.refuse(ask, first_event.saturating_sub(ask.aim_left))
-    }
-
-    fn refuse(&mut self, ask: &Ask, after: Duration) -> Answer {
-        self.waiting.remove(&ask.run);
-        Answer::Full {
-            after: after.max(self.tuning.wait),
-        }
-    }
-
-    fn wait(&mut self, now: Moment, ask: &Ask) -> Answer {
-        let turn = (ask.rank, ask.waited, now);
-        self.waiting.insert(Arc::clone(&ask.run), turn);
-        // Each that waits asks again and again; together they must leave the owner its time.
-        let many = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX) / self.tuning.wait_crowd;
-        let after = self.tuning.wait.saturating_mul(many + 1);
-        Answer::Wait {
-            after: after.min(self.tuning.wait_most),
-        }
-    }
-
-    /// Engines that have room for an ask. Those that wait before it may take one each.
-    fn open_engines(
-        &mut self,
-        now: Moment,
-        ask: &Ask,
-        length: Length,
-        engines: &[Engine],
-    ) -> usize {
-        if self.waiting.is_empty() {
-            return engines.len();
-        }
-        let holder = Holder {
-            prompt: ask.prompt,
-            made: 0,
-            length,
-        };
-        let open = |engine: &&Engine| self.has_room(now, engine, holder);
-        engines.iter().filter(open).count()
-    }
-
-    /// How many wait whose turn comes before this one.
-    fn others_before(&mut self, now: Moment, ask: &Ask) -> usize {
-        let life = self.tuning.wait_life;
-        self.waiting
-            .retain(|_, (_, _, asked)| now.saturating_sub(*asked) < life);
-        let mine: Turn = (ask.rank, Reverse(ask.waited), Arc::clone(&ask.run));
-        let before = |(run, (rank, waited, asked)): &(&RunId, &(u32, Duration, Moment))| {
-            let waited = *waited + now.saturating_sub(*asked);
-            **run != ask.run && (*rank, Reverse(waited), Arc::clone(run)) < mine
-        };
-        self.waiting.iter().filter(before).count()
-    }
-
     fn grant(&mut self, now: Moment, ask: &Ask, length: Length, target: &TargetId) {
         let run = Run {
             entry: Arc::clone(&ask.entry),
@@ -366,7 +269,7 @@
     }
 
     /// Takes a generation out of the account; tells where it ran.
-    fn release(&mut self, id: &RunId) -> Option<TargetId> {
+    pub(crate) fn release(&mut self, id: &RunId) -> Option<TargetId> {
         let run = self.runs.remove(id)?;
         if let Some(account) = self.accounts.get_mut(&run.target) {
             account.runs.remove(id);
@@ -377,62 +280,6 @@
         Some(run.target)
     }
 
-    fn confirm(&mut self, now: Moment, entry: &InstanceId, running: &Running) {
-        let known = self.runs.get(&running.run);
-        let moved = known.is_some_and(|run| run.target != running.target);
-        let copying = known.is_some_and(|run| run.copying_to.is_some());
-        if moved && copying {
-            return;
-        }
-        if moved {
-            self.release(&running.run);
-        }
-        let account = self.account(now, &running.target);
-        account.runs.insert(Arc::clone(&running.run));
-        let length = self
-            .lengths
-            .expect(&running.route, running.longest, running.hint);
-        let run = self
-            .runs
-            .entry(Arc::clone(&running.run))
-            .or_insert_with(|| Run {
-                entry: Arc::clone(entry),
-                service: Arc::clone(&running.service),
-                target: Arc::clone(&running.target),
-                prompt: running.prompt,
-                route: Arc::clone(&running.route),
-                longest: running.longest,
-                length,
-                rank: running.rank,
-                granted: now,
-                started: None,
-                made: 0,
-                counted: now,
-                confirmed: now,
-                copying_to: None,
-            });
-        run.confirmed = now;
-        run.made = running.made;
-        run.counted = now;
-        if running.started && run.started.is_none() {
-            run.started = Some(now);
-        }
-    }
-
-    /// Forgets what its entry has not confirmed for long: the entry is gone.
-    fn forget_stale(&mut self, now: Moment) {
-        let oldest = now.saturating_sub(self.tuning.run_life);
-        let stale: Vec<RunId> = self
-            .runs
-            .iter()
-            .filter(|(_, run)| run.confirmed < oldest)
-            .map(|(id, _)| Arc::clone(id))
-            .collect();
-        for run in stale {
-            self.release(&run);
-        }
-    }
-
     pub(crate) fn account(&mut self, now: Moment, target: &TargetId) -> &mut Account {
         self.accounts
             .entry(Arc::clone(target))
