--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -5,9 +5,10 @@
 //! that others have filled. Each question has a price,
 //! so engines are asked only while what is known of them is old.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use timer::{Timer, boot_time};
+use types::TargetId;
 use view::Target;
 
 use crate::{face::EngineState, follow, state::Front};
@@ -18,19 +19,29 @@
 /// Time between two rounds of questions. Engines leave 1.5 s after their notice at the earliest,
 /// and their reports may be half a second old.
 const PERIOD: Duration = Duration::from_millis(300);
+/// Rounds between two in which all engines are asked, and not those alone that run something for
+/// this instance. Where many instances are cut off at once, the questions to all are what costs.
+const ALL_EVERY: u32 = 4;
 /// Time for an engine to answer.
 const PATIENCE: Duration = Duration::from_millis(200);
 
 /// Asks for as long as the instance runs.
 pub async fn watch(front: Arc<Front>) {
     let mut ticks = Timer::new().every(PERIOD);
+    let mut round = 0_u32;
     loop {
         ticks.next().await;
         let read = front.view.targets_read().unwrap_or_default();
         if boot_time().saturating_sub(read) < OLD || front.live.count() == 0 {
             continue;
         }
+        let mine: BTreeSet<TargetId> = front.live.running().into_iter().map(|r| r.target).collect();
+        let all = round.is_multiple_of(ALL_EVERY);
+        round = round.wrapping_add(1);
         for target in engines(&front) {
+            if !all && !mine.contains(&target.id) {
+                continue;
+            }
             let front = Arc::clone(&front);
             workers::spawn(async move { ask(&front, target).await }).detach();
         }
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -64,7 +64,7 @@
             newness: Duration::from_millis(200),
             new_for: Duration::from_millis(1_500),
             doubt: Duration::from_millis(1_000),
-            report_life: Duration::from_millis(1_200),
+            report_life: Duration::from_millis(1_800),
             queued_read: Duration::from_millis(390),
             wait: Duration::from_millis(40),
             wait_crowd: 15,
