Let owners alone ask engines, followers seldom ask a lost store, and gather changes

Cause: with the store lost to all, each of 63 instances asked every engine, and each asked the store again twice a second for two topics; each reclaimed engine was a call of its own for each reader. Change: engines are asked by the owner of their service (each instance where it hears nobody); a follower asks the store itself in one round of four while all fail; 40 ms pass after an answer that brought changes.

--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -2,14 +2,15 @@
 //!
 //! An instance that reaches neither the store nor a peer still reaches its engines and callers.
 //! It would see an engine's leaving only when its streams break off, and take engines for empty
-//! that others have filled. Each question has a price,
-//! so engines are asked only while what is known of them is old.
+//! that others have filled. Each question has a price, so engines are asked only while what is
+//! known of them is old, and only by the owner of their service: by one instance where the store
+//! is lost to all, by each where they can't hear one another.
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use timer::{Timer, boot_time};
 use types::TargetId;
-use view::Target;
+use view::{Service, Target};
 
 use crate::{face::EngineState, follow, state::Front};
 
@@ -32,7 +33,7 @@
     loop {
         ticks.next().await;
         let read = front.view.targets_read().unwrap_or_default();
-        if boot_time().saturating_sub(read) < OLD || front.live.count() == 0 {
+        if boot_time().saturating_sub(read) < OLD {
             continue;
         }
         let mine: BTreeSet<TargetId> = front.live.running().into_iter().map(|r| r.target).collect();
@@ -48,14 +49,17 @@
     }
 }
 
-/// Engines that are listed as taking work.
+/// Engines of services that this instance owns, listed as taking work.
 fn engines(front: &Front) -> Vec<Arc<Target>> {
     let Some(rules) = front.view.rules() else {
         return Vec::new();
     };
+    let me = &front.cfg.instance;
+    let owns = |service: &&Arc<Service>| front.peers.owners(&service.name).first() == Some(me);
     rules
         .services()
         .filter(|service| service.engine.is_some())
+        .filter(owns)
         .flat_map(|service| front.usable(service))
         .collect()
 }
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -34,8 +34,13 @@
 const PEER_WAIT_PART: f64 = 1.25;
 /// Time for a peer to answer beyond what it was allowed to wait.
 const PEER_PATIENCE: Duration = Duration::from_millis(250);
+/// Pause after an answer of the store that brought changes. It delays what comes next by as much;
+/// engines that leave have at least 1.5 s.
+const GATHER: Duration = Duration::from_millis(40);
 /// Knowledge of a peer that is older than this means that the peer itself has lost the store.
 const PEER_AGE: Duration = Duration::from_millis(2_800);
+/// Rounds of failures between two in which a follower asks the store itself.
+const STORE_EVERY: u32 = 4;
 /// Pause after a failed call, at first.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls in a row.
@@ -96,6 +101,7 @@
                 Ok((news, read)) => {
                     if self.is_newer(&source, &news, read) {
                         self.take(&news, read);
+                        self.gather(&source, &news).await;
                     } else {
                         let error = silent(format!("{source:?} knows nothing newer"));
                         self.fail(&error, sources.len()).await;
@@ -106,6 +112,14 @@
         }
     }
 
+    /// Lets changes that come together come in one answer. Engines are reclaimed several at a time,
+    /// and each row of theirs would be a call of its own to the store.
+    async fn gather(&self, source: &Source, news: &News) {
+        if *source == Source::Store && !news.whole && !news.rows.is_empty() {
+            smol::Timer::after(GATHER).await;
+        }
+    }
+
     /// Whether a source knows more than this instance. Two instances that lost the store might
     /// follow each other, each content with what the other had from it.
     fn is_newer(&self, source: &Source, news: &News, read: Moment) -> bool {
@@ -146,8 +160,12 @@
         if self.turn && others.len() > 1 {
             others.swap(0, 1);
         }
-        let second = others.len().min(1);
-        others.insert(second, Source::Store);
+        // While the store is away for all, the readers find out when it is back; if every follower
+        // asked as well, the calls alone would cost more than all others of the day.
+        if others.is_empty() || self.failures.is_multiple_of(STORE_EVERY) {
+            let second = others.len().min(1);
+            others.insert(second, Source::Store);
+        }
         others
     }
 
