Leave a reader that has lost the store, and don't leave the store for one cut connection

Change: a reply tells its age, and a source whose knowledge is older than 1.5 s is left at once, though what it tells is taken (a newcomer needs it); one that is stale answers without waiting; the store is tried twice and passed over, every second round, only after three failures in a row. The platform tests failed twice with 'the instance takes callers' in vain: they took free ports that outgoing connections may get before the instance starts; they now take ports below those, as the older tests do.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -31,16 +31,20 @@
 const STORE_WAIT: Duration = Duration::from_millis(800);
 /// How long a peer may wait with its answer, as a part of a reader's own wait. It answers when its
 /// own call ends, which is a little later than its wait.
-const PEER_WAIT_PART: f64 = 1.25;
+const PEER_WAIT_PART: f64 = 1.45;
 /// Time for a peer to answer beyond what it was allowed to wait.
 const PEER_PATIENCE: Duration = Duration::from_millis(250);
 /// Pause after an answer of the store that brought changes. It delays what comes next by as much;
 /// engines that leave have at least 1.5 s.
 const GATHER: Duration = Duration::from_millis(40);
-/// Knowledge of a peer that is older than this means that the peer itself has lost the store.
-const PEER_AGE: Duration = Duration::from_millis(2_800);
-/// Rounds of failures between two in which a follower asks the store itself.
-const STORE_EVERY: u32 = 4;
+/// A reader's knowledge is as old as its call to the store when it replies: 0.8 s, and up to 0.4 s
+/// more where the store is slow. Older, and the reader itself has lost the store.
+pub const PEER_AGE: Duration = Duration::from_millis(1_500);
+/// Failures of the store in a row after which a follower takes it for lost to all. One alone may be
+/// a connection that was cut.
+const STORE_FAILURES: u32 = 3;
+/// Rounds of failures between two in which a follower then asks the store itself.
+const STORE_EVERY: u32 = 2;
 /// Pause after a failed call, at first.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls in a row.
@@ -55,6 +59,15 @@
     Peer(InstanceId),
 }
 
+/// What a source has told.
+struct Told {
+    news: News,
+    /// When the read was sent that confirmed it.
+    read: Moment,
+    /// The source itself reads the store.
+    fresh: bool,
+}
+
 /// Follows one topic for good.
 pub struct Follower {
     front: Arc<Front>,
@@ -68,6 +81,8 @@
     /// When a source behind the first was taken.
     strayed: Option<Moment>,
     failures: u32,
+    /// Failures of the store itself in a row.
+    store_failures: u32,
     /// When the first of the failures in a row came.
     lost: Option<Moment>,
     /// When the last outage ended.
@@ -87,6 +102,7 @@
             skipped: 0,
             strayed: None,
             failures: 0,
+            store_failures: 0,
             lost: None,
             outage_end: None,
         }
@@ -97,17 +113,29 @@
         loop {
             let sources = self.sources();
             let source = sources[self.skipped % sources.len()].clone();
-            match self.ask(&source).await {
-                Ok((news, read)) => {
-                    if self.is_newer(&source, &news, read) {
-                        self.take(&news, read);
-                        self.gather(&source, &news).await;
-                    } else {
-                        let error = silent(format!("{source:?} knows nothing newer"));
-                        self.fail(&error, sources.len()).await;
+            let told = match self.ask(&source).await {
+                Ok(told) => told,
+                Err(e) => {
+                    if source == Source::Store {
+                        self.store_failures = self.store_failures.saturating_add(1);
                     }
+                    self.fail(&e, sources.len()).await;
+                    continue;
                 }
-                Err(e) => self.fail(&e, sources.len()).await,
+            };
+            // Old news is better than none, for one that has just started say; but its source is
+            // not to be relied on.
+            if source == Source::Store {
+                self.store_failures = 0;
+            }
+            let good = told.fresh && self.is_newer(&source, &told);
+            self.take(&told);
+            if good {
+                self.regain();
+                self.gather(&source, &told.news).await;
+            } else {
+                let error = silent(format!("{source:?} has lost the store itself"));
+                self.fail(&error, sources.len()).await;
             }
         }
     }
@@ -122,10 +150,10 @@
 
     /// Whether a source knows more than this instance. Two instances that lost the store might
     /// follow each other, each content with what the other had from it.
-    fn is_newer(&self, source: &Source, news: &News, read: Moment) -> bool {
+    fn is_newer(&self, source: &Source, told: &Told) -> bool {
         *source == Source::Store
-            || Some(news.version) > self.shelf.version()
-            || self.shelf.read().is_none_or(|known| read > known)
+            || Some(told.news.version) > self.shelf.version()
+            || self.shelf.read().is_none_or(|known| told.read > known)
     }
 
     /// Sources in the order in which they are tried.
@@ -162,15 +190,17 @@
         }
         // While the store is away for all, the readers find out when it is back; if every follower
         // asked as well, the calls alone would cost more than all others of the day.
-        if others.is_empty() || self.failures.is_multiple_of(STORE_EVERY) {
+        let lost_to_all = self.store_failures >= STORE_FAILURES;
+        if others.is_empty() || !lost_to_all || self.failures.is_multiple_of(STORE_EVERY) {
             let second = others.len().min(1);
             others.insert(second, Source::Store);
+            others.insert(second, Source::Store);
         }
         others
     }
 
-    /// Asks a source; gives what is new and when the read was sent that confirmed it.
-    async fn ask(&self, source: &Source) -> Result<(News, Moment), StoreError> {
+    /// Asks a source.
+    async fn ask(&self, source: &Source) -> Result<Told, StoreError> {
         let sent = boot_time();
         let after = self.shelf.version();
         match source {
@@ -183,17 +213,17 @@
                     Err(StoreError::HistoryGone) => self.store.read(self.topic).await,
                     news => news,
                 }
-                .map(|news| (news, sent))
+                .map(|news| Told {
+                    news,
+                    read: sent,
+                    fresh: true,
+                })
             }
             Source::Peer(peer) => self.ask_peer(peer, after).await,
         }
     }
 
-    async fn ask_peer(
-        &self,
-        peer: &InstanceId,
-        after: Option<u64>,
-    ) -> Result<(News, Moment), StoreError> {
+    async fn ask_peer(&self, peer: &InstanceId, after: Option<u64>) -> Result<Told, StoreError> {
         let sent = boot_time();
         let wait = STORE_WAIT.mul_f64(PEER_WAIT_PART);
         let message = Message::Follow {
@@ -208,17 +238,19 @@
                 news,
                 before,
                 after,
-            }) if before < PEER_AGE => Ok((news, (sent + after).saturating_sub(before))),
-            Some(Reply::News { .. } | Reply::Nothing) => {
-                Err(silent(format!("{peer} has lost the store itself")))
-            }
+                age,
+            }) => Ok(Told {
+                news,
+                read: (sent + after).saturating_sub(before),
+                fresh: age < PEER_AGE,
+            }),
+            Some(Reply::Nothing) => Err(silent(format!("{peer} knows nothing"))),
             _ => Err(silent(format!("{peer} does not answer"))),
         }
     }
 
-    fn take(&mut self, news: &News, read: Moment) {
-        self.regain();
-        let mut changed = self.shelf.take(news, read);
+    fn take(&self, told: &Told) {
+        let mut changed = self.shelf.take(&told.news, told.read);
         let now = boot_time();
         // A dropped row may stand for a listing that lapsed; take them last, for the same answer
         // may list others.
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -9,8 +9,9 @@
 
 use crate::{
     carry, follow,
+    follow::PEER_AGE,
     peers::{MESSAGE_LIMIT, MESSAGES_PATH},
-    state::Front,
+    state::{Front, age},
     wire::{Message, Reply, Topic},
 };
 
@@ -66,7 +67,9 @@
     async fn news(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Reply {
         let arrived = boot_time();
         let shelf = self.front.shelf(topic);
-        if after.is_some() && shelf.version() == after {
+        let fresh = shelf.read().is_some_and(|read| age(read) < PEER_AGE);
+        // Nobody is kept waiting by one that has lost the store itself.
+        if fresh && after.is_some() && shelf.version() == after {
             shelf.wait(wait.min(FOLLOW_MOST)).await;
         }
         match shelf.news(after) {
@@ -74,6 +77,7 @@
                 news,
                 before: arrived.saturating_sub(read),
                 after: read.saturating_sub(arrived),
+                age: boot_time().saturating_sub(read),
             },
             None => Reply::Nothing,
         }
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -110,6 +110,8 @@
         before: Duration,
         /// The read was sent so long after the question arrived, if it was.
         after: Duration,
+        /// Time from that read to this reply.
+        age: Duration,
     },
     /// The receiver knows nothing of a topic.
     Nothing,
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -216,11 +216,11 @@
             instances.push(platform.instance(name).await);
         }
         Timer::after(Duration::from_secs(2)).await;
-        let before = platform.store.calls();
+        let before = instances.iter().map(|i| i.door.calls()).sum::<usize>();
         Timer::after(Duration::from_secs(4)).await;
         // Two readers of two topics make one call each 0.8 s: 20 in four seconds. Each of four
         // instances alone would make 40 and more.
-        let calls = platform.store.calls() - before;
+        let calls = instances.iter().map(|i| i.door.calls()).sum::<usize>() - before;
         assert!(calls <= 30, "{calls}");
         platform.configure(&["key-9"]);
         let caller = Caller::new("key-9");
@@ -237,3 +237,91 @@
         }
     });
 }
+
+/// The store turns away just the instances that read it for the others. These still answer, with
+/// what they knew before; the others must not be content with that while the store serves them.
+#[test]
+fn followers_do_not_stay_with_a_reader_that_lost_the_store() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let mut instances = Vec::new();
+        for name in ["f-1", "f-2", "f-3", "f-4", "f-5"] {
+            instances.push(platform.instance(name).await);
+        }
+        Timer::after(Duration::from_secs(3)).await;
+        let followed = |n: usize| instances[n].door.followed("op");
+        let before: Vec<usize> = (0..5).map(followed).collect();
+        Timer::after(Duration::from_secs(3)).await;
+        let reads = |n: usize| followed(n) > before[n];
+        let (readers, followers): (Vec<usize>, Vec<usize>) = (0..5).partition(|n| reads(*n));
+        assert!(!readers.is_empty() && followers.len() >= 2, "{readers:?}");
+        for reader in &readers {
+            instances[*reader].door.set_shut(true);
+        }
+        platform.configure(&["key-8"]);
+        Timer::after(Duration::from_millis(1_900)).await;
+        for follower in followers {
+            let got = Caller::new("key-8")
+                .call(instances[follower].addr, "GET", "/titles/9", "r-1")
+                .await;
+            assert_eq!(got.status, 200, "instance {follower}, readers {readers:?}");
+        }
+    });
+}
+
+/// An instance starts while the store is away. The others know the configuration; without it the
+/// new one could serve nobody until the store is back.
+#[test]
+fn a_newcomer_learns_from_the_others_while_the_store_is_away() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let first = platform.instance("n-1").await;
+        platform.store.set_down(true);
+        Timer::after(Duration::from_millis(500)).await;
+        let second = platform.newcomer("n-2", &first).await;
+        eventually("it knows the configuration", || async {
+            let dump = page(second.admin, "/dump").await;
+            dump.is_some_and(|dump| dump.body.contains("\"rules\":3"))
+        })
+        .await;
+    });
+}
+
+/// Two readers are cut off from the store, and so the others ask it themselves, when it cuts its
+/// connections once. It serves at once again; those that gave it up for a while would miss what
+/// changes meanwhile.
+#[test]
+fn a_connection_that_the_store_cut_is_no_reason_to_leave_it() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let mut instances = Vec::new();
+        for name in ["c-1", "c-2", "c-3", "c-4", "c-5"] {
+            instances.push(platform.instance(name).await);
+        }
+        Timer::after(Duration::from_secs(3)).await;
+        let followed = |n: usize| instances[n].door.followed("op");
+        let before: Vec<usize> = (0..5).map(followed).collect();
+        Timer::after(Duration::from_secs(2)).await;
+        let reads = |n: usize| followed(n) > before[n];
+        let (readers, followers): (Vec<usize>, Vec<usize>) = (0..5).partition(|n| reads(*n));
+        for reader in &readers {
+            instances[*reader].door.set_shut(true);
+        }
+        Timer::after(Duration::from_secs(2)).await;
+        for follower in &followers {
+            instances[*follower].door.set_shut(true);
+        }
+        Timer::after(Duration::from_millis(50)).await;
+        for follower in &followers {
+            instances[*follower].door.set_shut(false);
+        }
+        platform.configure(&["key-7"]);
+        Timer::after(Duration::from_millis(1_900)).await;
+        for follower in followers {
+            let got = Caller::new("key-7")
+                .call(instances[follower].addr, "GET", "/titles/9", "r-1")
+                .await;
+            assert_eq!(got.status, 200, "instance {follower}, readers {readers:?}");
+        }
+    });
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -3,7 +3,7 @@
 use std::{
     fs,
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, PoisonError},
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use bench::process::free_addr;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
@@ -28,8 +29,6 @@
 pub struct Platform {
     /// The store.
     pub store: RowStore,
-    /// Where it listens.
-    pub store_addr: SocketAddr,
     /// The engines of `drafts`.
     pub engines: Vec<Engine>,
     /// The processes of `titles`.
@@ -41,7 +40,6 @@
     /// Starts it, with a first configuration.
     pub async fn start() -> Self {
         let store = RowStore::new();
-        let store_addr = platform_standin::listen(Arc::new(store.clone())).await;
         let engines = vec![Engine::new("e-1"), Engine::new("e-2")];
         let plain = vec![Plain::new("p-1"), Plain::new("p-2")];
         let mut addrs = Vec::new();
@@ -56,7 +54,6 @@
         }
         let this = Self {
             store,
-            store_addr,
             engines,
             plain,
             version: Mutex::new(0),
@@ -111,7 +108,9 @@
 
     /// Starts an instance, and waits until it takes callers.
     pub async fn instance(&self, name: &str) -> Instance {
-        let instance = Instance::start(self, name);
+        let door = self.store.door();
+        let addr = platform_standin::listen(Arc::new(door.clone())).await;
+        let instance = Instance::start(door, addr, name);
         eventually("the instance takes callers", || {
             let ready = instance.ready;
             async move { status(ready, "/v1/readiness").await == Some(200) }
@@ -119,10 +118,19 @@
         .await;
         instance
     }
+
+    /// Starts an instance that is told of another, and does not wait for it.
+    pub async fn newcomer(&self, name: &str, known: &Instance) -> Instance {
+        let door = self.store.door();
+        let addr = platform_standin::listen(Arc::new(door.clone())).await;
+        Instance::start_knowing(door, addr, name, &[known.admin])
+    }
 }
 
 /// One process of the program.
 pub struct Instance {
+    /// Its door to the store.
+    pub door: RowStore,
     /// Where callers come in.
     pub addr: SocketAddr,
     /// Where the balancer asks.
@@ -136,12 +144,21 @@
 }
 
 impl Instance {
-    fn start(platform: &Platform, name: &str) -> Self {
+    fn start(door: RowStore, store: SocketAddr, name: &str) -> Self {
+        Self::start_knowing(door, store, name, &[])
+    }
+
+    fn start_knowing(door: RowStore, store: SocketAddr, name: &str, seeds: &[SocketAddr]) -> Self {
+        let seeds: Vec<String> = seeds
+            .iter()
+            .map(|seed| format!("{:?}", seed.to_string()))
+            .collect();
         let [addr, ready, admin, peers] = free_ports();
         let settings =
             std::env::temp_dir().join(format!("celerystand-{name}-{}.toml", peers.port()));
         let text = format!(
             "node = {name:?}\nip = \"127.0.0.1\"\nzone = \"dc-0\"\ninternal_ports = [{}, {}]\n\
+             seeds = [{}]\n\
              [listen]\nfront = \"{addr}\"\nready = \"{ready}\"\ncontrol = \"{admin}\"\n\
              [limits]\nmemory_mb = 110\nfile_descriptors = 4100\n\
              [bounds]\nstrict_revocation = true\nrevoke_ms = 2500\ngrace_s = 6\n\
@@ -149,7 +166,8 @@
              [platform]\naddress = \"{}\"\n",
             peers.port(),
             peers.port(),
-            platform.store_addr
+            seeds.join(","),
+            store
         );
         fs::write(&settings, text).expect("a settings file");
         let mut child = Command::new(env!("CARGO_BIN_EXE_celerystand"))
@@ -163,6 +181,7 @@
         let lines = Arc::clone(&log);
         thread::spawn(move || collect(out, &lines));
         Self {
+            door,
             addr,
             ready,
             admin,
@@ -247,12 +266,10 @@
     }
 }
 
-/// Ports that nobody listens on just now.
+/// Ports that nobody listens on, below those that outgoing connections get: one of these could
+/// take a listener's port before its instance has started.
 fn free_ports<const N: usize>() -> [SocketAddr; N] {
-    let held: Vec<TcpListener> = (0..N)
-        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
-        .collect();
-    std::array::from_fn(|n| held[n].local_addr().expect("an address"))
+    std::array::from_fn(|_| free_addr().expect("a free port"))
 }
 
 /// A caller's request.
