--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::Full;
-use hyper::{HeaderMap, Request, StatusCode, http};
+use hyper::{HeaderMap, Request, http};
 use placing::{Report, RunId};
 use types::{DataCentreId, TargetId, Tokens};
 use view::{Rules, Target};
@@ -122,7 +122,7 @@
     fn passed(&self, head: &http::response::Parts) -> HeaderMap;
 
     /// Headers of an answer of our own to a request.
-    fn own(&self, id: Option<&str>, status: StatusCode) -> HeaderMap;
+    fn own(&self, id: Option<&str>) -> HeaderMap;
 
     /// Whether a path asks whether this instance takes callers.
     fn asks_ready(&self, path: &str) -> bool;
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::support::{Caller, Platform, eventually, page, status};
+use crate::support::{Caller, Instance, Platform, eventually, page, status};
 use platform_standin::plain::Fault;
 use smol::Timer;
 
@@ -238,6 +238,18 @@
     });
 }
 
+/// Which instances read the configuration at the store, and which follow those.
+async fn roles(instances: &[Instance]) -> (Vec<usize>, Vec<usize>) {
+    let followed = |n: usize| instances[n].door.followed("op");
+    let before: Vec<usize> = (0..instances.len()).map(followed).collect();
+    Timer::after(Duration::from_secs(3)).await;
+    // A follower makes no calls in quiet times.
+    let reads = |n: &usize| followed(*n) > before[*n];
+    let (readers, followers): (Vec<usize>, Vec<usize>) = (0..instances.len()).partition(reads);
+    assert!(!readers.is_empty() && followers.len() >= 2, "{readers:?}");
+    (readers, followers)
+}
+
 /// The store turns away just the instances that read it for the others. These still answer, with
 /// what they knew before; the others must not be content with that while the store serves them.
 #[test]
@@ -249,12 +261,7 @@
             instances.push(platform.instance(name).await);
         }
         Timer::after(Duration::from_secs(3)).await;
-        let followed = |n: usize| instances[n].door.followed("op");
-        let before: Vec<usize> = (0..5).map(followed).collect();
-        Timer::after(Duration::from_secs(3)).await;
-        let reads = |n: usize| followed(n) > before[n];
-        let (readers, followers): (Vec<usize>, Vec<usize>) = (0..5).partition(|n| reads(*n));
-        assert!(!readers.is_empty() && followers.len() >= 2, "{readers:?}");
+        let (readers, followers) = roles(&instances).await;
         for reader in &readers {
             instances[*reader].door.set_shut(true);
         }
@@ -299,11 +306,7 @@
             instances.push(platform.instance(name).await);
         }
         Timer::after(Duration::from_secs(3)).await;
-        let followed = |n: usize| instances[n].door.followed("op");
-        let before: Vec<usize> = (0..5).map(followed).collect();
-        Timer::after(Duration::from_secs(2)).await;
-        let reads = |n: usize| followed(n) > before[n];
-        let (readers, followers): (Vec<usize>, Vec<usize>) = (0..5).partition(|n| reads(*n));
+        let (readers, followers) = roles(&instances).await;
         for reader in &readers {
             instances[*reader].door.set_shut(true);
         }
