End a stand-in's stall when it is called off

The stand-in engine slept through a stall of 60 s in one piece. The test crashes the engine in that sleep and calls the stall off, but the engine's next life still slept it out. Whether the following draft was placed there depended on whether the engine was listed again by then, two seconds later: only beside load.

Ruled out: asks that are made again after 1.5 s.

Change: a stall looks every 10 ms whether it was called off.

--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -122,7 +122,7 @@
                 self.settings.cold_factor
             };
             timer.sleep(time.mul_f64(cold * self.life.slow())).await;
-            timer.sleep(self.life.stalled()).await;
+            self.life.stall().await;
             let finished = self.state.lock().batch.step(timer.now());
             (0..finished).for_each(|_| self.life.finished());
         }
--- a/components/standins/src/life.rs
+++ b/components/standins/src/life.rs
@@ -17,6 +17,8 @@
 
 /// Time between two looks at restarts, reports and the listing.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at whether a stall was called off.
+const STALL_POLL: Duration = Duration::from_millis(10);
 /// Reports kept.
 const REPORTS_KEPT: usize = 1000;
 
@@ -215,11 +217,17 @@
         self.state.lock().faults.slow.unwrap_or(1.0)
     }
 
-    /// How long nothing moves from now on.
-    #[must_use]
-    pub fn stalled(&self) -> Duration {
-        let until = self.state.lock().stalled_until;
-        until.saturating_sub(self.timer.now())
+    /// Waits while nothing moves. It looks again and again: what slept through a stall that was
+    /// called off would hold up work of the target's next life as well.
+    pub async fn stall(&self) {
+        loop {
+            let until = self.state.lock().stalled_until;
+            let left = until.saturating_sub(self.timer.now());
+            if left.is_zero() {
+                return;
+            }
+            self.timer.sleep(left.min(STALL_POLL)).await;
+        }
     }
 
     /// Whether this request is the next to go without an answer.
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -160,7 +160,7 @@
         let incarnation = self.life.log().incarnation;
         let time = self.call_time();
         self.life.timer.sleep(time).await;
-        self.life.timer.sleep(self.life.stalled()).await;
+        self.life.stall().await;
         let mut state = self.state.lock();
         state.running -= 1;
         if !self.life.lives(incarnation) {
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -155,6 +155,35 @@
     });
 }
 
+// An engine stands still for a minute and crashes meanwhile; the stall is called off. What it gets
+// after its return must run at once: a draft that waits out a stall of the engine's former life
+// looks like one that an instance has lost.
+#[test]
+fn a_stall_that_was_called_off_holds_up_no_later_generation() {
+    block_on(async {
+        let running = start(true).await;
+        let stall = |ms| Faults {
+            stall_ms: Some(ms),
+            ..Faults::default()
+        };
+        running.standin.set(stall(60_000));
+        let held = ask(running.addr, 5).await.unwrap();
+        // The step that produces the first token has begun, and stands still.
+        Timer::after(Duration::from_millis(100)).await;
+        running.standin.set(Faults {
+            act: Some(Act::Crash),
+            ..Faults::default()
+        });
+        running.standin.set(stall(0));
+        assert_eq!(offsets(held).await, (vec![], false));
+        wait(|| running.standin.log().life.incarnation == 2).await;
+        let begun = Instant::now();
+        let again = ask(running.addr, 3).await.unwrap();
+        assert_eq!(offsets(again).await, (vec![0, 1, 2], true));
+        assert!(begun.elapsed() < Duration::from_secs(20), "it waited");
+    });
+}
+
 async fn wait(done: impl Fn() -> bool) {
     let patience = Instant::now() + Duration::from_secs(20);
     while !done() {
