--- a/components/front/src/choice.rs
+++ b/components/front/src/choice.rs
@@ -25,6 +25,23 @@
 const FAILURES: u32 = 2;
 /// What a target that is put aside costs where all are.
 const ASIDE_COST: f64 = 10.0;
+/// Part of the connections that a target takes from all instances which they share out. The rest
+/// is for questions about its health and load, and for instances that have just come.
+const USED_CONNECTIONS: f64 = 0.8;
+
+/// Connections that one of `instances` may have open to a target that takes `limit` from all of
+/// them; one at least. A target resets what is beyond its limit, whoever's call it carries.
+#[must_use]
+pub fn connection_share(limit: u32, instances: usize) -> u32 {
+    let count = u32::try_from(instances.max(1)).unwrap_or(u32::MAX);
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a part of a limit that fits"
+    )]
+    let shared = (f64::from(limit) * USED_CONNECTIONS) as u32;
+    (shared / count).max(1)
+}
 
 #[derive(Clone, Debug, Default)]
 struct Known {
@@ -76,6 +93,13 @@
         best.map(|(_, target)| Arc::clone(target))
     }
 
+    /// Calls of this instance at a target. Each holds a connection, and a connection that is idle
+    /// is used before another is made, so no more are open than calls were there at once.
+    #[must_use]
+    pub fn mine(&self, target: &TargetId) -> u32 {
+        self.known.get(target).map_or(0, |known| known.mine)
+    }
+
     /// Notes that a call goes to a target.
     pub fn sent(&mut self, target: &TargetId) {
         self.entry(target).mine += 1;
--- a/components/front/src/plain.rs
+++ b/components/front/src/plain.rs
@@ -6,11 +6,12 @@
 use hyper::Response;
 use net::Body;
 use timer::boot_time;
-use types::TargetId;
+use types::{Moment, TargetId};
 use view::{Kind, Target};
 
 use crate::{
     call::Call,
+    choice::connection_share,
     refuse::{Refusal, millis},
     send::{Sent, collect, log_failure, send},
     state::Front,
@@ -152,13 +153,8 @@
     let patience = call.route.aim.mul_f64(LOOK_PART).min(call.until_due());
     let until = boot_time() + patience;
     loop {
-        let targets = front.usable(&call.service);
-        let near = &front.cfg.data_centre;
         let now = boot_time();
-        let picked = front
-            .choice
-            .lock()
-            .pick(now, &targets, tried, near, fastrand::f64());
+        let picked = pick(front, call, tried, now);
         if let Some(target) = picked.filter(|target| front.take_cold(&call.service, target)) {
             return Some(target);
         }
@@ -170,6 +166,16 @@
     }
 }
 
+/// Picks among the targets that this instance may open one more connection to.
+fn pick(front: &Front, call: &Call, tried: &[TargetId], now: Moment) -> Option<Arc<Target>> {
+    let share = connection_share(call.service.connections, front.instances());
+    let mut targets = front.usable(&call.service);
+    let choice = front.choice.lock();
+    targets.retain(|target| choice.mine(&target.id) < share);
+    let near = &front.cfg.data_centre;
+    choice.pick(now, &targets, tried, near, fastrand::f64())
+}
+
 async fn attempt(front: &Front, call: &Call, target: &Target, sending: u32) -> Try {
     let _at = AtTarget::new(front, &target.id);
     emit(&Event::RequestSent {
--- a/components/front/tests/decisions.rs
+++ b/components/front/tests/decisions.rs
@@ -5,7 +5,7 @@
 use front::{
     SaidLoad,
     budget::Budget,
-    choice::Choice,
+    choice::{Choice, connection_share},
     cold::ColdTargets,
     split::{Event, Splitter},
 };
@@ -103,6 +103,24 @@
     assert_eq!(&*picked.id, "bad");
 }
 
+/// Nine instances call a target that takes 45 connections from all of them. If each opened as many
+/// as it liked, the target would reset some, and calls that must not repeat would be lost.
+#[test]
+fn instances_share_the_connections_that_a_target_takes() {
+    let share = connection_share(45, 9);
+    assert_eq!(share, 4);
+    assert!(share * 9 <= 45);
+    assert_eq!(connection_share(2, 83), 1, "each may call at all");
+    let mut choice = Choice::default();
+    let id = "t-1".into();
+    for _ in 0..share {
+        choice.sent(&id);
+    }
+    assert_eq!(choice.mine(&id), share);
+    choice.ended(&id);
+    assert_eq!(choice.mine(&id), share - 1);
+}
+
 /// Every target fails: it may be the callers' requests, or our own link. Putting all aside would
 /// turn a bad moment into an outage.
 #[test]
