Judge silent streams, fetch lost ones from memory, and take settings and limits as they change

A connection that is reset or falls silent lost a generation whose engine still had it; a copy whose destination could not be reached was given up though its source kept the memory. If it has made more than has arrived, the generation is stopped there and goes on elsewhere from its memory; if it is neither listed nor answers, twice, the caller is told at once. An engine that answers nothing but is listed is waited for: it may be our own link. A reset stream is fetched the same way. A destination that did not take a copy is followed by its source. The owner counts how late an engine's oldest first event is. Ruled out: giving up on unanswered questions alone, which would lose streams over a cut that heals.

Change: an instance that stops refuses generations that will probably not end in time, with 10 ms to come back; it uses 0.96 of its grace in place of 0.9.

Header and idle limits are those of the configuration in force; a settings file that changes without a signal is noticed within two seconds; bounds and new seeds are taken while running, the rest is logged as 922.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -374,6 +374,30 @@
         907, Info, "{id}: not carried from {from} to {to}: {reason}",
         "Nothing, unless it comes for most generations.",
     ),
+    /// An engine did not say what it holds.
+    EngineUnheard {
+        /// The engine.
+        target: TargetId,
+        /// Why.
+        reason: Arc<str>,
+    } = (
+        908, Info, "{target} does not tell what it holds: {reason}",
+        "Nothing, unless it comes for one engine again and again.",
+    ),
+    /// A generation whose stream was lost goes on from its engine's memory at another engine.
+    GenerationRescued {
+        /// The request's id.
+        id: Arc<str>,
+        /// The engine whose stream was lost.
+        from: TargetId,
+        /// Where it goes on.
+        to: TargetId,
+        /// Time of the copy, in milliseconds.
+        copy_ms: u64,
+    } = (
+        909, Info, "{id}: taken from {from} to {to} after its stream was lost",
+        "Look at the link to the first engine if it comes often.",
+    ),
     /// Another version of the configuration is in force.
     RulesInForce {
         /// The version.
@@ -484,4 +508,9 @@
         921, Warn, "the settings can't be read, those before stay: {reason}",
         "Mend the file.",
     ),
+    /// The settings changed in names, addresses or sizes, which a running instance keeps.
+    SettingsNeedRestart = (
+        922, Warn, "some of the changed settings take a restart",
+        "Restart the instance when it suits; its bounds and seeds are the new ones already.",
+    ),
 }
--- a/components/front/src/acquaint.rs
+++ b/components/front/src/acquaint.rs
@@ -28,8 +28,7 @@
 /// so that it works while the store is away, and from the store.
 pub async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
     for seed in front.cfg.seeds.clone() {
-        let front = Arc::clone(&front);
-        workers::spawn(async move { greet_seed(&front, seed).await }).detach();
+        workers::spawn(greet_seed(Arc::clone(&front), seed)).detach();
     }
     while store.announce(front.peers.me()).await.is_err() {
         smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
@@ -53,12 +52,13 @@
     }
 }
 
-async fn greet_seed(front: &Front, seed: SocketAddr) {
+/// Makes this instance known to one that the settings name, and learns of others from it.
+pub async fn greet_seed(front: Arc<Front>, seed: SocketAddr) {
     let message = Message::Hello(front.peers.me().clone());
     for _ in 0..SEED_TRIES {
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
-            learn_members(front, Some(reply));
+            learn_members(&front, Some(reply));
             return;
         }
         smol::Timer::after(MEMBERS_PAUSE).await;
--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -8,6 +8,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use events::{Event, emit};
 use timer::{Timer, boot_time};
 use types::TargetId;
 use view::{Service, Target};
@@ -65,8 +66,15 @@
 }
 
 async fn ask(front: &Arc<Front>, target: Arc<Target>) {
-    let Some(report) = front.engines.report(target.addr, PATIENCE).await else {
-        return;
+    let report = match front.engines.report(target.addr, PATIENCE).await {
+        Ok(report) => report,
+        Err(reason) => {
+            emit(&Event::EngineUnheard {
+                target: Arc::clone(&target.id),
+                reason,
+            });
+            return;
+        }
     };
     let mut owner = front.placement.owner.lock();
     owner.reported(boot_time(), &target.id, report.load);
--- a/components/front/src/budget.rs
+++ b/components/front/src/budget.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Sets its terms anew; what was counted stays.
+    pub const fn set(&mut self, window: Duration, ratio: f64, slack: f64) {
+        self.window = window;
+        self.ratio = ratio;
+        self.slack = slack;
+    }
+
     /// Counts a request for a service.
     pub fn count(&mut self, now: Moment, service: &ServiceId) {
         let counted = self.trimmed(now, service);
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -177,13 +177,24 @@
     Leaving,
 }
 
-/// What an engine says of itself.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// What an engine says of one generation.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunReport {
+    /// The generation.
+    pub run: RunId,
+    /// Events that it has made.
+    pub events: u64,
+}
+
+/// What an engine says of itself, some hundred milliseconds ago.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineReport {
     /// Whether it stays.
     pub state: EngineState,
     /// What it holds.
     pub load: Report,
+    /// Its generations.
+    pub runs: Vec<RunReport>,
 }
 
 /// Gives engines orders, and asks them.
@@ -192,8 +203,11 @@
     /// Copies a running generation's memory to another engine.
     async fn copy(&self, order: &CopyOrder<'_>) -> Copied;
 
-    /// Asks an engine for its report; none if it does not say.
-    async fn report(&self, addr: SocketAddr, patience: Duration) -> Option<EngineReport>;
+    /// Asks an engine for its report.
+    ///
+    /// # Errors
+    /// Tells why there is none.
+    async fn report(&self, addr: SocketAddr, patience: Duration) -> Result<EngineReport, Arc<str>>;
 }
 
 /// One thing that the store says.
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -353,10 +353,13 @@
 /// Acts on what has changed.
 fn act(front: &Arc<Front>, change: Change) {
     match change {
-        Change::Rules { from, to } => emit(&Event::RulesInForce {
-            version: to,
-            from: from.unwrap_or_default(),
-        }),
+        Change::Rules { from, to } => {
+            front.apply_limits();
+            emit(&Event::RulesInForce {
+                version: to,
+                from: from.unwrap_or_default(),
+            });
+        }
         Change::Joined(target) => emit(&Event::TargetJoined {
             target: Arc::clone(&target.id),
         }),
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -6,6 +6,7 @@
 use hyper::{Response, http};
 use net::{Body, fed};
 use placing::{Answer, Ask, Note};
+use smol::future;
 use timer::boot_time;
 use types::TargetId;
 use view::Target;
@@ -17,11 +18,14 @@
     refuse::{Refusal, millis},
     relay::Relay,
     send::{Sent, collect, send},
+    silence::{Silence, Verdict, look_into},
     state::Front,
 };
 
 /// When a caller may come back whose generation found no engine that would take it.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(1_000);
+/// When a caller may come back that another instance would serve: at once, on a new connection.
+const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
 /// Engines that may say in a row that they did not run a generation before its caller is told.
 const NOT_RUN_MOST: usize = 4;
 /// Sizes of a generation that declares none: that of a short question.
@@ -37,7 +41,8 @@
     front: Arc<Front>,
     /// The generation.
     pub live: Arc<Live>,
-    doubt: bool,
+    /// Its engine refused or failed it.
+    pub doubt: bool,
     /// It came to its end, so that its length says something.
     pub whole: bool,
 }
@@ -94,6 +99,12 @@
             ));
         }
         let ask = ask(front, call, avoid);
+        if !front.can_finish(&ask) {
+            return Err(Refusal::not_run(
+                "this instance stops before it would end",
+                ELSEWHERE_RETRY,
+            ));
+        }
         let after = match front.place(&ask).await {
             Answer::Go { target } => match front.view.target(&target) {
                 Some(target) => return Ok(target),
@@ -121,7 +132,8 @@
 /// Time for the listing of a new target to arrive here too.
 const UNHEARD_PAUSE: Duration = Duration::from_millis(20);
 
-fn ask(front: &Front, call: &Call, avoid: &[TargetId]) -> Ask {
+/// What a generation asks its owner for.
+pub(crate) fn ask(front: &Front, call: &Call, avoid: &[TargetId]) -> Ask {
     let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
     Ask {
         run: Arc::clone(&call.asked.id),
@@ -165,7 +177,8 @@
         left_ms: millis(call.left()),
     });
     front.metrics.held(call.held());
-    match send(front, call, &target, None, call.until_due()).await {
+    let sending = send(front, call, &target, None, call.until_due());
+    match future::or(sending, until_gone(front, call, &place.live)).await {
         Sent::Head { head, body, .. } if head.status.is_success() => {
             Attempt::Answer(stream(front, call, place, &head, body))
         }
@@ -195,6 +208,21 @@
     }
 }
 
+/// Waits until an engine that owes the first event is known to be gone. Its caller would wait for
+/// seconds otherwise, and learn no more.
+async fn until_gone(front: &Front, call: &Call, live: &Live) -> Sent {
+    let mut silence = Silence::new(boot_time() + call.aim_left());
+    loop {
+        smol::Timer::after(silence.ask_at().saturating_sub(boot_time())).await;
+        if look_into(front, live, &mut silence).await == Verdict::Gone {
+            return Sent::Unknown {
+                reason: "its engine is silent and not listed any more".into(),
+                late: false,
+            };
+        }
+    }
+}
+
 /// Tries again where that is allowed; it has not run yet.
 fn again_or(reason: &str, front: &Front, call: &Call, avoid: &[TargetId]) -> Attempt {
     let service = &call.service.name;
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -24,10 +24,13 @@
 pub mod plain;
 pub mod refuse;
 pub mod relay;
+pub mod reload;
+pub mod rescue;
 pub mod run;
 pub mod send;
 pub mod shelf;
 pub mod side;
+pub mod silence;
 pub mod split;
 pub mod state;
 pub mod wire;
@@ -35,7 +38,7 @@
 pub use config::{Bounds, Config};
 pub use face::{
     Asked, BadRequest, Copied, CopyOrder, EngineReport, EngineState, Engines, Face, Heading,
-    Record, Resume, SaidLoad, Sending, Sizes, Store, StoreError,
+    Record, Resume, RunReport, SaidLoad, Sending, Sizes, Store, StoreError,
 };
 pub use run::{Outside, serve};
 pub use wire::{Member, News, Row, Topic};
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -106,7 +106,13 @@
     /// Tokens made so far.
     #[must_use]
     pub fn made(&self) -> Tokens {
-        self.events.load(Ordering::Relaxed) * self.per_event
+        self.events() * self.per_event
+    }
+
+    /// Events that have come so far, from all engines that it ran on.
+    #[must_use]
+    pub fn events(&self) -> u64 {
+        self.events.load(Ordering::Relaxed)
     }
 
     /// Where it runs.
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -17,6 +17,9 @@
 const ASK_PATIENCE: Duration = Duration::from_millis(150);
 /// Time for a note to be taken.
 const NOTE_PATIENCE: Duration = Duration::from_millis(300);
+/// The least chance to end in time with which a generation is begun by an instance that stops.
+/// Half of the drafts are longer than a stop, and nearly all short ones end well within it.
+const FINISH_CHANCE: f64 = 0.9;
 /// Owners that are asked before an instance decides for itself.
 const OWNERS_ASKED: usize = 2;
 
@@ -72,6 +75,17 @@
         self.decide(ask)
     }
 
+    /// Whether a generation would probably end before this instance does. One that is begun just
+    /// before a planned stop is cut in the middle, and its caller can't ask for it again; told at
+    /// once, the caller gets all of it elsewhere.
+    #[must_use]
+    pub fn can_finish(&self, ask: &Ask) -> bool {
+        let Some(left) = self.time_left() else {
+            return true;
+        };
+        self.placement.owner.lock().ends_within(ask, left) >= FINISH_CHANCE
+    }
+
     /// Answers an ask from this instance's own account.
     #[must_use]
     pub fn decide(&self, ask: &Ask) -> Answer {
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -10,7 +10,7 @@
 use net::Cut;
 use placing::Note;
 use smol::future;
-use timer::Timer;
+use timer::{Timer, boot_time};
 use view::Target;
 
 use crate::{
@@ -19,7 +19,9 @@
     generation::Place,
     live::Order,
     refuse::millis,
+    rescue::rescue,
     send::{Sent, send},
+    silence::{Silence, Verdict, look_into},
     split::Splitter,
     state::Front,
 };
@@ -46,6 +48,8 @@
     last: Option<u64>,
     /// The engine is stopping it for a move.
     expecting: bool,
+    /// How long nothing has come.
+    silence: Silence,
 }
 
 /// What the engine's stream does next.
@@ -54,9 +58,18 @@
     End,
     Broken(Arc<str>),
     Order(Option<Order>),
+    /// Nothing has come for a while.
+    Quiet,
     Due,
 }
 
+/// Why a generation does not go on at an engine.
+struct Failure {
+    reason: Arc<str>,
+    /// The engine certainly did not take it, so that its copy can still be used.
+    not_run: bool,
+}
+
 /// Why a stream can't be passed on any further.
 enum Stop {
     /// It is complete.
@@ -79,6 +92,7 @@
             split: Splitter::new(),
             last: None,
             expecting: false,
+            silence: Silence::new(boot_time()),
         }
     }
 
@@ -119,6 +133,7 @@
                 Step::End => self.ended(out).await,
                 Step::Broken(reason) => self.broken(reason, out).await,
                 Step::Order(order) => self.obey(order, out).await,
+                Step::Quiet => self.quiet().await,
                 Step::Due => Some(Stop::Cut("the time that the route allows is over".into())),
             };
             if let Some(stop) = stop {
@@ -130,13 +145,45 @@
     /// Waits for the next thing to happen.
     async fn step(&mut self) -> Step {
         let left = self.call.until_due();
+        let quiet = self.silence.ask_at().saturating_sub(boot_time());
+        let late = if quiet < left { Step::Quiet } else { Step::Due };
         let live = Arc::clone(&self.place.live);
         let frame = next_bytes(&mut self.body);
         let order = async { Step::Order(live.next_order().await) };
         Timer::new()
-            .within(left, future::or(frame, order))
+            .within(left.min(quiet), future::or(frame, order))
             .await
-            .unwrap_or(Step::Due)
+            .unwrap_or(late)
+    }
+
+    /// Nothing has come for a while: finds out why, and what can be done.
+    async fn quiet(&mut self) -> Option<Stop> {
+        let live = Arc::clone(&self.place.live);
+        match look_into(&self.front, &live, &mut self.silence).await {
+            Verdict::Wait => None,
+            Verdict::Gone => {
+                self.place.doubt = true;
+                Some(Stop::Cut(
+                    "its engine is silent and not listed any more".into(),
+                ))
+            }
+            // Where a move is under way, that will say how it ends.
+            Verdict::Unheard if !live.begin_carry() => None,
+            Verdict::Unheard => self.rescue("its engine goes on unheard".into()).await,
+        }
+    }
+
+    /// Goes on elsewhere from the engine's memory, if that is still to be had. The right to carry
+    /// the generation over is held.
+    async fn rescue(&mut self, reason: Arc<str>) -> Option<Stop> {
+        let live = Arc::clone(&self.place.live);
+        let went = match rescue(&self.front, &self.call, &live).await {
+            Ok((target, resume)) => self.go_on(&target, resume).await.map_err(|f| f.reason),
+            Err(why) => Err(why),
+        };
+        live.end_carry();
+        went.err()
+            .map(|why| Stop::Cut(format!("{reason}; from its memory: {why}").into()))
     }
 
     /// Passes the whole events of some bytes on.
@@ -145,6 +192,7 @@
             return Err(Stop::Cut("an event of the stream does not end".into()));
         }
         let mut ready = Vec::new();
+        self.silence.heard(boot_time());
         while let Some(event) = self.split.next_event() {
             // What the caller has already may come again after a move.
             if event.id.is_some() && event.id <= self.last {
@@ -202,11 +250,17 @@
             return self.obey(Some(order), out).await;
         }
         let Some((target, resume)) = self.place.live.take_copy() else {
-            return Some(Stop::Cut(reason));
+            if !self.place.live.begin_carry() {
+                return Some(Stop::Cut(reason));
+            }
+            return self.rescue(reason).await;
         };
         match self.go_on(&target, resume).await {
             Ok(()) => None,
-            Err(why) => Some(Stop::Cut(format!("{reason}; from its copy: {why}").into())),
+            Err(failure) => {
+                let why = failure.reason;
+                Some(Stop::Cut(format!("{reason}; from its copy: {why}").into()))
+            }
         }
     }
 
@@ -236,10 +290,15 @@
                 if let Err(stop) = self.pass_last(out).await {
                     return Some(stop);
                 }
-                let went = self.go_on(&target, resume).await;
+                let source = self.place.live.target();
+                let went = self.go_on(&target, resume.clone()).await;
                 // Fails only where nobody waits for it any more.
                 let _ = done.try_send(went.is_ok());
-                return went.err().map(Stop::Cut);
+                return match went {
+                    // The copy is unused, and the engine that made it keeps its memory.
+                    Err(failure) if failure.not_run => self.go_back(&source, resume, failure).await,
+                    went => went.err().map(|failure| Stop::Cut(failure.reason)),
+                };
             }
             // The sender lives in `live`, which this relay holds.
             None => {}
@@ -264,8 +323,21 @@
         }
     }
 
+    /// Goes on at the engine that was to be left, as the other one did not take it. That one will be
+    /// left for a third, if it stays long enough.
+    async fn go_back(
+        &mut self,
+        source: &Arc<Target>,
+        resume: Resume,
+        failure: Failure,
+    ) -> Option<Stop> {
+        let went = self.go_on(source, resume).await;
+        let why = |back: Failure| format!("{}; where it was: {}", failure.reason, back.reason);
+        went.err().map(|back| Stop::Cut(why(back).into()))
+    }
+
     /// Goes on at another engine, from a copy.
-    async fn go_on(&mut self, target: &Arc<Target>, mut resume: Resume) -> Result<(), Arc<str>> {
+    async fn go_on(&mut self, target: &Arc<Target>, mut resume: Resume) -> Result<(), Failure> {
         resume.after = self.last;
         // A part of an event that the engine before did not finish; it comes again whole.
         let _ = self.split.rest();
@@ -273,11 +345,22 @@
         match send(&self.front, &self.call, target, Some(&resume), limit).await {
             Sent::Head { head, body, .. } if head.status.is_success() => {
                 self.body = body;
+                self.silence.heard(boot_time());
                 self.place.live.moved(Arc::clone(target));
                 Ok(())
             }
-            Sent::Head { head, .. } => Err(format!("status {}", head.status).into()),
-            Sent::NotRun { reason } | Sent::Unknown { reason, .. } => Err(reason),
+            Sent::Head { head, .. } => Err(Failure {
+                reason: format!("status {}", head.status).into(),
+                not_run: false,
+            }),
+            Sent::NotRun { reason } => Err(Failure {
+                reason,
+                not_run: true,
+            }),
+            Sent::Unknown { reason, .. } => Err(Failure {
+                reason,
+                not_run: false,
+            }),
         }
     }
 }
--- /dev/null
+++ b/components/front/src/rescue.rs
@@ -0,0 +1,87 @@
+//! Takes a generation elsewhere whose stream was lost while its engine may still have its memory.
+//!
+//! A connection that is reset or falls silent says nothing about the engine. Without this the
+//! caller gets half an answer although the engine could hand the other half over.
+
+use std::{sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use placing::Answer;
+use timer::boot_time;
+use view::Target;
+
+use crate::{
+    call::Call,
+    face::{Copied, CopyOrder, Resume},
+    generation,
+    live::Live,
+    refuse::millis,
+    state::Front,
+};
+
+/// Time for the copy: 5,000 tokens of one generation take 0.3 s on a free link, and twice that
+/// between data centres.
+const COPY_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// Stops a generation at its engine and copies it to another one. Tells where it goes on.
+///
+/// # Errors
+/// Tells why it can't; it has ended, or stopped for good, or its engine does not answer.
+pub async fn rescue(
+    front: &Arc<Front>,
+    call: &Call,
+    live: &Live,
+) -> Result<(Arc<Target>, Resume), Arc<str>> {
+    let source = live.target();
+    let from = boot_time();
+    let to = destination(front, call, live, &source).await?;
+    let order = CopyOrder {
+        run: &live.run,
+        from: source.addr,
+        to: to.addr,
+        last: true,
+        patience: COPY_PATIENCE.min(call.until_due()),
+    };
+    let resume = |copy| Resume {
+        source: source.addr,
+        copy,
+        after: None,
+    };
+    match front.engines.copy(&order).await {
+        Copied::Whole { copy } => {
+            emit(&Event::GenerationRescued {
+                id: Arc::clone(&live.run),
+                from: Arc::clone(&source.id),
+                to: Arc::clone(&to.id),
+                copy_ms: millis(boot_time().saturating_sub(from)),
+            });
+            Ok((to, resume(copy)))
+        }
+        // It has stopped, and can only go on where it was.
+        Copied::NoRoom { copy: Some(copy) } => Ok((Arc::clone(&source), resume(copy))),
+        Copied::NoRoom { copy: None } => Err("no room for its copy".into()),
+        Copied::NoRun => Err("its engine has dropped it".into()),
+        Copied::Busy => Err("it is being copied already".into()),
+        Copied::Unknown { reason } => Err(reason),
+    }
+}
+
+/// An engine that has room for what the generation holds.
+async fn destination(
+    front: &Arc<Front>,
+    call: &Call,
+    live: &Live,
+    source: &Target,
+) -> Result<Arc<Target>, Arc<str>> {
+    let mut ask = generation::ask(front, call, &[Arc::clone(&source.id)]);
+    ask.prompt += live.made();
+    // It is late already; any engine will do.
+    ask.aim_left = call.until_due();
+    match front.place(&ask).await {
+        Answer::Go { target } => front
+            .view
+            .target(&target)
+            .ok_or_else(|| "the engine that it should go to is not listed".into()),
+        Answer::Wait { .. } | Answer::Full { .. } => Err("no engine has room for it".into()),
+    }
+}
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -11,10 +11,10 @@
 
 use errors::{Context, Result};
 use events::{Event, emit};
-use net::{Client, Handler, ServeLimits, Server};
-use parking_lot::Mutex;
+use net::{Client, Handler, ServeLimits, Server, Terms};
+use parking_lot::{Mutex, RwLock};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use timer::Timer;
+use timer::{Timer, boot_time};
 use view::View;
 
 use crate::{
@@ -31,6 +31,7 @@
     metrics::Metrics,
     peers::Peers,
     placement::Placement,
+    reload,
     shelf::Shelf,
     side::{Admin, Readiness},
     state::Front,
@@ -44,16 +45,16 @@
 const BODIES_PART: usize = 4;
 /// Bytes of headers that are taken; the platform's callers stay within 16 KiB.
 const HEADER_BYTES: usize = 32 * 1_024;
-/// Time that a caller's connection may be idle, or take for its headers. Callers use connections
-/// again that were idle for up to 12 s.
+/// Time that a caller's connection may be idle, or take for its headers, before the configuration
+/// is known.
 const IDLE_TIME: Duration = Duration::from_secs(16);
-/// Time between two looks for a signal or a changed settings file.
-const SIGNAL_POLL: Duration = Duration::from_millis(50);
+/// Time between two looks at whether all has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// After an order to stop new connections are still taken for this long: the balancer needs two
 /// questions, a second apart, to leave this instance out.
 const LINGER: Duration = Duration::from_millis(2_600);
-/// Part of the grace that is used; the rest is for the last bytes.
-const GRACE_PART: f64 = 0.9;
+/// Part of the grace that is used; the rest, a quarter of a second of eight, is for the last bytes.
+const GRACE_PART: f64 = 0.96;
 
 /// What an instance talks to.
 pub struct Outside {
@@ -64,7 +65,7 @@
     /// The store.
     pub store: Arc<dyn Store>,
     /// Reads the settings again.
-    pub reload: Box<dyn Fn() -> Result<Config> + Send>,
+    pub reload: reload::Read,
 }
 
 /// Runs an instance until it is told to stop.
@@ -73,19 +74,19 @@
 /// Tells why it could not start.
 pub fn serve(cfg: Config, outside: Outside) -> Result<()> {
     let stop = Arc::new(AtomicBool::new(false));
-    let reload = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        signal_hook::flag::register(signal, Arc::clone(&stop)).context("signals")?;
+    let signal = Arc::new(AtomicBool::new(false));
+    for end in [SIGTERM, SIGINT] {
+        signal_hook::flag::register(end, Arc::clone(&stop)).context("signals")?;
     }
-    signal_hook::flag::register(SIGHUP, Arc::clone(&reload)).context("signals")?;
-    smol::block_on(run(cfg, outside, stop, reload))
+    signal_hook::flag::register(SIGHUP, Arc::clone(&signal)).context("signals")?;
+    smol::block_on(run(cfg, outside, stop, signal))
 }
 
 async fn run(
     cfg: Config,
     outside: Outside,
     stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
+    signal: Arc<AtomicBool>,
 ) -> Result<()> {
     let front = Arc::new(front(cfg, &outside));
     let callers = listen(
@@ -93,7 +94,7 @@
         limits(&front),
         Callers::new(Arc::clone(&front)),
     );
-    let callers = callers.await?;
+    let callers = callers.await?.with_terms(Arc::clone(&front.terms));
     let messages = Messages::new(Arc::clone(&front));
     let peers = listen(front.cfg.peers, ServeLimits::default(), messages).await?;
     let readiness = Readiness::new(Arc::clone(&front));
@@ -122,13 +123,14 @@
     emit(&Event::Started {
         instance: Arc::clone(&front.cfg.instance),
     });
-    wait_for_stop(&front, &outside, &stop, &reload).await;
+    reload::watch(&front, &outside.reload, &stop, &signal).await;
     emit(&Event::Draining {
         open: front.open.load(Ordering::Acquire),
     });
-    front.stopping.store(true, Ordering::Release);
+    let most = front.bounds.read().grace.mul_f64(GRACE_PART);
+    *front.ends_at.lock() = Some(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close).await;
+    drain(&front, &close, most).await;
     emit(&Event::Stopped);
     Ok(())
 }
@@ -141,6 +143,11 @@
         capacity: cfg.capacity,
     };
     let bounds = cfg.bounds;
+    let terms = ServeLimits {
+        header_bytes: HEADER_BYTES,
+        header_time: IDLE_TIME,
+        ..ServeLimits::default()
+    };
     Front {
         view: View::new(),
         face: Arc::clone(&outside.face),
@@ -160,9 +167,11 @@
         )),
         cold: Mutex::new(ColdTargets::default()),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
-        stopping: AtomicBool::new(false),
+        ends_at: Mutex::default(),
         open: Arc::new(AtomicUsize::new(0)),
         metrics: Metrics::new(),
+        terms: Arc::new(Terms::new(&terms)),
+        bounds: RwLock::new(bounds),
         cfg,
     }
 }
@@ -174,10 +183,9 @@
 
 fn limits(front: &Front) -> ServeLimits {
     ServeLimits {
-        header_bytes: HEADER_BYTES,
-        header_time: IDLE_TIME,
         // The rest is for targets and peers.
         connections: front.cfg.connections / 2,
+        ..ServeLimits::default()
     }
 }
 
@@ -187,37 +195,14 @@
         .context(format!("listening on {addr}"))
 }
 
-async fn wait_for_stop(front: &Front, outside: &Outside, stop: &AtomicBool, reload: &AtomicBool) {
-    let mut ticks = Timer::new().every(SIGNAL_POLL);
-    while !stop.load(Ordering::Acquire) {
-        ticks.next().await;
-        if reload.swap(false, Ordering::AcqRel) {
-            read_again(front, outside);
-        }
-    }
-}
-
-/// Reads the settings again. What they change takes a restart; it is said in the log.
-fn read_again(front: &Front, outside: &Outside) {
-    match (outside.reload)() {
-        Ok(cfg) => emit(&Event::SettingsReloaded {
-            changed: cfg != front.cfg,
-        }),
-        Err(e) => emit(&Event::SettingsKept {
-            reason: e.to_string().into(),
-        }),
-    }
-}
-
 /// Serves what there is to its end, and what still comes while the balancer learns of the stop.
-async fn drain(front: &Front, close: &AtomicBool) {
+async fn drain(front: &Front, close: &AtomicBool, most: Duration) {
     let timer = Timer::new();
-    let most = front.cfg.bounds.grace.mul_f64(GRACE_PART);
     timer.sleep(LINGER.min(most)).await;
     close.store(true, Ordering::Release);
     while timer.now() < most && front.open.load(Ordering::Acquire) + front.live.count() > 0 {
-        timer.sleep(SIGNAL_POLL).await;
+        timer.sleep(DRAIN_POLL).await;
     }
     // Time for the last answers to leave.
-    timer.sleep(SIGNAL_POLL).await;
+    timer.sleep(DRAIN_POLL).await;
 }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,15 +1,15 @@
 //! What all parts of one instance share.
 //!
-//! Locks, in the order in which they may be held together: `budget`, `cold`, `choice`, then those
+//! Locks, in the order in which they may be held together: `bounds`, `budget`, `cold`, `choice`, then those
 //! inside `live`, `placement`, `peers` and `view`. None is held over an await.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    sync::{Arc, atomic::AtomicUsize},
+    time::Duration,
 };
 
-use net::Client;
-use parking_lot::Mutex;
+use net::{Client, Terms};
+use parking_lot::{Mutex, RwLock};
 use timer::boot_time;
 use types::Moment;
 use view::{Service, Target, View};
@@ -18,7 +18,7 @@
     budget::Budget,
     choice::Choice,
     cold::ColdTargets,
-    config::Config,
+    config::{Bounds, Config},
     face::{Engines, Face},
     live::LiveRuns,
     metrics::Metrics,
@@ -31,6 +31,12 @@
 /// Part of a revoked key's life after which knowledge is too old to honour any key: a request
 /// must not be passed on at the very last moment.
 const REVOKE_PART: f64 = 0.92;
+/// Time beyond the longest idleness that callers are allowed: a request that arrives just as its
+/// connection is closed is lost, and its caller can't tell whether it was read.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Buffers as a multiple of the headers that callers may send: the request line comes on top, and
+/// a whole request may arrive at once.
+const HEADER_ROOM: usize = 2;
 
 /// What all parts of one instance share.
 pub struct Front {
@@ -64,12 +70,16 @@
     pub cold: Mutex<ColdTargets>,
     /// Bytes that bodies may hold together.
     pub bodies: net::Budget,
-    /// Set once it is told to stop.
-    pub stopping: AtomicBool,
+    /// Set once it is told to stop: until when it serves what it has taken.
+    pub ends_at: Mutex<Option<Moment>>,
     /// Requests being served.
     pub open: Arc<AtomicUsize>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    /// Limits of callers' connections, as the configuration in force sets them.
+    pub terms: Arc<Terms>,
+    /// The operators' bounds, as the settings say now.
+    pub bounds: RwLock<Bounds>,
 }
 
 impl Front {
@@ -87,18 +97,36 @@
     /// serve somebody who has lost the right to it.
     #[must_use]
     pub fn keys_fresh(&self) -> bool {
-        if !self.cfg.bounds.strict_revocation {
+        let bounds = *self.bounds.read();
+        if !bounds.strict_revocation {
             return true;
         }
-        let most = self.cfg.bounds.revoke.mul_f64(REVOKE_PART);
+        let most = bounds.revoke.mul_f64(REVOKE_PART);
         self.view.rules_read().is_some_and(|read| age(read) < most)
     }
 
+    /// Time left to serve what it has taken, once it was told to stop.
+    #[must_use]
+    pub fn time_left(&self) -> Option<Duration> {
+        let ends = *self.ends_at.lock();
+        ends.map(|ends| ends.saturating_sub(boot_time()))
+    }
+
     /// Whether it takes callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let known = self.view.rules().is_some() && self.view.targets_read().is_some();
-        known && !self.stopping.load(Ordering::Acquire) && self.keys_fresh()
+        known && self.time_left().is_none() && self.keys_fresh()
+    }
+
+    /// Takes the limits of callers' connections from the configuration in force.
+    pub fn apply_limits(&self) {
+        let Some(limits) = self.view.rules().and_then(|rules| rules.limits) else {
+            return;
+        };
+        let idle = limits.idle_time.max(limits.header_time) + IDLE_MARGIN;
+        self.terms
+            .set(limits.header_bytes.saturating_mul(HEADER_ROOM), idle);
     }
 
     /// The rows of a topic.
@@ -119,7 +147,7 @@
 
     /// Takes the right to send a request to a target that may be cold.
     pub fn take_cold(&self, service: &Service, target: &Target) -> bool {
-        let bounds = &self.cfg.bounds;
+        let bounds = *self.bounds.read();
         let per_s = if service.cold_per_s > 0.0 {
             service.cold_per_s * bounds.cold_overage + bounds.cold_slack
         } else {
@@ -134,6 +162,6 @@
 
 /// Time since a moment.
 #[must_use]
-pub fn age(moment: Moment) -> std::time::Duration {
+pub fn age(moment: Moment) -> Duration {
     boot_time().saturating_sub(moment)
 }
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -12,4 +12,4 @@
 pub use budget::{Budget, Share};
 pub use client::{Client, SendError};
 pub use reply::{Body, Cut, Reply, channel, empty, fed, full};
-pub use serve::{Guard, Handler, ServeLimits, Server};
+pub use serve::{Guard, Handler, ServeLimits, Server, Terms};
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -7,7 +7,7 @@
     pin::pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -69,10 +69,43 @@
     }
 }
 
+/// Limits that may change while a server runs: connections made from then on get the new ones.
+#[derive(Debug, Default)]
+pub struct Terms {
+    header_bytes: AtomicUsize,
+    header_millis: AtomicU64,
+}
+
+impl Terms {
+    /// Takes the limits of some settings.
+    #[must_use]
+    pub fn new(limits: &ServeLimits) -> Self {
+        let terms = Self::default();
+        terms.set(limits.header_bytes, limits.header_time);
+        terms
+    }
+
+    /// Sets bytes of headers, and the time that a connection may be idle or take for its headers.
+    pub fn set(&self, header_bytes: usize, header_time: Duration) {
+        let millis = u64::try_from(header_time.as_millis()).unwrap_or(u64::MAX);
+        self.header_bytes.store(header_bytes, Ordering::Relaxed);
+        self.header_millis.store(millis, Ordering::Relaxed);
+    }
+
+    fn header_bytes(&self) -> usize {
+        self.header_bytes.load(Ordering::Relaxed)
+    }
+
+    fn header_time(&self) -> Duration {
+        Duration::from_millis(self.header_millis.load(Ordering::Relaxed))
+    }
+}
+
 /// A listening server.
 pub struct Server {
     listener: TcpListener,
     limits: ServeLimits,
+    terms: Arc<Terms>,
     write_stall: Duration,
     handler: Arc<dyn Handler>,
     open: Arc<AtomicUsize>,
@@ -107,6 +140,7 @@
         Ok(Self {
             listener,
             limits,
+            terms: Arc::new(Terms::new(&limits)),
             write_stall: WRITE_STALL,
             handler,
             open: Arc::default(),
@@ -124,6 +158,13 @@
         self
     }
 
+    /// Shares limits that may change while it runs, in place of its own.
+    #[must_use]
+    pub fn with_terms(mut self, terms: Arc<Terms>) -> Self {
+        self.terms = terms;
+        self
+    }
+
     /// Where it listens.
     ///
     /// # Errors
@@ -194,7 +235,7 @@
         };
         let conn = Connection {
             peer,
-            limits: self.limits,
+            terms: Arc::clone(&self.terms),
             write_stall: self.write_stall,
             handler,
             stop: Arc::clone(&self.stop),
@@ -212,7 +253,7 @@
 /// One connection and the terms it is served on.
 struct Connection {
     peer: SocketAddr,
-    limits: ServeLimits,
+    terms: Arc<Terms>,
     write_stall: Duration,
     handler: Arc<dyn Handler>,
     stop: Arc<AtomicBool>,
@@ -228,8 +269,8 @@
         let service = service_fn(|req| self.answer(req));
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(self.limits.header_time)
-            .max_buf_size(self.limits.header_bytes.max(LEAST_BUFFER))
+            .header_read_timeout(self.terms.header_time())
+            .max_buf_size(self.terms.header_bytes().max(LEAST_BUFFER))
             // A caller that closes its side has gone: the handler is dropped, and with it
             // whatever waits or runs for this caller.
             .half_close(false)
--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Client, Handler, Reply, SendError, ServeLimits, Server, channel, read_limited};
+use net::{
+    Body, Client, Handler, Reply, SendError, ServeLimits, Server, Terms, channel, read_limited,
+};
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -170,6 +172,33 @@
     });
 }
 
+// The operators shorten the time that connections may be idle while the server runs. A server that
+// went by its first settings would hold connections that callers gave up, or close ones that they
+// still use.
+#[test]
+fn limits_that_change_hold_for_connections_made_later() {
+    smol::block_on(async {
+        let limits = ServeLimits {
+            header_time: 60 * SECOND,
+            ..ServeLimits::default()
+        };
+        let terms = Arc::new(Terms::new(&limits));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, limits, Arc::new(Answers::default())).await;
+        let server = server.expect("a port").with_terms(Arc::clone(&terms));
+        let (addr, open) = (server.addr().expect("an address"), server.open());
+        workers::spawn(server.run()).detach();
+        let _early = TcpStream::connect(addr).await.expect("a connection");
+        until(|| open.load(Ordering::Acquire) == 1).await;
+        terms.set(limits.header_bytes, Duration::from_millis(50));
+        let mut late = TcpStream::connect(addr).await.expect("a connection");
+        let mut buf = Vec::new();
+        // It ends by itself, without a byte having been sent.
+        let _ = late.read_to_end(&mut buf).await;
+        until(|| open.load(Ordering::Acquire) == 1).await;
+    });
+}
+
 #[test]
 fn one_connection_too_many_is_told_and_closed() {
     // A crowd of callers opens more connections than the instance can hold. The ones beyond are
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -42,6 +42,8 @@
     pub rank: u32,
     /// When it was granted.
     pub granted: Moment,
+    /// When its first event was expected, as it was granted.
+    pub due: Moment,
     /// When its first event came.
     pub started: Option<Moment>,
     /// Tokens made, as known at `counted`.
@@ -64,6 +66,16 @@
         self.made + tuning.made_in(now.saturating_sub(self.counted))
     }
 
+    /// How late its first event is, if its entry has said since that it still waits for it. An
+    /// entry that is gone waits for nothing.
+    #[must_use]
+    pub fn lateness(&self, now: Moment) -> Duration {
+        if self.started.is_some() || self.confirmed <= self.due {
+            return Duration::ZERO;
+        }
+        now.saturating_sub(self.due)
+    }
+
     /// What it holds and will hold.
     #[must_use]
     pub fn holder(&self, now: Moment, tuning: &Tuning) -> Holder {
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -139,7 +139,8 @@
                 continue;
             }
             let first_event = self.first_event(now, engine, ask.prompt);
-            let cost = first_event + self.surcharge(now, ask, engine);
+            let late = self.lateness(now, &engine.id);
+            let cost = first_event + late + self.surcharge(now, ask, engine);
             if best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, first_event, engine));
             }
@@ -156,6 +157,17 @@
         known.max(said) + self.tuning.read_time(prompt)
     }
 
+    /// How late an engine is with the first event that it owes for longest. One that has gone dark
+    /// is listed for seconds still, and would look emptier from moment to moment: each prompt that
+    /// goes there meanwhile is lost.
+    fn lateness(&self, now: Moment, target: &TargetId) -> Duration {
+        let Some(account) = self.accounts.get(target) else {
+            return Duration::ZERO;
+        };
+        let runs = account.runs.iter().filter_map(|run| self.runs.get(run));
+        runs.map(|run| run.lateness(now)).max().unwrap_or_default()
+    }
+
     fn fresh_report(&self, now: Moment, target: &TargetId) -> Option<Report> {
         let (at, report) = self.accounts.get(target)?.report?;
         (now.saturating_sub(at) < self.tuning.report_life).then_some(report)
@@ -210,6 +222,14 @@
             .collect()
     }
 
+    /// The chance that a generation which is begun now has ended within a time.
+    #[must_use]
+    pub fn ends_within(&self, ask: &Ask, time: Duration) -> f64 {
+        let length = self.lengths.expect(&ask.route, ask.longest, ask.hint);
+        let writing = time.saturating_sub(self.tuning.read_time(ask.prompt));
+        1.0 - length.survives(0, self.tuning.made_in(writing))
+    }
+
     /// Learns from a generation that came to its end.
     fn learn(&mut self, id: &RunId, made: Option<Tokens>) {
         if let (Some(run), Some(made)) = (self.runs.get(id), made) {
@@ -218,6 +238,8 @@
     }
 
     fn grant(&mut self, now: Moment, ask: &Ask, length: Length, target: &TargetId) {
+        let read = self.tuning.read_time(ask.prompt);
+        let due = self.account(now, target).busy_until.max(now) + read;
         let run = Run {
             entry: Arc::clone(&ask.entry),
             service: Arc::clone(&ask.service),
@@ -228,15 +250,15 @@
             length,
             rank: ask.rank,
             granted: now,
+            due,
             started: None,
             made: 0,
             counted: now,
             confirmed: now,
             copying_to: None,
         };
-        let read = self.tuning.read_time(ask.prompt);
         let account = self.account(now, target);
-        account.busy_until = account.busy_until.max(now) + read;
+        account.busy_until = due;
         account.runs.insert(Arc::clone(&ask.run));
         self.runs.insert(Arc::clone(&ask.run), run);
     }
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -44,6 +44,7 @@
         }
         let account = self.account(now, &running.target);
         account.runs.insert(Arc::clone(&running.run));
+        let due = now + self.tuning.read_time(running.prompt);
         let length = self
             .lengths
             .expect(&running.route, running.longest, running.hint);
@@ -60,6 +61,7 @@
                 length,
                 rank: running.rank,
                 granted: now,
+                due,
                 started: None,
                 made: 0,
                 counted: now,
--- a/components/placing/tests/choosing.rs
+++ b/components/placing/tests/choosing.rs
@@ -207,6 +207,47 @@
     );
 }
 
+/// An engine goes dark, and is listed for some seconds still. Each prompt that is sent there waits
+/// for nothing; by the account it looks emptier from moment to moment.
+#[test]
+fn an_engine_that_owes_a_first_event_gets_no_more_while_others_are_free() {
+    let (mut owner, now) = owner();
+    let engines = [engine("dark", "dc-1"), engine("far", "dc-2")];
+    assert_eq!(
+        sent(owner.ask(now, &ask("a"), &engines)).as_deref(),
+        Some("dark")
+    );
+    let waiting = |run: &str, target: &str| Running {
+        run: run.into(),
+        service: "drafts".into(),
+        target: target.into(),
+        prompt: 3_000,
+        made: 0,
+        route: "drafts".into(),
+        longest: 2_000,
+        hint: None,
+        rank: 1,
+        started: false,
+    };
+    // Its entry still waits for it, long after the prompt should have been read.
+    let later = now + 1_500 * MS;
+    let held = Sync {
+        entry: "entry-1".into(),
+        runs: vec![waiting("a", "dark")],
+    };
+    owner.sync(later, &held);
+    assert_eq!(
+        sent(owner.ask(later, &ask("b"), &engines)).as_deref(),
+        Some("far")
+    );
+    // The first event came after all.
+    owner.note(later, &Note::Started { run: "a".into() });
+    assert_eq!(
+        sent(owner.ask(later, &ask("c"), &engines)).as_deref(),
+        Some("dark")
+    );
+}
+
 /// A new owner knows nothing of what runs. The entries' syncs tell it, and it must not give an
 /// engine's memory out twice.
 #[test]
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -328,3 +328,36 @@
         }
     });
 }
+
+/// The operators shorten the life of a key that was taken away, and nobody signals the instances.
+/// One that went on by its old settings would honour keys for longer than is allowed now.
+#[test]
+fn settings_that_change_without_a_signal_are_taken() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("settings").await;
+        let caller = Caller::new("key-1");
+        let got = caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+        assert_eq!(got.status, 200);
+        // Shorter than any read of the store takes: no knowledge of keys is fresh enough.
+        instance.rewrite_settings("revoke_ms = 2500", "revoke_ms = 0");
+        eventually("keys are not honoured any more", || async {
+            let got = caller.call(instance.addr, "GET", "/titles/9", "r-2").await;
+            got.status == 503 && got.retry_after.is_some()
+        })
+        .await;
+        assert!(instance.events().contains(&"SettingsReloaded".to_owned()));
+        instance.rewrite_settings("[limits]", "[limits");
+        eventually("a file that can't be read is logged", || async {
+            instance.events().contains(&"SettingsKept".to_owned())
+        })
+        .await;
+        instance.rewrite_settings("[limits", "[limits]");
+        instance.rewrite_settings("revoke_ms = 0", "revoke_ms = 2500");
+        eventually("keys are honoured again", || async {
+            let got = caller.call(instance.addr, "GET", "/titles/9", "r-3").await;
+            got.status == 200
+        })
+        .await;
+    });
+}
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -1,6 +1,6 @@
 //! Generations on the users' platform, with real processes before engines that leave and fail.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::support::{Caller, Platform, all_events, eventually, read, status};
 use smol::Timer;
@@ -50,6 +50,27 @@
     });
 }
 
+/// An engine is reclaimed, and the one that its generation was copied to takes nothing any more. The
+/// first one has stopped and keeps the memory: without going back there the caller would get half
+/// an answer though the engine has a second left.
+#[test]
+fn a_generation_goes_back_where_it_was_if_its_destination_refuses_it() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("back").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        platform.engines[1].set_full(true);
+        platform.engine_leaves(0);
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        assert!(platform.engines[1].began().is_empty());
+    });
+}
+
 /// The instance has lost the store, and nobody tells it that an engine leaves but the engine
 /// itself.
 #[test]
@@ -95,6 +116,97 @@
     });
 }
 
+/// The connection to an engine is reset in the middle, and the engine goes on. Without asking it
+/// for what it holds, the caller would get half an answer of which the other half is there.
+#[test]
+fn a_generation_whose_connection_was_reset_goes_on_from_its_memory() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("reset").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        platform.engines[0].cut();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        let began: usize = platform.engines.iter().map(|e| e.began().len()).sum();
+        assert_eq!(began, 1, "it was never begun anew");
+        assert_eq!(platform.engines[0].working(), 0, "it was stopped there");
+        let line = instance.line("g-1", "GenerationRescued").await;
+        assert_eq!(line["fields"]["to"], "e-2");
+    });
+}
+
+/// A connection falls silent without a reset while its engine goes on. The caller would wait until
+/// it loses patience, though the engine has made the rest.
+#[test]
+fn a_generation_whose_connection_fell_silent_goes_on_from_its_memory() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("silent").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        platform.engines[0].mute();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        assert!(platform.engines[1].began().is_empty());
+    });
+}
+
+/// An engine goes dark: it resets nothing, answers nothing, and its listing lapses. A caller that is
+/// not told waits for seconds, though its answer will never be whole.
+#[test]
+fn a_generation_whose_engine_went_dark_ends_once_its_listing_is_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("dark").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(Duration::from_millis(300)).await;
+        platform.engines[0].go_dark();
+        platform.store.drop_row("servers", "e-1");
+        let dark = Instant::now();
+        let got = read(resp.expect("an answer")).await;
+        assert!(!got.whole);
+        assert!(dark.elapsed() < Duration::from_secs(5), "it was held");
+        let line = instance.line("g-1", "StreamCut").await;
+        assert_eq!(line["fields"]["target"], "e-1");
+    });
+}
+
+/// A long generation comes to an instance that stops in a few seconds. Begun there it would be cut
+/// in the middle; told at once, its caller gets all of it from another instance.
+#[test]
+fn an_instance_that_stops_sends_long_generations_elsewhere() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("stopping").await;
+        let caller = Caller::new("key-1");
+        let before = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        instance.terminate();
+        eventually("it is no longer ready", || async {
+            status(instance.ready, "/v1/readiness").await == Some(503)
+        })
+        .await;
+        let long = caller.generate(instance.addr, "g-2", 3_000).await;
+        assert_eq!(long.status, 503);
+        assert_eq!(long.retry_after.as_deref(), Some("0.010"));
+        let short = caller.generate(instance.addr, "g-3", 4).await;
+        assert_eq!((short.status, short.body), (200, all_events(4)));
+        let got = read(before.expect("an answer")).await;
+        assert!(got.whole);
+    });
+}
+
 /// An engine refuses, saying that it did not run it. The generation goes to another, once.
 #[test]
 fn a_generation_that_an_engine_refused_runs_elsewhere() {
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -199,6 +199,13 @@
         assert!(killed.is_ok_and(|status| status.success()));
     }
 
+    /// Writes its settings file anew with one text in place of another, and tells it nothing.
+    pub fn rewrite_settings(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.settings).expect("a settings file");
+        assert!(text.contains(from), "{text}");
+        fs::write(&self.settings, text.replace(from, to)).expect("a settings file");
+    }
+
     /// Whether it has ended, with success.
     pub fn has_stopped(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(status)) if status.success())
