A soak: real instances under random faults from outside, checked against the promises

A third of the troubles comes once more while the first lasts. Callers keep their connections until they break. It checks while it runs and afterwards: at most once, refusals true, answers whole and one's own, keys dead, leaving engines quiet (in calm times), one run at a time, nothing runs for nobody, no instance ends by itself, service again within 8 s, the newest configuration holds. Not covered: connections between instances pass no proxy (their address is the one they listen on); clocks are harmed by pauses only, as wall time serves for nothing but births.

--- a/components/bench/src/process.rs
+++ b/components/bench/src/process.rs
@@ -61,6 +61,8 @@
     Pause,
     /// Lets it go on.
     Resume,
+    /// Tells it that its settings have changed.
+    Reload,
 }
 
 /// A process that was started here; it is killed when this is dropped.
@@ -75,9 +77,27 @@
     /// # Errors
     /// Passes on why it did not start.
     pub fn start(program: &Path, args: &[&str], log: &Path) -> io::Result<Self> {
+        Self::spawn(Command::new(program).args(args), log)
+    }
+
+    /// Starts a program whose output goes to a file, with one more environment variable.
+    ///
+    /// # Errors
+    /// Passes on why it did not start.
+    pub fn start_with(
+        program: &Path,
+        args: &[&str],
+        log: &Path,
+        variable: (&str, &Path),
+    ) -> io::Result<Self> {
+        let (name, value) = variable;
+        Self::spawn(Command::new(program).args(args).env(name, value), log)
+    }
+
+    fn spawn(command: &mut Command, log: &Path) -> io::Result<Self> {
         let out = File::options().create(true).append(true).open(log)?;
-        let child = Command::new(program)
-            .args(args)
+        let program = command.get_program().to_owned();
+        let child = command
             .stdin(Stdio::null())
             .stdout(out.try_clone()?)
             .stderr(out)
@@ -114,6 +134,7 @@
             Signal::Terminate => "-TERM",
             Signal::Pause => "-STOP",
             Signal::Resume => "-CONT",
+            Signal::Reload => "-HUP",
         };
         // Until the child has been waited for, its number can't belong to anybody else.
         if self.runs() {
--- /dev/null
+++ b/src/bin/soak.rs
@@ -0,0 +1,87 @@
+//! `celerystand-soak`: real instances under random faults, checked against the promises.
+
+use std::{io, path::PathBuf, process::ExitCode, time::Duration};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use soak::{Soak, run, world::Sizes};
+
+fn command() -> Command {
+    let number = |name: &'static str, help: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .help(help)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("celerystand-soak")
+        .about("Runs instances under random faults and checks the promises")
+        .arg(number("seed", "The first seed", "1"))
+        .arg(number("seeds", "How many seeds, one after the other", "1"))
+        .arg(number(
+            "seconds",
+            "Length of the troubled part of a run",
+            "20",
+        ))
+        .arg(number("instances", "Instances, each a process", "4"))
+        .arg(number("engines", "Model engines", "5"))
+        .arg(number("callers", "Callers", "24"))
+        .arg(
+            Arg::new("program")
+                .long("program")
+                .help("The program celerystand; the one beside this by default")
+                .value_parser(value_parser!(PathBuf)),
+        )
+        .arg(
+            Arg::new("dir")
+                .long("dir")
+                .help("Where settings and logs go, in a folder for each seed")
+                .default_value("target/soak")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn main() -> ExitCode {
+    match play(&command().get_matches()) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            eprintln!("celerystand-soak: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Plays all seeds; tells whether every promise was kept.
+fn play(args: &ArgMatches) -> io::Result<bool> {
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or(1);
+    let count = |name: &str| usize::try_from(number(name)).unwrap_or(usize::MAX);
+    let program = match args.get_one::<PathBuf>("program") {
+        Some(program) => program.clone(),
+        None => std::env::current_exe()?.with_file_name("celerystand"),
+    };
+    let dir = args.get_one::<PathBuf>("dir").cloned().unwrap_or_default();
+    let mut kept = true;
+    for seed in number("seed")..number("seed").saturating_add(number("seeds")) {
+        let soak = Soak {
+            program: program.clone(),
+            dir: dir.join(seed.to_string()),
+            seed,
+            length: Duration::from_secs(number("seconds")),
+            sizes: Sizes {
+                instances: count("instances"),
+                engines: count("engines"),
+                callers: count("callers"),
+                ..Sizes::default()
+            },
+        };
+        let shown = smol::block_on(run(&soak))?;
+        let verdict = if shown.breaches.is_empty() {
+            "kept"
+        } else {
+            "BROKEN"
+        };
+        println!("seed {seed}: {verdict}\n{shown}");
+        kept &= shown.breaches.is_empty();
+    }
+    Ok(kept)
+}
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,39 @@
+//! Short seeded runs of the soak, and the seeds that ever showed a fault.
+
+use std::{env, path::PathBuf, time::Duration};
+
+use soak::{Shown, Soak, run, world::Sizes};
+
+/// Length of the troubled part of a run.
+const SHORT: Duration = Duration::from_secs(8);
+
+fn play(seed: u64, length: Duration) -> Shown {
+    let dir = env::temp_dir().join(format!("celerystand-soak-{}-{seed}", std::process::id()));
+    let soak = Soak {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_celerystand")),
+        dir: dir.clone(),
+        seed,
+        length,
+        sizes: Sizes {
+            instances: 3,
+            callers: 12,
+            ..Sizes::default()
+        },
+    };
+    let shown = smol::block_on(run(&soak)).expect("the deployment starts");
+    if shown.breaches.is_empty() {
+        // What a broken run logged is kept for whoever looks into it.
+        let _ = std::fs::remove_dir_all(dir);
+    }
+    shown
+}
+
+// Whatever happens to instances, store and targets, in series and at once: answers are whole and
+// one's own, what must run once does, refusals are true, and service comes back by itself.
+#[test]
+fn random_trouble_from_outside_breaks_no_promise() {
+    for seed in [5, 6] {
+        let shown = play(seed, SHORT);
+        assert!(shown.breaches.is_empty(), "seed {seed}\n{shown}");
+    }
+}
