Ask a silent store again while earlier calls hang

Six of nine had the configuration at 9.14 to 9.2 s only: each waited for a call of before to fail first, 1.2 s. The same holds for readers that lost a silent store: their long poll had 2 s.

Change: an instance that knows nothing, or a reader that lost the store, asks again every 0.4 s, three calls at most, and takes the first answer; a refusal ends the asking.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -13,6 +13,7 @@
 use view::Change;
 
 use crate::{
+    eager::first_answer,
     face::{Record, Store, StoreError},
     leaving,
     refuse::millis,
@@ -75,6 +76,8 @@
     topic: Topic,
     /// Which of two readers this instance follows.
     turn: bool,
+    /// It reads the topic at the store for others.
+    reads: bool,
     shelf: Arc<Shelf>,
     /// Sources that failed in a row, which are passed over.
     skipped: usize,
@@ -96,6 +99,7 @@
         Self {
             shelf: front.shelf(topic),
             turn: fastrand::bool(),
+            reads: false,
             front,
             store,
             topic,
@@ -171,13 +175,13 @@
             .peers
             .owners(&format!("reader of {}", self.topic));
         let readers: Vec<InstanceId> = order.into_iter().take(READERS).collect();
-        let reads = readers.contains(me);
+        self.reads = readers.contains(me);
         let mut others: Vec<Source> = readers
             .into_iter()
             .filter(|id| id != me)
             .map(Source::Peer)
             .collect();
-        if reads {
+        if self.reads {
             // Twice: a connection that the store cut says nothing about the store.
             others.insert(0, Source::Store);
             others.insert(0, Source::Store);
@@ -205,15 +209,18 @@
         let after = self.shelf.version();
         match source {
             Source::Store => {
-                let news = match after {
-                    None => self.store.read(self.topic).await,
-                    Some(after) => self.store.follow(self.topic, after, STORE_WAIT).await,
+                // A reader that lost the store does not wait for a silent call; its followers hear of
+                // the store's return from it.
+                let lost = self.reads && (self.failures > 0 || self.store_failures > 0);
+                let asked = match after {
+                    Some(after) if !lost => {
+                        let news = follow(&self.store, self.topic, Some(after), STORE_WAIT).await;
+                        Some((news, sent))
+                    }
+                    after => self.ask_eagerly(after).await,
                 };
-                match news {
-                    Err(StoreError::HistoryGone) => self.store.read(self.topic).await,
-                    news => news,
-                }
-                .map(|news| Told {
+                let (news, sent) = asked.ok_or_else(|| silent("no call was answered".into()))?;
+                news.map(|news| Told {
                     news,
                     read: sent,
                     fresh: true,
@@ -223,6 +230,15 @@
         }
     }
 
+    /// Asks the store without waiting for changes, and again while it does not answer.
+    async fn ask_eagerly(&self, after: Option<u64>) -> Option<(Result<News, StoreError>, Moment)> {
+        first_answer(|| {
+            let (store, topic) = (Arc::clone(&self.store), self.topic);
+            async move { follow(&store, topic, after, Duration::ZERO).await }
+        })
+        .await
+    }
+
     async fn ask_peer(&self, peer: &InstanceId, after: Option<u64>) -> Result<Told, StoreError> {
         let sent = boot_time();
         let wait = STORE_WAIT.mul_f64(PEER_WAIT_PART);
@@ -343,6 +359,22 @@
     }
 }
 
+/// What is new on a topic of the store, or all of it where its history does not reach back.
+async fn follow(
+    store: &Arc<dyn Store>,
+    topic: Topic,
+    after: Option<u64>,
+    wait: Duration,
+) -> Result<News, StoreError> {
+    let Some(after) = after else {
+        return store.read(topic).await;
+    };
+    match store.follow(topic, after, wait).await {
+        Err(StoreError::HistoryGone) => store.read(topic).await,
+        news => news,
+    }
+}
+
 /// Takes word from somebody else than the store that a target leaves.
 pub fn hear_leaving(front: &Arc<Front>, id: &TargetId) {
     if let Some(change) = front.view.hear_leaving(id) {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 pub mod config;
 pub mod dump;
+pub mod eager;
 pub mod face;
 pub mod follow;
 pub mod generation;
