Ask peers before the store where its readers have lost it

Each of 81 followers asked the store itself, thrice at first and every second round then, though its readers had just told it that they had lost the store too.

Change: where a reader answers and knows nothing new, the other reader and one more peer come next; the store is asked by about eight followers in a round, whatever their number. Where a reader is silent the store still comes next at once. The choice is a module without I/O (front/src/sources.rs). Tests: front/tests/sources.rs; platform: calls stays green.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -18,13 +18,11 @@
     leaving,
     refuse::millis,
     shelf::Shelf,
+    sources::{Failing, Source, Sources},
     state::Front,
     wire::{Message, News, Reply, Row, Topic},
 };
 
-/// Instances that read a topic at the store. A second one, so that nobody has to wait when the
-/// first is stopped.
-const READERS: usize = 2;
 /// How long one call to the store waits for changes. Keys are honoured for less than five seconds
 /// after a read was sent; a follower's knowledge is two such calls old when it comes, and a reader
 /// that falls silent and the turn to the next source must fit into that too. What changes must be
@@ -41,25 +39,10 @@
 /// A reader's knowledge is as old as its call to the store when it replies: 0.8 s, and up to 0.4 s
 /// more where the store is slow. Older, and the reader itself has lost the store.
 pub const PEER_AGE: Duration = Duration::from_millis(1_500);
-/// Failures of the store in a row after which a follower takes it for lost to all. One alone may be
-/// a connection that was cut.
-const STORE_FAILURES: u32 = 3;
-/// Rounds of failures between two in which a follower then asks the store itself.
-const STORE_EVERY: u32 = 2;
 /// Pause after a failed call, at first.
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls in a row.
 const PAUSE_MOST: Duration = Duration::from_millis(600);
-/// How long another source than the first choice is kept before the first is tried again.
-const KEEP_SOURCE: Duration = Duration::from_millis(1_500);
-
-/// Where a topic is followed.
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Source {
-    Store,
-    Peer(InstanceId),
-}
-
 /// What a source has told.
 struct Told {
     news: News,
@@ -74,18 +57,8 @@
     front: Arc<Front>,
     store: Arc<dyn Store>,
     topic: Topic,
-    /// Which of two readers this instance follows.
-    turn: bool,
-    /// It reads the topic at the store for others.
-    reads: bool,
     shelf: Arc<Shelf>,
-    /// Sources that failed in a row, which are passed over.
-    skipped: usize,
-    /// When a source behind the first was taken.
-    strayed: Option<Moment>,
-    failures: u32,
-    /// Failures of the store itself in a row.
-    store_failures: u32,
+    sources: Sources,
     /// When the first of the failures in a row came.
     lost: Option<Moment>,
     /// When the last outage ended.
@@ -98,15 +71,10 @@
     pub fn new(front: Arc<Front>, store: Arc<dyn Store>, topic: Topic) -> Self {
         Self {
             shelf: front.shelf(topic),
-            turn: fastrand::bool(),
-            reads: false,
+            sources: Sources::new(fastrand::Rng::new()),
             front,
             store,
             topic,
-            skipped: 0,
-            strayed: None,
-            failures: 0,
-            store_failures: 0,
             lost: None,
             outage_end: None,
         }
@@ -115,31 +83,30 @@
     /// Follows.
     pub async fn run(mut self) {
         loop {
-            let sources = self.sources();
-            let source = sources[self.skipped % sources.len()].clone();
+            let me = &self.front.cfg.instance;
+            let reading = format!("reader of {}", self.topic);
+            let ranked = self.front.peers.owners(&reading);
+            let source = self.sources.next(boot_time(), me, &ranked);
             let told = match self.ask(&source).await {
                 Ok(told) => told,
                 Err(e) => {
-                    if source == Source::Store {
-                        self.store_failures = self.store_failures.saturating_add(1);
-                    }
-                    self.fail(&e, sources.len()).await;
+                    self.fail(&source, Failing::Silent, &e).await;
                     continue;
                 }
             };
-            // Old news is better than none, for one that has just started say; but its source is
-            // not to be relied on.
             if source == Source::Store {
-                self.store_failures = 0;
+                self.sources.store_answered();
             }
+            // Old news is better than none, for one that has just started say; but its source is
+            // not to be relied on.
             let good = told.fresh && self.is_newer(&source, &told);
             self.take(&told);
             if good {
                 self.regain();
                 self.gather(&source, &told.news).await;
             } else {
-                let error = silent(format!("{source:?} has lost the store itself"));
-                self.fail(&error, sources.len()).await;
+                let error = silent(format!("{source} has lost the store itself"));
+                self.fail(&source, Failing::Stale, &error).await;
             }
         }
     }
@@ -160,49 +127,6 @@
             || self.shelf.read().is_none_or(|known| told.read > known)
     }
 
-    /// Sources in the order in which they are tried.
-    fn sources(&mut self) -> Vec<Source> {
-        if self
-            .strayed
-            .is_some_and(|at| at + KEEP_SOURCE < boot_time())
-        {
-            self.skipped = 0;
-            self.strayed = None;
-        }
-        let me = &self.front.cfg.instance;
-        let order = self
-            .front
-            .peers
-            .owners(&format!("reader of {}", self.topic));
-        let readers: Vec<InstanceId> = order.into_iter().take(READERS).collect();
-        self.reads = readers.contains(me);
-        let mut others: Vec<Source> = readers
-            .into_iter()
-            .filter(|id| id != me)
-            .map(Source::Peer)
-            .collect();
-        if self.reads {
-            // Twice: a connection that the store cut says nothing about the store.
-            others.insert(0, Source::Store);
-            others.insert(0, Source::Store);
-            return others;
-        }
-        // Followers spread over the readers. Where one's reader fails the store comes next: the
-        // other reader may have failed with it, and two waits would be too long.
-        if self.turn && others.len() > 1 {
-            others.swap(0, 1);
-        }
-        // While the store is away for all, the readers find out when it is back; if every follower
-        // asked as well, the calls alone would cost more than all others of the day.
-        let lost_to_all = self.store_failures >= STORE_FAILURES;
-        if others.is_empty() || !lost_to_all || self.failures.is_multiple_of(STORE_EVERY) {
-            let second = others.len().min(1);
-            others.insert(second, Source::Store);
-            others.insert(second, Source::Store);
-        }
-        others
-    }
-
     /// Asks a source.
     async fn ask(&self, source: &Source) -> Result<Told, StoreError> {
         let sent = boot_time();
@@ -211,9 +135,8 @@
             Source::Store => {
                 // A reader that lost the store does not wait for a silent call; its followers hear of
                 // the store's return from it.
-                let lost = self.reads && (self.failures > 0 || self.store_failures > 0);
                 let asked = match after {
-                    Some(after) if !lost => {
+                    Some(after) if !self.sources.has_lost_store() => {
                         let news = follow(&self.store, self.topic, Some(after), STORE_WAIT).await;
                         Some((news, sent))
                     }
@@ -324,7 +247,7 @@
     }
 
     fn regain(&mut self) {
-        self.failures = 0;
+        self.sources.served();
         let Some(lost) = self.lost.take() else {
             return;
         };
@@ -337,10 +260,9 @@
     }
 
     /// Turns to the next source; pauses once all have failed.
-    async fn fail(&mut self, error: &StoreError, sources: usize) {
-        self.skipped += 1;
-        self.strayed = Some(boot_time());
-        if !self.skipped.is_multiple_of(sources) {
+    async fn fail(&mut self, source: &Source, how: Failing, error: &StoreError) {
+        let rounds = self.sources.rounds();
+        if !self.sources.failed(boot_time(), source, how) {
             return;
         }
         if self.lost.is_none() {
@@ -350,10 +272,7 @@
                 reason: error.to_string().into(),
             });
         }
-        let pause = PAUSE
-            .saturating_mul(1 << self.failures.min(4))
-            .min(PAUSE_MOST);
-        self.failures += 1;
+        let pause = PAUSE.saturating_mul(1 << rounds.min(4)).min(PAUSE_MOST);
         // All instances lose the store at once; they should not come back all at once.
         smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
     }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod shelf;
 pub mod side;
 pub mod silence;
+pub mod sources;
 pub mod split;
 pub mod state;
 pub mod wire;
--- /dev/null
+++ b/components/front/tests/sources.rs
@@ -0,0 +1,143 @@
+//! Where a topic of the store is followed, and what comes next when that fails.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use fastrand::Rng;
+use front::sources::{Failing, READERS, Source, Sources};
+use proptest::prelude::*;
+use types::InstanceId;
+
+const NOW: Duration = Duration::from_secs(100);
+
+fn instances(count: usize) -> Vec<InstanceId> {
+    (0..count).map(|n| format!("i-{n}").into()).collect()
+}
+
+fn sources(seed: u64) -> Sources {
+    Sources::new(Rng::with_seed(seed))
+}
+
+/// Asks until a whole round has failed; tells the sources of that round. The store is silent; the
+/// peers fail as told.
+fn failing_round(
+    sources: &mut Sources,
+    me: &InstanceId,
+    all: &[InstanceId],
+    how: Failing,
+) -> Vec<Source> {
+    let mut asked = Vec::new();
+    loop {
+        let source = sources.next(NOW, me, all);
+        asked.push(source.clone());
+        let how = match source {
+            Source::Store => Failing::Silent,
+            Source::Peer(_) => how,
+        };
+        if sources.failed(NOW, &source, how) {
+            return asked;
+        }
+    }
+}
+
+#[test]
+fn the_first_instances_read_the_store_and_the_others_follow_them() {
+    let all = instances(9);
+    for (number, me) in all.iter().enumerate() {
+        let source = sources(number as u64).next(NOW, me, &all);
+        if number < READERS {
+            assert_eq!(source, Source::Store);
+        } else {
+            assert!(
+                all[..READERS]
+                    .iter()
+                    .any(|id| source == Source::Peer(Arc::clone(id)))
+            );
+        }
+    }
+}
+
+/// A reader falls silent. Its followers have two seconds until a change must be in force; waiting
+/// for the other reader, which may be cut off as well, would be too long.
+#[test]
+fn after_a_silent_reader_the_store_comes_next() {
+    let all = instances(83);
+    let mut sources = sources(1);
+    let first = sources.next(NOW, &all[40], &all);
+    assert!(!sources.failed(NOW, &first, Failing::Silent));
+    assert_eq!(sources.next(NOW, &all[40], &all), Source::Store);
+}
+
+/// Both readers are turned away by the store and answer that they know nothing new. If all of
+/// eighty followers turned to the store in the same moment, that would cost as many calls as ten
+/// seconds of following, and again in each round.
+#[test]
+fn few_followers_ask_the_store_where_readers_answer_that_they_have_lost_it() {
+    let all = instances(83);
+    let asked: Vec<Vec<Source>> = all[READERS..]
+        .iter()
+        .enumerate()
+        .map(|(seed, me)| failing_round(&mut sources(seed as u64), me, &all, Failing::Stale))
+        .collect();
+    let at_store = asked.iter().filter(|round| round.contains(&Source::Store));
+    assert!((2..=20).contains(&at_store.count()));
+    // Each asked somebody else too, and not all the same one.
+    let third = |round: &Vec<Source>| round[READERS].to_string();
+    let thirds: BTreeSet<String> = asked.iter().map(third).collect();
+    assert!(thirds.len() > 20, "{thirds:?}");
+}
+
+/// On a small deployment each may ask the store itself: it costs little, and sooner known is better.
+#[test]
+fn on_few_instances_each_may_ask_the_store() {
+    let all = instances(4);
+    let round = failing_round(&mut sources(3), &all[3], &all, Failing::Stale);
+    assert!(round.contains(&Source::Store), "{round:?}");
+}
+
+/// A peer beside the readers gets through to the store. It is followed for a while, and then the
+/// readers are tried again: if everybody stayed where they are, chains of followers would grow.
+#[test]
+fn a_peer_that_knows_is_kept_for_a_while_only() {
+    let all = instances(83);
+    let me = &all[40];
+    let mut sources = sources(5);
+    for _ in 0..READERS {
+        let reader = sources.next(NOW, me, &all);
+        assert!(!sources.failed(NOW, &reader, Failing::Stale));
+    }
+    let third = sources.next(NOW, me, &all);
+    sources.served();
+    assert_eq!(sources.next(NOW + Duration::from_secs(1), me, &all), third);
+    let later = sources.next(NOW + Duration::from_secs(2), me, &all);
+    assert!(
+        all[..READERS]
+            .iter()
+            .any(|id| later == Source::Peer(Arc::clone(id)))
+    );
+}
+
+proptest! {
+    /// Whatever fails in whatever way, and however many instances there are, a round ends, no
+    /// instance asks itself, and somebody asks the store again and again.
+    #[test]
+    fn no_order_of_failures_goes_round_for_ever(
+        count in 1..90_usize,
+        number in any::<prop::sample::Index>(),
+        seed in any::<u64>(),
+        stale in prop::collection::vec(any::<bool>(), 1..8),
+    ) {
+        let all = instances(count);
+        let me = &all[number.index(count)];
+        let mut sources = sources(seed);
+        let mut at_store = 0;
+        for step in 0..2_000 {
+            let source = sources.next(NOW, me, &all);
+            prop_assert_ne!(&source, &Source::Peer(Arc::clone(me)));
+            at_store += usize::from(source == Source::Store);
+            let how = if stale[step % stale.len()] { Failing::Stale } else { Failing::Silent };
+            sources.failed(NOW, &source, how);
+        }
+        prop_assert!(sources.rounds() >= 2_000 / 6, "{}", sources.rounds());
+        prop_assert!(at_store > 0);
+    }
+}
