Divide a large service's engines among owners, and tell members once

One owner looked at all engines for each ask; entries took it for dead and decided for themselves. Each reply to a sync listed all members. Each leaving engine made every instance list all engines each 15 ms. Each newcomer greeted all others.

Change: engines of a service belong to accounts of 64 by their ids; each has its owner, its own line of waiting asks and its own sync. A refused ask goes to up to two more accounts. A sync's reply lists the members that are new to the asker. Targets are looked up by service. Nothing is planned where nothing runs. Newcomers greet the twelve that own and read first. Services of up to 64 engines have one account as before. Found on the way and mended: an entry's sync for one service released what the owner knew of another service's generations; asks for one service waited behind those for another.

Tests: placing/tests/shards.rs, front/tests/peers.rs.

--- a/components/front/src/acquaint.rs
+++ b/components/front/src/acquaint.rs
@@ -1,10 +1,10 @@
 //! Gets to know the other instances, and tells owners what this one holds.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use placing::Sync;
+use placing::{Shard, Sync};
 use timer::{Timer, boot_time};
-use types::{InstanceId, ServiceId};
+use types::InstanceId;
 
 use crate::{
     face::{Record, Store},
@@ -21,6 +21,9 @@
 const MEMBERS_PERIOD: Duration = Duration::from_secs(30);
 /// Tries to reach an instance that the settings name; all start at about the same time.
 const SEED_TRIES: usize = 5;
+/// Instances of each order of readers that are greeted at the start: as many as there are on a small
+/// deployment, so that each of them knows all at once.
+const GREETED: usize = 12;
 /// Time before the store is asked again for the members, when it failed.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(700);
 
@@ -58,17 +61,23 @@
     for _ in 0..SEED_TRIES {
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
-            learn_members(&front, Some(reply));
+            learn_members(&front, None, Some(reply));
             return;
         }
         smol::Timer::after(MEMBERS_PAUSE).await;
     }
 }
 
-/// Makes this instance known to all that it knows: two that don't know of each other would both
-/// take themselves for the owner.
+/// Makes this instance known: two that don't know of each other would both take themselves for the
+/// owner. The first to own and to read are told; all others talk to these and hear of it there.
+/// Told by each to all, three hundred instances that start at once had ninety thousand greetings to
+/// answer before they served.
 async fn greet(front: &Arc<Front>) {
-    for peer in front.peers.all() {
+    let topics = [Topic::Operator, Topic::Targets];
+    let readers = topics.map(|topic| front.peers.readers(topic));
+    let first = readers.iter().flat_map(|all| all.iter().take(GREETED));
+    let greeted: BTreeSet<InstanceId> = first.cloned().collect();
+    for peer in greeted {
         let front = Arc::clone(front);
         workers::spawn(async move { say_hello(&front, &peer).await }).detach();
     }
@@ -77,14 +86,18 @@
 async fn say_hello(front: &Front, peer: &InstanceId) {
     let message = Message::Hello(front.peers.me().clone());
     let reply = front.peers.call(peer, &message, SYNC_PATIENCE).await;
-    learn_members(front, reply);
+    learn_members(front, Some(peer), reply);
 }
 
-fn learn_members(front: &Front, reply: Option<Reply>) {
-    if let Some(Reply::Members(members)) = reply {
-        for member in members {
-            front.peers.learn(member);
-        }
+fn learn_members(front: &Front, from: Option<&InstanceId>, reply: Option<Reply>) {
+    let Some(Reply::Members { members, mark }) = reply else {
+        return;
+    };
+    for member in members {
+        front.peers.learn(member);
+    }
+    if let Some(from) = from {
+        front.peers.told_by(from, mark);
     }
 }
 
@@ -96,8 +109,8 @@
         for peer in front.peers.to_try_again() {
             say_hello(&front, &peer).await;
         }
-        for service in services(&front) {
-            sync_service(&front, &service).await;
+        for shard in shards(&front) {
+            sync_shard(&front, shard).await;
         }
         let targets = front.view.targets();
         front.choice.lock().retain(|id| targets.contains_key(id));
@@ -106,34 +119,45 @@
     }
 }
 
-/// Services whose engines have an owner.
-fn services(front: &Front) -> Vec<ServiceId> {
+/// Parts of services' engines whose owners are told: those where something runs for this
+/// instance, and one at least of each service, for the owner also tells of other instances.
+fn shards(front: &Front) -> BTreeSet<Shard> {
+    let running = front.live.running();
+    let mut shards: BTreeSet<Shard> = running
+        .iter()
+        .map(|run| front.shard_of(&run.service, &run.target))
+        .collect();
     let Some(rules) = front.view.rules() else {
-        return Vec::new();
+        return shards;
     };
-    rules
-        .services()
-        .filter(|service| service.engine.is_some())
-        .map(|service| Arc::clone(&service.name))
-        .collect()
+    for service in rules.services().filter(|service| service.engine.is_some()) {
+        if shards.iter().all(|shard| shard.service != service.name) {
+            shards.insert(front.shard_of(&service.name, &front.cfg.instance));
+        }
+    }
+    shards
 }
 
-async fn sync_service(front: &Front, service: &ServiceId) {
+async fn sync_shard(front: &Front, shard: Shard) {
     let mut runs = front.live.running();
-    runs.retain(|running| running.service == *service);
+    runs.retain(|run| run.service == shard.service && shard.holds(&run.target));
+    let Some(owner) = front.owners(&shard).into_iter().next() else {
+        return;
+    };
     let held = Sync {
         entry: Arc::clone(&front.cfg.instance),
+        shard,
         runs,
     };
-    let Some(owner) = front.peers.owners(service).into_iter().next() else {
-        return;
-    };
     if owner == front.cfg.instance {
         front.placement.owner.lock().sync(boot_time(), &held);
         return;
     }
-    let member = front.peers.me().clone();
-    let message = Message::Sync { member, held };
+    let message = Message::Sync {
+        member: front.peers.me().clone(),
+        held,
+        known: front.peers.mark_of(&owner),
+    };
     let reply = front.peers.call(&owner, &message, SYNC_PATIENCE).await;
-    learn_members(front, reply);
+    learn_members(front, Some(&owner), reply);
 }
--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -9,9 +9,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use events::{Event, emit};
+use placing::Shard;
 use timer::{Timer, boot_time};
 use types::TargetId;
-use view::{Service, Target};
+use view::Target;
 
 use crate::{face::EngineState, follow, state::Front};
 
@@ -50,19 +51,24 @@
     }
 }
 
-/// Engines of services that this instance owns, listed as taking work.
+/// Engines whose account this instance owns, listed as taking work.
 fn engines(front: &Front) -> Vec<Arc<Target>> {
     let Some(rules) = front.view.rules() else {
         return Vec::new();
     };
     let me = &front.cfg.instance;
-    let owns = |service: &&Arc<Service>| front.peers.owners(&service.name).first() == Some(me);
-    rules
-        .services()
-        .filter(|service| service.engine.is_some())
-        .filter(owns)
-        .flat_map(|service| front.usable(service))
-        .collect()
+    let with_engines = rules.services().filter(|service| service.engine.is_some());
+    let mut mine = Vec::new();
+    for service in with_engines {
+        let of = front.shard_count(&service.name);
+        let shards = (0..of).map(|index| Shard::new(Arc::clone(&service.name), index, of));
+        let owned: Vec<Shard> = shards
+            .filter(|shard| front.owners(shard).first() == Some(me))
+            .collect();
+        let usable = front.usable(service).into_iter();
+        mine.extend(usable.filter(|target| owned.iter().any(|shard| shard.holds(&target.id))));
+    }
+    mine
 }
 
 async fn ask(front: &Arc<Front>, target: Arc<Target>) {
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -84,8 +84,7 @@
     pub async fn run(mut self) {
         loop {
             let me = &self.front.cfg.instance;
-            let reading = format!("reader of {}", self.topic);
-            let ranked = self.front.peers.owners(&reading);
+            let ranked = self.front.peers.readers(self.topic);
             let source = self.sources.next(boot_time(), me, &ranked);
             let told = match self.ask(&source).await {
                 Ok(told) => told,
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -5,7 +5,7 @@
 use events::{Event, emit};
 use hyper::{Response, http};
 use net::{Body, fed};
-use placing::{Answer, Ask, Note};
+use placing::{Answer, Ask, Note, Shard};
 use smol::future;
 use timer::boot_time;
 use types::TargetId;
@@ -24,6 +24,9 @@
 
 /// When a caller may come back whose generation found no engine that would take it.
 const NO_TARGET_RETRY: Duration = Duration::from_millis(1_000);
+/// Parts of a service's engines that are asked before a generation is refused. With two at random
+/// of many, a full one among free ones hardly ever decides.
+const SHARDS_ASKED: u32 = 3;
 /// When a caller may come back that another instance would serve: at once, on a new connection.
 const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
 /// Engines that may say in a row that they did not run a generation before its caller is told.
@@ -69,7 +72,10 @@
             doubt: self.doubt,
             made: self.whole.then(|| self.live.made()),
         };
-        Front::note(&self.front, &self.live.service, note);
+        let shard = self
+            .front
+            .shard_of(&self.live.service, &self.live.target().id);
+        Front::note(&self.front, &shard, note);
     }
 }
 
@@ -91,6 +97,8 @@
 
 /// Asks for an engine until there is one, or until it is no use any more.
 async fn find(front: &Arc<Front>, call: &Call, avoid: &[TargetId]) -> Result<Arc<Target>, Refusal> {
+    let mut shard = first_shard(front, call);
+    let mut full = 0;
     loop {
         if call.until_due().is_zero() {
             return Err(Refusal::not_run(
@@ -98,7 +106,7 @@
                 NO_TARGET_RETRY,
             ));
         }
-        let ask = ask(front, call, avoid);
+        let ask = ask(front, call, shard.clone(), avoid);
         if !front.can_finish(&ask) {
             return Err(Refusal::not_run(
                 "this instance stops before it would end",
@@ -116,11 +124,16 @@
                         doubt: false,
                         made: None,
                     };
-                    Front::note(front, &call.service.name, note);
+                    Front::note(front, &shard, note);
                     UNHEARD_PAUSE
                 }
             },
             Answer::Wait { after } => after,
+            Answer::Full { .. } if full + 1 < shard.of.min(SHARDS_ASKED) => {
+                full += 1;
+                shard = shard.next();
+                continue;
+            }
             Answer::Full { after } => {
                 return Err(Refusal::not_run("no engine can begin it in time", after));
             }
@@ -132,14 +145,24 @@
 /// Time for the listing of a new target to arrive here too.
 const UNHEARD_PAUSE: Duration = Duration::from_millis(20);
 
-/// What a generation asks its owner for.
-pub(crate) fn ask(front: &Front, call: &Call, avoid: &[TargetId]) -> Ask {
+/// The part of a service's engines that is asked first for a generation: another one for each.
+pub(crate) fn first_shard(front: &Front, call: &Call) -> Shard {
+    let service = &call.service.name;
+    Shard::with(
+        Arc::clone(service),
+        &call.asked.id,
+        front.shard_count(service),
+    )
+}
+
+/// What a generation asks an owner for.
+pub(crate) fn ask(front: &Front, call: &Call, shard: Shard, avoid: &[TargetId]) -> Ask {
     let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
     Ask {
         run: Arc::clone(&call.asked.id),
         entry: Arc::clone(&front.cfg.instance),
         data_centre: Arc::clone(&front.cfg.data_centre),
-        service: Arc::clone(&call.service.name),
+        shard,
         route: Arc::clone(&call.route.name),
         prompt: sizes.prompt,
         longest: sizes.longest,
--- a/components/front/src/leaving.rs
+++ b/components/front/src/leaving.rs
@@ -17,6 +17,9 @@
 const WATCH: Duration = Duration::from_millis(3_000);
 /// Pause before the account is looked at again where nothing can be moved just now.
 const LOOK_AGAIN: Duration = Duration::from_millis(15);
+/// Pause before the account is looked at again where it has nothing on the engine: an entry may
+/// tell of a generation there only now.
+const NOTHING_THERE: Duration = Duration::from_millis(60);
 /// Time for an entry to carry one generation over.
 const CARRY_PATIENCE: Duration = Duration::from_millis(3_500);
 
@@ -27,8 +30,14 @@
 pub async fn empty(front: Arc<Front>, source: Arc<Target>) {
     let until = boot_time() + WATCH;
     let mut unfit: HashSet<(RunId, Option<TargetId>)> = HashSet::new();
+    let shard = front.shard_of(&source.service, &source.id);
     while boot_time() < until {
-        let engines = front.engines_of(&source.service);
+        // On most instances nothing of the account runs there, and hundreds of engines may leave.
+        if !front.placement.owner.lock().runs_on(&source.id) {
+            smol::Timer::after(NOTHING_THERE).await;
+            continue;
+        }
+        let engines = front.engines_of(&shard);
         let is_unfit = |run: &RunId, to: &TargetId| {
             unfit.contains(&(Arc::clone(run), None))
                 || unfit.contains(&(Arc::clone(run), Some(Arc::clone(to))))
@@ -71,7 +80,8 @@
     if !running.iter().any(|run| run.target == target.id) {
         return;
     }
-    let owner = front.peers.owners(&target.service).into_iter().next();
+    let shard = front.shard_of(&target.service, &target.id);
+    let owner = front.owners(&shard).into_iter().next();
     let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
         return;
     };
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -45,14 +45,18 @@
                 }
                 Reply::Noted
             }
-            Message::Sync { member, held } => {
+            Message::Sync {
+                member,
+                held,
+                known,
+            } => {
                 front.placement.owner.lock().sync(now, &held);
                 front.peers.heard(member);
-                Reply::Members(front.peers.lately())
+                front.peers.members_after(known)
             }
             Message::Hello(member) => {
                 front.peers.heard(member);
-                Reply::Members(front.peers.lately())
+                front.peers.members_after(0)
             }
             Message::Follow { topic, after, wait } => self.news(topic, after, wait).await,
             Message::Leaving(target) => {
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -1,6 +1,14 @@
 //! The other instances: who they are, who answers, and calls to them.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use events::{Event, emit};
@@ -12,7 +20,7 @@
 use timer::{Timer, boot_time};
 use types::{InstanceId, Moment};
 
-use crate::wire::{Member, Message, Reply};
+use crate::wire::{Member, Message, Reply, Topic};
 
 /// Where instances take each other's messages.
 pub const MESSAGES_PATH: &str = "/peer/v2/messages";
@@ -31,12 +39,18 @@
     heard: Option<Moment>,
     failures: u32,
     suspect_until: Moment,
+    /// Counts up with each member that is first heard, or heard again after a while.
+    heard_as: u64,
+    /// The mark up to which this member has told of others.
+    mark: u64,
 }
 
 /// The other instances.
 pub struct Peers {
     me: Member,
     known: Mutex<BTreeMap<InstanceId, Known>>,
+    /// The mark of the member that was first heard last.
+    newest: AtomicU64,
     client: Client,
     timer: Timer,
 }
@@ -48,6 +62,7 @@
         Self {
             me,
             known: Mutex::default(),
+            newest: AtomicU64::new(0),
             client,
             timer: Timer::new(),
         }
@@ -80,6 +95,8 @@
                 heard: None,
                 failures: 0,
                 suspect_until: Duration::ZERO,
+                heard_as: 0,
+                mark: 0,
             };
             known.insert(Arc::clone(&member.id), fresh);
         }
@@ -92,18 +109,38 @@
         self.answered(&id);
     }
 
-    /// Members that were heard lately, this one included.
+    /// Members that were heard lately, this one included, and that one who knows all up to a mark
+    /// may not know. With three hundred instances the whole list in each reply was most of all bytes
+    /// between them.
     #[must_use]
-    pub fn lately(&self) -> Vec<Member> {
+    pub fn members_after(&self, mark: u64) -> Reply {
         let oldest = boot_time().saturating_sub(HEARD_LATELY);
         let known = self.known.lock();
         let heard = known
             .values()
-            .filter(|known| known.heard.is_some_and(|at| at >= oldest));
-        heard
-            .map(|known| known.member.clone())
-            .chain([self.me.clone()])
-            .collect()
+            .filter(|known| known.heard_as > mark && known.heard.is_some_and(|at| at >= oldest));
+        let mut members: Vec<Member> = heard.map(|known| known.member.clone()).collect();
+        if mark == 0 {
+            members.push(self.me.clone());
+        }
+        Reply::Members {
+            members,
+            mark: self.newest.load(Ordering::Acquire),
+        }
+    }
+
+    /// The mark up to which a member has told of others.
+    #[must_use]
+    pub fn mark_of(&self, id: &InstanceId) -> u64 {
+        let known = self.known.lock();
+        known.get(id).map_or(0, |known| known.mark)
+    }
+
+    /// Notes up to which mark a member has told of others.
+    pub fn told_by(&self, id: &InstanceId, mark: u64) {
+        if let Some(known) = self.known.lock().get_mut(id) {
+            known.mark = mark;
+        }
     }
 
     /// All members that are known.
@@ -128,6 +165,12 @@
         ranked(service, all)
     }
 
+    /// Instances in the order in which they read a topic at the store, less those that don't answer.
+    #[must_use]
+    pub fn readers(&self, topic: Topic) -> Vec<InstanceId> {
+        self.owners(&format!("reader of {topic}"))
+    }
+
     /// Members that did not answer and may be tried again.
     #[must_use]
     pub fn to_try_again(&self) -> Vec<InstanceId> {
@@ -195,7 +238,13 @@
         let Some(peer) = known.get_mut(id) else {
             return;
         };
-        peer.heard = Some(boot_time());
+        let now = boot_time();
+        let away = peer.heard.is_none_or(|at| at + HEARD_LATELY < now);
+        if away {
+            // Those who asked while it was away were not told of it.
+            peer.heard_as = self.newest.fetch_add(1, Ordering::AcqRel) + 1;
+        }
+        peer.heard = Some(now);
         peer.suspect_until = Duration::ZERO;
         let was = std::mem::take(&mut peer.failures);
         drop(known);
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -3,9 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use parking_lot::Mutex;
-use placing::{Answer, Ask, Engine, Note, Owner, Tuning};
+use placing::{Answer, Ask, Engine, Note, Owner, Shard, Tuning};
 use timer::boot_time;
-use types::InstanceId;
+use types::{InstanceId, ServiceId};
 
 use crate::{
     state::Front,
@@ -56,12 +56,7 @@
 impl Front {
     /// Asks for an engine.
     pub async fn place(&self, ask: &Ask) -> Answer {
-        for owner in self
-            .peers
-            .owners(&ask.service)
-            .into_iter()
-            .take(OWNERS_ASKED)
-        {
+        for owner in self.owners(&ask.shard).into_iter().take(OWNERS_ASKED) {
             if owner == self.cfg.instance {
                 break;
             }
@@ -89,14 +84,33 @@
     /// Answers an ask from this instance's own account.
     #[must_use]
     pub fn decide(&self, ask: &Ask) -> Answer {
-        let engines = self.engines_of(&ask.service);
+        let engines = self.engines_of(&ask.shard);
         self.placement.owner.lock().ask(boot_time(), ask, &engines)
     }
 
-    /// Engines of a service that may get work.
+    /// Parts into which a service's engines are divided.
     #[must_use]
-    pub fn engines_of(&self, service: &str) -> Vec<Engine> {
-        let Some(service) = self.view.rules().and_then(|r| r.service(service).cloned()) else {
+    pub fn shard_count(&self, service: &str) -> u32 {
+        Shard::count(self.view.count_of(service))
+    }
+
+    /// The part that an engine belongs to.
+    #[must_use]
+    pub fn shard_of(&self, service: &ServiceId, target: &str) -> Shard {
+        Shard::with(Arc::clone(service), target, self.shard_count(service))
+    }
+
+    /// Instances in the order in which they own a part of a service's engines.
+    #[must_use]
+    pub fn owners(&self, shard: &Shard) -> Vec<InstanceId> {
+        self.peers.owners(&shard.to_string())
+    }
+
+    /// Engines of a part that may get work.
+    #[must_use]
+    pub fn engines_of(&self, shard: &Shard) -> Vec<Engine> {
+        let rules = self.view.rules();
+        let Some(service) = rules.and_then(|rules| rules.service(&shard.service).cloned()) else {
             return Vec::new();
         };
         let Some(kind) = &service.engine else {
@@ -109,15 +123,17 @@
             memory: kind.memory,
             token_copy: kind.token_copy(),
         };
-        self.usable(&service).iter().map(engine).collect()
+        let usable = self.usable(&service);
+        let inside = usable.iter().filter(|target| shard.holds(&target.id));
+        inside.map(engine).collect()
     }
 
-    /// Tells a service's owner what happened to a generation. The word may get lost; the next
-    /// sync makes up for it.
-    pub fn note(front: &Arc<Self>, service: &str, note: Note) {
+    /// Tells the owner of an engine what happened to a generation there. The word may get lost; the
+    /// next sync makes up for it.
+    pub fn note(front: &Arc<Self>, shard: &Shard, note: Note) {
         // This instance may have decided for itself; its own account must forget it too.
         front.placement.owner.lock().note(boot_time(), &note);
-        let owner = front.peers.owners(service).into_iter().next();
+        let owner = front.owners(shard).into_iter().next();
         let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
             return;
         };
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -219,7 +219,8 @@
             took_ms: millis(self.call.held()),
         });
         let run = Arc::clone(&live.run);
-        Front::note(&self.front, &live.service, Note::Started { run });
+        let shard = self.front.shard_of(&live.service, &live.target().id);
+        Front::note(&self.front, &shard, Note::Started { run });
     }
 
     /// The stream has ended as complete.
--- a/components/front/src/rescue.rs
+++ b/components/front/src/rescue.rs
@@ -73,7 +73,8 @@
     live: &Live,
     source: &Target,
 ) -> Result<Arc<Target>, Arc<str>> {
-    let mut ask = generation::ask(front, call, &[Arc::clone(&source.id)]);
+    let shard = generation::first_shard(front, call);
+    let mut ask = generation::ask(front, call, shard, &[Arc::clone(&source.id)]);
     ask.prompt += live.made();
     // It is late already; any engine will do.
     ask.aim_left = call.until_due();
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -86,10 +86,7 @@
     /// Targets of a service that may get work now.
     #[must_use]
     pub fn usable(&self, service: &Service) -> Vec<Arc<Target>> {
-        let targets = self.view.targets();
-        let fits =
-            |target: &&Arc<Target>| target.service == service.name && self.view.takes_work(target);
-        targets.values().filter(fits).cloned().collect()
+        self.view.usable(&service.name)
     }
 
     /// Whether knowledge of keys is fresh enough to honour them. A key may have been taken away
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -65,12 +65,14 @@
     Ask(Ask),
     /// What happened to generations.
     Notes(Vec<Note>),
-    /// All that an entry holds.
+    /// All that an entry holds on engines of one account.
     Sync {
         /// The entry as a member.
         member: Member,
         /// What it holds.
         held: Sync,
+        /// Members that the receiver told of up to this mark are known.
+        known: u64,
     },
     /// An order to carry a generation over.
     Carry(Carry),
@@ -97,7 +99,12 @@
     /// To notes.
     Noted,
     /// To a sync or a hello: members that were heard lately.
-    Members(Vec<Member>),
+    Members {
+        /// Those that the asker may not know.
+        members: Vec<Member>,
+        /// The mark up to which it knows all now.
+        mark: u64,
+    },
     /// To an order to carry over.
     Carried(Carried),
     /// What is new on a topic, and when the read was sent that confirmed it, as told from when
--- /dev/null
+++ b/components/front/tests/peers.rs
@@ -0,0 +1,50 @@
+//! What instances tell one another about instances.
+
+use std::net::SocketAddr;
+
+use front::{Member, peers::Peers, wire::Reply};
+use net::Client;
+
+fn member(name: &str, born: u64) -> Member {
+    Member {
+        id: name.into(),
+        addr: SocketAddr::from(([127, 0, 0, 1], 1)),
+        born,
+        capacity: 250,
+    }
+}
+
+fn told(peers: &Peers, mark: u64) -> (Vec<String>, u64) {
+    let Reply::Members { members, mark } = peers.members_after(mark) else {
+        panic!("members are told");
+    };
+    (members.iter().map(|m| m.id.to_string()).collect(), mark)
+}
+
+/// Hundreds of instances ask one of them every second who else is there. Told everything each time,
+/// they would spend more bytes on that than on all else.
+#[test]
+fn who_knows_the_members_is_told_of_new_ones_only() {
+    let peers = Peers::new(member("i-0", 1), Client::new());
+    peers.heard(member("i-1", 1));
+    peers.heard(member("i-2", 1));
+    let (all, mark) = told(&peers, 0);
+    assert_eq!(all, ["i-1", "i-2", "i-0"]);
+    peers.heard(member("i-1", 1));
+    assert_eq!(told(&peers, mark), (vec![], mark));
+    peers.heard(member("i-3", 1));
+    let (new, later) = told(&peers, mark);
+    assert_eq!(new, ["i-3"]);
+    assert!(later > mark);
+}
+
+/// An instance starts again under its name, perhaps at another address. Who knew its former life must
+/// hear of the new one.
+#[test]
+fn a_later_life_of_a_member_is_told() {
+    let peers = Peers::new(member("i-0", 1), Client::new());
+    peers.heard(member("i-1", 1));
+    let (_, mark) = told(&peers, 0);
+    peers.heard(member("i-1", 2));
+    assert_eq!(told(&peers, mark).0, ["i-1"]);
+}
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod owner;
 mod queue;
 pub mod rank;
+pub mod shard;
 mod sync;
 pub mod tuning;
 
@@ -19,4 +20,5 @@
 pub use message::{Answer, Ask, Carried, Carry, Load, Note, RunId, Running, Sync};
 pub use owner::Owner;
 pub use rank::{Candidate, ranked};
+pub use shard::Shard;
 pub use tuning::Tuning;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use types::{DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens};
 
+use crate::shard::Shard;
+
 /// Id of one generation: that of its request.
 pub type RunId = Arc<str>;
 
@@ -17,8 +19,8 @@
     pub entry: InstanceId,
     /// The entry's data centre.
     pub data_centre: DataCentreId,
-    /// The service.
-    pub service: ServiceId,
+    /// The part of the service's engines that is asked for.
+    pub shard: Shard,
     /// The route, by which lengths are learned.
     pub route: RouteId,
     /// Tokens of the prompt.
@@ -101,13 +103,15 @@
     pub started: bool,
 }
 
-/// All that an entry holds, sent to the owner from time to time: what single notes lost on their
+/// All that an entry holds on engines of one account, sent to the owner from time to time: what single notes lost on their
 /// way, and what a new owner must learn.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Sync {
     /// The entry.
     pub entry: InstanceId,
-    /// What it holds.
+    /// The part of a service's engines that this is about.
+    pub shard: Shard,
+    /// What it holds there.
     pub runs: Vec<Running>,
 }
 
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -13,6 +13,7 @@
     length::{Length, Lengths},
     memory::{Holder, peak},
     message::{Answer, Ask, Load, Note, RunId},
+    queue::Waiting,
     tuning::{Tuning, as_f64},
 };
 
@@ -26,8 +27,8 @@
     pub(crate) accounts: BTreeMap<TargetId, Account>,
     pub(crate) runs: HashMap<RunId, Run>,
     pub(crate) lengths: Lengths,
-    /// Asks that were told to wait: rank, time waited, and when they last asked.
-    pub(crate) waiting: HashMap<RunId, (u32, Duration, Moment)>,
+    /// Asks that were told to wait.
+    pub(crate) waiting: HashMap<RunId, Waiting>,
 }
 
 impl Owner {
@@ -242,7 +243,7 @@
         let due = self.account(now, target).busy_until.max(now) + read;
         let run = Run {
             entry: Arc::clone(&ask.entry),
-            service: Arc::clone(&ask.service),
+            service: Arc::clone(&ask.shard.service),
             target: Arc::clone(target),
             prompt: ask.prompt,
             route: Arc::clone(&ask.route),
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -10,9 +10,22 @@
     memory::Holder,
     message::{Answer, Ask, RunId},
     owner::Owner,
+    shard::Shard,
 };
 
-/// A waiting ask. The lowest goes first: by rank, then by how long it has waited.
+/// An ask that was told to wait.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    /// The account that it waits for; others' engines are none of its concern.
+    shard: Shard,
+    rank: u32,
+    /// How long it had waited when it last asked.
+    waited: Duration,
+    /// When it last asked.
+    asked: Moment,
+}
+
+/// The turn of a waiting ask. The lowest goes first: by rank, then by how long it has waited.
 type Turn = (u32, Reverse<Duration>, RunId);
 
 impl Owner {
@@ -50,8 +63,13 @@
     }
 
     fn wait(&mut self, now: Moment, ask: &Ask) -> Answer {
-        let turn = (ask.rank, ask.waited, now);
-        self.waiting.insert(Arc::clone(&ask.run), turn);
+        let waiting = Waiting {
+            shard: ask.shard.clone(),
+            rank: ask.rank,
+            waited: ask.waited,
+            asked: now,
+        };
+        self.waiting.insert(Arc::clone(&ask.run), waiting);
         // Each that waits asks again and again; together they must leave the owner its time.
         let many = u32::try_from(self.waiting.len()).unwrap_or(u32::MAX) / self.tuning.wait_crowd;
         let after = self.tuning.wait.saturating_mul(many + 1);
@@ -84,11 +102,12 @@
     pub(crate) fn others_before(&mut self, now: Moment, ask: &Ask) -> usize {
         let life = self.tuning.wait_life;
         self.waiting
-            .retain(|_, (_, _, asked)| now.saturating_sub(*asked) < life);
+            .retain(|_, waiting| now.saturating_sub(waiting.asked) < life);
         let mine: Turn = (ask.rank, Reverse(ask.waited), Arc::clone(&ask.run));
-        let before = |(run, (rank, waited, asked)): &(&RunId, &(u32, Duration, Moment))| {
-            let waited = *waited + now.saturating_sub(*asked);
-            **run != ask.run && (*rank, Reverse(waited), Arc::clone(run)) < mine
+        let before = |(run, other): &(&RunId, &Waiting)| {
+            let waited = other.waited + now.saturating_sub(other.asked);
+            let turn: Turn = (other.rank, Reverse(waited), Arc::clone(run));
+            other.shard == ask.shard && **run != ask.run && turn < mine
         };
         self.waiting.iter().filter(before).count()
     }
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -11,7 +11,7 @@
 };
 
 impl Owner {
-    /// Takes all that an entry holds.
+    /// Takes all that an entry holds on the engines of one account.
     pub fn sync(&mut self, now: Moment, sync: &Sync) {
         let held: BTreeSet<&RunId> = sync.runs.iter().map(|running| &running.run).collect();
         // A grant may be on its way still; what is older and unknown to the entry has ended.
@@ -20,7 +20,11 @@
             .runs
             .iter()
             .filter(|(id, run)| {
-                run.entry == sync.entry && run.granted <= settled && !held.contains(*id)
+                run.entry == sync.entry
+                    && run.service == sync.shard.service
+                    && sync.shard.holds(&run.target)
+                    && run.granted <= settled
+                    && !held.contains(*id)
             })
             .map(|(id, _)| Arc::clone(id))
             .collect();
--- a/components/placing/tests/choosing.rs
+++ b/components/placing/tests/choosing.rs
@@ -233,6 +233,7 @@
     let later = now + 1_500 * MS;
     let held = Sync {
         entry: "entry-1".into(),
+        shard: ask("a").shard,
         runs: vec![waiting("a", "dark")],
     };
     owner.sync(later, &held);
@@ -269,7 +270,8 @@
         })
         .collect();
     let entry = "entry-1".into();
-    owner.sync(now, &Sync { entry, runs });
+    let shard = ask("a").shard;
+    owner.sync(now, &Sync { entry, shard, runs });
     for run in ["a", "b"] {
         let target = sent(owner.ask(now, &ask(run), &engines));
         assert_eq!(target.as_deref(), Some("e-2"));
--- /dev/null
+++ b/components/placing/tests/shards.rs
@@ -0,0 +1,99 @@
+//! Engines of a large service are divided into parts, each with an owner and an account of its own.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use placing::{Answer, Ask, Note, Running, Shard, Sync};
+use proptest::prelude::*;
+use support::{ask, engine, owner, sent};
+
+fn shard(service: &str, index: u32, of: u32) -> Shard {
+    Shard::new(service.into(), index, of)
+}
+
+fn running(run: &str, service: &str, target: &str) -> Running {
+    Running {
+        run: run.into(),
+        service: service.into(),
+        target: target.into(),
+        prompt: 3_000,
+        made: 10,
+        route: "drafts".into(),
+        longest: 2_000,
+        hint: None,
+        rank: 1,
+        started: true,
+    }
+}
+
+#[test]
+fn a_service_of_today_has_one_account_and_a_large_one_many() {
+    assert_eq!(Shard::count(0), 1);
+    assert_eq!(Shard::count(64), 1);
+    assert_eq!(Shard::count(65), 2);
+    assert_eq!(Shard::count(1_000), 16);
+    assert_eq!(Shard::count(12_000), 256);
+}
+
+/// One instance owns the accounts of two services. An entry tells what it holds of the one, and that
+/// must not make the other's engines look empty: they would be filled a second time.
+#[test]
+fn what_an_entry_holds_of_one_account_says_nothing_of_another() {
+    let (mut owner, now) = owner();
+    let tell = |service: &str, runs: Vec<Running>| Sync {
+        entry: "entry-1".into(),
+        shard: shard(service, 0, 1),
+        runs,
+    };
+    owner.sync(now, &tell("drafts", vec![running("a", "drafts", "e-1")]));
+    let later = now + Duration::from_secs(1);
+    owner.sync(later, &tell("tags", vec![running("b", "tags", "e-2")]));
+    assert!(owner.run("a").is_some() && owner.run("b").is_some());
+    owner.sync(later, &tell("drafts", Vec::new()));
+    assert!(owner.run("a").is_none() && owner.run("b").is_some());
+}
+
+/// Prompts wait for the engines of one account. Those of another are free, and nobody should wait
+/// behind them for these.
+#[test]
+fn those_who_wait_for_one_account_do_not_hold_up_another() {
+    let (mut owner, now) = owner();
+    let full = [engine("e-1", "dc-1")];
+    let free = [engine("e-2", "dc-1")];
+    let patient = |run: &str, index: u32| Ask {
+        shard: shard("drafts", index, 2),
+        aim_left: Duration::from_secs(60),
+        ..ask(run)
+    };
+    let mut number = 0;
+    while sent(owner.ask(now, &patient(&format!("run-{number}"), 0), &full)).is_some() {
+        let run = format!("run-{number}").into();
+        owner.note(now, &Note::Started { run });
+        number += 1;
+    }
+    let mut late = patient("late", 1);
+    late.rank = 9;
+    assert!(matches!(owner.ask(now, &late, &free), Answer::Go { .. }));
+}
+
+proptest! {
+    /// Each engine belongs to one part, whoever asks, and no part gets far more than another.
+    #[test]
+    fn parts_divide_the_engines_evenly(engines in 1..2_000_usize) {
+        let of = Shard::count(engines);
+        let mut counts = vec![0_usize; usize::try_from(of).expect("small")];
+        for number in 0..engines {
+            let id = format!("i-{number:010x}");
+            let mine: BTreeSet<u32> = (0..of)
+                .filter(|index| shard("drafts", *index, of).holds(&id))
+                .collect();
+            prop_assert_eq!(mine.len(), 1);
+            let with = Shard::with("drafts".into(), &id, of);
+            prop_assert!(mine.contains(&with.index));
+            counts[usize::try_from(with.index).expect("small")] += 1;
+        }
+        let most = counts.iter().max().copied().unwrap_or_default();
+        prop_assert!(most <= 64 + 40, "{:?}", counts);
+    }
+}
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use placing::{Answer, Ask, Engine, Owner, Tuning};
+use placing::{Answer, Ask, Engine, Owner, Shard, Tuning};
 use types::{Moment, TargetId, Tokens};
 
 /// Tokens that an engine of these tests holds.
@@ -25,7 +25,7 @@
         run: run.into(),
         entry: "entry-1".into(),
         data_centre: "dc-1".into(),
-        service: "drafts".into(),
+        shard: Shard::new("drafts".into(), 0, 1),
         route: "drafts".into(),
         prompt: 3_000,
         longest: 2_000,
--- a/components/view/src/believed.rs
+++ b/components/view/src/believed.rs
@@ -1,13 +1,13 @@
 //! The beliefs of one instance: newest configuration, targets, evacuated data centres.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
 
 use parking_lot::RwLock;
-use types::{ConfigVersion, DataCentreId, Moment, Standing, TargetId};
+use types::{ConfigVersion, DataCentreId, Moment, ServiceId, Standing, TargetId};
 
 use crate::{rules::Rules, target::Target};
 
@@ -46,6 +46,8 @@
     rules: Option<Arc<Rules>>,
     rules_read: Age,
     targets: Arc<BTreeMap<TargetId, Arc<Target>>>,
+    /// The same by service: each request looks at the targets of its own only.
+    by_service: HashMap<ServiceId, BTreeMap<TargetId, Arc<Target>>>,
     targets_read: Age,
     /// Listings that lapsed while the store was away, and until when they are believed.
     lapsed: BTreeMap<TargetId, Moment>,
@@ -89,6 +91,26 @@
         Arc::clone(&self.beliefs.read().targets)
     }
 
+    /// Targets of a service that may get new work, as far as listings and the operator tell.
+    #[must_use]
+    pub fn usable(&self, service: &str) -> Vec<Arc<Target>> {
+        let beliefs = self.beliefs.read();
+        let Some(targets) = beliefs.by_service.get(service) else {
+            return Vec::new();
+        };
+        let fits = |target: &&Arc<Target>| {
+            target.takes_work() && !beliefs.closed.contains(&target.data_centre)
+        };
+        targets.values().filter(fits).cloned().collect()
+    }
+
+    /// Targets of a service that are listed, those that leave among them.
+    #[must_use]
+    pub fn count_of(&self, service: &str) -> usize {
+        let beliefs = self.beliefs.read();
+        beliefs.by_service.get(service).map_or(0, BTreeMap::len)
+    }
+
     /// A listed target.
     #[must_use]
     pub fn target(&self, id: &str) -> Option<Arc<Target>> {
@@ -148,9 +170,8 @@
         let mut beliefs = self.beliefs.write();
         let id = Arc::clone(&target.id);
         beliefs.lapsed.remove(&id);
-        let targets = Arc::make_mut(&mut beliefs.targets);
         let now = Arc::new(target);
-        let before = targets.insert(Arc::clone(&id), Arc::clone(&now));
+        let before = beliefs.put(&now);
         let Some(before) = before else {
             return now.takes_work().then_some(Change::Joined(now));
         };
@@ -174,8 +195,7 @@
             standing: Standing::Leaving,
             ..Target::clone(target)
         });
-        let targets = Arc::make_mut(&mut beliefs.targets);
-        targets.insert(Arc::clone(id), Arc::clone(&leaving));
+        beliefs.put(&leaving);
         Some(Change::Leaving(leaving))
     }
 
@@ -216,8 +236,34 @@
     }
 }
 
+impl Beliefs {
+    /// Puts a target in; tells what was known of it.
+    fn put(&mut self, target: &Arc<Target>) -> Option<Arc<Target>> {
+        let targets = Arc::make_mut(&mut self.targets);
+        let before = targets.insert(Arc::clone(&target.id), Arc::clone(target));
+        // An id may come back as another service's.
+        if let Some(before) = before.as_ref().filter(|b| b.service != target.service) {
+            self.drop_from_service(before);
+        }
+        let same = self.by_service.entry(Arc::clone(&target.service));
+        let same = same.or_default();
+        same.insert(Arc::clone(&target.id), Arc::clone(target));
+        before
+    }
+
+    fn drop_from_service(&mut self, target: &Target) {
+        if let Some(same) = self.by_service.get_mut(&target.service) {
+            same.remove(&target.id);
+            if same.is_empty() {
+                self.by_service.remove(&target.service);
+            }
+        }
+    }
+}
+
 fn remove(beliefs: &mut Beliefs, id: &TargetId) -> Option<Change> {
     let targets = Arc::make_mut(&mut beliefs.targets);
     let was = targets.remove(id)?;
+    beliefs.drop_from_service(&was);
     was.takes_work().then_some(Change::Leaving(was))
 }
