Count patience to an answer's head, and ask a lost store by a schedule

Cause: by reading. A call to the store had 1.2 s for the whole answer. The same held for messages between instances.

Change: patience is the time to an answer's head; what has begun to arrive may pause for 0.5 or 0.7 s. A lost store is asked one call at a time, with 0.4, 0.6, 0.6 and 2 s to the head in turn, in place of calls beside each other.

--- a/components/front/src/acquaint.rs
+++ b/components/front/src/acquaint.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     face::{Record, Store},
+    patience,
     state::Front,
     wire::{Message, Reply, Topic},
 };
@@ -38,7 +39,7 @@
     }
     let mut greeted = false;
     loop {
-        let Ok(news) = store.read(Topic::Members).await else {
+        let Ok(news) = store.read(Topic::Members, patience::READ).await else {
             smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
             continue;
         };
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -265,11 +265,18 @@
 /// The platform's store.
 #[async_trait]
 pub trait Store: Send + Sync {
-    /// Reads all there is on a topic.
-    async fn read(&self, topic: Topic) -> Result<News, StoreError>;
+    /// Reads all there is on a topic. `patience` is the time to the head of each answer.
+    async fn read(&self, topic: Topic, patience: Duration) -> Result<News, StoreError>;
 
-    /// Waits for what has changed since a version, at most this long.
-    async fn follow(&self, topic: Topic, after: u64, wait: Duration) -> Result<News, StoreError>;
+    /// Waits for what has changed since a version, for `wait` at most. `patience` is the time to
+    /// the head of the answer.
+    async fn follow(
+        &self,
+        topic: Topic,
+        after: u64,
+        wait: Duration,
+        patience: Duration,
+    ) -> Result<News, StoreError>;
 
     /// What a row says, if it is of any use to us.
     fn decode(&self, topic: Topic, row: &Row) -> Option<Record>;
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -13,9 +13,8 @@
 use view::Change;
 
 use crate::{
-    eager::first_answer,
     face::{Record, Store, StoreError},
-    leaving,
+    leaving, patience,
     refuse::millis,
     shelf::Shelf,
     sources::{Failing, Source, Sources},
@@ -132,16 +131,16 @@
         let after = self.shelf.version();
         match source {
             Source::Store => {
-                // A reader that lost the store does not wait for a silent call; its followers hear of
-                // the store's return from it.
-                let asked = match after {
-                    Some(after) if !self.sources.has_lost_store() => {
-                        let news = follow(&self.store, self.topic, Some(after), STORE_WAIT).await;
-                        Some((news, sent))
+                // One that lost the store, or has just started, does not wait for changes.
+                let news = match after {
+                    Some(_) if !self.sources.has_lost_store() => {
+                        follow(&self.store, self.topic, after, STORE_WAIT, patience::FOLLOW).await
+                    }
+                    after => {
+                        let patience = patience::when_lost(self.sources.store_failures());
+                        follow(&self.store, self.topic, after, Duration::ZERO, patience).await
                     }
-                    after => self.ask_eagerly(after).await,
                 };
-                let (news, sent) = asked.ok_or_else(|| silent("no call was answered".into()))?;
                 news.map(|news| Told {
                     news,
                     read: sent,
@@ -152,15 +151,6 @@
         }
     }
 
-    /// Asks the store without waiting for changes, and again while it does not answer.
-    async fn ask_eagerly(&self, after: Option<u64>) -> Option<(Result<News, StoreError>, Moment)> {
-        first_answer(|| {
-            let (store, topic) = (Arc::clone(&self.store), self.topic);
-            async move { follow(&store, topic, after, Duration::ZERO).await }
-        })
-        .await
-    }
-
     async fn ask_peer(&self, peer: &InstanceId, after: Option<u64>) -> Result<Told, StoreError> {
         let sent = boot_time();
         let wait = STORE_WAIT.mul_f64(PEER_WAIT_PART);
@@ -283,12 +273,13 @@
     topic: Topic,
     after: Option<u64>,
     wait: Duration,
+    patience: Duration,
 ) -> Result<News, StoreError> {
     let Some(after) = after else {
-        return store.read(topic).await;
+        return store.read(topic, patience).await;
     };
-    match store.follow(topic, after, wait).await {
-        Err(StoreError::HistoryGone) => store.read(topic).await,
+    match store.follow(topic, after, wait, wait + patience).await {
+        Err(StoreError::HistoryGone) => store.read(topic, patience::READ).await,
         news => news,
     }
 }
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -14,7 +14,7 @@
 use events::{Event, emit};
 use http_body_util::Full;
 use hyper::Request;
-use net::{Client, read_all};
+use net::{Client, read_limited};
 use parking_lot::Mutex;
 use placing::{Candidate, ranked};
 use timer::{Timer, boot_time};
@@ -26,6 +26,8 @@
 pub const MESSAGES_PATH: &str = "/peer/v2/messages";
 /// Bytes of a message at most.
 pub const MESSAGE_LIMIT: usize = 4 * 1_024 * 1_024;
+/// The longest pause within a message that has begun to arrive.
+const BODY_PAUSE: Duration = Duration::from_millis(500);
 /// How long a peer that did not answer is left alone at first; doubled with each further time.
 const SUSPECT: Duration = Duration::from_millis(1_500);
 /// The longest time that a peer is left alone.
@@ -218,14 +220,17 @@
             .body(Full::new(Bytes::from(buf)))
             .map_err(|e| e.to_string())?;
         let sent = async {
-            let resp = self.client.send(addr, req).await;
-            let resp = resp.map_err(|e| e.to_string())?;
-            let body = read_all(resp.into_body(), MESSAGE_LIMIT, patience).await;
+            let head = self.client.send(addr, req);
+            let resp = self.timer.within(patience, head).await;
+            let resp = resp.ok_or_else(|| format!("nothing within {patience:?}"))?;
+            let body = resp.map_err(|e| e.to_string())?.into_body();
+            // All listings of a large service take a second over a narrow link; what arrives has
+            // been answered.
+            let body = read_limited(body, MESSAGE_LIMIT, BODY_PAUSE).await;
             let body = body.map_err(|e| e.to_string())?;
             rmp_serde::from_slice(&body).map_err(|e| e.to_string())
         };
-        let answer = self.timer.within(patience, sent).await;
-        let answer = answer.unwrap_or_else(|| Err(format!("nothing within {patience:?}")));
+        let answer: Result<Reply, String> = sent.await;
         if answer.is_err() {
             // Other connections to it may have gone silent as well.
             self.client.forget(addr);
--- a/components/front/src/sources.rs
+++ b/components/front/src/sources.rs
@@ -115,6 +115,12 @@
         self.rounds
     }
 
+    /// Calls to the store in a row that failed.
+    #[must_use]
+    pub const fn store_failures(&self) -> u32 {
+        self.store_failures
+    }
+
     /// Notes that the store answered, whatever it said.
     pub const fn store_answered(&mut self) {
         self.store_failures = 0;
