--- a/src/cli.rs
+++ b/src/cli.rs
@@ -100,13 +100,21 @@
 fn try_out() -> Command {
     Command::new("try")
         .about("Runs an instance with built-in stand-ins for platform, engines and a service")
-        .after_help("Examples:\n  celerystand try\n  celerystand try --once")
+        .after_help(
+            "Examples:\n  celerystand try\n  celerystand try --once\n  celerystand try --platform",
+        )
         .arg(
             Arg::new("once")
                 .long("once")
                 .action(ArgAction::SetTrue)
                 .help("End after the demonstration in place of staying up"),
         )
+        .arg(
+            Arg::new("platform")
+                .long("platform")
+                .action(ArgAction::SetTrue)
+                .help("Run on stand-ins of the users' platform"),
+        )
 }
 
 fn check() -> Command {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,6 +15,7 @@
 pub mod serve;
 pub mod state;
 pub mod try_out;
+pub mod try_platform;
 
 use std::{
     io::{self, Write},
--- a/src/cmd/try_out.rs
+++ b/src/cmd/try_out.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     client::{AdminClient, Seen},
-    cmd::logging,
+    cmd::{logging, try_platform},
     demo::{OPERATOR_KEY, Place, Surroundings, call::Caller, place, show},
     failure::{FailureKind, Outcome},
     output,
@@ -35,6 +35,9 @@
         level: LogLevel::Error,
         ..Log::default()
     });
+    if args.get_flag("platform") {
+        return try_platform::run(args.get_flag("once"));
+    }
     let around = smol::block_on(Surroundings::start()).context("starting the stand-ins")?;
     let (place, instance) = start_instance(&around)?;
     around.list_instance(place.peer);
--- /dev/null
+++ b/src/cmd/try_platform.rs
@@ -0,0 +1,116 @@
+//! `celerystand try --platform`: one instance on stand-ins of the users' platform.
+
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+
+use bench::process::free_addr;
+use errors::{Context, Error};
+use front::{Config, Outside};
+use net::Client;
+use platform::{EngineClient, HttpFace, RowStore};
+use platform_standin::{
+    caller::{Caller, Got, all_events, read},
+    deployment::{Deployment, settings},
+};
+use timer::Timer;
+
+use crate::{failure::Outcome, output};
+
+/// Bounds of the demonstration's instance.
+const BOUNDS: &str = "revoke_ms = 2500\ngrace_s = 6";
+/// Key of the demonstration's one workspace.
+const KEY: &str = "key-1";
+/// Time for the instance to serve.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// Time between two tries.
+const POLL: Duration = Duration::from_millis(50);
+/// Events of the generation that is carried over: about two seconds.
+const EVENTS: u32 = 130;
+/// Time after which its engine is said to leave.
+const BEFORE_LEAVING: Duration = Duration::from_millis(300);
+
+/// Runs the demonstration and stays up, or ends with `once`.
+///
+/// # Errors
+/// Tells what did not work.
+pub fn run(once: bool) -> Outcome {
+    let deployment = smol::block_on(Deployment::start());
+    let store = platform_standin::listen(Arc::new(deployment.store.clone()));
+    let cfg = config(smol::block_on(store))?;
+    output::line("One instance, two engines, a plain service and a store, in one process.")?;
+    output::line(format_args!("  callers    http://{}", cfg.callers))?;
+    let (callers, kept) = (cfg.callers, cfg.clone());
+    let outside = Outside {
+        face: Arc::new(HttpFace::new()),
+        engines: Arc::new(EngineClient::new(Client::new())),
+        store: Arc::new(RowStore::new(Client::new(), cfg.store)),
+        reload: Box::new(move || Ok(kept.clone())),
+    };
+    let instance = thread::spawn(move || front::serve(cfg, outside));
+    smol::block_on(demonstrate(&deployment, callers))?;
+    if once {
+        return Ok(());
+    }
+    // Ctrl-C ends the instance, and it the process.
+    match instance.join() {
+        Ok(ended) => Ok(ended?),
+        Err(_) => Err(Error::new("the instance broke down").into()),
+    }
+}
+
+/// Settings on free ports, as the platform would write them.
+fn config(store: SocketAddr) -> errors::Result<Config> {
+    let port = || free_addr().context("finding free ports");
+    let addrs = [port()?, port()?, port()?, port()?];
+    let text = settings("entry-1", 0, addrs, store, &[], BOUNDS);
+    platform::parse(&text).context("settings")
+}
+
+async fn demonstrate(deployment: &Deployment, to: SocketAddr) -> errors::Result<()> {
+    let caller = Caller::new(KEY);
+    let first = until_served(&caller, to).await?;
+    output::line(format_args!(
+        "\nA plain call: {} {}",
+        first.status, first.body
+    ))?;
+    let denied = Caller::new("another")
+        .call(to, "GET", "/titles/1", "try-denied")
+        .await;
+    output::line(format_args!("With a wrong key: {}", denied.status))?;
+    carried(deployment, &caller, to).await
+}
+
+async fn until_served(caller: &Caller, to: SocketAddr) -> errors::Result<Got> {
+    let timer = Timer::new();
+    loop {
+        let id = format!("try-{}", timer.now().as_millis());
+        let got = caller.call(to, "GET", "/titles/1", &id).await;
+        if got.status == 200 {
+            return Ok(got);
+        }
+        if timer.now() > PATIENCE {
+            return Err(Error::new(got.body).with_context("the first call"));
+        }
+        timer.sleep(POLL).await;
+    }
+}
+
+/// A generation whose engine leaves in the middle.
+async fn carried(deployment: &Deployment, caller: &Caller, to: SocketAddr) -> errors::Result<()> {
+    let resp = caller
+        .send(to, "POST", "/drafts/1", "try-carried", EVENTS)
+        .await;
+    let resp = resp.ok_or_else(|| Error::new("no answer to a generation"))?;
+    Timer::new().sleep(BEFORE_LEAVING).await;
+    deployment.engine_leaves(0);
+    let got = read(resp).await;
+    let whole = got.whole && got.body == all_events(EVENTS);
+    let second = deployment.engines[1].began().len();
+    output::line(format_args!(
+        "A generation of {EVENTS} events whose engine left: all of them once and in order: {whole}; \
+         begun anew elsewhere: {second}"
+    ))?;
+    if whole {
+        return Ok(());
+    }
+    Err(Error::new("the generation did not come whole"))
+}
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -330,6 +330,18 @@
     }
 }
 
+#[test]
+fn the_demonstration_on_the_users_platform_ends_well() {
+    let shown = plain(&["try", "--platform", "--once"]).well();
+    for part in [
+        "A plain call: 200 GET /titles/1",
+        "With a wrong key: 401",
+        "all of them once and in order: true; begun anew elsewhere: 0",
+    ] {
+        assert!(shown.contains(part), "{part} in {shown}");
+    }
+}
+
 /// What a row of the page of metrics, or a line of the metrics' own help, says.
 type Described = BTreeMap<String, String>;
 
