Let followers catch up at the store, and narrow links neither own nor read

A whole read does not tell what was dropped before it, so a reader told everything to each follower that had read a moment earlier: 300 KB each for a thousand engines, after every start of all. Readers and owners were chosen by processor alone; some have links of 10 Mbit/s. And the members were looked at once at the start and then after 30 s, so that those who looked early knew a part of all and had other owners.

Change: a reader that reaches the store says that it can't tell changes from so far back, and the follower asks the store for them; all rows come from a peer only where the store does not answer. Members are looked at again 1.5 s after the start.

Tests: front/tests/shelf.rs, platform/tests/decoding.rs; platform: calls (who comes right after the first look, failed before).

--- a/components/front/src/acquaint.rs
+++ b/components/front/src/acquaint.rs
@@ -20,6 +20,12 @@
 /// Time between two looks at the members in the store. Instances also hear of each other from
 /// the owners that they sync with.
 const MEMBERS_PERIOD: Duration = Duration::from_secs(30);
+/// Time between the first two looks. Where all instances start at once, after a loss of power say,
+/// the first look shows some of them only; those that know other parts of all have other owners, and
+/// engines are filled twice for as long as that lasts.
+const SECOND_LOOK: Duration = Duration::from_millis(1_500);
+/// How many times as long the next pause is, until they are as long as they stay.
+const SECOND_LOOK_GROWS: u32 = 20;
 /// Tries to reach an instance that the settings name; all start at about the same time.
 const SEED_TRIES: usize = 5;
 /// Instances of each order of readers that are greeted at the start: as many as there are on a small
@@ -37,7 +43,7 @@
     while store.announce(front.peers.me()).await.is_err() {
         smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
     }
-    let mut greeted = false;
+    let mut pause = SECOND_LOOK;
     loop {
         let Ok(news) = store.read(Topic::Members, patience::READ).await else {
             smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
@@ -48,11 +54,11 @@
                 front.peers.learn(member);
             }
         }
-        if !greeted {
+        if pause < MEMBERS_PERIOD {
             greet(&front).await;
-            greeted = true;
         }
-        smol::Timer::after(MEMBERS_PERIOD).await;
+        smol::Timer::after(pause).await;
+        pause = (pause * SECOND_LOOK_GROWS).min(MEMBERS_PERIOD);
     }
 }
 
--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -44,7 +44,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Where the store is.
     pub store: SocketAddr,
-    /// Its share of processors, in thousandths of a core.
+    /// Its strength in thousandths of a core: its share of processors, or less where its link is
+    /// narrow.
     pub capacity: u32,
     /// Memory that the process may use, in bytes.
     pub memory: usize,
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -151,6 +151,31 @@
         }
     }
 
+    /// Asks the store for what a peer can't tell. After a start of all at once the readers have read
+    /// later than most; told everything by them, a hundred instances would wait for seconds behind a
+    /// narrow link.
+    async fn catch_up(&self, peer: &InstanceId) -> Result<Told, StoreError> {
+        let sent = boot_time();
+        let after = self.shelf.version();
+        let news = follow(
+            &self.store,
+            self.topic,
+            after,
+            Duration::ZERO,
+            patience::FOLLOW,
+        )
+        .await;
+        match news {
+            Ok(news) => Ok(Told {
+                news,
+                read: sent,
+                fresh: true,
+            }),
+            // The peer reaches the store, and this instance does not.
+            Err(_) => Box::pin(self.ask_peer(peer, None)).await,
+        }
+    }
+
     async fn ask_peer(&self, peer: &InstanceId, after: Option<u64>) -> Result<Told, StoreError> {
         let sent = boot_time();
         let wait = STORE_WAIT.mul_f64(PEER_WAIT_PART);
@@ -172,6 +197,7 @@
                 read: (sent + after).saturating_sub(before),
                 fresh: age < PEER_AGE,
             }),
+            Some(Reply::Behind) => self.catch_up(peer).await,
             Some(Reply::Nothing) => Err(silent(format!("{peer} knows nothing"))),
             _ => Err(silent(format!("{peer} does not answer"))),
         }
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -72,6 +72,9 @@
         let arrived = boot_time();
         let shelf = self.front.shelf(topic);
         let fresh = shelf.read().is_some_and(|read| age(read) < PEER_AGE);
+        if fresh && after.is_some_and(|after| !shelf.reaches(after)) {
+            return Reply::Behind;
+        }
         // Nobody is kept waiting by one that has lost the store itself.
         if fresh && after.is_some() && shelf.version() == after {
             shelf.wait(wait.min(FOLLOW_MOST)).await;
--- a/components/front/src/shelf.rs
+++ b/components/front/src/shelf.rs
@@ -77,6 +77,14 @@
         changed
     }
 
+    /// Whether what has changed since a version is known here. Where it is not, everything would have
+    /// to be told.
+    #[must_use]
+    pub fn reaches(&self, after: u64) -> bool {
+        let rows = self.rows.lock();
+        after >= rows.forgotten && after <= rows.version
+    }
+
     /// What has changed since a version, or everything; and when the read was sent that
     /// confirmed it.
     #[must_use]
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -16,7 +16,8 @@
     pub addr: SocketAddr,
     /// When this life of it began, in Unix milliseconds.
     pub born: u64,
-    /// Its share of processors, in thousandths of a core.
+    /// Its strength in thousandths of a core: its share of processors, or less where its link is
+    /// narrow.
     pub capacity: u32,
 }
 
@@ -120,6 +121,9 @@
         /// Time from that read to this reply.
         age: Duration,
     },
+    /// The receiver knows the topic, but not what has changed since the asker's version: the store
+    /// may tell that in a few rows, and all rows of a large service would fill a narrow link.
+    Behind,
     /// The receiver knows nothing of a topic.
     Nothing,
 }
--- a/components/front/tests/shelf.rs
+++ b/components/front/tests/shelf.rs
@@ -45,6 +45,18 @@
     assert_eq!(shelf.version(), Some(9));
 }
 
+/// A reader has read everything at version 9, and a follower knows version 7. What was dropped between
+/// the reader can't tell; told everything instead, a hundred followers fill a narrow link for seconds.
+#[test]
+fn a_whole_read_does_not_reach_further_back() {
+    let shelf = Shelf::new();
+    shelf.take(&whole(9, vec![row("a", Some("1"), 3)]), SECOND);
+    shelf.take(&changes(9, 12, vec![row("b", Some("2"), 12)]), 2 * SECOND);
+    assert!(!shelf.reaches(7));
+    assert!(shelf.reaches(9) && shelf.reaches(12));
+    assert!(!shelf.reaches(13), "what it has not heard of itself");
+}
+
 /// Changes come that begin further on than what is known, as after a lost answer. Taken, a row
 /// that changed between would be missed for good, a key that was taken away, say.
 #[test]
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -361,3 +361,20 @@
         .await;
     });
 }
+
+/// All instances start at once, and one makes itself known just after another has looked who is
+/// there. As long as they don't know of each other, both take themselves for the owner.
+#[test]
+fn who_comes_right_after_the_first_look_is_known_soon() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("looks").await;
+        let late = r#"{"id":"late-one","addr":"127.0.0.1:9","born":1,"capacity":1}"#;
+        platform.store.put("members", "late-one", late);
+        eventually("it knows the one who came late", || async {
+            let dump = page(instance.admin, "/dump").await;
+            dump.is_some_and(|dump| dump.body.contains("late-one"))
+        })
+        .await;
+    });
+}
