--- a/components/front/src/sources.rs
+++ b/components/front/src/sources.rs
@@ -174,11 +174,14 @@
         list
     }
 
+    const fn lost_to_all(&self) -> bool {
+        self.store_failures >= STORE_FAILURES
+    }
+
     /// Where a reader is silent the store comes next: the other reader may have failed with it, and
     /// two waits would be too long.
     fn add_store(&self, list: &mut Vec<Source>) {
-        let lost_to_all = self.store_failures >= STORE_FAILURES;
-        if list.is_empty() || !lost_to_all || self.rounds.is_multiple_of(STORE_EVERY) {
+        if list.is_empty() || !self.lost_to_all() || self.rounds.is_multiple_of(STORE_EVERY) {
             let second = list.len().min(1);
             list.insert(second, Source::Store);
             list.insert(second, Source::Store);
@@ -202,6 +205,9 @@
 
     /// Whether this follower is one of the few that ask the store in this round.
     fn draw_store(&mut self, instances: usize) -> bool {
+        if self.lost_to_all() && !self.rounds.is_multiple_of(STORE_EVERY) {
+            return false;
+        }
         let count = u32::try_from(instances).unwrap_or(u32::MAX);
         let chance = FOLLOWERS_ASK / f64::from(count.max(1));
         self.rng.f64() < chance
