Never send a follower to the store in a circle

Cause: by reading the change that lets followers catch up at the store. A follower that was further on than its reader was sent to the store, learned nothing and came back at once; where the store answers with older rows, as after its history was dropped, one that was behind would have gone in the same circle until the store had caught up, hundreds of calls a second on a large deployment.

Change: who is further on waits for the reader as one who knows the same. The reader names the version from which it can tell changes; a follower that the store does not bring that far is told everything.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -151,28 +151,22 @@
         }
     }
 
-    /// Asks the store for what a peer can't tell. After a start of all at once the readers have read
-    /// later than most; told everything by them, a hundred instances would wait for seconds behind a
-    /// narrow link.
-    async fn catch_up(&self, peer: &InstanceId) -> Result<Told, StoreError> {
+    /// Asks the store for what a peer can tell from a version on only. After a start of all at once the
+    /// readers have read later than most; told everything by them, a hundred instances would wait for
+    /// seconds behind a narrow link. Where the store does not tell either, or lies behind the peer,
+    /// the peer tells everything: asked again and again, the store would be called without end.
+    async fn catch_up(&self, peer: &InstanceId, from: u64) -> Result<Told, StoreError> {
         let sent = boot_time();
-        let after = self.shelf.version();
-        let news = follow(
-            &self.store,
-            self.topic,
-            after,
-            Duration::ZERO,
-            patience::FOLLOW,
-        )
-        .await;
-        match news {
-            Ok(news) => Ok(Told {
+        let after = self.shelf.version().unwrap_or_default();
+        let wait = Duration::ZERO;
+        let news = self.store.follow(self.topic, after, wait, patience::FOLLOW);
+        match news.await {
+            Ok(news) if news.version >= from => Ok(Told {
                 news,
                 read: sent,
                 fresh: true,
             }),
-            // The peer reaches the store, and this instance does not.
-            Err(_) => Box::pin(self.ask_peer(peer, None)).await,
+            _ => Box::pin(self.ask_peer(peer, None)).await,
         }
     }
 
@@ -197,7 +191,7 @@
                 read: (sent + after).saturating_sub(before),
                 fresh: age < PEER_AGE,
             }),
-            Some(Reply::Behind) => self.catch_up(peer).await,
+            Some(Reply::Behind { from }) => self.catch_up(peer, from).await,
             Some(Reply::Nothing) => Err(silent(format!("{peer} knows nothing"))),
             _ => Err(silent(format!("{peer} does not answer"))),
         }
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -72,11 +72,13 @@
         let arrived = boot_time();
         let shelf = self.front.shelf(topic);
         let fresh = shelf.read().is_some_and(|read| age(read) < PEER_AGE);
-        if fresh && after.is_some_and(|after| !shelf.reaches(after)) {
-            return Reply::Behind;
+        let from = shelf.tells_from();
+        if fresh && after.is_some_and(|after| after < from) {
+            return Reply::Behind { from };
         }
         // Nobody is kept waiting by one that has lost the store itself.
-        if fresh && after.is_some() && shelf.version() == after {
+        let nothing_new = after.is_some_and(|after| shelf.version() <= Some(after));
+        if fresh && nothing_new {
             shelf.wait(wait.min(FOLLOW_MOST)).await;
         }
         match shelf.news(after) {
--- a/components/front/src/shelf.rs
+++ b/components/front/src/shelf.rs
@@ -77,12 +77,11 @@
         changed
     }
 
-    /// Whether what has changed since a version is known here. Where it is not, everything would have
-    /// to be told.
+    /// The version since which all changes can be told from here; to one who asks from further back
+    /// everything would have to be told.
     #[must_use]
-    pub fn reaches(&self, after: u64) -> bool {
-        let rows = self.rows.lock();
-        after >= rows.forgotten && after <= rows.version
+    pub fn tells_from(&self) -> u64 {
+        self.rows.lock().forgotten
     }
 
     /// What has changed since a version, or everything; and when the read was sent that
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -123,7 +123,10 @@
     },
     /// The receiver knows the topic, but not what has changed since the asker's version: the store
     /// may tell that in a few rows, and all rows of a large service would fill a narrow link.
-    Behind,
+    Behind {
+        /// It can tell what has changed since this version.
+        from: u64,
+    },
     /// The receiver knows nothing of a topic.
     Nothing,
 }
