End a stand-in's stall with its life

The stall that the test sets outlived the crash, and the order that calls it off can't be delivered to an engine that is away.

Change: a crash ends the stall; the next life is another process.

--- a/components/standins/src/life.rs
+++ b/components/standins/src/life.rs
@@ -334,6 +334,8 @@
     }
 
     fn fall(&self, state: &mut State) {
+        // A stall was meant for this life, and nobody can call it off while the target is away.
+        state.stalled_until = Duration::ZERO;
         state.log.warm = false;
         state.finished = 0;
         let away = Duration::from_millis(self.settings.restart_ms);
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -184,6 +184,28 @@
     });
 }
 
+// An engine stands still and crashes. Nobody can call the stall off while it is away, and its next
+// life is another process: what it gets then must run.
+#[test]
+fn a_stall_ends_with_the_life_that_it_was_meant_for() {
+    block_on(async {
+        let running = start(true).await;
+        running.standin.set(Faults {
+            stall_ms: Some(60_000),
+            ..Faults::default()
+        });
+        running.standin.set(Faults {
+            act: Some(Act::Crash),
+            ..Faults::default()
+        });
+        wait(|| running.standin.log().life.incarnation == 2).await;
+        let begun = Instant::now();
+        let again = ask(running.addr, 3).await.unwrap();
+        assert_eq!(offsets(again).await, (vec![0, 1, 2], true));
+        assert!(begun.elapsed() < Duration::from_secs(20), "it waited");
+    });
+}
+
 async fn wait(done: impl Fn() -> bool) {
     let patience = Instant::now() + Duration::from_secs(20);
     while !done() {
