Take a connection's limits when it is accepted

A connection read its limits when its task began, which beside load is after it was counted; the test changed the limits in between, as a configuration may. Change: limits are read before the connection counts.

--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -88,16 +88,17 @@
     /// Sets bytes of headers, and the time that a connection may be idle or take for its headers.
     pub fn set(&self, header_bytes: usize, header_time: Duration) {
         let millis = u64::try_from(header_time.as_millis()).unwrap_or(u64::MAX);
-        self.header_bytes.store(header_bytes, Ordering::Relaxed);
-        self.header_millis.store(millis, Ordering::Relaxed);
+        self.header_bytes.store(header_bytes, Ordering::Release);
+        self.header_millis.store(millis, Ordering::Release);
     }
 
-    fn header_bytes(&self) -> usize {
-        self.header_bytes.load(Ordering::Relaxed)
-    }
-
-    fn header_time(&self) -> Duration {
-        Duration::from_millis(self.header_millis.load(Ordering::Relaxed))
+    /// The limits for a connection that is made now.
+    fn now(&self, connections: usize) -> ServeLimits {
+        ServeLimits {
+            header_bytes: self.header_bytes.load(Ordering::Acquire),
+            header_time: Duration::from_millis(self.header_millis.load(Ordering::Acquire)),
+            connections,
+        }
     }
 }
 
@@ -219,6 +220,9 @@
     }
 
     fn take(&self, stream: TcpStream, peer: SocketAddr) {
+        // Before the connection counts: whoever sees it counted may set other limits, and its task
+        // may begin only after that.
+        let limits = self.terms.now(self.limits.connections);
         let open = self.open.fetch_add(1, Ordering::AcqRel) + 1;
         let guard = Guard {
             open: Arc::clone(&self.open),
@@ -235,7 +239,7 @@
         };
         let conn = Connection {
             peer,
-            terms: Arc::clone(&self.terms),
+            limits,
             write_stall: self.write_stall,
             handler,
             stop: Arc::clone(&self.stop),
@@ -253,7 +257,7 @@
 /// One connection and the terms it is served on.
 struct Connection {
     peer: SocketAddr,
-    terms: Arc<Terms>,
+    limits: ServeLimits,
     write_stall: Duration,
     handler: Arc<dyn Handler>,
     stop: Arc<AtomicBool>,
@@ -269,8 +273,8 @@
         let service = service_fn(|req| self.answer(req));
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
-            .header_read_timeout(self.terms.header_time())
-            .max_buf_size(self.terms.header_bytes().max(LEAST_BUFFER))
+            .header_read_timeout(self.limits.header_time)
+            .max_buf_size(self.limits.header_bytes.max(LEAST_BUFFER))
             // A caller that closes its side has gone: the handler is dropped, and with it
             // whatever waits or runs for this caller.
             .half_close(false)
