--- a/components/front/src/choice.rs
+++ b/components/front/src/choice.rs
@@ -52,12 +52,32 @@
 }
 
 /// What this instance knows of the targets of plain services.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Choice {
+    /// Targets near by go first.
+    prefers_near: bool,
+    /// Targets that failed are put aside.
+    sets_aside: bool,
     known: HashMap<TargetId, Known>,
 }
 
+impl Default for Choice {
+    fn default() -> Self {
+        Self::new(true, true)
+    }
+}
+
 impl Choice {
+    /// Knows nothing yet; tells which parts of the choice are in use.
+    #[must_use]
+    pub fn new(prefers_near: bool, sets_aside: bool) -> Self {
+        Self {
+            prefers_near,
+            sets_aside,
+            known: HashMap::new(),
+        }
+    }
+
     /// Picks one of the targets that may get work, less those that this call has tried. `luck`
     /// from 0 up to 1 breaks ties, so that instances don't all pick the same one.
     #[must_use]
@@ -78,7 +98,7 @@
         let mut best: Option<(f64, &Arc<Target>)> = None;
         for (number, target) in fresh.iter().enumerate() {
             let mut cost = self.load(now, target);
-            if target.data_centre != *near {
+            if self.prefers_near && target.data_centre != *near {
                 cost += DISTANCE;
             }
             if self.is_aside(now, &target.id) && !all_count {
@@ -142,7 +162,7 @@
     #[must_use]
     pub fn is_aside(&self, now: Moment, target: &TargetId) -> bool {
         let known = self.known.get(target);
-        known.is_some_and(|known| known.aside_until > now)
+        self.sets_aside && known.is_some_and(|known| known.aside_until > now)
     }
 
     /// Calls at a target as a part of its places: our own, or those that it said if more.
--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -4,6 +4,8 @@
 
 use types::{DataCentreId, InstanceId};
 
+use crate::decisions::Decisions;
+
 /// Bounds that the operators set.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -53,4 +55,6 @@
     pub connections: usize,
     /// The operators' bounds.
     pub bounds: Bounds,
+    /// What operators have set of the decisions.
+    pub decisions: Decisions,
 }
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -81,10 +81,15 @@
 
     /// Follows.
     pub async fn run(mut self) {
+        let parts = self.front.cfg.decisions.parts;
         loop {
             let me = &self.front.cfg.instance;
             let ranked = self.front.peers.readers(self.topic);
-            let source = self.sources.next(boot_time(), me, &ranked);
+            let source = if parts.reads_for_others {
+                self.sources.next(boot_time(), me, &ranked)
+            } else {
+                Source::Store
+            };
             let told = match self.ask(&source).await {
                 Ok(told) => told,
                 Err(e) => {
@@ -137,7 +142,11 @@
                         follow(&self.store, self.topic, after, STORE_WAIT, patience::FOLLOW).await
                     }
                     after => {
-                        let patience = patience::when_lost(self.sources.store_failures());
+                        let patience = if self.front.cfg.decisions.parts.patience_varies {
+                            patience::when_lost(self.sources.store_failures())
+                        } else {
+                            patience::READ
+                        };
                         follow(&self.store, self.topic, after, Duration::ZERO, patience).await
                     }
                 };
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -234,6 +234,9 @@
 /// Waits until an engine that owes the first event is known to be gone. Its caller would wait for
 /// seconds otherwise, and learn no more.
 async fn until_gone(front: &Front, call: &Call, live: &Live) -> Sent {
+    if !front.cfg.decisions.parts.judges_silence {
+        return future::pending().await;
+    }
     let mut silence = Silence::new(boot_time() + call.aim_left());
     loop {
         smol::Timer::after(silence.ask_at().saturating_sub(boot_time())).await;
@@ -250,8 +253,9 @@
 fn again_or(reason: &str, front: &Front, call: &Call, avoid: &[TargetId]) -> Attempt {
     let service = &call.service.name;
     let instances = front.instances();
-    let granted =
-        avoid.len() < NOT_RUN_MOST && front.budget.lock().take(boot_time(), service, instances);
+    let granted = front.cfg.decisions.parts.sends_again
+        && avoid.len() < NOT_RUN_MOST
+        && front.budget.lock().take(boot_time(), service, instances);
     if !granted {
         return Attempt::GiveUp(Refusal::not_run(reason, NO_TARGET_RETRY));
     }
--- a/components/front/src/leaving.rs
+++ b/components/front/src/leaving.rs
@@ -28,6 +28,9 @@
 
 /// Moves off an engine what this instance has in its account there.
 pub async fn empty(front: Arc<Front>, source: Arc<Target>) {
+    if !front.cfg.decisions.parts.moves {
+        return;
+    }
     let until = boot_time() + WATCH;
     let mut unfit: HashSet<(RunId, Option<TargetId>)> = HashSet::new();
     let shard = front.shard_of(&source.service, &source.id);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod choice;
 pub mod cold;
 pub mod config;
+pub mod decisions;
 pub mod dump;
 pub mod face;
 pub mod follow;
@@ -38,6 +39,7 @@
 pub mod wire;
 
 pub use config::{Bounds, Config};
+pub use decisions::{Decisions, Parts};
 pub use face::{
     Asked, BadRequest, Copied, CopyOrder, EngineReport, EngineState, Engines, Face, Heading,
     Record, Resume, RunReport, SaidLoad, Sending, Sizes, Store, StoreError,
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -53,6 +53,8 @@
     known: Mutex<BTreeMap<InstanceId, Known>>,
     /// The mark of the member that was first heard last.
     newest: AtomicU64,
+    /// Whether the strongest own and read first.
+    strong_first: bool,
     client: Client,
     timer: Timer,
 }
@@ -65,11 +67,19 @@
             me,
             known: Mutex::default(),
             newest: AtomicU64::new(0),
+            strong_first: true,
             client,
             timer: Timer::new(),
         }
     }
 
+    /// Says whether the strongest own and read first; else the order is by hash alone.
+    #[must_use]
+    pub const fn with_strong_first(mut self, strong_first: bool) -> Self {
+        self.strong_first = strong_first;
+        self
+    }
+
     /// This instance as a member.
     #[must_use]
     pub const fn me(&self) -> &Member {
@@ -162,7 +172,11 @@
             .map(|known| &known.member);
         let all = answering.chain([&self.me]).map(|member| Candidate {
             id: Arc::clone(&member.id),
-            capacity: member.capacity,
+            capacity: if self.strong_first {
+                member.capacity
+            } else {
+                0
+            },
         });
         ranked(service, all)
     }
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -30,18 +30,12 @@
     pub owner: Mutex<Owner>,
 }
 
-impl Default for Placement {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl Placement {
     /// Starts with an empty account.
     #[must_use]
-    pub fn new() -> Self {
+    pub fn new(tuning: Tuning) -> Self {
         Self {
-            owner: Mutex::new(Owner::new(Tuning::default())),
+            owner: Mutex::new(Owner::new(tuning)),
         }
     }
 
@@ -56,7 +50,12 @@
 impl Front {
     /// Asks for an engine.
     pub async fn place(&self, ask: &Ask) -> Answer {
-        for owner in self.owners(&ask.shard).into_iter().take(OWNERS_ASKED) {
+        let asked = if self.cfg.decisions.parts.asks_owner {
+            OWNERS_ASKED
+        } else {
+            0
+        };
+        for owner in self.owners(&ask.shard).into_iter().take(asked) {
             if owner == self.cfg.instance {
                 break;
             }
@@ -75,7 +74,10 @@
     /// once, the caller gets all of it elsewhere.
     #[must_use]
     pub fn can_finish(&self, ask: &Ask) -> bool {
-        let Some(left) = self.time_left() else {
+        let Some(left) = self
+            .time_left()
+            .filter(|_| self.cfg.decisions.parts.sends_elsewhere)
+        else {
             return true;
         };
         self.placement.owner.lock().ends_within(ask, left) >= FINISH_CHANCE
--- a/components/front/src/plain.rs
+++ b/components/front/src/plain.rs
@@ -136,7 +136,8 @@
         Kind::Idempotent => tries.run >= call.route.max_targets,
         Kind::NonIdempotent | Kind::Generation => tries.run > 0,
     };
-    if run_out || tries.tried.len() >= NOT_RUN_MOST {
+    let sends_again = front.cfg.decisions.parts.sends_again;
+    if !sends_again || run_out || tries.tried.len() >= NOT_RUN_MOST {
         return false;
     }
     let instances = front.instances();
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -145,7 +145,11 @@
     /// Waits for the next thing to happen.
     async fn step(&mut self) -> Step {
         let left = self.call.until_due();
-        let quiet = self.silence.ask_at().saturating_sub(boot_time());
+        let quiet = if self.front.cfg.decisions.parts.judges_silence {
+            self.silence.ask_at().saturating_sub(boot_time())
+        } else {
+            left
+        };
         let late = if quiet < left { Step::Quiet } else { Step::Due };
         let live = Arc::clone(&self.place.live);
         let frame = next_bytes(&mut self.body);
@@ -251,7 +255,8 @@
             return self.obey(Some(order), out).await;
         }
         let Some((target, resume)) = self.place.live.take_copy() else {
-            if !self.place.live.begin_carry() {
+            let fetches = self.front.cfg.decisions.parts.fetches_lost;
+            if !fetches || !self.place.live.begin_carry() {
                 return Some(Stop::Cut(reason));
             }
             return self.rescue(reason).await;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -153,13 +153,17 @@
         face: Arc::clone(&outside.face),
         engines: Arc::clone(&outside.engines),
         client: Client::new().with_connect_limit(CONNECT_LIMIT),
-        peers: Peers::new(me, Client::new().with_connect_limit(CONNECT_LIMIT)),
-        placement: Placement::new(),
+        peers: Peers::new(me, Client::new().with_connect_limit(CONNECT_LIMIT))
+            .with_strong_first(cfg.decisions.parts.strong_first),
+        placement: Placement::new(cfg.decisions.placing),
         live: LiveRuns::default(),
         operator_rows: Arc::new(Shelf::new()),
         target_rows: Arc::new(Shelf::new()),
         member_rows: Arc::new(Shelf::new()),
-        choice: Mutex::new(Choice::default()),
+        choice: Mutex::new(Choice::new(
+            cfg.decisions.parts.prefers_near,
+            cfg.decisions.parts.sets_aside,
+        )),
         budget: Mutex::new(Budget::new(
             bounds.retry_window,
             bounds.retry_ratio,
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -95,7 +95,9 @@
             .filter_map(|id| self.runs.get_key_value(id))
             .filter(|(_, run)| run.started.is_some() && run.copying_to.is_none())
             .collect();
-        runs.sort_by_key(|(_, run)| Reverse(run.rest(now, &self.tuning)));
+        if self.tuning.moves_longest_first {
+            runs.sort_by_key(|(_, run)| Reverse(run.rest(now, &self.tuning)));
+        }
         runs.into_iter().map(|(id, _)| Arc::clone(id)).collect()
     }
 
--- a/components/placing/src/memory.rs
+++ b/components/placing/src/memory.rs
@@ -35,6 +35,16 @@
         .fold(0.0, f64::max)
 }
 
+/// Tokens held if each generation kept its memory to the end of all.
+#[must_use]
+pub fn all_ends(holders: &[Holder]) -> f64 {
+    let end = |holder: &Holder| {
+        let made = holder.made;
+        as_f64(holder.prompt + made + holder.length.rest(made))
+    };
+    holders.iter().map(end).sum()
+}
+
 fn held(holders: &[Holder], ahead: Tokens) -> f64 {
     let mut sum = 0.0;
     let mut variance = 0.0;
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -11,7 +11,7 @@
 use crate::{
     account::{Account, Engine, Report, Run},
     length::{Length, Lengths},
-    memory::{Holder, peak},
+    memory::{Holder, all_ends, peak},
     message::{Answer, Ask, Load, Note, RunId},
     queue::Waiting,
     tuning::{Tuning, as_f64},
@@ -46,12 +46,13 @@
         self.forget_stale(now);
         // Asked again after an answer that got lost: the grant before holds nothing.
         self.release(&ask.run);
-        let length = self.lengths.expect(&ask.route, ask.longest, ask.hint);
+        let length = self.expected(&ask.route, ask.longest, ask.hint);
         let Some((first_event, target)) = self.best(now, ask, length, engines) else {
             return self.wait_for_memory(now, ask);
         };
         let read = self.tuning.read_time(ask.prompt);
-        if first_event > ask.aim_left && first_event > read + self.tuning.idle_slack {
+        let forecast = self.tuning.refuses_by_forecast;
+        if forecast && first_event > ask.aim_left && first_event > read + self.tuning.idle_slack {
             return self.wait_for_readers(now, ask, first_event);
         }
         if self.others_before(now, ask) >= self.open_engines(now, ask, length, engines) {
@@ -185,7 +186,7 @@
 
     fn surcharge(&mut self, now: Moment, ask: &Ask, engine: &Engine) -> Duration {
         let tuning = self.tuning;
-        let filled = peak(&self.holders(now, &engine.id)) / as_f64(engine.memory.max(1));
+        let filled = self.promised(&self.holders(now, &engine.id)) / as_f64(engine.memory.max(1));
         let mut extra = tuning.crowding.mul_f64(filled.clamp(0.0, 1.0));
         if engine.data_centre != ask.data_centre {
             extra += tuning.distance;
@@ -209,7 +210,16 @@
         let mut holders = self.holders(now, &engine.id);
         let others = self.held_by_others(now, &engine.id, &holders);
         holders.push(more);
-        peak(&holders) + others <= as_f64(engine.memory) * self.tuning.memory_share
+        self.promised(&holders) + others <= as_f64(engine.memory) * self.tuning.memory_share
+    }
+
+    /// Memory that is promised to generations on one engine.
+    fn promised(&self, holders: &[Holder]) -> f64 {
+        if self.tuning.sums_by_moment {
+            peak(holders)
+        } else {
+            all_ends(holders)
+        }
     }
 
     /// All that holds memory on an engine: its generations, and copies that come in.
@@ -226,13 +236,22 @@
     /// The chance that a generation which is begun now has ended within a time.
     #[must_use]
     pub fn ends_within(&self, ask: &Ask, time: Duration) -> f64 {
-        let length = self.lengths.expect(&ask.route, ask.longest, ask.hint);
+        let length = self.expected(&ask.route, ask.longest, ask.hint);
         let writing = time.saturating_sub(self.tuning.read_time(ask.prompt));
         1.0 - length.survives(0, self.tuning.made_in(writing))
     }
 
+    /// What is expected of a generation's length.
+    pub(crate) fn expected(&self, route: &str, longest: Tokens, hint: Option<Tokens>) -> Length {
+        let hint = hint.filter(|_| self.tuning.takes_hints);
+        self.lengths.expect(route, longest, hint)
+    }
+
     /// Learns from a generation that came to its end.
     fn learn(&mut self, id: &RunId, made: Option<Tokens>) {
+        if !self.tuning.learns_lengths {
+            return;
+        }
         if let (Some(run), Some(made)) = (self.runs.get(id), made) {
             self.lengths.ended(&run.route, run.longest, made);
         }
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -100,6 +100,9 @@
 
     /// How many wait whose turn comes before this one.
     pub(crate) fn others_before(&mut self, now: Moment, ask: &Ask) -> usize {
+        if !self.tuning.takes_turns {
+            return 0;
+        }
         let life = self.tuning.wait_life;
         self.waiting
             .retain(|_, waiting| now.saturating_sub(waiting.asked) < life);
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -49,9 +49,7 @@
         let account = self.account(now, &running.target);
         account.runs.insert(Arc::clone(&running.run));
         let due = now + self.tuning.read_time(running.prompt);
-        let length = self
-            .lengths
-            .expect(&running.route, running.longest, running.hint);
+        let length = self.expected(&running.route, running.longest, running.hint);
         let run = self
             .runs
             .entry(Arc::clone(&running.run))
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -1,17 +1,20 @@
-//! Figures that the decisions rest on.
+//! Figures that the decisions rest on, and which of their parts are in use.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Deserializer};
 use types::Tokens;
 
-/// Figures that the decisions rest on.
-#[derive(Clone, Copy, Debug)]
+/// Figures that the decisions rest on, and which of their parts are in use. Operators can set each
+/// of them; times are in milliseconds there.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
 pub struct Tuning {
-    /// Prompt tokens that an engine reads in a millisecond beside a running batch. Engines read
-    /// 14 where nothing else runs; with a batch each chunk of 112 tokens waits for a step, and
-    /// a prompt of 3,000 tokens took 0.43 to 0.46 s in trials.
+    /// Prompt tokens that an engine reads in a millisecond beside a running batch, until it has
+    /// shown its own speed.
     pub prompt_tokens_per_ms: f64,
-    /// Time between two tokens of a generation: a step of 7 ms and what a batch of some ten adds.
+    /// Time between two tokens of a generation, until engines have shown theirs.
+    #[serde(rename = "token_time_ms", deserialize_with = "millis")]
     pub token_time: Duration,
     /// Part of an engine's memory that may be taken at the worst moment to come. The rest is for
     /// generations that get longer than expected; without it the engine preempts, and reads
@@ -19,45 +22,71 @@
     pub memory_share: f64,
     /// What an engine in another data centre costs, as if its first event came so much later:
     /// bytes between data centres are priced, and moves take twice as long.
+    #[serde(rename = "distance_ms", deserialize_with = "millis")]
     pub distance: Duration,
     /// What an engine costs whose memory is full, in the same sense; less where it is emptier.
-    /// It spreads generations, so that fewer are hit when one engine leaves.
+    /// An engine that is reclaimed can hand over only so many generations before it is gone, so
+    /// they are spread, also where that costs a little of a first event's time.
+    #[serde(rename = "crowding_ms", deserialize_with = "millis")]
     pub crowding: Duration,
     /// What an engine that joined just now costs in the same sense; it reads slowly at first.
+    #[serde(rename = "newness_ms", deserialize_with = "millis")]
     pub newness: Duration,
     /// How long an engine counts as new.
+    #[serde(rename = "new_for_ms", deserialize_with = "millis")]
     pub new_for: Duration,
     /// How long an engine gets nothing after it refused or failed a request.
+    #[serde(rename = "doubt_ms", deserialize_with = "millis")]
     pub doubt: Duration,
     /// How long an engine's own report counts.
+    #[serde(rename = "report_life_ms", deserialize_with = "millis")]
     pub report_life: Duration,
     /// Time that each generation in an engine's queue stands for: to read a prompt of 2,700 tokens.
+    #[serde(rename = "queued_read_ms", deserialize_with = "millis")]
     pub queued_read: Duration,
     /// How soon an entry asks again that was told to wait.
+    #[serde(rename = "wait_ms", deserialize_with = "millis")]
     pub wait: Duration,
     /// Asks that wait before each is told to wait twice as long; with twice as many, three times.
     pub wait_crowd: u32,
     /// The longest time that an entry is told to wait before it asks again.
+    #[serde(rename = "wait_most_ms", deserialize_with = "millis")]
     pub wait_most: Duration,
     /// How long a caller that is late already waits for an engine. Longer, and the caller is
     /// better off knowing.
+    #[serde(rename = "late_wait_ms", deserialize_with = "millis")]
     pub late_wait: Duration,
     /// An engine counts as idle whose queue of prompts is shorter than this.
+    #[serde(rename = "idle_slack_ms", deserialize_with = "millis")]
     pub idle_slack: Duration,
     /// A waiting ask that was not repeated for so long is forgotten.
+    #[serde(rename = "wait_life_ms", deserialize_with = "millis")]
     pub wait_life: Duration,
     /// A run that its entry did not confirm for so long is forgotten.
+    #[serde(rename = "run_life_ms", deserialize_with = "millis")]
     pub run_life: Duration,
-    /// A generation that is expected to end within this time is not moved: the move itself
-    /// takes about as long.
-    pub least_rest: Duration,
+    /// Whether callers that come back are known again, and count as late from their first request.
+    pub knows_returning: bool,
+    /// Whether lengths are learned from generations that ended.
+    pub learns_lengths: bool,
+    /// Whether callers' estimates of lengths count.
+    pub takes_hints: bool,
+    /// Whether memory is promised for the worst moment to come, not for the sum of all ends.
+    pub sums_by_moment: bool,
+    /// Whether those that wait have turns, by rank and waiting time.
+    pub takes_turns: bool,
+    /// Whether a prompt is refused at once that can't be read in time.
+    pub refuses_by_forecast: bool,
+    /// Whether generations are moved off engines that leave the longest rest first; else as they
+    /// come.
+    pub moves_longest_first: bool,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             prompt_tokens_per_ms: 7.0,
-            token_time: Duration::from_micros(9_000),
+            token_time: Duration::from_millis(9),
             memory_share: 0.95,
             distance: Duration::from_millis(40),
             crowding: Duration::from_millis(300),
@@ -73,12 +102,49 @@
             idle_slack: Duration::from_millis(150),
             wait_life: Duration::from_millis(400),
             run_life: Duration::from_secs(3),
-            least_rest: Duration::from_millis(200),
+            knows_returning: true,
+            learns_lengths: true,
+            takes_hints: true,
+            sums_by_moment: true,
+            takes_turns: true,
+            refuses_by_forecast: true,
+            moves_longest_first: true,
         }
     }
 }
 
 impl Tuning {
+    /// What is wrong with its figures, one text a fault.
+    #[must_use]
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let mut must = |holds: bool, what: &str| {
+            if !holds {
+                faults.push(what.to_owned());
+            }
+        };
+        let speed = self.prompt_tokens_per_ms;
+        must(
+            speed.is_finite() && speed > 0.0,
+            "prompt_tokens_per_ms must be more than 0",
+        );
+        must(
+            !self.token_time.is_zero(),
+            "token_time_ms must be more than 0",
+        );
+        must(
+            self.memory_share > 0.0 && self.memory_share <= 1.0,
+            "memory_share must be more than 0 and 1 at most",
+        );
+        must(!self.wait.is_zero(), "wait_ms must be more than 0");
+        must(
+            self.wait <= self.wait_most && self.wait_most < self.wait_life,
+            "wait_ms, wait_most_ms and wait_life_ms must each be longer than the one before",
+        );
+        must(self.wait_crowd > 0, "wait_crowd must be more than 0");
+        faults
+    }
+
     /// Time to read a prompt.
     #[must_use]
     pub fn read_time(&self, prompt: Tokens) -> Duration {
@@ -100,6 +166,11 @@
     }
 }
 
+/// A time that is written in milliseconds.
+fn millis<'de, D: Deserializer<'de>>(source: D) -> Result<Duration, D::Error> {
+    u64::deserialize(source).map(Duration::from_millis)
+}
+
 /// A count as a fraction's part; counts of tokens are far below the 52 bits that are exact.
 #[must_use]
 pub(crate) fn as_f64(tokens: Tokens) -> f64 {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -65,7 +65,14 @@
         .about("Runs one instance on the users' platform until it is told to stop")
         .after_help(
             "The settings are read from the file that the platform wrote for this instance.\n\n\
-             Example:\n  celerystand platform",
+             Example:\n  celerystand platform --decisions examples/decisions.yml",
+        )
+        .arg(
+            Arg::new("decisions")
+                .long("decisions")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Figures and parts of the decisions that differ from their defaults"),
         )
         .arg(
             Arg::new("quiet")
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -1,15 +1,19 @@
 //! `celerystand platform`: runs one instance on the users' platform.
 
-use std::sync::Arc;
+use std::{
+    fs,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
 
 use clap::ArgMatches;
 use errors::Context;
 use events::{Format, Level, Output};
-use front::Outside;
+use front::{Decisions, Outside};
 use net::Client;
 use platform::{EngineClient, HttpFace, RowStore};
 
-use crate::failure::Outcome;
+use crate::failure::{Failure, FailureKind, Outcome};
 
 /// Worker threads. An instance has a part of one core, and threads only take turns on it.
 const WORKERS: usize = 1;
@@ -26,7 +30,10 @@
     };
     events::start(level, Format::Json, Output::Stdout);
     let path = platform::path().context("settings")?;
-    let cfg = platform::load(&path).context(path.display().to_string())?;
+    let mut cfg = platform::load(&path).context(path.display().to_string())?;
+    if let Some(path) = args.get_one::<PathBuf>("decisions") {
+        cfg.decisions = decisions(path)?;
+    }
     workers::start(WORKERS);
     let outside = Outside {
         face: Arc::new(HttpFace::new()),
@@ -38,3 +45,18 @@
     events::finish();
     Ok(result?)
 }
+
+/// Reads what operators have set of the decisions.
+fn decisions(path: &Path) -> Outcome<Decisions> {
+    let shown = path.display().to_string();
+    let text = fs::read_to_string(path).context(shown.clone())?;
+    let decisions: Decisions = serde_saphyr::from_str(&text).context(shown.clone())?;
+    let faults = decisions.placing.faults();
+    if faults.is_empty() {
+        return Ok(decisions);
+    }
+    Err(Failure::new(
+        FailureKind::Failed,
+        format!("{shown}: {}", faults.join("; ")),
+    ))
+}
