Know callers that come back, refuse by forecast, and spread long generations

What bound: callers of one route differ in patience by 15%, and what was left of the longest time was taken for time waited, so most long generations counted as late from their arrival. Past the knee late work then took the room, and callers waited a second for a refusal.

A refused request is known again by a digest; others have their whole aim. What can be in time goes before what can't, late work only where an engine would idle and leaves 0.3 of memory, waiting ends at once where more wait than will end in time, refused callers are told different times. Long generations are spread more and leave a tenth of memory for moves.

--- a/components/front/src/call.rs
+++ b/components/front/src/call.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hyper::http;
+use placing::RequestDigest;
 use timer::boot_time;
 use types::{Moment, WorkspaceId};
 use view::{Kind, Route, Service};
@@ -15,6 +16,8 @@
 pub struct Call {
     /// What it asks.
     pub asked: Asked,
+    /// What stays the same when its caller sends it again.
+    pub digest: RequestDigest,
     /// Its head as it came.
     pub head: http::request::Parts,
     /// Its body.
@@ -56,17 +59,10 @@
         self.due.saturating_sub(boot_time())
     }
 
-    /// Time until the answer should be there. A caller that waits less long than the route
-    /// allows has waited already: it was refused before, and came back.
+    /// Time until the answer should be there, counted from this request's arrival.
     #[must_use]
     pub fn aim_left(&self) -> Duration {
-        let whole = self.route.timeout;
-        let waited = self
-            .asked
-            .left
-            .map_or(Duration::ZERO, |left| whole.saturating_sub(left));
-        let aim = self.route.aim.saturating_sub(waited);
-        aim.saturating_sub(self.held())
+        self.route.aim.saturating_sub(self.held())
     }
 
     /// Its kind, as metrics name it.
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -145,12 +145,13 @@
 /// Time for the listing of a new target to arrive here too.
 const UNHEARD_PAUSE: Duration = Duration::from_millis(20);
 
-/// The part of a service's engines that is asked first for a generation: another one for each.
+/// The part of a service's engines that is asked first for a generation: another one for each request, and the same
+/// one when its caller comes back.
 pub(crate) fn first_shard(front: &Front, call: &Call) -> Shard {
     let service = &call.service.name;
     Shard::with(
         Arc::clone(service),
-        &call.asked.id,
+        &format!("{:x}", call.digest),
         front.shard_count(service),
     )
 }
@@ -160,6 +161,7 @@
     let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
     Ask {
         run: Arc::clone(&call.asked.id),
+        digest: call.digest,
         entry: Arc::clone(&front.cfg.instance),
         data_centre: Arc::clone(&front.cfg.data_centre),
         shard,
@@ -169,6 +171,7 @@
         hint: sizes.hint,
         rank: call.rank,
         aim_left: call.aim_left(),
+        left: call.until_due(),
         waited: call.held(),
         avoid: avoid.to_vec(),
     }
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -9,9 +9,11 @@
 use async_trait::async_trait;
 use hyper::{Request, Response, StatusCode, body::Incoming, http};
 use net::{Body, BodyError, Handler, SharedError, read_shared};
+use placing::RequestDigest;
 use timer::boot_time;
 use types::Moment;
 use view::{Identity, Kind};
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     call::Call,
@@ -150,6 +152,7 @@
             due: arrived + left.min(timeout(route.timeout)),
             route: Arc::clone(route),
             service: Arc::clone(service),
+            digest: digest(&asked, &body),
             asked,
             head,
             body,
@@ -159,6 +162,17 @@
     }
 }
 
+/// What stays the same of a request when its caller sends it again: all but its id and the time
+/// that is left.
+fn digest(asked: &Asked, body: &[u8]) -> RequestDigest {
+    let mut hasher = Xxh3Default::new();
+    hasher.update(asked.host.as_bytes());
+    hasher.update(asked.path.as_bytes());
+    hasher.update(asked.key.as_deref().unwrap_or_default().as_bytes());
+    hasher.update(body);
+    hasher.digest()
+}
+
 fn ignorant(reason: &str) -> Refusal {
     Refusal::not_run(reason, IGNORANT_RETRY)
 }
--- /dev/null
+++ b/components/front/tests/aims.rs
@@ -0,0 +1,58 @@
+//! How much time a request has until its answer should be there.
+
+use std::{sync::Arc, time::Duration};
+
+use front::{Asked, call::Call};
+use timer::boot_time;
+use view::{Kind, Route, Service};
+
+/// Callers of one route wait for 33 to 39 seconds. Whoever waits less long has not waited before:
+/// taken for late by what is left of the longest time, most callers would get the place of one
+/// that is late, and hear late or not at all.
+#[test]
+fn a_caller_of_little_patience_has_its_whole_aim_left() {
+    let aim = Duration::from_millis(1_800);
+    let route = Route {
+        name: "drafts".into(),
+        host: "host.example".into(),
+        prefix: "/drafts/".into(),
+        kind: Kind::Generation,
+        timeout: Duration::from_secs(39),
+        aim,
+        max_targets: 1,
+        rank: 0,
+        anonymous: true,
+        shares: Vec::new(),
+    };
+    let service = Service {
+        name: "a-service".into(),
+        health_path: "/health".into(),
+        connections: 100,
+        cold_per_s: 0.0,
+        engine: None,
+    };
+    let left = Duration::from_secs(33);
+    let (head, ()) = hyper::Request::new(()).into_parts();
+    let call = Call {
+        asked: Asked {
+            id: "a-request".into(),
+            host: "host.example".into(),
+            path: "/drafts/1".into(),
+            left: Some(left),
+            key: None,
+            sizes: None,
+        },
+        digest: 1,
+        head,
+        body: bytes::Bytes::new(),
+        route: Arc::new(route),
+        service: Arc::new(service),
+        workspace: None,
+        rank: 0,
+        arrived: boot_time(),
+        deadline: boot_time() + left,
+        due: boot_time() + left,
+        rules: 1,
+    };
+    assert!(call.aim_left() > aim / 2, "{:?}", call.aim_left());
+}
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -118,7 +118,7 @@
             if engine.id == run.target || refused(&engine.id) {
                 continue;
             }
-            if !self.has_room(now, engine, holder) {
+            if !self.has_room(now, engine, holder, self.tuning.memory_share) {
                 continue;
             }
             let copies = u32::try_from(size).unwrap_or(u32::MAX);
--- a/components/placing/src/length.rs
+++ b/components/placing/src/length.rs
@@ -8,7 +8,7 @@
 
 use types::{RouteId, Tokens};
 
-use crate::tuning::as_f64;
+use crate::tuning::{as_f64, whole};
 
 /// Spread of callers' estimates: standard deviation of their logarithm. Measured on 128 drafts of
 /// a quiet day: 1.2.
@@ -76,17 +76,6 @@
     }
 }
 
-/// A sum of tokens as a count.
-fn whole(sum: f64) -> Tokens {
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "not negative, and far below 52 bits"
-    )]
-    let tokens = sum.max(0.0).round() as Tokens;
-    tokens
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Fit {
     weight: f64,
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -5,19 +5,21 @@
 
 pub mod account;
 pub mod carry;
+mod demand;
 pub mod length;
 pub mod memory;
 pub mod message;
 pub mod owner;
 mod queue;
 pub mod rank;
+mod returns;
 pub mod shard;
 mod sync;
 pub mod tuning;
 
 pub use account::{Engine, Report, Run};
 pub use length::{Length, Lengths};
-pub use message::{Answer, Ask, Carried, Carry, Load, Note, RunId, Running, Sync};
+pub use message::{Answer, Ask, Carried, Carry, Load, Note, RequestDigest, RunId, Running, Sync};
 pub use owner::Owner;
 pub use rank::{Candidate, ranked};
 pub use shard::Shard;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -10,11 +10,16 @@
 /// Id of one generation: that of its request.
 pub type RunId = Arc<str>;
 
+/// What stays the same of a request when its caller sends it again under another id.
+pub type RequestDigest = u64;
+
 /// An entry asks for an engine.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Ask {
     /// The generation.
     pub run: RunId,
+    /// The request, whatever its id.
+    pub digest: RequestDigest,
     /// Who asks.
     pub entry: InstanceId,
     /// The entry's data centre.
@@ -31,8 +36,10 @@
     pub hint: Option<Tokens>,
     /// Rank, the lowest first.
     pub rank: u32,
-    /// Time left until the first event should be out.
+    /// Time left until the first event should be out, counted from this request's arrival.
     pub aim_left: Duration,
+    /// Time that the caller still waits.
+    pub left: Duration,
     /// How long it has waited already.
     pub waited: Duration,
     /// Engines that have refused or failed it.
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -10,10 +10,12 @@
 
 use crate::{
     account::{Account, Engine, Report, Run},
+    demand::Demand,
     length::{Length, Lengths},
     memory::{Holder, all_ends, peak},
     message::{Answer, Ask, Load, Note, RunId},
-    queue::Waiting,
+    queue::{Asked, Waiting},
+    returns::Returns,
     tuning::{Tuning, as_f64},
 };
 
@@ -27,6 +29,10 @@
     pub(crate) accounts: BTreeMap<TargetId, Account>,
     pub(crate) runs: HashMap<RunId, Run>,
     pub(crate) lengths: Lengths,
+    /// What is asked for, by route.
+    pub(crate) demand: Demand,
+    /// Callers that were told to come back.
+    pub(crate) returns: Returns,
     /// Asks that were told to wait.
     pub(crate) waiting: HashMap<RunId, Waiting>,
 }
@@ -46,23 +52,57 @@
         self.forget_stale(now);
         // Asked again after an answer that got lost: the grant before holds nothing.
         self.release(&ask.run);
-        let length = self.expected(&ask.route, ask.longest, ask.hint);
-        let Some((first_event, target)) = self.best(now, ask, length, engines) else {
-            return self.wait_for_memory(now, ask);
+        if !self.waiting.contains_key(&ask.run) {
+            self.demand.asked(&ask.route, ask.prompt);
+        }
+        let asked = self.asked(now, ask);
+        let Some((first_event, target)) = self.best(now, &asked, engines) else {
+            return self.wait_for_memory(now, &asked, engines);
         };
-        let read = self.tuning.read_time(ask.prompt);
-        let forecast = self.tuning.refuses_by_forecast;
-        if forecast && first_event > ask.aim_left && first_event > read + self.tuning.idle_slack {
-            return self.wait_for_readers(now, ask, first_event);
+        if self.tuning.refuses_by_forecast && !self.in_time(&asked, first_event) {
+            return self.wait_for_readers(now, &asked, first_event);
         }
-        if self.others_before(now, ask) >= self.open_engines(now, ask, length, engines) {
-            return self.wait_for_memory(now, ask);
+        if self.others_before(now, &asked) >= self.open_engines(now, &asked, engines) {
+            return self.wait_for_memory(now, &asked, engines);
         }
         self.waiting.remove(&ask.run);
-        self.grant(now, ask, length, &target);
+        self.demand.answered(&ask.route, false);
+        self.grant(now, &asked, &target);
         Answer::Go { target }
     }
 
+    fn asked<'a>(&self, now: Moment, ask: &'a Ask) -> Asked<'a> {
+        let aim_left = if self.tuning.knows_returning {
+            self.returns.aim_left(now, ask)
+        } else {
+            ask.aim_left
+        };
+        Asked {
+            ask,
+            aim_left,
+            read: self.tuning.read_time(ask.prompt),
+            judged: self.judged(ask),
+            length: self.expected(&ask.route, ask.longest, ask.hint),
+        }
+    }
+
+    /// Tokens by which room is looked for: between an ask's own and those of a large prompt of its
+    /// route.
+    fn judged(&self, ask: &Ask) -> Tokens {
+        if self.tuning.levels_sizes {
+            self.demand.judged(&ask.route, ask.prompt)
+        } else {
+            ask.prompt
+        }
+    }
+
+    /// Whether the first event comes in time, or on an engine that would idle otherwise.
+    fn in_time(&self, asked: &Asked<'_>, first_event: Duration) -> bool {
+        let idle = first_event <= asked.read + self.tuning.idle_slack;
+        let large = first_event - asked.read + self.tuning.read_time(asked.judged);
+        idle || (!asked.is_late() && large <= asked.aim_left)
+    }
+
     /// Notes what happened to a generation.
     pub fn note(&mut self, now: Moment, note: &Note) {
         match note {
@@ -126,18 +166,13 @@
     fn best(
         &mut self,
         now: Moment,
-        ask: &Ask,
-        length: Length,
+        asked: &Asked<'_>,
         engines: &[Engine],
     ) -> Option<(Duration, TargetId)> {
-        let holder = Holder {
-            prompt: ask.prompt,
-            made: 0,
-            length,
-        };
+        let ask = asked.ask;
         let mut best: Option<(Duration, Duration, &Engine)> = None;
         for engine in engines {
-            if ask.avoid.contains(&engine.id) || !self.has_room(now, engine, holder) {
+            if ask.avoid.contains(&engine.id) || !self.admits(now, engine, asked) {
                 continue;
             }
             let first_event = self.first_event(now, engine, ask.prompt);
@@ -197,8 +232,14 @@
         extra
     }
 
-    /// Whether an engine has a place and memory for one more generation.
-    pub(crate) fn has_room(&mut self, now: Moment, engine: &Engine, more: Holder) -> bool {
+    /// Whether an engine has a place for one more generation, and a share of its memory.
+    pub(crate) fn has_room(
+        &mut self,
+        now: Moment,
+        engine: &Engine,
+        more: Holder,
+        share: f64,
+    ) -> bool {
         let account = self.account(now, &engine.id);
         if account.doubted_until > now {
             return false;
@@ -210,7 +251,7 @@
         let mut holders = self.holders(now, &engine.id);
         let others = self.held_by_others(now, &engine.id, &holders);
         holders.push(more);
-        self.promised(&holders) + others <= as_f64(engine.memory) * self.tuning.memory_share
+        self.promised(&holders) + others <= as_f64(engine.memory) * share
     }
 
     /// Memory that is promised to generations on one engine.
@@ -257,9 +298,9 @@
         }
     }
 
-    fn grant(&mut self, now: Moment, ask: &Ask, length: Length, target: &TargetId) {
-        let read = self.tuning.read_time(ask.prompt);
-        let due = self.account(now, target).busy_until.max(now) + read;
+    fn grant(&mut self, now: Moment, asked: &Asked<'_>, target: &TargetId) {
+        let ask = asked.ask;
+        let due = self.account(now, target).busy_until.max(now) + asked.read;
         let run = Run {
             entry: Arc::clone(&ask.entry),
             service: Arc::clone(&ask.shard.service),
@@ -267,7 +308,7 @@
             prompt: ask.prompt,
             route: Arc::clone(&ask.route),
             longest: ask.longest,
-            length,
+            length: asked.length,
             rank: ask.rank,
             granted: now,
             due,
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 
-use types::Moment;
+use types::{Moment, Tokens};
 
 use crate::{
     account::Engine,
@@ -11,13 +11,46 @@
     message::{Answer, Ask, RunId},
     owner::Owner,
     shard::Shard,
+    tuning::as_f64,
 };
 
+/// An ask as the account sees it.
+pub(crate) struct Asked<'a> {
+    /// The ask itself.
+    pub ask: &'a Ask,
+    /// Time until its first event should be out, counted from its caller's first request.
+    pub aim_left: Duration,
+    /// Time to read its prompt.
+    pub read: Duration,
+    /// Tokens by which room is looked for: more than its own where its prompt is small. Judged by
+    /// their own, large prompts would be refused while small ones that come later take each gap.
+    pub judged: Tokens,
+    /// What is expected of its length.
+    pub length: Length,
+}
+
+impl Asked<'_> {
+    /// Whether even an idle engine could not serve it in time.
+    pub fn is_late(&self) -> bool {
+        self.aim_left < self.read
+    }
+
+    /// What it is judged to hold.
+    pub fn judged_holder(&self) -> Holder {
+        Holder {
+            prompt: self.judged,
+            made: 0,
+            length: self.length,
+        }
+    }
+}
+
 /// An ask that was told to wait.
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
     /// The account that it waits for; others' engines are none of its concern.
     shard: Shard,
+    late: bool,
     rank: u32,
     /// How long it had waited when it last asked.
     waited: Duration,
@@ -25,18 +58,46 @@
     asked: Moment,
 }
 
-/// The turn of a waiting ask. The lowest goes first: by rank, then by how long it has waited.
-type Turn = (u32, Reverse<Duration>, RunId);
+/// The turn of a waiting ask. The lowest goes first: what can still be in time, then by rank, then
+/// by how long it has waited.
+type Turn = (bool, u32, Reverse<Duration>, RunId);
 
 impl Owner {
     /// Memory comes free when generations end, so waiting helps as long as the prompt can still
-    /// be read in time after it.
-    pub(crate) fn wait_for_memory(&mut self, now: Moment, ask: &Ask) -> Answer {
-        let read = self.tuning.read_time(ask.prompt);
-        if ask.aim_left > read || ask.waited < self.tuning.late_wait {
-            return self.wait(now, ask);
+    /// be read in time after it. Where more wait for it already than will end until then, the
+    /// caller would only wait to be refused.
+    pub(crate) fn wait_for_memory(
+        &mut self,
+        now: Moment,
+        asked: &Asked<'_>,
+        engines: &[Engine],
+    ) -> Answer {
+        if asked.is_late() {
+            if asked.ask.waited < self.tuning.late_wait {
+                return self.wait(now, asked);
+            }
+            return self.refuse(now, asked, asked.read);
+        }
+        let usable = asked.aim_left.saturating_sub(asked.read);
+        // Where there is no engine at all, any that comes has room.
+        if self.tuning.refuses_by_forecast && !engines.is_empty() {
+            let open = as_f64_count(self.rooms(now, asked, engines));
+            let before = as_f64_count(self.others_before(now, asked));
+            if before + 1.0 > open + self.ends_soon(now, usable, engines) {
+                return self.refuse(now, asked, usable);
+            }
         }
-        self.refuse(ask, read)
+        self.wait(now, asked)
+    }
+
+    /// Generations that will have ended within a time, on average.
+    fn ends_soon(&self, now: Moment, time: Duration, engines: &[Engine]) -> f64 {
+        let made = self.tuning.made_in(time);
+        let accounts = engines.iter().filter_map(|e| self.accounts.get(&e.id));
+        let runs = accounts.flat_map(|account| &account.runs);
+        runs.filter_map(|run| self.runs.get(run))
+            .map(|run| 1.0 - run.length.survives(run.made_by(now, &self.tuning), made))
+            .sum()
     }
 
     /// Prompts are read at a fixed speed: one that can't be read in time now can't be later
@@ -46,25 +107,36 @@
     pub(crate) fn wait_for_readers(
         &mut self,
         now: Moment,
-        ask: &Ask,
+        asked: &Asked<'_>,
         first_event: Duration,
     ) -> Answer {
-        if ask.aim_left.is_zero() && ask.waited < self.tuning.late_wait {
-            return self.wait(now, ask);
+        if asked.is_late() && asked.ask.waited < self.tuning.late_wait {
+            return self.wait(now, asked);
         }
-        self.refuse(ask, first_event.saturating_sub(ask.aim_left))
+        self.refuse(now, asked, first_event.saturating_sub(asked.aim_left))
     }
 
-    fn refuse(&mut self, ask: &Ask, after: Duration) -> Answer {
-        self.waiting.remove(&ask.run);
-        Answer::Full {
-            after: after.max(self.tuning.wait),
+    fn refuse(&mut self, now: Moment, asked: &Asked<'_>, earliest: Duration) -> Answer {
+        self.waiting.remove(&asked.ask.run);
+        self.demand.answered(&asked.ask.route, true);
+        let earliest = earliest.max(self.tuning.wait);
+        if !self.tuning.knows_returning {
+            return Answer::Full { after: earliest };
         }
+        self.returns.refuse(now, asked.ask);
+        let engines = u32::try_from(self.accounts.len())
+            .unwrap_or(u32::MAX)
+            .max(1);
+        let spacing = (asked.read / engines).mul_f64(1.0 / self.tuning.return_share);
+        let after = self.returns.book(now, earliest, spacing, asked.ask);
+        Answer::Full { after }
     }
 
-    fn wait(&mut self, now: Moment, ask: &Ask) -> Answer {
+    fn wait(&mut self, now: Moment, asked: &Asked<'_>) -> Answer {
+        let ask = asked.ask;
         let waiting = Waiting {
             shard: ask.shard.clone(),
+            late: asked.is_late(),
             rank: ask.rank,
             waited: ask.waited,
             asked: now,
@@ -82,36 +154,64 @@
     pub(crate) fn open_engines(
         &mut self,
         now: Moment,
-        ask: &Ask,
-        length: Length,
+        asked: &Asked<'_>,
         engines: &[Engine],
     ) -> usize {
         if self.waiting.is_empty() {
             return engines.len();
         }
-        let holder = Holder {
-            prompt: ask.prompt,
-            made: 0,
-            length,
-        };
-        let open = |engine: &&Engine| self.has_room(now, engine, holder);
+        self.rooms(now, asked, engines)
+    }
+
+    /// Engines that have room for an ask.
+    fn rooms(&mut self, now: Moment, asked: &Asked<'_>, engines: &[Engine]) -> usize {
+        let open = |engine: &&Engine| self.admits(now, engine, asked);
         engines.iter().filter(open).count()
     }
 
     /// How many wait whose turn comes before this one.
-    pub(crate) fn others_before(&mut self, now: Moment, ask: &Ask) -> usize {
+    pub(crate) fn others_before(&mut self, now: Moment, asked: &Asked<'_>) -> usize {
         if !self.tuning.takes_turns {
             return 0;
         }
         let life = self.tuning.wait_life;
         self.waiting
             .retain(|_, waiting| now.saturating_sub(waiting.asked) < life);
-        let mine: Turn = (ask.rank, Reverse(ask.waited), Arc::clone(&ask.run));
+        let ask = asked.ask;
+        let mine: Turn = (
+            asked.is_late(),
+            ask.rank,
+            Reverse(ask.waited),
+            Arc::clone(&ask.run),
+        );
         let before = |(run, other): &(&RunId, &Waiting)| {
             let waited = other.waited + now.saturating_sub(other.asked);
-            let turn: Turn = (other.rank, Reverse(waited), Arc::clone(run));
+            let turn: Turn = (other.late, other.rank, Reverse(waited), Arc::clone(run));
             other.shard == ask.shard && **run != ask.run && turn < mine
         };
         self.waiting.iter().filter(before).count()
     }
+
+    /// Whether an engine may take an ask, as far as its memory goes. Late work leaves more of it
+    /// free, for what comes next and can be in time; and long work does, for the generations that
+    /// move when another engine leaves.
+    pub(crate) fn admits(&mut self, now: Moment, engine: &Engine, asked: &Asked<'_>) -> bool {
+        let tuning = self.tuning;
+        let share = match (asked.is_late(), self.is_long(asked)) {
+            (true, _) => tuning.late_share,
+            (false, true) => tuning.long_share,
+            (false, false) => tuning.memory_share,
+        };
+        self.has_room(now, engine, asked.judged_holder(), share)
+    }
+
+    /// Whether a generation probably outlives the notice of an engine that is reclaimed.
+    pub(crate) fn is_long(&self, asked: &Asked<'_>) -> bool {
+        self.tuning.time_for(asked.length.rest(0)) > self.tuning.short_for
+    }
+}
+
+/// A count of engines or asks; far below the 52 bits that are exact.
+fn as_f64_count(count: usize) -> f64 {
+    as_f64(u64::try_from(count).unwrap_or(u64::MAX))
 }
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -20,6 +20,17 @@
     /// generations that get longer than expected; without it the engine preempts, and reads
     /// prompts anew.
     pub memory_share: f64,
+    /// The same for generations that run longer than `short_for`: when an engine leaves, the
+    /// others must have room for what runs there.
+    pub long_share: f64,
+    /// The same for work that can't be in time any more: what comes next and can be goes first.
+    pub late_share: f64,
+    /// A generation that is expected to end within this time is over before an engine that is
+    /// reclaimed is gone.
+    #[serde(rename = "short_for_ms", deserialize_with = "millis")]
+    pub short_for: Duration,
+    /// Part of the engines' reading time that callers get who were told to come back.
+    pub return_share: f64,
     /// What an engine in another data centre costs, as if its first event came so much later:
     /// bytes between data centres are priced, and moves take twice as long.
     #[serde(rename = "distance_ms", deserialize_with = "millis")]
@@ -67,6 +78,8 @@
     pub run_life: Duration,
     /// Whether callers that come back are known again, and count as late from their first request.
     pub knows_returning: bool,
+    /// Whether a small prompt must find more room than its own where many of its route are refused.
+    pub levels_sizes: bool,
     /// Whether lengths are learned from generations that ended.
     pub learns_lengths: bool,
     /// Whether callers' estimates of lengths count.
@@ -88,8 +101,12 @@
             prompt_tokens_per_ms: 7.0,
             token_time: Duration::from_millis(9),
             memory_share: 0.95,
+            long_share: 0.9,
+            late_share: 0.7,
+            short_for: Duration::from_millis(1_500),
+            return_share: 0.25,
             distance: Duration::from_millis(40),
-            crowding: Duration::from_millis(300),
+            crowding: Duration::from_millis(1_000),
             newness: Duration::from_millis(200),
             new_for: Duration::from_millis(1_500),
             doubt: Duration::from_millis(1_000),
@@ -98,11 +115,12 @@
             wait: Duration::from_millis(40),
             wait_crowd: 15,
             wait_most: Duration::from_millis(200),
-            late_wait: Duration::from_millis(1_000),
+            late_wait: Duration::from_millis(200),
             idle_slack: Duration::from_millis(150),
             wait_life: Duration::from_millis(400),
             run_life: Duration::from_secs(3),
             knows_returning: true,
+            levels_sizes: true,
             learns_lengths: true,
             takes_hints: true,
             sums_by_moment: true,
@@ -132,10 +150,17 @@
             !self.token_time.is_zero(),
             "token_time_ms must be more than 0",
         );
-        must(
-            self.memory_share > 0.0 && self.memory_share <= 1.0,
-            "memory_share must be more than 0 and 1 at most",
-        );
+        for (share, name) in [
+            (self.memory_share, "memory_share"),
+            (self.long_share, "long_share"),
+            (self.late_share, "late_share"),
+            (self.return_share, "return_share"),
+        ] {
+            must(
+                share > 0.0 && share <= 1.0,
+                &format!("{name} must be more than 0 and 1 at most"),
+            );
+        }
         must(!self.wait.is_zero(), "wait_ms must be more than 0");
         must(
             self.wait <= self.wait_most && self.wait_most < self.wait_life,
@@ -171,6 +196,18 @@
     u64::deserialize(source).map(Duration::from_millis)
 }
 
+/// A sum of tokens as a count.
+#[must_use]
+pub(crate) fn whole(sum: f64) -> Tokens {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "not negative, and far below 52 bits"
+    )]
+    let tokens = sum.max(0.0).round() as Tokens;
+    tokens
+}
+
 /// A count as a fraction's part; counts of tokens are far below the 52 bits that are exact.
 #[must_use]
 pub(crate) fn as_f64(tokens: Tokens) -> f64 {
--- /dev/null
+++ b/components/placing/tests/overload.rs
@@ -0,0 +1,245 @@
+//! More load than engines can take: who waits, who is refused, and who is told to come back when.
+//!
+//! The pattern is a service at a multiple of what it can serve, with callers that come back once.
+//! A server that lets everybody in a little too late serves nobody in time; one that keeps its
+//! order serves as many in time as before, and tells the others at once.
+
+mod support;
+
+use std::{collections::BTreeSet, time::Duration};
+
+use placing::{Answer, Ask, Engine, Note, Owner, Tuning};
+use support::{
+    ask, engine,
+    load::{AIM, Caller, Fate, Load, count, play},
+    owner, sent,
+};
+use types::Moment;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// Ten engines, and callers that come so much more often than ten engines can serve.
+fn overload(every: Duration) -> Vec<Caller> {
+    let load = Load {
+        engines: 10,
+        every,
+        lasts: Duration::from_secs(40),
+        prompts: (1_200, 4_800),
+        answers: (100, 1_700),
+    };
+    play(&load, Tuning::default())
+}
+
+/// Twice as many callers come as at a load that engines just can't take. Callers notice a server
+/// that gives in under load by a first event that comes late for all of them.
+#[test]
+fn twice_the_load_serves_as_many_in_time() {
+    let some = overload(100 * MS);
+    let many = overload(50 * MS);
+    let (some, many) = (count(&some, Fate::InTime), count(&many, Fate::InTime));
+    assert!(many >= some, "{some} of 400, {many} of 800");
+}
+
+/// A caller that is refused has lost the time that it was kept. One that can't be served is told so
+/// at once, within a quarter of the time in which it hoped for its first event.
+#[test]
+fn nobody_waits_long_to_be_refused() {
+    for every in [100 * MS, 50 * MS] {
+        let callers = overload(every);
+        let longest = callers.iter().map(|it| it.kept).max();
+        assert!(longest <= Some(AIM / 4), "{longest:?}");
+    }
+}
+
+/// Engines that are busy with late work make the next caller late too. While more come than can be
+/// served, at most five in a hundred first events are late.
+#[test]
+fn late_work_waits_for_engines_that_would_idle() {
+    let callers = overload(50 * MS);
+    let end = callers.last().map_or(Duration::ZERO, |it| it.came);
+    // Those that come back after the load find idle engines.
+    let during: Vec<Caller> = callers
+        .into_iter()
+        .filter(|it| it.told.is_none_or(|back| back < end))
+        .collect();
+    let (in_time, late) = (count(&during, Fate::InTime), count(&during, Fate::Late));
+    assert!(late * 20 <= in_time + late, "{late} of {}", in_time + late);
+}
+
+/// A gap that comes free fits a small prompt sooner than a large one. Judged each by its own size,
+/// callers with large prompts are refused again and again.
+#[test]
+fn large_prompts_are_served_half_as_often_as_all_at_least() {
+    let load = Load {
+        engines: 10,
+        every: 12 * MS,
+        lasts: Duration::from_secs(40),
+        prompts: (600, 6_000),
+        answers: (4, 40),
+    };
+    let callers = play(&load, Tuning::default());
+    let served = |it: &&Caller| it.fate != Some(Fate::Refused);
+    let mut sizes: Vec<_> = callers.iter().map(|it| it.prompt).collect();
+    sizes.sort_unstable();
+    let large_from = sizes[sizes.len() * 9 / 10];
+    let large: Vec<&Caller> = callers
+        .iter()
+        .filter(|it| it.prompt >= large_from)
+        .collect();
+    let of_large = large.iter().copied().filter(served).count();
+    let of_all = callers.iter().filter(served).count();
+    assert!(
+        of_large * callers.len() * 2 >= of_all * large.len(),
+        "{of_large} of {} against {of_all} of {}",
+        large.len(),
+        callers.len(),
+    );
+}
+
+/// Engines whose reading is taken for seconds.
+fn busy(owner: &mut Owner, now: Moment, engines: &[Engine]) {
+    for number in 0..engines.len() * 3 {
+        let long = Ask {
+            prompt: 6_000,
+            aim_left: Duration::from_secs(600),
+            ..ask(&format!("before-{number}"))
+        };
+        assert!(sent(owner.ask(now, &long, engines)).is_some());
+    }
+}
+
+fn told(answer: Answer) -> Option<Duration> {
+    match answer {
+        Answer::Full { after } => Some(after),
+        Answer::Go { .. } | Answer::Wait { .. } => None,
+    }
+}
+
+/// Many callers are refused at the same moment. Told the same time to come back, they would be a
+/// crowd again, and most of them refused a second time.
+#[test]
+fn callers_that_are_refused_together_come_back_one_after_the_other() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1"), engine("e-2", "dc-1")];
+    busy(&mut owner, now, &engines);
+    let times: BTreeSet<Duration> = (0..20)
+        .filter_map(|n| told(owner.ask(now, &ask(&format!("c-{n}")), &engines)))
+        .collect();
+    assert_eq!(times.len(), 20);
+    let latest = Duration::from_secs(36) / 3;
+    assert!(times.iter().all(|after| *after <= latest), "{times:?}");
+}
+
+/// A caller comes back under another id, with all the time of its aim as far as its entry can tell.
+/// Taken for new, it would get the place of one that can still be in time.
+#[test]
+fn a_caller_that_comes_back_is_late_from_its_first_request() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1")];
+    busy(&mut owner, now, &engines);
+    let first = ask("first");
+    let after = told(owner.ask(now, &first, &engines)).expect("a refusal");
+    let now = now + after.max(2_500 * MS);
+    // The engine reads for another second: in time for one that comes now, and late for this one.
+    let again = |run: &str, digest| Ask { digest, ..ask(run) };
+    for number in 0..6 {
+        owner.note(
+            now,
+            &Note::Ended {
+                run: format!("before-{number}").into(),
+                doubt: false,
+                made: None,
+            },
+        );
+    }
+    let reading = Ask {
+        prompt: 5_000,
+        aim_left: Duration::from_secs(600),
+        ..ask("reading")
+    };
+    assert!(sent(owner.ask(now, &reading, &engines)).is_some());
+    assert_eq!(
+        sent(owner.ask(now, &again("back", first.digest), &engines)),
+        None
+    );
+    assert!(sent(owner.ask(now, &again("new", 77), &engines)).is_some());
+}
+
+/// Everything that engines hold is taken, and more callers wait than generations will end in time.
+/// The last of them would wait only to be refused.
+#[test]
+fn no_more_wait_for_memory_than_will_find_some() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1")];
+    let mut number = 0;
+    loop {
+        let patient = Ask {
+            aim_left: Duration::from_secs(600),
+            ..ask(&format!("before-{number}"))
+        };
+        if sent(owner.ask(now, &patient, &engines)).is_none() {
+            break;
+        }
+        owner.note(now, &Note::Started { run: patient.run });
+        number += 1;
+    }
+    let now = now + Duration::from_secs(1);
+    let answers: Vec<Answer> = (0..30)
+        .map(|n| owner.ask(now, &ask(&format!("c-{n}")), &engines))
+        .collect();
+    let waiting = answers
+        .iter()
+        .filter(|answer| matches!(answer, Answer::Wait { .. }))
+        .count();
+    assert!(waiting <= number, "{waiting} wait behind {number}");
+    assert!(matches!(answers.last(), Some(Answer::Full { .. })));
+}
+
+/// An engine is filled so far that two more generations fit. A caller that is late already is
+/// better off a little later; the next one can still be in time, if there is room.
+#[test]
+fn late_work_leaves_room_for_what_can_be_in_time() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1")];
+    for number in 0..7 {
+        let known = Ask {
+            hint: Some(600),
+            aim_left: Duration::from_secs(600),
+            ..ask(&format!("before-{number}"))
+        };
+        assert!(sent(owner.ask(now, &known, &engines)).is_some());
+        owner.note(now, &Note::Started { run: known.run });
+    }
+    let late = Ask {
+        aim_left: Duration::ZERO,
+        ..ask("late")
+    };
+    assert_eq!(sent(owner.ask(now, &late, &engines)), None);
+    assert!(sent(owner.ask(now, &ask("new"), &engines)).is_some());
+}
+
+/// A long generation is moved when its engine is reclaimed, and the engine is gone before it has
+/// handed over more than a few. One engine begins 0.2 s sooner and holds more of them: the caller
+/// does not notice the 0.2 s, and does notice a stream that is cut.
+#[test]
+fn long_generations_are_spread_over_engines() {
+    let (mut owner, now) = owner();
+    let full = engine("full", "dc-1");
+    let free = engine("free", "dc-1");
+    for number in 0..5 {
+        let run = format!("before-{number}");
+        assert!(
+            sent(owner.ask(now, &ask(&run), std::slice::from_ref(&full))).is_some() || number > 2
+        );
+        owner.note(now, &Note::Started { run: run.into() });
+    }
+    let reading = Ask {
+        prompt: 1_400,
+        longest: 10,
+        hint: Some(4),
+        ..ask("reading")
+    };
+    assert!(sent(owner.ask(now, &reading, std::slice::from_ref(&free))).is_some());
+    let got = sent(owner.ask(now, &ask("next"), &[full, free]));
+    assert_eq!(got.as_deref(), Some("free"));
+}
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -1,8 +1,11 @@
 //! What the tests of placing share.
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
+pub mod load;
 
 use std::time::Duration;
 
-use placing::{Answer, Ask, Engine, Owner, Shard, Tuning};
+use placing::{Answer, Ask, Engine, Owner, RequestDigest, Shard, Tuning};
 use types::{Moment, TargetId, Tokens};
 
 /// Tokens that an engine of these tests holds.
@@ -19,10 +22,16 @@
     }
 }
 
+/// A digest for a request that nobody repeats.
+fn digest(run: &str) -> RequestDigest {
+    run.bytes().fold(7, |sum, byte| sum * 31 + u64::from(byte))
+}
+
 /// A long generation that somebody in `dc-1` asks for.
 pub fn ask(run: &str) -> Ask {
     Ask {
         run: run.into(),
+        digest: digest(run),
         entry: "entry-1".into(),
         data_centre: "dc-1".into(),
         shard: Shard::new("drafts".into(), 0, 1),
@@ -32,6 +41,7 @@
         hint: Some(1_000),
         rank: 1,
         aim_left: Duration::from_millis(1_800),
+        left: Duration::from_secs(36),
         waited: Duration::ZERO,
         avoid: Vec::new(),
     }
