Learn how fast a service's engines read and write

Engines with steps of 20 ms in place of 7 read a prompt in three times the time that was counted with, so everybody was let in a little too late.

--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -4,7 +4,7 @@
 
 use types::{DataCentreId, InstanceId, Moment, RouteId, ServiceId, TargetId, Tokens};
 
-use crate::{length::Length, memory::Holder, message::RunId, tuning::Tuning};
+use crate::{length::Length, memory::Holder, message::RunId, pace::Pace};
 
 /// An engine that may get work, as listings and configuration describe it.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,11 +59,11 @@
 impl Run {
     /// Tokens made by now, estimated.
     #[must_use]
-    pub fn made_by(&self, now: Moment, tuning: &Tuning) -> Tokens {
+    pub fn made_by(&self, now: Moment, pace: Pace) -> Tokens {
         if self.started.is_none() {
             return 0;
         }
-        self.made + tuning.made_in(now.saturating_sub(self.counted))
+        self.made + pace.made_in(now.saturating_sub(self.counted))
     }
 
     /// How late its first event is, if its entry has said since that it still waits for it. An
@@ -78,18 +78,18 @@
 
     /// What it holds and will hold.
     #[must_use]
-    pub fn holder(&self, now: Moment, tuning: &Tuning) -> Holder {
+    pub fn holder(&self, now: Moment, pace: Pace) -> Holder {
         Holder {
             prompt: self.prompt,
-            made: self.made_by(now, tuning),
+            made: self.made_by(now, pace),
             length: self.length,
         }
     }
 
     /// Time that it still runs, estimated.
     #[must_use]
-    pub fn rest(&self, now: Moment, tuning: &Tuning) -> Duration {
-        tuning.time_for(self.length.rest(self.made_by(now, tuning)))
+    pub fn rest(&self, now: Moment, pace: Pace) -> Duration {
+        pace.time_for(self.length.rest(self.made_by(now, pace)))
     }
 }
 
@@ -113,6 +113,8 @@
     pub copies: BTreeSet<RunId>,
     /// When it has read all prompts that it was given.
     pub busy_until: Moment,
+    /// When a first event came from it last.
+    pub last_start: Moment,
     /// When it was first seen.
     pub since: Moment,
     /// It gets nothing until then.
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -96,7 +96,8 @@
             .filter(|(_, run)| run.started.is_some() && run.copying_to.is_none())
             .collect();
         if self.tuning.moves_longest_first {
-            runs.sort_by_key(|(_, run)| Reverse(run.rest(now, &self.tuning)));
+            let pace = |run: &Run| self.pace(&run.service);
+            runs.sort_by_key(|(_, run)| Reverse(run.rest(now, pace(run))));
         }
         runs.into_iter().map(|(id, _)| Arc::clone(id)).collect()
     }
@@ -111,7 +112,7 @@
         engines: &[Engine],
         refused: &dyn Fn(&TargetId) -> bool,
     ) -> Option<TargetId> {
-        let holder = run.holder(now, &self.tuning);
+        let holder = run.holder(now, self.pace(&run.service));
         let size = holder.prompt + holder.made;
         let mut best = None;
         for engine in engines {
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -6,19 +6,23 @@
     time::Duration,
 };
 
-use types::{Moment, TargetId, Tokens};
+use types::{Moment, ServiceId, TargetId, Tokens};
 
 use crate::{
     account::{Account, Engine, Report, Run},
     demand::Demand,
     length::{Length, Lengths},
     memory::{Holder, all_ends, peak},
-    message::{Answer, Ask, Load, Note, RunId},
+    message::{Answer, Ask, Load, Note, RunId, Running},
+    pace::{Learned, Pace},
     queue::{Asked, Waiting},
     returns::Returns,
     tuning::{Tuning, as_f64},
 };
 
+/// Tokens that each generation in an engine's queue stands for.
+const QUEUED_PROMPT: Tokens = 2_700;
+
 /// The account of all generations that this instance has granted or was told of.
 ///
 /// It is soft state: a new owner learns it from the entries' syncs, and one that is wrong costs
@@ -29,6 +33,8 @@
     pub(crate) accounts: BTreeMap<TargetId, Account>,
     pub(crate) runs: HashMap<RunId, Run>,
     pub(crate) lengths: Lengths,
+    /// How fast each service's engines work.
+    pub(crate) paces: HashMap<ServiceId, Learned>,
     /// What is asked for, by route.
     pub(crate) demand: Demand,
     /// Callers that were told to come back.
@@ -77,10 +83,12 @@
         } else {
             ask.aim_left
         };
+        let pace = self.pace(&ask.shard.service);
         Asked {
             ask,
             aim_left,
-            read: self.tuning.read_time(ask.prompt),
+            pace,
+            read: pace.read_time(ask.prompt),
             judged: self.judged(ask),
             length: self.expected(&ask.route, ask.longest, ask.hint),
         }
@@ -99,7 +107,7 @@
     /// Whether the first event comes in time, or on an engine that would idle otherwise.
     fn in_time(&self, asked: &Asked<'_>, first_event: Duration) -> bool {
         let idle = first_event <= asked.read + self.tuning.idle_slack;
-        let large = first_event - asked.read + self.tuning.read_time(asked.judged);
+        let large = first_event - asked.read + asked.pace.read_time(asked.judged);
         idle || (!asked.is_late() && large <= asked.aim_left)
     }
 
@@ -175,7 +183,7 @@
             if ask.avoid.contains(&engine.id) || !self.admits(now, engine, asked) {
                 continue;
             }
-            let first_event = self.first_event(now, engine, ask.prompt);
+            let first_event = self.first_event(now, engine, asked);
             let late = self.lateness(now, &engine.id);
             let cost = first_event + late + self.surcharge(now, ask, engine);
             if best.is_none_or(|(least, ..)| cost < least) {
@@ -186,12 +194,12 @@
     }
 
     /// Time until the first event of a prompt given to an engine now.
-    fn first_event(&mut self, now: Moment, engine: &Engine, prompt: Tokens) -> Duration {
+    fn first_event(&mut self, now: Moment, engine: &Engine, asked: &Asked<'_>) -> Duration {
         let busy = self.account(now, &engine.id).busy_until;
         let known = busy.saturating_sub(now);
         let queued = self.fresh_report(now, &engine.id).map_or(0, |r| r.waiting);
-        let said = self.tuning.queued_read.saturating_mul(queued);
-        known.max(said) + self.tuning.read_time(prompt)
+        let said = asked.pace.read_time(QUEUED_PROMPT).saturating_mul(queued);
+        known.max(said) + asked.read
     }
 
     /// How late an engine is with the first event that it owes for longest. One that has gone dark
@@ -270,7 +278,7 @@
         };
         let all = account.runs.iter().chain(&account.copies);
         all.filter_map(|run| self.runs.get(run))
-            .map(|run| run.holder(now, &self.tuning))
+            .map(|run| run.holder(now, self.pace(&run.service)))
             .collect()
     }
 
@@ -278,8 +286,9 @@
     #[must_use]
     pub fn ends_within(&self, ask: &Ask, time: Duration) -> f64 {
         let length = self.expected(&ask.route, ask.longest, ask.hint);
-        let writing = time.saturating_sub(self.tuning.read_time(ask.prompt));
-        1.0 - length.survives(0, self.tuning.made_in(writing))
+        let pace = self.pace(&ask.shard.service);
+        let writing = time.saturating_sub(pace.read_time(ask.prompt));
+        1.0 - length.survives(0, pace.made_in(writing))
     }
 
     /// What is expected of a generation's length.
@@ -288,6 +297,40 @@
         self.lengths.expect(route, longest, hint)
     }
 
+    /// How fast a service's engines work, as far as they have shown it.
+    pub(crate) fn pace(&self, service: &ServiceId) -> Pace {
+        let learned = self.paces.get(service).filter(|_| self.tuning.learns_pace);
+        learned.map_or_else(|| self.tuning.pace(), Learned::pace)
+    }
+
+    fn learned(&mut self, service: &ServiceId) -> &mut Learned {
+        let expected = self.tuning.pace();
+        self.paces
+            .entry(service.clone())
+            .or_insert_with(|| Learned::new(expected))
+    }
+
+    /// Learns from a first event. An engine reads one prompt after the other, so this one's turn
+    /// came when the one before it had been read.
+    fn learn_reading(&mut self, now: Moment, run: &Run) {
+        let account = self.account(now, &run.target);
+        let from = account.last_start.max(run.granted);
+        account.last_start = now;
+        let time = now.saturating_sub(from);
+        self.learned(&run.service).read(run.prompt, time);
+    }
+
+    /// Learns from how far a generation has come since its entry last told.
+    pub(crate) fn learn_making(&mut self, now: Moment, running: &Running) {
+        let known = self.runs.get(&running.run);
+        let Some(run) = known.filter(|run| run.started.is_some() && run.made > 0) else {
+            return;
+        };
+        let made = running.made.saturating_sub(run.made);
+        let time = now.saturating_sub(run.counted);
+        self.learned(&running.service).made(made, time);
+    }
+
     /// Learns from a generation that came to its end.
     fn learn(&mut self, id: &RunId, made: Option<Tokens>) {
         if !self.tuning.learns_lengths {
@@ -330,8 +373,9 @@
         };
         run.started = Some(now);
         run.counted = now;
-        let target = Arc::clone(&run.target);
-        self.settle_reading(now, &target);
+        let run = run.clone();
+        self.learn_reading(now, &run);
+        self.settle_reading(now, &run.target);
     }
 
     /// Sets an engine free whose prompts are all read.
@@ -339,14 +383,14 @@
         let Some(account) = self.accounts.get(target) else {
             return;
         };
-        let unread: Tokens = account
+        let unread: Duration = account
             .runs
             .iter()
             .filter_map(|run| self.runs.get(run))
             .filter(|run| run.started.is_none())
-            .map(|run| run.prompt)
+            .map(|run| self.pace(&run.service).read_time(run.prompt))
             .sum();
-        let most = now + self.tuning.read_time(unread);
+        let most = now + unread;
         let account = self.account(now, target);
         account.busy_until = account.busy_until.min(most);
     }
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -10,6 +10,7 @@
     memory::Holder,
     message::{Answer, Ask, RunId},
     owner::Owner,
+    pace::Pace,
     shard::Shard,
     tuning::as_f64,
 };
@@ -20,6 +21,8 @@
     pub ask: &'a Ask,
     /// Time until its first event should be out, counted from its caller's first request.
     pub aim_left: Duration,
+    /// The pace of its service's engines.
+    pub pace: Pace,
     /// Time to read its prompt.
     pub read: Duration,
     /// Tokens by which room is looked for: more than its own where its prompt is small. Judged by
@@ -83,7 +86,7 @@
         if self.tuning.refuses_by_forecast && !engines.is_empty() {
             let open = as_f64_count(self.rooms(now, asked, engines));
             let before = as_f64_count(self.others_before(now, asked));
-            if before + 1.0 > open + self.ends_soon(now, usable, engines) {
+            if before + 1.0 > open + self.ends_soon(now, asked, usable, engines) {
                 return self.refuse(now, asked, usable);
             }
         }
@@ -91,12 +94,13 @@
     }
 
     /// Generations that will have ended within a time, on average.
-    fn ends_soon(&self, now: Moment, time: Duration, engines: &[Engine]) -> f64 {
-        let made = self.tuning.made_in(time);
+    fn ends_soon(&self, now: Moment, asked: &Asked<'_>, time: Duration, engines: &[Engine]) -> f64 {
+        let pace = asked.pace;
+        let made = pace.made_in(time);
         let accounts = engines.iter().filter_map(|e| self.accounts.get(&e.id));
         let runs = accounts.flat_map(|account| &account.runs);
         runs.filter_map(|run| self.runs.get(run))
-            .map(|run| 1.0 - run.length.survives(run.made_by(now, &self.tuning), made))
+            .map(|run| 1.0 - run.length.survives(run.made_by(now, pace), made))
             .sum()
     }
 
@@ -207,7 +211,7 @@
 
     /// Whether a generation probably outlives the notice of an engine that is reclaimed.
     pub(crate) fn is_long(&self, asked: &Asked<'_>) -> bool {
-        self.tuning.time_for(asked.length.rest(0)) > self.tuning.short_for
+        asked.pace.time_for(asked.length.rest(0)) > self.tuning.short_for
     }
 }
 
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -48,7 +48,9 @@
         }
         let account = self.account(now, &running.target);
         account.runs.insert(Arc::clone(&running.run));
-        let due = now + self.tuning.read_time(running.prompt);
+        self.learn_making(now, running);
+        let pace = self.pace(&running.service);
+        let due = now + pace.read_time(running.prompt);
         let length = self.expected(&running.route, running.longest, running.hint);
         let run = self
             .runs
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Deserializer};
 use types::Tokens;
 
+use crate::pace::Pace;
+
 /// Figures that the decisions rest on, and which of their parts are in use. Operators can set each
 /// of them; times are in milliseconds there.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -52,9 +54,6 @@
     /// How long an engine's own report counts.
     #[serde(rename = "report_life_ms", deserialize_with = "millis")]
     pub report_life: Duration,
-    /// Time that each generation in an engine's queue stands for: to read a prompt of 2,700 tokens.
-    #[serde(rename = "queued_read_ms", deserialize_with = "millis")]
-    pub queued_read: Duration,
     /// How soon an entry asks again that was told to wait.
     #[serde(rename = "wait_ms", deserialize_with = "millis")]
     pub wait: Duration,
@@ -80,6 +79,8 @@
     pub knows_returning: bool,
     /// Whether a small prompt must find more room than its own where many of its route are refused.
     pub levels_sizes: bool,
+    /// Whether the engines' pace is learned.
+    pub learns_pace: bool,
     /// Whether lengths are learned from generations that ended.
     pub learns_lengths: bool,
     /// Whether callers' estimates of lengths count.
@@ -111,7 +112,6 @@
             new_for: Duration::from_millis(1_500),
             doubt: Duration::from_millis(1_000),
             report_life: Duration::from_millis(1_800),
-            queued_read: Duration::from_millis(390),
             wait: Duration::from_millis(40),
             wait_crowd: 15,
             wait_most: Duration::from_millis(200),
@@ -121,6 +121,7 @@
             run_life: Duration::from_secs(3),
             knows_returning: true,
             levels_sizes: true,
+            learns_pace: true,
             learns_lengths: true,
             takes_hints: true,
             sums_by_moment: true,
@@ -170,24 +171,10 @@
         faults
     }
 
-    /// Time to read a prompt.
-    #[must_use]
-    pub fn read_time(&self, prompt: Tokens) -> Duration {
-        Duration::from_secs_f64(as_f64(prompt) / self.prompt_tokens_per_ms / 1_000.0)
-    }
-
-    /// Tokens made in a time.
-    #[must_use]
-    pub fn made_in(&self, time: Duration) -> Tokens {
-        let made = time.as_micros() / self.token_time.as_micros().max(1);
-        Tokens::try_from(made).unwrap_or(Tokens::MAX)
-    }
-
-    /// Time to make tokens.
+    /// The pace that is expected of engines that have shown nothing yet.
     #[must_use]
-    pub fn time_for(&self, tokens: Tokens) -> Duration {
-        let count = u32::try_from(tokens).unwrap_or(u32::MAX);
-        self.token_time.saturating_mul(count)
+    pub const fn pace(&self) -> Pace {
+        Pace::new(self.prompt_tokens_per_ms, self.token_time)
     }
 }
 
