Tell callers of an outage when to come back by how long it has lasted; ask engines at once when the store refuses

Callers whom an instance refused for want of knowledge were told 0.3 s each time, and gave up after their second refusal.

An engine that leaves while the store refuses was found out after 2.3 s, when it is gone: now at once.

--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -6,7 +6,11 @@
 //! known of them is old, and only by the owner of their service: by one instance where the store
 //! is lost to all, by each where they can't hear one another.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use events::{Event, emit};
 use placing::Shard;
@@ -14,7 +18,11 @@
 use types::TargetId;
 use view::Target;
 
-use crate::{face::EngineState, follow, state::Front};
+use crate::{
+    face::EngineState,
+    follow,
+    state::{Front, age},
+};
 
 /// Knowledge of the targets is old after this: two calls of a reader and the answer to a follower
 /// fit into it.
@@ -34,8 +42,7 @@
     let mut round = 0_u32;
     loop {
         ticks.next().await;
-        let read = front.view.targets_read().unwrap_or_default();
-        if boot_time().saturating_sub(read) < OLD {
+        if !is_blind(&front) {
             continue;
         }
         let mine: BTreeSet<TargetId> = front.live.running().into_iter().map(|r| r.target).collect();
@@ -51,6 +58,14 @@
     }
 }
 
+/// Whether an engine's leaving would go unheard: nobody tells any more, or what was told is old. A
+/// store that refuses is known to be lost at once, and engines that leave in that moment are gone
+/// before knowledge of them counts as old.
+fn is_blind(front: &Front) -> bool {
+    let read = front.view.targets_read().unwrap_or_default();
+    front.targets_lost.load(Ordering::Acquire) || age(read) >= OLD
+}
+
 /// Engines whose account this instance owns, listed as taking work.
 fn engines(front: &Front) -> Vec<Arc<Target>> {
     let Some(rules) = front.view.rules() else {
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -5,7 +5,10 @@
 //! instance that is cut off from the store learns as early as the others, and as truthfully, for
 //! the age of the knowledge comes along.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use events::{Event, emit};
 use timer::boot_time;
@@ -266,6 +269,7 @@
 
     fn regain(&mut self) {
         self.sources.served();
+        self.set_lost(false);
         let Some(lost) = self.lost.take() else {
             return;
         };
@@ -277,12 +281,19 @@
         });
     }
 
+    fn set_lost(&self, lost: bool) {
+        if self.topic == Topic::Targets {
+            self.front.targets_lost.store(lost, Ordering::Release);
+        }
+    }
+
     /// Turns to the next source; pauses once all have failed.
     async fn fail(&mut self, source: &Source, how: Failing, error: &StoreError) {
         let rounds = self.sources.rounds();
         if !self.sources.failed(boot_time(), source, how) {
             return;
         }
+        self.set_lost(true);
         if self.lost.is_none() {
             self.lost = Some(boot_time());
             emit(&Event::StoreLost {
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -18,14 +18,15 @@
 use crate::{
     call::Call,
     face::Asked,
-    generation, plain,
+    generation,
+    ignorance::come_back_after,
+    plain,
     refuse::Refusal,
     state::{Front, age},
 };
 
-/// When a caller may come back to an instance that knows too little; one that has just started
-/// knows enough after a read of the store.
-const IGNORANT_RETRY: Duration = Duration::from_millis(300);
+/// When a caller may come back whose body finds no memory.
+const CROWDED_RETRY: Duration = Duration::from_millis(300);
 /// Knowledge older than this may lack a route or a key, so that neither is denied by it.
 const DENY_AGE: Duration = Duration::from_millis(4_500);
 /// Longest body where the configuration sets no bound, in bytes.
@@ -115,7 +116,7 @@
             SharedError::Body(BodyError::Broken) => {
                 Refusal::new(StatusCode::BAD_REQUEST, e.to_string())
             }
-            SharedError::Crowded => Refusal::not_run(e.to_string(), IGNORANT_RETRY),
+            SharedError::Crowded => Refusal::not_run(e.to_string(), CROWDED_RETRY),
         })
     }
 
@@ -128,15 +129,25 @@
     ) -> Result<Call, Refusal> {
         let front = &self.front;
         let rules = front.view.rules();
+        let ignorant = |reason: &str| {
+            let after = come_back_after(front.ignorant_for(), asked.left, fastrand::f64());
+            Refusal::not_run(reason, after)
+        };
         let rules = rules.ok_or_else(|| ignorant("no configuration is known yet"))?;
         let read = front.view.rules_read().unwrap_or_default();
-        let old = age(read) > DENY_AGE;
+        let deny = |status: StatusCode, reason: &str| {
+            // A wrong denial is final for its caller; one that may lack the newest version says so.
+            if age(read) > DENY_AGE {
+                return ignorant("the configuration that is known may lack this");
+            }
+            Refusal::new(status, reason)
+        };
         let Some(route) = rules.route(&asked.host, &asked.path) else {
-            return Err(deny(old, StatusCode::NOT_FOUND, "no route takes this path"));
+            return Err(deny(StatusCode::NOT_FOUND, "no route takes this path"));
         };
         let identity = rules
             .identify(route, asked.key.as_deref())
-            .map_err(|_| deny(old, StatusCode::UNAUTHORIZED, "no workspace has this key"))?;
+            .map_err(|_| deny(StatusCode::UNAUTHORIZED, "no workspace has this key"))?;
         if identity != Identity::Anonymous && !front.keys_fresh() {
             return Err(ignorant("knowledge of keys is too old"));
         }
@@ -173,19 +184,6 @@
     hasher.digest()
 }
 
-fn ignorant(reason: &str) -> Refusal {
-    Refusal::not_run(reason, IGNORANT_RETRY)
-}
-
-/// Denies what the configuration does not allow. Where it may lack the newest version, the caller
-/// is told to come back: a wrong denial is final for it.
-fn deny(old: bool, status: StatusCode, reason: &str) -> Refusal {
-    if old {
-        return ignorant("the configuration that is known may lack this");
-    }
-    Refusal::new(status, reason)
-}
-
 fn rank(identity: &Identity, route: u32) -> u32 {
     match identity {
         Identity::Holder(holder) => holder.rank.unwrap_or(route),
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod generation;
 pub mod handler;
+pub mod ignorance;
 pub mod leaving;
 pub mod live;
 pub mod message;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -175,6 +175,8 @@
         open: Arc::new(AtomicUsize::new(0)),
         metrics: Metrics::new(),
         terms: Arc::new(Terms::new(&terms)),
+        targets_lost: AtomicBool::new(false),
+        since: boot_time(),
         bounds: RwLock::new(bounds),
         cfg,
     }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -4,7 +4,10 @@
 //! inside `live`, `placement`, `peers` and `view`. None is held over an await.
 
 use std::{
-    sync::{Arc, atomic::AtomicUsize},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize},
+    },
     time::Duration,
 };
 
@@ -78,6 +81,10 @@
     pub metrics: Metrics,
     /// Limits of callers' connections, as the configuration in force sets them.
     pub terms: Arc<Terms>,
+    /// No source tells it of the targets any more.
+    pub targets_lost: AtomicBool,
+    /// When it started.
+    pub since: Moment,
     /// The operators' bounds, as the settings say now.
     pub bounds: RwLock<Bounds>,
 }
@@ -102,6 +109,13 @@
         self.view.rules_read().is_some_and(|read| age(read) < most)
     }
 
+    /// How long it has known too little to serve callers: since the last read of the operator's rows
+    /// was sent, or since it started.
+    #[must_use]
+    pub fn ignorant_for(&self) -> Duration {
+        age(self.view.rules_read().unwrap_or(self.since))
+    }
+
     /// Time left to serve what it has taken, once it was told to stop.
     #[must_use]
     pub fn time_left(&self) -> Option<Duration> {
