--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -94,6 +94,23 @@
     });
 }
 
+/// The store begins to refuse in the moment in which an engine gets its notice, and the engine is
+/// gone 1.8 s later. Whoever waits until its knowledge is old finds out when the stream breaks off.
+#[test]
+fn an_engine_that_leaves_as_the_store_goes_away_is_found_out_before_it_is_gone() {
+    smol::block_on(async {
+        let (platform, _instance, resp) = under_way("at-once", 300).await;
+        platform.store.set_down(true);
+        platform.engines[0].set_leaving();
+        Timer::after(Duration::from_millis(1_800)).await;
+        assert_eq!(platform.engines[1].working(), 1);
+        platform.engines[0].crash();
+        let got = read(resp).await;
+        assert!(got.whole);
+        assert_eq!(got.body, all_events(300));
+    });
+}
+
 /// An engine crashes without notice. What the caller has is a part, and must not look whole.
 #[test]
 fn a_generation_whose_engine_crashed_does_not_look_whole() {
