--- a/src/cli.rs
+++ b/src/cli.rs
@@ -48,6 +48,7 @@
         .subcommand(completions())
         .subcommand(docs())
         .subcommand(explain())
+        .subcommand(losses())
 }
 
 fn serve() -> Command {
@@ -95,13 +96,26 @@
                 .required(true)
                 .help("The request's id"),
         )
-        .arg(
-            Arg::new("logs")
-                .value_name("LOG")
-                .num_args(0..)
-                .value_parser(value_parser!(PathBuf))
-                .help("Logs to read; standard input if none is named"),
+        .arg(logs_arg())
+}
+
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Sums up from logs why requests were not served")
+        .after_help(
+            "Reads logs in JSON, of all instances. A request that failed at one instance and was\n\
+             served to its caller's next try counts as both.\n\n\
+             Example:\n  celerystand losses instance-1.log instance-2.log",
         )
+        .arg(logs_arg())
+}
+
+fn logs_arg() -> Arg {
+    Arg::new("logs")
+        .value_name("LOG")
+        .num_args(0..)
+        .value_parser(value_parser!(PathBuf))
+        .help("Logs to read; standard input if none is named")
 }
 
 fn try_out() -> Command {
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,18 +1,19 @@
 //! `celerystand explain`: one request's story from the logs of several instances.
 
-use std::{
-    collections::BTreeSet,
-    fs::File,
-    io::{BufRead, BufReader, Read, stdin},
-    path::PathBuf,
-};
+use std::collections::BTreeSet;
 
 use clap::ArgMatches;
-use errors::{Context, Error};
-use serde::Deserialize;
+use errors::Error;
 use serde_json::Value;
 
-use crate::{cmd::text, failure::Outcome, output};
+use crate::{
+    cmd::{
+        logs::{self, Found},
+        text,
+    },
+    failure::Outcome,
+    output,
+};
 
 /// Events that say what an instance had lost or learned, and so may be a request's cause.
 const SURROUNDINGS: [u64; 9] = [100, 101, 103, 910, 912, 915, 916, 918, 919];
@@ -20,40 +21,13 @@
 /// that leaves is gone two seconds after its notice, and keys are honoured for five without news.
 const BEFORE_MS: u64 = 6_000;
 
-/// A line of a log, as far as it is used.
-#[derive(Clone, Debug, Deserialize)]
-struct Line {
-    time_ms: u64,
-    number: u64,
-    message: String,
-    #[serde(default)]
-    fields: Value,
-}
-
-/// A line and the log that it stands in.
-#[derive(Clone, Debug)]
-struct Found {
-    log: String,
-    line: Line,
-}
-
 /// Prints what happened to a request.
 ///
 /// # Errors
 /// A log can't be read, or none says anything about the request.
 pub fn run(args: &ArgMatches) -> Outcome {
     let id = text(args, "id")?;
-    let files: Vec<&PathBuf> = args.get_many("logs").unwrap_or_default().collect();
-    let mut all = Vec::new();
-    if files.is_empty() {
-        all.extend(lines("-", stdin())?);
-    }
-    for file in files {
-        let name = file.display().to_string();
-        let log = File::open(file).context(format!("opening {name}"))?;
-        all.extend(lines(&name, log)?);
-    }
-    all.sort_by_key(|found| found.line.time_ms);
+    let all = logs::read(args)?;
     let story = story(&all, id);
     if story.is_empty() {
         return Err(Error::new(format!("no log says anything about {id}")).into());
@@ -69,21 +43,6 @@
     Ok(())
 }
 
-/// The lines of a log; those that are none are passed over, for a log may be cut anywhere.
-fn lines(name: &str, log: impl Read) -> errors::Result<Vec<Found>> {
-    let mut all = Vec::new();
-    for line in BufReader::new(log).lines() {
-        let line = line.context(format!("reading {name}"))?;
-        // Other programs may put words of their own before a line.
-        let json = line.find('{').map_or("", |at| &line[at..]);
-        if let Ok(line) = serde_json::from_str(json) {
-            let log = name.to_owned();
-            all.push(Found { log, line });
-        }
-    }
-    Ok(all)
-}
-
 /// The request's own lines, and what its logs and targets say around them.
 fn story(all: &[Found], id: &str) -> Vec<Found> {
     let own: Vec<&Found> = all.iter().filter(|found| about(found, "id", id)).collect();
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,8 @@
 pub mod explain;
 pub mod key;
 pub mod logging;
+pub mod logs;
+pub mod losses;
 pub mod node;
 pub mod operator;
 pub mod platform;
@@ -64,6 +66,7 @@
         "completions" => complete::run(args),
         "docs" => docs::run(args),
         "explain" => explain::run(args),
+        "losses" => losses::run(args),
         _ => Err(Error::new("there is no such command").into()),
     }
 }
--- a/tests/platform/explaining.rs
+++ b/tests/platform/explaining.rs
@@ -88,3 +88,31 @@
         assert_tells(&instance.explain("g-1"), &cause);
     });
 }
+
+/// After a bad hour an operator wants to know what was lost and why, and has only the logs. One call
+/// is served, three are refused for want of knowledge, and one never gets an answer.
+#[test]
+fn losses_are_summed_up_by_cause() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("losses").await;
+        let caller = Caller::new("key-1");
+        let got = caller.call(instance.addr, "GET", "/titles/9", "r-0").await;
+        assert_eq!(got.status, 200);
+        platform.plain[0].set_fault(Fault::Torn);
+        let got = caller.call(instance.addr, "POST", "/grants/9", "r-1").await;
+        assert_eq!(got.status, 502);
+        platform.store.set_down(true);
+        Timer::after(Duration::from_millis(2_700)).await;
+        for id in ["r-2", "r-3", "r-4"] {
+            caller.call(instance.addr, "GET", "/titles/9", id).await;
+        }
+        instance.line("r-4", "RequestRefused").await;
+        let causes = [
+            "1  served",
+            "3  answered 503: knowledge of keys is too old",
+            "1  answered 502: the answer broke off",
+        ];
+        assert_tells(&instance.losses(), &causes);
+    });
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -152,14 +152,22 @@
 
     /// What `celerystand explain` makes of the log so far.
     pub fn explain(&self, id: &str) -> String {
+        self.command_on_log(&["explain", id])
+    }
+
+    /// What `celerystand losses` makes of the log so far.
+    pub fn losses(&self) -> String {
+        self.command_on_log(&["losses"])
+    }
+
+    fn command_on_log(&self, words: &[&str]) -> String {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         let text: Vec<String> = log.iter().map(Value::to_string).collect();
         drop(log);
         let file = self.settings.with_extension("log");
         fs::write(&file, text.join("\n")).expect("a log");
         let out = Command::new(env!("CARGO_BIN_EXE_celerystand"))
-            .arg("explain")
-            .arg(id)
+            .args(words)
             .arg(&file)
             .output()
             .expect("the program runs");
