--- a/src/cli.rs
+++ b/src/cli.rs
@@ -66,7 +66,7 @@
         .about("Runs one instance on the users' platform until it is told to stop")
         .after_help(
             "The settings are read from the file that the platform wrote for this instance.\n\n\
-             Example:\n  celerystand platform --decisions examples/decisions.yml",
+             Example:\n  celerystand platform --decisions examples/jordan-decisions.yml",
         )
         .arg(
             Arg::new("decisions")
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -47,7 +47,11 @@
 }
 
 /// Reads what operators have set of the decisions.
-fn decisions(path: &Path) -> Outcome<Decisions> {
+///
+/// # Errors
+/// The file can't be read, is not what it should be, or has figures that make no sense; all of
+/// these are told.
+pub fn decisions(path: &Path) -> Outcome<Decisions> {
     let shown = path.display().to_string();
     let text = fs::read_to_string(path).context(shown.clone())?;
     let decisions: Decisions = serde_saphyr::from_str(&text).context(shown.clone())?;
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -388,3 +388,22 @@
     let page = fs::read_to_string(page).expect("the page");
     assert_eq!(listed(&page), served);
 }
+
+/// An operator mistypes a name, or sets figures that make no sense. Started with half of them, an
+/// instance would decide otherwise than its file says; so it tells what is wrong and does not start.
+#[test]
+fn a_decisions_file_with_faults_is_refused_with_all_of_them() {
+    let file = std::env::temp_dir().join(format!("decisions-{}.yml", std::process::id()));
+    let refusal = |text: &str| {
+        std::fs::write(&file, text).expect("a file");
+        let read = celerystand::cmd::platform::decisions(&file);
+        read.expect_err("a refusal").to_string()
+    };
+    let unknown = refusal("parts: {movess: false}\n");
+    assert!(unknown.contains("movess"), "{unknown}");
+    let senseless = refusal("placing: {memory_share: 2.0, wait_ms: 0}\n");
+    for name in ["memory_share", "wait_ms"] {
+        assert!(senseless.contains(name), "{senseless}");
+    }
+    std::fs::remove_file(&file).expect("the file is there");
+}
--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -7,7 +7,7 @@
 };
 
 use admin::message::Document;
-use celerystand::cli;
+use celerystand::{cli, cmd::platform};
 use events::Event;
 use serde::Deserialize;
 use tree::{Node, Snapshot};
@@ -222,8 +222,11 @@
             assert!(read.is_ok(), "{name}: {read:?}");
         } else if name.ends_with("-tree.yml") {
             check_document(&read(&path), &name);
+        } else if name.ends_with("-decisions.yml") {
+            let read = platform::decisions(&path);
+            assert!(read.is_ok(), "{name}: {read:?}");
         } else {
-            panic!("{name} is neither settings nor a tree");
+            panic!("{name} is neither settings nor a tree nor decisions");
         }
         count += 1;
     }
