--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -67,8 +67,9 @@
 
 impl Owner {
     /// Memory comes free when generations end, so waiting helps as long as the prompt can still
-    /// be read in time after it. Where more wait for it already than will end until then, the
-    /// caller would only wait to be refused.
+    /// be read in time after it. Where more wait for it already than will probably end until
+    /// then, which is a standard deviation fewer than on average, the caller would only wait to be
+    /// refused.
     pub(crate) fn wait_for_memory(
         &mut self,
         now: Moment,
@@ -86,7 +87,8 @@
         if self.tuning.refuses_by_forecast && !engines.is_empty() {
             let open = as_f64_count(self.rooms(now, asked, engines));
             let before = as_f64_count(self.others_before(now, asked));
-            if before + 1.0 > open + self.ends_soon(now, asked, usable, engines) {
+            let ends = self.ends_soon(now, asked, usable, engines);
+            if before + 1.0 > open + ends - ends.sqrt() {
                 return self.refuse(now, asked, usable);
             }
         }
