--- a/components/placing/src/length.rs
+++ b/components/placing/src/length.rs
@@ -1,8 +1,8 @@
 //! How long generations get: learned from those that ended, and from callers' estimates.
 //!
-//! Lengths of a route spread like a lognormal. Callers' estimates are right at the median and off
-//! by a factor of three either way as a rule; on the users' sheets the lengths themselves spread
-//! by a factor of two. So an estimate moves the expectation by a quarter of its distance only.
+//! Lengths of a route spread like a lognormal. Callers' estimates are right at the median and spread
+//! more widely than the lengths themselves, so an estimate moves the expectation by a part of its
+//! distance only.
 
 use std::collections::HashMap;
 
@@ -10,8 +10,7 @@
 
 use crate::tuning::{as_f64, whole};
 
-/// Spread of callers' estimates: standard deviation of their logarithm. Measured on 128 drafts of
-/// a quiet day: 1.2.
+/// Spread of callers' estimates: standard deviation of their logarithm.
 const HINT_SPREAD: f64 = 1.2;
 /// Spread of lengths before any has ended.
 const PRIOR_SPREAD: f64 = 0.8;
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -68,8 +68,7 @@
 impl Owner {
     /// Memory comes free when generations end, so waiting helps as long as the prompt can still
     /// be read in time after it. Where more wait for it already than will probably end until
-    /// then, which is a standard deviation fewer than on average, the caller would only wait to be
-    /// refused.
+    /// then, the caller would only wait to be refused.
     pub(crate) fn wait_for_memory(
         &mut self,
         now: Moment,
@@ -88,22 +87,28 @@
             let open = as_f64_count(self.rooms(now, asked, engines));
             let before = as_f64_count(self.others_before(now, asked));
             let ends = self.ends_soon(now, asked, usable, engines);
-            if before + 1.0 > open + ends - ends.sqrt() {
+            if before + 1.0 > open + ends {
                 return self.refuse(now, asked, usable);
             }
         }
         self.wait(now, asked)
     }
 
-    /// Generations that will have ended within a time, on average.
+    /// Generations that will probably have ended within a time: a standard deviation fewer than on
+    /// average.
     fn ends_soon(&self, now: Moment, asked: &Asked<'_>, time: Duration, engines: &[Engine]) -> f64 {
         let pace = asked.pace;
-        let made = pace.made_in(time);
+        let more = pace.made_in(time);
         let accounts = engines.iter().filter_map(|e| self.accounts.get(&e.id));
         let runs = accounts.flat_map(|account| &account.runs);
-        runs.filter_map(|run| self.runs.get(run))
-            .map(|run| 1.0 - run.length.survives(run.made_by(now, pace), made))
-            .sum()
+        let mut mean = 0.0;
+        let mut variance = 0.0;
+        for run in runs.filter_map(|run| self.runs.get(run)) {
+            let goes_on = run.length.survives(run.made_by(now, pace), more);
+            mean += 1.0 - goes_on;
+            variance += goes_on * (1.0 - goes_on);
+        }
+        mean - variance.sqrt()
     }
 
     /// Prompts are read at a fixed speed: one that can't be read in time now can't be later
--- a/components/placing/src/rank.rs
+++ b/components/placing/src/rank.rs
@@ -15,8 +15,8 @@
 /// Instances in the order in which they should own `service`: the strongest first, and among
 /// equals rendezvous hashing, so that a member that comes or goes moves only what it owns.
 ///
-/// An owner answers every entry's asks. One with a small part of a core answered late at sixty
-/// asks a second; entries then took it for dead, decided for themselves and overfilled engines.
+/// An owner answers every entry's asks. One with a small part of a core answers late, and entries then
+/// take it for dead, decide for themselves and overfill engines.
 #[must_use]
 pub fn ranked(service: &str, members: impl IntoIterator<Item = Candidate>) -> Vec<InstanceId> {
     let mut all: Vec<(u32, u64, InstanceId)> = members
--- a/components/placing/src/shard.rs
+++ b/components/placing/src/shard.rs
@@ -1,8 +1,7 @@
 //! Parts of a service's engines, each with an account and an owner of its own.
 //!
-//! An owner looks at all engines of its account for each ask. One account for a thousand engines
-//! took its owner two milliseconds an ask; at a hundred asks a second entries took it for dead and
-//! decided for themselves. Which engine belongs to which part follows from its id alone, so that
+//! An owner looks at all engines of its account for each ask. With an account of a thousand engines it
+//! answers so late that entries take it for dead and decide for themselves. Which engine belongs to which part follows from its id alone, so that
 //! entries and owners agree without talking about it.
 
 use derive_more::Display;
@@ -10,8 +9,7 @@
 use types::ServiceId;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Engines of one part at most. Up to so many one owner answered within 0.4 ms, and a choice among
-/// more finds no better engine.
+/// Engines of one part at most; a choice among more finds no better engine.
 const ENGINES: usize = 64;
 
 /// A part of a service's engines.
