--- a/components/front/src/leaving.rs
+++ b/components/front/src/leaving.rs
@@ -57,11 +57,7 @@
             continue;
         };
         let outcome = send(&front, &order).await;
-        front
-            .placement
-            .owner
-            .lock()
-            .carried(boot_time(), &order, outcome);
+        front.placement.owner.lock().carried(&order, outcome);
         match outcome {
             Carried::Done => {}
             Carried::NoRoom => {
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -115,8 +115,6 @@
     pub busy_until: Moment,
     /// When a first event came from it last.
     pub last_start: Moment,
-    /// When it was first seen.
-    pub since: Moment,
     /// It gets nothing until then.
     pub doubted_until: Moment,
 }
--- a/components/placing/src/carry.rs
+++ b/components/placing/src/carry.rs
@@ -45,7 +45,7 @@
             let Some(to) = self.destination(now, &run, home, engines, &refused) else {
                 continue;
             };
-            self.reserve(now, &id, &to);
+            self.reserve(&id, &to);
             return Some(Carry {
                 run: id,
                 from: Arc::clone(from),
@@ -56,7 +56,7 @@
     }
 
     /// Notes how carrying over ended.
-    pub fn carried(&mut self, now: Moment, carry: &Carry, outcome: Carried) {
+    pub fn carried(&mut self, carry: &Carry, outcome: Carried) {
         if let Some(account) = self.accounts.get_mut(&carry.to) {
             account.copies.remove(&carry.run);
         }
@@ -71,7 +71,7 @@
         if let Some(account) = self.accounts.get_mut(&carry.from) {
             account.runs.remove(&carry.run);
         }
-        let account = self.account(now, &carry.to);
+        let account = self.account(&carry.to);
         account.runs.insert(Arc::clone(&carry.run));
     }
 
@@ -127,7 +127,7 @@
             if *home != engine.data_centre {
                 copy = copy.saturating_mul(FAR_COPY);
             }
-            let account = self.account(now, &engine.id);
+            let account = self.account(&engine.id);
             let incoming = u32::try_from(account.copies.len()).unwrap_or(u32::MAX);
             let queued = copy.saturating_mul(incoming);
             let reading = account.busy_until.saturating_sub(now).mul_f64(READING_PART);
@@ -140,10 +140,10 @@
         best.map(|(_, id)| id)
     }
 
-    fn reserve(&mut self, now: Moment, id: &RunId, to: &TargetId) {
+    fn reserve(&mut self, id: &RunId, to: &TargetId) {
         if let Some(run) = self.runs.get_mut(id) {
             run.copying_to = Some(Arc::clone(to));
         }
-        self.account(now, to).copies.insert(Arc::clone(id));
+        self.account(to).copies.insert(Arc::clone(id));
     }
 }
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -128,7 +128,7 @@
     /// Takes what an engine says of itself. An instance that reaches nobody else knows only its own
     /// generations; without reports it would take engines for empty that others have filled.
     pub fn reported(&mut self, now: Moment, target: &TargetId, report: Report) {
-        self.account(now, target).report = Some((now, report));
+        self.account(target).report = Some((now, report));
     }
 
     /// How full the engines are.
@@ -151,7 +151,7 @@
     /// Puts an engine aside for a while.
     pub fn doubt(&mut self, now: Moment, target: &TargetId) {
         let until = now + self.tuning.doubt;
-        self.account(now, target).doubted_until = until;
+        self.account(target).doubted_until = until;
     }
 
     /// Forgets engines that hold nothing and are no longer listed.
@@ -195,7 +195,7 @@
 
     /// Time until the first event of a prompt given to an engine now.
     fn first_event(&mut self, now: Moment, engine: &Engine, asked: &Asked<'_>) -> Duration {
-        let busy = self.account(now, &engine.id).busy_until;
+        let busy = self.account(&engine.id).busy_until;
         let known = busy.saturating_sub(now);
         let queued = self.fresh_report(now, &engine.id).map_or(0, |r| r.waiting);
         let said = asked.pace.read_time(QUEUED_PROMPT).saturating_mul(queued);
@@ -234,9 +234,6 @@
         if engine.data_centre != ask.data_centre {
             extra += tuning.distance;
         }
-        if now.saturating_sub(self.account(now, &engine.id).since) < tuning.new_for {
-            extra += tuning.newness;
-        }
         extra
     }
 
@@ -248,7 +245,7 @@
         more: Holder,
         share: f64,
     ) -> bool {
-        let account = self.account(now, &engine.id);
+        let account = self.account(&engine.id);
         if account.doubted_until > now {
             return false;
         }
@@ -313,7 +310,7 @@
     /// Learns from a first event. An engine reads one prompt after the other, so this one's turn
     /// came when the one before it had been read.
     fn learn_reading(&mut self, now: Moment, run: &Run) {
-        let account = self.account(now, &run.target);
+        let account = self.account(&run.target);
         let from = account.last_start.max(run.granted);
         account.last_start = now;
         let time = now.saturating_sub(from);
@@ -343,7 +340,7 @@
 
     fn grant(&mut self, now: Moment, asked: &Asked<'_>, target: &TargetId) {
         let ask = asked.ask;
-        let due = self.account(now, target).busy_until.max(now) + asked.read;
+        let due = self.account(target).busy_until.max(now) + asked.read;
         let run = Run {
             entry: Arc::clone(&ask.entry),
             service: Arc::clone(&ask.shard.service),
@@ -361,7 +358,7 @@
             confirmed: now,
             copying_to: None,
         };
-        let account = self.account(now, target);
+        let account = self.account(target);
         account.busy_until = due;
         account.runs.insert(Arc::clone(&ask.run));
         self.runs.insert(Arc::clone(&ask.run), run);
@@ -391,7 +388,7 @@
             .map(|run| self.pace(&run.service).read_time(run.prompt))
             .sum();
         let most = now + unread;
-        let account = self.account(now, target);
+        let account = self.account(target);
         account.busy_until = account.busy_until.min(most);
     }
 
@@ -407,12 +404,7 @@
         Some(run.target)
     }
 
-    pub(crate) fn account(&mut self, now: Moment, target: &TargetId) -> &mut Account {
-        self.accounts
-            .entry(Arc::clone(target))
-            .or_insert_with(|| Account {
-                since: now,
-                ..Account::default()
-            })
+    pub(crate) fn account(&mut self, target: &TargetId) -> &mut Account {
+        self.accounts.entry(Arc::clone(target)).or_default()
     }
 }
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -46,7 +46,7 @@
         if moved {
             self.release(&running.run);
         }
-        let account = self.account(now, &running.target);
+        let account = self.account(&running.target);
         account.runs.insert(Arc::clone(&running.run));
         self.learn_making(now, running);
         let pace = self.pace(&running.service);
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -42,12 +42,6 @@
     /// they are spread, also where that costs a little of a first event's time.
     #[serde(rename = "crowding_ms", deserialize_with = "millis")]
     pub crowding: Duration,
-    /// What an engine that joined just now costs in the same sense; it reads slowly at first.
-    #[serde(rename = "newness_ms", deserialize_with = "millis")]
-    pub newness: Duration,
-    /// How long an engine counts as new.
-    #[serde(rename = "new_for_ms", deserialize_with = "millis")]
-    pub new_for: Duration,
     /// How long an engine gets nothing after it refused or failed a request.
     #[serde(rename = "doubt_ms", deserialize_with = "millis")]
     pub doubt: Duration,
@@ -108,8 +102,6 @@
             return_share: 0.25,
             distance: Duration::from_millis(40),
             crowding: Duration::from_millis(1_000),
-            newness: Duration::from_millis(200),
-            new_for: Duration::from_millis(1_500),
             doubt: Duration::from_millis(1_000),
             report_life: Duration::from_millis(1_800),
             wait: Duration::from_millis(40),
--- a/components/placing/tests/carrying.rs
+++ b/components/placing/tests/carrying.rs
@@ -35,7 +35,7 @@
     let new = [engine("new", "dc-1")];
     let mut order = Vec::new();
     while let Some(carry) = next(&mut owner, now, &new) {
-        owner.carried(now, &carry, Carried::Done);
+        owner.carried(&carry, Carried::Done);
         order.push(carry.run.to_string());
     }
     assert_eq!(order, ["run-1", "run-2", "run-0"]);
@@ -85,7 +85,7 @@
     running(&mut owner, now, &[1_000]);
     let new = [engine("near", "dc-1"), engine("far", "dc-2")];
     let first = next(&mut owner, now, &new).expect("a move");
-    owner.carried(now, &first, Carried::NoRoom);
+    owner.carried(&first, Carried::NoRoom);
     assert_eq!(
         owner
             .run("run-0")
@@ -106,7 +106,7 @@
     running(&mut owner, now, &[1_000]);
     let new = [engine("new", "dc-1")];
     let carry = next(&mut owner, now, &new).expect("a move");
-    owner.carried(now, &carry, Carried::Done);
+    owner.carried(&carry, Carried::Done);
     assert!(!owner.runs_on(&"old".into()));
     assert!(owner.runs_on(&"new".into()));
 }
--- a/components/placing/tests/choosing.rs
+++ b/components/placing/tests/choosing.rs
@@ -406,7 +406,7 @@
                     let from = format!("e-{number}").into();
                     let order = owner.next_carry(now, &from, &"dc-1".into(), &engines, &|_, _| false);
                     if let Some(order) = order {
-                        owner.carried(now, &order, placing::Carried::Done);
+                        owner.carried(&order, placing::Carried::Done);
                     }
                 }
                 Step::Pass(ms) => now += Duration::from_millis(ms),
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -395,7 +395,7 @@
 fn a_decisions_file_with_faults_is_refused_with_all_of_them() {
     let file = std::env::temp_dir().join(format!("decisions-{}.yml", std::process::id()));
     let refusal = |text: &str| {
-        std::fs::write(&file, text).expect("a file");
+        fs::write(&file, text).expect("a file");
         let read = celerystand::cmd::platform::decisions(&file);
         read.expect_err("a refusal").to_string()
     };
@@ -405,5 +405,5 @@
     for name in ["memory_share", "wait_ms"] {
         assert!(senseless.contains(name), "{senseless}");
     }
-    std::fs::remove_file(&file).expect("the file is there");
+    fs::remove_file(&file).expect("the file is there");
 }
