Tell callers that ask for the very same apart by when they give up

Found by reading: a digest alone took a second caller with the same request, or the same request an hour later, for one that comes back, and so for late.

--- a/components/placing/src/returns.rs
+++ b/components/placing/src/returns.rs
@@ -5,7 +5,8 @@
 //! caller still waits does not tell how long it has waited, for callers differ in patience by
 //! seconds: taken for late by that, most callers got the place of one that is late, and most that
 //! were late the place of one that could still be in time. What stays the same is the request
-//! itself, so each refusal is remembered by a digest of it.
+//! itself and the moment at which its caller gives up, so each refusal is remembered by both: two
+//! callers may ask for the very same.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -19,6 +20,9 @@
 /// Refusals that are remembered at most; the oldest is forgotten first. Two hundred refusals a
 /// second for the longest time after which callers come back are fewer.
 const MOST: usize = 8_192;
+/// How far two such moments may lie apart for the same caller: the time that is left is told by the
+/// caller, and passes through an entry.
+const SAME_CALLER: Duration = Duration::from_millis(250);
 /// Part of the time that a caller still waits after which it comes back at the latest; what is
 /// left must do for the whole answer.
 const LATEST_PART: f64 = 1.0 / 3.0;
@@ -33,10 +37,17 @@
 struct Refused {
     /// When it arrived for the first time.
     first: Moment,
-    /// Its caller has given up by then.
+    /// Its caller gives up then.
     until: Moment,
 }
 
+impl Refused {
+    /// Whether an ask comes from the same caller.
+    fn is_of(&self, now: Moment, ask: &Ask) -> bool {
+        self.until.abs_diff(now + ask.left) < SAME_CALLER
+    }
+}
+
 /// Callers that were told to come back.
 #[derive(Debug, Default)]
 pub(crate) struct Returns {
@@ -53,7 +64,7 @@
     /// Time until the first event of an ask should be out, counted from its caller's first request.
     pub fn aim_left(&self, now: Moment, ask: &Ask) -> Duration {
         let known = self.refused.get(&ask.digest);
-        let Some(refused) = known.filter(|refused| refused.until > now) else {
+        let Some(refused) = known.filter(|refused| refused.is_of(now, ask)) else {
             return ask.aim_left;
         };
         let arrived = now.saturating_sub(ask.waited);
@@ -63,15 +74,17 @@
 
     /// Notes that an ask is refused.
     pub fn refuse(&mut self, now: Moment, ask: &Ask) {
-        if self.refused.contains_key(&ask.digest) {
+        let known = self.refused.get(&ask.digest);
+        if known.is_some_and(|refused| refused.is_of(now, ask)) {
             return;
         }
         let refused = Refused {
             first: now.saturating_sub(ask.waited),
             until: now + ask.left,
         };
-        self.refused.insert(ask.digest, refused);
-        self.order.push_back(ask.digest);
+        if self.refused.insert(ask.digest, refused).is_none() {
+            self.order.push_back(ask.digest);
+        }
         if self.order.len() > MOST
             && let Some(oldest) = self.order.pop_front()
         {
--- a/components/placing/tests/overload.rs
+++ b/components/placing/tests/overload.rs
@@ -139,9 +139,14 @@
     busy(&mut owner, now, &engines);
     let first = ask("first");
     let after = told(owner.ask(now, &first, &engines)).expect("a refusal");
-    let now = now + after.max(2_500 * MS);
+    let later = after.max(2_500 * MS);
+    let now = now + later;
     // The engine reads for another second: in time for one that comes now, and late for this one.
-    let again = |run: &str, digest| Ask { digest, ..ask(run) };
+    let again = |run: &str, left| Ask {
+        digest: first.digest,
+        left,
+        ..ask(run)
+    };
     for number in 0..6 {
         owner.note(
             now,
@@ -158,11 +163,11 @@
         ..ask("reading")
     };
     assert!(sent(owner.ask(now, &reading, &engines)).is_some());
-    assert_eq!(
-        sent(owner.ask(now, &again("back", first.digest), &engines)),
-        None
-    );
-    assert!(sent(owner.ask(now, &again("new", 77), &engines)).is_some());
+    let back = again("back", first.left - later);
+    assert_eq!(sent(owner.ask(now, &back, &engines)), None);
+    // Another caller asks for the very same.
+    let other = again("other", first.left);
+    assert!(sent(owner.ask(now, &other, &engines)).is_some());
 }
 
 /// Everything that engines hold is taken, and more callers wait than generations will end in time.
