Keep late work back only as far as its route is refused

On the grown sites callers that came back were refused again where nobody else needed the room: late work left 0.3 of memory and waited 0.2 s however few were refused.

--- a/components/placing/src/demand.rs
+++ b/components/placing/src/demand.rs
@@ -18,8 +18,8 @@
 const DOWN: f64 = 0.005;
 /// What one ask counts in the part that is refused: some fifty asks are remembered.
 const WEIGHT: f64 = 0.02;
-/// Sizes are levelled entirely where this part is refused.
-const LEVEL_AT: f64 = 0.5;
+/// A route is as short of engines as it can be where this part is refused.
+const SHORT_AT: f64 = 0.5;
 
 #[derive(Clone, Copy, Debug)]
 struct Route {
@@ -29,6 +29,12 @@
     refused: f64,
 }
 
+impl Route {
+    fn shortage(&self) -> f64 {
+        (self.refused / SHORT_AT).min(1.0)
+    }
+}
+
 /// What is asked for on each route.
 #[derive(Debug, Default)]
 pub(crate) struct Demand {
@@ -63,8 +69,12 @@
         let Some(known) = self.routes.get(route) else {
             return prompt;
         };
-        let level = (known.refused / LEVEL_AT).min(1.0);
         let more = (known.large - as_f64(prompt)).max(0.0);
-        prompt + whole(more * level)
+        prompt + whole(more * known.shortage())
+    }
+
+    /// How short a route is of engines, from 0, where nobody is refused, up to 1.
+    pub fn shortage(&self, route: &str) -> f64 {
+        self.routes.get(route).map_or(0.0, Route::shortage)
     }
 }
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -76,7 +76,7 @@
         engines: &[Engine],
     ) -> Answer {
         if asked.is_late() {
-            if asked.ask.waited < self.tuning.late_wait {
+            if asked.ask.waited < self.late_wait(asked) {
                 return self.wait(now, asked);
             }
             return self.refuse(now, asked, asked.read);
@@ -121,7 +121,7 @@
         asked: &Asked<'_>,
         first_event: Duration,
     ) -> Answer {
-        if asked.is_late() && asked.ask.waited < self.tuning.late_wait {
+        if asked.is_late() && asked.ask.waited < self.late_wait(asked) {
             return self.wait(now, asked);
         }
         self.refuse(now, asked, first_event.saturating_sub(asked.aim_left))
@@ -204,24 +204,46 @@
     }
 
     /// Whether an engine may take an ask, as far as its memory goes. Late work leaves more of it
-    /// free, for what comes next and can be in time; and long work does, for the generations that
+    /// free where many are refused, for what comes next and can be in time; and long work does, for the generations that
     /// move when another engine leaves.
     pub(crate) fn admits(&mut self, now: Moment, engine: &Engine, asked: &Asked<'_>) -> bool {
         let tuning = self.tuning;
         let share = match (asked.is_late(), self.is_long(asked)) {
-            (true, _) => tuning.late_share,
+            (true, _) => between(tuning.long_share, tuning.late_share, self.shortage(asked)),
             (false, true) => tuning.long_share,
             (false, false) => tuning.memory_share,
         };
         self.has_room(now, engine, asked.judged_holder(), share)
     }
 
+    /// How long a caller that is late already waits: longer where few are refused, since it will
+    /// probably find room, and does not come back another time.
+    fn late_wait(&self, asked: &Asked<'_>) -> Duration {
+        let (calm, short) = (self.tuning.late_wait_calm, self.tuning.late_wait);
+        let wait = between(
+            calm.as_secs_f64(),
+            short.as_secs_f64(),
+            self.shortage(asked),
+        );
+        Duration::from_secs_f64(wait)
+    }
+
+    /// How short the route of an ask is of engines, from 0 up to 1.
+    fn shortage(&self, asked: &Asked<'_>) -> f64 {
+        self.demand.shortage(&asked.ask.route)
+    }
+
     /// Whether a generation probably outlives the notice of an engine that is reclaimed.
     pub(crate) fn is_long(&self, asked: &Asked<'_>) -> bool {
         asked.pace.time_for(asked.length.rest(0)) > self.tuning.short_for
     }
 }
 
+/// The value that lies a part of the way from one to another.
+fn between(from: f64, to: f64, part: f64) -> f64 {
+    from + (to - from) * part
+}
+
 /// A count of engines or asks; far below the 52 bits that are exact.
 fn as_f64_count(count: usize) -> f64 {
     as_f64(u64::try_from(count).unwrap_or(u64::MAX))
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -25,7 +25,8 @@
     /// The same for generations that run longer than `short_for`: when an engine leaves, the
     /// others must have room for what runs there.
     pub long_share: f64,
-    /// The same for work that can't be in time any more: what comes next and can be goes first.
+    /// The same for work that can't be in time any more, where many of its route are refused: what
+    /// comes next and can be in time goes first. Where nobody is refused it is as for long ones.
     pub late_share: f64,
     /// A generation that is expected to end within this time is over before an engine that is
     /// reclaimed is gone.
@@ -56,8 +57,10 @@
     /// The longest time that an entry is told to wait before it asks again.
     #[serde(rename = "wait_most_ms", deserialize_with = "millis")]
     pub wait_most: Duration,
-    /// How long a caller that is late already waits for an engine. Longer, and the caller is
-    /// better off knowing.
+    /// How long a caller that is late already waits for an engine where nobody is refused.
+    #[serde(rename = "late_wait_calm_ms", deserialize_with = "millis")]
+    pub late_wait_calm: Duration,
+    /// The same where many are refused. Longer, and the caller is better off knowing.
     #[serde(rename = "late_wait_ms", deserialize_with = "millis")]
     pub late_wait: Duration,
     /// An engine counts as idle whose queue of prompts is shorter than this.
@@ -107,6 +110,7 @@
             wait: Duration::from_millis(40),
             wait_crowd: 15,
             wait_most: Duration::from_millis(200),
+            late_wait_calm: Duration::from_millis(1_000),
             late_wait: Duration::from_millis(200),
             idle_slack: Duration::from_millis(150),
             wait_life: Duration::from_millis(400),
