Log what a stop leaves open, and requests that end without an answer

A caller got neither an answer nor a refusal while its instance stopped, and neither logs nor metrics could tell the end of the process from a lost second try or a connection closed too early. A stop now logs the connections and requests that are open when it takes no further ones (105), and what is left as the process ends (102 only where nothing is, 106 otherwise, 924 for each request). A request whose handler is dropped because its connection ended says so (923). The counters of events count these, the dump lists open requests, and explain and losses know them. No logic is changed: the drain still ends when it did.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -49,6 +49,28 @@
         104, Warn, "{dropped} lines of the log were dropped, nobody read them in time",
         "Look at what reads the output; counters of events are complete.",
     ),
+    /// A shutdown takes no further connections, and closes each one after its answer.
+    DrainClosing {
+        /// Callers' connections that are open.
+        connections: usize,
+        /// Requests that are still running.
+        open: usize,
+    } = (
+        105, Info, "shutdown takes no further connections; {connections} are open, {open} requests are running",
+        "Nothing.",
+    ),
+    /// The process ends although callers' connections are still open.
+    StoppedShort {
+        /// Callers' connections that are open.
+        connections: usize,
+        /// Requests that were read and got no answer.
+        unanswered: usize,
+        /// Generations that are cut.
+        cut: usize,
+    } = (
+        106, Warn, "the process ends with {connections} connections open, {unanswered} requests unanswered and {cut} generations cut",
+        "Look for the lines 924 and 905 before it; if it comes often, give instances a longer grace.",
+    ),
     /// A peer is heard for the first time, or again.
     PeerHeard {
         /// The peer.
@@ -513,4 +535,24 @@
         922, Warn, "some of the changed settings take a restart",
         "Restart the instance when it suits; its bounds and seeds are the new ones already.",
     ),
+    /// A request whose caller's connection ended before there was an answer.
+    RequestDropped {
+        /// The caller's id for it.
+        id: Arc<str>,
+        /// How long it was held, in milliseconds.
+        held_ms: u64,
+    } = (
+        923, Info, "{id}: dropped after {held_ms} ms, its caller's connection has ended",
+        "Nothing, unless callers say that they did not leave.",
+    ),
+    /// A request that gets no answer because the process ends.
+    RequestUnanswered {
+        /// The caller's id for it.
+        id: Arc<str>,
+        /// How long it was held, in milliseconds.
+        held_ms: u64,
+    } = (
+        924, Warn, "{id}: the process ends without an answer to it, after {held_ms} ms",
+        "Report it: an instance answers what it has read before it ends.",
+    ),
 }
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -1,5 +1,8 @@
 //! The state of an instance, for people.
 
+use std::time::Duration;
+
+use placing::RunId;
 use serde::Serialize;
 use types::{ConfigVersion, DataCentreId, InstanceId, TargetId};
 
@@ -20,6 +23,8 @@
     targets_age_ms: Option<u64>,
     targets: Vec<TargetState>,
     members: Vec<InstanceId>,
+    /// Requests that were read and have no answer yet.
+    open: Vec<OpenState>,
     generations: Vec<placing::Running>,
     /// Engines in the account that this instance keeps.
     account: Vec<placing::Load>,
@@ -33,6 +38,12 @@
     aside: bool,
 }
 
+#[derive(Debug, Serialize)]
+struct OpenState {
+    id: RunId,
+    held_ms: u64,
+}
+
 impl Front {
     /// Its state.
     #[must_use]
@@ -53,8 +64,18 @@
             targets_age_ms: self.view.targets_read().map(|read| millis(age(read))),
             targets: self.view.targets().values().map(state).collect(),
             members: self.peers.all(),
+            open: self.open.list().into_iter().map(OpenState::from).collect(),
             generations: self.live.running(),
             account: self.placement.owner.lock().loads(now),
         }
     }
 }
+
+impl From<(RunId, Duration)> for OpenState {
+    fn from((id, held): (RunId, Duration)) -> Self {
+        Self {
+            id,
+            held_ms: millis(held),
+        }
+    }
+}
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -1,10 +1,6 @@
 //! Takes callers' requests in.
 
-use std::{
-    net::SocketAddr,
-    sync::{Arc, atomic::AtomicUsize, atomic::Ordering},
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use async_trait::async_trait;
 use hyper::{Request, Response, StatusCode, body::Incoming, http};
@@ -49,27 +45,11 @@
     }
 }
 
-/// Counts a request for as long as it is served.
-struct Open(Arc<AtomicUsize>);
-
-impl Open {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::AcqRel);
-        Self(Arc::clone(open))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 #[async_trait]
 impl Handler for Callers {
     async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
-        let _open = Open::new(&self.front.open);
         let arrived = boot_time();
+        let open = self.front.open.enter(arrived);
         let (head, body) = req.into_parts();
         // Read to its end before any answer: a connection that is closed with unread bytes is
         // reset, and the answer may be lost with it.
@@ -78,14 +58,18 @@
             Ok(asked) => asked,
             Err(e) => {
                 let refusal = Refusal::new(StatusCode::BAD_REQUEST, e.to_string());
+                open.answered();
                 return self.front.refuse(None, age(arrived), &refusal);
             }
         };
+        open.named(&asked.id);
         let admitted = body.and_then(|body| self.admit(asked.clone(), head, body, arrived));
-        match admitted {
+        let resp = match admitted {
             Ok(call) => self.serve(call).await,
             Err(refusal) => self.front.refuse(Some(&asked.id), age(arrived), &refusal),
-        }
+        };
+        open.answered();
+        resp
     }
 }
 
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod live;
 pub mod message;
 pub mod metrics;
+pub mod open;
 pub mod patience;
 pub mod peers;
 pub mod placement;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -29,8 +29,10 @@
     live::LiveRuns,
     message::Messages,
     metrics::Metrics,
+    open::OpenRequests,
     peers::Peers,
     placement::Placement,
+    refuse::millis,
     reload,
     shelf::Shelf,
     side::{Admin, Readiness},
@@ -106,6 +108,7 @@
     }
     let retire = callers.retire();
     let close = callers.stop();
+    let connections = callers.open();
     workers::spawn(callers.run()).detach();
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
@@ -125,13 +128,13 @@
     });
     reload::watch(&front, &outside.reload, &stop, &signal).await;
     emit(&Event::Draining {
-        open: front.open.load(Ordering::Acquire),
+        open: front.open.count(),
     });
     let most = front.bounds.read().grace.mul_f64(GRACE_PART);
     *front.ends_at.lock() = Some(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close, most).await;
-    emit(&Event::Stopped);
+    drain(&front, &close, &connections, most).await;
+    tell_end(&front, &connections);
     Ok(())
 }
 
@@ -172,7 +175,7 @@
         cold: Mutex::new(ColdTargets::default()),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
         ends_at: Mutex::default(),
-        open: Arc::new(AtomicUsize::new(0)),
+        open: OpenRequests::default(),
         metrics: Metrics::new(),
         terms: Arc::new(Terms::new(&terms)),
         targets_lost: AtomicBool::new(false),
@@ -202,13 +205,38 @@
 }
 
 /// Serves what there is to its end, and what still comes while the balancer learns of the stop.
-async fn drain(front: &Front, close: &AtomicBool, most: Duration) {
+async fn drain(front: &Front, close: &AtomicBool, connections: &AtomicUsize, most: Duration) {
     let timer = Timer::new();
     timer.sleep(LINGER.min(most)).await;
     close.store(true, Ordering::Release);
-    while timer.now() < most && front.open.load(Ordering::Acquire) + front.live.count() > 0 {
+    emit(&Event::DrainClosing {
+        connections: connections.load(Ordering::Acquire),
+        open: front.open.count() + front.live.count(),
+    });
+    while timer.now() < most && front.open.count() + front.live.count() > 0 {
         timer.sleep(DRAIN_POLL).await;
     }
     // Time for the last answers to leave.
     timer.sleep(DRAIN_POLL).await;
 }
+
+/// Logs what the process leaves behind: connections of callers, and requests without an answer.
+fn tell_end(front: &Front, connections: &AtomicUsize) {
+    let unanswered = front.open.list();
+    for (id, held) in &unanswered {
+        emit(&Event::RequestUnanswered {
+            id: Arc::clone(id),
+            held_ms: millis(*held),
+        });
+    }
+    let connections = connections.load(Ordering::Acquire);
+    if connections == 0 {
+        emit(&Event::Stopped);
+        return;
+    }
+    emit(&Event::StoppedShort {
+        connections,
+        unanswered: unanswered.len(),
+        cut: front.live.count(),
+    });
+}
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -4,10 +4,7 @@
 //! inside `live`, `placement`, `peers` and `view`. None is held over an await.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicUsize},
-    },
+    sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
 
@@ -25,6 +22,7 @@
     face::{Engines, Face},
     live::LiveRuns,
     metrics::Metrics,
+    open::OpenRequests,
     peers::Peers,
     placement::Placement,
     shelf::Shelf,
@@ -75,8 +73,8 @@
     pub bodies: net::Budget,
     /// Set once it is told to stop: until when it serves what it has taken.
     pub ends_at: Mutex<Option<Moment>>,
-    /// Requests being served.
-    pub open: Arc<AtomicUsize>,
+    /// Requests that were read and have no answer yet.
+    pub open: OpenRequests,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Limits of callers' connections, as the configuration in force sets them.
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -16,7 +16,7 @@
 };
 
 /// Events that say what an instance had lost or learned, and so may be a request's cause.
-const SURROUNDINGS: [u64; 9] = [100, 101, 103, 910, 912, 915, 916, 918, 919];
+const SURROUNDINGS: [u64; 11] = [100, 101, 103, 105, 106, 910, 912, 915, 916, 918, 919];
 /// How long before a request's first line its surroundings are shown, in milliseconds. An engine
 /// that leaves is gone two seconds after its notice, and keys are honoured for five without news.
 const BEFORE_MS: u64 = 6_000;
--- a/src/cmd/losses.rs
+++ b/src/cmd/losses.rs
@@ -22,6 +22,10 @@
 const ANSWERED: u64 = 903;
 /// See [`REFUSED`].
 const CUT: u64 = 905;
+/// See [`REFUSED`].
+const DROPPED: u64 = 923;
+/// See [`REFUSED`].
+const UNANSWERED: u64 = 924;
 
 /// What one cause has cost.
 #[derive(Debug, Default)]
@@ -107,7 +111,7 @@
                 // A call that failed at one target may be answered by the next.
                 sent.insert(id, line.time_ms);
             }
-            REFUSED | CUT => {
+            REFUSED | CUT | DROPPED | UNANSWERED => {
                 let cause = cause(line.number, status, &line.fields["reason"]);
                 let held = line.fields["held_ms"].as_u64();
                 losses.entry(cause).or_default().add(line.time_ms, held);
@@ -138,10 +142,11 @@
 /// A cause without what differs from request to request.
 fn cause(number: u64, status: u64, reason: &serde_json::Value) -> String {
     let reason = alike(reason.as_str().unwrap_or_default());
-    if number == CUT {
-        format!("cut: {reason}")
-    } else {
-        format!("answered {status}: {reason}")
+    match number {
+        CUT => format!("cut: {reason}"),
+        DROPPED => "its caller's connection ended before the answer".to_owned(),
+        UNANSWERED => "its instance ended without an answer".to_owned(),
+        _ => format!("answered {status}: {reason}"),
     }
 }
 
