Test, failing: a request that is read as a drain ends is answered

Real processes that are told to stop get two generations each at the end of their drain, over a connection that was in use and over a new one. Of 8 processes, 3 cut one or both of theirs in each of two runs: the engine has them, the log shows 105 with no request open, then 901, and 106 50 ms later, with no 902.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,4 +4,5 @@
 mod calls;
 mod explaining;
 mod generations;
+mod stopping;
 mod support;
--- /dev/null
+++ b/tests/platform/stopping.rs
@@ -0,0 +1,100 @@
+//! Planned stops on the users' platform, seen by callers that keep using their connections.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use net::Client;
+use platform_standin::caller::request;
+use smol::Timer;
+
+use crate::support::{Got, Instance, Platform, all_events, read};
+
+/// How long an instance that was told to stop still takes connections.
+const LINGER: Duration = Duration::from_millis(2_600);
+/// Events of a generation that takes some 0.6 s.
+const EVENTS: u32 = 40;
+
+/// Generations that reached an engine.
+fn arrived(platform: &Platform) -> Vec<String> {
+    let lists = platform
+        .engines
+        .iter()
+        .map(|engine| engine.arrivals().list());
+    lists
+        .flatten()
+        .map(|arrival| arrival.id.to_string())
+        .collect()
+}
+
+/// What became of a request; `None` if its connection ended without an answer.
+async fn ask(client: &Client, to: &Instance, id: &str, fresh: bool) -> Option<Got> {
+    let req = request("POST", "/drafts/1", id, EVENTS, "key-1");
+    let resp = if fresh {
+        client.send_fresh(to.addr, req).await
+    } else {
+        client.send(to.addr, req).await
+    };
+    Some(read(resp.ok()?).await)
+}
+
+/// Waits until a moment so long after an instance began to drain.
+async fn until_draining_for(instance: &Instance, time: Duration) {
+    let began = Duration::from_millis(instance.logged_at("Draining").await);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = now.expect("the clock is past 1970");
+    Timer::after((began + time).saturating_sub(now)).await;
+}
+
+/// Stops an instance, and sends it two generations a little before or after it takes no further
+/// connections: one over a connection that was in use before, one over a new one. Tells those that
+/// reached an engine and got neither an answer nor a refusal.
+async fn unanswered(platform: Arc<Platform>, name: String, offset_ms: u64) -> Vec<String> {
+    let instance = platform.instance(&name).await;
+    let client = Client::new();
+    let first = request("GET", "/titles/1", &format!("{name}-0"), 0, "key-1");
+    let first = client.send(instance.addr, first).await.expect("an answer");
+    assert_eq!(read(first).await.status, 200);
+    instance.terminate();
+    let from = LINGER - Duration::from_millis(20) + Duration::from_millis(offset_ms);
+    until_draining_for(&instance, from).await;
+    let (kept, new) = (format!("{name}-kept"), format!("{name}-new"));
+    let (on_kept, on_new) = smol::future::zip(
+        ask(&client, &instance, &kept, false),
+        ask(&client, &instance, &new, true),
+    )
+    .await;
+    let arrived = arrived(&platform);
+    let mut lost = Vec::new();
+    for (id, got) in [(kept, on_kept), (new, on_new)] {
+        let served = |got: &Got| got.whole && (got.status != 200 || got.body == all_events(EVENTS));
+        if arrived.contains(&id) && !got.as_ref().is_some_and(served) {
+            lost.push(format!(
+                "{id} {offset_ms} ms: {got:?} {:?}",
+                instance.events()
+            ));
+        }
+    }
+    lost
+}
+
+/// Guards against a process that ends while a request is at work that it read at the end of its drain.
+///
+/// Callers of an instance that had been told to stop 2.6 s before sent whole requests and got neither
+/// an answer nor a refusal.
+#[test]
+fn a_request_that_is_read_as_a_drain_ends_is_answered() {
+    smol::block_on(async {
+        let platform = Arc::new(Platform::start().await);
+        let stops = [0, 10, 20, 30, 40, 50, 60, 70].map(|offset_ms| {
+            let name = format!("late-{offset_ms}");
+            workers::spawn(unanswered(Arc::clone(&platform), name, offset_ms))
+        });
+        let mut lost = Vec::new();
+        for stop in stops {
+            lost.extend(stop.await);
+        }
+        assert!(lost.is_empty(), "{lost:#?}");
+    });
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -144,6 +144,24 @@
         panic!("no line {event} about {id}");
     }
 
+    /// When it first logged an event of this name, in milliseconds since 1970; waits for the line.
+    pub async fn logged_at(&self, event: &str) -> u64 {
+        let timer = Timer::new();
+        while timer.now() < SOON {
+            if let Some(time) = self.time_of(event) {
+                return time;
+            }
+            timer.sleep(POLL).await;
+        }
+        panic!("no line {event}");
+    }
+
+    fn time_of(&self, event: &str) -> Option<u64> {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = log.iter().find(|line| line["event"] == event)?;
+        line["time_ms"].as_u64()
+    }
+
     fn find(&self, id: &str, event: &str) -> Option<Value> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         let fits = |line: &&Value| line["fields"]["id"] == id && line["event"] == event;
