End the process once the last connection of a caller has ended

Callers of an instance that had been told to stop 2.6 s before sent whole requests and got neither an answer nor a refusal. Cause: the drain looked once whether requests were open, slept 50 ms for the last bytes to leave, and the process ended. A request that was read in those 50 ms, over a connection that was still open or had just been accepted, was placed and sent to an engine, and cut by the process's end. The class: the end of a life decided by a sampled count of what there was, while what can still come is open.

A server's run now returns only when it accepts no more and each connection that it took has ended, and the drain waits for that, within the grace. There is no moment any more at which a request can be read and the process can end without its connection having been closed by the task that answers it. The same holds for bodies that were not written to their end. A second try that got lost and a connection closed as if it were idle are ruled out: in the failing runs the log shows 105 with no request open, 901, and the process's end 50 ms later, with no 902, and all connections close at one moment.

--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -14,6 +14,7 @@
 use net::{Client, Handler, ServeLimits, Server, Terms};
 use parking_lot::{Mutex, RwLock};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use smol::Task;
 use timer::{Timer, boot_time};
 use view::View;
 
@@ -50,8 +51,8 @@
 /// Time that a caller's connection may be idle, or take for its headers, before the configuration
 /// is known.
 const IDLE_TIME: Duration = Duration::from_secs(16);
-/// Time between two looks at whether all has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time for the last messages to other instances to leave: owners learn that places are free.
+const LAST_NOTES: Duration = Duration::from_millis(50);
 /// After an order to stop new connections are still taken for this long: the balancer needs two
 /// questions, a second apart, to leave this instance out.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -109,7 +110,7 @@
     let retire = callers.retire();
     let close = callers.stop();
     let connections = callers.open();
-    workers::spawn(callers.run()).detach();
+    let callers = workers::spawn(callers.run());
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
     for topic in [Topic::Operator, Topic::Targets] {
@@ -133,7 +134,7 @@
     let most = front.bounds.read().grace.mul_f64(GRACE_PART);
     *front.ends_at.lock() = Some(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close, &connections, most).await;
+    drain(&front, &close, &connections, callers, most).await;
     tell_end(&front, &connections);
     Ok(())
 }
@@ -205,7 +206,16 @@
 }
 
 /// Serves what there is to its end, and what still comes while the balancer learns of the stop.
-async fn drain(front: &Front, close: &AtomicBool, connections: &AtomicUsize, most: Duration) {
+///
+/// It is over once the last connection of a caller has ended: a look at the requests that are open
+/// says nothing about the next moment, in which one more may be read.
+async fn drain(
+    front: &Front,
+    close: &AtomicBool,
+    connections: &AtomicUsize,
+    callers: Task<()>,
+    most: Duration,
+) {
     let timer = Timer::new();
     timer.sleep(LINGER.min(most)).await;
     close.store(true, Ordering::Release);
@@ -213,11 +223,10 @@
         connections: connections.load(Ordering::Acquire),
         open: front.open.count() + front.live.count(),
     });
-    while timer.now() < most && front.open.count() + front.live.count() > 0 {
-        timer.sleep(DRAIN_POLL).await;
-    }
-    // Time for the last answers to leave.
-    timer.sleep(DRAIN_POLL).await;
+    timer
+        .within(most.saturating_sub(timer.now()), callers)
+        .await;
+    timer.sleep(LAST_NOTES).await;
 }
 
 /// Logs what the process leaves behind: connections of callers, and requests without an answer.
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -114,11 +114,15 @@
     retire: Arc<AtomicBool>,
     /// Closed with the server: tells the connections to finish what they do and close.
     closing: (Sender<()>, Receiver<()>),
+    /// Each connection holds a sender, so that the receiver tells when the last one has ended.
+    alive: (Sender<()>, Receiver<()>),
 }
 
 /// Counts one open connection for as long as it lives.
 pub struct Guard {
     open: Arc<AtomicUsize>,
+    /// Held for its drop.
+    _alive: Sender<()>,
 }
 
 impl Drop for Guard {
@@ -148,6 +152,7 @@
             stop: Arc::default(),
             retire: Arc::default(),
             closing: bounded(1),
+            alive: bounded(1),
         })
     }
 
@@ -196,8 +201,24 @@
         Arc::clone(&self.retire)
     }
 
-    /// Accepts connections until stopped.
+    /// Accepts connections until stopped, then waits until each one that it took has ended. A
+    /// process that ends before it returns cuts requests that were read.
     pub async fn run(self) {
+        self.accept().await;
+        let Self {
+            listener,
+            closing: (closing, _),
+            alive: (alive, ended),
+            ..
+        } = self;
+        drop(listener);
+        closing.close();
+        drop(alive);
+        // Nothing is ever sent; it fails once the last connection has ended.
+        let _ = ended.recv().await;
+    }
+
+    async fn accept(&self) {
         let timer = timer::Timer::new();
         while !self.stop.load(Ordering::Acquire) {
             match timer.within(ACCEPT_POLL, self.listener.accept()).await {
@@ -208,7 +229,6 @@
             }
         }
         self.take_waiting().await;
-        self.closing.0.close();
     }
 
     /// Takes the connections that the system has made already. Closing the listener would reset
@@ -226,6 +246,7 @@
         let open = self.open.fetch_add(1, Ordering::AcqRel) + 1;
         let guard = Guard {
             open: Arc::clone(&self.open),
+            _alive: self.alive.0.clone(),
         };
         if open > self.limits.connections.saturating_mul(2) {
             return;
--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -281,6 +281,31 @@
     });
 }
 
+/// Guards against a server that counts as ended while a request that it took is still at work.
+#[test]
+fn a_server_has_ended_once_its_last_connection_has() {
+    smol::block_on(async {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::bind(any, ServeLimits::default(), Arc::new(Answers::default())).await;
+        let server = server.expect("a port");
+        let (addr, stop) = (server.addr().expect("an address"), server.stop());
+        let served = workers::spawn(server.run());
+        let mut busy = TcpStream::connect(addr).await.expect("a connection");
+        let ask = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\na";
+        busy.write_all(ask).await.expect("it is sent");
+        smol::Timer::after(Duration::from_millis(50)).await;
+        stop.store(true, Ordering::Release);
+        smol::Timer::after(Duration::from_millis(300)).await;
+        assert!(!served.is_finished());
+        busy.write_all(b"b").await.expect("it is sent");
+        let mut buf = Vec::new();
+        busy.read_to_end(&mut buf).await.expect("an answer");
+        assert!(buf.ends_with(b"ab"), "{}", String::from_utf8_lossy(&buf));
+        let ended = timer::Timer::new().within(SECOND, served).await;
+        assert!(ended.is_some());
+    });
+}
+
 #[test]
 fn a_fresh_connection_is_not_an_idle_one() {
     // Something on the way has lost track of the pooled connections: they look fine and lead
--- a/tests/platform/stopping.rs
+++ b/tests/platform/stopping.rs
@@ -82,7 +82,10 @@
 /// Guards against a process that ends while a request is at work that it read at the end of its drain.
 ///
 /// Callers of an instance that had been told to stop 2.6 s before sent whole requests and got neither
-/// an answer nor a refusal.
+/// an answer nor a refusal. The drain looked once whether requests were open, slept 50 ms for the last
+/// bytes to leave, and ended; a request that was read in those 50 ms was placed, sent to an engine and
+/// cut by the process's end. The engine's view proves it: the request arrives, and 50 ms after the
+/// drain's only look all connections of the process close at once.
 #[test]
 fn a_request_that_is_read_as_a_drain_ends_is_answered() {
     smol::block_on(async {
