Tests, failing: what outlasts the grace is answered, or cut with a reason

An instance that is told to stop ends at 0.96 of its grace. Calls that are still at work then lose their connections without an answer, and streams are cut without a line in the log.

--- a/tests/platform/stopping.rs
+++ b/tests/platform/stopping.rs
@@ -6,15 +6,17 @@
 };
 
 use net::Client;
-use platform_standin::caller::request;
+use platform_standin::{caller::request, plain::Fault};
 use smol::Timer;
 
-use crate::support::{Got, Instance, Platform, all_events, read};
+use crate::support::{Caller, Got, Instance, Platform, all_events, read};
 
 /// How long an instance that was told to stop still takes connections.
 const LINGER: Duration = Duration::from_millis(2_600);
 /// Events of a generation that takes some 0.6 s.
 const EVENTS: u32 = 40;
+/// Events of a generation that outlasts any grace.
+const ENDLESS: u32 = 2_000;
 
 /// Generations that reached an engine.
 fn arrived(platform: &Platform) -> Vec<String> {
@@ -101,3 +103,46 @@
         assert!(lost.is_empty(), "{lost:#?}");
     });
 }
+
+/// Guards against a process that ends at the end of its grace with a call unanswered.
+#[test]
+fn a_call_that_outlasts_the_grace_is_told_that_it_may_have_run() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        for process in &platform.plain {
+            process.set_fault(Fault::Silent);
+        }
+        let instance = platform.instance("outlasting").await;
+        instance.terminate();
+        instance.logged_at("Draining").await;
+        let caller = Caller::new("key-1");
+        let (once, again) = smol::future::zip(
+            caller.call(instance.addr, "POST", "/grants/1", "r-1"),
+            caller.call(instance.addr, "GET", "/titles/1", "r-2"),
+        )
+        .await;
+        assert_eq!((once.status, once.whole), (504, true));
+        assert_eq!((again.status, again.whole), (504, true));
+        instance.logged_at("Stopped").await;
+    });
+}
+
+/// Guards against a process that ends at the end of its grace and says nothing of the streams it cuts.
+#[test]
+fn a_generation_that_outlasts_the_grace_is_cut_with_a_reason() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("cutting").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", ENDLESS)
+            .await;
+        instance.terminate();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.status, got.whole), (200, false));
+        let line = instance.line("g-1", "StreamCut").await;
+        let reason = line["fields"]["reason"].as_str().unwrap_or_default();
+        assert!(reason.contains("the instance stops"), "{line}");
+        instance.logged_at("Stopped").await;
+    });
+}
