Answer what outlasts the grace before the process ends

Callers whose calls were still at work when the grace of a stopping instance was over lost their connections without an answer; streams were cut without a line that says so. Cause: the drain had a time limit, the requests had not, and the process ended with them.

At 0.96 of the grace the instance now gives up what is open: a request of which nothing was sent is refused as not run, one that was sent gets 504, whose outcome is unknown, and a stream is cut with its reason in the log. The answers have a fiftieth of the grace to leave. The race is in one place around each request, so that no wait on the way can be forgotten.

--- a/components/front/src/call.rs
+++ b/components/front/src/call.rs
@@ -1,6 +1,12 @@
 //! One request while it is served.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use hyper::http;
@@ -38,9 +44,16 @@
     pub due: Moment,
     /// The version of the configuration that it is served by.
     pub rules: u64,
+    /// Whether a sending of it has begun, so that it may have run. Clones share it.
+    pub sent: Arc<AtomicBool>,
 }
 
 impl Call {
+    /// Notes that a sending of it begins.
+    pub fn begin_sending(&self) {
+        self.sent.store(true, Ordering::Release);
+    }
+
     /// How long it has been held.
     #[must_use]
     pub fn held(&self) -> Duration {
--- /dev/null
+++ b/components/front/src/ending.rs
@@ -0,0 +1,51 @@
+//! The end of an instance's life, for those that wait for something.
+
+use std::time::Duration;
+
+use async_channel::{Receiver, Sender, bounded};
+use parking_lot::Mutex;
+use timer::boot_time;
+use types::Moment;
+
+/// The end of an instance's life.
+#[derive(Debug)]
+pub struct Ending {
+    /// Until when it serves what it has taken, once it was told to stop.
+    at: Mutex<Option<Moment>>,
+    /// Closed once what is still open is given up.
+    over: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Ending {
+    fn default() -> Self {
+        Self {
+            at: Mutex::default(),
+            over: bounded(1),
+        }
+    }
+}
+
+impl Ending {
+    /// It was told to stop, and serves what it has taken until then.
+    pub fn set(&self, at: Moment) {
+        *self.at.lock() = Some(at);
+    }
+
+    /// Time left to serve what it has taken, once it was told to stop.
+    #[must_use]
+    pub fn left(&self) -> Option<Duration> {
+        let at = *self.at.lock();
+        at.map(|at| at.saturating_sub(boot_time()))
+    }
+
+    /// Gives up what has no answer yet: it gets one of our own.
+    pub fn give_up(&self) {
+        self.over.0.close();
+    }
+
+    /// Waits until what has no answer yet is given up.
+    pub async fn over(&self) {
+        // Nothing is ever sent; it fails once the channel is closed.
+        let _ = self.over.1.recv().await;
+    }
+}
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -15,7 +15,7 @@
     call::Call,
     face::Sizes,
     live::Live,
-    refuse::{Refusal, millis},
+    refuse::{ELSEWHERE_RETRY, Refusal, millis},
     relay::Relay,
     send::{Sent, collect, send},
     silence::{Silence, Verdict, look_into},
@@ -27,8 +27,6 @@
 /// Parts of a service's engines that are asked before a generation is refused. With two at random
 /// of many, a full one among free ones hardly ever decides.
 const SHARDS_ASKED: u32 = 3;
-/// When a caller may come back that another instance would serve: at once, on a new connection.
-const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
 /// Engines that may say in a row that they did not run a generation before its caller is told.
 const NOT_RUN_MOST: usize = 4;
 /// Sizes of a generation that declares none: that of a short question.
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -1,11 +1,19 @@
 //! Takes callers' requests in.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use async_trait::async_trait;
 use hyper::{Request, Response, StatusCode, body::Incoming, http};
 use net::{Body, BodyError, Handler, SharedError, read_shared};
 use placing::RequestDigest;
+use smol::future;
 use timer::boot_time;
 use types::Moment;
 use view::{Identity, Kind};
@@ -17,7 +25,7 @@
     generation,
     ignorance::come_back_after,
     plain,
-    refuse::Refusal,
+    refuse::{ELSEWHERE_RETRY, Refusal},
     state::{Front, age},
 };
 
@@ -32,6 +40,9 @@
 /// Time that a caller is kept waiting where neither it nor the route says.
 const DEFAULT_LEFT: Duration = Duration::from_secs(30);
 
+/// Why what outlasts the instance's life gets an answer of our own.
+const STOPS: &str = "the instance stops before it would end";
+
 /// Takes callers' requests in.
 pub struct Callers {
     front: Arc<Front>,
@@ -78,9 +89,30 @@
         let front = Arc::clone(&self.front);
         let service = Arc::clone(&call.service.name);
         front.budget.lock().count(boot_time(), &service);
-        match call.route.kind {
-            Kind::Generation => generation::serve(front, call).await,
-            Kind::Idempotent | Kind::NonIdempotent => plain::serve(&front, &call).await,
+        let outlived = self.outlived(&call);
+        let served = async {
+            match call.route.kind {
+                Kind::Generation => generation::serve(front, call).await,
+                Kind::Idempotent | Kind::NonIdempotent => plain::serve(&front, &call).await,
+            }
+        };
+        future::or(outlived, served).await
+    }
+
+    /// Answers a call in the place of its target once the instance gives up what is still open.
+    /// Without an answer the caller could not tell whether it has run.
+    fn outlived(&self, call: &Call) -> impl Future<Output = Response<Body>> + use<> {
+        let front = Arc::clone(&self.front);
+        let (id, kind, arrived) = (Arc::clone(&call.asked.id), call.kind(), call.arrived);
+        let sent = Arc::clone(&call.sent);
+        async move {
+            front.ending.over().await;
+            let refusal = if sent.load(Ordering::Acquire) {
+                Refusal::late(STOPS)
+            } else {
+                Refusal::not_run(STOPS, ELSEWHERE_RETRY)
+            };
+            front.refuse_kind(kind, &id, age(arrived), &refusal)
         }
     }
 
@@ -89,7 +121,14 @@
         let limit = limits.map_or(BODY_LIMIT, |limits| limits.body_bytes);
         let pause = limits.map_or(BODY_PAUSE, |limits| limits.header_time);
         let mut share = self.front.bodies.share();
-        let read = read_shared(body, limit, pause, &mut share).await;
+        let read = async { Some(read_shared(body, limit, pause, &mut share).await) };
+        let outlived = async {
+            self.front.ending.over().await;
+            None
+        };
+        let Some(read) = future::or(outlived, read).await else {
+            return Err(Refusal::not_run(STOPS, ELSEWHERE_RETRY));
+        };
         read.map_err(|e| match e {
             SharedError::Body(BodyError::TooLarge) => {
                 Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, e.to_string())
@@ -153,6 +192,7 @@
             body,
             arrived,
             rules: rules.version,
+            sent: Arc::new(AtomicBool::new(false)),
         })
     }
 }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod config;
 pub mod decisions;
 pub mod dump;
+pub mod ending;
 pub mod face;
 pub mod follow;
 pub mod generation;
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -75,7 +75,8 @@
     #[must_use]
     pub fn can_finish(&self, ask: &Ask) -> bool {
         let Some(left) = self
-            .time_left()
+            .ending
+            .left()
             .filter(|_| self.cfg.decisions.parts.sends_elsewhere)
         else {
             return true;
--- a/components/front/src/refuse.rs
+++ b/components/front/src/refuse.rs
@@ -12,6 +12,9 @@
 
 use crate::{call::Call, state::Front};
 
+/// When a caller may come back that another instance would serve: at once, on a new connection.
+pub const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
+
 /// Why a request gets an answer of our own.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -111,13 +114,24 @@
 
     /// Refuses a call.
     pub fn refuse_call(&self, call: &Call, refusal: &Refusal) -> Response<Body> {
+        self.refuse_kind(call.kind(), &call.asked.id, call.held(), refusal)
+    }
+
+    /// Refuses a request of a kind.
+    pub fn refuse_kind(
+        &self,
+        kind: &'static str,
+        id: &str,
+        held: Duration,
+        refusal: &Refusal,
+    ) -> Response<Body> {
         let outcome = if refusal.retry.is_some() {
             "refused"
         } else {
             "failed"
         };
-        self.metrics.ended(call.kind(), outcome);
-        self.refuse(Some(&call.asked.id), call.held(), refusal)
+        self.metrics.ended(kind, outcome);
+        self.refuse(Some(id), held, refusal)
     }
 }
 
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -287,6 +287,9 @@
         match order {
             Some(Order::Expect) => self.expecting = true,
             Some(Order::Forget) => self.expecting = false,
+            Some(Order::GiveUp) => {
+                return Some(Stop::Cut("the instance stops before its end".into()));
+            }
             Some(Order::Resume {
                 target,
                 resume,
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -24,6 +24,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::Config,
+    ending::Ending,
     face::{Engines, Face, Store},
     follow::Follower,
     handler::Callers,
@@ -56,8 +57,10 @@
 /// After an order to stop new connections are still taken for this long: the balancer needs two
 /// questions, a second apart, to leave this instance out.
 const LINGER: Duration = Duration::from_millis(2_600);
-/// Part of the grace that is used; the rest, a quarter of a second of eight, is for the last bytes.
+/// Part of the grace in which requests are served to their ends.
 const GRACE_PART: f64 = 0.96;
+/// Part of the grace for the answers to those that are given up.
+const LAST_ANSWERS_PART: f64 = 0.02;
 
 /// What an instance talks to.
 pub struct Outside {
@@ -131,10 +134,11 @@
     emit(&Event::Draining {
         open: front.open.count(),
     });
-    let most = front.bounds.read().grace.mul_f64(GRACE_PART);
-    *front.ends_at.lock() = Some(boot_time() + most);
+    let grace = front.bounds.read().grace;
+    let most = grace.mul_f64(GRACE_PART);
+    front.ending.set(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close, &connections, callers, most).await;
+    drain(&front, &close, &connections, callers, grace).await;
     tell_end(&front, &connections);
     Ok(())
 }
@@ -175,7 +179,7 @@
         )),
         cold: Mutex::new(ColdTargets::default()),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
-        ends_at: Mutex::default(),
+        ending: Ending::default(),
         open: OpenRequests::default(),
         metrics: Metrics::new(),
         terms: Arc::new(Terms::new(&terms)),
@@ -213,19 +217,24 @@
     front: &Front,
     close: &AtomicBool,
     connections: &AtomicUsize,
-    callers: Task<()>,
-    most: Duration,
+    mut callers: Task<()>,
+    grace: Duration,
 ) {
     let timer = Timer::new();
+    let most = grace.mul_f64(GRACE_PART);
     timer.sleep(LINGER.min(most)).await;
     close.store(true, Ordering::Release);
     emit(&Event::DrainClosing {
         connections: connections.load(Ordering::Acquire),
         open: front.open.count() + front.live.count(),
     });
-    timer
-        .within(most.saturating_sub(timer.now()), callers)
-        .await;
+    let left = most.saturating_sub(timer.now());
+    if timer.within(left, &mut callers).await.is_none() {
+        front.ending.give_up();
+        front.live.give_up();
+        let last = grace.mul_f64(LAST_ANSWERS_PART);
+        timer.within(last, callers).await;
+    }
     timer.sleep(LAST_NOTES).await;
 }
 
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -59,6 +59,7 @@
         resume,
     };
     let req = front.face.request(&sending);
+    call.begin_sending();
     let from = boot_time();
     let answer = Timer::new()
         .within(limit, front.client.send(target.addr, req))
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -19,6 +19,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::{Bounds, Config},
+    ending::Ending,
     face::{Engines, Face},
     live::LiveRuns,
     metrics::Metrics,
@@ -71,8 +72,8 @@
     pub cold: Mutex<ColdTargets>,
     /// Bytes that bodies may hold together.
     pub bodies: net::Budget,
-    /// Set once it is told to stop: until when it serves what it has taken.
-    pub ends_at: Mutex<Option<Moment>>,
+    /// The end of its life.
+    pub ending: Ending,
     /// Requests that were read and have no answer yet.
     pub open: OpenRequests,
     /// Counters and histograms.
@@ -114,18 +115,11 @@
         age(self.view.rules_read().unwrap_or(self.since))
     }
 
-    /// Time left to serve what it has taken, once it was told to stop.
-    #[must_use]
-    pub fn time_left(&self) -> Option<Duration> {
-        let ends = *self.ends_at.lock();
-        ends.map(|ends| ends.saturating_sub(boot_time()))
-    }
-
     /// Whether it takes callers.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         let known = self.view.rules().is_some() && self.view.targets_read().is_some();
-        known && self.time_left().is_none() && self.keys_fresh()
+        known && self.ending.left().is_none() && self.keys_fresh()
     }
 
     /// Takes the limits of callers' connections from the configuration in force.
--- a/components/front/tests/aims.rs
+++ b/components/front/tests/aims.rs
@@ -53,6 +53,7 @@
         deadline: boot_time() + left,
         due: boot_time() + left,
         rules: 1,
+        sent: Arc::default(),
     };
     assert!(call.aim_left() > aim / 2, "{:?}", call.aim_left());
 }
