--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -306,6 +306,27 @@
     });
 }
 
+/// Guards against a connection that is closed in the face of a caller that has just made it.
+#[test]
+fn a_connection_made_as_the_server_stops_gets_its_first_request_answered() {
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut new = TcpStream::connect(watch.addr).await.expect("a connection");
+        watch.stop.store(true, Ordering::Release);
+        smol::Timer::after(Duration::from_millis(150)).await;
+        let ask = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nab";
+        let sent = new.write_all(ask).await;
+        let mut buf = Vec::new();
+        let read = new.read_to_end(&mut buf).await;
+        assert!(
+            buf.starts_with(b"HTTP/1.1 200 ") && buf.ends_with(b"ab"),
+            "{sent:?} {read:?} {}",
+            String::from_utf8_lossy(&buf)
+        );
+        until(|| watch.open.load(Ordering::Acquire) == 0).await;
+    });
+}
+
 #[test]
 fn a_fresh_connection_is_not_an_idle_one() {
     // Something on the way has lost track of the pooled connections: they look fine and lead
