Wait for the first request of a connection that was just made

A caller that connected as an instance stopped taking connections saw its connection closed without an answer, and could not tell whether its request was read. Cause: a connection on which nothing was read yet counts as idle when the server closes, and is closed at once, its caller's request being on its way. A connection is now given 0.3 s from its making until its first request, as the callers of one that waits in the system's queue have just made it; its answer closes it. Idle ones that have had a request are closed at once as before.

--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
@@ -37,6 +37,9 @@
 
 /// Time that the other side may read nothing while there is something to write.
 const WRITE_STALL: Duration = Duration::from_secs(30);
+/// Time from a connection's making within which its first request is waited for though the server
+/// stops. Its caller has sent it by then, or has no request yet.
+const FIRST_REQUEST: Duration = Duration::from_millis(300);
 /// Bytes of a connection's buffers at least; the library takes no less.
 const LEAST_BUFFER: usize = 8192;
 
@@ -266,6 +269,8 @@
             stop: Arc::clone(&self.stop),
             retire: Arc::clone(&self.retire),
             closing: self.closing.1.clone(),
+            made: Instant::now(),
+            asked: AtomicBool::new(false),
         };
         workers::spawn(async move {
             conn.serve(stream).await;
@@ -284,6 +289,10 @@
     stop: Arc<AtomicBool>,
     retire: Arc<AtomicBool>,
     closing: Receiver<()>,
+    /// When it was accepted.
+    made: Instant,
+    /// Whether a request has come.
+    asked: AtomicBool,
 }
 
 impl Connection {
@@ -308,6 +317,10 @@
         let closing = async {
             // Nothing is ever sent; it fails once the server closes.
             let _ = self.closing.recv().await;
+            // The library closes a connection without a request at once.
+            if !self.asked.load(Ordering::Acquire) {
+                smol::Timer::at(self.made + FIRST_REQUEST).await;
+            }
             false
         };
         if future::or(ended, closing).await {
@@ -318,6 +331,7 @@
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
+        self.asked.store(true, Ordering::Release);
         let mut resp = self.handler.handle(self.peer, req).await;
         if self.stop.load(Ordering::Acquire) || self.retire.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
