Log each panic as an event

A task that panics is dropped by the executor, and its caller's connection closes without an answer; the only trace was a line on standard error, which nobody may keep. Event 107 names the place and the message, and is counted as the others are.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -71,6 +71,16 @@
         106, Warn, "the process ends with {connections} connections open, {unanswered} requests unanswered and {cut} generations cut",
         "Look for the lines 924 and 905 before it; if it comes often, give instances a longer grace.",
     ),
+    /// A task panicked. What it did for a caller is answered with an error; the process goes on.
+    Panicked {
+        /// Where in the sources.
+        place: Arc<str>,
+        /// What it says.
+        message: Arc<str>,
+    } = (
+        107, Error, "a task panicked at {place}: {message}",
+        "Report it with the lines before it.",
+    ),
     /// A peer is heard for the first time, or again.
     PeerHeard {
         /// The peer.
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod event;
 pub mod format;
 pub mod log;
+mod panics;
 pub mod queue;
 
 pub use count::counts;
--- a/components/events/src/log.rs
+++ b/components/events/src/log.rs
@@ -16,6 +16,7 @@
     declare::Level,
     event::Event,
     format::Format,
+    panics,
     queue::{Counts, Queue},
 };
 
@@ -50,7 +51,9 @@
     if let Some(logger) = logger(level, sink) {
         spdlog::set_default_logger(logger);
         // Logging is set up once; a second time the first counts stay.
-        let _ = COUNTS.set(counts);
+        if COUNTS.set(counts).is_ok() {
+            panics::tell();
+        }
     }
 }
 
