Answer a caller whose handler panics

A caller whose request hit a fault in a handler found its connection closed without a byte, and could not tell it from a lost network. The panic unwound the task of the connection, and the executor drops the panic of a detached task; only the runtime's own line on stderr told of it.

The panic is now caught around the handler alone. The caller gets 500 with the run unknown, which promises nothing, and its connection is closed, since the rest of the request was not read. The handler is told through Handler::panicked, with the panic's message, so that each request path can log it and answer in its own form.

A broken invariant stops the process as before where it breaks in a task that the process waits for: a panic in a handler never did, as it ended the one connection. Whether it should can now be decided in Handler::panicked.

--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -28,6 +28,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
+    panics,
     reply::{Body, Reply},
     stall::Watched,
 };
@@ -45,6 +46,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request. `peer` is the other end of the connection.
     async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<Body>;
+
+    /// Told that [`Self::handle`] panicked, with the panic's message; answers in its place. The
+    /// connection is closed after it.
+    fn panicked(&self, _reason: &str) -> Response<Body> {
+        panics::refusal()
+    }
 }
 
 /// Limits on what one server accepts.
@@ -297,7 +304,7 @@
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
-        let mut resp = self.handler.handle(self.peer, req).await;
+        let mut resp = panics::caught(self.handler.as_ref(), self.peer, req).await;
         if self.stop.load(Ordering::Acquire) || self.retire.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
             resp.headers_mut().insert(CONNECTION, close);
--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -11,13 +11,18 @@
 
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply, ServeLimits, Server};
+use parking_lot::Mutex;
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
 /// Answers by path: `/panic` breaks off, `/slow` answers a little later, any other at once.
-struct Answers;
+#[derive(Default)]
+struct Answers {
+    /// What panics said.
+    panics: Mutex<Vec<String>>,
+}
 
 #[async_trait::async_trait]
 impl Handler for Answers {
@@ -31,6 +36,21 @@
             _ => Reply::text(200, "ok").done(),
         }
     }
+
+    fn panicked(&self, reason: &str) -> Response<Body> {
+        self.panics.lock().push(reason.to_owned());
+        Plain.panicked(reason)
+    }
+}
+
+/// A handler that leaves everything to the defaults.
+struct Plain;
+
+#[async_trait::async_trait]
+impl Handler for Plain {
+    async fn handle(&self, _: SocketAddr, _: Request<Incoming>) -> Response<Body> {
+        panic!("another handler broke off")
+    }
 }
 
 /// A running server: its address and its open connections.
@@ -73,7 +93,7 @@
 #[test]
 fn a_handler_that_panics_is_answered_and_hurts_no_other_request() {
     smol::block_on(async {
-        let (addr, open) = serve(Arc::new(Answers)).await;
+        let (addr, open) = serve(Arc::new(Answers::default())).await;
         let mut other = ask(addr, "/slow").await;
         let answer = rest(ask(addr, "/panic").await).await;
         assert!(answer.starts_with("HTTP/1.1 500 "), "{answer:?}");
@@ -87,3 +107,18 @@
         until(|| open.load(Ordering::Acquire) == 0).await;
     });
 }
+
+/// A panic that nobody hears of stays a mystery to the operators.
+#[test]
+fn a_panic_of_a_handler_is_reported_to_it() {
+    smol::block_on(async {
+        let answers = Arc::new(Answers::default());
+        let handler: Arc<dyn Handler> = Arc::<Answers>::clone(&answers);
+        let (addr, _) = serve(handler).await;
+        rest(ask(addr, "/panic").await).await;
+        assert_eq!(*answers.panics.lock(), ["a handler broke off"]);
+        let (addr, _) = serve(Arc::new(Plain)).await;
+        let answer = rest(ask(addr, "/").await).await;
+        assert!(answer.starts_with("HTTP/1.1 500 "), "{answer:?}");
+    });
+}
