--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -10,14 +10,15 @@
 };
 
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Handler, Reply, ServeLimits, Server};
+use net::{Body, Handler, Reply, ServeLimits, Server, fed};
 use parking_lot::Mutex;
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
 };
 
-/// Answers by path: `/panic` breaks off, `/slow` answers a little later, any other at once.
+/// Answers by path: `/panic` breaks off, `/slow` answers a little later, `/fed` begins a body
+/// whose feeder panics, `/ends` one whose feeder ends, any other at once.
 #[derive(Default)]
 struct Answers {
     /// What panics said.
@@ -33,6 +34,19 @@
                 smol::Timer::after(Duration::from_millis(200)).await;
                 Reply::text(200, "slow").done()
             }
+            "/fed" => {
+                let body = fed(|tx| async move {
+                    let _ = tx.send(Ok("a part".into())).await;
+                    panic!("a feeder broke off");
+                });
+                Reply::new(200).with_body(body).done()
+            }
+            "/ends" => {
+                let body = fed(|tx| async move {
+                    let _ = tx.send(Ok("a whole".into())).await;
+                });
+                Reply::new(200).with_body(body).done()
+            }
             _ => Reply::text(200, "ok").done(),
         }
     }
@@ -73,6 +87,9 @@
     panic!("the condition never came true");
 }
 
+/// What ends a body of unknown length.
+const END: &str = "\r\n0\r\n\r\n";
+
 /// Sends a request for a path, and gives the connection.
 async fn ask(addr: SocketAddr, path: &str) -> TcpStream {
     let mut stream = TcpStream::connect(addr).await.expect("a connection");
@@ -122,3 +139,22 @@
         assert!(answer.starts_with("HTTP/1.1 500 "), "{answer:?}");
     });
 }
+
+/// A caller takes half an answer for the whole one.
+#[test]
+fn a_body_whose_feeder_panics_does_not_look_complete() {
+    smol::block_on(async {
+        let (addr, _) = serve(Arc::new(Answers::default())).await;
+        let answer = rest(ask(addr, "/fed").await).await;
+        assert!(!answer.contains(END), "{answer:?}");
+        let mut whole = ask(addr, "/ends").await;
+        let mut answer = String::new();
+        while !answer.ends_with(END) {
+            let mut buf = [0; 1024];
+            let len = whole.read(&mut buf).await.expect("more of the answer");
+            assert!(len > 0, "{answer:?}");
+            answer.push_str(&String::from_utf8_lossy(&buf[..len]));
+        }
+        assert!(answer.contains("a whole"), "{answer:?}");
+    });
+}
