End a fed body only once its feeder has returned

A caller whose streamed answer broke off through a fault in our process got the end mark of the body after the half that was sent, and took the half for the whole. The end of the feeder's channel counted as the end of the body, and a panic drops the channel's sending end as well.

The body now ends only when the feeding task has returned. A panic is caught in the task and cuts the body, as if the feeder had said so; the runtime's line on stderr tells of it. Awaiting the task would otherwise pass the panic on to the connection.

--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -1,8 +1,10 @@
 //! Bodies and answers.
 
 use std::{
+    panic::AssertUnwindSafe,
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
+    thread,
 };
 
 use bytes::Bytes;
@@ -17,6 +19,7 @@
 use smol::{
     Task,
     channel::{Sender, bounded},
+    future::FutureExt,
     stream::{Stream, StreamExt},
 };
 
@@ -56,24 +59,38 @@
     (tx, Fed { rx, feeder: None }.boxed_unsync())
 }
 
-/// A body fed by a task, which gets the sending end. A [`Cut`] ends the connection with it. The
-/// task is dropped with the body: when the receiver goes away, nothing works on for nobody.
+/// A body fed by a task, which gets the sending end. It ends once the task has returned; a [`Cut`]
+/// ends the connection with it, and so does a panic. The task is dropped with the body: when the
+/// receiver goes away, nothing works on for nobody.
 #[must_use]
 pub fn fed<F>(feed: impl FnOnce(Sender<Result<Bytes, Cut>>) -> F) -> Body
 where
     F: Future<Output = ()> + Send + 'static,
 {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
-    let feeder = Some(workers::spawn(feed(tx)));
+    // Caught, so that a panic ends in the body and not in whoever sends it.
+    let feed = AssertUnwindSafe(feed(tx)).catch_unwind();
+    let feeder = Some(workers::spawn(feed));
     let rx = Box::pin(rx);
     Fed { rx, feeder }.boxed_unsync()
 }
 
 struct Fed {
     rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
-    /// Held for its drop.
-    #[expect(dead_code, reason = "dropping it ends the task")]
-    feeder: Option<Task<()>>,
+    /// Dropping it ends the task.
+    feeder: Option<Task<thread::Result<()>>>,
+}
+
+impl Fed {
+    /// What comes after the last piece: the end, if the feeder came to its own.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        let Some(feeder) = &mut self.feeder else {
+            return Poll::Ready(None);
+        };
+        let ended = ready!(Pin::new(feeder).poll(cx));
+        self.feeder = None;
+        Poll::Ready(ended.err().map(|_| Err(Cut)))
+    }
 }
 
 impl HttpBody for Fed {
@@ -84,10 +101,10 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.rx
-            .as_mut()
-            .poll_next(cx)
-            .map(|piece| piece.map(|buf| buf.map(Frame::data)))
+        match ready!(self.rx.as_mut().poll_next(cx)) {
+            Some(piece) => Poll::Ready(Some(piece.map(Frame::data))),
+            None => self.poll_end(cx),
+        }
     }
 }
 
