Test: a cut takes with it what went before it

An answer that is cut right after its first part ends without a byte: neither head nor part reaches the caller.

--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -10,7 +10,7 @@
 };
 
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Handler, Reply, ServeLimits, Server, fed};
+use net::{Body, Cut, Handler, Reply, ServeLimits, Server, fed};
 use parking_lot::Mutex;
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -18,7 +18,7 @@
 };
 
 /// Answers by path: `/panic` breaks off, `/slow` answers a little later, `/fed` begins a body
-/// whose feeder panics, `/ends` one whose feeder ends, any other at once.
+/// whose feeder panics, `/ends` one whose feeder ends, `/cut` one that is cut, any other at once.
 #[derive(Default)]
 struct Answers {
     /// What panics said.
@@ -41,6 +41,13 @@
                 });
                 Reply::new(200).with_body(body).done()
             }
+            "/cut" => {
+                let body = fed(|tx| async move {
+                    let _ = tx.send(Ok("a part".into())).await;
+                    let _ = tx.send(Err(Cut)).await;
+                });
+                Reply::new(200).with_body(body).done()
+            }
             "/ends" => {
                 let body = fed(|tx| async move {
                     let _ = tx.send(Ok("a whole".into())).await;
@@ -158,3 +165,17 @@
         assert!(answer.contains("a whole"), "{answer:?}");
     });
 }
+
+/// An answer that is cut right after its first part ends without an answer at all.
+#[test]
+fn what_went_before_a_cut_reaches_the_caller() {
+    smol::block_on(async {
+        let (addr, _) = serve(Arc::new(Answers::default())).await;
+        for _ in 0..20 {
+            let answer = rest(ask(addr, "/cut").await).await;
+            assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+            assert!(answer.contains("a part"), "{answer:?}");
+            assert!(!answer.contains(END), "{answer:?}");
+        }
+    });
+}
