Write what went before a cut before the connection ends

A caller whose answer was cut soon after its beginning saw its connection close without a byte, head included: nothing told it that the request had been taken up. The connection drops whatever it has not written yet as soon as the body fails.

A cut now waits for one turn of the connection, in which all that came before is written. What a caller that reads too slowly has not taken by then is still lost with the cut.

--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -56,7 +56,7 @@
 pub fn channel() -> (Sender<Bytes>, Body) {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
     let rx = Box::pin(rx.map(Ok));
-    (tx, Fed { rx, feeder: None }.boxed_unsync())
+    (tx, Fed::new(rx, None).boxed_unsync())
 }
 
 /// A body fed by a task, which gets the sending end. It ends once the task has returned; a [`Cut`]
@@ -72,18 +72,38 @@
     let feed = AssertUnwindSafe(feed(tx)).catch_unwind();
     let feeder = Some(workers::spawn(feed));
     let rx = Box::pin(rx);
-    Fed { rx, feeder }.boxed_unsync()
+    Fed::new(rx, feeder).boxed_unsync()
 }
 
 struct Fed {
     rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
     /// Dropping it ends the task.
     feeder: Option<Task<thread::Result<()>>>,
+    /// It is cut as soon as what went before has been written.
+    cut: bool,
 }
 
 impl Fed {
+    fn new(
+        rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
+        feeder: Option<Task<thread::Result<()>>>,
+    ) -> Self {
+        Self {
+            rx,
+            feeder,
+            cut: false,
+        }
+    }
+
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        match ready!(self.rx.as_mut().poll_next(cx)) {
+            None => self.poll_end(cx),
+            piece => Poll::Ready(piece),
+        }
+    }
+
     /// What comes after the last piece: the end, if the feeder came to its own.
-    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
         let Some(feeder) = &mut self.feeder else {
             return Poll::Ready(None);
         };
@@ -101,9 +121,18 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        match ready!(self.rx.as_mut().poll_next(cx)) {
-            Some(piece) => Poll::Ready(Some(piece.map(Frame::data))),
-            None => self.poll_end(cx),
+        if self.cut {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        match ready!(self.poll_piece(cx)) {
+            Some(Err(Cut)) => {
+                // The connection drops what it holds once it hears of the cut, be it the head. It
+                // writes whenever a body has nothing more for now.
+                self.cut = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            piece => Poll::Ready(piece.map(|buf| buf.map(Frame::data))),
         }
     }
 }
