--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -17,6 +17,7 @@
 };
 use gateway::Ending;
 use http_body_util::BodyExt;
+use hyper::{Response, body::Incoming};
 use targets::TargetError;
 use types::{Class, Refusal, Tokens};
 
@@ -391,6 +392,12 @@
 
 /// Begins a stream, reads its first chunk and leaves; gives the id of the last event read.
 async fn leave_early(bed: &Bed) -> (String, Tokens) {
+    let (_, id, have) = begin(bed).await;
+    (id, have)
+}
+
+/// Begins a stream and reads its first chunk; gives the id of the last event read.
+async fn begin(bed: &Bed) -> (Response<Incoming>, String, Tokens) {
     let mut resp = bed
         .open(KEY_A, "POST", "/v1/completions", &[], &body(true))
         .await;
@@ -403,7 +410,7 @@
     let text = frame.into_data().unwrap_or_default();
     let events = events(&String::from_utf8_lossy(&text));
     let id = events.last().expect("an event").0.clone();
-    (id, events.len() as Tokens)
+    (resp, id, events.len() as Tokens)
 }
 
 #[test]
@@ -445,6 +452,24 @@
     });
 }
 
+/// The connection that a caller gave up for another seems to hold the whole answer.
+#[test]
+fn a_stream_that_goes_on_elsewhere_does_not_look_complete() {
+    smol::block_on(async {
+        let bed = Bed::new().await;
+        bed.engine.starts([Ok(endless(0))]);
+        let (first, id, have) = begin(&bed).await;
+        bed.engine
+            .resumes([Ok(vec![Step::Tokens(have, 3), Step::End])]);
+        let second = bed
+            .send("GET", "/v1/streams", &[("last-event-id", &id)], "")
+            .await;
+        assert!(second.body.contains("[DONE]"), "{second:?}");
+        let rest = first.into_body().collect().await;
+        assert!(rest.is_err(), "{rest:?}");
+    });
+}
+
 #[test]
 fn nobody_goes_on_with_a_stream_of_another_workspace_or_a_made_up_one() {
     // Somebody finds an event id in a log. With the key of another workspace it must be of no
--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -10,7 +10,7 @@
 };
 
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Cut, Handler, Reply, ServeLimits, Server, fed};
+use net::{Body, Cut, Handler, Reply, ServeLimits, Server, channel, fed};
 use parking_lot::Mutex;
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -18,7 +18,8 @@
 };
 
 /// Answers by path: `/panic` breaks off, `/slow` answers a little later, `/fed` begins a body
-/// whose feeder panics, `/ends` one whose feeder ends, `/cut` one that is cut, any other at once.
+/// whose feeder panics, `/ends` one whose feeder ends, `/cut` one that is cut, `/dropped` one whose
+/// sender is dropped, any other at once.
 #[derive(Default)]
 struct Answers {
     /// What panics said.
@@ -48,6 +49,14 @@
                 });
                 Reply::new(200).with_body(body).done()
             }
+            "/dropped" => {
+                let (tx, body) = channel();
+                let feed = async move {
+                    let _ = tx.send("a part".into()).await;
+                };
+                workers::spawn(feed).detach();
+                Reply::new(200).with_body(body).done()
+            }
             "/ends" => {
                 let body = fed(|tx| async move {
                     let _ = tx.send(Ok("a whole".into())).await;
@@ -179,3 +188,14 @@
         }
     });
 }
+
+/// The task that feeds an answer goes away, and the caller takes half of it for the whole.
+#[test]
+fn a_body_whose_sender_is_dropped_without_a_word_does_not_look_complete() {
+    smol::block_on(async {
+        let (addr, _) = serve(Arc::new(Answers::default())).await;
+        let answer = rest(ask(addr, "/dropped").await).await;
+        assert!(answer.contains("a part"), "{answer:?}");
+        assert!(!answer.contains(END), "{answer:?}");
+    });
+}
