Cut a body whose sender goes away without ending it

A caller of a stream could get the end mark of the body though the stream had not ended: where the task that fed it broke off, where the caller took longer than the limit for a piece and the rest was dropped, and on a connection whose stream went on over another. Only a reader that looks for the stream's own last event could tell. The end of the channel counted as the end of the body.

The sending end now says that the body is whole (BodySender::finish); if it is dropped or closed before, the body is cut. The gateway's writer says so with the stream's last event, [DONE] or partial, if that went out. The stand-in engine ends its bodies as before.

--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -5,9 +5,9 @@
 use async_trait::async_trait;
 use bytes::{BufMut, Bytes, BytesMut};
 use hyper::Response;
-use net::{Body, Reply, channel};
+use net::{Body, BodySender, Reply, channel};
 use relay::{Closed, Running, Sink};
-use smol::channel::{Sender, TrySendError};
+use smol::channel::TrySendError;
 use targets::{Piece, openai::REQUEST_ID};
 use timer::Timer;
 use types::{Class, Moment, Refusal, Tokens, WorkspaceId};
@@ -129,7 +129,7 @@
 /// Writes a stream's events to its caller and reports progress.
 pub struct Writer {
     timer: Timer,
-    tx: Sender<Bytes>,
+    tx: BodySender,
     /// `id: TICKET.`
     head: Bytes,
     /// Until the work under it has ended.
@@ -140,7 +140,7 @@
 }
 
 impl Writer {
-    fn new(core: &Core, tx: Sender<Bytes>, ticket: &str, permit: Box<dyn Admitted>) -> Self {
+    fn new(core: &Core, tx: BodySender, ticket: &str, permit: Box<dyn Admitted>) -> Self {
         let now = core.timer.now();
         Self {
             timer: core.timer,
@@ -155,7 +155,7 @@
 
     /// Writes the stream's end.
     pub async fn done(&self) -> Result<(), Closed> {
-        self.send(Bytes::from_static(DONE)).await
+        self.send_last(Bytes::from_static(DONE)).await
     }
 
     /// Writes that the answer stops short.
@@ -164,7 +164,7 @@
         buf.put_slice(b"event: partial\ndata: ");
         buf.put_slice(&problem::json(refusal));
         buf.put_slice(b"\n\n");
-        self.send(buf.freeze()).await
+        self.send_last(buf.freeze()).await
     }
 
     /// Reports progress, but not for each token.
@@ -176,9 +176,9 @@
         }
     }
 
-    /// Closes the way to the caller.
+    /// Closes the way to the caller, before the stream's end.
     pub fn close(&self) {
-        self.tx.close();
+        self.tx.cut();
     }
 
     /// Reports how the work under the permit ended.
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Sends what tells of the stream's end. Without it the connection ends as one that broke.
+    async fn send_last(&self, buf: Bytes) -> Result<(), Closed> {
+        self.send(buf).await?;
+        self.tx.finish();
+        Ok(())
+    }
+
     async fn send(&self, buf: Bytes) -> Result<(), Closed> {
         let buf = match self.tx.try_send(buf) {
             Ok(()) => return Ok(()),
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -12,5 +12,5 @@
 pub use body::{BodyError, SharedError, read_all, read_limited, read_shared};
 pub use budget::{Budget, Share};
 pub use client::{Client, SendError};
-pub use reply::{Body, Cut, Reply, channel, empty, fed, full};
+pub use reply::{Body, BodySender, Cut, Reply, channel, empty, fed, full};
 pub use serve::{Guard, Handler, ServeLimits, Server, Terms};
--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -3,6 +3,10 @@
 use std::{
     panic::AssertUnwindSafe,
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     thread,
 };
@@ -18,9 +22,9 @@
 use serde::Serialize;
 use smol::{
     Task,
-    channel::{Sender, bounded},
+    channel::{SendError, Sender, TrySendError, bounded},
     future::FutureExt,
-    stream::{Stream, StreamExt},
+    stream::{self, Stream, StreamExt},
 };
 
 /// The body can't be continued. The connection is closed without the body's end, so that the
@@ -50,13 +54,59 @@
     full(Bytes::new())
 }
 
-/// A body fed through a channel; it ends when the sender is dropped. A full channel makes the
-/// sender wait, a receiver that went away makes it fail.
+/// A body fed through a channel; it ends where the sender says so, and is cut if the sender is
+/// dropped before. A full channel makes the sender wait, a receiver that went away makes it fail.
 #[must_use]
-pub fn channel() -> (Sender<Bytes>, Body) {
+pub fn channel() -> (BodySender, Body) {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
-    let rx = Box::pin(rx.map(Ok));
-    (tx, Fed::new(rx, None).boxed_unsync())
+    let whole = Arc::<AtomicBool>::default();
+    let end = Arc::clone(&whole);
+    // Asked only once the channel has ended.
+    let cut = move |()| (!end.load(Ordering::Acquire)).then_some(Err(Cut));
+    let rx = Box::pin(rx.map(Ok).chain(stream::once(()).filter_map(cut)));
+    (BodySender { tx, whole }, Fed::new(rx, None).boxed_unsync())
+}
+
+/// The sending end of a body.
+#[derive(Debug)]
+pub struct BodySender {
+    tx: Sender<Bytes>,
+    whole: Arc<AtomicBool>,
+}
+
+impl BodySender {
+    /// Sends a piece, and waits for a receiver that is slow.
+    ///
+    /// # Errors
+    /// Gives the piece back if the receiver went away or the body was ended.
+    pub async fn send(&self, piece: Bytes) -> Result<(), SendError<Bytes>> {
+        self.tx.send(piece).await
+    }
+
+    /// Sends a piece if it need not wait.
+    ///
+    /// # Errors
+    /// Gives the piece back, and tells why.
+    pub fn try_send(&self, piece: Bytes) -> Result<(), TrySendError<Bytes>> {
+        self.tx.try_send(piece)
+    }
+
+    /// Whether nothing can be sent any more.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.tx.is_closed()
+    }
+
+    /// Ends the body after what was sent: it is whole.
+    pub fn finish(&self) {
+        self.whole.store(true, Ordering::Release);
+        self.tx.close();
+    }
+
+    /// Cuts the body after what was sent, unless it was ended.
+    pub fn cut(&self) {
+        self.tx.close();
+    }
 }
 
 /// A body fed by a task, which gets the sending end. It ends once the task has returned; a [`Cut`]
--- a/components/relay/examples/resume.rs
+++ b/components/relay/examples/resume.rs
@@ -45,6 +45,7 @@
             }
             if resumed {
                 let _ = tx.send(Bytes::from_static(b"data: [DONE]\n\n")).await;
+                tx.finish();
                 return;
             }
             smol::Timer::after(Duration::from_secs(60)).await;
--- a/components/standins/src/engine/feed.rs
+++ b/components/standins/src/engine/feed.rs
@@ -2,9 +2,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use async_channel::{Receiver, Sender};
-use bytes::{Bytes, BytesMut};
-use net::{Body, Reply, full};
+use async_channel::Receiver;
+use bytes::BytesMut;
+use net::{Body, BodySender, Reply, full};
 
 use crate::{
     control::Call,
@@ -25,7 +25,7 @@
         number: usize,
         mut at: u64,
         woken: Receiver<()>,
-        tx: Sender<Bytes>,
+        tx: BodySender,
     ) {
         loop {
             let (api, stream, produced, wanted, end) = {
@@ -50,7 +50,11 @@
             if !buf.is_empty() && tx.send(buf.freeze()).await.is_err() {
                 return;
             }
-            if end.is_some() || !next(&woken, &tx).await {
+            if end.is_some() {
+                tx.finish();
+                return;
+            }
+            if !next(&woken, &tx).await {
                 return;
             }
         }
@@ -85,7 +89,7 @@
 }
 
 /// Waits until there may be more; false once the caller has gone.
-async fn next(woken: &Receiver<()>, tx: &Sender<Bytes>) -> bool {
+async fn next(woken: &Receiver<()>, tx: &BodySender) -> bool {
     // A caller that went away is only noticed by writing; looking now and then is enough here.
     let look = Duration::from_millis(500);
     while !tx.is_closed() {
