--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -1,8 +1,14 @@
 //! Bodies and answers.
 
 use std::{
+    panic::AssertUnwindSafe,
     pin::Pin,
-    task::{Context, Poll},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
+    thread,
 };
 
 use bytes::Bytes;
@@ -16,8 +22,9 @@
 use serde::Serialize;
 use smol::{
     Task,
-    channel::{Sender, bounded},
-    stream::{Stream, StreamExt},
+    channel::{SendError, Sender, TrySendError, bounded},
+    future::FutureExt,
+    stream::{self, Stream, StreamExt},
 };
 
 /// The body can't be continued. The connection is closed without the body's end, so that the
@@ -47,33 +54,113 @@
     full(Bytes::new())
 }
 
-/// A body fed through a channel; it ends when the sender is dropped. A full channel makes the
-/// sender wait, a receiver that went away makes it fail.
+/// A body fed through a channel; it ends where the sender says so, and is cut if the sender is
+/// dropped before. A full channel makes the sender wait, a receiver that went away makes it fail.
 #[must_use]
-pub fn channel() -> (Sender<Bytes>, Body) {
+pub fn channel() -> (BodySender, Body) {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
-    let rx = Box::pin(rx.map(Ok));
-    (tx, Fed { rx, feeder: None }.boxed_unsync())
+    let whole = Arc::<AtomicBool>::default();
+    let end = Arc::clone(&whole);
+    // Asked only once the channel has ended.
+    let cut = move |()| (!end.load(Ordering::Acquire)).then_some(Err(Cut));
+    let rx = Box::pin(rx.map(Ok).chain(stream::once(()).filter_map(cut)));
+    (BodySender { tx, whole }, Fed::new(rx, None).boxed_unsync())
 }
 
-/// A body fed by a task, which gets the sending end. A [`Cut`] ends the connection with it. The
-/// task is dropped with the body: when the receiver goes away, nothing works on for nobody.
+/// The sending end of a body.
+#[derive(Debug)]
+pub struct BodySender {
+    tx: Sender<Bytes>,
+    whole: Arc<AtomicBool>,
+}
+
+impl BodySender {
+    /// Sends a piece, and waits for a receiver that is slow.
+    ///
+    /// # Errors
+    /// Gives the piece back if the receiver went away or the body was ended.
+    pub async fn send(&self, piece: Bytes) -> Result<(), SendError<Bytes>> {
+        self.tx.send(piece).await
+    }
+
+    /// Sends a piece if it need not wait.
+    ///
+    /// # Errors
+    /// Gives the piece back, and tells why.
+    pub fn try_send(&self, piece: Bytes) -> Result<(), TrySendError<Bytes>> {
+        self.tx.try_send(piece)
+    }
+
+    /// Whether nothing can be sent any more.
+    #[must_use]
+    pub fn is_closed(&self) -> bool {
+        self.tx.is_closed()
+    }
+
+    /// Ends the body after what was sent: it is whole.
+    pub fn finish(&self) {
+        self.whole.store(true, Ordering::Release);
+        self.tx.close();
+    }
+
+    /// Cuts the body after what was sent, unless it was ended.
+    pub fn cut(&self) {
+        self.tx.close();
+    }
+}
+
+/// A body fed by a task, which gets the sending end. It ends once the task has returned; a [`Cut`]
+/// ends the connection with it, and so does a panic. The task is dropped with the body: when the
+/// receiver goes away, nothing works on for nobody.
 #[must_use]
 pub fn fed<F>(feed: impl FnOnce(Sender<Result<Bytes, Cut>>) -> F) -> Body
 where
     F: Future<Output = ()> + Send + 'static,
 {
     let (tx, rx) = bounded(CHANNEL_DEPTH);
-    let feeder = Some(workers::spawn(feed(tx)));
+    // Caught, so that a panic ends in the body and not in whoever sends it.
+    let feed = AssertUnwindSafe(feed(tx)).catch_unwind();
+    let feeder = Some(workers::spawn(feed));
     let rx = Box::pin(rx);
-    Fed { rx, feeder }.boxed_unsync()
+    Fed::new(rx, feeder).boxed_unsync()
 }
 
 struct Fed {
     rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
-    /// Held for its drop.
-    #[expect(dead_code, reason = "dropping it ends the task")]
-    feeder: Option<Task<()>>,
+    /// Dropping it ends the task.
+    feeder: Option<Task<thread::Result<()>>>,
+    /// It is cut as soon as what went before has been written.
+    cut: bool,
+}
+
+impl Fed {
+    fn new(
+        rx: Pin<Box<dyn Stream<Item = Result<Bytes, Cut>> + Send>>,
+        feeder: Option<Task<thread::Result<()>>>,
+    ) -> Self {
+        Self {
+            rx,
+            feeder,
+            cut: false,
+        }
+    }
+
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        match ready!(self.rx.as_mut().poll_next(cx)) {
+            None => self.poll_end(cx),
+            piece => Poll::Ready(piece),
+        }
+    }
+
+    /// What comes after the last piece: the end, if the feeder came to its own.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+        let Some(feeder) = &mut self.feeder else {
+            return Poll::Ready(None);
+        };
+        let ended = ready!(Pin::new(feeder).poll(cx));
+        self.feeder = None;
+        Poll::Ready(ended.err().map(|_| Err(Cut)))
+    }
 }
 
 impl HttpBody for Fed {
@@ -84,10 +171,19 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.rx
-            .as_mut()
-            .poll_next(cx)
-            .map(|piece| piece.map(|buf| buf.map(Frame::data)))
+        if self.cut {
+            return Poll::Ready(Some(Err(Cut)));
+        }
+        match ready!(self.poll_piece(cx)) {
+            Some(Err(Cut)) => {
+                // The connection drops what it holds once it hears of the cut, be it the head. It
+                // writes whenever a body has nothing more for now.
+                self.cut = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            piece => Poll::Ready(piece.map(|buf| buf.map(Frame::data))),
+        }
     }
 }
 
