Test: a caller that still sends finds its connection reset

The request is answered before its body was read, and the connection closed while the body is on its way: the caller gets a broken pipe.

--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -1,6 +1,7 @@
 //! Requests and connections that end before their time.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -19,7 +20,7 @@
 
 /// Answers by path: `/panic` breaks off, `/slow` answers a little later, `/fed` begins a body
 /// whose feeder panics, `/ends` one whose feeder ends, `/cut` one that is cut, `/dropped` one whose
-/// sender is dropped, any other at once.
+/// sender is dropped, any other at once, and none of them reads the request's body.
 #[derive(Default)]
 struct Answers {
     /// What panics said.
@@ -103,6 +104,8 @@
     panic!("the condition never came true");
 }
 
+/// Bytes of a request's body that do not fit into the buffers on its way.
+const LONG: usize = 8 * 1024 * 1024;
 /// What ends a body of unknown length.
 const END: &str = "\r\n0\r\n\r\n";
 
@@ -199,3 +202,27 @@
         assert!(!answer.contains(END), "{answer:?}");
     });
 }
+
+/// Sends a request with a long body, the body only once the answer has come.
+async fn send_late(addr: SocketAddr) -> (TcpStream, io::Result<()>) {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {LONG}\r\n\r\n");
+    stream.write_all(head.as_bytes()).await.expect("it is sent");
+    stream.peek(&mut [0]).await.expect("an answer");
+    let sent = stream.write_all(&vec![0; LONG]).await;
+    (stream, sent)
+}
+
+/// A caller sends a body that is refused unread, and finds its connection reset in place of the
+/// refusal.
+#[test]
+fn a_caller_that_still_sends_gets_its_answer() {
+    smol::block_on(async {
+        let (addr, open) = serve(Arc::new(Answers::default())).await;
+        let (stream, sent) = send_late(addr).await;
+        sent.expect("nobody breaks the connection");
+        let answer = rest(stream).await;
+        assert!(answer.ends_with("\r\n\r\nok"), "{answer:?}");
+        until(|| open.load(Ordering::Acquire) == 0).await;
+    });
+}
