Close connections without resetting those whose callers still send

A caller that was answered before its body had been read (refused for its key, path or size, or because there were too many connections) found its connection reset while it sent, and could lose the answer with it: it saw a broken connection in place of the refusal. A connection that is closed with unread bytes, or to which more come, is reset by the system.

The writing side is now closed first, and what still comes is thrown away until the caller closes too, for a second at most. That is done where bytes wait, after a request with a body, and after an error; other connections, idle ones among them, are closed at once. The connection counts as open meanwhile.

--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -15,7 +15,7 @@
 use async_trait::async_trait;
 use hyper::{
     Request, Response,
-    body::Incoming,
+    body::{Body as _, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
     service::service_fn,
@@ -28,7 +28,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
-    panics,
+    linger, panics,
     reply::{Body, Reply},
     stall::Watched,
 };
@@ -276,8 +276,18 @@
     /// Serves it to its end. A caller that breaks the protocol or goes away hurts only its own
     /// connection.
     async fn serve(self, stream: TcpStream) {
+        let owed = self.converse(stream.clone()).await;
+        linger::close(stream, owed).await;
+    }
+
+    /// Answers all its requests; tells whether the other side may be sending still.
+    async fn converse(&self, stream: TcpStream) -> bool {
         let stream = Watched::new(stream, self.write_stall);
-        let service = service_fn(|req| self.answer(req));
+        let has_body = AtomicBool::new(false);
+        let service = service_fn(|req: Request<Incoming>| {
+            has_body.store(!req.body().is_end_stream(), Ordering::Release);
+            self.answer(req)
+        });
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.header_time)
@@ -287,20 +297,24 @@
             .half_close(false)
             .serve_connection(FuturesIo::new(stream), service);
         let mut conn = pin!(conn);
-        let ended = async {
-            let _ = conn.as_mut().await;
-            true
-        };
+        let ended = async { Some(conn.as_mut().await) };
         let closing = async {
             // Nothing is ever sent; it fails once the server closes.
             let _ = self.closing.recv().await;
-            false
+            None
         };
-        if future::or(ended, closing).await {
-            return;
-        }
-        conn.as_mut().graceful_shutdown();
-        let _ = conn.await;
+        let ended = match future::or(ended, closing).await {
+            Some(ended) => ended,
+            None => {
+                conn.as_mut().graceful_shutdown();
+                if let Some(ended) = future::poll_once(conn.as_mut()).await {
+                    // It was idle: its last request has been read.
+                    return ended.is_err();
+                }
+                conn.await
+            }
+        };
+        ended.is_err() || has_body.load(Ordering::Acquire)
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -226,3 +226,17 @@
         until(|| open.load(Ordering::Acquire) == 0).await;
     });
 }
+
+/// Callers that are refused and hold their connections take the places of others.
+#[test]
+fn a_caller_that_owes_a_body_does_not_keep_its_connection() {
+    smol::block_on(async {
+        let (addr, open) = serve(Arc::new(Answers::default())).await;
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        let head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n";
+        stream.write_all(head).await.expect("it is sent");
+        stream.peek(&mut [0]).await.expect("an answer");
+        until(|| open.load(Ordering::Acquire) == 0).await;
+        drop(stream);
+    });
+}
