Go on serving after SIGHUP

Callers of an instance that got SIGHUP lost their streams and calls: celerystand serve handled only SIGTERM and SIGINT, and the system ends a process that leaves SIGHUP to it. A closing terminal sends it, and so do operators who want settings read again.

SIGHUP sets a switch of its own now, which the loop that waits for the order to stop looks at; it is logged as event 107 and nothing else happens, as these settings are read at the start only. The handler stays for the rest of the process, a drain included.

The test that lost its stream before reads it to the end, and the next call is answered.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -71,6 +71,11 @@
         106, Warn, "the process ends with {connections} connections open, {unanswered} requests unanswered and {cut} generations cut",
         "Look for the lines 924 and 905 before it; if it comes often, give instances a longer grace.",
     ),
+    /// The process got SIGHUP. Settings are read at the start only; all else goes on.
+    HangUp = (
+        107, Info, "SIGHUP changes nothing: settings are read at the start only",
+        "If the settings have changed, restart the instance when it suits.",
+    ),
     /// A peer is heard for the first time, or again.
     PeerHeard {
         /// The peer.
--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -16,7 +16,12 @@
 use settings::Settings;
 use types::Incarnation;
 
-use crate::{core::Core, parts::Parts, servers::Servers, shutdown};
+use crate::{
+    core::Core,
+    parts::Parts,
+    servers::Servers,
+    shutdown::{self, Signals},
+};
 
 /// After the last request, outcomes of keyed calls that the table service has not taken yet are
 /// recorded for this long. Later repeats of those calls would otherwise be told `unknown`.
@@ -45,10 +50,10 @@
             .workers
             .unwrap_or_else(workers::default_workers),
     );
-    let told = shutdown::watch_signals()?;
+    let signals = Signals::watch()?;
     smol::block_on(async {
         let instance = Instance::start(settings).await?;
-        shutdown::until_set(&told).await;
+        signals.until_stop().await;
         instance.shut_down().await;
         Ok(())
     })
--- a/components/node/src/shutdown.rs
+++ b/components/node/src/shutdown.rs
@@ -9,8 +9,9 @@
 };
 
 use errors::{Context, Result};
+use events::Event;
 use signal_hook::{
-    consts::{SIGINT, SIGTERM},
+    consts::{SIGHUP, SIGINT, SIGTERM},
     flag,
 };
 use timer::Timer;
@@ -20,23 +21,42 @@
 /// After the last request ended, its last messages to owners still have to leave.
 const FLUSH: Duration = Duration::from_millis(300);
 
-/// A switch that SIGTERM and SIGINT set.
-///
-/// # Errors
-/// Passes on why the system does not let us watch them.
-pub fn watch_signals() -> Result<Arc<AtomicBool>> {
-    let told = Arc::new(AtomicBool::new(false));
-    for signal in [SIGTERM, SIGINT] {
-        flag::register(signal, Arc::clone(&told)).context("watching for signals")?;
-    }
-    Ok(told)
+/// Switches that signals set.
+pub struct Signals {
+    stop: Arc<AtomicBool>,
+    hang_up: Arc<AtomicBool>,
 }
 
-/// Waits until a switch is set.
-pub async fn until_set(told: &AtomicBool) {
-    let mut ticks = Timer::new().every(LOOK);
-    while !told.load(Ordering::Acquire) {
-        ticks.next().await;
+impl Signals {
+    /// Watches SIGTERM and SIGINT, which ask the process to stop, and SIGHUP, which would end it
+    /// at once if nobody watched.
+    ///
+    /// # Errors
+    /// Passes on why the system does not let us watch them.
+    pub fn watch() -> Result<Self> {
+        let signals = Self {
+            stop: Arc::default(),
+            hang_up: Arc::default(),
+        };
+        for (signal, set) in [
+            (SIGTERM, &signals.stop),
+            (SIGINT, &signals.stop),
+            (SIGHUP, &signals.hang_up),
+        ] {
+            flag::register(signal, Arc::clone(set)).context("watching for signals")?;
+        }
+        Ok(signals)
+    }
+
+    /// Waits until the process is asked to stop.
+    pub async fn until_stop(&self) {
+        let mut ticks = Timer::new().every(LOOK);
+        while !self.stop.load(Ordering::Acquire) {
+            if self.hang_up.swap(false, Ordering::AcqRel) {
+                events::emit(&Event::HangUp);
+            }
+            ticks.next().await;
+        }
     }
 }
 
--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -9,6 +9,7 @@
     deployment::{Deployment, Plan},
     process::Signal,
 };
+use events::Event;
 use smol::{Task, Timer};
 
 /// Time between two looks at something that takes a while.
@@ -78,5 +79,7 @@
         assert_eq!(record.tokens, LONG);
         let record = caller.follow(&[entry], &save("after")).await;
         assert_eq!(record.outcome, Outcome::Whole, "{}", deployment.tail(0));
+        let told = Event::HangUp.to_string();
+        assert!(deployment.tail(0).contains(&told), "{}", deployment.tail(0));
     });
 }
