Test, failing: a call over a connection made as an instance stops is answered

A caller that connects within 50 ms of the moment at which a stopping instance takes no further connections has its call sent to the service, where it takes effect, and gets no answer: the connection is closed when the process ends, 300 ms later.

--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    io::{self, BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    time::Duration,
+};
 
 use bench::{
     caller::{Caller, Outcome, Record, Wanted, What},
@@ -10,7 +15,7 @@
     process::Signal,
 };
 use events::Event;
-use smol::{Task, Timer};
+use smol::{Task, Timer, unblock};
 
 /// Time between two looks at something that takes a while.
 const POLL: Duration = Duration::from_millis(20);
@@ -18,6 +23,18 @@
 const LOOKS: usize = 1500;
 /// Tokens of a stream that takes seconds.
 const LONG: u64 = 150;
+/// Shortly after this time from the order to stop on, instances take no further connections.
+const GRACE: Duration = Duration::from_secs(1);
+/// Time before it at which a connection is made that brings nothing.
+const BEFORE: Duration = Duration::from_millis(20);
+/// Time after it at which the first call is sent.
+const AFTER: Duration = Duration::from_millis(10);
+/// Time for an instance to end when it is stopped as planned.
+const STOP_PATIENCE: Duration = Duration::from_secs(60);
+/// Longer than an instance takes to end once it has nothing to do.
+const LATENCY_MS: f64 = 900.0;
+/// Calls to each instance as it stops to take connections.
+const LAST_CALLS: u32 = 4;
 
 fn plan() -> Plan {
     let mut plan = support::plan();
@@ -63,6 +80,41 @@
     panic!("{name} never had {tokens} tokens:\n{}", deployment.tail(0));
 }
 
+/// Waits until an instance says that it shuts down.
+async fn until_draining(deployment: &Deployment, number: usize) {
+    for _ in 0..LOOKS {
+        if !deployment.is_ready(number).await {
+            return;
+        }
+        Timer::after(Duration::from_millis(1)).await;
+    }
+    panic!("instance {number} never began to shut down");
+}
+
+async fn effects(deployment: &Deployment) -> BTreeMap<String, u32> {
+    let logs = deployment.logs().await;
+    let all = logs.services.into_values().flat_map(|log| log.effects);
+    all.collect()
+}
+
+/// Connects and sends a save, with as little as possible between the two.
+fn send_at_once(addr: SocketAddr, name: &str) -> io::Result<TcpStream> {
+    let text = format!(
+        "POST /watchlist HTTP/1.1\r\nhost: x\r\nauthorization: Bearer key-viewers\r\n\
+         x-effect: {name}\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    let mut stream = TcpStream::connect(addr)?;
+    stream.write_all(text.as_bytes())?;
+    Ok(stream)
+}
+
+/// Reads the status of an answer; `None` if there is none.
+fn read_status(stream: io::Result<TcpStream>) -> Option<u16> {
+    let mut line = String::new();
+    BufReader::new(stream.ok()?).read_line(&mut line).ok()?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
 /// Guards against a hangup ending the process, and with it every request, as it does by default.
 #[test]
 fn a_hangup_cuts_no_request() {
@@ -83,3 +135,50 @@
         assert!(deployment.tail(0).contains(&told), "{}", deployment.tail(0));
     });
 }
+
+/// Guards against a process that ends before a connection which it took at the very last.
+#[test]
+fn a_call_over_a_connection_made_as_the_instance_stops_accepting_gets_its_answer() {
+    let mut plan = plan();
+    plan.replica.latency_ms = LATENCY_MS;
+    let mut setting = support::start(&plan);
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        for number in 0..deployment.instances.len() {
+            let addr = deployment.instances[number].listen;
+            deployment.signal(number, Signal::Terminate);
+            until_draining(deployment, number).await;
+            Timer::after(GRACE.saturating_sub(BEFORE)).await;
+            // From here on the server waits for the next connection for longer than until the
+            // first call.
+            drop(TcpStream::connect(addr).expect("a connection"));
+            Timer::after(BEFORE + AFTER).await;
+            let calls: Vec<_> = (0..LAST_CALLS)
+                .map(|call| (format!("last-{number}-{call}"), addr))
+                .map(|(name, addr)| (send_at_once(addr, &name), name))
+                .collect();
+            let mut answers = Vec::new();
+            for (stream, name) in calls {
+                answers.push((name, unblock(|| read_status(stream)).await));
+            }
+            let ended = deployment.stop_instance(number, STOP_PATIENCE).await;
+            assert!(ended, "{}", deployment.tail(number));
+            // Services finish what they began, whoever has gone.
+            Timer::after(Duration::from_secs(1)).await;
+            let effects = effects(deployment).await;
+            for (name, answer) in answers {
+                let ran = effects.contains_key(&name);
+                assert!(
+                    !ran || answer == Some(200),
+                    "{name} ran and its caller got {answer:?}:\n{}",
+                    deployment.tail(number)
+                );
+            }
+            deployment
+                .start_instance(number)
+                .await
+                .expect("it starts again");
+            deployment.until_ready().await.expect("all take work again");
+        }
+    });
+}
