--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -14,6 +14,7 @@
 use net::{Client, Handler, ServeLimits, Server, Terms};
 use parking_lot::{Mutex, RwLock};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use smol::Task;
 use timer::{Timer, boot_time};
 use view::View;
 
@@ -23,6 +24,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::Config,
+    ending::Ending,
     face::{Engines, Face, Store},
     follow::Follower,
     handler::Callers,
@@ -50,13 +52,15 @@
 /// Time that a caller's connection may be idle, or take for its headers, before the configuration
 /// is known.
 const IDLE_TIME: Duration = Duration::from_secs(16);
-/// Time between two looks at whether all has ended.
-const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// Time for the last messages to other instances to leave: owners learn that places are free.
+const LAST_NOTES: Duration = Duration::from_millis(50);
 /// After an order to stop new connections are still taken for this long: the balancer needs two
 /// questions, a second apart, to leave this instance out.
 const LINGER: Duration = Duration::from_millis(2_600);
-/// Part of the grace that is used; the rest, a quarter of a second of eight, is for the last bytes.
+/// Part of the grace in which requests are served to their ends.
 const GRACE_PART: f64 = 0.96;
+/// Part of the grace for the answers to those that are given up.
+const LAST_ANSWERS_PART: f64 = 0.02;
 
 /// What an instance talks to.
 pub struct Outside {
@@ -109,7 +113,7 @@
     let retire = callers.retire();
     let close = callers.stop();
     let connections = callers.open();
-    workers::spawn(callers.run()).detach();
+    let callers = workers::spawn(callers.run());
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
     for topic in [Topic::Operator, Topic::Targets] {
@@ -130,10 +134,11 @@
     emit(&Event::Draining {
         open: front.open.count(),
     });
-    let most = front.bounds.read().grace.mul_f64(GRACE_PART);
-    *front.ends_at.lock() = Some(boot_time() + most);
+    let grace = front.bounds.read().grace;
+    let most = grace.mul_f64(GRACE_PART);
+    front.ending.set(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close, &connections, most).await;
+    drain(&front, &close, &connections, callers, grace).await;
     tell_end(&front, &connections);
     Ok(())
 }
@@ -174,7 +179,7 @@
         )),
         cold: Mutex::new(ColdTargets::default()),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
-        ends_at: Mutex::default(),
+        ending: Ending::default(),
         open: OpenRequests::default(),
         metrics: Metrics::new(),
         terms: Arc::new(Terms::new(&terms)),
@@ -205,19 +210,32 @@
 }
 
 /// Serves what there is to its end, and what still comes while the balancer learns of the stop.
-async fn drain(front: &Front, close: &AtomicBool, connections: &AtomicUsize, most: Duration) {
+///
+/// It is over once the last connection of a caller has ended: a look at the requests that are open
+/// says nothing about the next moment, in which one more may be read.
+async fn drain(
+    front: &Front,
+    close: &AtomicBool,
+    connections: &AtomicUsize,
+    mut callers: Task<()>,
+    grace: Duration,
+) {
     let timer = Timer::new();
+    let most = grace.mul_f64(GRACE_PART);
     timer.sleep(LINGER.min(most)).await;
     close.store(true, Ordering::Release);
     emit(&Event::DrainClosing {
         connections: connections.load(Ordering::Acquire),
         open: front.open.count() + front.live.count(),
     });
-    while timer.now() < most && front.open.count() + front.live.count() > 0 {
-        timer.sleep(DRAIN_POLL).await;
+    let left = most.saturating_sub(timer.now());
+    if timer.within(left, &mut callers).await.is_none() {
+        front.ending.give_up();
+        front.live.give_up();
+        let last = grace.mul_f64(LAST_ANSWERS_PART);
+        timer.within(last, callers).await;
     }
-    // Time for the last answers to leave.
-    timer.sleep(DRAIN_POLL).await;
+    timer.sleep(LAST_NOTES).await;
 }
 
 /// Logs what the process leaves behind: connections of callers, and requests without an answer.
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -9,7 +9,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use async_trait::async_trait;
@@ -28,6 +28,7 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
+    panics,
     reply::{Body, Reply},
     stall::Watched,
 };
@@ -37,6 +38,9 @@
 
 /// Time that the other side may read nothing while there is something to write.
 const WRITE_STALL: Duration = Duration::from_secs(30);
+/// Time from a connection's making within which its first request is waited for though the server
+/// stops. Its caller has sent it by then, or has no request yet.
+const FIRST_REQUEST: Duration = Duration::from_millis(300);
 /// Bytes of a connection's buffers at least; the library takes no less.
 const LEAST_BUFFER: usize = 8192;
 
@@ -45,6 +49,12 @@
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request. `peer` is the other end of the connection.
     async fn handle(&self, peer: SocketAddr, req: Request<Incoming>) -> Response<Body>;
+
+    /// Told that [`Self::handle`] panicked, with the panic's message; answers in its place. The
+    /// connection is closed after it.
+    fn panicked(&self, _reason: &str) -> Response<Body> {
+        panics::refusal()
+    }
 }
 
 /// Limits on what one server accepts.
@@ -114,11 +124,15 @@
     retire: Arc<AtomicBool>,
     /// Closed with the server: tells the connections to finish what they do and close.
     closing: (Sender<()>, Receiver<()>),
+    /// Each connection holds a sender, so that the receiver tells when the last one has ended.
+    alive: (Sender<()>, Receiver<()>),
 }
 
 /// Counts one open connection for as long as it lives.
 pub struct Guard {
     open: Arc<AtomicUsize>,
+    /// Held for its drop.
+    _alive: Sender<()>,
 }
 
 impl Drop for Guard {
@@ -148,6 +162,7 @@
             stop: Arc::default(),
             retire: Arc::default(),
             closing: bounded(1),
+            alive: bounded(1),
         })
     }
 
@@ -196,8 +211,24 @@
         Arc::clone(&self.retire)
     }
 
-    /// Accepts connections until stopped.
+    /// Accepts connections until stopped, then waits until each one that it took has ended. A
+    /// process that ends before it returns cuts requests that were read.
     pub async fn run(self) {
+        self.accept().await;
+        let Self {
+            listener,
+            closing: (closing, _),
+            alive: (alive, ended),
+            ..
+        } = self;
+        drop(listener);
+        closing.close();
+        drop(alive);
+        // Nothing is ever sent; it fails once the last connection has ended.
+        let _ = ended.recv().await;
+    }
+
+    async fn accept(&self) {
         let timer = timer::Timer::new();
         while !self.stop.load(Ordering::Acquire) {
             match timer.within(ACCEPT_POLL, self.listener.accept()).await {
@@ -208,7 +239,6 @@
             }
         }
         self.take_waiting().await;
-        self.closing.0.close();
     }
 
     /// Takes the connections that the system has made already. Closing the listener would reset
@@ -226,6 +256,7 @@
         let open = self.open.fetch_add(1, Ordering::AcqRel) + 1;
         let guard = Guard {
             open: Arc::clone(&self.open),
+            _alive: self.alive.0.clone(),
         };
         if open > self.limits.connections.saturating_mul(2) {
             return;
@@ -245,6 +276,8 @@
             stop: Arc::clone(&self.stop),
             retire: Arc::clone(&self.retire),
             closing: self.closing.1.clone(),
+            made: Instant::now(),
+            asked: AtomicBool::new(false),
         };
         workers::spawn(async move {
             conn.serve(stream).await;
@@ -263,6 +296,10 @@
     stop: Arc<AtomicBool>,
     retire: Arc<AtomicBool>,
     closing: Receiver<()>,
+    /// When it was accepted.
+    made: Instant,
+    /// Whether a request has come.
+    asked: AtomicBool,
 }
 
 impl Connection {
@@ -287,6 +324,10 @@
         let closing = async {
             // Nothing is ever sent; it fails once the server closes.
             let _ = self.closing.recv().await;
+            // The library closes a connection without a request at once.
+            if !self.asked.load(Ordering::Acquire) {
+                smol::Timer::at(self.made + FIRST_REQUEST).await;
+            }
             false
         };
         if future::or(ended, closing).await {
@@ -297,7 +338,8 @@
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
-        let mut resp = self.handler.handle(self.peer, req).await;
+        self.asked.store(true, Ordering::Release);
+        let mut resp = panics::caught(self.handler.as_ref(), self.peer, req).await;
         if self.stop.load(Ordering::Acquire) || self.retire.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
             resp.headers_mut().insert(CONNECTION, close);
