Shut down once the last connection of a caller has ended

Callers who connected just as a stopping instance took no further connections had their calls sent, where they took effect, and got no answer. The shutdown counted connections and requests once after the order to accept no more; the server looks for that order every 50 ms only, and takes connections until then. A call over one of those was cut 300 ms later by the process's end.

The shutdown now waits for the server's own task, which returns when it accepts no more and every connection that it took has ended. What goes on without a connection, streams of callers that may come back and the records of keyed calls, is counted after that, when nothing can come in.

--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -19,7 +19,7 @@
 use crate::{
     core::Core,
     parts::Parts,
-    servers::Servers,
+    servers::{Running, Servers},
     shutdown::{self, Signals},
 };
 
@@ -33,9 +33,7 @@
     claims: Arc<StoreClaims>,
     gateway: Gateway,
     draining: Arc<AtomicBool>,
-    retire_callers: Arc<AtomicBool>,
-    stop_callers: Arc<AtomicBool>,
-    open_callers: Arc<AtomicUsize>,
+    callers: Running,
     grace: Duration,
 }
 
@@ -78,30 +76,30 @@
             claims: Arc::clone(&parts.claims),
             gateway,
             draining,
-            retire_callers: servers.callers.retire(),
-            stop_callers: servers.callers.stop(),
-            open_callers: servers.callers.open(),
+            callers: servers.run(),
             grace: Duration::from_secs(settings.limits.drain_grace_seconds),
         };
-        servers.run();
         parts.run(settings, inputs);
         events::emit(&Log::Started { instance: me.id });
         Ok(instance)
     }
 
     /// Shuts down gracefully: not ready at once, still serving while the balancer's list lags,
-    /// then until the last request has ended.
+    /// then until the last connection of a caller has ended.
     pub async fn shut_down(self) {
         events::emit(&Log::Draining {
             open: self.gateway.open(),
         });
         self.draining.store(true, Ordering::Release);
-        self.retire_callers.store(true, Ordering::Release);
+        self.callers.retire();
         self.core.member(members::Input::Drain);
         self.core.timer.sleep(self.grace).await;
-        self.stop_callers.store(true, Ordering::Release);
-        let open = || self.gateway.open() + self.open_callers.load(Ordering::Acquire);
-        shutdown::until_idle(self.core.timer, open).await;
+        events::emit(&Log::DrainClosing {
+            connections: self.callers.open(),
+            open: self.gateway.open(),
+        });
+        self.callers.stop().await;
+        shutdown::until_idle(self.core.timer, || self.gateway.open()).await;
         self.claims.drain(DRAIN_CLAIMS).await;
         events::emit(&Log::Stopped);
     }
--- a/components/node/src/servers.rs
+++ b/components/node/src/servers.rs
@@ -1,6 +1,13 @@
 //! The three addresses that an instance listens on.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use admin::{AdminApi, AdminParts};
 use errors::{Context, Result};
@@ -8,6 +15,7 @@
 use net::{Handler, ServeLimits, Server};
 use prometheus_client::registry::Registry;
 use settings::Settings;
+use smol::Task;
 
 use crate::{dump::State, parts::Parts, peers::PeerServer};
 
@@ -16,12 +24,46 @@
 
 /// Listening servers, not running yet.
 pub struct Servers {
-    /// For callers.
-    pub callers: Server,
+    callers: Server,
     peers: Server,
     operators: Server,
 }
 
+/// One server that runs; it ends if this is dropped.
+pub struct Running {
+    retire: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
+    task: Task<()>,
+}
+
+impl Running {
+    fn new(server: Server) -> Self {
+        Self {
+            retire: server.retire(),
+            stop: server.stop(),
+            open: server.open(),
+            task: workers::spawn(server.run()),
+        }
+    }
+
+    /// Asks the other side of each connection to close it after the next answer.
+    pub fn retire(&self) {
+        self.retire.store(true, Ordering::Release);
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Takes no further connections, and waits until each one that was taken has ended.
+    pub async fn stop(self) {
+        self.stop.store(true, Ordering::Release);
+        self.task.await;
+    }
+}
+
 impl Servers {
     /// Listens on all three addresses.
     ///
@@ -66,11 +108,12 @@
         })
     }
 
-    /// Serves until stopped.
-    pub fn run(self) {
-        for server in [self.callers, self.peers, self.operators] {
+    /// Serves; gives the callers' server, which can be stopped.
+    pub fn run(self) -> Running {
+        for server in [self.peers, self.operators] {
             workers::spawn(server.run()).detach();
         }
+        Running::new(self.callers)
     }
 }
 
--- a/components/node/src/shutdown.rs
+++ b/components/node/src/shutdown.rs
@@ -60,7 +60,10 @@
     }
 }
 
-/// Waits until nothing is open. It has no time limit: a planned stop cuts no request short.
+/// Waits until no request is open: those whose callers went away go on without a connection. It
+/// has no time limit: a planned stop cuts no request short.
+///
+/// Nothing may come in any more, or what does after the last look is cut.
 pub async fn until_idle(timer: Timer, open: impl Fn() -> usize) {
     let mut ticks = timer.every(LOOK);
     while open() > 0 {
