--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -81,6 +81,11 @@
         107, Error, "a task panicked at {place}: {message}",
         "Report it with the lines before it.",
     ),
+    /// The process got SIGHUP. Settings are read at the start only; all else goes on.
+    HangUp = (
+        108, Info, "SIGHUP changes nothing: settings are read at the start only",
+        "If the settings have changed, restart the instance when it suits.",
+    ),
     /// A peer is heard for the first time, or again.
     PeerHeard {
         /// The peer.
