Test: a cut body looks complete to a caller of HTTP/1.0

A body of unknown length ends with the connection there, and a cut closes the connection like any other end. Only a reset would tell; it takes a socket option that std does not set yet.

--- a/components/net/tests/endings.rs
+++ b/components/net/tests/endings.rs
@@ -240,3 +240,16 @@
         drop(stream);
     });
 }
+/// A caller of HTTP/1.0, as some proxies are, takes half an answer for the whole one.
+#[test]
+fn a_cut_body_does_not_look_complete_where_the_connection_marks_its_end() {
+    smol::block_on(async {
+        let (addr, _) = serve(Arc::new(Answers::default())).await;
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        let head = b"GET /cut HTTP/1.0\r\n\r\n";
+        stream.write_all(head).await.expect("it is sent");
+        let mut buf = Vec::new();
+        let read = stream.read_to_end(&mut buf).await;
+        assert!(read.is_err(), "{:?}", String::from_utf8_lossy(&buf));
+    });
+}
