Reset the connection of a caller of HTTP/1.0 whose answer is cut

A caller of HTTP/1.0, as some proxies are, took half an answer for the whole one: its mark of the end is the close of the connection, and a cut closed it like any other end. Such a connection is now reset, by SO_LINGER through rustix, which the workspace has already. Callers of HTTP/1.1 know from the missing end mark, and keep what came before.

--- a/components/net/src/linger.rs
+++ b/components/net/src/linger.rs
@@ -33,3 +33,9 @@
     // Whoever sends for longer loses its answer with the connection.
     let _ = Timer::new().within(LIMIT, rest).await;
 }
+
+/// Breaks a connection off, so that the other side does not take its end for the end of an answer.
+pub fn reset(stream: &TcpStream) {
+    // Fails only where there is no connection left to break.
+    let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
+}
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -14,7 +14,7 @@
 
 use async_trait::async_trait;
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::{Body as _, Incoming},
     header::{CONNECTION, HeaderValue},
     server::conn::http1,
@@ -287,6 +287,16 @@
     }
 }
 
+/// What is left to do for a connection that has been served.
+enum Left {
+    /// To close it.
+    Nothing,
+    /// To close it once the other side has sent what it still sends.
+    Sending,
+    /// To break it, since its last answer is not whole.
+    Cut,
+}
+
 /// One connection and the terms it is served on.
 struct Connection {
     peer: SocketAddr,
@@ -306,15 +316,19 @@
     /// Serves it to its end. A caller that breaks the protocol or goes away hurts only its own
     /// connection.
     async fn serve(self, stream: TcpStream) {
-        let owed = self.converse(stream.clone()).await;
-        linger::close(stream, owed).await;
+        match self.converse(stream.clone()).await {
+            Left::Nothing => linger::close(stream, false).await,
+            Left::Sending => linger::close(stream, true).await,
+            Left::Cut => linger::reset(&stream),
+        }
     }
 
-    /// Answers all its requests; tells whether the other side may be sending still.
-    async fn converse(&self, stream: TcpStream) -> bool {
+    /// Answers all its requests; tells what is left to do.
+    async fn converse(&self, stream: TcpStream) -> Left {
         let stream = Watched::new(stream, self.write_stall);
-        let has_body = AtomicBool::new(false);
+        let (has_body, old) = (AtomicBool::new(false), AtomicBool::new(false));
         let service = service_fn(|req: Request<Incoming>| {
+            old.store(req.version() < Version::HTTP_11, Ordering::Release);
             has_body.store(!req.body().is_end_stream(), Ordering::Release);
             self.answer(req)
         });
@@ -343,12 +357,22 @@
                 conn.as_mut().graceful_shutdown();
                 if let Some(ended) = future::poll_once(conn.as_mut()).await {
                     // It was idle: its last request has been read.
-                    return ended.is_err();
+                    return if ended.is_ok() {
+                        Left::Nothing
+                    } else {
+                        Left::Sending
+                    };
                 }
                 conn.await
             }
         };
-        ended.is_err() || has_body.load(Ordering::Acquire)
+        match ended {
+            // Such a caller takes the end of the connection for the end of the body.
+            Err(e) if e.is_user() && old.load(Ordering::Acquire) => Left::Cut,
+            Err(_) => Left::Sending,
+            Ok(()) if has_body.load(Ordering::Acquire) => Left::Sending,
+            Ok(()) => Left::Nothing,
+        }
     }
 
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
