Test how requests end when engines and owners stop in the middle

Five endings that hold already are tested: a silent owner, one that stops within its answer, an engine that is gone before its head, and a stream that is whole or whose move's answer was lost.

--- /dev/null
+++ b/tests/platform/endings.rs
@@ -0,0 +1,118 @@
+//! Each request that was read ends with a whole answer, or in a way that does not look like one.
+
+use std::time::{Duration, Instant};
+
+use crate::support::{Caller, Instance, Platform, all_events, read};
+use hyper::{Response, body::Incoming};
+use platform_standin::{
+    engine::Faults,
+    peer::{Asks, Peer},
+};
+use smol::Timer;
+
+/// Events of a generation that takes about two seconds.
+const LONG: u32 = 130;
+/// Time after which some of them have come.
+const SOME: Duration = Duration::from_millis(300);
+/// Time in which a caller is answered though an owner does not answer; the route allows eight
+/// seconds.
+const IN_TIME: Duration = Duration::from_secs(2);
+
+/// A platform whose first engine has these faults, with one instance through which a generation has
+/// begun there.
+async fn under_way(name: &str, faults: Faults) -> (Platform, Instance, Response<Incoming>) {
+    let platform = Platform::start().await;
+    platform.engines[0].set_faults(faults);
+    let instance = platform.instance(name).await;
+    let caller = Caller::new("key-1");
+    let resp = caller
+        .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+        .await;
+    Timer::after(SOME).await;
+    assert_eq!(platform.engines[0].working(), 1);
+    (platform, instance, resp.expect("an answer"))
+}
+
+/// Guards against cutting a whole stream without a length because its engine leaves.
+#[test]
+fn a_stream_without_length_that_ends_at_a_leaving_engine_is_whole() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("stayed", faults).await;
+        platform.engines[1].crash();
+        platform.store.drop_row("servers", "e-2");
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against losing a stream that its engine cut for a move it never answered.
+#[test]
+fn a_stream_goes_on_when_the_answer_to_its_move_is_lost() {
+    smol::block_on(async {
+        let faults = Faults {
+            loses_last_order: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("lost-answer", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against waiting for the head of an answer from an engine that is gone.
+#[test]
+fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("headless").await;
+        platform.engines[0].go_dark();
+        let sent = Instant::now();
+        let caller = Caller::new("key-1");
+        let asked = caller.generate(instance.addr, "g-1", LONG);
+        let gone = async {
+            Timer::after(SOME).await;
+            platform.store.drop_row("servers", "e-1");
+        };
+        let (got, ()) = smol::future::zip(asked, gone).await;
+        assert_eq!(got.status, 502);
+        assert!(sent.elapsed() < Duration::from_secs(5), "it was held");
+    });
+}
+
+/// An instance whose engines belong to another one that treats asks like this, and what a caller of
+/// it gets.
+async fn with_owner(platform: &Platform, name: &str, asks: Asks) -> (Instance, u16, Duration) {
+    Peer::start(&platform.store, asks).await;
+    let instance = platform.instance(name).await;
+    let sent = Instant::now();
+    let got = Caller::new("key-1").generate(instance.addr, "g-1", 4).await;
+    (instance, got.status, sent.elapsed())
+}
+
+/// Guards against waiting for an owner that never answers.
+#[test]
+fn a_generation_is_served_in_time_though_its_owner_does_not_answer() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (_instance, status, took) = with_owner(&platform, "no-owner", Asks::Unanswered).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+    });
+}
+
+/// Guards against waiting for the rest of an owner's answer that never comes.
+#[test]
+fn a_generation_is_served_in_time_though_its_owner_stops_within_its_answer() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (_instance, status, took) = with_owner(&platform, "half-owner", Asks::HeadOnly).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+    });
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 //! plain services.
 
 mod calls;
+mod endings;
 mod explaining;
 mod generations;
 mod support;
