Test a stream that is moved while its engine is being asked

A caller's stream falls silent, its instance asks the engine what it holds, and meanwhile the engine leaves and the stream is moved. The caller gets half an answer, though the engine handed all of it over: the relay sees the stream's end before the order that explains it, goes on from the copy, and is then told to go on from the same copy again, which can be used once.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -65,6 +65,24 @@
     });
 }
 
+/// Guards against taking the end that a move causes for a failure when it is seen before the order.
+#[test]
+fn a_stream_goes_on_when_it_is_moved_while_its_engine_is_being_asked() {
+    smol::block_on(async {
+        let faults = Faults {
+            report_delay: Duration::from_millis(200),
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("asked", faults).await;
+        // Asked after 900 ms of silence, and for 200 ms.
+        platform.engines[0].mute();
+        Timer::after(Duration::from_millis(940)).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
 /// Guards against waiting for the head of an answer from an engine that is gone.
 #[test]
 fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
