Let a relay hear of a move before the stream's end that it causes

Callers got half an answer though their engine had handed all of it over: a stream was cut with "the target refused it" right after it had gone on.

While the relay asks a silent stream's engine for its report, or waits for a slow caller, the order to expect a move and the end of the stream both wait for it, and it took the end first. It then went on from the copy by itself, and the order to go on from there found the copy used, the source as well, and cut a stream that was going on.

Orders are queued before the engine is told to stop, so whoever looks at orders first always knows of a move when it sees the end. What the engine still sends is read by `pass_last` as before, and events beyond that come again from the copy.

--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -154,8 +154,9 @@
         let live = Arc::clone(&self.place.live);
         let frame = next_bytes(&mut self.body);
         let order = async { Step::Order(live.next_order().await) };
+        // The order first: a stream's end that a move causes is no failure once the order is known.
         Timer::new()
-            .within(left.min(quiet), future::or(frame, order))
+            .within(left.min(quiet), future::or(order, frame))
             .await
             .unwrap_or(late)
     }
