Test a stream that is reset while its engine copies it for a move

The connection to an engine that leaves is reset while the first copy of a generation is made. The caller gets half an answer, though the copy is complete a moment later: the relay finds that somebody else carries the generation, and gives it up.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -83,6 +83,23 @@
     });
 }
 
+/// Guards against giving a stream up that is reset while its engine copies it.
+#[test]
+fn a_stream_that_is_reset_during_its_move_goes_on_where_it_was_moved() {
+    smol::block_on(async {
+        let faults = Faults {
+            cuts_at_copy: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("reset-copy", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        let began: usize = platform.engines.iter().map(|e| e.began().len()).sum();
+        assert_eq!(began, 1, "it was never begun anew");
+    });
+}
+
 /// Guards against waiting for the head of an answer from an engine that is gone.
 #[test]
 fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
