Wait for a move that is under way when its stream breaks off

Callers whose engine was leaving got half an answer where the connection to it was reset just as their generation was being copied.

The relay gave such a stream up, since somebody else held the right to carry it over; or, where a first copy was there already, it went on from that beside an engine that had not been told to stop.

Now a relay whose stream breaks off waits for how the move ends, also before it was told to expect one, each time for as long as a copy may take. A move that fails says so in every case, and not only after its last order; then the stream is saved from its copy or from its engine's memory as before.

--- a/components/front/src/carry.rs
+++ b/components/front/src/carry.rs
@@ -58,6 +58,8 @@
         }
         Err(failure) => {
             live.end_carry();
+            // Fails only where the relay has ended.
+            let _ = live.order(Order::Forget);
             failed(front, order, failure)
         }
     }
@@ -157,11 +159,7 @@
             go_on(live, splice(source, copy)).await?;
             Err(Failure::new(Carried::NoRoom, "no room for the final copy"))
         }
-        other => {
-            // Fails only where the relay has ended.
-            let _ = live.order(Order::Forget);
-            whole(other).map(|copy| splice(&to, copy))
-        }
+        other => whole(other).map(|copy| splice(&to, copy)),
     }
 }
 
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -145,6 +145,12 @@
         !self.carrying.swap(true, Ordering::AcqRel)
     }
 
+    /// Whether somebody carries it over.
+    #[must_use]
+    pub fn is_carried(&self) -> bool {
+        self.carrying.load(Ordering::Acquire)
+    }
+
     /// Gives the right back.
     pub fn end_carry(&self) {
         self.carrying.store(false, Ordering::Release);
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -28,7 +28,7 @@
 
 /// Time for a stopped engine's last events to arrive and its stream to close.
 const LAST_EVENTS: Duration = Duration::from_millis(30);
-/// Time for the outcome of a move after its stream has closed: the final copy, and a little.
+/// Time for the next word of a move after its stream has closed: a copy, and a little.
 const OUTCOME_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time for the next engine to answer. It admits what goes on first, at its next step; a caller
 /// has left long before this.
@@ -250,9 +250,9 @@
 
     /// The stream has broken off.
     async fn broken(&mut self, reason: Arc<str>, out: &Out) -> Option<Stop> {
-        if self.expecting
-            && let Some(order) = self.outcome().await
-        {
+        // Also where the engine has not been told to stop yet: the copy will be complete, and going on
+        // from a part of it would leave two engines at work.
+        if let Some(order) = self.outcome().await {
             return self.obey(Some(order), out).await;
         }
         let Some((target, resume)) = self.place.live.take_copy() else {
@@ -271,17 +271,22 @@
         }
     }
 
-    /// Waits for how a move ends whose engine has closed the stream already.
+    /// Waits for how a move ends, if one is under way, whose engine has closed the stream already.
     async fn outcome(&mut self) -> Option<Order> {
         let live = Arc::clone(&self.place.live);
-        let order = Timer::new()
-            .within(OUTCOME_PATIENCE, live.next_order())
-            .await;
-        self.expecting = false;
-        match order.flatten() {
-            Some(Order::Forget) | None => None,
-            order => order,
+        while self.expecting || live.is_carried() {
+            let patience = OUTCOME_PATIENCE.min(self.call.until_due());
+            let order = Timer::new().within(patience, live.next_order()).await;
+            match order.flatten() {
+                Some(Order::Expect) => self.expecting = true,
+                Some(Order::Forget) => self.expecting = false,
+                order => {
+                    self.expecting = false;
+                    return order;
+                }
+            }
         }
+        None
     }
 
     async fn obey(&mut self, order: Option<Order>, out: &Out) -> Option<Stop> {
