Test a stream without a length whose move is executed and never answered

An engine stops a generation for a move, closes its stream, which has no length, and the answer to the order is lost. The caller gets half an answer that looks whole.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -50,6 +50,22 @@
     });
 }
 
+/// Guards against taking a stream for whole that its engine closed for a move it never answered.
+#[test]
+fn a_stream_without_length_goes_on_when_the_answer_to_its_move_is_lost() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            loses_last_order: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("unanswered", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
 /// Guards against losing a stream that its engine cut for a move it never answered.
 #[test]
 fn a_stream_goes_on_when_the_answer_to_its_move_is_lost() {
