Don't take a stream that its engine may have stopped for a whole one

Callers got half an answer that looked whole, where an engine had stopped their generation for a move, the answer to the order was lost, and the stream had no length.

A stream without a length ends with its connection, so its end looks the same whether the generation is complete or was stopped. The relay waited for how the move ended, heard that it came to nothing, and took the end for the stream's own.

Whoever gives the order now says when its outcome is unknown; from then on the end of a stream that nothing marks as whole counts as broken off, and the generation goes on from its copy. Where the engine said that there was nothing to stop, and where the end is marked, nothing changes.

--- a/components/front/src/carry.rs
+++ b/components/front/src/carry.rs
@@ -159,7 +159,13 @@
             go_on(live, splice(source, copy)).await?;
             Err(Failure::new(Carried::NoRoom, "no room for the final copy"))
         }
-        other => whole(other).map(|copy| splice(&to, copy)),
+        other => {
+            if matches!(other, Copied::Unknown { .. }) {
+                // Fails only where the relay has ended.
+                let _ = live.order(Order::Doubt);
+            }
+            whole(other).map(|copy| splice(&to, copy))
+        }
     }
 }
 
--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -287,7 +287,7 @@
     head: &http::response::Parts,
     body: hyper::body::Incoming,
 ) -> Response<Body> {
-    let relay = Relay::new(Arc::clone(front), call.clone(), place, body);
+    let relay = Relay::new(Arc::clone(front), call.clone(), place, head, body);
     let mut resp = Response::new(fed(move |tx| relay.run(tx)));
     *resp.status_mut() = head.status;
     *resp.headers_mut() = front.face.passed(head);
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -23,6 +23,8 @@
     Expect,
     /// The move came to nothing; the generation stays where it is.
     Forget,
+    /// How the move ended is unknown; its engine may have stopped the generation.
+    Doubt,
     /// Go on there.
     Resume {
         /// The engine.
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -6,7 +6,11 @@
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::{
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response::Parts,
+};
 use net::Cut;
 use placing::Note;
 use smol::future;
@@ -43,11 +47,15 @@
     call: Call,
     place: Place,
     body: Incoming,
+    /// The stream's end is marked; else it ends with its connection.
+    framed: bool,
     split: Splitter,
     /// The last event that was passed on.
     last: Option<u64>,
     /// The engine is stopping it for a move.
     expecting: bool,
+    /// The engine may have stopped it for a move that came to nothing.
+    doubtful: bool,
     /// How long nothing has come.
     silence: Silence,
 }
@@ -83,15 +91,17 @@
 impl Relay {
     /// A relay of a stream that has just begun.
     #[must_use]
-    pub fn new(front: Arc<Front>, call: Call, place: Place, body: Incoming) -> Self {
+    pub fn new(front: Arc<Front>, call: Call, place: Place, head: &Parts, body: Incoming) -> Self {
         Self {
             front,
             call,
             place,
             body,
+            framed: is_framed(head),
             split: Splitter::new(),
             last: None,
             expecting: false,
+            doubtful: false,
             silence: Silence::new(boot_time()),
         }
     }
@@ -230,12 +240,15 @@
 
     /// The stream has ended as complete.
     async fn ended(&mut self, out: &Out) -> Option<Stop> {
-        if self.expecting {
-            // A stream without a length ends like this also where its engine was told to stop.
-            return match self.outcome().await {
-                Some(order) => self.obey(Some(order), out).await,
-                None => Some(self.whole(out).await),
-            };
+        // A stream without a length ends like this also where its engine was told to stop.
+        if self.expecting
+            && let Some(order) = self.outcome().await
+        {
+            return self.obey(Some(order), out).await;
+        }
+        if !self.framed && self.doubtful {
+            let reason = "its engine may have stopped it for a move";
+            return self.broken(reason.into(), out).await;
         }
         Some(self.whole(out).await)
     }
@@ -280,7 +293,9 @@
             match order.flatten() {
                 Some(Order::Expect) => self.expecting = true,
                 Some(Order::Forget) => self.expecting = false,
+                Some(Order::Doubt) => self.doubtful = true,
                 order => {
+                    self.doubtful |= order.is_none();
                     self.expecting = false;
                     return order;
                 }
@@ -293,6 +308,7 @@
         match order {
             Some(Order::Expect) => self.expecting = true,
             Some(Order::Forget) => self.expecting = false,
+            Some(Order::Doubt) => self.doubtful = true,
             Some(Order::Resume {
                 target,
                 resume,
@@ -356,6 +372,8 @@
         let limit = RESUME_PATIENCE.min(self.call.until_due());
         match send(&self.front, &self.call, target, Some(&resume), limit).await {
             Sent::Head { head, body, .. } if head.status.is_success() => {
+                self.framed = is_framed(&head);
+                self.doubtful = false;
                 self.body = body;
                 self.silence.heard(boot_time());
                 self.place.live.moved(Arc::clone(target));
@@ -377,6 +395,13 @@
     }
 }
 
+/// Whether a stream says where it ends.
+fn is_framed(head: &Parts) -> bool {
+    [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| head.headers.contains_key(name))
+}
+
 /// The next bytes of a stream, or its end.
 async fn next_bytes(body: &mut Incoming) -> Step {
     loop {
@@ -387,7 +412,6 @@
                 }
             }
             Some(Err(e)) => return Step::Broken(format!("the stream broke off: {e}").into()),
-            None if body.is_end_stream() => return Step::End,
             None => return Step::End,
         }
     }
