Test a stream without a length that ends within an event

An engine ends while it streams, in the middle of an event, and no reset tells of it. The caller gets a part of an event as the end of an answer that looks whole.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -5,7 +5,7 @@
 use crate::support::{Caller, Instance, Platform, all_events, read};
 use hyper::{Response, body::Incoming};
 use platform_standin::{
-    engine::Faults,
+    engine::{Exit, Faults},
     peer::{Asks, Peer},
 };
 use smol::Timer;
@@ -33,6 +33,22 @@
     (platform, instance, resp.expect("an answer"))
 }
 
+/// Guards against passing on a part of an event as the end of a whole stream.
+#[test]
+fn a_stream_without_length_that_ends_within_an_event_does_not_look_whole() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("within", faults).await;
+        platform.engines[0].exit(Exit::WithinEvent);
+        let got = read(resp).await;
+        assert!(!got.whole, "{}", got.body);
+        assert!(all_events(LONG).starts_with(&got.body), "{}", got.body);
+    });
+}
+
 /// Guards against cutting a whole stream without a length because its engine leaves.
 #[test]
 fn a_stream_without_length_that_ends_at_a_leaving_engine_is_whole() {
