--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -49,6 +49,22 @@
     });
 }
 
+/// Guards against taking the end of an engine for the end of its streams.
+#[test]
+fn a_stream_without_length_does_not_look_whole_when_its_engine_has_ended() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("ended", faults).await;
+        platform.engines[0].exit(Exit::BetweenEvents);
+        let got = read(resp).await;
+        assert!(!got.whole, "{}", got.body);
+        assert!(all_events(LONG).starts_with(&got.body), "{}", got.body);
+    });
+}
+
 /// Guards against cutting a whole stream without a length because its engine leaves.
 #[test]
 fn a_stream_without_length_that_ends_at_a_leaving_engine_is_whole() {
