Take a stream without a length that ends within an event for a broken one

Callers got a part of an event as the end of an answer that looked whole, where an engine had ended in the middle of an event without a reset and its stream had no length.

What was left of an event was passed on as the stream's last bytes. Once events have come, a stream whose end nothing marks is whole only after a whole event; otherwise it is treated like one that was reset: it goes on from the engine's memory, or is cut so that the caller can tell. An answer whose end is marked passes as it is.

--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -246,13 +246,24 @@
         {
             return self.obey(Some(order), out).await;
         }
-        if !self.framed && self.doubtful {
-            let reason = "its engine may have stopped it for a move";
+        if let Some(reason) = self.missing() {
             return self.broken(reason.into(), out).await;
         }
         Some(self.whole(out).await)
     }
 
+    /// Why a stream that has ended may lack something, where nothing marks its end.
+    fn missing(&self) -> Option<&'static str> {
+        if self.framed {
+            return None;
+        }
+        if self.doubtful {
+            return Some("its engine may have stopped it for a move");
+        }
+        let within = self.place.live.has_started() && !self.split.is_empty();
+        within.then_some("the stream ended within an event")
+    }
+
     async fn whole(&mut self, out: &Out) -> Stop {
         let rest = self.split.rest();
         if !rest.is_empty() && out.send(Ok(rest)).await.is_err() {
