Ask the engine of a stream without a length whether it is still there

Callers got the first events of a generation as an answer that looked whole, where an engine had ended between two events and its stream had no length.

The system closes the connections of a process that ends, and without a length that is how a whole stream ends as well. An engine that completed a generation still runs a moment later, so it is asked for its report before such a stream counts as whole; if it does not answer, the stream counts as broken off. Streams whose end is marked are not asked about.

--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -25,7 +25,7 @@
     refuse::millis,
     rescue::rescue,
     send::{Sent, send},
-    silence::{Silence, Verdict, look_into},
+    silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
     split::Splitter,
     state::Front,
 };
@@ -246,22 +246,28 @@
         {
             return self.obey(Some(order), out).await;
         }
-        if let Some(reason) = self.missing() {
+        if let Some(reason) = self.missing().await {
             return self.broken(reason.into(), out).await;
         }
         Some(self.whole(out).await)
     }
 
     /// Why a stream that has ended may lack something, where nothing marks its end.
-    fn missing(&self) -> Option<&'static str> {
+    async fn missing(&self) -> Option<&'static str> {
         if self.framed {
             return None;
         }
         if self.doubtful {
             return Some("its engine may have stopped it for a move");
         }
-        let within = self.place.live.has_started() && !self.split.is_empty();
-        within.then_some("the stream ended within an event")
+        if self.place.live.has_started() && !self.split.is_empty() {
+            return Some("the stream ended within an event");
+        }
+        // A process that ends closes its connections just as a stream that is complete does.
+        let addr = self.place.live.target().addr;
+        let report = self.front.engines.report(addr, REPORT_PATIENCE).await;
+        let gone = "the stream ended with its engine";
+        report.err().map(|_| gone)
     }
 
     async fn whole(&mut self, out: &Out) -> Stop {
--- a/components/front/src/silence.rs
+++ b/components/front/src/silence.rs
@@ -19,7 +19,7 @@
 /// Time between two questions about one stream.
 const ASK_EVERY: Duration = Duration::from_millis(900);
 /// Time for an engine to say what it holds; it answers at once, within milliseconds.
-const REPORT_PATIENCE: Duration = Duration::from_millis(250);
+pub const REPORT_PATIENCE: Duration = Duration::from_millis(250);
 /// Findings in a row that must be the same before anything is done: a report may be half a second
 /// old, and a question may be lost.
 const AGREE: u32 = 2;
