Test an owner that grants an engine which its entry does not know

An owner grants an engine that is not listed at the instance that asked, for one of them hears of an engine's start or end later. The caller waits to its deadline although another engine is free. Fails: 503 after six seconds.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -199,3 +199,16 @@
         assert!(took < IN_TIME, "{took:?}");
     });
 }
+
+/// Guards against being granted the same unlisted engine again and again until the deadline.
+#[test]
+fn a_generation_runs_elsewhere_when_its_owner_grants_an_engine_that_is_not_listed() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let asks = Asks::Granted(vec!["e-9".into(), "e-1".into()]);
+        let (_instance, status, took) = with_owner(&platform, "unlisted", asks).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+        assert_eq!(platform.engines[0].began(), ["g-1"]);
+    });
+}
