Test an owner that grants an engine which its entry knows to leave

The instance that holds the caller has heard that an engine leaves, the owner has not. The generation is sent to that engine all the same, and is cut or moved when it goes. Fails: begun at the engine that leaves.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -212,3 +212,18 @@
         assert_eq!(platform.engines[0].began(), ["g-1"]);
     });
 }
+
+/// Guards against sending new work to an engine whose leaving only the owner has not heard of.
+#[test]
+fn a_generation_runs_elsewhere_when_its_owner_grants_an_engine_that_leaves() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engine_leaves(0);
+        let asks = Asks::Granted(vec!["e-1".into(), "e-2".into()]);
+        let (_instance, status, took) = with_owner(&platform, "leaving", asks).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+        assert!(platform.engines[0].began().is_empty());
+        assert_eq!(platform.engines[1].began(), ["g-1"]);
+    });
+}
