Tell an owner which granted engines an entry can't use

Callers waited to their deadline and were refused although engines were free, where the owner granted an engine that was not listed at their instance: one that has just started, or one whose end only the instance had heard of.

The instance gave the grant back and asked the same again every 20 ms, and the owner, who saw an empty engine, granted it again each time. Now it names such engines among those to avoid for as long as they are not listed. One that becomes listed within the pause may be granted as before.

--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -99,6 +99,8 @@
 async fn find(front: &Arc<Front>, call: &Call, avoid: &[TargetId]) -> Result<Arc<Target>, Refusal> {
     let mut shard = first_shard(front, call);
     let mut full = 0;
+    // Engines that its owner granted and that this instance can't use.
+    let mut unusable: Vec<TargetId> = Vec::new();
     loop {
         if call.until_due().is_zero() {
             return Err(Refusal::not_run(
@@ -106,7 +108,9 @@
                 NO_TARGET_RETRY,
             ));
         }
-        let ask = ask(front, call, shard.clone(), avoid);
+        unusable.retain(|id| front.view.target(id).is_none());
+        let avoid = [avoid, &unusable].concat();
+        let ask = ask(front, call, shard.clone(), &avoid);
         if !front.can_finish(&ask) {
             return Err(Refusal::not_run(
                 "this instance stops before it would end",
@@ -114,10 +118,11 @@
             ));
         }
         let after = match front.place(&ask).await {
-            Answer::Go { target } => match front.view.target(&target) {
+            Answer::Go { target: id } => match front.view.target(&id) {
                 Some(target) => return Ok(target),
                 None => {
-                    // The owner knows a target that this instance has not heard of yet.
+                    // One of the two has not heard yet that the engine is there, or gone.
+                    unusable.push(id);
                     let run = Arc::clone(&call.asked.id);
                     let note = Note::Ended {
                         run,
