--- a/components/front/src/carry.rs
+++ b/components/front/src/carry.rs
@@ -58,6 +58,8 @@
         }
         Err(failure) => {
             live.end_carry();
+            // Fails only where the relay has ended.
+            let _ = live.order(Order::Forget);
             failed(front, order, failure)
         }
     }
@@ -158,8 +160,10 @@
             Err(Failure::new(Carried::NoRoom, "no room for the final copy"))
         }
         other => {
-            // Fails only where the relay has ended.
-            let _ = live.order(Order::Forget);
+            if matches!(other, Copied::Unknown { .. }) {
+                // Fails only where the relay has ended.
+                let _ = live.order(Order::Doubt);
+            }
             whole(other).map(|copy| splice(&to, copy))
         }
     }
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -25,6 +25,8 @@
     Forget,
     /// The instance's life is over: cut it.
     GiveUp,
+    /// How the move ended is unknown; its engine may have stopped the generation.
+    Doubt,
     /// Go on there.
     Resume {
         /// The engine.
@@ -147,6 +149,12 @@
         !self.carrying.swap(true, Ordering::AcqRel)
     }
 
+    /// Whether somebody carries it over.
+    #[must_use]
+    pub fn is_carried(&self) -> bool {
+        self.carrying.load(Ordering::Acquire)
+    }
+
     /// Gives the right back.
     pub fn end_carry(&self) {
         self.carrying.store(false, Ordering::Release);
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -6,7 +6,11 @@
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::{
+    body::Incoming,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    http::response::Parts,
+};
 use net::Cut;
 use placing::Note;
 use smol::future;
@@ -21,14 +25,14 @@
     refuse::millis,
     rescue::rescue,
     send::{Sent, send},
-    silence::{Silence, Verdict, look_into},
+    silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
     split::Splitter,
     state::Front,
 };
 
 /// Time for a stopped engine's last events to arrive and its stream to close.
 const LAST_EVENTS: Duration = Duration::from_millis(30);
-/// Time for the outcome of a move after its stream has closed: the final copy, and a little.
+/// Time for the next word of a move after its stream has closed: a copy, and a little.
 const OUTCOME_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Time for the next engine to answer. It admits what goes on first, at its next step; a caller
 /// has left long before this.
@@ -43,11 +47,15 @@
     call: Call,
     place: Place,
     body: Incoming,
+    /// The stream's end is marked; else it ends with its connection.
+    framed: bool,
     split: Splitter,
     /// The last event that was passed on.
     last: Option<u64>,
     /// The engine is stopping it for a move.
     expecting: bool,
+    /// The engine may have stopped it for a move that came to nothing.
+    doubtful: bool,
     /// How long nothing has come.
     silence: Silence,
 }
@@ -83,15 +91,17 @@
 impl Relay {
     /// A relay of a stream that has just begun.
     #[must_use]
-    pub fn new(front: Arc<Front>, call: Call, place: Place, body: Incoming) -> Self {
+    pub fn new(front: Arc<Front>, call: Call, place: Place, head: &Parts, body: Incoming) -> Self {
         Self {
             front,
             call,
             place,
             body,
+            framed: is_framed(head),
             split: Splitter::new(),
             last: None,
             expecting: false,
+            doubtful: false,
             silence: Silence::new(boot_time()),
         }
     }
@@ -154,8 +164,9 @@
         let live = Arc::clone(&self.place.live);
         let frame = next_bytes(&mut self.body);
         let order = async { Step::Order(live.next_order().await) };
+        // The order first: a stream's end that a move causes is no failure once the order is known.
         Timer::new()
-            .within(left.min(quiet), future::or(frame, order))
+            .within(left.min(quiet), future::or(order, frame))
             .await
             .unwrap_or(late)
     }
@@ -229,16 +240,36 @@
 
     /// The stream has ended as complete.
     async fn ended(&mut self, out: &Out) -> Option<Stop> {
-        if self.expecting {
-            // A stream without a length ends like this also where its engine was told to stop.
-            return match self.outcome().await {
-                Some(order) => self.obey(Some(order), out).await,
-                None => Some(self.whole(out).await),
-            };
+        // A stream without a length ends like this also where its engine was told to stop.
+        if self.expecting
+            && let Some(order) = self.outcome().await
+        {
+            return self.obey(Some(order), out).await;
+        }
+        if let Some(reason) = self.missing().await {
+            return self.broken(reason.into(), out).await;
         }
         Some(self.whole(out).await)
     }
 
+    /// Why a stream that has ended may lack something, where nothing marks its end.
+    async fn missing(&self) -> Option<&'static str> {
+        if self.framed {
+            return None;
+        }
+        if self.doubtful {
+            return Some("its engine may have stopped it for a move");
+        }
+        if self.place.live.has_started() && !self.split.is_empty() {
+            return Some("the stream ended within an event");
+        }
+        // A process that ends closes its connections just as a stream that is complete does.
+        let addr = self.place.live.target().addr;
+        let report = self.front.engines.report(addr, REPORT_PATIENCE).await;
+        let gone = "the stream ended with its engine";
+        report.err().map(|_| gone)
+    }
+
     async fn whole(&mut self, out: &Out) -> Stop {
         let rest = self.split.rest();
         if !rest.is_empty() && out.send(Ok(rest)).await.is_err() {
@@ -249,9 +280,9 @@
 
     /// The stream has broken off.
     async fn broken(&mut self, reason: Arc<str>, out: &Out) -> Option<Stop> {
-        if self.expecting
-            && let Some(order) = self.outcome().await
-        {
+        // Also where the engine has not been told to stop yet: the copy will be complete, and going on
+        // from a part of it would leave two engines at work.
+        if let Some(order) = self.outcome().await {
             return self.obey(Some(order), out).await;
         }
         let Some((target, resume)) = self.place.live.take_copy() else {
@@ -270,17 +301,24 @@
         }
     }
 
-    /// Waits for how a move ends whose engine has closed the stream already.
+    /// Waits for how a move ends, if one is under way, whose engine has closed the stream already.
     async fn outcome(&mut self) -> Option<Order> {
         let live = Arc::clone(&self.place.live);
-        let order = Timer::new()
-            .within(OUTCOME_PATIENCE, live.next_order())
-            .await;
-        self.expecting = false;
-        match order.flatten() {
-            Some(Order::Forget) | None => None,
-            order => order,
+        while self.expecting || live.is_carried() {
+            let patience = OUTCOME_PATIENCE.min(self.call.until_due());
+            let order = Timer::new().within(patience, live.next_order()).await;
+            match order.flatten() {
+                Some(Order::Expect) => self.expecting = true,
+                Some(Order::Forget) => self.expecting = false,
+                Some(Order::Doubt) => self.doubtful = true,
+                order => {
+                    self.doubtful |= order.is_none();
+                    self.expecting = false;
+                    return order;
+                }
+            }
         }
+        None
     }
 
     async fn obey(&mut self, order: Option<Order>, out: &Out) -> Option<Stop> {
@@ -290,6 +328,7 @@
             Some(Order::GiveUp) => {
                 return Some(Stop::Cut("the instance stops before its end".into()));
             }
+            Some(Order::Doubt) => self.doubtful = true,
             Some(Order::Resume {
                 target,
                 resume,
@@ -353,6 +392,8 @@
         let limit = RESUME_PATIENCE.min(self.call.until_due());
         match send(&self.front, &self.call, target, Some(&resume), limit).await {
             Sent::Head { head, body, .. } if head.status.is_success() => {
+                self.framed = is_framed(&head);
+                self.doubtful = false;
                 self.body = body;
                 self.silence.heard(boot_time());
                 self.place.live.moved(Arc::clone(target));
@@ -374,6 +415,13 @@
     }
 }
 
+/// Whether a stream says where it ends.
+fn is_framed(head: &Parts) -> bool {
+    [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| head.headers.contains_key(name))
+}
+
 /// The next bytes of a stream, or its end.
 async fn next_bytes(body: &mut Incoming) -> Step {
     loop {
@@ -384,7 +432,6 @@
                 }
             }
             Some(Err(e)) => return Step::Broken(format!("the stream broke off: {e}").into()),
-            None if body.is_end_stream() => return Step::End,
             None => return Step::End,
         }
     }
--- /dev/null
+++ b/tests/platform/endings.rs
@@ -0,0 +1,229 @@
+//! Each request that was read ends with a whole answer, or in a way that does not look like one.
+
+use std::time::{Duration, Instant};
+
+use crate::support::{Caller, Instance, Platform, all_events, read};
+use hyper::{Response, body::Incoming};
+use platform_standin::{
+    engine::{Exit, Faults},
+    peer::{Asks, Peer},
+};
+use smol::Timer;
+
+/// Events of a generation that takes about two seconds.
+const LONG: u32 = 130;
+/// Time after which some of them have come.
+const SOME: Duration = Duration::from_millis(300);
+/// Time in which a caller is answered though an owner does not answer; the route allows eight
+/// seconds.
+const IN_TIME: Duration = Duration::from_secs(2);
+
+/// A platform whose first engine has these faults, with one instance through which a generation has
+/// begun there.
+async fn under_way(name: &str, faults: Faults) -> (Platform, Instance, Response<Incoming>) {
+    let platform = Platform::start().await;
+    platform.engines[0].set_faults(faults);
+    let instance = platform.instance(name).await;
+    let caller = Caller::new("key-1");
+    let resp = caller
+        .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+        .await;
+    Timer::after(SOME).await;
+    assert_eq!(platform.engines[0].working(), 1);
+    (platform, instance, resp.expect("an answer"))
+}
+
+/// Guards against passing on a part of an event as the end of a whole stream.
+#[test]
+fn a_stream_without_length_that_ends_within_an_event_does_not_look_whole() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("within", faults).await;
+        platform.engines[0].exit(Exit::WithinEvent);
+        let got = read(resp).await;
+        assert!(!got.whole, "{}", got.body);
+        assert!(all_events(LONG).starts_with(&got.body), "{}", got.body);
+    });
+}
+
+/// Guards against taking the end of an engine for the end of its streams.
+#[test]
+fn a_stream_without_length_does_not_look_whole_when_its_engine_has_ended() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("ended", faults).await;
+        platform.engines[0].exit(Exit::BetweenEvents);
+        let got = read(resp).await;
+        assert!(!got.whole, "{}", got.body);
+        assert!(all_events(LONG).starts_with(&got.body), "{}", got.body);
+    });
+}
+
+/// Guards against cutting a whole stream without a length because its engine leaves.
+#[test]
+fn a_stream_without_length_that_ends_at_a_leaving_engine_is_whole() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("stayed", faults).await;
+        platform.engines[1].crash();
+        platform.store.drop_row("servers", "e-2");
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against taking a stream for whole that its engine closed for a move it never answered.
+#[test]
+fn a_stream_without_length_goes_on_when_the_answer_to_its_move_is_lost() {
+    smol::block_on(async {
+        let faults = Faults {
+            unframed: true,
+            loses_last_order: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("unanswered", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against losing a stream that its engine cut for a move it never answered.
+#[test]
+fn a_stream_goes_on_when_the_answer_to_its_move_is_lost() {
+    smol::block_on(async {
+        let faults = Faults {
+            loses_last_order: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("lost-answer", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against taking the end that a move causes for a failure when it is seen before the order.
+#[test]
+fn a_stream_goes_on_when_it_is_moved_while_its_engine_is_being_asked() {
+    smol::block_on(async {
+        let faults = Faults {
+            report_delay: Duration::from_millis(200),
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("asked", faults).await;
+        // Asked after 900 ms of silence, and for 200 ms.
+        platform.engines[0].mute();
+        Timer::after(Duration::from_millis(940)).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
+/// Guards against giving a stream up that is reset while its engine copies it.
+#[test]
+fn a_stream_that_is_reset_during_its_move_goes_on_where_it_was_moved() {
+    smol::block_on(async {
+        let faults = Faults {
+            cuts_at_copy: true,
+            ..Faults::default()
+        };
+        let (platform, _instance, resp) = under_way("reset-copy", faults).await;
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        let began: usize = platform.engines.iter().map(|e| e.began().len()).sum();
+        assert_eq!(began, 1, "it was never begun anew");
+    });
+}
+
+/// Guards against waiting for the head of an answer from an engine that is gone.
+#[test]
+fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("headless").await;
+        platform.engines[0].go_dark();
+        let sent = Instant::now();
+        let caller = Caller::new("key-1");
+        let asked = caller.generate(instance.addr, "g-1", LONG);
+        let gone = async {
+            Timer::after(SOME).await;
+            platform.store.drop_row("servers", "e-1");
+        };
+        let (got, ()) = smol::future::zip(asked, gone).await;
+        assert_eq!(got.status, 502);
+        assert!(sent.elapsed() < Duration::from_secs(5), "it was held");
+    });
+}
+
+/// An instance whose engines belong to another one that treats asks like this, and what a caller of
+/// it gets.
+async fn with_owner(platform: &Platform, name: &str, asks: Asks) -> (Instance, u16, Duration) {
+    Peer::start(&platform.store, asks).await;
+    let instance = platform.instance(name).await;
+    let sent = Instant::now();
+    let got = Caller::new("key-1").generate(instance.addr, "g-1", 4).await;
+    (instance, got.status, sent.elapsed())
+}
+
+/// Guards against waiting for an owner that never answers.
+#[test]
+fn a_generation_is_served_in_time_though_its_owner_does_not_answer() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (_instance, status, took) = with_owner(&platform, "no-owner", Asks::Unanswered).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+    });
+}
+
+/// Guards against waiting for the rest of an owner's answer that never comes.
+#[test]
+fn a_generation_is_served_in_time_though_its_owner_stops_within_its_answer() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (_instance, status, took) = with_owner(&platform, "half-owner", Asks::HeadOnly).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+    });
+}
+
+/// Guards against being granted the same unlisted engine again and again until the deadline.
+#[test]
+fn a_generation_runs_elsewhere_when_its_owner_grants_an_engine_that_is_not_listed() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let asks = Asks::Granted(vec!["e-9".into(), "e-1".into()]);
+        let (_instance, status, took) = with_owner(&platform, "unlisted", asks).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+        assert_eq!(platform.engines[0].began(), ["g-1"]);
+    });
+}
+
+/// Guards against sending new work to an engine whose leaving only the owner has not heard of.
+#[test]
+fn a_generation_runs_elsewhere_when_its_owner_grants_an_engine_that_leaves() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engine_leaves(0);
+        let asks = Asks::Granted(vec!["e-1".into(), "e-2".into()]);
+        let (_instance, status, took) = with_owner(&platform, "leaving", asks).await;
+        assert_eq!(status, 200);
+        assert!(took < IN_TIME, "{took:?}");
+        assert!(platform.engines[0].began().is_empty());
+        assert_eq!(platform.engines[1].began(), ["g-1"]);
+    });
+}
