Don't send a generation to an engine that is known to leave

Callers' generations were begun at engines that the instance knew to leave, or in a data centre that it knew to be taken out, where the owner had not heard of it yet: cut or moved two seconds later, if the engine took them.

An owner's grant was only checked for whether the engine is listed. Now it must also take work as far as the instance knows; else the owner is asked again and told to avoid it.

--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -101,6 +101,10 @@
     let mut full = 0;
     // Engines that its owner granted and that this instance can't use.
     let mut unusable: Vec<TargetId> = Vec::new();
+    let usable = |id: &TargetId| {
+        let listed = front.view.target(id);
+        listed.filter(|target| front.view.takes_work(target))
+    };
     loop {
         if call.until_due().is_zero() {
             return Err(Refusal::not_run(
@@ -108,7 +112,7 @@
                 NO_TARGET_RETRY,
             ));
         }
-        unusable.retain(|id| front.view.target(id).is_none());
+        unusable.retain(|id| usable(id).is_none());
         let avoid = [avoid, &unusable].concat();
         let ask = ask(front, call, shard.clone(), &avoid);
         if !front.can_finish(&ask) {
@@ -118,10 +122,10 @@
             ));
         }
         let after = match front.place(&ask).await {
-            Answer::Go { target: id } => match front.view.target(&id) {
+            Answer::Go { target: id } => match usable(&id) {
                 Some(target) => return Ok(target),
                 None => {
-                    // One of the two has not heard yet that the engine is there, or gone.
+                    // One of the two has not heard yet that the engine is there, or leaves.
                     unusable.push(id);
                     let run = Arc::clone(&call.asked.id);
                     let note = Note::Ended {
