Test a move whose owner stops before it is told how it ended

An owner orders a generation to be carried over, and its process ends while the copy is made. Once the engine is gone the caller is left with a part of the answer, though there was time for the copy.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -148,6 +148,31 @@
     });
 }
 
+/// Guards against leaving a move half done when the owner that ordered it stops before it is told.
+#[test]
+fn a_move_is_completed_though_the_owner_that_ordered_it_has_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engines[0].set_faults(Faults {
+            copy_delay: Duration::from_millis(200),
+            ..Faults::default()
+        });
+        Peer::start(&platform.store, Asks::Granted(vec!["e-1".into()])).await;
+        let instance = platform.instance("ownerless").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(SOME).await;
+        let patience = Duration::from_millis(100);
+        Peer::order(instance.peers, "g-1", ["e-1", "e-2"], patience).await;
+        Timer::after(Duration::from_millis(500)).await;
+        platform.engines[0].crash();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
 /// Guards against waiting for the head of an answer from an engine that is gone.
 #[test]
 fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -71,6 +71,8 @@
     pub ready: SocketAddr,
     /// Where metrics are.
     pub admin: SocketAddr,
+    /// Where other instances come in.
+    pub peers: SocketAddr,
     /// The lines that it has logged.
     log: Arc<Mutex<Vec<Value>>>,
     child: Child,
@@ -105,6 +107,7 @@
             addr,
             ready,
             admin,
+            peers,
             log,
             child,
             settings,
