Carry a generation over to the end when its owner hangs up

Callers whose engine was leaving got a part of their answer where the owner that had ordered the move stopped, or gave up waiting, before it was told how the move ended: as planned work goes, with instances stopped in turn while engines leave.

The order was executed inside the owner's call. When the owner's connection closed, the call was dropped, and the move with it at whatever point it had reached: the right to carry the generation was never given back, so that it could neither be moved nor rescued any more, and an engine that had stopped it already waited for a caller that never came.

The move now runs on a task of its own, which the call only waits for.

--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -2,9 +2,11 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use async_channel::bounded;
 use async_trait::async_trait;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply as HttpReply, full, read_limited};
+use placing::{Carried, Carry};
 use timer::boot_time;
 
 use crate::{
@@ -63,10 +65,24 @@
                 follow::hear_leaving(front, &target);
                 Reply::Noted
             }
-            Message::Carry(order) => Reply::Carried(carry::carry(front, &order).await),
+            Message::Carry(order) => Reply::Carried(self.carry(order).await),
         }
     }
 
+    /// Carries a generation over, to the end also where the owner that ordered it hangs up: its
+    /// engine may have stopped it already.
+    async fn carry(&self, order: Carry) -> Carried {
+        let front = Arc::clone(&self.front);
+        let (tx, rx) = bounded(1);
+        let carry = async move {
+            let outcome = carry::carry(&front, &order).await;
+            // Fails only where the owner has gone.
+            let _ = tx.try_send(outcome);
+        };
+        workers::spawn(carry).detach();
+        rx.recv().await.unwrap_or(Carried::Lost)
+    }
+
     /// What is new on a topic; waits until something is, or until what is known was confirmed.
     async fn news(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Reply {
         let arrived = boot_time();
