Test that bodies of requests being served count against their memory

Six requests with bodies of 4 MiB are being served by an instance that may hold 27 MB of them; one more is taken as well. A process that takes more memory than it may is killed, and all of its requests end without an answer. The share of the memory is given back as soon as a body is read, though the bytes are held until its answer. Fails: 504 from the target in place of 503.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -2,11 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use crate::support::{Caller, Instance, Platform, all_events, read};
-use hyper::{Response, body::Incoming};
+use crate::support::{Caller, Instance, Platform, all_events, eventually, read};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use net::Client;
 use platform_standin::{
+    caller::request,
     engine::{Exit, Faults},
     peer::{Asks, Peer},
+    plain::Fault,
 };
 use smol::Timer;
 
@@ -14,6 +19,8 @@
 const LONG: u32 = 130;
 /// Time after which some of them have come.
 const SOME: Duration = Duration::from_millis(300);
+/// Bytes of a body of which six and a part fit into the memory of an instance that is for bodies.
+const LARGE_BODY: usize = 4 * 1024 * 1024;
 /// Time in which a caller is answered though an owner does not answer; the route allows eight
 /// seconds.
 const IN_TIME: Duration = Duration::from_secs(2);
@@ -252,3 +259,31 @@
         assert_eq!(platform.engines[1].began(), ["g-1"]);
     });
 }
+
+/// Guards against holding more bodies of requests under way than there is memory for.
+#[test]
+fn a_body_that_finds_no_memory_beside_those_being_served_is_refused() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("crowded").await;
+        for process in &platform.plain {
+            process.set_fault(Fault::Silent);
+        }
+        let body = Bytes::from(vec![b'x'; LARGE_BODY]);
+        let send = |number: usize| {
+            let id = format!("r-{number}");
+            let (head, _) = request("POST", "/grants/9", &id, 0, "key-1").into_parts();
+            let req = Request::from_parts(head, Full::new(body.clone()));
+            let addr = instance.addr;
+            async move { Client::new().send_fresh(addr, req).await }
+        };
+        let held: Vec<_> = (0..6).map(|number| smol::spawn(send(number))).collect();
+        eventually("six are being served", || async {
+            platform.plain.iter().map(|p| p.ran()).sum::<usize>() == 6
+        })
+        .await;
+        let got = read(send(6).await.expect("an answer")).await;
+        assert_eq!(got.status, 503);
+        drop(held);
+    });
+}
