Test that an owner hears of a try's end before it is asked for the next

An engine refuses a generation, and its instance asks the owner for another engine while word that the first try has ended is still on its way. The owner takes that word for the end of the second try: it forgets a generation that runs, puts the engine aside that took it in place of the one that refused, and doesn't move the generation if that engine leaves. Fails: asked, asked, ended.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -10,7 +10,7 @@
 use platform_standin::{
     caller::request,
     engine::{Exit, Faults},
-    peer::{Asks, Peer},
+    peer::{Asks, Heard, Peer},
     plain::Fault,
 };
 use smol::Timer;
@@ -260,6 +260,32 @@
     });
 }
 
+/// Guards against an owner that forgets a second try because it hears of the end of the first later.
+#[test]
+fn an_owner_hears_that_a_try_has_ended_before_it_is_asked_for_the_next() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engines[0].set_full(true);
+        let asks = Asks::Granted(vec!["e-1".into(), "e-2".into()]);
+        let owner = Peer::start(&platform.store, asks).await;
+        let instance = platform.instance("ordered").await;
+        let caller = Caller::new("key-1");
+        for number in 0..5 {
+            let before = owner.heard().len();
+            let got = caller
+                .generate(instance.addr, &format!("g-{number}"), 4)
+                .await;
+            assert_eq!((got.status, got.body), (200, all_events(4)));
+            let heard = owner.heard()[before..].to_vec();
+            assert!(
+                heard.starts_with(&[Heard::Ask, Heard::Ended, Heard::Ask]),
+                "{heard:?}"
+            );
+            Timer::after(SOME).await;
+        }
+    });
+}
+
 /// Guards against holding more bodies of requests under way than there is memory for.
 #[test]
 fn a_body_that_finds_no_memory_beside_those_being_served_is_refused() {
