Tell an owner that a try has ended before it is asked for the next

After an engine had refused a generation, its owner forgot the second try, which runs: it did not move it if that engine left within the next 0.7 s, so that the caller would get a part of the answer. It also put the engine aside that had taken the generation, and not the one that had refused it.

Word of the first try's end was sent by a task of its own, and the next ask overtook it: the owner granted the second engine, and then took the word for the end of that. A generation that is not tried again is refused at once as before.

Measured: the test fails on the code before (asked, asked, ended) and passes now.

--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_channel::Receiver;
 use events::{Event, emit};
 use hyper::{Response, http};
 use net::{Body, fed};
@@ -48,6 +49,8 @@
     pub doubt: bool,
     /// It came to its end, so that its length says something.
     pub whole: bool,
+    /// Its owner was told that it was given up.
+    told: bool,
 }
 
 impl Place {
@@ -59,12 +62,20 @@
             live,
             doubt: false,
             whole: false,
+            told: false,
         }
     }
-}
 
-impl Drop for Place {
-    fn drop(&mut self) {
+    /// Gives it up, and waits until its owner was told. The owner would take word that comes after
+    /// the next ask for the end of what it has granted then.
+    async fn give_up(mut self) {
+        // Nothing is ever sent; it fails once the owner was told.
+        let _ = self.tell().recv().await;
+    }
+
+    /// Tells its owner that it is given up.
+    fn tell(&mut self) -> Receiver<()> {
+        self.told = true;
         self.live.close();
         self.front.live.remove(&self.live.run);
         let note = Note::Ended {
@@ -75,7 +86,15 @@
         let shard = self
             .front
             .shard_of(&self.live.service, &self.live.target().id);
-        Front::note(&self.front, &shard, note);
+        Front::note(&self.front, &shard, note)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.told {
+            self.tell();
+        }
     }
 }
 
@@ -202,7 +221,7 @@
     let sending = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
     if !front.take_cold(&call.service, &target) {
         avoid.push(Arc::clone(&target.id));
-        return again_or("every engine is cold", front, call, avoid);
+        return again_or("every engine is cold", place, call, avoid).await;
     }
     emit(&Event::RequestSent {
         id: Arc::clone(&call.asked.id),
@@ -229,7 +248,7 @@
         Sent::NotRun { reason } => {
             place.doubt = true;
             avoid.push(Arc::clone(&target.id));
-            again_or(&reason, front, call, avoid)
+            again_or(&reason, place, call, avoid).await
         }
         Sent::Unknown { reason, late } => {
             place.doubt = !late;
@@ -262,7 +281,8 @@
 }
 
 /// Tries again where that is allowed; it has not run yet.
-fn again_or(reason: &str, front: &Front, call: &Call, avoid: &[TargetId]) -> Attempt {
+async fn again_or(reason: &str, place: Place, call: &Call, avoid: &[TargetId]) -> Attempt {
+    let front = Arc::clone(&place.front);
     let service = &call.service.name;
     let instances = front.instances();
     let granted = front.cfg.decisions.parts.sends_again
@@ -272,6 +292,7 @@
         return Attempt::GiveUp(Refusal::not_run(reason, NO_TARGET_RETRY));
     }
     front.metrics.repeats.inc();
+    place.give_up().await;
     Attempt::Again
 }
 
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_channel::{Receiver, bounded};
 use parking_lot::Mutex;
 use placing::{Answer, Ask, Engine, Note, Owner, Shard, Tuning};
 use timer::boot_time;
@@ -131,17 +132,22 @@
     }
 
     /// Tells the owner of an engine what happened to a generation there. The word may get lost; the
-    /// next sync makes up for it.
-    pub fn note(front: &Arc<Self>, shard: &Shard, note: Note) {
+    /// next sync makes up for it. What is returned is closed once the owner was told, or can't be.
+    pub fn note(front: &Arc<Self>, shard: &Shard, note: Note) -> Receiver<()> {
+        let (told, done) = bounded(1);
         // This instance may have decided for itself; its own account must forget it too.
         front.placement.owner.lock().note(boot_time(), &note);
         let owner = front.owners(shard).into_iter().next();
         let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
-            return;
+            return done;
         };
         let front = Arc::clone(front);
-        let tell = async move { front.tell(&owner, note).await };
+        let tell = async move {
+            front.tell(&owner, note).await;
+            drop(told);
+        };
         workers::spawn(tell).detach();
+        done
     }
 
     async fn tell(&self, owner: &InstanceId, note: Note) {
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -164,7 +164,7 @@
         let live = Arc::clone(&self.place.live);
         let frame = next_bytes(&mut self.body);
         let order = async { Step::Order(live.next_order().await) };
-        // The order first: a stream's end that a move causes is no failure once the order is known.
+        // The order first: a stream's end that a move causes is no failure once that is known.
         Timer::new()
             .within(left.min(quiet), future::or(order, frame))
             .await
@@ -280,8 +280,8 @@
 
     /// The stream has broken off.
     async fn broken(&mut self, reason: Arc<str>, out: &Out) -> Option<Stop> {
-        // Also where the engine has not been told to stop yet: the copy will be complete, and going on
-        // from a part of it would leave two engines at work.
+        // Also where the engine has not been told to stop yet: going on from a copy made before
+        // that would leave two engines at work.
         if let Some(order) = self.outcome().await {
             return self.obey(Some(order), out).await;
         }
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -260,7 +260,7 @@
     });
 }
 
-/// Guards against an owner that forgets a second try because it hears of the end of the first later.
+/// Guards against an owner that forgets a second try as it hears of the first one's end later.
 #[test]
 fn an_owner_hears_that_a_try_has_ended_before_it_is_asked_for_the_next() {
     smol::block_on(async {
