--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -2,11 +2,16 @@
 
 use std::time::{Duration, Instant};
 
-use crate::support::{Caller, Instance, Platform, all_events, read};
-use hyper::{Response, body::Incoming};
+use crate::support::{Caller, Instance, Platform, all_events, eventually, read};
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{Request, Response, body::Incoming};
+use net::Client;
 use platform_standin::{
+    caller::request,
     engine::{Exit, Faults},
-    peer::{Asks, Peer},
+    peer::{Asks, Heard, Peer},
+    plain::Fault,
 };
 use smol::Timer;
 
@@ -14,6 +19,8 @@
 const LONG: u32 = 130;
 /// Time after which some of them have come.
 const SOME: Duration = Duration::from_millis(300);
+/// Bytes of a body of which six and a part fit into the memory of an instance that is for bodies.
+const LARGE_BODY: usize = 4 * 1024 * 1024;
 /// Time in which a caller is answered though an owner does not answer; the route allows eight
 /// seconds.
 const IN_TIME: Duration = Duration::from_secs(2);
@@ -148,6 +155,31 @@
     });
 }
 
+/// Guards against leaving a move half done when the owner that ordered it stops before it is told.
+#[test]
+fn a_move_is_completed_though_the_owner_that_ordered_it_has_gone() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engines[0].set_faults(Faults {
+            copy_delay: Duration::from_millis(200),
+            ..Faults::default()
+        });
+        Peer::start(&platform.store, Asks::Granted(vec!["e-1".into()])).await;
+        let instance = platform.instance("ownerless").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(SOME).await;
+        let patience = Duration::from_millis(100);
+        Peer::order(instance.peers, "g-1", ["e-1", "e-2"], patience).await;
+        Timer::after(Duration::from_millis(500)).await;
+        platform.engines[0].crash();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
 /// Guards against waiting for the head of an answer from an engine that is gone.
 #[test]
 fn a_generation_whose_engine_never_answers_is_told_so_once_the_listing_is_gone() {
@@ -227,3 +259,57 @@
         assert_eq!(platform.engines[1].began(), ["g-1"]);
     });
 }
+
+/// Guards against an owner that forgets a second try as it hears of the first one's end later.
+#[test]
+fn an_owner_hears_that_a_try_has_ended_before_it_is_asked_for_the_next() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engines[0].set_full(true);
+        let asks = Asks::Granted(vec!["e-1".into(), "e-2".into()]);
+        let owner = Peer::start(&platform.store, asks).await;
+        let instance = platform.instance("ordered").await;
+        let caller = Caller::new("key-1");
+        for number in 0..5 {
+            let before = owner.heard().len();
+            let got = caller
+                .generate(instance.addr, &format!("g-{number}"), 4)
+                .await;
+            assert_eq!((got.status, got.body), (200, all_events(4)));
+            let heard = owner.heard()[before..].to_vec();
+            assert!(
+                heard.starts_with(&[Heard::Ask, Heard::Ended, Heard::Ask]),
+                "{heard:?}"
+            );
+            Timer::after(SOME).await;
+        }
+    });
+}
+
+/// Guards against holding more bodies of requests under way than there is memory for.
+#[test]
+fn a_body_that_finds_no_memory_beside_those_being_served_is_refused() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("crowded").await;
+        for process in &platform.plain {
+            process.set_fault(Fault::Silent);
+        }
+        let body = Bytes::from(vec![b'x'; LARGE_BODY]);
+        let send = |number: usize| {
+            let id = format!("r-{number}");
+            let (head, _) = request("POST", "/grants/9", &id, 0, "key-1").into_parts();
+            let req = Request::from_parts(head, Full::new(body.clone()));
+            let addr = instance.addr;
+            async move { Client::new().send_fresh(addr, req).await }
+        };
+        let held: Vec<_> = (0..6).map(|number| smol::spawn(send(number))).collect();
+        eventually("six are being served", || async {
+            platform.plain.iter().map(|p| p.ran()).sum::<usize>() == 6
+        })
+        .await;
+        let got = read(send(6).await.expect("an answer")).await;
+        assert_eq!(got.status, 503);
+        drop(held);
+    });
+}
