Test, failing: an operator's change in flight at a stop gets its answer

An operator whose change is at the table service when the instance stops gets no answer: the process ends once the callers have theirs. Whether the change was accepted has to be found out by hand.

--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -11,11 +11,16 @@
 
 use bench::{
     caller::{Caller, Outcome, Record, Wanted, What},
-    deployment::{Deployment, Plan},
+    deployment::{Deployment, OPERATOR_KEY, Plan},
     process::Signal,
 };
+use bytes::Bytes;
 use events::Event;
+use http_body_util::Full;
+use hyper::Request;
+use net::Client;
 use smol::{Task, Timer, unblock};
+use standins::platform;
 
 /// Time between two looks at something that takes a while.
 const POLL: Duration = Duration::from_millis(20);
@@ -36,6 +41,13 @@
 /// Calls to each instance as it stops to take connections.
 const LAST_CALLS: u32 = 4;
 
+/// Delay of each answer of the table service that makes a change outlast a stop.
+const TABLE_MS: u64 = 700;
+/// Time for an answer's body.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// Bytes of an answer at most.
+const ANSWER_LIMIT: usize = 1 << 20;
+
 fn plan() -> Plan {
     let mut plan = support::plan();
     plan.engine.life.warm = true;
@@ -97,6 +109,22 @@
     all.collect()
 }
 
+/// Writes a node of the tree that is not there yet; `None` if no whole answer came.
+async fn write_new(admin: SocketAddr, path: &str) -> Option<u16> {
+    let req = Request::put(path)
+        .header("authorization", format!("Bearer {OPERATOR_KEY}"))
+        .header("content-type", "application/json")
+        .header("if-none-match", "*")
+        .body(Full::new(Bytes::from_static(b"{}")))
+        .expect("a request");
+    let resp = Client::new().send_fresh(admin, req).await.ok()?;
+    let status = resp.status().as_u16();
+    net::read_all(resp.into_body(), ANSWER_LIMIT, PATIENCE)
+        .await
+        .ok()?;
+    Some(status)
+}
+
 /// Connects and sends a save, with as little as possible between the two.
 fn send_at_once(addr: SocketAddr, name: &str) -> io::Result<TcpStream> {
     let text = format!(
@@ -182,3 +210,23 @@
         }
     });
 }
+
+/// Guards against a process that ends while the table service takes an operator's change.
+#[test]
+fn an_operators_change_in_flight_at_a_stop_gets_its_answer() {
+    let mut setting = support::start(&plan());
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        let slow = platform::Faults {
+            table_slow_ms: Some(TABLE_MS),
+            ..platform::Faults::default()
+        };
+        deployment.platform_fault(&slow).await;
+        let admin = deployment.instances[0].admin;
+        let path = "/v1/tree/services/viewer/routes/added";
+        let change = workers::spawn(write_new(admin, path));
+        let ended = deployment.stop_instance(0, STOP_PATIENCE).await;
+        assert!(ended, "{}", deployment.tail(0));
+        assert_eq!(change.await, Some(200), "{}", deployment.tail(0));
+    });
+}
