Answer operators before a stopping process ends

An operator whose change was at the table service when the instance stopped got no answer: the shutdown waited for callers only, and the servers of operators and peers ran until the process cut them. The change may have been accepted or not.

Once the callers have ended, both servers take no further connections, and the process waits until theirs have ended too. They stay until then: operators watch the shutdown, and permits come from peers. An operator's request ends by itself, within the limits on its body, on the table service's answers and on a reader that stalls.

--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -14,12 +14,13 @@
 use gateway::Gateway;
 use prometheus_client::registry::Registry;
 use settings::Settings;
+use smol::future;
 use types::Incarnation;
 
 use crate::{
     core::Core,
     parts::Parts,
-    servers::{Running, Servers},
+    servers::{Servers, Serving},
     shutdown::{self, Signals},
 };
 
@@ -33,7 +34,7 @@
     claims: Arc<StoreClaims>,
     gateway: Gateway,
     draining: Arc<AtomicBool>,
-    callers: Running,
+    serving: Serving,
     grace: Duration,
 }
 
@@ -76,7 +77,7 @@
             claims: Arc::clone(&parts.claims),
             gateway,
             draining,
-            callers: servers.run(),
+            serving: servers.run(),
             grace: Duration::from_secs(settings.limits.drain_grace_seconds),
         };
         parts.run(settings, inputs);
@@ -85,22 +86,29 @@
     }
 
     /// Shuts down gracefully: not ready at once, still serving while the balancer's list lags,
-    /// then until the last connection of a caller has ended.
+    /// then until the last connection of a caller has ended, and after that of an operator.
     pub async fn shut_down(self) {
+        let Serving {
+            callers,
+            peers,
+            operators,
+        } = self.serving;
         events::emit(&Log::Draining {
             open: self.gateway.open(),
         });
         self.draining.store(true, Ordering::Release);
-        self.callers.retire();
+        callers.retire();
         self.core.member(members::Input::Drain);
         self.core.timer.sleep(self.grace).await;
         events::emit(&Log::DrainClosing {
-            connections: self.callers.open(),
+            connections: callers.open(),
             open: self.gateway.open(),
         });
-        self.callers.stop().await;
+        callers.stop().await;
         shutdown::until_idle(self.core.timer, || self.gateway.open()).await;
         self.claims.drain(DRAIN_CLAIMS).await;
+        // Until here operators may look at the shutdown, and requests may need what peers send.
+        future::zip(operators.stop(), peers.stop()).await;
         events::emit(&Log::Stopped);
     }
 }
--- a/components/node/src/servers.rs
+++ b/components/node/src/servers.rs
@@ -29,6 +29,16 @@
     operators: Server,
 }
 
+/// Servers that run.
+pub struct Serving {
+    /// For callers.
+    pub callers: Running,
+    /// For other instances.
+    pub peers: Running,
+    /// For operators.
+    pub operators: Running,
+}
+
 /// One server that runs; it ends if this is dropped.
 pub struct Running {
     retire: Arc<AtomicBool>,
@@ -108,12 +118,13 @@
         })
     }
 
-    /// Serves; gives the callers' server, which can be stopped.
-    pub fn run(self) -> Running {
-        for server in [self.peers, self.operators] {
-            workers::spawn(server.run()).detach();
+    /// Serves until stopped.
+    pub fn run(self) -> Serving {
+        Serving {
+            callers: Running::new(self.callers),
+            peers: Running::new(self.peers),
+            operators: Running::new(self.operators),
         }
-        Running::new(self.callers)
     }
 }
 
