Count a body against the memory until its request is answered

An instance could take more bodies than its memory bears, and be killed with every request that it had read. Cause: the share of the memory that bodies may hold together was given back once a body had been read, while its bytes are held until the request is answered, or its stream has ended. The share now lives as long as the bytes.

--- a/components/front/src/call.rs
+++ b/components/front/src/call.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use hyper::http;
+use net::Share;
 use placing::RequestDigest;
 use timer::boot_time;
 use types::{Moment, WorkspaceId};
@@ -28,6 +29,8 @@
     pub head: http::request::Parts,
     /// Its body.
     pub body: Bytes,
+    /// Memory that the body takes up. Clones share it.
+    pub share: Arc<Share>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that the route chose for it.
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -11,7 +11,7 @@
 
 use async_trait::async_trait;
 use hyper::{Request, Response, StatusCode, body::Incoming, http};
-use net::{Body, BodyError, Handler, SharedError, read_shared};
+use net::{Body, BodyError, Handler, Share, SharedError, read_shared};
 use placing::RequestDigest;
 use smol::future;
 use timer::boot_time;
@@ -43,6 +43,12 @@
 /// Why what outlasts the instance's life gets an answer of our own.
 const STOPS: &str = "the instance stops before it would end";
 
+/// A body that was read, and the memory that it takes up.
+struct HeldBody {
+    bytes: bytes::Bytes,
+    share: Arc<Share>,
+}
+
 /// Takes callers' requests in.
 pub struct Callers {
     front: Arc<Front>,
@@ -116,7 +122,7 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<bytes::Bytes, Refusal> {
+    async fn read_body(&self, body: Incoming) -> Result<HeldBody, Refusal> {
         let limits = self.front.view.rules().and_then(|rules| rules.limits);
         let limit = limits.map_or(BODY_LIMIT, |limits| limits.body_bytes);
         let pause = limits.map_or(BODY_PAUSE, |limits| limits.header_time);
@@ -129,7 +135,7 @@
         let Some(read) = future::or(outlived, read).await else {
             return Err(Refusal::not_run(STOPS, ELSEWHERE_RETRY));
         };
-        read.map_err(|e| match e {
+        let read = read.map_err(|e| match e {
             SharedError::Body(BodyError::TooLarge) => {
                 Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, e.to_string())
             }
@@ -140,6 +146,10 @@
                 Refusal::new(StatusCode::BAD_REQUEST, e.to_string())
             }
             SharedError::Crowded => Refusal::not_run(e.to_string(), CROWDED_RETRY),
+        });
+        Ok(HeldBody {
+            bytes: read?,
+            share: Arc::new(share),
         })
     }
 
@@ -147,7 +157,7 @@
         &self,
         asked: Asked,
         head: http::request::Parts,
-        body: bytes::Bytes,
+        body: HeldBody,
         arrived: Moment,
     ) -> Result<Call, Refusal> {
         let front = &self.front;
@@ -186,10 +196,11 @@
             due: arrived + left.min(timeout(route.timeout)),
             route: Arc::clone(route),
             service: Arc::clone(service),
-            digest: digest(&asked, &body),
+            digest: digest(&asked, &body.bytes),
             asked,
             head,
-            body,
+            body: body.bytes,
+            share: body.share,
             arrived,
             rules: rules.version,
             sent: Arc::new(AtomicBool::new(false)),
--- a/components/front/tests/aims.rs
+++ b/components/front/tests/aims.rs
@@ -45,6 +45,7 @@
         digest: 1,
         head,
         body: bytes::Bytes::new(),
+        share: Arc::new(net::Budget::new(0).share()),
         route: Arc::new(route),
         service: Arc::new(service),
         workspace: None,
