--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -329,6 +329,33 @@
     });
 }
 
+/// Guards against closing a connection in the middle of the head of a request.
+#[test]
+fn a_request_whose_head_has_begun_to_arrive_on_a_kept_connection_is_answered() {
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut kept = TcpStream::connect(watch.addr).await.expect("a connection");
+        let ask = b"POST /echo HTTP/1.1\r\nhost: x\r\ncontent-length: 2\r\n\r\nab";
+        kept.write_all(ask).await.expect("it is sent");
+        let mut first = [0; 512];
+        let len = kept.read(&mut first).await.expect("an answer");
+        assert!(first[..len].ends_with(b"ab"));
+        let (begun, rest) = ask.split_at(20);
+        kept.write_all(begun).await.expect("it is sent");
+        smol::Timer::after(Duration::from_millis(50)).await;
+        watch.stop.store(true, Ordering::Release);
+        smol::Timer::after(Duration::from_millis(150)).await;
+        let sent = kept.write_all(rest).await;
+        let mut buf = Vec::new();
+        let read = kept.read_to_end(&mut buf).await;
+        assert!(
+            buf.starts_with(b"HTTP/1.1 200 ") && buf.ends_with(b"ab"),
+            "{sent:?} {read:?} {}",
+            String::from_utf8_lossy(&buf)
+        );
+    });
+}
+
 #[test]
 fn a_fresh_connection_is_not_an_idle_one() {
     // Something on the way has lost track of the pooled connections: they look fine and lead
