--- a/tests/platform/stopping.rs
+++ b/tests/platform/stopping.rs
@@ -7,7 +7,11 @@
 
 use net::Client;
 use platform_standin::{caller::request, plain::Fault};
-use smol::Timer;
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::support::{Caller, Got, Instance, Platform, all_events, read};
 
@@ -146,3 +150,59 @@
         instance.logged_at("Stopped").await;
     });
 }
+
+/// Guards against a drain that further signals or other settings cut short.
+#[test]
+fn further_signals_and_a_shorter_grace_do_not_shorten_a_drain() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("again").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", 240)
+            .await;
+        instance.terminate();
+        instance.logged_at("Draining").await;
+        instance.rewrite_settings("grace_s = 6", "grace_s = 1");
+        for signal in ["-TERM", "-HUP", "-INT", "-TERM"] {
+            Timer::after(Duration::from_millis(300)).await;
+            instance.signal(signal);
+        }
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(240)));
+    });
+}
+
+/// Guards against a stream that is cut by the process's end and looks whole to a caller of HTTP/1.0.
+#[test]
+fn a_stream_that_goes_on_elsewhere_as_the_grace_ends_does_not_look_whole() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("old-caller").await;
+        let mut stream = TcpStream::connect(instance.addr)
+            .await
+            .expect("a connection");
+        let head = format!(
+            "POST /drafts/1 HTTP/1.0\r\nhost: a.example\r\nrequest-id: g-1\r\n\
+             deadline-milliseconds: 8000\r\ntoken-counts: 100,{ENDLESS}\r\n\
+             authorization: Token key-1\r\ncontent-length: 0\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).await.expect("it is sent");
+        Timer::after(Duration::from_millis(300)).await;
+        instance.terminate();
+        // The grace is six seconds; what is left is given up a little before.
+        until_draining_for(&instance, Duration::from_millis(5_300)).await;
+        let from = platform
+            .engines
+            .iter()
+            .position(|engine| engine.working() > 0);
+        let from = from.expect("it runs");
+        platform.engines[1 - from].go_dark();
+        platform.engine_leaves(from);
+        let mut buf = Vec::new();
+        let read = stream.read_to_end(&mut buf).await;
+        let text = String::from_utf8_lossy(&buf);
+        assert!(text.contains("data: token 1"), "{text}");
+        assert!(read.is_err(), "{read:?} {:?}", instance.events());
+    });
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -116,8 +116,13 @@
 
     /// Tells it to stop.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Sends it a signal.
+    pub fn signal(&self, signal: &str) {
         let killed = Command::new("kill")
-            .args(["-TERM", &self.child.id().to_string()])
+            .args([signal, &self.child.id().to_string()])
             .status();
         assert!(killed.is_ok_and(|status| status.success()));
     }
