Cut a stream at the end of the grace whatever its relay waits for

A stream that was on its way to another engine, or asking its silent one, as the grace ended was cut by the process's end: without a line in the log, and a caller of HTTP/1.0 took half of it for the whole. Cause: a relay heard that it was given up only where it waits for its next event or order. The wait for the instance's end now stands around all that a relay does, as it does around requests; the order to give up is gone.

--- a/components/front/src/ending.rs
+++ b/components/front/src/ending.rs
@@ -38,12 +38,12 @@
         at.map(|at| at.saturating_sub(boot_time()))
     }
 
-    /// Gives up what has no answer yet: it gets one of our own.
+    /// Gives up what is still at work: requests get an answer of our own, streams are cut.
     pub fn give_up(&self) {
         self.over.0.close();
     }
 
-    /// Waits until what has no answer yet is given up.
+    /// Waits until what is still at work is given up.
     pub async fn over(&self) {
         // Nothing is ever sent; it fails once the channel is closed.
         let _ = self.over.1.recv().await;
--- a/components/front/src/live.rs
+++ b/components/front/src/live.rs
@@ -23,8 +23,6 @@
     Expect,
     /// The move came to nothing; the generation stays where it is.
     Forget,
-    /// The instance's life is over: cut it.
-    GiveUp,
     /// How the move ended is unknown; its engine may have stopped the generation.
     Doubt,
     /// Go on there.
@@ -229,14 +227,6 @@
         self.all.lock().get(run).cloned()
     }
 
-    /// Has all of them cut.
-    pub fn give_up(&self) {
-        for live in self.all.lock().values() {
-            // Fails for one that has just ended.
-            let _ = live.order(Order::GiveUp);
-        }
-    }
-
     /// What owners are told of them.
     #[must_use]
     pub fn running(&self) -> Vec<Running> {
--- a/components/front/src/relay.rs
+++ b/components/front/src/relay.rs
@@ -108,7 +108,13 @@
 
     /// Passes events on to the stream's end.
     pub async fn run(mut self, out: Out) {
-        let stop = self.pass_all(&out).await;
+        let front = Arc::clone(&self.front);
+        // Around all of it: whatever it waits for, a caller is told that its answer is not whole.
+        let outlived = async {
+            front.ending.over().await;
+            Stop::Cut("the instance stops before its end".into())
+        };
+        let stop = future::or(self.pass_all(&out), outlived).await;
         let target = self.place.live.target();
         match stop {
             Stop::Whole => {
@@ -325,9 +331,6 @@
         match order {
             Some(Order::Expect) => self.expecting = true,
             Some(Order::Forget) => self.expecting = false,
-            Some(Order::GiveUp) => {
-                return Some(Stop::Cut("the instance stops before its end".into()));
-            }
             Some(Order::Doubt) => self.doubtful = true,
             Some(Order::Resume {
                 target,
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -231,7 +231,6 @@
     let left = most.saturating_sub(timer.now());
     if timer.within(left, &mut callers).await.is_none() {
         front.ending.give_up();
-        front.live.give_up();
         let last = grace.mul_f64(LAST_ANSWERS_PART);
         timer.within(last, callers).await;
     }
