--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod budget;
 pub mod client;
+mod connection;
 mod linger;
 mod panics;
 mod pool;
