--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -356,6 +356,21 @@
     });
 }
 
+/// Guards against a stop that a caller prolongs who began a request and sends no more of it.
+#[test]
+fn half_a_head_does_not_hold_a_stop() {
+    smol::block_on(async {
+        let watch = serve(ServeLimits::default()).await;
+        let mut slow = TcpStream::connect(watch.addr).await.expect("a connection");
+        slow.write_all(b"POST /echo HTT").await.expect("it is sent");
+        until(|| watch.open.load(Ordering::Acquire) == 1).await;
+        watch.stop.store(true, Ordering::Release);
+        let ended = until(|| watch.open.load(Ordering::Acquire) == 0);
+        let ended = timer::Timer::new().within(3 * SECOND, ended).await;
+        assert!(ended.is_some());
+    });
+}
+
 #[test]
 fn a_fresh_connection_is_not_an_idle_one() {
     // Something on the way has lost track of the pooled connections: they look fine and lead
