Wait a little for the rest of a head as a server stops, and no longer

A caller on a kept connection, part of whose request's head had arrived as its instance stopped, saw the connection closed without an answer; one that never sent the rest of its first head held the stop until its headers' time was over, or the grace. Cause: the library closes a connection on which no request is being answered whatever it has read of the next one, and waits for the rest of a first head without regard to a stop.

A connection that has read bytes since its last answer is given 0.3 s for the rest of the request, as a new one is for its first; the head of a first request gets one second more.

--- a/components/net/src/connection.rs
+++ b/components/net/src/connection.rs
@@ -18,7 +18,7 @@
     server::conn::http1,
     service::service_fn,
 };
-use smol::{channel::Receiver, future, net::TcpStream};
+use smol::{Timer, channel::Receiver, future, net::TcpStream};
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
@@ -28,9 +28,11 @@
     stall::Watched,
 };
 
-/// Time from a connection's making within which its first request is waited for though the server
-/// stops. Its caller has sent it by then, or has no request yet.
-const FIRST_REQUEST: Duration = Duration::from_millis(300);
+/// Time for a request that is on its way when the server stops: for the first one of a connection from
+/// its making, for the rest of a head that has begun to arrive from the stop.
+const LAST_REQUEST: Duration = Duration::from_millis(300);
+/// Time beyond that for the head of a connection's first request.
+const LAST_HEAD: Duration = Duration::from_secs(1);
 /// Bytes of a connection's buffers at least; the library takes no less.
 const LEAST_BUFFER: usize = 8192;
 
@@ -55,8 +57,35 @@
     pub closing: Receiver<()>,
     /// When it was accepted.
     pub made: Instant,
-    /// Whether a request has come.
-    pub asked: AtomicBool,
+    /// What has come so far.
+    pub progress: Arc<Progress>,
+}
+
+/// What has come over a connection so far.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// A request.
+    asked: AtomicBool,
+    /// Bytes since the last request was answered.
+    heard: Arc<AtomicBool>,
+    /// The last request has a body.
+    has_body: AtomicBool,
+    /// The last request is of HTTP/1.0.
+    old: AtomicBool,
+}
+
+impl Progress {
+    fn begin(&self, req: &Request<Incoming>) {
+        self.asked.store(true, Ordering::Release);
+        let old = req.version() < Version::HTTP_11;
+        self.old.store(old, Ordering::Release);
+        self.has_body
+            .store(!req.body().is_end_stream(), Ordering::Release);
+    }
+
+    fn answered(&self) {
+        self.heard.store(false, Ordering::Release);
+    }
 }
 
 impl Connection {
@@ -72,13 +101,9 @@
 
     /// Answers all its requests; tells what is left to do.
     async fn converse(&self, stream: TcpStream) -> Left {
-        let stream = Watched::new(stream, self.write_stall);
-        let (has_body, old) = (AtomicBool::new(false), AtomicBool::new(false));
-        let service = service_fn(|req: Request<Incoming>| {
-            old.store(req.version() < Version::HTTP_11, Ordering::Release);
-            has_body.store(!req.body().is_end_stream(), Ordering::Release);
-            self.answer(req)
-        });
+        let progress = &self.progress;
+        let stream = Watched::new(stream, self.write_stall).with_heard(&progress.heard);
+        let service = service_fn(|req| self.answer(req));
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
             .header_read_timeout(self.limits.header_time)
@@ -92,43 +117,57 @@
         let closing = async {
             // Nothing is ever sent; it fails once the server closes.
             let _ = self.closing.recv().await;
-            // The library closes a connection without a request at once.
-            if !self.asked.load(Ordering::Acquire) {
-                smol::Timer::at(self.made + FIRST_REQUEST).await;
-            }
+            self.last_request().await;
             None
         };
         let ended = match future::or(ended, closing).await {
             Some(ended) => ended,
             None => {
                 conn.as_mut().graceful_shutdown();
-                if let Some(ended) = future::poll_once(conn.as_mut()).await {
-                    // It was idle: its last request has been read.
-                    return if ended.is_ok() {
-                        Left::Nothing
-                    } else {
-                        Left::Sending
-                    };
+                let ended = async { Some(conn.as_mut().await) };
+                match future::or(ended, self.no_head()).await {
+                    Some(ended) => ended,
+                    None => return Left::Nothing,
                 }
-                conn.await
             }
         };
         match ended {
             // Such a caller takes the end of the connection for the end of the body.
-            Err(e) if e.is_user() && old.load(Ordering::Acquire) => Left::Cut,
+            Err(e) if e.is_user() && progress.old.load(Ordering::Acquire) => Left::Cut,
             Err(_) => Left::Sending,
-            Ok(()) if has_body.load(Ordering::Acquire) => Left::Sending,
+            Ok(()) if progress.has_body.load(Ordering::Acquire) => Left::Sending,
             Ok(()) => Left::Nothing,
         }
     }
 
+    /// Waits for a request that is on its way as the server stops. The library closes a connection
+    /// at once on which no request is being answered, be it that a part of one has arrived.
+    async fn last_request(&self) {
+        if self.progress.heard.load(Ordering::Acquire) {
+            Timer::after(LAST_REQUEST).await;
+        } else if !self.progress.asked.load(Ordering::Acquire) {
+            Timer::at(self.made + LAST_REQUEST).await;
+        }
+    }
+
+    /// Completes once the server has waited long enough for the rest of a first request's head,
+    /// which the library goes on waiting for.
+    async fn no_head<T>(&self) -> Option<T> {
+        Timer::after(LAST_HEAD).await;
+        if self.progress.asked.load(Ordering::Acquire) {
+            future::pending().await
+        }
+        None
+    }
+
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Infallible> {
-        self.asked.store(true, Ordering::Release);
+        self.progress.begin(&req);
         let mut resp = panics::caught(self.handler.as_ref(), self.peer, req).await;
         if self.stop.load(Ordering::Acquire) || self.retire.load(Ordering::Acquire) {
             let close = HeaderValue::from_static("close");
             resp.headers_mut().insert(CONNECTION, close);
         }
+        self.progress.answered();
         Ok(resp)
     }
 }
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -263,7 +263,7 @@
             retire: Arc::clone(&self.retire),
             closing: self.closing.1.clone(),
             made: Instant::now(),
-            asked: AtomicBool::new(false),
+            progress: Arc::default(),
         };
         workers::spawn(async move {
             conn.serve(stream).await;
--- a/components/net/src/stall.rs
+++ b/components/net/src/stall.rs
@@ -3,6 +3,10 @@
 use std::{
     io::{self, ErrorKind},
     pin::Pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll},
     time::Duration,
 };
@@ -22,18 +26,28 @@
     inner: S,
     limit: Duration,
     stalled: Option<Timer>,
+    /// Set when bytes have been read.
+    heard: Arc<AtomicBool>,
 }
 
 impl<S> Watched<S> {
     /// Watches a connection.
-    pub const fn new(inner: S, limit: Duration) -> Self {
+    pub fn new(inner: S, limit: Duration) -> Self {
         Self {
             inner,
             limit,
             stalled: None,
+            heard: Arc::default(),
         }
     }
 
+    /// Has a switch set whenever bytes have been read.
+    #[must_use]
+    pub fn with_heard(mut self, heard: &Arc<AtomicBool>) -> Self {
+        self.heard = Arc::clone(heard);
+        self
+    }
+
     fn judge<T>(&mut self, cx: &mut Context<'_>, poll: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
         if poll.is_ready() {
             self.stalled = None;
@@ -54,7 +68,11 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(len)) if len > 0) {
+            self.heard.store(true, Ordering::Release);
+        }
+        read
     }
 }
 
