Take the other waiting connections after one that was aborted; throw away in small pieces

A server that stops takes what waits in the system's queue. One connection there that had gone again would have ended that, and the others been reset; no test, the system can't be brought to it here. What a lingering close reads goes through 2 KiB in place of 16, as there may be many at once.

--- a/components/net/src/linger.rs
+++ b/components/net/src/linger.rs
@@ -8,7 +8,7 @@
 /// Longest time for which the other side may send on.
 const LIMIT: Duration = Duration::from_secs(1);
 /// Bytes read at once.
-const BUFFER: usize = 16 * 1024;
+const BUFFER: usize = 2 * 1024;
 
 /// Closes a connection. What still comes in is read and thrown away until the other side closes
 /// too, for a while at most; `owed` tells that some is expected.
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -1,7 +1,7 @@
 //! Serving HTTP with limits.
 
 use std::{
-    io,
+    io::{self, ErrorKind},
     net::SocketAddr,
     sync::{
         Arc,
@@ -230,8 +230,13 @@
     /// Takes the connections that the system has made already. Closing the listener would reset
     /// them, and their callers may have sent their requests.
     async fn take_waiting(&self) {
-        while let Some(Ok((stream, peer))) = future::poll_once(self.listener.accept()).await {
-            self.take(stream, peer);
+        while let Some(accepted) = future::poll_once(self.listener.accept()).await {
+            match accepted {
+                Ok((stream, peer)) => self.take(stream, peer),
+                // That one has gone again; others still wait.
+                Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
+                Err(_) => return,
+            }
         }
     }
 
