Stop by a schedule that ends within the grace, on the clock that counts suspension

Causes: the time until a signal is noticed and that of the last messages came on top of the grace's parts; the drain slept by a clock that stands still while the machine is suspended.

The steps of a stop are a value now, made from the grace less a reserve for these, and new connections are taken for half of it at most. The drain looks at the other clock every 0.1 s. Properties of the schedule are tested for graces from 0.2 to 120 s; a suspension was not tried.

--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cold;
 pub mod config;
 pub mod decisions;
+pub mod drain;
 pub mod dump;
 pub mod ending;
 pub mod face;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
@@ -14,8 +14,7 @@
 use net::{Client, Handler, ServeLimits, Server, Terms};
 use parking_lot::{Mutex, RwLock};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use smol::Task;
-use timer::{Timer, boot_time};
+use timer::boot_time;
 use view::View;
 
 use crate::{
@@ -24,6 +23,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::Config,
+    drain,
     ending::Ending,
     face::{Engines, Face, Store},
     follow::Follower,
@@ -34,7 +34,6 @@
     open::OpenRequests,
     peers::Peers,
     placement::Placement,
-    refuse::millis,
     reload,
     shelf::Shelf,
     side::{Admin, Readiness},
@@ -52,16 +51,6 @@
 /// Time that a caller's connection may be idle, or take for its headers, before the configuration
 /// is known.
 const IDLE_TIME: Duration = Duration::from_secs(16);
-/// Time for the last messages to other instances to leave: owners learn that places are free.
-const LAST_NOTES: Duration = Duration::from_millis(50);
-/// After an order to stop new connections are still taken for this long: the balancer needs two
-/// questions, a second apart, to leave this instance out.
-const LINGER: Duration = Duration::from_millis(2_600);
-/// Part of the grace in which requests are served to their ends.
-const GRACE_PART: f64 = 0.96;
-/// Part of the grace for the answers to those that are given up.
-const LAST_ANSWERS_PART: f64 = 0.02;
-
 /// What an instance talks to.
 pub struct Outside {
     /// Speaks with callers and targets.
@@ -111,9 +100,11 @@
         workers::spawn(admin.run()).detach();
     }
     let retire = callers.retire();
-    let close = callers.stop();
-    let connections = callers.open();
-    let callers = workers::spawn(callers.run());
+    let mut callers = drain::Callers {
+        stop: callers.stop(),
+        open: callers.open(),
+        task: workers::spawn(callers.run()),
+    };
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
     for topic in [Topic::Operator, Topic::Targets] {
@@ -131,15 +122,9 @@
         instance: Arc::clone(&front.cfg.instance),
     });
     reload::watch(&front, &outside.reload, &stop, &signal).await;
-    emit(&Event::Draining {
-        open: front.open.count(),
-    });
-    let grace = front.bounds.read().grace;
-    let most = grace.mul_f64(GRACE_PART);
-    front.ending.set(boot_time() + most);
     retire.store(true, Ordering::Release);
-    drain(&front, &close, &connections, callers, grace).await;
-    tell_end(&front, &connections);
+    drain::drain(&front, &mut callers).await;
+    drain::tell_end(&front, &callers);
     Ok(())
 }
 
@@ -208,52 +193,3 @@
         .await
         .context(format!("listening on {addr}"))
 }
-
-/// Serves what there is to its end, and what still comes while the balancer learns of the stop.
-///
-/// It is over once the last connection of a caller has ended: a look at the requests that are open
-/// says nothing about the next moment, in which one more may be read.
-async fn drain(
-    front: &Front,
-    close: &AtomicBool,
-    connections: &AtomicUsize,
-    mut callers: Task<()>,
-    grace: Duration,
-) {
-    let timer = Timer::new();
-    let most = grace.mul_f64(GRACE_PART);
-    timer.sleep(LINGER.min(most)).await;
-    close.store(true, Ordering::Release);
-    emit(&Event::DrainClosing {
-        connections: connections.load(Ordering::Acquire),
-        open: front.open.count() + front.live.count(),
-    });
-    let left = most.saturating_sub(timer.now());
-    if timer.within(left, &mut callers).await.is_none() {
-        front.ending.give_up();
-        let last = grace.mul_f64(LAST_ANSWERS_PART);
-        timer.within(last, callers).await;
-    }
-    timer.sleep(LAST_NOTES).await;
-}
-
-/// Logs what the process leaves behind: connections of callers, and requests without an answer.
-fn tell_end(front: &Front, connections: &AtomicUsize) {
-    let unanswered = front.open.list();
-    for (id, held) in &unanswered {
-        emit(&Event::RequestUnanswered {
-            id: Arc::clone(id),
-            held_ms: millis(*held),
-        });
-    }
-    let connections = connections.load(Ordering::Acquire);
-    if connections == 0 {
-        emit(&Event::Stopped);
-        return;
-    }
-    emit(&Event::StoppedShort {
-        connections,
-        unanswered: unanswered.len(),
-        cut: front.live.count(),
-    });
-}
