Test calls whose kept connection is closed, and streams whose route is gone

Both hold on the code as it is: a call that a target read and dropped is repeated only if it may be, else it ends with 502; a stream goes on by the configuration that it began with.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -1,6 +1,9 @@
 //! Each request that was read ends with a whole answer, or in a way that does not look like one.
 
-use std::time::{Duration, Instant};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use crate::support::{Caller, Instance, Platform, all_events, eventually, read};
 use bytes::Bytes;
@@ -8,12 +11,18 @@
 use hyper::{Request, Response, body::Incoming};
 use net::Client;
 use platform_standin::{
-    caller::request,
+    caller::{BODY, request},
     engine::{Exit, Faults},
     peer::{Asks, Heard, Peer},
     plain::Fault,
 };
-use smol::Timer;
+use serde_json::json;
+use smol::{
+    Timer,
+    channel::{Receiver, unbounded},
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 /// Events of a generation that takes about two seconds.
 const LONG: u32 = 130;
@@ -313,3 +322,81 @@
         drop(held);
     });
 }
+
+/// A process that answers the first request of each connection, and closes it when it has read the
+/// second. Tells what it reads.
+async fn closes_on_the_second(id: &'static str) -> (SocketAddr, Receiver<String>) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = TcpListener::bind(any).await.expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let (tx, rx) = unbounded();
+    let serve = async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            for answers in [true, false] {
+                let Some(request) = read_request(&mut stream).await else {
+                    break;
+                };
+                assert!(request.contains(id), "{request}");
+                let _ = tx.try_send(request);
+                if answers {
+                    let answer = "HTTP/1.1 200 OK\r\nresponse-seal: a-seal\r\n\
+                                  content-length: 2\r\n\r\nok";
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+            }
+        }
+    };
+    smol::spawn(serve).detach();
+    (addr, rx)
+}
+
+/// Reads a request with the body that callers send; none if there is no other one.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    let mut part = [0; 1024];
+    while !buf.ends_with(BODY.as_bytes()) {
+        let count = stream.read(&mut part).await.ok().filter(|n| *n > 0)?;
+        buf.extend_from_slice(&part[..count]);
+    }
+    Some(String::from_utf8_lossy(&buf).into_owned())
+}
+
+/// Guards against repeating, or calling not run, a call whose kept connection is closed under it.
+#[test]
+fn a_call_whose_kept_connection_is_closed_is_repeated_only_where_that_is_allowed() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (addr, seen) = closes_on_the_second("p-1").await;
+        platform.plain[0].set_public(addr);
+        let listing = platform.plain[0].listing("titles", "dc-0", "ready");
+        platform.store.put("servers", "p-1", listing);
+        let instance = platform.instance("kept").await;
+        let caller = Caller::new("key-1");
+        let call = async |path: &str, id: &str| {
+            let got = caller.call(instance.addr, "POST", path, id).await;
+            (got.status, seen.len(), platform.plain[1].ran())
+        };
+        assert_eq!(call("/grants/9", "r-1").await, (200, 1, 0));
+        assert_eq!(call("/grants/9", "r-2").await, (502, 2, 0));
+        assert_eq!(call("/grants/9", "r-3").await, (200, 3, 0));
+        assert_eq!(call("/titles/9", "r-4").await, (200, 4, 1));
+    });
+}
+
+/// Guards against ending what is under way when its route and service are taken out.
+#[test]
+fn requests_under_way_end_whole_when_their_route_is_gone() {
+    smol::block_on(async {
+        let (platform, instance, resp) = under_way("routeless", Faults::default()).await;
+        let rules = json!({"version": 1_000, "routes": [], "services": [], "tenants": []});
+        platform.store.put("op", "config", rules.to_string());
+        let caller = Caller::new("key-1");
+        eventually("the route is gone", || async {
+            let got = caller.call(instance.addr, "GET", "/titles/9", "r-1").await;
+            got.status == 404
+        })
+        .await;
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
