Test a stream that is reset while no other engine has room for it

A connection is reset while all other engines are full. The caller gets a part of the answer, though the engine holds the generation in its memory and could go on with it itself.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -114,6 +114,30 @@
     });
 }
 
+/// Guards against giving a stream up that was reset because no other engine has room for it.
+#[test]
+fn a_stream_that_is_reset_goes_on_where_it_was_when_no_other_engine_has_room() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        platform.engines[1].set_faults(Faults {
+            refuses_copies: true,
+            ..Faults::default()
+        });
+        Peer::start(&platform.store, Asks::Granted(vec!["e-1".into()])).await;
+        let instance = platform.instance("no-room").await;
+        let caller = Caller::new("key-1");
+        let resp = caller
+            .send(instance.addr, "POST", "/drafts/1", "g-1", LONG)
+            .await;
+        Timer::after(SOME).await;
+        platform.engines[0].cut();
+        let got = read(resp.expect("an answer")).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+        assert_eq!(platform.engines[0].began(), ["g-1"]);
+        assert!(platform.engines[1].began().is_empty());
+    });
+}
+
 /// Guards against losing a stream that its engine cut for a move it never answered.
 #[test]
 fn a_stream_goes_on_when_the_answer_to_its_move_is_lost() {
