Save a reset stream also where no other engine is granted

Callers whose connection to an engine was reset, by way of their instance, got a part of their answer while all other engines were full, though the engine still held the generation.

The relay gave up when the owner granted no engine to copy it to. But the engine itself can go on as well: ordered to hand a generation over that finds no room, it stops it and tells under which name it can be continued. So any other engine is named as the destination; if it has room for the copy after all, the generation goes on there.

Measured: the test fails on the code before (about 19 of 130 events) and passes six times in a row. What more work on full engines costs others is not measured.

--- a/components/front/src/rescue.rs
+++ b/components/front/src/rescue.rs
@@ -34,7 +34,11 @@
 ) -> Result<(Arc<Target>, Resume), Arc<str>> {
     let source = live.target();
     let from = boot_time();
-    let to = destination(front, call, live, &source).await?;
+    let to = match destination(front, call, live, &source).await {
+        Ok(to) => to,
+        // The engine itself can go on too, and tells under which name when a copy finds no room.
+        Err(why) => another(front, live, &source).ok_or(why)?,
+    };
     let order = CopyOrder {
         run: &live.run,
         from: source.addr,
@@ -86,3 +90,10 @@
         Answer::Wait { .. } | Answer::Full { .. } => Err("no engine has room for it".into()),
     }
 }
+
+/// Any other engine of the generation's service that takes work.
+fn another(front: &Front, live: &Live, source: &Target) -> Option<Arc<Target>> {
+    let mut others = front.view.usable(&live.service);
+    others.retain(|target| target.id != source.id);
+    fastrand::choice(others)
+}
