Test that owners hear what runs while many instances are dark

Many instances lose power at once. Those that are left try them again one after the other, 0.3 s each, before they tell owners what they hold. An owner forgets in the meantime what runs, fills engines twice, and moves nothing off those that leave, so that callers get a part of their answers. Fails: with 24 dark instances there is no sync in 2.5 s; an owner forgets after 3 s.

--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -293,6 +293,26 @@
     });
 }
 
+/// Guards against an owner that forgets what runs as its entry waits for instances that are dark.
+#[test]
+fn an_owner_hears_what_runs_though_many_instances_are_dark() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let owner = Peer::start(&platform.store, Asks::Granted(vec!["e-1".into()])).await;
+        for number in 0..24 {
+            Peer::start_dark(&platform.store, &format!("dark-{number}")).await;
+        }
+        let _instance = platform.instance("synced").await;
+        let syncs = || owner.heard().iter().filter(|h| **h == Heard::Sync).count();
+        for _ in 0..4 {
+            let before = syncs();
+            // An owner forgets what it has not heard of for three seconds.
+            Timer::after(Duration::from_millis(2_500)).await;
+            assert!(syncs() > before, "no sync in 2.5 s");
+        }
+    });
+}
+
 /// Guards against an owner that forgets a second try as it hears of the first one's end later.
 #[test]
 fn an_owner_hears_that_a_try_has_ended_before_it_is_asked_for_the_next() {
