Sync with owners beside greeting instances that did not answer

Callers could get a part of their answers after many instances had lost power at once: those that were left told owners too late what they held, owners forgot it, and what an owner has forgotten is not moved off an engine that leaves.

Each instance that was due for another try was greeted before the sync, one after the other, and a dark one takes 0.3 s. Now they are greeted by tasks of their own, twelve at a time, and the syncs keep their period.

--- a/components/front/src/acquaint.rs
+++ b/components/front/src/acquaint.rs
@@ -28,8 +28,8 @@
 const SECOND_LOOK_GROWS: u32 = 20;
 /// Tries to reach an instance that the settings name; all start at about the same time.
 const SEED_TRIES: usize = 5;
-/// Instances of each order of readers that are greeted at the start: as many as there are on a small
-/// deployment, so that each of them knows all at once.
+/// Instances that are greeted at once. At the start, those of each order of readers: as many as there
+/// are on a small deployment, so that each of them knows all at once.
 const GREETED: usize = 12;
 /// Time before the store is asked again for the members, when it failed.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(700);
@@ -113,8 +113,10 @@
     let mut ticks = Timer::new().every(SYNC_PERIOD);
     loop {
         ticks.next().await;
-        for peer in front.peers.to_try_again() {
-            say_hello(&front, &peer).await;
+        // Beside the syncs: an owner forgets in seconds what it does not hear of.
+        for peer in front.peers.to_try_again().into_iter().take(GREETED) {
+            let front = Arc::clone(&front);
+            workers::spawn(async move { say_hello(&front, &peer).await }).detach();
         }
         for shard in shards(&front) {
             sync_shard(&front, shard).await;
