Test, failing: a request that is never decided is refused after its deadline

A request that waits for a permit is answered by the decisions alone, at the latest by a tick after its deadline. If that tick does not come, for the task that gives it has panicked, the caller hears nothing for as long as it stays, and a planned stop waits for the request for ever.

On this code the three tests got no answer within 10 s of a deadline of 50 ms.

--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -194,6 +194,12 @@
     }
 }
 
+/// Waits for an answer, with a generous bound.
+pub async fn in_time(answer: impl Future<Output = Answer>) -> Answer {
+    let answer = Timer::new().within(Duration::from_secs(10), answer).await;
+    answer.expect("an answer in time")
+}
+
 /// Waits for a condition, with a generous bound.
 pub async fn until(condition: impl Fn() -> bool) {
     for _ in 0..4000 {
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -13,7 +13,7 @@
     admission::{Note, Say},
     body,
     engine::{FakeEngine, Step, token},
-    events, problem, read, until,
+    events, in_time, problem, read, until,
 };
 use gateway::Ending;
 use http_body_util::BodyExt;
@@ -323,6 +323,35 @@
     });
 }
 
+/// Guards against a generation that is never placed nor refused, and whose caller hears nothing.
+#[test]
+fn a_generation_that_is_never_decided_is_refused_after_its_deadline() {
+    smol::block_on(async {
+        for stream in [true, false] {
+            let bed = Bed::new().await;
+            bed.admission.script([Say::Wait]);
+            let headers = [("x-deadline-ms", "50")];
+            let answer = in_time(bed.complete(stream, &headers)).await;
+            assert_eq!(answer.problem(), problem(504, "deadline", "not-run"));
+            bed.idle().await;
+            assert_eq!(bed.admission.endings(), [Note::Dropped]);
+        }
+    });
+}
+
+/// Guards against a generation that may have run and whose next try is never decided.
+#[test]
+fn a_generation_whose_second_try_is_never_decided_is_said_to_be_unknown() {
+    smol::block_on(async {
+        let bed = Bed::new().await;
+        bed.admission.script([Say::Go("t1"), Say::Wait]);
+        bed.engine.starts([Err(lost())]);
+        let headers = [("x-deadline-ms", "50")];
+        let answer = in_time(bed.complete(true, &headers)).await;
+        assert_eq!(answer.problem(), problem(504, "deadline", "unknown"));
+    });
+}
+
 #[test]
 fn a_caller_that_leaves_the_queue_gives_up_its_place() {
     // A viewer closes the page while the request waits. Left in the queue it would take a place
--- a/components/gateway/tests/plain_calls.rs
+++ b/components/gateway/tests/plain_calls.rs
@@ -6,6 +6,7 @@
 use fakes::{
     Bed,
     admission::{Note, Say},
+    in_time,
     plain::{Settled, answer},
     problem, until,
 };
@@ -269,3 +270,19 @@
         assert_eq!(bed.plain.called(), 0);
     });
 }
+
+/// Guards against a call that is never placed nor refused, and whose caller hears nothing.
+#[test]
+fn a_call_that_is_never_decided_is_refused_after_its_deadline() {
+    smol::block_on(async {
+        let deadline = ("x-deadline-ms", "50");
+        for headers in [&[deadline][..], &[deadline, KEY[0]][..]] {
+            let bed = Bed::new().await;
+            bed.admission.script([Say::Wait]);
+            let answer = in_time(bed.send("POST", ORDER, headers, "")).await;
+            assert_eq!(answer.problem(), problem(504, "deadline", "not-run"));
+            bed.idle().await;
+            assert_eq!(bed.plain.called(), 0);
+        }
+    });
+}
