Refuse a request that is never decided

A request that waited for a permit heard nothing for ever if the decisions never spoke of it again, as after a panic in the task that ticks them, and a planned stop waited for it for ever. Only a tick after the deadline refused late requests.

The gateway now bounds each wait for a permit, the first and those of further tries, plain and keyed calls as well: one second after the deadline the caller is told 504, not run unless an earlier try may have run. That second leaves refusals to the decisions as long as they work, for these know when to come back.

--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -193,7 +193,8 @@
     where
         F: Future<Output = (Work, Tried<T>)>,
     {
-        let mut permit = self.core.admission.admit(self.wanted()).await?;
+        let admit = self.core.admission.admit(self.wanted());
+        let mut permit = self.core.permit(self.deadline, admit).await?;
         let mut ever_ran = false;
         loop {
             let (work, tried) = attempt(Work::new(permit)).await;
@@ -208,7 +209,8 @@
                 Tried::Again { ending, ran } => {
                     ever_ran |= ran;
                     self.core.metrics.retried();
-                    let again = work.take().0.again(ending).await;
+                    let again = work.take().0.again(ending);
+                    let again = self.core.permit(self.deadline, again).await;
                     permit = again.map_err(|refusal| truthful(refusal, ever_ran))?;
                 }
             }
--- a/components/gateway/src/parts.rs
+++ b/components/gateway/src/parts.rs
@@ -11,15 +11,21 @@
 use async_trait::async_trait;
 use claims::Claims;
 use config::{Config, Current};
+use futures_lite::future;
 use net::Budget;
 use relay::Relay;
 use settings::Limits;
 use targets::{Engine, Plain, StreamId};
 use timer::Timer;
-use types::{InstanceId, Moment, Refusal, TargetId};
+use types::{InstanceId, Moment, Refusal, Run, TargetId};
 
 use crate::{
-    admission::Admission, flight::Flights, linger, metrics::Metrics, refusals, streams::Streams,
+    admission::{Admission, Admitted},
+    flight::Flights,
+    linger,
+    metrics::Metrics,
+    refusals,
+    streams::Streams,
     ticket::Tickets,
 };
 
@@ -27,6 +33,9 @@
 const BODIES: usize = 32 * 1024 * 1024;
 /// Bytes of whole answers gathered at once.
 const ANSWERS: usize = 64 * 1024 * 1024;
+/// Time after its deadline within which a request is still left to admission, which refuses late
+/// requests and knows when to come back.
+const UNDECIDED: Duration = Duration::from_secs(1);
 
 /// The parts that a gateway works with.
 pub struct GatewayParts {
@@ -180,6 +189,21 @@
         Ok(current)
     }
 
+    /// Waits for a permit. A request that admission has not decided upon some time after its
+    /// deadline is refused here, so that no caller depends on another task's good health.
+    pub async fn permit(
+        &self,
+        deadline: Moment,
+        decided: impl Future<Output = Result<Box<dyn Admitted>, Refusal>>,
+    ) -> Result<Box<dyn Admitted>, Refusal> {
+        let undecided = async {
+            let left = self.left(deadline).saturating_add(UNDECIDED);
+            self.timer.sleep(left).await;
+            Err(refusals::deadline(Run::NotRun))
+        };
+        future::or(decided, undecided).await
+    }
+
     /// A name for a request, unique in the deployment.
     pub fn request_name(&self) -> Arc<str> {
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -125,6 +125,7 @@
     async fn try_on(&self, gone: impl Future<Output = ()>) -> Result<PlainAnswer, Refusal> {
         let mut gone = pin!(gone);
         let admit = self.core.admission.admit(self.wanted.clone());
+        let admit = self.core.permit(self.wanted.deadline, admit);
         let mut permit = unless(gone.as_mut(), admit).await?;
         let mut ever_ran = false;
         loop {
@@ -146,7 +147,8 @@
                 }
             };
             self.core.metrics.retried();
-            let again = unless(gone.as_mut(), permit.again(ending)).await;
+            let again = self.core.permit(self.wanted.deadline, permit.again(ending));
+            let again = unless(gone.as_mut(), again).await;
             permit = again.map_err(|refusal| truthful(refusal, ever_ran))?;
         }
     }
