Tell an owner that its grant is not used before it is asked again; no drop is told for a panic

An entry that can't use a granted engine asks its owner again, and word that the first grant has ended could overtake that: the owner took it for the end of the second one. As for a try that an engine refused, the entry waits for the word to be taken (found in review, by reading). A handler that panics was logged as a caller who had left.

--- a/components/front/src/generation.rs
+++ b/components/front/src/generation.rs
@@ -150,7 +150,8 @@
                         doubt: false,
                         made: None,
                     };
-                    Front::note(front, &shard, note);
+                    // Told before it is asked again, or it would take this for the end of its next grant.
+                    let _ = Front::note(front, &shard, note).recv().await;
                     UNHEARD_PAUSE
                 }
             },
--- a/components/front/src/open.rs
+++ b/components/front/src/open.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::HashMap,
     sync::atomic::{AtomicU64, Ordering},
+    thread,
     time::Duration,
 };
 
@@ -84,6 +85,10 @@
         let Some(request) = self.requests.all.lock().remove(&self.number) else {
             return;
         };
+        // A panic is told by an event of its own, and its caller is answered.
+        if thread::panicking() {
+            return;
+        }
         emit(&Event::RequestDropped {
             id: request.name(),
             held_ms: millis(boot_time().saturating_sub(request.arrived)),
