Soak: a request passed on to a target must be answered or refused

The soak noted a connection that closed without an answer and looked no further, so a stopping instance could drop requests unseen. A check now follows each request that a target saw to the end of its connection: without a whole answer or refusal it is a breach, unless the caller left or its time was over, a target that it reached broke off, unplanned trouble touched its instance or those targets since 3 s before the sending, or it was at work in the last sixth of the grace and sent no later than 3 s after the order to stop. Store trouble, slow links and planned work excuse nothing. Requests that no target saw are counted.

In all runs callers keep connections to each instance and use them, and new ones, while it stops.

--- a/src/bin/soak.rs
+++ b/src/bin/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{io, path::PathBuf, process::ExitCode, time::Duration};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use soak::{Soak, run, world::Sizes};
 
 fn command() -> Command {
@@ -25,6 +25,22 @@
         .arg(number("instances", "Instances, each a process", "4"))
         .arg(number("engines", "Model engines", "5"))
         .arg(number("callers", "Callers", "24"))
+        .arg(number(
+            "kept",
+            "Connections to each instance that are kept until it has ended",
+            "16",
+        ))
+        .arg(number(
+            "grace",
+            "Seconds from the order to stop to an instance's end",
+            "6",
+        ))
+        .arg(
+            Arg::new("planned")
+                .long("planned")
+                .help("Planned work alone: stops, reloads, leaving engines, configurations")
+                .action(ArgAction::SetTrue),
+        )
         .arg(
             Arg::new("program")
                 .long("program")
@@ -66,11 +82,14 @@
             program: program.clone(),
             dir: dir.join(seed.to_string()),
             seed,
+            planned: args.get_flag("planned"),
             length: Duration::from_secs(number("seconds")),
             sizes: Sizes {
                 instances: count("instances"),
                 engines: count("engines"),
                 callers: count("callers"),
+                kept: count("kept"),
+                grace_s: number("grace"),
                 ..Sizes::default()
             },
         };
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,12 +7,14 @@
 /// Length of the troubled part of a run.
 const SHORT: Duration = Duration::from_secs(8);
 
-fn play(seed: u64, length: Duration) -> Shown {
-    let dir = env::temp_dir().join(format!("celerystand-soak-{}-{seed}", std::process::id()));
+fn play(seed: u64, length: Duration, planned: bool) -> Shown {
+    let name = format!("celerystand-soak-{}-{seed}-{planned}", std::process::id());
+    let dir = env::temp_dir().join(name);
     let soak = Soak {
         program: PathBuf::from(env!("CARGO_BIN_EXE_celerystand")),
         dir: dir.clone(),
         seed,
+        planned,
         length,
         sizes: Sizes {
             instances: 3,
@@ -33,7 +35,7 @@
 #[test]
 fn random_trouble_from_outside_breaks_no_promise() {
     for seed in [5, 6] {
-        let shown = play(seed, SHORT);
+        let shown = play(seed, SHORT, false);
         assert!(shown.breaches.is_empty(), "seed {seed}\n{shown}");
     }
 }
