Test: a request that a stopping instance takes last is answered or refused

Callers saw: a request sent 2.62 s after the order to stop, over a connection that was still open, reached an engine within 2 ms, and its connection was closed without an answer 56 ms later, when the process ended. The drain looks at the open requests once its time for new connections is over, finds none, sleeps 50 ms and ends; connections take requests meanwhile.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -39,3 +39,12 @@
         assert!(shown.breaches.is_empty(), "seed {seed}\n{shown}");
     }
 }
+
+/// Guards against the end of a process while it still takes requests, which cuts them unanswered.
+#[test]
+fn a_request_that_a_stopping_instance_takes_last_is_answered_or_refused() {
+    for seed in [1, 3, 4] {
+        let shown = play(seed, SHORT, true);
+        assert!(shown.breaches.is_empty(), "seed {seed}\n{shown}");
+    }
+}
