Test early calls, early stops, and signals that come in series

An instance that has just started and one that shuts down must not lose a call to what is not there yet, or to a second order.

--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -41,6 +41,10 @@
 /// Calls to each instance as it stops to take connections.
 const LAST_CALLS: u32 = 4;
 
+/// Calls to an instance that starts.
+const EARLY_CALLS: usize = 60;
+/// Time between two of them.
+const EARLY_PAUSE: Duration = Duration::from_millis(5);
 /// Delay of each answer of the table service that makes a change outlast a stop.
 const TABLE_MS: u64 = 700;
 /// Time for an answer's body.
@@ -164,6 +168,28 @@
     });
 }
 
+/// Guards against a second order, or a hangup, that ends a shutdown before the last request.
+#[test]
+fn further_signals_in_a_stop_cut_no_request() {
+    let mut setting = support::start(&plan());
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        let caller = Caller::new(timer::Timer::new());
+        let entry = deployment.entries()[0];
+        let stream = follow(&caller, entry, draft("draft"));
+        until_produced(deployment, "draft", 3).await;
+        for signal in [Signal::Terminate, Signal::Reload, Signal::Terminate] {
+            deployment.signal(0, signal);
+            Timer::after(POLL * 5).await;
+        }
+        let ended = deployment.stop_instance(0, STOP_PATIENCE).await;
+        assert!(ended, "{}", deployment.tail(0));
+        let record = stream.await;
+        assert_eq!(record.outcome, Outcome::Whole, "{}", deployment.tail(0));
+        assert_eq!((record.tokens, record.resumed), (LONG, 0));
+    });
+}
+
 /// Guards against a process that ends before a connection which it took at the very last.
 #[test]
 fn a_call_over_a_connection_made_as_the_instance_stops_accepting_gets_its_answer() {
@@ -230,3 +256,32 @@
         assert_eq!(change.await, Some(200), "{}", deployment.tail(0));
     });
 }
+
+/// Guards against calls that are taken, or a stop that is ordered, before all parts are there.
+#[test]
+fn calls_to_an_instance_that_starts_and_is_stopped_at_once_are_answered_or_refused() {
+    let mut setting = support::start(&plan());
+    let deployment = &mut setting.deployment;
+    smol::block_on(async {
+        let addr = deployment.instances[0].listen;
+        assert!(deployment.stop_instance(0, STOP_PATIENCE).await);
+        deployment.start_instance(0).await.expect("it starts again");
+        let mut calls = Vec::new();
+        while calls.len() < EARLY_CALLS {
+            let stream = send_at_once(addr, "early");
+            if stream.is_ok() {
+                calls.push(unblock(|| read_status(stream)));
+            }
+            if calls.len() == EARLY_CALLS / 2 {
+                deployment.signal(0, Signal::Terminate);
+            }
+            Timer::after(EARLY_PAUSE).await;
+        }
+        for call in calls {
+            let answer = call.await;
+            let told = matches!(answer, Some(200 | 503));
+            assert!(told, "{answer:?}\n{}", deployment.tail(0));
+        }
+        assert!(deployment.stop_instance(0, STOP_PATIENCE).await);
+    });
+}
