Test, failing: a whole answer for which there is no memory is told to come back

A caller of a short whole answer is told that its answer is too long, and to ask for fewer tokens, when it is other callers' answers that take up the memory. It is not told when to come back either.

--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -300,7 +300,11 @@
     }
 
     fn model(&self, _: &WorkspaceId, model: &str, route: &str) -> Option<RouteRule> {
-        (model == "m" && route == "default").then(|| rule(ServiceKind::Model, None))
+        let mut rule = rule(ServiceKind::Model, None);
+        if model == "many" {
+            rule.knobs.in_flight = Some(100);
+        }
+        (["m", "many"].contains(&model) && route == "default").then_some(rule)
     }
 
     fn plain(&self, _: &WorkspaceId, _: &str, path: &str) -> Option<RouteRule> {
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -323,6 +323,30 @@
     });
 }
 
+/// Guards against a short answer that is called too long because others take up the memory.
+#[test]
+fn a_whole_answer_for_which_there_is_no_memory_is_told_to_come_back() {
+    smol::block_on(async {
+        let bed = Arc::new(Bed::new().await);
+        let long: &str = Box::leak("x".repeat(8 << 20).into_boxed_str());
+        let others = 8;
+        let held = || Ok(vec![Step::Data(0, long), Step::Silent]);
+        bed.engine
+            .starts((0..others).map(|_| held()).chain([whole(1)]));
+        let ask = |bed: Arc<Bed>| async move {
+            let body = r#"{"model":"many","prompt":"hello"}"#;
+            bed.send("POST", "/v1/completions", &[], body).await
+        };
+        let asked = |_| smol::spawn(ask(Arc::clone(&bed)));
+        let tasks: Vec<_> = (0..others).map(asked).collect();
+        until(|| bed.engine.silent() == others).await;
+        let answer = in_time(ask(Arc::clone(&bed))).await;
+        assert_eq!(answer.problem(), problem(503, "crowded", "partial"));
+        assert_eq!(answer.headers["retry-after"], "1");
+        drop(tasks);
+    });
+}
+
 /// Guards against a generation that is never placed nor refused, and whose caller hears nothing.
 #[test]
 fn a_generation_that_is_never_decided_is_refused_after_its_deadline() {
