Tell callers apart whose answer is too long and for whose there is no memory

One refusal stood for two causes.

A lack of memory is 503 crowded with a time to come back now, as it is for bodies; the generation ran in part and is cancelled as before.

--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -136,6 +136,18 @@
     .with_run(Run::Partial)
 }
 
+/// The whole answers of other requests take all the memory that there is for them.
+pub fn answers_crowded() -> Refusal {
+    Refusal::new(
+        503,
+        "crowded",
+        "This instance holds too many answers",
+        "ask again a little later, or with `stream: true`; the generation was cancelled",
+    )
+    .with_run(Run::Partial)
+    .with_retry_after(SOON)
+}
+
 /// The `Last-Event-ID` is none of ours, or of another workspace.
 pub fn bad_event_id() -> Refusal {
     bad_request(
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -177,10 +177,17 @@
         let bytes = more.iter().map(Bytes::len).sum();
         data.extend(more);
         size += bytes;
-        if size > GATHER_LIMIT || !share.grow(bytes) {
+        let refusal = if size > GATHER_LIMIT {
+            Some(refusals::answer_too_large())
+        } else if !share.grow(bytes) {
+            Some(refusals::answers_crowded())
+        } else {
+            None
+        };
+        if let Some(refusal) = refusal {
             return Tried::Over {
                 ending: None,
-                refusal: refusals::answer_too_large(),
+                refusal,
             };
         }
         if pace.due(produced, core.timer.now()) {
