Refuse a generation that ran in part without the status that says it did not

A whole answer for which there was no memory got 503 crowded, as a request does that was not taken; its generation had run in part, and a caller or a proxy that goes by the status would take it for not run. It is 502 answers-crowded now, with the same time to come back and the same `run`.

--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -139,8 +139,8 @@
 /// The whole answers of other requests take all the memory that there is for them.
 pub fn answers_crowded() -> Refusal {
     Refusal::new(
-        503,
-        "crowded",
+        502,
+        "answers-crowded",
         "This instance holds too many answers",
         "ask again a little later, or with `stream: true`; the generation was cancelled",
     )
