--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -2,7 +2,6 @@
 //! configuration: who may ask what, where it goes, what comes back, and what happens when
 //! something on the way fails.
 
-pub mod acquaint;
 pub mod blind;
 pub mod budget;
 pub mod call;
@@ -21,6 +20,7 @@
 pub mod ignorance;
 pub mod leaving;
 pub mod live;
+pub mod membership;
 pub mod message;
 pub mod metrics;
 pub mod open;
--- a/components/front/src/reload.rs
+++ b/components/front/src/reload.rs
@@ -19,7 +19,7 @@
 use timer::{Timer, boot_time};
 use types::Moment;
 
-use crate::{acquaint, config::Config, state::Front};
+use crate::{config::Config, membership, state::Front};
 
 /// Time between two looks for a signal.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
@@ -104,7 +104,7 @@
             .set(bounds.retry_window, bounds.retry_ratio, bounds.retry_slack);
         let known: BTreeSet<SocketAddr> = self.taken.seeds.iter().copied().collect();
         for seed in cfg.seeds.iter().filter(|seed| !known.contains(*seed)) {
-            let greet = acquaint::greet_seed(Arc::clone(front), *seed);
+            let greet = membership::greet_seed(Arc::clone(front), *seed);
             workers::spawn(greet).detach();
         }
         if needs_restart(&front.cfg, &cfg) {
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -18,7 +18,7 @@
 use view::View;
 
 use crate::{
-    acquaint, blind,
+    blind,
     budget::Budget,
     choice::Choice,
     cold::ColdTargets,
@@ -29,6 +29,7 @@
     follow::Follower,
     handler::Callers,
     live::LiveRuns,
+    membership,
     message::Messages,
     metrics::Metrics,
     open::OpenRequests,
@@ -111,12 +112,12 @@
         let follower = Follower::new(Arc::clone(&front), Arc::clone(&outside.store), topic);
         workers::spawn(follower.run()).detach();
     }
-    workers::spawn(acquaint::meet(
+    workers::spawn(membership::meet(
         Arc::clone(&front),
         Arc::clone(&outside.store),
     ))
     .detach();
-    workers::spawn(acquaint::sync(Arc::clone(&front))).detach();
+    workers::spawn(membership::sync(Arc::clone(&front))).detach();
     workers::spawn(blind::watch(Arc::clone(&front))).detach();
     emit(&Event::Started {
         instance: Arc::clone(&front.cfg.instance),
