Start through other instances: one call to the store where there were six

What callers saw: nothing. What it cost: an instance that started announced itself, read the members, then read configuration and targets at the store itself, caught up there with what its reader could tell from a later version on only, and looked at the members again after 1.5 s and 30 s.

Cause: an instance that knows nobody takes itself for a reader. After a loss of power the list of the instances is still in the store, and nobody used it.

Now the first look at the members comes first, followers wait for it (400 ms at most), and follow the others from the first moment; one that knows nothing yet lets an asker wait up to 300 ms. Who is listed as it is does not announce itself again. Only those at the head of an order greet each other, without being told members; only those at the head, and eight more by lot, look at the list again. `joining` decides that without I/O, and its test plays a first start in which each instance sees another part of the list.

Ruled out: waiting by rank before the first read (nobody knows its rank without the list).

The tests of tests/platform/starting.rs fail on the code before (6 calls for 1; told at once).

--- a/components/front/src/blind.rs
+++ b/components/front/src/blind.rs
@@ -68,22 +68,15 @@
 
 /// Engines whose account this instance owns, listed as taking work.
 fn engines(front: &Front) -> Vec<Arc<Target>> {
-    let Some(rules) = front.view.rules() else {
-        return Vec::new();
-    };
     let me = &front.cfg.instance;
-    let with_engines = rules.services().filter(|service| service.engine.is_some());
-    let mut mine = Vec::new();
-    for service in with_engines {
-        let of = front.shard_count(&service.name);
-        let shards = (0..of).map(|index| Shard::new(Arc::clone(&service.name), index, of));
-        let owned: Vec<Shard> = shards
-            .filter(|shard| front.owners(shard).first() == Some(me))
-            .collect();
-        let usable = front.usable(service).into_iter();
-        mine.extend(usable.filter(|target| owned.iter().any(|shard| shard.holds(&target.id))));
-    }
-    mine
+    let owned = front
+        .shards_of_all()
+        .filter(|shard| front.owners(shard).first() == Some(me));
+    let of_shard = |shard: Shard| {
+        let usable = front.view.usable(&shard.service).into_iter();
+        usable.filter(move |target| shard.holds(&target.id))
+    };
+    owned.flat_map(of_shard).collect()
 }
 
 async fn ask(front: &Arc<Front>, target: Arc<Target>) {
--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -11,7 +11,7 @@
 };
 
 use events::{Event, emit};
-use timer::boot_time;
+use timer::{Timer, boot_time};
 use types::{DataCentreId, InstanceId, Moment, TargetId};
 use view::Change;
 
@@ -45,6 +45,9 @@
 const PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls in a row.
 const PAUSE_MOST: Duration = Duration::from_millis(600);
+/// How long an instance that has just started waits until it knows the others.
+const INTRODUCTION: Duration = Duration::from_millis(400);
+
 /// What a source has told.
 struct Told {
     news: News,
@@ -84,6 +87,9 @@
 
     /// Follows.
     pub async fn run(mut self) {
+        // One that knows nobody yet would read the store itself, and hundreds start together.
+        let introduced = self.front.introduced.passed();
+        let _ = Timer::new().within(INTRODUCTION, introduced).await;
         let parts = self.front.cfg.decisions.parts;
         loop {
             let me = &self.front.cfg.instance;
--- /dev/null
+++ b/components/front/src/gate.rs
@@ -0,0 +1,29 @@
+//! A gate that opens once, for those that wait for something to be known.
+
+use async_channel::{Receiver, Sender, bounded};
+
+/// A gate that opens once.
+#[derive(Debug)]
+pub struct Gate {
+    /// Closed once the gate is open.
+    closed: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self { closed: bounded(1) }
+    }
+}
+
+impl Gate {
+    /// Opens it; it stays open.
+    pub fn open(&self) {
+        self.closed.0.close();
+    }
+
+    /// Waits until it is open.
+    pub async fn passed(&self) {
+        // Nothing is ever sent; it fails once the channel is closed.
+        let _ = self.closed.1.recv().await;
+    }
+}
--- a/components/front/src/membership.rs
+++ b/components/front/src/membership.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     face::{Record, Store},
-    patience,
+    joining, patience,
     state::Front,
     wire::{Message, Reply, Topic},
 };
@@ -20,51 +20,118 @@
 /// Time between two looks at the members in the store. Instances also hear of each other from
 /// the owners that they sync with.
 const MEMBERS_PERIOD: Duration = Duration::from_secs(30);
-/// Time between the first two looks. Where all instances start at once, after a loss of power say,
-/// the first look shows some of them only; those that know other parts of all have other owners, and
-/// engines are filled twice for as long as that lasts.
+/// Time until the second look. Where all instances start for the first time, the first look shows
+/// some of them only; those that know other parts of all have other owners, and engines are filled
+/// twice for as long as that lasts.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
-/// How many times as long the next pause is, until they are as long as they stay.
-const SECOND_LOOK_GROWS: u32 = 20;
 /// Tries to reach an instance that the settings name; all start at about the same time.
 const SEED_TRIES: usize = 5;
-/// Instances that are greeted at once. At the start, those of each order of readers: as many as there
-/// are on a small deployment, so that each of them knows all at once.
-const GREETED: usize = 12;
 /// Time before the store is asked again for the members, when it failed.
 const MEMBERS_PAUSE: Duration = Duration::from_millis(700);
 
-/// Makes this instance known, and gets to know the others: from instances that the settings name,
-/// so that it works while the store is away, and from the store.
+/// What a look at the members in the store showed.
+struct Look {
+    /// Other instances are listed.
+    others: bool,
+    /// This instance is listed as it is.
+    lists_me: bool,
+}
+
+/// Makes this instance known, and gets to know the others: from the store, or while that is away
+/// from instances that the settings name.
 pub async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
-    for seed in front.cfg.seeds.clone() {
-        workers::spawn(greet_seed(Arc::clone(&front), seed)).detach();
+    let first = look(&front, &store).await;
+    let knows_others = first.as_ref().is_some_and(|look| look.others);
+    if knows_others {
+        front.introduced.open();
+    } else {
+        for seed in front.cfg.seeds.clone() {
+            workers::spawn(greet_seed(Arc::clone(&front), seed)).detach();
+        }
     }
-    while store.announce(front.peers.me()).await.is_err() {
-        smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+    if first.is_none() {
+        // The store is lost; whoever follows it must find another source at once.
+        front.introduced.open();
     }
+    let listed = first.is_some_and(|look| look.lists_me);
+    if !listed {
+        announce(&front, &store).await;
+    }
+    if !knows_others {
+        look_until_seen(&front, &store).await;
+        front.introduced.open();
+    }
+    greet(&front);
     let mut pause = SECOND_LOOK;
     loop {
-        let Ok(news) = store.read(Topic::Members, patience::READ).await else {
-            smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+        smol::Timer::after(pause).await;
+        // Who was listed before has seen all that were listed with it.
+        let is_new = pause == SECOND_LOOK && !listed;
+        if (is_new || pause == MEMBERS_PERIOD) && looks_again(&front) {
+            look_until_seen(&front, &store).await;
+        }
+        pause = MEMBERS_PERIOD;
+    }
+}
+
+async fn announce(front: &Front, store: &Arc<dyn Store>) {
+    while store.announce(front.peers.me()).await.is_err() {
+        pause_after_failure().await;
+    }
+}
+
+async fn look_until_seen(front: &Front, store: &Arc<dyn Store>) {
+    while look(front, store).await.is_none() {
+        pause_after_failure().await;
+    }
+}
+
+async fn pause_after_failure() {
+    smol::Timer::after(MEMBERS_PAUSE.mul_f64(0.5 + fastrand::f64())).await;
+}
+
+/// Learns the members that are listed in the store; nothing comes of it where the store fails.
+async fn look(front: &Front, store: &Arc<dyn Store>) -> Option<Look> {
+    let news = store.read(Topic::Members, patience::READ).await.ok()?;
+    let me = front.peers.me();
+    let mut look = Look {
+        others: false,
+        lists_me: false,
+    };
+    for row in &news.rows {
+        let Some(Record::Member(member)) = store.decode(Topic::Members, row) else {
             continue;
         };
-        for row in &news.rows {
-            if let Some(Record::Member(member)) = store.decode(Topic::Members, row) {
-                front.peers.learn(member);
-            }
-        }
-        if pause < MEMBERS_PERIOD {
-            greet(&front).await;
+        if member.id == me.id {
+            look.lists_me = member.is_reached_like(me);
+        } else {
+            look.others = true;
+            front.peers.learn(member);
         }
-        smol::Timer::after(pause).await;
-        pause = (pause * SECOND_LOOK_GROWS).min(MEMBERS_PERIOD);
     }
+    Some(look)
+}
+
+/// Whether this instance looks at the members in the store again. Each look has its price, and
+/// what one has seen the others hear at their next sync.
+fn looks_again(front: &Front) -> bool {
+    let owners = front.shards_of_all().map(|shard| front.owners(&shard));
+    let orders: Vec<Vec<InstanceId>> = reading_orders(front).into_iter().chain(owners).collect();
+    let count = front.peers.count();
+    joining::looks_again(&front.cfg.instance, &orders, count, fastrand::f64())
+}
+
+/// Instances in the order in which they read each topic for others.
+fn reading_orders(front: &Front) -> [Vec<InstanceId>; 2] {
+    [Topic::Operator, Topic::Targets].map(|topic| front.peers.readers(topic))
 }
 
 /// Makes this instance known to one that the settings name, and learns of others from it.
 pub async fn greet_seed(front: Arc<Front>, seed: SocketAddr) {
-    let message = Message::Hello(front.peers.me().clone());
+    let message = Message::Hello {
+        member: front.peers.me().clone(),
+        asks: true,
+    };
     for _ in 0..SEED_TRIES {
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
@@ -75,25 +142,24 @@
     }
 }
 
-/// Makes this instance known: two that don't know of each other would both take themselves for the
-/// owner. The first to own and to read are told; all others talk to these and hear of it there.
-/// Told by each to all, three hundred instances that start at once had ninety thousand greetings to
-/// answer before they served.
-async fn greet(front: &Arc<Front>) {
-    let topics = [Topic::Operator, Topic::Targets];
-    let readers = topics.map(|topic| front.peers.readers(topic));
-    let first = readers.iter().flat_map(|all| all.iter().take(GREETED));
-    let greeted: BTreeSet<InstanceId> = first.cloned().collect();
-    for peer in greeted {
-        let front = Arc::clone(front);
+/// Makes this instance known to those that may own or read, if it may itself: two that don't know of
+/// each other would both take themselves for the owner. All others make themselves known by their
+/// syncs.
+fn greet(front: &Arc<Front>) {
+    let orders = reading_orders(front);
+    for peer in joining::greeted(&front.cfg.instance, &orders) {
+        let (front, peer) = (Arc::clone(front), Arc::clone(peer));
         workers::spawn(async move { say_hello(&front, &peer).await }).detach();
     }
 }
 
 async fn say_hello(front: &Front, peer: &InstanceId) {
-    let message = Message::Hello(front.peers.me().clone());
-    let reply = front.peers.call(peer, &message, SYNC_PATIENCE).await;
-    learn_members(front, Some(peer), reply);
+    let message = Message::Hello {
+        member: front.peers.me().clone(),
+        asks: false,
+    };
+    // Whether it answers is noted with the peer; there is nothing else to learn from it.
+    let _ = front.peers.call(peer, &message, SYNC_PATIENCE).await;
 }
 
 fn learn_members(front: &Front, from: Option<&InstanceId>, reply: Option<Reply>) {
@@ -114,7 +180,12 @@
     loop {
         ticks.next().await;
         // Beside the syncs: an owner forgets in seconds what it does not hear of.
-        for peer in front.peers.to_try_again().into_iter().take(GREETED) {
+        for peer in front
+            .peers
+            .to_try_again()
+            .into_iter()
+            .take(joining::GREETED)
+        {
             let front = Arc::clone(&front);
             workers::spawn(async move { say_hello(&front, &peer).await }).detach();
         }
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -23,6 +23,9 @@
 /// The longest time that an instance is kept waiting for news.
 const FOLLOW_MOST: Duration = Duration::from_secs(3);
 
+/// The longest time that one is kept waiting by an instance that knows nothing yet.
+const FIRST_NEWS: Duration = Duration::from_millis(300);
+
 /// Takes the other instances' messages.
 pub struct Messages {
     front: Arc<Front>,
@@ -56,9 +59,13 @@
                 front.peers.heard(member);
                 front.peers.members_after(known)
             }
-            Message::Hello(member) => {
+            Message::Hello { member, asks } => {
                 front.peers.heard(member);
-                front.peers.members_after(0)
+                if asks {
+                    front.peers.members_after(0)
+                } else {
+                    Reply::Noted
+                }
             }
             Message::Follow { topic, after, wait } => self.news(topic, after, wait).await,
             Message::Leaving(target) => {
@@ -87,6 +94,11 @@
     async fn news(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Reply {
         let arrived = boot_time();
         let shelf = self.front.shelf(topic);
+        if shelf.read().is_none() {
+            // Both have just started: told at once that nothing is known, the asker would turn to
+            // the store, and hundreds with it.
+            shelf.wait(wait.min(FIRST_NEWS)).await;
+        }
         let fresh = shelf.read().is_some_and(|read| age(read) < PEER_AGE);
         let from = shelf.tells_from();
         if fresh && after.is_some_and(|after| after < from) {
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -23,7 +23,7 @@
 use crate::wire::{Member, Message, Reply, Topic};
 
 /// Where instances take each other's messages.
-pub const MESSAGES_PATH: &str = "/peer/v2/messages";
+pub const MESSAGES_PATH: &str = "/peer/v3/messages";
 /// Bytes of a message at most.
 pub const MESSAGE_LIMIT: usize = 4 * 1_024 * 1_024;
 /// The longest pause within a message that has begun to arrive.
--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -104,6 +104,18 @@
         Shard::with(Arc::clone(service), target, self.shard_count(service))
     }
 
+    /// Parts of the engines of all services that have some.
+    pub fn shards_of_all(&self) -> impl Iterator<Item = Shard> + use<> {
+        let rules = self.view.rules();
+        let services = rules.iter().flat_map(|rules| rules.services());
+        let with_engines = services.filter(|service| service.engine.is_some());
+        let shards = with_engines.flat_map(|service| {
+            let of = self.shard_count(&service.name);
+            (0..of).map(move |index| Shard::new(Arc::clone(&service.name), index, of))
+        });
+        shards.collect::<Vec<Shard>>().into_iter()
+    }
+
     /// Instances in the order in which they own a part of a service's engines.
     #[must_use]
     pub fn owners(&self, shard: &Shard) -> Vec<InstanceId> {
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -27,6 +27,7 @@
     ending::Ending,
     face::{Engines, Face, Store},
     follow::Follower,
+    gate::Gate,
     handler::Callers,
     live::LiveRuns,
     membership,
@@ -135,6 +136,7 @@
         addr: cfg.peers,
         born: unix_millis(),
         capacity: cfg.capacity,
+        data_centre: Arc::clone(&cfg.data_centre),
     };
     let bounds = cfg.bounds;
     let terms = ServeLimits {
@@ -166,6 +168,7 @@
         cold: Mutex::new(ColdTargets::default()),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
         ending: Ending::default(),
+        introduced: Gate::default(),
         open: OpenRequests::default(),
         metrics: Metrics::new(),
         terms: Arc::new(Terms::new(&terms)),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -21,6 +21,7 @@
     config::{Bounds, Config},
     ending::Ending,
     face::{Engines, Face},
+    gate::Gate,
     live::LiveRuns,
     metrics::Metrics,
     open::OpenRequests,
@@ -74,6 +75,8 @@
     pub bodies: net::Budget,
     /// The end of its life.
     pub ending: Ending,
+    /// Open once it has looked for the other instances, or can't.
+    pub introduced: Gate,
     /// Requests that were read and have no answer yet.
     pub open: OpenRequests,
     /// Counters and histograms.
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use placing::{Answer, Ask, Carried, Carry, Note, Sync};
 use serde::{Deserialize, Serialize};
-use types::{InstanceId, TargetId};
+use types::{DataCentreId, InstanceId, TargetId};
 
 /// An instance, as others reach it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -19,6 +19,25 @@
     /// Its strength in thousandths of a core: its share of processors, or less where its link is
     /// narrow.
     pub capacity: u32,
+    /// Its data centre; empty where a version that does not tell it has written this.
+    #[serde(default)]
+    pub data_centre: DataCentreId,
+}
+
+impl Member {
+    /// Whether others reach and rank it like `other`, in whichever life.
+    #[must_use]
+    pub fn is_reached_like(&self, other: &Self) -> bool {
+        let of = |m: &Self| {
+            (
+                Arc::clone(&m.id),
+                m.addr,
+                m.capacity,
+                Arc::clone(&m.data_centre),
+            )
+        };
+        of(self) == of(other)
+    }
 }
 
 /// What is followed in the store.
@@ -80,7 +99,12 @@
     /// The sender has heard that an engine leaves, on which it has generations running.
     Leaving(TargetId),
     /// A member makes itself known.
-    Hello(Member),
+    Hello {
+        /// The member.
+        member: Member,
+        /// Whether it wants to be told of the others.
+        asks: bool,
+    },
     /// A question for what is new on a topic.
     Follow {
         /// The topic.
@@ -97,9 +121,9 @@
 pub enum Reply {
     /// To an ask.
     Answer(Answer),
-    /// To notes.
+    /// To notes, and to a hello that asks nothing.
     Noted,
-    /// To a sync or a hello: members that were heard lately.
+    /// To a sync, or a hello that asks: members that were heard lately.
     Members {
         /// Those that the asker may not know.
         members: Vec<Member>,
--- /dev/null
+++ b/components/front/tests/joining.rs
@@ -0,0 +1,146 @@
+//! Hundreds of instances that start together: who greets whom, who looks again, and whether all
+//! agree in the end.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use fastrand::Rng;
+use front::joining::{greeted, looks_again};
+use placing::{Candidate, ranked};
+use types::InstanceId;
+
+const STRONG: u32 = 500;
+const WEAK: u32 = 120;
+const TOPICS: [&str; 3] = ["reader of operator", "reader of targets", "synopsis 0/1"];
+
+fn candidate(number: usize, strong: usize) -> Candidate {
+    Candidate {
+        id: format!("i-{number}").into(),
+        capacity: if number < strong { STRONG } else { WEAK },
+    }
+}
+
+fn orders(all: &[Candidate]) -> Vec<Vec<InstanceId>> {
+    let order = |topic: &&str| ranked(topic, all.iter().cloned());
+    TOPICS.iter().map(order).collect()
+}
+
+/// After a loss of power two hundred instances know each other from their listings. If each greeted
+/// some and looked again, the store and the strongest would be called for seconds.
+#[test]
+fn few_of_two_hundred_that_start_together_greet_or_look_again() {
+    let all: Vec<Candidate> = (0..195).map(|n| candidate(n, 15)).collect();
+    let orders = orders(&all);
+    let greetings: usize = all.iter().map(|c| greeted(&c.id, &orders).len()).sum();
+    assert!(greetings <= 15 * 14, "{greetings}");
+    let mut rng = Rng::with_seed(1);
+    let lookers = all
+        .iter()
+        .filter(|c| looks_again(&c.id, &orders, all.len(), rng.f64()))
+        .count();
+    assert!((1..=25).contains(&lookers), "{lookers}");
+}
+
+#[test]
+fn on_few_instances_each_greets_all_and_looks_again() {
+    let all: Vec<Candidate> = (0..7).map(|n| candidate(n, 0)).collect();
+    let orders = orders(&all);
+    for c in &all {
+        assert_eq!(greeted(&c.id, &orders).len(), 6);
+        assert!(looks_again(&c.id, &orders, all.len(), 0.99));
+    }
+}
+
+/// What one instance knows of the others.
+struct Knowing {
+    /// Listed, greeted, or told.
+    known: BTreeSet<usize>,
+    /// Of those, the ones that it heard itself.
+    heard: BTreeSet<usize>,
+}
+
+/// Instances that announce themselves one after the other and look right after that.
+fn first_looks(count: usize, rng: &mut Rng) -> Vec<Knowing> {
+    let mut order: Vec<usize> = (0..count).collect();
+    rng.shuffle(&mut order);
+    let mut all: Vec<Knowing> = Vec::new();
+    for me in 0..count {
+        let at = order.iter().position(|n| *n == me).expect("it is there");
+        all.push(Knowing {
+            known: order[..=at].iter().copied().collect(),
+            heard: BTreeSet::new(),
+        });
+    }
+    all
+}
+
+fn orders_of(view: &Knowing, strong: usize) -> Vec<Vec<InstanceId>> {
+    let known: Vec<Candidate> = view.known.iter().map(|n| candidate(*n, strong)).collect();
+    orders(&known)
+}
+
+fn number(id: &InstanceId) -> usize {
+    id[2..].parse().expect("a number")
+}
+
+fn hear(all: &mut [Knowing], at: usize, who: usize) {
+    all[at].known.insert(who);
+    all[at].heard.insert(who);
+}
+
+/// One sync of each instance with the owner that it knows.
+fn sync(all: &mut [Knowing], strong: usize) {
+    for me in 0..all.len() {
+        let owner = number(&orders_of(&all[me], strong)[2][0]);
+        if owner == me {
+            continue;
+        }
+        hear(all, owner, me);
+        hear(all, me, owner);
+        let told = all[owner].heard.clone();
+        all[me].known.extend(told);
+    }
+}
+
+fn owners(all: &[Knowing], strong: usize) -> BTreeSet<InstanceId> {
+    let owner = |view| Arc::clone(&orders_of(view, strong)[2][0]);
+    all.iter().map(owner).collect()
+}
+
+/// At the very first start the list in the store fills while instances look at it, so that each
+/// sees another part. Two that take themselves for the owner would fill engines twice.
+#[test]
+fn instances_that_saw_different_parts_of_a_first_start_agree_on_one_owner() {
+    for (seed, count, strong) in [
+        (1, 40, 0),
+        (2, 83, 0),
+        (3, 120, 15),
+        (4, 195, 15),
+        (5, 90, 1),
+    ] {
+        let mut rng = Rng::with_seed(seed);
+        let mut all = first_looks(count, &mut rng);
+        for me in 0..count {
+            let orders = orders_of(&all[me], strong);
+            let id = candidate(me, strong).id;
+            let peers: Vec<usize> = greeted(&id, &orders[..2]).into_iter().map(number).collect();
+            for peer in peers {
+                hear(&mut all, peer, me);
+                hear(&mut all, me, peer);
+            }
+        }
+        for _ in 0..2 {
+            sync(&mut all, strong);
+        }
+        for view in 0..count {
+            let orders = orders_of(&all[view], strong);
+            let id = candidate(view, strong).id;
+            if looks_again(&id, &orders, all[view].known.len(), rng.f64()) {
+                all[view].known.extend(0..count);
+            }
+        }
+        for _ in 0..3 {
+            sync(&mut all, strong);
+        }
+        assert_eq!(owners(&all, strong).len(), 1, "seed {seed}");
+    }
+}
--- a/components/front/tests/peers.rs
+++ b/components/front/tests/peers.rs
@@ -11,6 +11,7 @@
         addr: SocketAddr::from(([127, 0, 0, 1], 1)),
         born,
         capacity: 250,
+        data_centre: "a".into(),
     }
 }
 
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,5 +5,6 @@
 mod endings;
 mod explaining;
 mod generations;
+mod starting;
 mod stopping;
 mod support;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -4,7 +4,7 @@
     fs,
     io::{BufRead, BufReader},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{Arc, Mutex, PoisonError},
     thread,
@@ -53,6 +53,20 @@
         instance
     }
 
+    /// Starts an instance that the store refuses, and waits until it answers at all.
+    pub async fn unready_instance(&self, name: &str) -> Instance {
+        let door = self.store.door();
+        door.set_shut(true);
+        let addr = platform_standin::listen(Arc::new(door.clone())).await;
+        let instance = Instance::start(door, addr, name);
+        eventually("the instance answers", || {
+            let ready = instance.ready;
+            async move { status(ready, "/v1/readiness").await == Some(503) }
+        })
+        .await;
+        instance
+    }
+
     /// Starts an instance that is told of another, and does not wait for it.
     pub async fn newcomer(&self, name: &str, known: &Instance) -> Instance {
         let door = self.store.door();
@@ -92,16 +106,8 @@
         let bounds = "revoke_ms = 2500\ngrace_s = 6";
         let text = settings_of(name, 0, addrs, store, seeds, bounds);
         fs::write(&settings, text).expect("a settings file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_celerystand"))
-            .arg("platform")
-            .env("CELERYSTAND_BOOT", &settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program starts");
         let log = Arc::default();
-        let out = child.stdout.take().expect("its output");
-        let lines = Arc::clone(&log);
-        thread::spawn(move || collect(out, &lines));
+        let child = launch(&settings, &log);
         Self {
             door,
             addr,
@@ -114,6 +120,18 @@
         }
     }
 
+    /// Kills it.
+    pub fn kill(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Starts it again with the settings that it had, once it was killed.
+    pub fn start_again(&mut self) {
+        self.child = launch(&self.settings, &self.log);
+    }
+
     /// Tells it to stop.
     pub fn terminate(&self) {
         self.signal("-TERM");
@@ -211,13 +229,24 @@
 
 impl Drop for Instance {
     fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         let _ = fs::remove_file(&self.settings);
     }
 }
 
+fn launch(settings: &Path, log: &Arc<Mutex<Vec<Value>>>) -> Child {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_celerystand"))
+        .arg("platform")
+        .env("CELERYSTAND_BOOT", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let out = child.stdout.take().expect("its output");
+    let lines = Arc::clone(log);
+    thread::spawn(move || collect(out, &lines));
+    child
+}
+
 fn collect(out: std::process::ChildStdout, lines: &Mutex<Vec<Value>>) {
     for line in BufReader::new(out).lines().map_while(Result::ok) {
         if let Ok(value) = serde_json::from_str(&line) {
