Tell each data centre what is new through two relays of its own

Cause: the tree was one level deep whatever the number of instances.

Now `fanout` gives each instance its place: two readers follow the store, two relays of each data centre with more than eight instances follow one reader each, the rest follows its relays. All hold their question open, so a level adds a message's time and no wait. `sources` chooses what comes next by place and by what has failed in this round: after a silent peer the store, after stale ones a third peer, the store for relays in each round.

So readers without the store ask a third peer; an instance whose sources failed answers its followers at once and wakes those that wait, a reader without the store also while a third tells it (they waited for each other); and a call to the store after a failure does not wait for changes.

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -93,9 +93,9 @@
         let parts = self.front.cfg.decisions.parts;
         loop {
             let me = &self.front.cfg.instance;
-            let ranked = self.front.peers.readers(self.topic);
+            let ranking = self.front.peers.ranking(self.topic);
             let source = if parts.reads_for_others {
-                self.sources.next(boot_time(), me, &ranked)
+                self.sources.next(boot_time(), me, &ranking)
             } else {
                 Source::Store
             };
@@ -147,7 +147,7 @@
             Source::Store => {
                 // One that lost the store, or has just started, does not wait for changes.
                 let news = match after {
-                    Some(_) if !self.sources.has_lost_store() => {
+                    Some(_) if !self.sources.hurries() => {
                         follow(&self.store, self.topic, after, STORE_WAIT, patience::FOLLOW).await
                     }
                     after => {
@@ -275,6 +275,7 @@
 
     fn regain(&mut self) {
         self.sources.served();
+        self.shelf.set_lost(self.sources.has_none());
         self.set_lost(false);
         let Some(lost) = self.lost.take() else {
             return;
@@ -296,7 +297,9 @@
     /// Turns to the next source; pauses once all have failed.
     async fn fail(&mut self, source: &Source, how: Failing, error: &StoreError) {
         let rounds = self.sources.rounds();
-        if !self.sources.failed(boot_time(), source, how) {
+        let round_over = self.sources.failed(source, how);
+        self.shelf.set_lost(self.sources.has_none());
+        if !round_over {
             return;
         }
         self.set_lost(true);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod dump;
 pub mod ending;
 pub mod face;
+pub mod fanout;
 pub mod follow;
 pub mod gate;
 pub mod generation;
--- a/components/front/src/message.rs
+++ b/components/front/src/message.rs
@@ -106,7 +106,7 @@
         }
         // Nobody is kept waiting by one that has lost the store itself.
         let nothing_new = after.is_some_and(|after| shelf.version() <= Some(after));
-        if fresh && nothing_new {
+        if fresh && nothing_new && !shelf.is_lost() {
             shelf.wait(wait.min(FOLLOW_MOST)).await;
         }
         match shelf.news(after) {
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -20,7 +20,10 @@
 use timer::{Timer, boot_time};
 use types::{InstanceId, Moment};
 
-use crate::wire::{Member, Message, Reply, Topic};
+use crate::{
+    fanout::Ranking,
+    wire::{Member, Message, Reply, Topic},
+};
 
 /// Where instances take each other's messages.
 pub const MESSAGES_PATH: &str = "/peer/v3/messages";
@@ -164,13 +167,35 @@
     /// Instances in the order in which they own a service, less those that don't answer.
     #[must_use]
     pub fn owners(&self, service: &str) -> Vec<InstanceId> {
+        self.ranked(service, |_| true)
+    }
+
+    /// Instances in the order in which they read a topic at the store, less those that don't answer.
+    #[must_use]
+    pub fn readers(&self, topic: Topic) -> Vec<InstanceId> {
+        self.owners(&reading(topic))
+    }
+
+    /// Instances in the order in which they read a topic or relay it in this data centre, less
+    /// those that don't answer.
+    #[must_use]
+    pub fn ranking(&self, topic: Topic) -> Ranking {
+        let here = &self.me.data_centre;
+        Ranking {
+            all: self.readers(topic),
+            near: self.ranked(&reading(topic), |member| member.data_centre == *here),
+        }
+    }
+
+    fn ranked(&self, what: &str, fits: impl Fn(&Member) -> bool) -> Vec<InstanceId> {
         let now = boot_time();
         let known = self.known.lock();
         let answering = known
             .values()
             .filter(|known| known.suspect_until <= now && known.failures == 0)
             .map(|known| &known.member);
-        let all = answering.chain([&self.me]).map(|member| Candidate {
+        let fitting = answering.chain([&self.me]).filter(|member| fits(member));
+        let all = fitting.map(|member| Candidate {
             id: Arc::clone(&member.id),
             capacity: if self.strong_first {
                 member.capacity
@@ -178,13 +203,7 @@
                 0
             },
         });
-        ranked(service, all)
-    }
-
-    /// Instances in the order in which they read a topic at the store, less those that don't answer.
-    #[must_use]
-    pub fn readers(&self, topic: Topic) -> Vec<InstanceId> {
-        self.owners(&format!("reader of {topic}"))
+        ranked(what, all)
     }
 
     /// Members that did not answer and may be tried again.
@@ -292,3 +311,8 @@
         }
     }
 }
+
+/// What instances are ranked for that read a topic.
+fn reading(topic: Topic) -> String {
+    format!("reader of {topic}")
+}
--- a/components/front/src/shelf.rs
+++ b/components/front/src/shelf.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender, bounded};
-use parking_lot::Mutex;
+use parking_lot::{Mutex, MutexGuard};
 use timer::{Timer, boot_time};
 use types::Moment;
 
@@ -25,6 +25,8 @@
     forgotten: u64,
     /// When the read was sent that confirmed it last.
     read: Option<Moment>,
+    /// This instance has no source at present.
+    lost: bool,
     waiting: Vec<Sender<()>>,
 }
 
@@ -68,15 +70,26 @@
             rows.read = rows.read.max(Some(read));
         }
         forget_dropped(&mut rows);
-        let waiting = std::mem::take(&mut rows.waiting);
-        drop(rows);
-        for waiter in waiting {
-            // Fails only where the one who waited has gone.
-            let _ = waiter.try_send(());
-        }
+        wake(rows);
         changed
     }
 
+    /// Notes whether this instance has no source. Nobody is kept waiting for news that it would be
+    /// the last to hear.
+    pub fn set_lost(&self, lost: bool) {
+        let mut rows = self.rows.lock();
+        if rows.lost != lost {
+            rows.lost = lost;
+            wake(rows);
+        }
+    }
+
+    /// Whether this instance has no source.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.rows.lock().lost
+    }
+
     /// The version since which all changes can be told from here; to one who asks from further back
     /// everything would have to be told.
     #[must_use]
@@ -105,7 +118,7 @@
         Some((news, read))
     }
 
-    /// Waits until the shelf was confirmed or changed, at most this long.
+    /// Waits until the shelf was confirmed or changed, or lost its source, at most this long.
     pub async fn wait(&self, limit: Duration) {
         let rx = self.waiter();
         // Whether it was confirmed or not, the one who waits gets what there is.
@@ -119,6 +132,15 @@
     }
 }
 
+fn wake(mut rows: MutexGuard<'_, Rows>) {
+    let waiting = std::mem::take(&mut rows.waiting);
+    drop(rows);
+    for waiter in waiting {
+        // Fails only where the one who waited has gone.
+        let _ = waiter.try_send(());
+    }
+}
+
 fn take_whole(rows: &mut Rows, news: &News) -> Vec<Row> {
     if news.version < rows.version {
         return Vec::new();
--- a/components/front/src/sources.rs
+++ b/components/front/src/sources.rs
@@ -1,8 +1,9 @@
 //! Where an instance follows a topic of the store: at the store, or at another instance. No I/O.
 //!
-//! Two instances, the readers, follow the store for all. Which source comes next when one fails
-//! decides how soon everybody knows again, and how many calls that costs: on eighty instances a
-//! single round in which each asks the store itself costs as much as ten seconds of following.
+//! Who follows whom while all goes well is the tree of [`crate::fanout`]. Which source comes next
+//! when one fails decides how soon everybody knows again, and how many calls that costs: on eighty
+//! instances a single round in which each asks the store itself costs as much as ten seconds of
+//! following.
 
 use std::time::Duration;
 
@@ -10,17 +11,22 @@
 use fastrand::Rng;
 use types::{InstanceId, Moment};
 
-/// Instances that read a topic at the store. A second one, so that nobody has to wait when the
-/// first is stopped.
-pub const READERS: usize = 2;
+use crate::fanout::{Place, Ranking, Role, place};
+
 /// Failures of the store in a row after which a follower takes it for lost to all. One alone may be
 /// a connection that was cut.
 const STORE_FAILURES: u32 = 3;
 /// Rounds of failures between two in which a follower then asks the store itself.
 const STORE_EVERY: u32 = 2;
-/// Followers that ask the store in one round where the readers answer and have lost it: enough that
-/// one gets through where it turns a third of all away, and few where it is away for all.
-const FOLLOWERS_ASK: f64 = 8.0;
+/// Leaves that ask the store in one round where the readers answer and have lost it: enough that
+/// one gets through where it turns a third of all away, and few where it is away for all. Relays
+/// always ask, for whole data centres follow them.
+const LEAVES_ASK: f64 = 8.0;
+/// Times that the store is asked in one round.
+const STORE_TRIES: usize = 2;
+/// Failures in a row after which an instance takes itself for one that has no source. One alone may
+/// be a connection that was cut.
+const FAILURES: u32 = 2;
 /// How long another source than the first choice is kept before the first is tried again.
 const KEEP_SOURCE: Duration = Duration::from_millis(1_500);
 
@@ -48,26 +54,24 @@
 #[derive(Debug)]
 pub struct Sources {
     rng: Rng,
-    /// Which of two readers is followed; followers spread over both.
+    /// Which of two instances a leaf follows first; leaves spread over both.
     turn: bool,
-    /// Sources that failed in a row, which are passed over.
-    skipped: usize,
-    /// Sources in the list at present.
-    count: usize,
-    /// When a source behind the first was taken.
-    strayed: Option<Moment>,
-    /// Peers in a row that answered and knew nothing new.
-    stale: u32,
+    /// This instance's place in the tree, as it was last asked for.
+    place: Place,
+    /// A peer beside those upstream, for this round.
+    third: Option<InstanceId>,
+    /// In this round the store may be asked although peers answer.
+    asks_store: bool,
+    /// The source that served last, and when it became the one.
+    current: Option<(Source, Moment)>,
+    /// Sources that have failed in this round.
+    tried: Vec<(Source, Failing)>,
+    /// Failures in a row, of whatever source.
+    failures: u32,
     /// Rounds in a row in which all sources failed.
     rounds: u32,
     /// Failures of the store itself in a row.
     store_failures: u32,
-    /// This instance reads the topic at the store for others.
-    reads: bool,
-    /// A peer beside the readers that is asked where these have lost the store.
-    third: Option<InstanceId>,
-    /// In this round the store may be asked although readers answer.
-    asks_store: bool,
 }
 
 impl Sources {
@@ -77,36 +81,57 @@
         Self {
             turn: rng.bool(),
             rng,
-            skipped: 0,
-            count: 1,
-            strayed: None,
-            stale: 0,
-            rounds: 0,
-            store_failures: 0,
-            reads: false,
+            place: Place {
+                role: Role::Leaf,
+                upstream: Vec::new(),
+            },
             third: None,
             asks_store: true,
+            current: None,
+            tried: Vec::new(),
+            failures: 0,
+            rounds: 0,
+            store_failures: 0,
         }
     }
 
-    /// The source to ask now. `ranked` are the instances that answer, this one among them, those
-    /// first that should read.
-    pub fn next(&mut self, now: Moment, me: &InstanceId, ranked: &[InstanceId]) -> Source {
-        if self.strayed.is_some_and(|at| at + KEEP_SOURCE < now) {
-            self.skipped = 0;
-            self.stale = 0;
-            self.strayed = None;
+    /// The source to ask now.
+    pub fn next(&mut self, now: Moment, me: &InstanceId, ranking: &Ranking) -> Source {
+        self.place = place(me, ranking, self.turn);
+        if self.tried.is_empty() {
+            self.asks_store = self.draw_store(ranking.all.len());
         }
-        let list = self.list(me, ranked);
-        self.count = list.len();
-        list[self.skipped % list.len()].clone()
+        if let Some((source, since)) = &self.current {
+            let stays = since.saturating_add(KEEP_SOURCE) >= now && self.is_there(source, ranking);
+            if stays {
+                return source.clone();
+            }
+            self.current = None;
+        }
+        self.draw_third(me, &ranking.all);
+        let source = self.untried().unwrap_or(Source::Store);
+        let first = self.tried.is_empty();
+        self.current = (!first).then(|| (source.clone(), now));
+        source
     }
 
-    /// Whether the store was lost to an instance that reads it for others, which then does not wait
-    /// for a call that may never be answered.
+    /// Whether something has failed since a source served last. A call to the store should then be
+    /// answered at once, and not when something changes: knowledge is old already.
     #[must_use]
-    pub const fn has_lost_store(&self) -> bool {
-        self.reads && (self.rounds > 0 || self.store_failures > 0)
+    pub const fn hurries(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Whether those that follow this instance should not wait for it: several sources in a row have
+    /// failed. A reader without the store counts as such also while another instance tells it,
+    /// which may follow this one.
+    #[must_use]
+    pub fn has_none(&self) -> bool {
+        let failures = match self.place.role {
+            Role::Reader => self.store_failures,
+            Role::Relay | Role::Leaf => self.failures,
+        };
+        failures >= FAILURES
     }
 
     /// Rounds in a row in which all sources failed.
@@ -127,89 +152,99 @@
     }
 
     /// Notes that a source served.
-    pub const fn served(&mut self) {
+    pub fn served(&mut self) {
+        self.failures = 0;
         self.rounds = 0;
+        self.tried.clear();
     }
 
     /// Notes that a source failed; tells whether all have failed by now.
-    pub fn failed(&mut self, now: Moment, source: &Source, how: Failing) -> bool {
-        match (source, how) {
-            (Source::Store, _) => self.store_failures = self.store_failures.saturating_add(1),
-            (Source::Peer(_), Failing::Stale) => self.stale = self.stale.saturating_add(1),
-            (Source::Peer(_), Failing::Silent) => {}
+    pub fn failed(&mut self, source: &Source, how: Failing) -> bool {
+        if *source == Source::Store {
+            self.store_failures = self.store_failures.saturating_add(1);
         }
-        self.skipped += 1;
-        self.strayed = Some(now);
-        if !self.skipped.is_multiple_of(self.count) {
+        self.failures = self.failures.saturating_add(1);
+        self.current = None;
+        self.tried.push((source.clone(), how));
+        if self.untried().is_some() {
             return false;
         }
-        self.skipped = 0;
-        self.rounds = self.rounds.saturating_add(1);
+        self.tried.clear();
         self.third = None;
+        self.rounds = self.rounds.saturating_add(1);
         true
     }
 
-    fn list(&mut self, me: &InstanceId, ranked: &[InstanceId]) -> Vec<Source> {
-        let readers = &ranked[..ranked.len().min(READERS)];
-        self.reads = readers.contains(me);
-        let others = readers.iter().filter(|id| *id != me).cloned();
-        let mut list: Vec<Source> = others.map(Source::Peer).collect();
-        if self.reads {
-            // Twice: a connection that the store cut says nothing about the store.
-            list.insert(0, Source::Store);
-            list.insert(0, Source::Store);
-            return list;
+    /// The next source of this round.
+    fn untried(&self) -> Option<Source> {
+        if self.place.role == Role::Reader {
+            let store = self.untried_store();
+            return store.or_else(|| self.untried_peer());
         }
-        if self.turn && list.len() > 1 {
-            list.swap(0, 1);
+        let silent = self
+            .tried
+            .iter()
+            .any(|(source, how)| matches!(source, Source::Peer(_)) && *how == Failing::Silent);
+        // The next peer may have failed together with one that is silent, and two waits would be too
+        // long.
+        if silent && self.may_ask_store() {
+            let store = self.untried_store();
+            return store.or_else(|| self.untried_peer());
         }
-        if self.skipped == 0 {
-            self.asks_store = self.draw_store(ranked.len());
-        }
-        if self.stale == 0 {
-            self.add_store(&mut list);
-        } else {
-            self.add_beside_stale(&mut list, me, ranked);
-        }
-        list
+        self.untried_peer().or_else(|| {
+            let asks = self.asks_store || self.place.upstream.is_empty();
+            asks.then(|| self.untried_store()).flatten()
+        })
     }
 
-    const fn lost_to_all(&self) -> bool {
-        self.store_failures >= STORE_FAILURES
+    /// The store, twice in a round: a connection that the store cut says nothing about the store.
+    fn untried_store(&self) -> Option<Source> {
+        let tries = self.tried.iter().filter(|(s, _)| *s == Source::Store);
+        (tries.count() < STORE_TRIES).then_some(Source::Store)
     }
 
-    /// Where a reader is silent the store comes next: the other reader may have failed with it, and
-    /// two waits would be too long.
-    fn add_store(&self, list: &mut Vec<Source>) {
-        if list.is_empty() || !self.lost_to_all() || self.rounds.is_multiple_of(STORE_EVERY) {
-            let second = list.len().min(1);
-            list.insert(second, Source::Store);
-            list.insert(second, Source::Store);
+    /// Those upstream, and one peer more where these answer and have lost the store: it may get
+    /// through, and costs nothing.
+    fn untried_peer(&self) -> Option<Source> {
+        let third = self.third.iter().filter(|_| !self.tried.is_empty());
+        let all = self.place.upstream.iter().chain(third);
+        let mut peers = all.cloned().map(Source::Peer);
+        peers.find(|peer| self.tried.iter().all(|(tried, _)| tried != peer))
+    }
+
+    fn may_ask_store(&self) -> bool {
+        let lost_to_all = self.store_failures >= STORE_FAILURES;
+        !lost_to_all || self.rounds.is_multiple_of(STORE_EVERY)
+    }
+
+    /// Whether a source is the store or an instance that answers.
+    fn is_there(&self, source: &Source, ranking: &Ranking) -> bool {
+        match source {
+            Source::Store => true,
+            Source::Peer(id) => ranking.all.contains(id),
         }
     }
 
-    /// Where a reader answers and has lost the store, the others are asked first, which costs
-    /// nothing: one of them may get through.
-    fn add_beside_stale(&mut self, list: &mut Vec<Source>, me: &InstanceId, ranked: &[InstanceId]) {
+    fn draw_third(&mut self, me: &InstanceId, all: &[InstanceId]) {
         if self.third.is_none() {
-            let rest = ranked.iter().skip(READERS).filter(|id| *id != me);
+            let upstream = &self.place.upstream;
+            let rest = all.iter().filter(|id| *id != me && !upstream.contains(id));
             let rest: Vec<&InstanceId> = rest.collect();
             self.third = self.rng.choice(rest).cloned();
         }
-        list.extend(self.third.clone().map(Source::Peer));
-        if self.asks_store || list.is_empty() {
-            list.push(Source::Store);
-            list.push(Source::Store);
-        }
     }
 
-    /// Whether this follower is one of the few that ask the store in this round.
+    /// Whether this instance is one of the few that ask the store in this round although peers
+    /// answer.
     fn draw_store(&mut self, instances: usize) -> bool {
-        if self.lost_to_all() && !self.rounds.is_multiple_of(STORE_EVERY) {
+        if !self.may_ask_store() {
             return false;
         }
+        if self.place.role == Role::Relay {
+            return true;
+        }
         let count = u32::try_from(instances).unwrap_or(u32::MAX);
-        let chance = FOLLOWERS_ASK / f64::from(count.max(1));
+        let chance = LEAVES_ASK / f64::from(count.max(1));
         self.rng.f64() < chance
     }
 }
--- a/components/front/tests/shelf.rs
+++ b/components/front/tests/shelf.rs
@@ -159,3 +159,22 @@
         }
     }
 }
+
+/// An instance that has lost its source kept those that follow it waiting for news that it would be
+/// the last to hear.
+#[test]
+fn who_waits_is_woken_when_the_source_is_lost() {
+    smol::block_on(async {
+        let shelf = std::sync::Arc::new(Shelf::new());
+        let waiter = {
+            let shelf = std::sync::Arc::clone(&shelf);
+            smol::spawn(async move { shelf.wait(Duration::from_secs(60)).await })
+        };
+        // Until it waits, a wake-up would pass unheard.
+        while !waiter.is_finished() {
+            shelf.set_lost(true);
+            shelf.set_lost(false);
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
--- a/components/front/tests/sources.rs
+++ b/components/front/tests/sources.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use fastrand::Rng;
-use front::sources::{Failing, READERS, Source, Sources};
+use front::{
+    fanout::{READERS, Ranking},
+    sources::{Failing, Source, Sources},
+};
 use proptest::prelude::*;
 use types::InstanceId;
 
@@ -13,6 +16,23 @@
     (0..count).map(|n| format!("i-{n}").into()).collect()
 }
 
+/// Instances of which no data centre has many.
+fn scattered(count: usize) -> Ranking {
+    Ranking {
+        all: instances(count),
+        near: Vec::new(),
+    }
+}
+
+/// Instances of five data centres, as one of the first of them sees them.
+fn dense(count: usize) -> Ranking {
+    let all = instances(count);
+    Ranking {
+        near: all.iter().step_by(5).cloned().collect(),
+        all,
+    }
+}
+
 fn sources(seed: u64) -> Sources {
     Sources::new(Rng::with_seed(seed))
 }
@@ -22,18 +42,18 @@
 fn failing_round(
     sources: &mut Sources,
     me: &InstanceId,
-    all: &[InstanceId],
+    ranking: &Ranking,
     how: Failing,
 ) -> Vec<Source> {
     let mut asked = Vec::new();
     loop {
-        let source = sources.next(NOW, me, all);
+        let source = sources.next(NOW, me, ranking);
         asked.push(source.clone());
         let how = match source {
             Source::Store => Failing::Silent,
             Source::Peer(_) => how,
         };
-        if sources.failed(NOW, &source, how) {
+        if sources.failed(&source, how) {
             return asked;
         }
     }
@@ -41,9 +61,10 @@
 
 #[test]
 fn the_first_instances_read_the_store_and_the_others_follow_them() {
-    let all = instances(9);
+    let ranking = scattered(9);
+    let all = &ranking.all;
     for (number, me) in all.iter().enumerate() {
-        let source = sources(number as u64).next(NOW, me, &all);
+        let source = sources(number as u64).next(NOW, me, &ranking);
         if number < READERS {
             assert_eq!(source, Source::Store);
         } else {
@@ -60,11 +81,46 @@
 /// for the other reader, which may be cut off as well, would be too long.
 #[test]
 fn after_a_silent_reader_the_store_comes_next() {
-    let all = instances(83);
+    let ranking = scattered(83);
+    let me = &ranking.all[40];
+    let mut sources = sources(1);
+    let first = sources.next(NOW, me, &ranking);
+    assert!(!sources.failed(&first, Failing::Silent));
+    assert_eq!(sources.next(NOW, me, &ranking), Source::Store);
+}
+
+/// The same where relays stand between: the other relay may be cut off as well.
+#[test]
+fn after_a_silent_relay_the_store_comes_next() {
+    let ranking = dense(195);
+    let leaf = &ranking.near[20];
     let mut sources = sources(1);
-    let first = sources.next(NOW, &all[40], &all);
-    assert!(!sources.failed(NOW, &first, Failing::Silent));
-    assert_eq!(sources.next(NOW, &all[40], &all), Source::Store);
+    let relay = sources.next(NOW, leaf, &ranking);
+    assert!(ranking.near[..2].contains(&peer(&relay)));
+    assert!(!sources.failed(&relay, Failing::Silent));
+    assert_eq!(sources.next(NOW, leaf, &ranking), Source::Store);
+}
+
+fn peer(source: &Source) -> InstanceId {
+    match source {
+        Source::Peer(id) => Arc::clone(id),
+        Source::Store => panic!("a peer was expected"),
+    }
+}
+
+/// Both readers have lost the store, and relays get through to it. A whole data centre follows
+/// each relay, so these ask whatever the luck of the draw.
+#[test]
+fn relays_ask_the_store_where_both_readers_have_lost_it() {
+    let mut ranking = dense(195);
+    // Readers of other data centres.
+    ranking.near.remove(0);
+    for relay in ranking.near[..2].to_vec() {
+        for seed in 0..20 {
+            let round = failing_round(&mut sources(seed), &relay, &ranking, Failing::Stale);
+            assert!(round.contains(&Source::Store), "{round:?}");
+        }
+    }
 }
 
 /// Both readers are turned away by the store and answer that they know nothing new. If all of
@@ -72,11 +128,11 @@
 /// seconds of following, and again in each round.
 #[test]
 fn few_followers_ask_the_store_where_readers_answer_that_they_have_lost_it() {
-    let all = instances(83);
-    let asked: Vec<Vec<Source>> = all[READERS..]
+    let ranking = scattered(83);
+    let asked: Vec<Vec<Source>> = ranking.all[READERS..]
         .iter()
         .enumerate()
-        .map(|(seed, me)| failing_round(&mut sources(seed as u64), me, &all, Failing::Stale))
+        .map(|(seed, me)| failing_round(&mut sources(seed as u64), me, &ranking, Failing::Stale))
         .collect();
     let at_store = asked.iter().filter(|round| round.contains(&Source::Store));
     assert!((2..=20).contains(&at_store.count()));
@@ -89,8 +145,8 @@
 /// On a small deployment each may ask the store itself: it costs little, and sooner known is better.
 #[test]
 fn on_few_instances_each_may_ask_the_store() {
-    let all = instances(4);
-    let round = failing_round(&mut sources(3), &all[3], &all, Failing::Stale);
+    let ranking = scattered(4);
+    let round = failing_round(&mut sources(3), &ranking.all[3], &ranking, Failing::Stale);
     assert!(round.contains(&Source::Store), "{round:?}");
 }
 
@@ -98,17 +154,21 @@
 /// readers are tried again: if everybody stayed where they are, chains of followers would grow.
 #[test]
 fn a_peer_that_knows_is_kept_for_a_while_only() {
-    let all = instances(83);
+    let ranking = scattered(83);
+    let all = &ranking.all;
     let me = &all[40];
     let mut sources = sources(5);
     for _ in 0..READERS {
-        let reader = sources.next(NOW, me, &all);
-        assert!(!sources.failed(NOW, &reader, Failing::Stale));
+        let reader = sources.next(NOW, me, &ranking);
+        assert!(!sources.failed(&reader, Failing::Stale));
     }
-    let third = sources.next(NOW, me, &all);
+    let third = sources.next(NOW, me, &ranking);
     sources.served();
-    assert_eq!(sources.next(NOW + Duration::from_secs(1), me, &all), third);
-    let later = sources.next(NOW + Duration::from_secs(2), me, &all);
+    assert_eq!(
+        sources.next(NOW + Duration::from_secs(1), me, &ranking),
+        third
+    );
+    let later = sources.next(NOW + Duration::from_secs(2), me, &ranking);
     assert!(
         all[..READERS]
             .iter()
@@ -125,17 +185,18 @@
         number in any::<prop::sample::Index>(),
         seed in any::<u64>(),
         stale in prop::collection::vec(any::<bool>(), 1..8),
+        relayed in any::<bool>(),
     ) {
-        let all = instances(count);
-        let me = &all[number.index(count)];
+        let ranking = if relayed { dense(count) } else { scattered(count) };
+        let me = &ranking.all[number.index(count)];
         let mut sources = sources(seed);
         let mut at_store = 0;
         for step in 0..2_000 {
-            let source = sources.next(NOW, me, &all);
+            let source = sources.next(NOW, me, &ranking);
             prop_assert_ne!(&source, &Source::Peer(Arc::clone(me)));
             at_store += usize::from(source == Source::Store);
             let how = if stale[step % stale.len()] { Failing::Stale } else { Failing::Silent };
-            sources.failed(NOW, &source, how);
+            sources.failed(&source, how);
         }
         prop_assert!(sources.rounds() >= 2_000 / 6, "{}", sources.rounds());
         prop_assert!(at_store > 0);
