Count bytes between instances by topic, and calls to the store

Nobody could say from the product's own metrics what the bytes between data centres consist of, or who calls the store. `celerystand_peer_bytes_total` counts messages and replies by topic, direction and whether they stay in the data centre, `celerystand_store_calls_total` calls by topic, call and outcome; the store is wrapped once, in `counted`.

--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod choice;
 pub mod cold;
 pub mod config;
+pub mod counted;
 pub mod decisions;
 pub mod drain;
 pub mod dump;
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -32,6 +32,28 @@
     pub outcome: &'static str,
 }
 
+/// Bytes of messages that this instance sent to others, and of their replies.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct Exchange {
+    /// What the message is about, as [`crate::wire::Message::topic`] names it.
+    pub topic: &'static str,
+    /// `out` or `in`.
+    pub direction: &'static str,
+    /// `same` or `other`.
+    pub data_centre: &'static str,
+}
+
+/// A call to the store.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct StoreCall {
+    /// `operator`, `targets` or `members`.
+    pub topic: &'static str,
+    /// `read`, `follow` or `write`.
+    pub call: &'static str,
+    /// `answered`, `refused` or `silent`.
+    pub outcome: &'static str,
+}
+
 /// The metrics of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -42,6 +64,10 @@
     pub repeats: Counter,
     /// Generations carried over, by outcome.
     pub carries: Family<CarryEnding, Counter>,
+    /// Bytes of messages between instances, and of replies, by the instance that sent the message.
+    pub peer_bytes: Family<Exchange, Counter>,
+    /// Calls to the store.
+    pub store_calls: Family<StoreCall, Counter>,
     /// Time to the head of an answer, in seconds.
     pub head_seconds: Histogram,
     /// Time from a request's arrival to its sending, in seconds.
@@ -64,6 +90,8 @@
             requests: Family::default(),
             repeats: Counter::default(),
             carries: Family::default(),
+            peer_bytes: Family::default(),
+            store_calls: Family::default(),
             head_seconds: times(),
             held_seconds: times(),
             registry: Registry::default(),
@@ -79,6 +107,12 @@
             all.repeats.clone(),
         );
         registry.register("carries", "Generations carried over", all.carries.clone());
+        registry.register(
+            "peer_bytes",
+            "Bytes of messages between instances",
+            all.peer_bytes.clone(),
+        );
+        registry.register("store_calls", "Calls to the store", all.store_calls.clone());
         registry.register(
             "head_seconds",
             "Time to the head of an answer",
--- a/components/front/src/peers.rs
+++ b/components/front/src/peers.rs
@@ -17,11 +17,13 @@
 use net::{Client, read_limited};
 use parking_lot::Mutex;
 use placing::{Candidate, ranked};
+use prometheus_client::metrics::{counter::Counter, family::Family};
 use timer::{Timer, boot_time};
 use types::{InstanceId, Moment};
 
 use crate::{
     fanout::Ranking,
+    metrics::Exchange,
     wire::{Member, Message, Reply, Topic},
 };
 
@@ -60,6 +62,8 @@
     strong_first: bool,
     client: Client,
     timer: Timer,
+    /// Bytes of messages and replies.
+    bytes: Family<Exchange, Counter>,
 }
 
 impl Peers {
@@ -73,6 +77,7 @@
             strong_first: true,
             client,
             timer: Timer::new(),
+            bytes: Family::default(),
         }
     }
 
@@ -83,6 +88,13 @@
         self
     }
 
+    /// Counts the bytes of messages and replies there.
+    #[must_use]
+    pub fn with_bytes(mut self, bytes: Family<Exchange, Counter>) -> Self {
+        self.bytes = bytes;
+        self
+    }
+
     /// This instance as a member.
     #[must_use]
     pub const fn me(&self) -> &Member {
@@ -225,8 +237,12 @@
         message: &Message,
         patience: Duration,
     ) -> Option<Reply> {
-        let addr = self.known.lock().get(to)?.member.addr;
-        match self.exchange(addr, message, patience).await {
+        let (addr, here) = {
+            let known = self.known.lock();
+            let member = &known.get(to)?.member;
+            (member.addr, member.data_centre == self.me.data_centre)
+        };
+        match self.exchange_with(addr, here, message, patience).await {
             Ok(reply) => {
                 self.answered(to);
                 Some(reply)
@@ -247,8 +263,20 @@
         addr: SocketAddr,
         message: &Message,
         patience: Duration,
+    ) -> Result<Reply, String> {
+        // Whose address it is is not known; most are elsewhere.
+        self.exchange_with(addr, false, message, patience).await
+    }
+
+    async fn exchange_with(
+        &self,
+        addr: SocketAddr,
+        here: bool,
+        message: &Message,
+        patience: Duration,
     ) -> Result<Reply, String> {
         let buf = rmp_serde::to_vec(message).map_err(|e| e.to_string())?;
+        self.count_bytes(message, "out", here, buf.len());
         let req = Request::post(MESSAGES_PATH)
             .body(Full::new(Bytes::from(buf)))
             .map_err(|e| e.to_string())?;
@@ -261,6 +289,7 @@
             // been answered.
             let body = read_limited(body, MESSAGE_LIMIT, BODY_PAUSE).await;
             let body = body.map_err(|e| e.to_string())?;
+            self.count_bytes(message, "in", here, body.len());
             rmp_serde::from_slice(&body).map_err(|e| e.to_string())
         };
         let answer: Result<Reply, String> = sent.await;
@@ -271,6 +300,16 @@
         answer
     }
 
+    fn count_bytes(&self, message: &Message, direction: &'static str, here: bool, bytes: usize) {
+        let exchange = Exchange {
+            topic: message.topic(),
+            direction,
+            data_centre: if here { "same" } else { "other" },
+        };
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.bytes.get_or_create(&exchange).inc_by(bytes);
+    }
+
     fn answered(&self, id: &InstanceId) {
         let mut known = self.known.lock();
         let Some(peer) = known.get_mut(id) else {
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -23,6 +23,7 @@
     choice::Choice,
     cold::ColdTargets,
     config::Config,
+    counted::CountedStore,
     drain,
     ending::Ending,
     face::{Engines, Face, Store},
@@ -109,15 +110,13 @@
     };
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
+    let calls = front.metrics.store_calls.clone();
+    let store: Arc<dyn Store> = Arc::new(CountedStore::new(Arc::clone(&outside.store), calls));
     for topic in [Topic::Operator, Topic::Targets] {
-        let follower = Follower::new(Arc::clone(&front), Arc::clone(&outside.store), topic);
+        let follower = Follower::new(Arc::clone(&front), Arc::clone(&store), topic);
         workers::spawn(follower.run()).detach();
     }
-    workers::spawn(membership::meet(
-        Arc::clone(&front),
-        Arc::clone(&outside.store),
-    ))
-    .detach();
+    workers::spawn(membership::meet(Arc::clone(&front), store)).detach();
     workers::spawn(membership::sync(Arc::clone(&front))).detach();
     workers::spawn(blind::watch(Arc::clone(&front))).detach();
     emit(&Event::Started {
@@ -144,13 +143,15 @@
         header_time: IDLE_TIME,
         ..ServeLimits::default()
     };
+    let metrics = Metrics::new();
     Front {
         view: View::new(),
         face: Arc::clone(&outside.face),
         engines: Arc::clone(&outside.engines),
         client: Client::new().with_connect_limit(CONNECT_LIMIT),
         peers: Peers::new(me, Client::new().with_connect_limit(CONNECT_LIMIT))
-            .with_strong_first(cfg.decisions.parts.strong_first),
+            .with_strong_first(cfg.decisions.parts.strong_first)
+            .with_bytes(metrics.peer_bytes.clone()),
         placement: Placement::new(cfg.decisions.placing),
         live: LiveRuns::default(),
         operator_rows: Arc::new(Shelf::new()),
@@ -170,7 +171,7 @@
         ending: Ending::default(),
         introduced: Gate::default(),
         open: OpenRequests::default(),
-        metrics: Metrics::new(),
+        metrics,
         terms: Arc::new(Terms::new(&terms)),
         targets_lost: AtomicBool::new(false),
         since: boot_time(),
--- a/components/front/src/wire.rs
+++ b/components/front/src/wire.rs
@@ -42,18 +42,28 @@
 
 /// What is followed in the store.
 #[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
+#[display("{}", self.name())]
 pub enum Topic {
     /// Configuration and data centres that are taken out.
-    #[display("operator")]
     Operator,
     /// Listings of targets.
-    #[display("targets")]
     Targets,
     /// Instances of this system.
-    #[display("members")]
     Members,
 }
 
+impl Topic {
+    /// Its name, for metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Operator => "operator",
+            Self::Targets => "targets",
+            Self::Members => "members",
+        }
+    }
+}
+
 /// One row of the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
@@ -116,6 +126,22 @@
     },
 }
 
+impl Message {
+    /// What it is about, for metrics.
+    #[must_use]
+    pub const fn topic(&self) -> &'static str {
+        match self {
+            Self::Ask(_) => "ask",
+            Self::Notes(_) => "notes",
+            Self::Sync { .. } => "sync",
+            Self::Carry(_) => "carry",
+            Self::Leaving(_) => "leaving",
+            Self::Hello { .. } => "hello",
+            Self::Follow { topic, .. } => topic.name(),
+        }
+    }
+}
+
 /// What comes back.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Reply {
--- a/components/front/tests/shelf.rs
+++ b/components/front/tests/shelf.rs
@@ -165,9 +165,9 @@
 #[test]
 fn who_waits_is_woken_when_the_source_is_lost() {
     smol::block_on(async {
-        let shelf = std::sync::Arc::new(Shelf::new());
+        let shelf = Arc::new(Shelf::new());
         let waiter = {
-            let shelf = std::sync::Arc::clone(&shelf);
+            let shelf = Arc::clone(&shelf);
             smol::spawn(async move { shelf.wait(Duration::from_secs(60)).await })
         };
         // Until it waits, a wake-up would pass unheard.
--- a/tests/platform/calls.rs
+++ b/tests/platform/calls.rs
@@ -197,6 +197,8 @@
             .body;
         let line = "celerystand_requests_total{kind=\"idempotent\",outcome=\"answered\"} 1";
         assert!(metrics.contains(line), "{metrics}");
+        let line = "celerystand_store_calls_total{topic=\"members\",call=\"write\",outcome=\"answered\"} 1";
+        assert!(metrics.contains(line), "{metrics}");
         let dump = page(instance.admin, "/dump").await.expect("a dump").body;
         assert!(
             dump.contains("\"ready\":true") && !dump.contains("key-1"),
@@ -205,6 +207,26 @@
     });
 }
 
+#[test]
+fn bytes_between_instances_are_counted_by_topic() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let one = platform.instance("one").await;
+        let other = platform.instance("other").await;
+        eventually("one of them has synced with the other", || async {
+            for instance in [&one, &other] {
+                let metrics = page(instance.admin, "/metrics").await.expect("metrics");
+                let sync = "celerystand_peer_bytes_total{topic=\"sync\",direction=\"out\",data_centre=\"same\"}";
+                if metrics.body.contains(sync) {
+                    return true;
+                }
+            }
+            false
+        })
+        .await;
+    });
+}
+
 /// Two instances follow one store. One of them reads it; word of a change reaches both, and the
 /// store is asked far less often than each for itself would ask.
 #[test]
