Keep a service's number of parts while its count of engines swings

What callers saw: nothing yet measured; what happened: 63 engines and their replacements, which start before the engines that they replace leave, are 63 and 74 within seconds, so the number of parts went from one to two and back with each wave of reclaimed engines, and with it every owner and account. Cause: the number followed the count of the moment. Now it grows at once and shrinks when the engines for it have been missing for 30 s.

--- a/components/front/src/placement.rs
+++ b/components/front/src/placement.rs
@@ -4,7 +4,7 @@
 
 use async_channel::{Receiver, bounded};
 use parking_lot::Mutex;
-use placing::{Answer, Ask, Engine, Note, Owner, Shard, Tuning};
+use placing::{Answer, Ask, Engine, Note, Owner, Shard, ShardCounts, Tuning};
 use timer::boot_time;
 use types::{InstanceId, ServiceId};
 
@@ -29,6 +29,8 @@
 pub struct Placement {
     /// The account.
     pub owner: Mutex<Owner>,
+    /// Parts of each service's engines.
+    counts: Mutex<ShardCounts>,
 }
 
 impl Placement {
@@ -37,6 +39,7 @@
     pub fn new(tuning: Tuning) -> Self {
         Self {
             owner: Mutex::new(Owner::new(tuning)),
+            counts: Mutex::default(),
         }
     }
 
@@ -94,8 +97,10 @@
 
     /// Parts into which a service's engines are divided.
     #[must_use]
-    pub fn shard_count(&self, service: &str) -> u32 {
-        Shard::count(self.view.count_of(service))
+    pub fn shard_count(&self, service: &ServiceId) -> u32 {
+        let engines = self.view.count_of(service);
+        let mut counts = self.placement.counts.lock();
+        counts.of(boot_time(), service, engines)
     }
 
     /// The part that an engine belongs to.
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -24,5 +24,5 @@
 pub use owner::Owner;
 pub use pace::Pace;
 pub use rank::{Candidate, ranked};
-pub use shard::Shard;
+pub use shard::{Shard, ShardCounts};
 pub use tuning::Tuning;
--- a/components/placing/src/shard.rs
+++ b/components/placing/src/shard.rs
@@ -4,14 +4,21 @@
 //! answers so late that entries take it for dead and decide for themselves. Which engine belongs to which part follows from its id alone, so that
 //! entries and owners agree without talking about it.
 
+use std::{collections::HashMap, time::Duration};
+
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use types::ServiceId;
+use types::{Moment, ServiceId};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Engines of one part at most; a choice among more finds no better engine.
 const ENGINES: usize = 64;
 
+/// How long a service keeps its number of parts after it last had the engines for them. Replacements
+/// start before the engines that they replace leave, so counts swing within seconds; each change of
+/// the number changes all owners.
+const KEEP: Duration = Duration::from_secs(30);
+
 /// A part of a service's engines.
 #[derive(Clone, Debug, Deserialize, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[display("{service} {index}/{of}")]
@@ -66,3 +73,23 @@
     let rest = xxh3_64(name.as_bytes()) % u64::from(of.max(1));
     u32::try_from(rest).unwrap_or_default()
 }
+
+/// How many parts each service has: it grows at once and shrinks late.
+#[derive(Debug, Default)]
+pub struct ShardCounts {
+    /// The number, and when there were last engines enough for it.
+    counts: HashMap<ServiceId, (u32, Moment)>,
+}
+
+impl ShardCounts {
+    /// Parts of a service that has so many engines now.
+    pub fn of(&mut self, now: Moment, service: &ServiceId, engines: usize) -> u32 {
+        let needed = Shard::count(engines);
+        let (count, at) = self.counts.entry(service.clone()).or_insert((needed, now));
+        if needed >= *count || at.saturating_add(KEEP) <= now {
+            *count = needed;
+            *at = now;
+        }
+        *count
+    }
+}
--- a/components/placing/tests/shards.rs
+++ b/components/placing/tests/shards.rs
@@ -4,9 +4,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use placing::{Answer, Ask, Note, Running, Shard, Sync};
+use placing::{Answer, Ask, Note, Running, Shard, ShardCounts, Sync};
 use proptest::prelude::*;
 use support::{ask, engine, owner, sent};
+use types::ServiceId;
 
 fn shard(service: &str, index: u32, of: u32) -> Shard {
     Shard::new(service.into(), index, of)
@@ -97,3 +98,29 @@
         prop_assert!(most <= 64 + 40, "{:?}", counts);
     }
 }
+
+/// Engines that are reclaimed are replaced before they leave. Where the count swung around the limit
+/// of a part, all engines changed owners several times in ten seconds.
+#[test]
+fn the_number_of_parts_does_not_follow_a_count_that_swings_around_a_limit() {
+    let mut counts = ShardCounts::default();
+    let service: ServiceId = "synopsis".into();
+    let mut seen = Vec::new();
+    for wave in 0..20_u64 {
+        for (after_ms, engines) in [(0, 63), (300, 74), (2_000, 63)] {
+            let now = Duration::from_millis(wave * 3_300 + after_ms);
+            seen.push(counts.of(now, &service, engines));
+        }
+    }
+    seen.dedup();
+    assert_eq!(seen, [1, 2]);
+}
+
+#[test]
+fn a_service_that_has_shrunk_for_good_has_fewer_parts_in_the_end() {
+    let mut counts = ShardCounts::default();
+    let service: ServiceId = "synopsis".into();
+    assert_eq!(counts.of(Duration::from_secs(1), &service, 200), 4);
+    assert_eq!(counts.of(Duration::from_secs(20), &service, 60), 4);
+    assert_eq!(counts.of(Duration::from_secs(32), &service, 60), 1);
+}
