Make idle syncs rarer, learn the first members from the seeds, hold callers right after a start

A request that arrives within 0.4 s of the start waits until enough is known (test in tests/platform/starting.rs).

--- a/components/front/src/follow.rs
+++ b/components/front/src/follow.rs
@@ -235,6 +235,9 @@
             Topic::Targets => self.front.view.confirm_targets(read),
             Topic::Members => {}
         }
+        if self.front.is_ready() {
+            self.front.informed.open();
+        }
     }
 
     fn learn(&self, row: &Row, now: Moment) {
--- a/components/front/src/handler.rs
+++ b/components/front/src/handler.rs
@@ -80,6 +80,7 @@
             }
         };
         open.named(&asked.id);
+        self.front.informed_at_start().await;
         let admitted = body.and_then(|body| self.admit(asked.clone(), head, body, arrived));
         let resp = match admitted {
             Ok(call) => self.serve(call).await,
--- a/components/front/src/membership.rs
+++ b/components/front/src/membership.rs
@@ -15,6 +15,9 @@
 
 /// Time between two syncs with the owners.
 const SYNC_PERIOD: Duration = Duration::from_millis(700);
+/// Rounds of syncs between two in which an instance that holds nothing makes itself heard. Owners
+/// hear of ends by notes; this makes up for lost ones, and tells of new members.
+const IDLE_ROUNDS: u32 = 3;
 /// Time for a peer to take a sync.
 const SYNC_PATIENCE: Duration = Duration::from_millis(300);
 /// Time between two looks at the members in the store. Instances also hear of each other from
@@ -41,26 +44,19 @@
 /// from instances that the settings name.
 pub async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
     let first = look(&front, &store).await;
-    let knows_others = first.as_ref().is_some_and(|look| look.others);
-    if knows_others {
-        front.introduced.open();
-    } else {
+    if first.as_ref().is_none_or(|look| !look.others) {
         for seed in front.cfg.seeds.clone() {
             workers::spawn(greet_seed(Arc::clone(&front), seed)).detach();
         }
     }
-    if first.is_none() {
-        // The store is lost; whoever follows it must find another source at once.
+    if first.as_ref().is_none_or(|look| look.others) {
+        // One that has lost the store must find another source at once.
         front.introduced.open();
     }
     let listed = first.is_some_and(|look| look.lists_me);
     if !listed {
         announce(&front, &store).await;
     }
-    if !knows_others {
-        look_until_seen(&front, &store).await;
-        front.introduced.open();
-    }
     greet(&front);
     let mut pause = SECOND_LOOK;
     loop {
@@ -136,6 +132,7 @@
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
             learn_members(&front, None, Some(reply));
+            front.introduced.open();
             return;
         }
         smol::Timer::after(MEMBERS_PAUSE).await;
@@ -177,8 +174,10 @@
 /// Tells owners from time to time what this instance holds.
 pub async fn sync(front: Arc<Front>) {
     let mut ticks = Timer::new().every(SYNC_PERIOD);
+    let mut round = 0_u32;
     loop {
         ticks.next().await;
+        round = round.wrapping_add(1);
         // Beside the syncs: an owner forgets in seconds what it does not hear of.
         for peer in front
             .peers
@@ -190,7 +189,7 @@
             workers::spawn(async move { say_hello(&front, &peer).await }).detach();
         }
         for shard in shards(&front) {
-            sync_shard(&front, shard).await;
+            sync_shard(&front, shard, round.is_multiple_of(IDLE_ROUNDS)).await;
         }
         let targets = front.view.targets();
         front.choice.lock().retain(|id| targets.contains_key(id));
@@ -218,9 +217,14 @@
     shards
 }
 
-async fn sync_shard(front: &Front, shard: Shard) {
+/// Tells the owner of a part what this instance holds there; nothing at all is told in some rounds
+/// only.
+async fn sync_shard(front: &Front, shard: Shard, tells_nothing: bool) {
     let mut runs = front.live.running();
     runs.retain(|run| run.service == shard.service && shard.holds(&run.target));
+    if runs.is_empty() && !tells_nothing {
+        return;
+    }
     let Some(owner) = front.owners(&shard).into_iter().next() else {
         return;
     };
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -170,6 +170,7 @@
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
         ending: Ending::default(),
         introduced: Gate::default(),
+        informed: Gate::default(),
         open: OpenRequests::default(),
         metrics,
         terms: Arc::new(Terms::new(&terms)),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -10,7 +10,7 @@
 
 use net::{Client, Terms};
 use parking_lot::{Mutex, RwLock};
-use timer::boot_time;
+use timer::{Timer, boot_time};
 use types::Moment;
 use view::{Service, Target, View};
 
@@ -37,6 +37,8 @@
 /// Time beyond the longest idleness that callers are allowed: a request that arrives just as its
 /// connection is closed is lost, and its caller can't tell whether it was read.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
+/// Time from its start in which an instance keeps callers waiting until it knows enough to take them.
+const START_PATIENCE: Duration = Duration::from_millis(400);
 /// Buffers as a multiple of the headers that callers may send: the request line comes on top, and
 /// a whole request may arrive at once.
 const HEADER_ROOM: usize = 2;
@@ -79,6 +81,8 @@
     pub introduced: Gate,
     /// Requests that were read and have no answer yet.
     pub open: OpenRequests,
+    /// Open once it has known enough to take callers.
+    pub informed: Gate,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Limits of callers' connections, as the configuration in force sets them.
@@ -125,6 +129,17 @@
         known && self.ending.left().is_none() && self.keys_fresh()
     }
 
+    /// Waits a little, right after the start, until it knows enough to take callers. All that start
+    /// together get there within some hundred milliseconds, and callers of requests that may run
+    /// only once come back once at most.
+    pub async fn informed_at_start(&self) {
+        let left = START_PATIENCE.saturating_sub(age(self.since));
+        if !left.is_zero() {
+            // Where it does not get there in time, the request is judged as at any other time.
+            let _ = Timer::new().within(left, self.informed.passed()).await;
+        }
+    }
+
     /// Takes the limits of callers' connections from the configuration in force.
     pub fn apply_limits(&self) {
         let Some(limits) = self.view.rules().and_then(|rules| rules.limits) else {
--- a/tests/platform/starting.rs
+++ b/tests/platform/starting.rs
@@ -10,7 +10,7 @@
 use net::Client;
 use timer::Timer;
 
-use crate::support::{Instance, Platform, eventually, status};
+use crate::support::{Caller, Instance, Platform, eventually, status};
 
 /// Time in which an instance that has started makes its first calls.
 const FIRST_CALLS: Duration = Duration::from_secs(1);
@@ -96,3 +96,26 @@
         assert!(timer.now() - asked >= Duration::from_millis(300));
     });
 }
+
+/// All instances were killed; a caller that came in the moment in which one was back was refused,
+/// and refused again a little later.
+#[test]
+fn an_instance_keeps_callers_waiting_right_after_its_start() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let mut instance = platform.unready_instance("late").await;
+        instance.kill();
+        instance.start_again();
+        let caller = Caller::new("key-1");
+        let mut got = caller.call(instance.addr, "GET", "/titles/1", "r-0").await;
+        while got.status == 0 {
+            // It does not listen yet.
+            got = caller.call(instance.addr, "GET", "/titles/1", "r-0").await;
+        }
+        assert_eq!(got.status, 503);
+        let refused = instance.line("r-0", "RequestRefused").await;
+        let started = instance.last_logged_at("Started").await;
+        let time = refused["time_ms"].as_u64().expect("a time");
+        assert!(time >= started + 380, "{started} {refused}");
+    });
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -182,6 +182,15 @@
         panic!("no line {event}");
     }
 
+    /// When it last logged an event of this name, in milliseconds since 1970, the line being there.
+    pub async fn last_logged_at(&self, event: &str) -> u64 {
+        self.logged_at(event).await;
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        let line = log.iter().rev().find(|line| line["event"] == event);
+        line.and_then(|line| line["time_ms"].as_u64())
+            .expect("a time")
+    }
+
     fn time_of(&self, event: &str) -> Option<u64> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
         let line = log.iter().find(|line| line["event"] == event)?;
