Group front by the way of a request; field names for modules that were figures of speech

41 files in one folder did not tell a newcomer where to look. Now: callers, generations, plain_calls, instances, store, and at the top what all of them share. shelf is topic_cache (type TopicCache), ignorance retry_after, ending shutdown, leaving evacuation, blind probing, patience timeouts, side admin; tests and pages follow. Moved and renamed by a script, no change of behaviour: clippy, the tests of front and of the pages pass.

--- a/components/front/src/side.rs
+++ b/components/front/src/admin.rs
@@ -6,7 +6,10 @@
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply};
 
-use crate::{message::Messages, peers::MESSAGES_PATH, state::Front};
+use crate::{
+    instances::{message::Messages, peers::MESSAGES_PATH},
+    state::Front,
+};
 
 /// Where metrics are.
 pub const METRICS_PATH: &str = "/metrics";
--- a/components/front/src/drain.rs
+++ b/components/front/src/callers/drain.rs
@@ -13,7 +13,7 @@
 use timer::boot_time;
 use types::Moment;
 
-use crate::{refuse::millis, state::Front};
+use crate::{callers::refuse::millis, state::Front};
 
 /// After an order to stop new connections are still taken for this long: the balancer needs two
 /// questions, a second apart, to leave this instance out.
--- a/components/front/src/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -20,12 +20,14 @@
 use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
-    call::Call,
+    callers::{
+        call::Call,
+        refuse::{ELSEWHERE_RETRY, Refusal},
+        retry_after::come_back_after,
+    },
     face::Asked,
-    generation,
-    ignorance::come_back_after,
-    plain,
-    refuse::{ELSEWHERE_RETRY, Refusal},
+    generations::generation,
+    plain_calls::plain,
     state::{Front, age},
 };
 
--- a/components/front/src/refuse.rs
+++ b/components/front/src/callers/refuse.rs
@@ -10,7 +10,7 @@
 use net::{Body, full};
 use serde::Serialize;
 
-use crate::{call::Call, state::Front};
+use crate::{callers::call::Call, state::Front};
 
 /// When a caller may come back that another instance would serve: at once, on a new connection.
 pub const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -7,7 +7,7 @@
 use types::{ConfigVersion, DataCentreId, InstanceId, TargetId};
 
 use crate::{
-    refuse::millis,
+    callers::refuse::millis,
     state::{Front, age},
 };
 
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -11,7 +11,7 @@
 use types::{DataCentreId, TargetId, Tokens};
 use view::{Rules, Target};
 
-use crate::wire::{Member, News, Row, Topic};
+use crate::instances::wire::{Member, News, Row, Topic};
 
 /// Sizes that a caller declares for a generation.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/components/front/src/carry.rs
+++ b/components/front/src/generations/carry.rs
@@ -10,10 +10,10 @@
 use view::Target;
 
 use crate::{
+    callers::refuse::millis,
     face::{Copied, CopyOrder, Resume},
-    live::{Live, Order},
+    generations::live::{Live, Order},
     metrics::CarryEnding,
-    refuse::millis,
     state::Front,
 };
 
--- a/components/front/src/leaving.rs
+++ b/components/front/src/generations/evacuation.rs
@@ -8,9 +8,9 @@
 use view::Target;
 
 use crate::{
-    carry::carry,
+    generations::carry::carry,
+    instances::wire::{Message, Reply},
     state::Front,
-    wire::{Message, Reply},
 };
 
 /// How long an engine that leaves is watched. It is gone some two seconds after its notice.
--- a/components/front/src/generation.rs
+++ b/components/front/src/generations/generation.rs
@@ -13,13 +13,17 @@
 use view::Target;
 
 use crate::{
-    call::Call,
+    callers::{
+        call::Call,
+        refuse::{ELSEWHERE_RETRY, Refusal, millis},
+    },
     face::Sizes,
-    live::Live,
-    refuse::{ELSEWHERE_RETRY, Refusal, millis},
-    relay::Relay,
+    generations::{
+        live::Live,
+        relay::Relay,
+        silence::{Silence, Verdict, look_into},
+    },
     send::{Sent, collect, send},
-    silence::{Silence, Verdict, look_into},
     state::Front,
 };
 
--- a/components/front/src/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -9,8 +9,8 @@
 use types::{InstanceId, ServiceId};
 
 use crate::{
+    instances::wire::{Message, Reply},
     state::Front,
-    wire::{Message, Reply},
 };
 
 /// Time for an owner to answer. It answers at once, within a millisecond or two between data
--- a/components/front/src/blind.rs
+++ b/components/front/src/generations/probing.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     face::EngineState,
-    follow,
     state::{Front, age},
+    store::follow,
 };
 
 /// Knowledge of the targets is old after this: two calls of a reader and the answer to a follower
--- a/components/front/src/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -18,15 +18,16 @@
 use view::Target;
 
 use crate::{
-    call::Call,
+    callers::{call::Call, refuse::millis},
     face::Resume,
-    generation::Place,
-    live::Order,
-    refuse::millis,
-    rescue::rescue,
+    generations::{
+        generation::Place,
+        live::Order,
+        rescue::rescue,
+        silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
+        split::Splitter,
+    },
     send::{Sent, send},
-    silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
-    split::Splitter,
     state::Front,
 };
 
--- a/components/front/src/rescue.rs
+++ b/components/front/src/generations/rescue.rs
@@ -11,11 +11,9 @@
 use view::Target;
 
 use crate::{
-    call::Call,
+    callers::{call::Call, refuse::millis},
     face::{Copied, CopyOrder, Resume},
-    generation,
-    live::Live,
-    refuse::millis,
+    generations::{generation, live::Live},
     state::Front,
 };
 
--- a/components/front/src/silence.rs
+++ b/components/front/src/generations/silence.rs
@@ -11,7 +11,7 @@
 use timer::boot_time;
 use types::Moment;
 
-use crate::{face::EngineReport, live::Live, state::Front};
+use crate::{face::EngineReport, generations::live::Live, state::Front};
 
 /// Silence after which the engine is asked: five times the longest pause that callers' sheets
 /// allow, 180 ms. Events come every 36 ms as a rule.
--- a/components/front/src/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -8,9 +8,12 @@
 
 use crate::{
     face::{Record, Store},
-    joining, patience,
+    instances::{
+        joining,
+        wire::{Message, Reply, Topic},
+    },
     state::Front,
-    wire::{Message, Reply, Topic},
+    store::timeouts,
 };
 
 /// Time between two syncs with the owners.
@@ -88,7 +91,7 @@
 
 /// Learns the members that are listed in the store; nothing comes of it where the store fails.
 async fn look(front: &Front, store: &Arc<dyn Store>) -> Option<Look> {
-    let news = store.read(Topic::Members, patience::READ).await.ok()?;
+    let news = store.read(Topic::Members, timeouts::READ).await.ok()?;
     let me = front.peers.me();
     let mut look = Look {
         others: false,
--- a/components/front/src/message.rs
+++ b/components/front/src/instances/message.rs
@@ -10,11 +10,13 @@
 use timer::boot_time;
 
 use crate::{
-    carry, follow,
-    follow::PEER_AGE,
-    peers::{MESSAGE_LIMIT, MESSAGES_PATH},
+    generations::carry,
+    instances::{
+        peers::{MESSAGE_LIMIT, MESSAGES_PATH},
+        wire::{Message, Reply, Topic},
+    },
     state::{Front, age},
-    wire::{Message, Reply, Topic},
+    store::follow::{self, PEER_AGE},
 };
 
 /// Time for a message to arrive whole.
@@ -93,23 +95,23 @@
     /// What is new on a topic; waits until something is, or until what is known was confirmed.
     async fn news(&self, topic: Topic, after: Option<u64>, wait: Duration) -> Reply {
         let arrived = boot_time();
-        let shelf = self.front.shelf(topic);
-        if shelf.read().is_none() {
+        let cache = self.front.cache(topic);
+        if cache.read().is_none() {
             // Both have just started: told at once that nothing is known, the asker would turn to
             // the store, and hundreds with it.
-            shelf.wait(wait.min(FIRST_NEWS)).await;
+            cache.wait(wait.min(FIRST_NEWS)).await;
         }
-        let fresh = shelf.read().is_some_and(|read| age(read) < PEER_AGE);
-        let from = shelf.tells_from();
+        let fresh = cache.read().is_some_and(|read| age(read) < PEER_AGE);
+        let from = cache.tells_from();
         if fresh && after.is_some_and(|after| after < from) {
             return Reply::Behind { from };
         }
         // Nobody is kept waiting by one that has lost the store itself.
-        let nothing_new = after.is_some_and(|after| shelf.version() <= Some(after));
-        if fresh && nothing_new && !shelf.is_lost() {
-            shelf.wait(wait.min(FOLLOW_MOST)).await;
+        let nothing_new = after.is_some_and(|after| cache.version() <= Some(after));
+        if fresh && nothing_new && !cache.is_lost() {
+            cache.wait(wait.min(FOLLOW_MOST)).await;
         }
-        match shelf.news(after) {
+        match cache.news(after) {
             Some((news, read)) => Reply::News {
                 news,
                 before: arrived.saturating_sub(read),
--- a/components/front/src/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -22,9 +22,9 @@
 use types::{InstanceId, Moment};
 
 use crate::{
-    fanout::Ranking,
+    instances::wire::{Member, Message, Reply, Topic},
     metrics::Exchange,
-    wire::{Member, Message, Reply, Topic},
+    store::fanout::Ranking,
 };
 
 /// Where instances take each other's messages.
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -35,7 +35,7 @@
 /// Bytes of messages that this instance sent to others, and of their replies.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct Exchange {
-    /// What the message is about, as [`crate::wire::Message::topic`] names it.
+    /// What the message is about, as [`crate::instances::wire::Message::topic`] names it.
     pub topic: &'static str,
     /// `out` or `in`.
     pub direction: &'static str,
--- a/components/front/src/plain.rs
+++ b/components/front/src/plain_calls/plain.rs
@@ -10,9 +10,11 @@
 use view::{Kind, Target};
 
 use crate::{
-    call::Call,
-    choice::connection_share,
-    refuse::{Refusal, millis},
+    callers::{
+        call::Call,
+        refuse::{Refusal, millis},
+    },
+    plain_calls::choice::connection_share,
     send::{Sent, collect, log_failure, send},
     state::Front,
 };
--- a/components/front/src/reload.rs
+++ b/components/front/src/reload.rs
@@ -19,7 +19,7 @@
 use timer::{Timer, boot_time};
 use types::Moment;
 
-use crate::{config::Config, membership, state::Front};
+use crate::{config::Config, instances::membership, state::Front};
 
 /// Time between two looks for a signal.
 const SIGNAL_POLL: Duration = Duration::from_millis(50);
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -18,30 +18,23 @@
 use view::View;
 
 use crate::{
-    blind,
-    budget::Budget,
-    choice::Choice,
-    cold::ColdTargets,
+    admin::{Admin, Readiness},
+    callers::{drain, handler::Callers, open::OpenRequests, shutdown::Ending},
     config::Config,
-    counted::CountedStore,
-    drain,
-    ending::Ending,
     face::{Engines, Face, Store},
-    follow::Follower,
     gate::Gate,
-    handler::Callers,
-    live::LiveRuns,
-    membership,
-    message::Messages,
+    generations::{live::LiveRuns, placement::Placement, probing},
+    instances::{
+        membership,
+        message::Messages,
+        peers::Peers,
+        wire::{Member, Topic},
+    },
     metrics::Metrics,
-    open::OpenRequests,
-    peers::Peers,
-    placement::Placement,
+    plain_calls::{budget::Budget, choice::Choice, cold::ColdTargets},
     reload,
-    shelf::Shelf,
-    side::{Admin, Readiness},
     state::Front,
-    wire::{Member, Topic},
+    store::{counted::CountedStore, follow::Follower, topic_cache::TopicCache},
 };
 
 /// Time to connect to a target, the store or a peer. They are a few milliseconds away; where an
@@ -118,7 +111,7 @@
     }
     workers::spawn(membership::meet(Arc::clone(&front), store)).detach();
     workers::spawn(membership::sync(Arc::clone(&front))).detach();
-    workers::spawn(blind::watch(Arc::clone(&front))).detach();
+    workers::spawn(probing::watch(Arc::clone(&front))).detach();
     emit(&Event::Started {
         instance: Arc::clone(&front.cfg.instance),
     });
@@ -154,9 +147,9 @@
             .with_bytes(metrics.peer_bytes.clone()),
         placement: Placement::new(cfg.decisions.placing),
         live: LiveRuns::default(),
-        operator_rows: Arc::new(Shelf::new()),
-        target_rows: Arc::new(Shelf::new()),
-        member_rows: Arc::new(Shelf::new()),
+        operator_rows: Arc::new(TopicCache::new()),
+        target_rows: Arc::new(TopicCache::new()),
+        member_rows: Arc::new(TopicCache::new()),
         choice: Mutex::new(Choice::new(
             cfg.decisions.parts.prefers_near,
             cfg.decisions.parts.sets_aside,
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -10,9 +10,8 @@
 use view::Target;
 
 use crate::{
-    call::Call,
+    callers::{call::Call, refuse::millis},
     face::{Heading, Resume, Sending},
-    refuse::millis,
     state::Front,
 };
 
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -15,20 +15,15 @@
 use view::{Service, Target, View};
 
 use crate::{
-    budget::Budget,
-    choice::Choice,
-    cold::ColdTargets,
+    callers::{open::OpenRequests, shutdown::Ending},
     config::{Bounds, Config},
-    ending::Ending,
     face::{Engines, Face},
     gate::Gate,
-    live::LiveRuns,
+    generations::{live::LiveRuns, placement::Placement},
+    instances::{peers::Peers, wire::Topic},
     metrics::Metrics,
-    open::OpenRequests,
-    peers::Peers,
-    placement::Placement,
-    shelf::Shelf,
-    wire::Topic,
+    plain_calls::{budget::Budget, choice::Choice, cold::ColdTargets},
+    store::topic_cache::TopicCache,
 };
 
 /// Part of a revoked key's life after which knowledge is too old to honour any key: a request
@@ -62,11 +57,11 @@
     /// Generations that run for its callers.
     pub live: LiveRuns,
     /// Rows of the operator.
-    pub operator_rows: Arc<Shelf>,
+    pub operator_rows: Arc<TopicCache>,
     /// Rows of the targets.
-    pub target_rows: Arc<Shelf>,
+    pub target_rows: Arc<TopicCache>,
     /// Rows of the instances.
-    pub member_rows: Arc<Shelf>,
+    pub member_rows: Arc<TopicCache>,
     /// Targets for plain calls.
     pub choice: Mutex<Choice>,
     /// Second sendings.
@@ -152,7 +147,7 @@
 
     /// The rows of a topic.
     #[must_use]
-    pub fn shelf(&self, topic: Topic) -> Arc<Shelf> {
+    pub fn cache(&self, topic: Topic) -> Arc<TopicCache> {
         Arc::clone(match topic {
             Topic::Operator => &self.operator_rows,
             Topic::Targets => &self.target_rows,
--- a/components/front/src/counted.rs
+++ b/components/front/src/store/counted.rs
@@ -7,8 +7,8 @@
 
 use crate::{
     face::{Record, Store, StoreError},
+    instances::wire::{Member, News, Row, Topic},
     metrics::StoreCall,
-    wire::{Member, News, Row, Topic},
 };
 
 /// A store whose calls are counted.
--- a/components/front/src/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -16,13 +16,16 @@
 use view::Change;
 
 use crate::{
+    callers::refuse::millis,
     face::{Record, Store, StoreError},
-    leaving, patience,
-    refuse::millis,
-    shelf::Shelf,
-    sources::{Failing, Source, Sources},
+    generations::evacuation,
+    instances::wire::{Message, News, Reply, Row, Topic},
     state::Front,
-    wire::{Message, News, Reply, Row, Topic},
+    store::{
+        sources::{Failing, Source, Sources},
+        timeouts,
+        topic_cache::TopicCache,
+    },
 };
 
 /// How long one call to the store waits for changes. Keys are honoured for less than five seconds
@@ -62,7 +65,7 @@
     front: Arc<Front>,
     store: Arc<dyn Store>,
     topic: Topic,
-    shelf: Arc<Shelf>,
+    cache: Arc<TopicCache>,
     sources: Sources,
     /// When the first of the failures in a row came.
     lost: Option<Moment>,
@@ -75,7 +78,7 @@
     #[must_use]
     pub fn new(front: Arc<Front>, store: Arc<dyn Store>, topic: Topic) -> Self {
         Self {
-            shelf: front.shelf(topic),
+            cache: front.cache(topic),
             sources: Sources::new(fastrand::Rng::new()),
             front,
             store,
@@ -135,26 +138,26 @@
     /// follow each other, each content with what the other had from it.
     fn is_newer(&self, source: &Source, told: &Told) -> bool {
         *source == Source::Store
-            || Some(told.news.version) > self.shelf.version()
-            || self.shelf.read().is_none_or(|known| told.read > known)
+            || Some(told.news.version) > self.cache.version()
+            || self.cache.read().is_none_or(|known| told.read > known)
     }
 
     /// Asks a source.
     async fn ask(&self, source: &Source) -> Result<Told, StoreError> {
         let sent = boot_time();
-        let after = self.shelf.version();
+        let after = self.cache.version();
         match source {
             Source::Store => {
                 // One that lost the store, or has just started, does not wait for changes.
                 let news = match after {
                     Some(_) if !self.sources.hurries() => {
-                        follow(&self.store, self.topic, after, STORE_WAIT, patience::FOLLOW).await
+                        follow(&self.store, self.topic, after, STORE_WAIT, timeouts::FOLLOW).await
                     }
                     after => {
                         let patience = if self.front.cfg.decisions.parts.patience_varies {
-                            patience::when_lost(self.sources.store_failures())
+                            timeouts::when_lost(self.sources.store_failures())
                         } else {
-                            patience::READ
+                            timeouts::READ
                         };
                         follow(&self.store, self.topic, after, Duration::ZERO, patience).await
                     }
@@ -175,9 +178,9 @@
     /// the peer tells everything: asked again and again, the store would be called without end.
     async fn catch_up(&self, peer: &InstanceId, from: u64) -> Result<Told, StoreError> {
         let sent = boot_time();
-        let after = self.shelf.version().unwrap_or_default();
+        let after = self.cache.version().unwrap_or_default();
         let wait = Duration::ZERO;
-        let news = self.store.follow(self.topic, after, wait, patience::FOLLOW);
+        let news = self.store.follow(self.topic, after, wait, timeouts::FOLLOW);
         match news.await {
             Ok(news) if news.version >= from => Ok(Told {
                 news,
@@ -216,7 +219,7 @@
     }
 
     fn take(&self, told: &Told) {
-        let mut changed = self.shelf.take(&told.news, told.read);
+        let mut changed = self.cache.take(&told.news, told.read);
         let now = boot_time();
         // A dropped row may stand for a listing that lapsed; take them last, for the same answer
         // may list others.
@@ -227,7 +230,7 @@
         for change in self.front.view.expire_lapsed(now) {
             act(&self.front, change);
         }
-        let Some(read) = self.shelf.read() else {
+        let Some(read) = self.cache.read() else {
             return;
         };
         match self.topic {
@@ -278,7 +281,7 @@
 
     fn regain(&mut self) {
         self.sources.served();
-        self.shelf.set_lost(self.sources.has_none());
+        self.cache.set_lost(self.sources.has_none());
         self.set_lost(false);
         let Some(lost) = self.lost.take() else {
             return;
@@ -301,7 +304,7 @@
     async fn fail(&mut self, source: &Source, how: Failing, error: &StoreError) {
         let rounds = self.sources.rounds();
         let round_over = self.sources.failed(source, how);
-        self.shelf.set_lost(self.sources.has_none());
+        self.cache.set_lost(self.sources.has_none());
         if !round_over {
             return;
         }
@@ -331,7 +334,7 @@
         return store.read(topic, patience).await;
     };
     match store.follow(topic, after, wait, wait + patience).await {
-        Err(StoreError::HistoryGone) => store.read(topic, patience::READ).await,
+        Err(StoreError::HistoryGone) => store.read(topic, timeouts::READ).await,
         news => news,
     }
 }
@@ -360,8 +363,12 @@
             emit(&Event::TargetLeaving {
                 target: Arc::clone(&target.id),
             });
-            workers::spawn(leaving::tell_owner(Arc::clone(front), Arc::clone(&target))).detach();
-            workers::spawn(leaving::empty(Arc::clone(front), target)).detach();
+            workers::spawn(evacuation::tell_owner(
+                Arc::clone(front),
+                Arc::clone(&target),
+            ))
+            .detach();
+            workers::spawn(evacuation::empty(Arc::clone(front), target)).detach();
         }
         Change::Reborn(target) => {
             emit(&Event::TargetReborn {
--- a/components/front/src/sources.rs
+++ b/components/front/src/store/sources.rs
@@ -1,6 +1,6 @@
 //! Where an instance follows a topic of the store: at the store, or at another instance. No I/O.
 //!
-//! Who follows whom while all goes well is the tree of [`crate::fanout`]. Which source comes next
+//! Who follows whom while all goes well is the tree of [`crate::store::fanout`]. Which source comes next
 //! when one fails decides how soon everybody knows again, and how many calls that costs: on eighty
 //! instances a single round in which each asks the store itself costs as much as ten seconds of
 //! following.
@@ -11,7 +11,7 @@
 use fastrand::Rng;
 use types::{InstanceId, Moment};
 
-use crate::fanout::{Place, Ranking, Role, place};
+use crate::store::fanout::{Place, Ranking, Role, place};
 
 /// Failures of the store in a row after which a follower takes it for lost to all. One alone may be
 /// a connection that was cut.
--- a/components/front/src/shelf.rs
+++ b/components/front/src/store/topic_cache.rs
@@ -8,7 +8,7 @@
 use timer::{Timer, boot_time};
 use types::Moment;
 
-use crate::wire::{News, Row};
+use crate::instances::wire::{News, Row};
 
 /// How long it is remembered that a row was dropped. One who follows from further back is told
 /// everything anew.
@@ -32,11 +32,11 @@
 
 /// The rows of one topic.
 #[derive(Debug, Default)]
-pub struct Shelf {
+pub struct TopicCache {
     rows: Mutex<Rows>,
 }
 
-impl Shelf {
+impl TopicCache {
     /// Knows nothing.
     #[must_use]
     pub fn new() -> Self {
@@ -118,7 +118,7 @@
         Some((news, read))
     }
 
-    /// Waits until the shelf was confirmed or changed, or lost its source, at most this long.
+    /// Waits until the cache was confirmed or changed, or lost its source, at most this long.
     pub async fn wait(&self, limit: Duration) {
         let rx = self.waiter();
         // Whether it was confirmed or not, the one who waits gets what there is.
--- a/components/front/tests/aims.rs
+++ b/components/front/tests/aims.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use front::{Asked, call::Call};
+use front::{Asked, callers::call::Call};
 use timer::boot_time;
 use view::{Kind, Route, Service};
 
--- a/components/front/tests/decisions.rs
+++ b/components/front/tests/decisions.rs
@@ -4,10 +4,12 @@
 
 use front::{
     SaidLoad,
-    budget::Budget,
-    choice::{Choice, connection_share},
-    cold::ColdTargets,
-    split::{Event, Splitter},
+    generations::split::{Event, Splitter},
+    plain_calls::{
+        budget::Budget,
+        choice::{Choice, connection_share},
+        cold::ColdTargets,
+    },
 };
 use proptest::prelude::*;
 use types::{ServiceId, Standing};
--- a/components/front/tests/drain.rs
+++ b/components/front/tests/drain.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use front::drain::Schedule;
+use front::callers::drain::Schedule;
 use proptest::prelude::*;
 
 /// Time that may pass before a signal is noticed, and after the last answer.
--- a/components/front/tests/fanout.rs
+++ b/components/front/tests/fanout.rs
@@ -8,7 +8,7 @@
 };
 
 use fastrand::Rng;
-use front::{
+use front::store::{
     fanout::{Place, Ranking, Role, place},
     sources::{Failing, Source, Sources},
 };
--- a/components/front/tests/joining.rs
+++ b/components/front/tests/joining.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, sync::Arc};
 
 use fastrand::Rng;
-use front::joining::{greeted, looks_again};
+use front::instances::joining::{greeted, looks_again};
 use placing::{Candidate, ranked};
 use types::InstanceId;
 
--- a/components/front/tests/peers.rs
+++ b/components/front/tests/peers.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use front::{Member, peers::Peers, wire::Reply};
+use front::{
+    Member,
+    instances::{peers::Peers, wire::Reply},
+};
 use net::Client;
 
 fn member(name: &str, born: u64) -> Member {
--- a/components/front/tests/ignorance.rs
+++ b/components/front/tests/retry_after.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use front::ignorance::come_back_after;
+use front::callers::retry_after::come_back_after;
 
 const PATIENT: Option<Duration> = Some(Duration::from_secs(36));
 
--- a/components/front/tests/silence.rs
+++ b/components/front/tests/silence.rs
@@ -4,7 +4,7 @@
 
 use front::{
     EngineReport, EngineState, RunReport,
-    silence::{Evidence, QUIET, Silence, Verdict},
+    generations::silence::{Evidence, QUIET, Silence, Verdict},
 };
 use placing::Report;
 use proptest::prelude::*;
--- a/components/front/tests/sources.rs
+++ b/components/front/tests/sources.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use fastrand::Rng;
-use front::{
+use front::store::{
     fanout::{READERS, Ranking},
     sources::{Failing, Source, Sources},
 };
--- a/components/front/tests/patience.rs
+++ b/components/front/tests/timeouts.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use front::patience::{READ, when_lost};
+use front::store::timeouts::{READ, when_lost};
 
 /// The store is silent, and comes back at any moment. A call that was made before is never answered;
 /// callers are kept out until the next one is made.
--- a/components/front/tests/shelf.rs
+++ b/components/front/tests/topic_cache.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use front::{News, Row, shelf::Shelf};
+use front::{News, Row, store::topic_cache::TopicCache};
 use proptest::prelude::*;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -35,63 +35,63 @@
 
 #[test]
 fn what_a_whole_read_does_not_name_is_dropped() {
-    let shelf = Shelf::new();
-    shelf.take(
+    let cache = TopicCache::new();
+    cache.take(
         &whole(5, vec![row("a", Some("1"), 3), row("b", Some("2"), 5)]),
         SECOND,
     );
-    let changed = shelf.take(&whole(9, vec![row("b", Some("2"), 5)]), 2 * SECOND);
+    let changed = cache.take(&whole(9, vec![row("b", Some("2"), 5)]), 2 * SECOND);
     assert_eq!(changed, [row("a", None, 9)]);
-    assert_eq!(shelf.version(), Some(9));
+    assert_eq!(cache.version(), Some(9));
 }
 
 /// A reader has read everything at version 9, and a follower knows version 7. What was dropped between
 /// the reader can't tell; told everything instead, a hundred followers fill a narrow link for seconds.
 #[test]
 fn a_whole_read_does_not_reach_further_back() {
-    let shelf = Shelf::new();
-    shelf.take(&whole(9, vec![row("a", Some("1"), 3)]), SECOND);
-    shelf.take(&changes(9, 12, vec![row("b", Some("2"), 12)]), 2 * SECOND);
-    assert_eq!(shelf.tells_from(), 9);
+    let cache = TopicCache::new();
+    cache.take(&whole(9, vec![row("a", Some("1"), 3)]), SECOND);
+    cache.take(&changes(9, 12, vec![row("b", Some("2"), 12)]), 2 * SECOND);
+    assert_eq!(cache.tells_from(), 9);
 }
 
 /// Changes come that begin further on than what is known, as after a lost answer. Taken, a row
 /// that changed between would be missed for good, a key that was taken away, say.
 #[test]
 fn changes_after_a_gap_are_not_taken() {
-    let shelf = Shelf::new();
-    shelf.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
-    let changed = shelf.take(&changes(7, 8, vec![row("b", Some("2"), 8)]), 2 * SECOND);
+    let cache = TopicCache::new();
+    cache.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
+    let changed = cache.take(&changes(7, 8, vec![row("b", Some("2"), 8)]), 2 * SECOND);
     assert!(changed.is_empty());
-    assert_eq!(shelf.version(), Some(5));
+    assert_eq!(cache.version(), Some(5));
     // Nor does it confirm what is known.
-    assert_eq!(shelf.read(), Some(SECOND));
+    assert_eq!(cache.read(), Some(SECOND));
 }
 
 /// A peer that lies behind answers after one that does not.
 #[test]
 fn older_news_changes_and_confirms_nothing() {
-    let shelf = Shelf::new();
-    shelf.take(&whole(9, vec![row("a", Some("new"), 9)]), SECOND);
-    let changed = shelf.take(&whole(4, vec![row("a", Some("old"), 4)]), 5 * SECOND);
+    let cache = TopicCache::new();
+    cache.take(&whole(9, vec![row("a", Some("new"), 9)]), SECOND);
+    let changed = cache.take(&whole(4, vec![row("a", Some("old"), 4)]), 5 * SECOND);
     assert!(changed.is_empty());
-    assert_eq!(shelf.read(), Some(SECOND));
+    assert_eq!(cache.read(), Some(SECOND));
 }
 
 #[test]
 fn news_is_what_the_asker_lacks() {
-    let shelf = Shelf::new();
-    assert!(shelf.news(None).is_none());
-    shelf.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
-    shelf.take(&changes(5, 6, vec![row("b", Some("2"), 6)]), 2 * SECOND);
-    let (news, read) = shelf.news(Some(5)).expect("news");
+    let cache = TopicCache::new();
+    assert!(cache.news(None).is_none());
+    cache.take(&whole(5, vec![row("a", Some("1"), 3)]), SECOND);
+    cache.take(&changes(5, 6, vec![row("b", Some("2"), 6)]), 2 * SECOND);
+    let (news, read) = cache.news(Some(5)).expect("news");
     assert_eq!(news, changes(5, 6, vec![row("b", Some("2"), 6)]));
     assert_eq!(read, 2 * SECOND);
-    let (news, _) = shelf.news(None).expect("news");
+    let (news, _) = cache.news(None).expect("news");
     assert!(news.whole);
     assert_eq!(news.rows.len(), 2);
     // One who knows more than this instance, from a store that was set back, is told everything.
-    let (news, _) = shelf.news(Some(70)).expect("news");
+    let (news, _) = cache.news(Some(70)).expect("news");
     assert!(news.whole);
 }
 
@@ -118,7 +118,7 @@
         history in prop::collection::vec((0..5_u8, prop::option::of(any::<u8>())), 1..25),
         steps in prop::collection::vec((0..4_u8, any::<prop::sample::Index>(), any::<bool>()), 1..40),
     ) {
-        let shelves = [Shelf::new(), Shelf::new()];
+        let shelves = [TopicCache::new(), TopicCache::new()];
         let mut read = SECOND;
         for (step, at, first) in steps {
             read += SECOND;
@@ -165,15 +165,15 @@
 #[test]
 fn who_waits_is_woken_when_the_source_is_lost() {
     smol::block_on(async {
-        let shelf = Arc::new(Shelf::new());
+        let cache = Arc::new(TopicCache::new());
         let waiter = {
-            let shelf = Arc::clone(&shelf);
-            smol::spawn(async move { shelf.wait(Duration::from_secs(60)).await })
+            let cache = Arc::clone(&cache);
+            smol::spawn(async move { cache.wait(Duration::from_secs(60)).await })
         };
         // Until it waits, a wake-up would pass unheard.
         while !waiter.is_finished() {
-            shelf.set_lost(true);
-            shelf.set_lost(false);
+            cache.set_lost(true);
+            cache.set_lost(false);
             smol::Timer::after(Duration::from_millis(5)).await;
         }
     });
--- a/tests/platform/starting.rs
+++ b/tests/platform/starting.rs
@@ -4,8 +4,10 @@
 
 use front::{
     Member, Topic,
-    peers::Peers,
-    wire::{Message, Reply},
+    instances::{
+        peers::Peers,
+        wire::{Message, Reply},
+    },
 };
 use net::Client;
 use timer::Timer;
