Ask the relays until they are up after a start of all, and leave the store soon after a silent peer

Now an instance that knows nothing asks its peer again every 40 ms for up to 0.7 s after its start, and that peer is not taken for dead. Only where a peer answered and had lost the store is another source kept for a while; a silent one is left out of the ranking, and the next is as good as it was. At a first start seeds are greeted at once and asked 0.35 s later.

--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -30,6 +30,8 @@
 /// some of them only; those that know other parts of all have other owners, and engines are filled
 /// twice for as long as that lasts.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
+/// Time in which all instances of a first start are up.
+const FIRST_START: Duration = Duration::from_millis(350);
 /// Tries to reach an instance that the settings name; all start at about the same time.
 const SEED_TRIES: usize = 5;
 /// Time before the store is asked again for the members, when it failed.
@@ -47,14 +49,27 @@
 /// from instances that the settings name.
 pub async fn meet(front: Arc<Front>, store: Arc<dyn Store>) {
     let first = look(&front, &store).await;
-    if first.as_ref().is_none_or(|look| !look.others) {
-        for seed in front.cfg.seeds.clone() {
-            workers::spawn(greet_seed(Arc::clone(&front), seed)).detach();
+    match &first {
+        Some(look) if !look.others && !front.cfg.seeds.is_empty() => {
+            // All start for the first time. Once each has greeted the seeds these know nearly all.
+            let front = Arc::clone(&front);
+            let first_start = async move {
+                for seed in front.cfg.seeds.clone() {
+                    let hello = hello(&front, false);
+                    // One that is not up yet is greeted again below.
+                    let _ = front.peers.exchange(seed, &hello, SYNC_PATIENCE).await;
+                }
+                smol::Timer::after(FIRST_START).await;
+                greet_seeds(&front);
+            };
+            workers::spawn(first_start).detach();
+        }
+        Some(_) => front.introduced.open(),
+        None => {
+            // Whoever follows the store must find another source at once.
+            front.introduced.open();
+            greet_seeds(&front);
         }
-    }
-    if first.as_ref().is_none_or(|look| look.others) {
-        // One that has lost the store must find another source at once.
-        front.introduced.open();
     }
     let listed = first.is_some_and(|look| look.lists_me);
     if !listed {
@@ -73,6 +88,12 @@
     }
 }
 
+fn greet_seeds(front: &Arc<Front>) {
+    for seed in front.cfg.seeds.clone() {
+        workers::spawn(greet_seed(Arc::clone(front), seed)).detach();
+    }
+}
+
 async fn announce(front: &Front, store: &Arc<dyn Store>) {
     while store.announce(front.peers.me()).await.is_err() {
         pause_after_failure().await;
@@ -127,10 +148,7 @@
 
 /// Makes this instance known to one that the settings name, and learns of others from it.
 pub async fn greet_seed(front: Arc<Front>, seed: SocketAddr) {
-    let message = Message::Hello {
-        member: front.peers.me().clone(),
-        asks: true,
-    };
+    let message = hello(&front, true);
     for _ in 0..SEED_TRIES {
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
@@ -153,11 +171,15 @@
     }
 }
 
-async fn say_hello(front: &Front, peer: &InstanceId) {
-    let message = Message::Hello {
+fn hello(front: &Front, asks: bool) -> Message {
+    Message::Hello {
         member: front.peers.me().clone(),
-        asks: false,
-    };
+        asks,
+    }
+}
+
+async fn say_hello(front: &Front, peer: &InstanceId) {
+    let message = hello(front, false);
     // Whether it answers is noted with the peer; there is nothing else to learn from it.
     let _ = front.peers.call(peer, &message, SYNC_PATIENCE).await;
 }
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -237,11 +237,7 @@
         message: &Message,
         patience: Duration,
     ) -> Option<Reply> {
-        let (addr, here) = {
-            let known = self.known.lock();
-            let member = &known.get(to)?.member;
-            (member.addr, member.data_centre == self.me.data_centre)
-        };
+        let (addr, here) = self.way_to(to)?;
         match self.exchange_with(addr, here, message, patience).await {
             Ok(reply) => {
                 self.answered(to);
@@ -254,6 +250,30 @@
         }
     }
 
+    /// Sends a message to a peer that may have started at this moment too: no answer says nothing
+    /// about it.
+    pub async fn try_call(
+        &self,
+        to: &InstanceId,
+        message: &Message,
+        patience: Duration,
+    ) -> Option<Reply> {
+        let (addr, here) = self.way_to(to)?;
+        let reply = self
+            .exchange_with(addr, here, message, patience)
+            .await
+            .ok()?;
+        self.answered(to);
+        Some(reply)
+    }
+
+    /// Where a peer listens, and whether it is in this data centre.
+    fn way_to(&self, id: &InstanceId) -> Option<(SocketAddr, bool)> {
+        let known = self.known.lock();
+        let member = &known.get(id)?.member;
+        Some((member.addr, member.data_centre == self.me.data_centre))
+    }
+
     /// Sends a message to an address, whoever listens there.
     ///
     /// # Errors
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -20,7 +20,7 @@
     face::{Record, Store, StoreError},
     generations::evacuation,
     instances::wire::{Message, News, Reply, Row, Topic},
-    state::Front,
+    state::{Front, age},
     store::{
         sources::{Failing, Source, Sources},
         timeouts,
@@ -49,7 +49,11 @@
 /// The longest pause after failed calls in a row.
 const PAUSE_MOST: Duration = Duration::from_millis(600);
 /// How long an instance that has just started waits until it knows the others.
-const INTRODUCTION: Duration = Duration::from_millis(400);
+const INTRODUCTION: Duration = Duration::from_millis(600);
+/// How long after its start an instance asks a peer that does not answer yet.
+const STARTING: Duration = Duration::from_millis(700);
+/// Pause between two questions to such a peer.
+const STARTING_PAUSE: Duration = Duration::from_millis(40);
 
 /// What a source has told.
 struct Told {
@@ -200,7 +204,10 @@
             wait,
         };
         let patience = wait + PEER_PATIENCE;
-        let reply = self.front.peers.call(peer, &message, patience).await;
+        let reply = match self.ask_while_starting(peer, &message, patience).await {
+            Some(reply) => Some(reply),
+            None => self.front.peers.call(peer, &message, patience).await,
+        };
         match reply {
             Some(Reply::News {
                 news,
@@ -218,6 +225,24 @@
         }
     }
 
+    /// Asks a peer until it knows something, for a short while after the start: those that started
+    /// together with this instance are up a little earlier or later.
+    async fn ask_while_starting(
+        &self,
+        peer: &InstanceId,
+        message: &Message,
+        patience: Duration,
+    ) -> Option<Reply> {
+        while self.cache.version().is_none() && age(self.front.since) < STARTING {
+            match self.front.peers.try_call(peer, message, patience).await {
+                None | Some(Reply::Nothing) => {}
+                reply => return reply,
+            }
+            smol::Timer::after(STARTING_PAUSE).await;
+        }
+        None
+    }
+
     fn take(&self, told: &Told) {
         let mut changed = self.cache.take(&told.news, told.read);
         let now = boot_time();
--- a/components/front/src/store/sources.rs
+++ b/components/front/src/store/sources.rs
@@ -110,8 +110,10 @@
         }
         self.draw_third(me, &ranking.all);
         let source = self.untried().unwrap_or(Source::Store);
-        let first = self.tried.is_empty();
-        self.current = (!first).then(|| (source.clone(), now));
+        // Where a peer was silent it is left out from now on, and the next one is as good as it was.
+        // One that answers and has lost the store would be asked in vain again and again.
+        let stale = self.tried.iter().any(|(_, how)| *how == Failing::Stale);
+        self.current = stale.then(|| (source.clone(), now));
         source
     }
 
