Tell all members to one who asks with a mark of a former life; one gate for the end of a life too

Found by reading: an instance that starts again counts its marks from the beginning, and is not announced again where its listing still holds. Who had kept a larger mark was told no member that it has heard since, until its next answer. The test in front/tests/peers.rs fails on the code before. `Ending` repeated what `Gate` does; it uses it now.

--- a/components/front/src/callers/shutdown.rs
+++ b/components/front/src/callers/shutdown.rs
@@ -2,27 +2,19 @@
 
 use std::time::Duration;
 
-use async_channel::{Receiver, Sender, bounded};
 use parking_lot::Mutex;
 use timer::boot_time;
 use types::Moment;
 
+use crate::gate::Gate;
+
 /// The end of an instance's life.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Ending {
     /// Until when it serves what it has taken, once it was told to stop.
     at: Mutex<Option<Moment>>,
-    /// Closed once what is still open is given up.
-    over: (Sender<()>, Receiver<()>),
-}
-
-impl Default for Ending {
-    fn default() -> Self {
-        Self {
-            at: Mutex::default(),
-            over: bounded(1),
-        }
-    }
+    /// Open once what is still at work is given up.
+    over: Gate,
 }
 
 impl Ending {
@@ -40,12 +32,11 @@
 
     /// Gives up what is still at work: requests get an answer of our own, streams are cut.
     pub fn give_up(&self) {
-        self.over.0.close();
+        self.over.open();
     }
 
     /// Waits until what is still at work is given up.
     pub async fn over(&self) {
-        // Nothing is ever sent; it fails once the channel is closed.
-        let _ = self.over.1.recv().await;
+        self.over.passed().await;
     }
 }
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -137,10 +137,12 @@
     }
 
     /// Members that were heard lately, this one included, and that one who knows all up to a mark
-    /// may not know. With three hundred instances the whole list in each reply was most of all bytes
-    /// between them.
+    /// may not know. The whole list in each reply would grow with the square of their number.
     #[must_use]
     pub fn members_after(&self, mark: u64) -> Reply {
+        let newest = self.newest.load(Ordering::Acquire);
+        // A mark from this instance's former life says nothing about this one.
+        let mark = if mark > newest { 0 } else { mark };
         let oldest = boot_time().saturating_sub(HEARD_LATELY);
         let known = self.known.lock();
         let heard = known
@@ -152,7 +154,7 @@
         }
         Reply::Members {
             members,
-            mark: self.newest.load(Ordering::Acquire),
+            mark: newest,
         }
     }
 
--- a/components/front/tests/peers.rs
+++ b/components/front/tests/peers.rs
@@ -52,3 +52,12 @@
     peers.heard(member("i-1", 2));
     assert_eq!(told(&peers, mark).0, ["i-1"]);
 }
+
+/// An owner starts again and counts from the beginning; who kept its mark from before was told nothing
+/// of the members that it has heard since.
+#[test]
+fn who_asks_with_a_mark_of_a_former_life_is_told_all() {
+    let peers = Peers::new(member("i-0", 2), Client::new());
+    peers.heard(member("i-1", 1));
+    assert_eq!(told(&peers, 300).0, ["i-1", "i-0"]);
+}
