Tell newcomers who leads, not all members

At a first start of 195 each asked three seeds for all members: 19 kB a reply, 3.7 MB from one instance with a link of 20 Mbit/s, so the answers came after followers had stopped waiting and read the store themselves.

--- a/components/front/src/instances/message.rs
+++ b/components/front/src/instances/message.rs
@@ -64,7 +64,7 @@
             Message::Hello { member, asks } => {
                 front.peers.heard(member);
                 if asks {
-                    front.peers.members_after(0)
+                    front.peers.leading()
                 } else {
                     Reply::Noted
                 }
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -1,7 +1,7 @@
 //! The other instances: who they are, who answers, and calls to them.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc,
@@ -22,7 +22,10 @@
 use types::{InstanceId, Moment};
 
 use crate::{
-    instances::wire::{Member, Message, Reply, Topic},
+    instances::{
+        joining::GREETED,
+        wire::{Member, Message, Reply, Topic},
+    },
     metrics::Exchange,
     store::fanout::Ranking,
 };
@@ -158,6 +161,21 @@
         }
     }
 
+    /// Members at the heads of the orders of readers. A newcomer finds sources and owners with these,
+    /// and the rest at its first sync; told all, hundreds that start together would fill a narrow
+    /// link for seconds.
+    #[must_use]
+    pub fn leading(&self) -> Reply {
+        let orders = [Topic::Operator, Topic::Targets].map(|topic| self.readers(topic));
+        let heads = orders.iter().flat_map(|order| order.iter().take(GREETED));
+        let heads: BTreeSet<&InstanceId> = heads.collect();
+        let known = self.known.lock();
+        let others = heads.iter().filter_map(|id| known.get(*id));
+        let mut members: Vec<Member> = others.map(|known| known.member.clone()).collect();
+        members.push(self.me.clone());
+        Reply::Members { members, mark: 0 }
+    }
+
     /// The mark up to which a member has told of others.
     #[must_use]
     pub fn mark_of(&self, id: &InstanceId) -> u64 {
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -112,7 +112,7 @@
     Hello {
         /// The member.
         member: Member,
-        /// Whether it wants to be told of the others.
+        /// Whether it wants to be told who leads.
         asks: bool,
     },
     /// A question for what is new on a topic.
@@ -149,7 +149,7 @@
     Answer(Answer),
     /// To notes, and to a hello that asks nothing.
     Noted,
-    /// To a sync, or a hello that asks: members that were heard lately.
+    /// To a sync: members that were heard lately; to a hello that asks: those that lead.
     Members {
         /// Those that the asker may not know.
         members: Vec<Member>,
