--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -52,17 +52,21 @@
     match &first {
         Some(look) if !look.others && !front.cfg.seeds.is_empty() => {
             // All start for the first time. Once each has greeted the seeds these know nearly all.
-            let front = Arc::clone(&front);
-            let first_start = async move {
-                for seed in front.cfg.seeds.clone() {
-                    let hello = hello(&front, false);
+            for seed in front.cfg.seeds.clone() {
+                let front = Arc::clone(&front);
+                let greeting = async move {
                     // One that is not up yet is greeted again below.
+                    let hello = hello(&front, false);
                     let _ = front.peers.exchange(seed, &hello, SYNC_PATIENCE).await;
-                }
+                };
+                workers::spawn(greeting).detach();
+            }
+            let front = Arc::clone(&front);
+            let asking = async move {
                 smol::Timer::after(FIRST_START).await;
                 greet_seeds(&front);
             };
-            workers::spawn(first_start).detach();
+            workers::spawn(asking).detach();
         }
         Some(_) => front.introduced.open(),
         None => {
