--- a/components/front/src/instances/joining.rs
+++ b/components/front/src/instances/joining.rs
@@ -1,8 +1,8 @@
 //! Whom an instance that has started greets, and who looks for other instances again. No I/O.
 //!
-//! Hundreds of instances start together after a loss of power. Each call to the store has its price,
-//! and greetings of all by all grow with the square of their number. An instance that owns nothing
-//! and reads for nobody is known early enough by its first sync.
+//! All instances start together after a loss of power. Greetings of all by all would be O(n²), and
+//! looks of all at the list O(n) calls to the store. An instance that owns nothing and reads for
+//! nobody is known early enough by its first sync.
 
 use std::collections::BTreeSet;
 
--- a/components/front/src/instances/message.rs
+++ b/components/front/src/instances/message.rs
@@ -97,8 +97,7 @@
         let arrived = boot_time();
         let cache = self.front.cache(topic);
         if cache.read().is_none() {
-            // Both have just started: told at once that nothing is known, the asker would turn to
-            // the store, and hundreds with it.
+            // Both have just started; told that nothing is known, the asker would turn to the store.
             cache.wait(wait.min(FIRST_NEWS)).await;
         }
         let fresh = cache.read().is_some_and(|read| age(read) < PEER_AGE);
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -162,8 +162,7 @@
     }
 
     /// Members at the heads of the orders of readers. A newcomer finds sources and owners with these,
-    /// and the rest at its first sync; told all, hundreds that start together would fill a narrow
-    /// link for seconds.
+    /// and the rest at its first sync. The whole list for each of n newcomers would be O(n²) bytes.
     #[must_use]
     pub fn leading(&self) -> Reply {
         let orders = [Topic::Operator, Topic::Targets].map(|topic| self.readers(topic));
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -124,9 +124,8 @@
         known && self.ending.left().is_none() && self.keys_fresh()
     }
 
-    /// Waits a little, right after the start, until it knows enough to take callers. All that start
-    /// together get there within some hundred milliseconds, and callers of requests that may run
-    /// only once come back once at most.
+    /// Waits, right after the start, until it knows enough to take callers: a short wait spares them
+    /// one of their few retries.
     pub async fn informed_at_start(&self) {
         let left = START_PATIENCE.saturating_sub(age(self.since));
         if !left.is_zero() {
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -94,7 +94,7 @@
 
     /// Follows.
     pub async fn run(mut self) {
-        // One that knows nobody yet would read the store itself, and hundreds start together.
+        // An instance that knows no other would read the store itself: O(n) calls at a cold start.
         let introduced = self.front.introduced.passed();
         let _ = Timer::new().within(INTRODUCTION, introduced).await;
         let parts = self.front.cfg.decisions.parts;
@@ -176,9 +176,8 @@
         }
     }
 
-    /// Asks the store for what a peer can tell from a version on only. After a start of all at once the
-    /// readers have read later than most; told everything by them, a hundred instances would wait for
-    /// seconds behind a narrow link. Where the store does not tell either, or lies behind the peer,
+    /// Asks the store for what a peer can tell from a later version on only: a whole topic for each
+    /// follower would fill a peer's link. Where the store does not tell either, or lies behind the peer,
     /// the peer tells everything: asked again and again, the store would be called without end.
     async fn catch_up(&self, peer: &InstanceId, from: u64) -> Result<Told, StoreError> {
         let sent = boot_time();
--- a/components/front/src/store/sources.rs
+++ b/components/front/src/store/sources.rs
@@ -1,9 +1,7 @@
 //! Where an instance follows a topic of the store: at the store, or at another instance. No I/O.
 //!
 //! Who follows whom while all goes well is the tree of [`crate::store::fanout`]. Which source comes next
-//! when one fails decides how soon everybody knows again, and how many calls that costs: on eighty
-//! instances a single round in which each asks the store itself costs as much as ten seconds of
-//! following.
+//! when one fails decides how soon all know again, and how many calls to the store that costs.
 
 use std::time::Duration;
 
