--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -51,9 +51,11 @@
 /// How long an instance that has just started waits until it knows the others.
 const INTRODUCTION: Duration = Duration::from_millis(600);
 /// How long after its start an instance asks a peer that does not answer yet.
-const STARTING: Duration = Duration::from_millis(700);
-/// Pause between two questions to such a peer.
-const STARTING_PAUSE: Duration = Duration::from_millis(40);
+const STARTING: Duration = Duration::from_millis(150);
+/// Time for such a peer to answer.
+const STARTING_PATIENCE: Duration = Duration::from_millis(100);
+/// Pause between two questions to it.
+const STARTING_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a source has told.
 struct Told {
@@ -203,9 +205,10 @@
             wait,
         };
         let patience = wait + PEER_PATIENCE;
-        let reply = match self.ask_while_starting(peer, &message, patience).await {
-            Some(reply) => Some(reply),
-            None => self.front.peers.call(peer, &message, patience).await,
+        let reply = if self.cache.version().is_none() && age(self.front.since) < STARTING {
+            self.ask_while_starting(peer, &message).await
+        } else {
+            self.front.peers.call(peer, &message, patience).await
         };
         match reply {
             Some(Reply::News {
@@ -224,16 +227,12 @@
         }
     }
 
-    /// Asks a peer until it knows something, for a short while after the start: those that started
-    /// together with this instance are up a little earlier or later.
-    async fn ask_while_starting(
-        &self,
-        peer: &InstanceId,
-        message: &Message,
-        patience: Duration,
-    ) -> Option<Reply> {
-        while self.cache.version().is_none() && age(self.front.since) < STARTING {
-            match self.front.peers.try_call(peer, message, patience).await {
+    /// Asks a peer until it knows something, for a short while after the start: it may be up a little
+    /// later. Callers wait meanwhile, so the store comes next soon.
+    async fn ask_while_starting(&self, peer: &InstanceId, message: &Message) -> Option<Reply> {
+        while age(self.front.since) < STARTING {
+            let peers = &self.front.peers;
+            match peers.try_call(peer, message, STARTING_PATIENCE).await {
                 None | Some(Reply::Nothing) => {}
                 reply => return reply,
             }
