Log what stays the same of a request, and targets that ended while they ran it

The record could not tell whether the requests under which engines ended were one and the same: each has an id of its own. 901 now bears a fingerprint (method, host, path with query, workspace, body), and 925 tells of each target that ended with a request in flight. A cut connection alone is no end: a target has ended if it refuses connections right after, or if its listing goes or is another life's without word that it leaves.

No decision changes.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -317,6 +317,8 @@
         id: Arc<str>,
         /// The target.
         target: TargetId,
+        /// What stays the same of it when it comes again.
+        fingerprint: Arc<str>,
         /// Which sending of this request it is, from 1.
         sending: u32,
         /// How long it was held before, in milliseconds.
@@ -570,4 +572,18 @@
         924, Warn, "{id}: the process ends without an answer to it, after {held_ms} ms",
         "Report it: an instance answers what it has read before it ends.",
     ),
+    /// A target ended while it ran a request.
+    TargetEnded {
+        /// The request's id.
+        id: Arc<str>,
+        /// What stays the same of the request when it comes again.
+        fingerprint: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// Events of its answer that had come.
+        events: u64,
+    } = (
+        925, Warn, "{id}: {target} ended while it ran this, after {events} events",
+        "Look for the same fingerprint at other targets: a request may crash what runs it.",
+    ),
 }
--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hyper::http;
 use net::Share;
-use placing::RequestDigest;
+use quarantine::Fingerprint;
 use timer::boot_time;
 use types::{Moment, WorkspaceId};
 use view::{Kind, Route, Service};
@@ -24,7 +24,7 @@
     /// What it asks.
     pub asked: Asked,
     /// What stays the same when its caller sends it again.
-    pub digest: RequestDigest,
+    pub fingerprint: Fingerprint,
     /// Its head as it came.
     pub head: http::request::Parts,
     /// Its body.
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -12,12 +12,11 @@
 use async_trait::async_trait;
 use hyper::{Request, Response, StatusCode, body::Incoming, http};
 use net::{Body, BodyError, Handler, Share, SharedError, read_shared};
-use placing::RequestDigest;
+use quarantine::Fingerprint;
 use smol::future;
 use timer::boot_time;
 use types::Moment;
 use view::{Identity, Kind};
-use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::{
     callers::{
@@ -192,14 +191,16 @@
             .and_then(|name| rules.service(name))
             .ok_or_else(|| ignorant("the route's service is not configured"))?;
         let left = asked.left.unwrap_or(route.timeout);
+        let rank = rank(&identity, route.rank);
+        let workspace = workspace(identity);
         Ok(Call {
-            rank: rank(&identity, route.rank),
-            workspace: workspace(identity),
+            rank,
+            fingerprint: fingerprint(&head, &asked.host, workspace.as_deref(), &body.bytes),
+            workspace,
             deadline: arrived + left,
             due: arrived + left.min(timeout(route.timeout)),
             route: Arc::clone(route),
             service: Arc::clone(service),
-            digest: digest(&asked, &body.bytes),
             asked,
             head,
             body: body.bytes,
@@ -212,14 +213,21 @@
 }
 
 /// What stays the same of a request when its caller sends it again: all but its id and the time
-/// that is left.
-fn digest(asked: &Asked, body: &[u8]) -> RequestDigest {
-    let mut hasher = Xxh3Default::new();
-    hasher.update(asked.host.as_bytes());
-    hasher.update(asked.path.as_bytes());
-    hasher.update(asked.key.as_deref().unwrap_or_default().as_bytes());
-    hasher.update(body);
-    hasher.digest()
+/// that is left. It belongs to the workspace, so that no other can bring it into disrepute.
+fn fingerprint(
+    head: &http::request::Parts,
+    host: &str,
+    workspace: Option<&str>,
+    body: &[u8],
+) -> Fingerprint {
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    Fingerprint::new(&[
+        head.method.as_str().as_bytes(),
+        host.as_bytes(),
+        path.as_bytes(),
+        workspace.unwrap_or_default().as_bytes(),
+        body,
+    ])
 }
 
 fn rank(identity: &Identity, route: u32) -> u32 {
--- a/components/front/src/generations/generation.rs
+++ b/components/front/src/generations/generation.rs
@@ -23,6 +23,7 @@
         relay::Relay,
         silence::{Silence, Verdict, look_into},
     },
+    quarantine::ends,
     send::{Sent, collect, send},
     state::Front,
 };
@@ -182,7 +183,7 @@
     let service = &call.service.name;
     Shard::with(
         Arc::clone(service),
-        &format!("{:x}", call.digest),
+        &call.fingerprint.to_string(),
         front.shard_count(service),
     )
 }
@@ -192,7 +193,7 @@
     let sizes = call.asked.sizes.unwrap_or(UNKNOWN_SIZES);
     Ask {
         run: Arc::clone(&call.asked.id),
-        digest: call.digest,
+        digest: call.fingerprint.short(),
         entry: Arc::clone(&front.cfg.instance),
         data_centre: Arc::clone(&front.cfg.data_centre),
         shard,
@@ -229,6 +230,7 @@
     emit(&Event::RequestSent {
         id: Arc::clone(&call.asked.id),
         target: Arc::clone(&target.id),
+        fingerprint: call.fingerprint.to_string().into(),
         sending,
         held_ms: millis(call.held()),
         left_ms: millis(call.left()),
@@ -267,7 +269,7 @@
 
 /// Waits until an engine that owes the first event is known to be gone. Its caller would wait for
 /// seconds otherwise, and learn no more.
-async fn until_gone(front: &Front, call: &Call, live: &Live) -> Sent {
+async fn until_gone(front: &Arc<Front>, call: &Call, live: &Live) -> Sent {
     if !front.cfg.decisions.parts.judges_silence {
         return future::pending().await;
     }
@@ -275,6 +277,7 @@
     loop {
         smol::Timer::after(silence.ask_at().saturating_sub(boot_time())).await;
         if look_into(front, live, &mut silence).await == Verdict::Gone {
+            ends::ended_under(front, call, &live.target(), live.events());
             return Sent::Unknown {
                 reason: "its engine is silent and not listed any more".into(),
                 late: false,
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -27,6 +27,7 @@
         silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
         split::Splitter,
     },
+    quarantine::ends,
     send::{Sent, send},
     state::Front,
 };
@@ -185,6 +186,7 @@
             Verdict::Wait => None,
             Verdict::Gone => {
                 self.place.doubt = true;
+                ends::ended_under(&self.front, &self.call, &live.target(), live.events());
                 Some(Stop::Cut(
                     "its engine is silent and not listed any more".into(),
                 ))
@@ -292,7 +294,9 @@
         if let Some(order) = self.outcome().await {
             return self.obey(Some(order), out).await;
         }
-        let Some((target, resume)) = self.place.live.take_copy() else {
+        let live = &self.place.live;
+        ends::look_into(&self.front, &self.call, &live.target(), live.events());
+        let Some((target, resume)) = live.take_copy() else {
             let fetches = self.front.cfg.decisions.parts.fetches_lost;
             if !fetches || !self.place.live.begin_carry() {
                 return Some(Stop::Cut(reason));
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod instances;
 pub mod metrics;
 pub mod plain_calls;
+pub mod quarantine;
 pub mod reload;
 pub mod run;
 pub mod send;
--- a/components/front/src/plain_calls/plain.rs
+++ b/components/front/src/plain_calls/plain.rs
@@ -15,6 +15,7 @@
         refuse::{Refusal, millis},
     },
     plain_calls::choice::connection_share,
+    quarantine::ends,
     send::{Sent, collect, log_failure, send},
     state::Front,
 };
@@ -96,7 +97,7 @@
 }
 
 /// Serves a plain call.
-pub async fn serve(front: &Front, call: &Call) -> Response<Body> {
+pub async fn serve(front: &Arc<Front>, call: &Call) -> Response<Body> {
     let mut tries = Tries::default();
     loop {
         if !may_try(front, call, &tries) {
@@ -179,11 +180,12 @@
     choice.pick(now, &targets, tried, near, fastrand::f64())
 }
 
-async fn attempt(front: &Front, call: &Call, target: &Target, sending: u32) -> Try {
+async fn attempt(front: &Arc<Front>, call: &Call, target: &Arc<Target>, sending: u32) -> Try {
     let _at = AtTarget::new(front, &target.id);
     emit(&Event::RequestSent {
         id: Arc::clone(&call.asked.id),
         target: Arc::clone(&target.id),
+        fingerprint: call.fingerprint.to_string().into(),
         sending,
         held_ms: millis(call.held()),
         left_ms: millis(call.left()),
@@ -208,6 +210,7 @@
                 Ok(resp) => answered(front, call, target, resp),
                 Err(reason) => {
                     log_failure(call, target, &reason, false);
+                    ends::look_into(front, call, target, 0);
                     front.choice.lock().failed(now, &target.id);
                     Try::Unknown {
                         reason,
--- /dev/null
+++ b/components/front/src/quarantine/ends.rs
@@ -0,0 +1,131 @@
+//! Finds out whether a target ended while it ran a request.
+//!
+//! A cut connection alone does not tell: a reset, a lost link and a planned leaving look the same at
+//! first. A target has ended if it refuses connections right after the cut, or if its listing goes or
+//! is another life's without any word that it leaves.
+
+use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use parking_lot::Mutex;
+use smol::net::TcpStream;
+use timer::{Timer, boot_time};
+use types::{Moment, TargetId};
+use view::Target;
+
+use crate::{callers::call::Call, state::Front};
+
+/// Time to connect to a target that may have ended.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Connections in a row that a target refuses if it has ended. One that has too many connections
+/// may refuse a single one.
+const REFUSALS: u32 = 2;
+/// Pause between two such connections.
+const CONNECT_AGAIN: Duration = Duration::from_millis(250);
+/// Time for the listing of a target that has ended to lapse, and for word of it to arrive.
+const LISTING_PATIENCE: Duration = Duration::from_millis(5_000);
+/// Time between two looks at the listing.
+const LOOK_AGAIN: Duration = Duration::from_millis(100);
+/// How long an end is remembered for other requests that the target ran.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
+/// One life of a target.
+type Life = (TargetId, Option<u64>);
+
+/// Targets that have ended lately.
+#[derive(Debug, Default)]
+pub struct Endings {
+    lately: Mutex<HashMap<Life, Moment>>,
+}
+
+impl Endings {
+    fn remember(&self, now: Moment, target: &Target) {
+        let mut lately = self.lately.lock();
+        lately.retain(|_, at| now.saturating_sub(*at) < REMEMBERED);
+        lately.insert(life(target), now);
+    }
+
+    fn knows(&self, target: &Target) -> bool {
+        self.lately.lock().contains_key(&life(target))
+    }
+}
+
+fn life(target: &Target) -> Life {
+    (Arc::clone(&target.id), target.born)
+}
+
+/// What the listings say of a target that was sent a request.
+enum Listed {
+    Same,
+    Leaving,
+    Gone,
+    Reborn,
+}
+
+/// Looks into whether a target has ended whose connection was lost while it ran a request; `events` of
+/// its answer had come. Does not keep the caller waiting.
+pub fn look_into(front: &Arc<Front>, call: &Call, target: &Arc<Target>, events: u64) {
+    // One that was about to leave has left.
+    if matches!(listed(front, target), Listed::Leaving | Listed::Gone) {
+        return;
+    }
+    let (front, target, call) = (Arc::clone(front), Arc::clone(target), call.clone());
+    let look = async move {
+        if has_ended(&front, &target).await {
+            ended_under(&front, &call, &target, events);
+        }
+    };
+    workers::spawn(look).detach();
+}
+
+/// Notes that a target ended while it ran a request.
+pub fn ended_under(front: &Arc<Front>, call: &Call, target: &Target, events: u64) {
+    front.endings.remember(boot_time(), target);
+    emit(&Event::TargetEnded {
+        id: Arc::clone(&call.asked.id),
+        fingerprint: call.fingerprint.to_string().into(),
+        target: Arc::clone(&target.id),
+        events,
+    });
+}
+
+async fn has_ended(front: &Front, target: &Target) -> bool {
+    if front.endings.knows(target) || refuses(target.addr).await {
+        return true;
+    }
+    let until = boot_time() + LISTING_PATIENCE;
+    while boot_time() < until {
+        match listed(front, target) {
+            Listed::Same => smol::Timer::after(LOOK_AGAIN).await,
+            Listed::Leaving => return false,
+            Listed::Gone | Listed::Reborn => return true,
+        };
+    }
+    false
+}
+
+fn listed(front: &Front, target: &Target) -> Listed {
+    match front.view.target(&target.id) {
+        None => Listed::Gone,
+        Some(now) if now.born != target.born => Listed::Reborn,
+        Some(now) if !now.takes_work() => Listed::Leaving,
+        Some(_) => Listed::Same,
+    }
+}
+
+/// Whether nothing listens at an address.
+async fn refuses(addr: SocketAddr) -> bool {
+    for number in 1..=REFUSALS {
+        let connected = Timer::new()
+            .within(CONNECT_LIMIT, TcpStream::connect(addr))
+            .await;
+        let refused = matches!(connected, Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
+        if !refused {
+            return false;
+        }
+        if number < REFUSALS {
+            smol::Timer::after(CONNECT_AGAIN).await;
+        }
+    }
+    true
+}
--- /dev/null
+++ b/components/front/src/quarantine/mod.rs
@@ -0,0 +1,3 @@
+//! Requests under which targets ended.
+
+pub mod ends;
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -12,6 +12,7 @@
 use crate::{
     callers::{call::Call, refuse::millis},
     face::{Heading, Resume, Sending},
+    quarantine::ends,
     state::Front,
 };
 
@@ -43,9 +44,9 @@
 
 /// Sends a call to a target, and waits at most `limit` for the head of an answer.
 pub async fn send(
-    front: &Front,
+    front: &Arc<Front>,
     call: &Call,
-    target: &Target,
+    target: &Arc<Target>,
     resume: Option<&Resume>,
     limit: Duration,
 ) -> Sent {
@@ -69,10 +70,13 @@
             late: true,
         },
         Some(Err(SendError::Unsent { reason })) => Sent::NotRun { reason },
-        Some(Err(SendError::Lost { reason })) => Sent::Unknown {
-            reason,
-            late: false,
-        },
+        Some(Err(SendError::Lost { reason })) => {
+            ends::look_into(front, call, target, 0);
+            Sent::Unknown {
+                reason,
+                late: false,
+            }
+        }
         Some(Ok(resp)) => judge(front, call, resp),
     };
     match &sent {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -23,6 +23,7 @@
     instances::{peers::Peers, wire::Topic},
     metrics::Metrics,
     plain_calls::{budget::Budget, choice::Choice, cold::ColdTargets},
+    quarantine::ends::Endings,
     store::topic_cache::TopicCache,
 };
 
@@ -68,6 +69,8 @@
     pub budget: Mutex<Budget>,
     /// Cold targets.
     pub cold: Mutex<ColdTargets>,
+    /// Targets that have ended lately.
+    pub endings: Endings,
     /// Bytes that bodies may hold together.
     pub bodies: net::Budget,
     /// The end of its life.
