Reject requests under which three targets ended, at all instances

Cause: an instance knew a request by its id alone and forgot it with its answer. What each saw, one cut stream, was never put together, and repeats came to another instance each time. An attempt that is sent again crashed a second target the same way. Class: what one instance learns of a request and the others must act on. Ruled out: our own repeats (no id was taken by two engines) and engines that can't bear their load (one eventless request on each of 22).

Change: a request is known by a digest of method, host, path, workspace and body. Evidence that a target ended under it goes to its two keepers, first in an order by the digest; three ends, one after the other, and all instances are told to send it nowhere. Ends at the same moment on targets that ran it side by side count as one; an answer that a target gave whole clears a request. Word is told at once, four times to who does not answer, and again with syncs, so that an instance that starts hears of it with its first one. It lapses after ten minutes, and one more end renews it for twice as long. Callers are told 502 without a time to come back.

The test of a repeatable call now lets listings of crashed processes lapse, as they do on the platform: it met them as refused connections and ended by those instead.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -586,4 +586,22 @@
         925, Warn, "{id}: {target} ended while it ran this, after {events} events",
         "Look for the same fingerprint at other targets: a request may crash what runs it.",
     ),
+    /// Requests with a fingerprint are sent to no target any more.
+    RequestsQuarantined {
+        /// Their fingerprint.
+        fingerprint: Arc<str>,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    } = (
+        926, Warn, "requests {fingerprint} are rejected for {for_ms} ms, targets ended under them",
+        "Look at the 925 lines with this fingerprint; mend the targets, or have the sender stop.",
+    ),
+    /// Requests that were rejected are served again: a target has served one and lives.
+    QuarantineLifted {
+        /// Their fingerprint.
+        fingerprint: Arc<str>,
+    } = (
+        927, Info, "requests {fingerprint} are not rejected any more",
+        "Nothing.",
+    ),
 }
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -97,6 +97,10 @@
         let front = Arc::clone(&self.front);
         let service = Arc::clone(&call.service.name);
         front.budget.lock().count(boot_time(), &service);
+        if front.rejects(&call.fingerprint) {
+            front.metrics.quarantined.inc();
+            return front.refuse_call(&call, &Refusal::quarantined());
+        }
         let outlived = self.outlived(&call);
         let served = async {
             match call.route.kind {
--- a/components/front/src/callers/refuse.rs
+++ b/components/front/src/callers/refuse.rs
@@ -15,6 +15,9 @@
 /// When a caller may come back that another instance would serve: at once, on a new connection.
 pub const ELSEWHERE_RETRY: Duration = Duration::from_millis(10);
 
+/// Why a request is not sent under which targets ended.
+pub const QUARANTINED: &str = "targets ended while they ran this request";
+
 /// Why a request gets an answer of our own.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -63,6 +66,13 @@
         Self::new(StatusCode::GATEWAY_TIMEOUT, reason)
     }
 
+    /// Targets ended while they ran the request. It is not sent again, and nothing is gained by
+    /// asking again.
+    #[must_use]
+    pub fn quarantined() -> Self {
+        Self::unknown(QUARANTINED)
+    }
+
     /// Tells when the caller may come back.
     #[must_use]
     pub const fn with_retry(mut self, after: Duration) -> Self {
--- a/components/front/src/generations/generation.rs
+++ b/components/front/src/generations/generation.rs
@@ -23,7 +23,7 @@
         relay::Relay,
         silence::{Silence, Verdict, look_into},
     },
-    quarantine::ends,
+    quarantine::{ends, keeping},
     send::{Sent, collect, send},
     state::Front,
 };
@@ -245,6 +245,7 @@
             match collect(front, &head, body, call.until_due()).await {
                 Ok(resp) => {
                     front.metrics.ended(call.kind(), "failed");
+                    keeping::served(front, &call.fingerprint);
                     Attempt::Answer(resp)
                 }
                 Err(reason) => Attempt::GiveUp(Refusal::unknown(reason)),
@@ -255,6 +256,7 @@
             avoid.push(Arc::clone(&target.id));
             again_or(&reason, place, call, avoid).await
         }
+        Sent::Rejected { .. } => Attempt::GiveUp(Refusal::quarantined()),
         Sent::Unknown { reason, late } => {
             place.doubt = !late;
             let refusal = if late {
@@ -277,7 +279,8 @@
     loop {
         smol::Timer::after(silence.ask_at().saturating_sub(boot_time())).await;
         if look_into(front, live, &mut silence).await == Verdict::Gone {
-            ends::ended_under(front, call, &live.target(), live.events());
+            let times = (call.arrived, boot_time());
+            ends::ended_under(front, call, &live.target(), times, live.events());
             return Sent::Unknown {
                 reason: "its engine is silent and not listed any more".into(),
                 late: false,
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -27,7 +27,7 @@
         silence::{REPORT_PATIENCE, Silence, Verdict, look_into},
         split::Splitter,
     },
-    quarantine::ends,
+    quarantine::{ends, keeping},
     send::{Sent, send},
     state::Front,
 };
@@ -121,6 +121,7 @@
         match stop {
             Stop::Whole => {
                 self.place.whole = true;
+                keeping::served(&self.front, &self.call.fingerprint);
                 self.front.metrics.ended(self.call.kind(), "answered");
                 emit(&Event::RequestAnswered {
                     id: Arc::clone(&self.call.asked.id),
@@ -186,7 +187,14 @@
             Verdict::Wait => None,
             Verdict::Gone => {
                 self.place.doubt = true;
-                ends::ended_under(&self.front, &self.call, &live.target(), live.events());
+                let times = (self.call.arrived, boot_time());
+                ends::ended_under(
+                    &self.front,
+                    &self.call,
+                    &live.target(),
+                    times,
+                    live.events(),
+                );
                 Some(Stop::Cut(
                     "its engine is silent and not listed any more".into(),
                 ))
@@ -295,7 +303,8 @@
             return self.obey(Some(order), out).await;
         }
         let live = &self.place.live;
-        ends::look_into(&self.front, &self.call, &live.target(), live.events());
+        let (target, sent) = (live.target(), self.call.arrived);
+        ends::look_into(&self.front, &self.call, &target, sent, live.events());
         let Some((target, resume)) = live.take_copy() else {
             let fetches = self.front.cfg.decisions.parts.fetches_lost;
             if !fetches || !self.place.live.begin_carry() {
@@ -415,7 +424,7 @@
                 reason,
                 not_run: true,
             }),
-            Sent::Unknown { reason, .. } => Err(Failure {
+            Sent::Unknown { reason, .. } | Sent::Rejected { reason } => Err(Failure {
                 reason,
                 not_run: false,
             }),
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -12,6 +12,7 @@
         joining,
         wire::{Message, Reply, Topic},
     },
+    quarantine::keeping,
     state::Front,
     store::timeouts,
 };
@@ -21,6 +22,8 @@
 /// Rounds of syncs between two in which an instance that holds nothing makes itself heard. Owners
 /// hear of ends by notes; this makes up for lost ones, and tells of new members.
 const IDLE_ROUNDS: u32 = 3;
+/// The first of these rounds: one that has just started knows nothing of requests that crash targets.
+const FIRST_ROUND: u32 = 1;
 /// Time for a peer to take a sync.
 const SYNC_PATIENCE: Duration = Duration::from_millis(300);
 /// Time between two looks at the members in the store. Instances also hear of each other from
@@ -156,6 +159,9 @@
     for _ in 0..SEED_TRIES {
         let reply = front.peers.exchange(seed, &message, SYNC_PATIENCE).await;
         if let Ok(reply) = reply {
+            if let Reply::Members { words, .. } = &reply {
+                keeping::learn(&front, words);
+            }
             learn_members(&front, None, Some(reply));
             front.introduced.open();
             return;
@@ -189,7 +195,7 @@
 }
 
 fn learn_members(front: &Front, from: Option<&InstanceId>, reply: Option<Reply>) {
-    let Some(Reply::Members { members, mark }) = reply else {
+    let Some(Reply::Members { members, mark, .. }) = reply else {
         return;
     };
     for member in members {
@@ -218,7 +224,7 @@
             workers::spawn(async move { say_hello(&front, &peer).await }).detach();
         }
         for shard in shards(&front) {
-            sync_shard(&front, shard, round.is_multiple_of(IDLE_ROUNDS)).await;
+            sync_shard(&front, shard, round % IDLE_ROUNDS == FIRST_ROUND).await;
         }
         let targets = front.view.targets();
         front.choice.lock().retain(|id| targets.contains_key(id));
@@ -270,7 +276,9 @@
         member: front.peers.me().clone(),
         held,
         known: front.peers.mark_of(&owner),
+        quarantine: front.quarantine.lock().mark(boot_time()),
     };
     let reply = front.peers.call(&owner, &message, SYNC_PATIENCE).await;
+    keeping::reconcile(front, &owner, reply.as_ref()).await;
     learn_members(front, Some(&owner), reply);
 }
--- a/components/front/src/instances/message.rs
+++ b/components/front/src/instances/message.rs
@@ -12,9 +12,10 @@
 use crate::{
     generations::carry,
     instances::{
-        peers::{MESSAGE_LIMIT, MESSAGES_PATH},
+        peers::{MESSAGE_LIMIT, MESSAGES_PATH, Members},
         wire::{Message, Reply, Topic},
     },
+    quarantine::keeping,
     state::{Front, age},
     store::follow::{self, PEER_AGE},
 };
@@ -56,15 +57,16 @@
                 member,
                 held,
                 known,
+                quarantine,
             } => {
                 front.placement.owner.lock().sync(now, &held);
                 front.peers.heard(member);
-                front.peers.members_after(known)
+                self.members(front.peers.members_after(known), quarantine)
             }
             Message::Hello { member, asks } => {
                 front.peers.heard(member);
                 if asks {
-                    front.peers.leading()
+                    self.members(front.peers.leading(), 0)
                 } else {
                     Reply::Noted
                 }
@@ -74,10 +76,29 @@
                 follow::hear_leaving(front, &target);
                 Reply::Noted
             }
+            Message::Ended(evidence) => {
+                keeping::take(front, evidence);
+                Reply::Noted
+            }
+            Message::Words(words) => {
+                keeping::learn(front, &words);
+                Reply::Noted
+            }
             Message::Carry(order) => Reply::Carried(self.carry(order).await),
         }
     }
 
+    /// Tells of members, and of requests that crash targets what the asker does not know of them.
+    fn members(&self, known: Members, quarantine: u64) -> Reply {
+        let Members { members, mark } = known;
+        Reply::Members {
+            members,
+            mark,
+            words: keeping::words_beside(&self.front, quarantine),
+            quarantine: self.front.quarantine.lock().mark(boot_time()),
+        }
+    }
+
     /// Carries a generation over, to the end also where the owner that ordered it hangs up: its
     /// engine may have stopped it already.
     async fn carry(&self, order: Carry) -> Carried {
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -31,7 +31,7 @@
 };
 
 /// Where instances take each other's messages.
-pub const MESSAGES_PATH: &str = "/peer/v3/messages";
+pub const MESSAGES_PATH: &str = "/peer/v4/messages";
 /// Bytes of a message at most.
 pub const MESSAGE_LIMIT: usize = 4 * 1_024 * 1_024;
 /// The longest pause within a message that has begun to arrive.
@@ -55,6 +55,15 @@
     mark: u64,
 }
 
+/// Members that one who asks may not know.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    /// The members.
+    pub members: Vec<Member>,
+    /// The mark up to which the asker knows all then.
+    pub mark: u64,
+}
+
 /// The other instances.
 pub struct Peers {
     me: Member,
@@ -142,7 +151,7 @@
     /// Members that were heard lately, this one included, and that one who knows all up to a mark
     /// may not know. The whole list in each reply would grow with the square of their number.
     #[must_use]
-    pub fn members_after(&self, mark: u64) -> Reply {
+    pub fn members_after(&self, mark: u64) -> Members {
         let newest = self.newest.load(Ordering::Acquire);
         // A mark from this instance's former life says nothing about this one.
         let mark = if mark > newest { 0 } else { mark };
@@ -155,7 +164,7 @@
         if mark == 0 {
             members.push(self.me.clone());
         }
-        Reply::Members {
+        Members {
             members,
             mark: newest,
         }
@@ -164,7 +173,7 @@
     /// Members at the heads of the orders of readers. A newcomer finds sources and owners with these,
     /// and the rest at its first sync. The whole list for each of n newcomers would be O(n²) bytes.
     #[must_use]
-    pub fn leading(&self) -> Reply {
+    pub fn leading(&self) -> Members {
         let orders = [Topic::Operator, Topic::Targets].map(|topic| self.readers(topic));
         let heads = orders.iter().flat_map(|order| order.iter().take(GREETED));
         let heads: BTreeSet<&InstanceId> = heads.collect();
@@ -172,7 +181,7 @@
         let others = heads.iter().filter_map(|id| known.get(*id));
         let mut members: Vec<Member> = others.map(|known| known.member.clone()).collect();
         members.push(self.me.clone());
-        Reply::Members { members, mark: 0 }
+        Members { members, mark: 0 }
     }
 
     /// The mark up to which a member has told of others.
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -4,6 +4,7 @@
 
 use derive_more::Display;
 use placing::{Answer, Ask, Carried, Carry, Note, Sync};
+use quarantine::{Evidence, Word};
 use serde::{Deserialize, Serialize};
 use types::{DataCentreId, InstanceId, TargetId};
 
@@ -103,7 +104,13 @@
         held: Sync,
         /// Members that the receiver told of up to this mark are known.
         known: u64,
+        /// What is known of requests that crash targets.
+        quarantine: u64,
     },
+    /// A target ended while it ran a request for the sender; the receiver sums such evidence up.
+    Ended(Evidence),
+    /// How requests are taken under which targets ended.
+    Words(Vec<Word>),
     /// An order to carry a generation over.
     Carry(Carry),
     /// The sender has heard that an engine leaves, on which it has generations running.
@@ -137,6 +144,7 @@
             Self::Carry(_) => "carry",
             Self::Leaving(_) => "leaving",
             Self::Hello { .. } => "hello",
+            Self::Ended(_) | Self::Words(_) => "quarantine",
             Self::Follow { topic, .. } => topic.name(),
         }
     }
@@ -147,7 +155,7 @@
 pub enum Reply {
     /// To an ask.
     Answer(Answer),
-    /// To notes, and to a hello that asks nothing.
+    /// To notes, to word of requests that crash targets, and to a hello that asks nothing.
     Noted,
     /// To a sync: members that were heard lately; to a hello that asks: those that lead.
     Members {
@@ -155,6 +163,10 @@
         members: Vec<Member>,
         /// The mark up to which it knows all now.
         mark: u64,
+        /// How requests are taken under which targets ended, where the asker knows otherwise.
+        words: Vec<Word>,
+        /// What is known here of such requests.
+        quarantine: u64,
     },
     /// To an order to carry over.
     Carried(Carried),
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -62,6 +62,10 @@
     pub requests: Family<Ending, Counter>,
     /// Second sendings.
     pub repeats: Counter,
+    /// Targets that ended while they ran a request.
+    pub target_ends: Counter,
+    /// Requests that were rejected because targets ended while they ran them.
+    pub quarantined: Counter,
     /// Generations carried over, by outcome.
     pub carries: Family<CarryEnding, Counter>,
     /// Bytes of messages between instances, and of replies, by the instance that sent the message.
@@ -89,6 +93,8 @@
         let all = Self {
             requests: Family::default(),
             repeats: Counter::default(),
+            target_ends: Counter::default(),
+            quarantined: Counter::default(),
             carries: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
@@ -106,6 +112,16 @@
             "Second sendings of requests",
             all.repeats.clone(),
         );
+        registry.register(
+            "target_ends",
+            "Requests under which a target ended",
+            all.target_ends.clone(),
+        );
+        registry.register(
+            "quarantined",
+            "Requests rejected because targets ended under them",
+            all.quarantined.clone(),
+        );
         registry.register("carries", "Generations carried over", all.carries.clone());
         registry.register(
             "peer_bytes",
--- a/components/front/src/plain_calls/plain.rs
+++ b/components/front/src/plain_calls/plain.rs
@@ -15,7 +15,7 @@
         refuse::{Refusal, millis},
     },
     plain_calls::choice::connection_share,
-    quarantine::ends,
+    quarantine::{ends, keeping},
     send::{Sent, collect, log_failure, send},
     state::Front,
 };
@@ -135,6 +135,9 @@
     if tries.sendings == 0 {
         return true;
     }
+    if front.rejects(&call.fingerprint) {
+        return false;
+    }
     let run_out = match call.route.kind {
         Kind::Idempotent => tries.run >= call.route.max_targets,
         Kind::NonIdempotent | Kind::Generation => tries.run > 0,
@@ -210,7 +213,7 @@
                 Ok(resp) => answered(front, call, target, resp),
                 Err(reason) => {
                     log_failure(call, target, &reason, false);
-                    ends::look_into(front, call, target, 0);
+                    ends::look_into(front, call, target, from, 0);
                     front.choice.lock().failed(now, &target.id);
                     Try::Unknown {
                         reason,
@@ -223,6 +226,10 @@
             front.choice.lock().failed(boot_time(), &target.id);
             Try::NotRun
         }
+        Sent::Rejected { reason } => Try::Unknown {
+            reason,
+            late: false,
+        },
         Sent::Unknown { reason, late } => {
             front.choice.lock().failed(boot_time(), &target.id);
             Try::Unknown { reason, late }
@@ -230,8 +237,9 @@
     }
 }
 
-fn answered(front: &Front, call: &Call, target: &Target, resp: Response<Body>) -> Try {
+fn answered(front: &Arc<Front>, call: &Call, target: &Target, resp: Response<Body>) -> Try {
     let status = resp.status();
+    keeping::served(front, &call.fingerprint);
     emit(&Event::RequestAnswered {
         id: Arc::clone(&call.asked.id),
         target: Arc::clone(&target.id),
--- a/components/front/src/quarantine/ends.rs
+++ b/components/front/src/quarantine/ends.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
+use ::quarantine::{Evidence, Life};
 use events::{Event, emit};
 use parking_lot::Mutex;
 use smol::net::TcpStream;
@@ -13,7 +14,7 @@
 use types::{Moment, TargetId};
 use view::Target;
 
-use crate::{callers::call::Call, state::Front};
+use crate::{callers::call::Call, quarantine::keeping, state::Front};
 
 /// Time to connect to a target that may have ended.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
@@ -29,28 +30,25 @@
 /// How long an end is remembered for other requests that the target ran.
 const REMEMBERED: Duration = Duration::from_secs(10);
 
-/// One life of a target.
-type Life = (TargetId, Option<u64>);
-
 /// Targets that have ended lately.
 #[derive(Debug, Default)]
 pub struct Endings {
-    lately: Mutex<HashMap<Life, Moment>>,
+    lately: Mutex<HashMap<(TargetId, Option<u64>), Moment>>,
 }
 
 impl Endings {
     fn remember(&self, now: Moment, target: &Target) {
         let mut lately = self.lately.lock();
         lately.retain(|_, at| now.saturating_sub(*at) < REMEMBERED);
-        lately.insert(life(target), now);
+        lately.insert(key(target), now);
     }
 
     fn knows(&self, target: &Target) -> bool {
-        self.lately.lock().contains_key(&life(target))
+        self.lately.lock().contains_key(&key(target))
     }
 }
 
-fn life(target: &Target) -> Life {
+fn key(target: &Target) -> (TargetId, Option<u64>) {
     (Arc::clone(&target.id), target.born)
 }
 
@@ -62,24 +60,32 @@
     Reborn,
 }
 
-/// Looks into whether a target has ended whose connection was lost while it ran a request; `events` of
-/// its answer had come. Does not keep the caller waiting.
-pub fn look_into(front: &Arc<Front>, call: &Call, target: &Arc<Target>, events: u64) {
+/// Looks into whether a target has ended whose connection was lost while it ran a request, which was
+/// sent at `sent`; `events` of its answer had come. Does not keep the caller waiting.
+pub fn look_into(front: &Arc<Front>, call: &Call, target: &Arc<Target>, sent: Moment, events: u64) {
     // One that was about to leave has left.
     if matches!(listed(front, target), Listed::Leaving | Listed::Gone) {
         return;
     }
+    let lost = boot_time();
     let (front, target, call) = (Arc::clone(front), Arc::clone(target), call.clone());
     let look = async move {
         if has_ended(&front, &target).await {
-            ended_under(&front, &call, &target, events);
+            ended_under(&front, &call, &target, (sent, lost), events);
         }
     };
     workers::spawn(look).detach();
 }
 
-/// Notes that a target ended while it ran a request.
-pub fn ended_under(front: &Arc<Front>, call: &Call, target: &Target, events: u64) {
+/// Notes that a target ended while it ran a request: when that was sent, and when its connection was
+/// lost.
+pub fn ended_under(
+    front: &Arc<Front>,
+    call: &Call,
+    target: &Target,
+    (sent, lost): (Moment, Moment),
+    events: u64,
+) {
     front.endings.remember(boot_time(), target);
     emit(&Event::TargetEnded {
         id: Arc::clone(&call.asked.id),
@@ -87,6 +93,17 @@
         target: Arc::clone(&target.id),
         events,
     });
+    let life = Life {
+        target: Arc::clone(&target.id),
+        born: target.born,
+    };
+    let evidence = Evidence {
+        fingerprint: call.fingerprint,
+        life,
+        age: boot_time().saturating_sub(lost),
+        ran: lost.saturating_sub(sent),
+    };
+    keeping::found(front, evidence);
 }
 
 async fn has_ended(front: &Front, target: &Target) -> bool {
--- /dev/null
+++ b/components/front/src/quarantine/keeping.rs
@@ -0,0 +1,149 @@
+//! Sums up what all instances see of requests that crash targets, and tells all what comes of it.
+//!
+//! No instance alone sees enough of a request that comes to another one each time. So evidence goes to
+//! the request's keepers, the first in an order by its fingerprint. Word of what they find goes to each
+//! instance at once, and with the syncs to those that were not reached or have just started.
+
+use std::{sync::Arc, time::Duration};
+
+use ::quarantine::{Audience, Evidence, Fingerprint, Standing, Word};
+use events::{Event, emit};
+use timer::boot_time;
+use types::InstanceId;
+
+use crate::{
+    callers::refuse::millis,
+    instances::wire::{Message, Reply},
+    state::Front,
+};
+
+/// Instances that sum up the evidence against one request: another one, should the first end.
+const KEEPERS: usize = 2;
+/// Time for an instance to take a message.
+const PATIENCE: Duration = Duration::from_millis(300);
+/// Times that an instance is told before it is left to its syncs.
+const TRIES: u32 = 4;
+/// Pause between them.
+const AGAIN: Duration = Duration::from_millis(500);
+
+impl Front {
+    /// Whether a request must not be sent to any target.
+    #[must_use]
+    pub fn rejects(&self, fingerprint: &Fingerprint) -> bool {
+        self.quarantine.lock().rejects(boot_time(), fingerprint)
+    }
+}
+
+/// Takes evidence in that this instance has found.
+pub fn found(front: &Arc<Front>, evidence: Evidence) {
+    front.metrics.target_ends.inc();
+    for keeper in keepers(front, &evidence.fingerprint) {
+        tell(front, keeper, Message::Ended(evidence.clone()));
+    }
+    take(front, evidence);
+}
+
+/// Takes evidence in; tells all instances what comes of it.
+pub fn take(front: &Arc<Front>, evidence: Evidence) {
+    let word = front.quarantine.lock().ended(boot_time(), evidence);
+    if let Some(word) = word {
+        log(&word);
+        tell_all(front, word);
+    }
+}
+
+/// Notes that a target has served a request whole.
+pub fn served(front: &Arc<Front>, fingerprint: &Fingerprint) {
+    let served = front.quarantine.lock().served(boot_time(), fingerprint);
+    match served {
+        None => {}
+        Some((word, Audience::Keepers)) => {
+            for keeper in keepers(front, fingerprint) {
+                tell(front, keeper, Message::Words(vec![word]));
+            }
+        }
+        Some((word, Audience::All)) => {
+            log(&word);
+            tell_all(front, word);
+        }
+    }
+}
+
+/// Takes another instance's words.
+pub fn learn(front: &Front, words: &[Word]) {
+    let now = boot_time();
+    for word in words {
+        if front.quarantine.lock().learn(now, word) {
+            log(word);
+        }
+    }
+}
+
+/// What an instance is told that knows what `mark` stands for.
+#[must_use]
+pub fn words_beside(front: &Front, mark: u64) -> Vec<Word> {
+    let now = boot_time();
+    let ledger = front.quarantine.lock();
+    if ledger.mark(now) == mark {
+        return Vec::new();
+    }
+    ledger.words(now)
+}
+
+/// Learns what the owner that took a sync knows, and tells it what it does not know.
+pub async fn reconcile(front: &Front, owner: &InstanceId, reply: Option<&Reply>) {
+    let Some(Reply::Members {
+        words, quarantine, ..
+    }) = reply
+    else {
+        return;
+    };
+    learn(front, words);
+    let mine = words_beside(front, *quarantine);
+    if !mine.is_empty() {
+        // Lost, it is told with the next sync.
+        let _ = front
+            .peers
+            .call(owner, &Message::Words(mine), PATIENCE)
+            .await;
+    }
+}
+
+/// The other instances that sum up the evidence against a request.
+fn keepers(front: &Front, fingerprint: &Fingerprint) -> Vec<InstanceId> {
+    let mut keepers = front.peers.owners(&fingerprint.to_string());
+    keepers.truncate(KEEPERS);
+    keepers.retain(|id| *id != front.cfg.instance);
+    keepers
+}
+
+fn tell_all(front: &Arc<Front>, word: Word) {
+    for peer in front.peers.all() {
+        tell(front, peer, Message::Words(vec![word]));
+    }
+}
+
+fn tell(front: &Arc<Front>, peer: InstanceId, message: Message) {
+    let front = Arc::clone(front);
+    let telling = async move {
+        for _ in 0..TRIES {
+            if front.peers.call(&peer, &message, PATIENCE).await.is_some() {
+                return;
+            }
+            smol::Timer::after(AGAIN).await;
+        }
+    };
+    workers::spawn(telling).detach();
+}
+
+fn log(word: &Word) {
+    let fingerprint = word.fingerprint.to_string().into();
+    match word.standing {
+        Standing::Suspected => {}
+        Standing::Rejected => emit(&Event::RequestsQuarantined {
+            fingerprint,
+            for_ms: millis(word.left),
+        }),
+        Standing::Cleared => emit(&Event::QuarantineLifted { fingerprint }),
+    }
+}
--- a/components/front/src/quarantine/mod.rs
+++ b/components/front/src/quarantine/mod.rs
@@ -1,3 +1,4 @@
-//! Requests under which targets ended.
+//! Requests under which targets ended: found out here, summed by keepers, known to all instances.
 
 pub mod ends;
+pub mod keeping;
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -10,7 +10,10 @@
 use view::Target;
 
 use crate::{
-    callers::{call::Call, refuse::millis},
+    callers::{
+        call::Call,
+        refuse::{QUARANTINED, millis},
+    },
     face::{Heading, Resume, Sending},
     quarantine::ends,
     state::Front,
@@ -33,6 +36,11 @@
         /// What the target or the connection said.
         reason: Arc<str>,
     },
+    /// It was not sent: targets ended while they ran it, here or elsewhere.
+    Rejected {
+        /// Why.
+        reason: Arc<str>,
+    },
     /// It may have run.
     Unknown {
         /// What came instead of an answer.
@@ -50,6 +58,11 @@
     resume: Option<&Resume>,
     limit: Duration,
 ) -> Sent {
+    if front.rejects(&call.fingerprint) {
+        return Sent::Rejected {
+            reason: QUARANTINED.into(),
+        };
+    }
     let sending = Sending {
         head: &call.head,
         body: &call.body,
@@ -71,7 +84,7 @@
         },
         Some(Err(SendError::Unsent { reason })) => Sent::NotRun { reason },
         Some(Err(SendError::Lost { reason })) => {
-            ends::look_into(front, call, target, 0);
+            ends::look_into(front, call, target, from, 0);
             Sent::Unknown {
                 reason,
                 late: false,
@@ -83,6 +96,7 @@
         Sent::Head { .. } => front.metrics.head(boot_time().saturating_sub(from)),
         Sent::NotRun { reason } => log_failure(call, target, reason, true),
         Sent::Unknown { reason, .. } => log_failure(call, target, reason, false),
+        Sent::Rejected { .. } => {}
     }
     sent
 }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,7 +1,7 @@
 //! What all parts of one instance share.
 //!
 //! Locks, in the order in which they may be held together: `bounds`, `budget`, `cold`, `choice`, then those
-//! inside `live`, `placement`, `peers` and `view`. None is held over an await.
+//! inside `live`, `placement`, `peers` and `view`. `quarantine` is held alone. None is held over an await.
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
@@ -10,6 +10,7 @@
 
 use net::{Client, Terms};
 use parking_lot::{Mutex, RwLock};
+use quarantine::Ledger;
 use timer::{Timer, boot_time};
 use types::Moment;
 use view::{Service, Target, View};
@@ -69,6 +70,8 @@
     pub budget: Mutex<Budget>,
     /// Cold targets.
     pub cold: Mutex<ColdTargets>,
+    /// Requests under which targets ended.
+    pub quarantine: Mutex<Ledger>,
     /// Targets that have ended lately.
     pub endings: Endings,
     /// Bytes that bodies may hold together.
--- a/components/front/tests/aims.rs
+++ b/components/front/tests/aims.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use front::{Asked, callers::call::Call};
+use quarantine::Fingerprint;
 use timer::boot_time;
 use view::{Kind, Route, Service};
 
@@ -42,7 +43,7 @@
             key: None,
             sizes: None,
         },
-        digest: 1,
+        fingerprint: Fingerprint::new(&[]),
         head,
         body: bytes::Bytes::new(),
         share: Arc::new(net::Budget::new(0).share()),
--- a/components/front/tests/peers.rs
+++ b/components/front/tests/peers.rs
@@ -4,7 +4,7 @@
 
 use front::{
     Member, Topic,
-    instances::{peers::Peers, wire::Reply},
+    instances::peers::{Members, Peers},
 };
 use net::Client;
 
@@ -19,9 +19,7 @@
 }
 
 fn told(peers: &Peers, mark: u64) -> (Vec<String>, u64) {
-    let Reply::Members { members, mark } = peers.members_after(mark) else {
-        panic!("members are told");
-    };
+    let Members { members, mark } = peers.members_after(mark);
     (members.iter().map(|m| m.id.to_string()).collect(), mark)
 }
 
@@ -70,9 +68,7 @@
     for n in 1..200 {
         peers.heard(member(&format!("i-{n}"), 1));
     }
-    let Reply::Members { members, .. } = peers.leading() else {
-        panic!("members are told");
-    };
+    let Members { members, .. } = peers.leading();
     assert!(members.len() <= 25, "{}", members.len());
     for topic in [Topic::Operator, Topic::Targets] {
         let first = &peers.readers(topic)[0];
--- a/tests/platform/quarantine.rs
+++ b/tests/platform/quarantine.rs
@@ -123,7 +123,11 @@
             let caller = Caller::new("key-1");
             let got = caller.crash(instance.addr, "GET", "/titles/1", &id).await;
             assert_eq!(got.status, 502);
-            Timer::after(LAPSE * 3).await;
+            Timer::after(LAPSE).await;
+            for process in processes.iter().filter(|p| p.has_crashed()) {
+                platform.store.drop_row("servers", &process.id());
+            }
+            Timer::after(LAPSE * 2).await;
         }
         // Two sendings of the attempt under which the third ended may be under way at once.
         let crashed = processes.iter().filter(|p| p.has_crashed()).count();
