Reject requests that crash targets also behind the product's own interface

Callers of the chat interface got nothing, and those beside them half an answer: a generation that crashes engines is tried on the next engine until its retry budget or its time is over, and comes again at any instance.

The gateway knows a request by its number, and each try by its target.

After a loss the gateway asks the target whether it has ended (two refused connections, or a report of another life). Evidence goes to two keepers among the instances that are heard, word of it to all peers; heartbeats carry a digest of what is known, and who knows otherwise answers with its own words. Callers are told 422 quarantined. Envelopes have format 2.

--- a/components/bench/src/slopes/heartbeats.rs
+++ b/components/bench/src/slopes/heartbeats.rs
@@ -78,6 +78,7 @@
             draining: false,
             owned: self.owned.get(&peer.id).cloned().unwrap_or_default(),
             follows: Vec::new(),
+            quarantine: 0,
         }
     }
 
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use ::quarantine::Fingerprint;
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Share};
@@ -42,6 +43,8 @@
     pub max_output: Tokens,
     /// The request's body, read.
     pub call: Call,
+    /// What stays the same of it when it is sent again.
+    pub fingerprint: Fingerprint,
     /// Memory that the body takes up.
     pub _share: Share,
     /// Counts it as in flight.
@@ -67,8 +70,15 @@
     let class = wishes.class(rule.knobs.class);
     let flight = core.flights.enter(&caller.workspace, limit, class)?;
     let most = rule.knobs.max_output.unwrap_or(DEFAULT_MAX_OUTPUT);
+    let fingerprint = Fingerprint::new(&[
+        api.path().as_bytes(),
+        wishes.route.as_bytes(),
+        caller.workspace.as_bytes(),
+        &held.bytes,
+    ]);
     let generation = Generation {
         core: Arc::clone(core),
+        fingerprint,
         class,
         deadline: wishes.deadline(caller.arrived, rule.knobs.deadline_ms),
         max_output: call.max_output.map_or(most, |wish| wish.min(most)),
@@ -193,10 +203,12 @@
     where
         F: Future<Output = (Work, Tried<T>)>,
     {
+        self.core.check(&self.fingerprint)?;
         let admit = self.core.admission.admit(self.wanted());
         let mut permit = self.core.permit(self.deadline, admit).await?;
         let mut ever_ran = false;
         loop {
+            let (target, sent) = (permit.target().clone(), self.core.admission.now());
             let (work, tried) = attempt(Work::new(permit)).await;
             match tried {
                 Tried::Good(good) => return Ok((work, good)),
@@ -208,6 +220,15 @@
                 }
                 Tried::Again { ending, ran } => {
                     ever_ran |= ran;
+                    if ran && ending == Ending::Failed {
+                        let kind = self.rule.kind;
+                        self.core.look_into(self.fingerprint, kind, &target, sent);
+                    }
+                    let checked = self.core.check(&self.fingerprint);
+                    if let Err(refusal) = checked {
+                        work.take().0.end(ending);
+                        return Err(truthful(refusal, ever_ran));
+                    }
                     self.core.metrics.retried();
                     let again = work.take().0.again(ending);
                     let again = self.core.permit(self.deadline, again).await;
--- a/components/gateway/src/linger.rs
+++ b/components/gateway/src/linger.rs
@@ -2,11 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
+use ::quarantine::Fingerprint;
 use events::Event;
 use futures_lite::future;
 use relay::{Broken, End, Running, Sink};
 use targets::Piece;
-use types::WorkspaceId;
+use types::{ServiceKind, WorkspaceId};
 
 use crate::{
     admission::Ending, attempt, flight::Flight, metrics::Outcome, parts::Core, refusals,
@@ -25,6 +26,9 @@
     pub running: Running,
     /// Who asked.
     pub workspace: WorkspaceId,
+    /// What stays the same of the request when it is sent again, where it is known: not where its
+    /// caller goes on with the stream of another instance.
+    pub fingerprint: Option<Fingerprint>,
     /// The way to the caller.
     pub writer: Writer,
     /// Counts it as in flight; `None` once the request as such is over here.
@@ -151,6 +155,9 @@
 }
 
 async fn finished(mut carried: Carried, left: bool) {
+    if let Some(fingerprint) = &carried.fingerprint {
+        carried.core.quarantine.served(fingerprint);
+    }
     let ending = carried.finished();
     // First, as a slow caller may take a while to read the rest.
     carried.writer.end(ending);
@@ -160,6 +167,11 @@
 
 async fn broke_off(mut carried: Carried, broken: &Broken) {
     let produced = carried.running.produced();
+    if let Some(fingerprint) = carried.fingerprint {
+        let (core, target) = (&carried.core, carried.running.target());
+        let sent = core.admission.now().saturating_sub(carried.running.took());
+        core.look_into(fingerprint, ServiceKind::Model, target, sent);
+    }
     let refusal = refusals::partial(&format!("{broken}; {produced} tokens were produced"));
     carried.writer.end(Ending::Failed);
     carried.core.metrics.refused(&refusal.code);
--- a/components/gateway/src/parts.rs
+++ b/components/gateway/src/parts.rs
@@ -24,6 +24,7 @@
     flight::Flights,
     linger,
     metrics::Metrics,
+    quarantine::Quarantine,
     refusals,
     streams::Streams,
     ticket::Tickets,
@@ -47,6 +48,8 @@
     pub plain: Arc<dyn Plain>,
     /// At most one run per idempotency key.
     pub claims: Arc<dyn Claims>,
+    /// Requests that crash targets.
+    pub quarantine: Arc<dyn Quarantine>,
     /// The configuration in force.
     pub config: Arc<dyn Config>,
     /// The process's timer.
@@ -80,8 +83,10 @@
 
 pub(crate) struct Core {
     pub admission: Arc<dyn Admission>,
+    pub engine: Arc<dyn Engine>,
     pub plain: Arc<dyn Plain>,
     pub claims: Arc<dyn Claims>,
+    pub quarantine: Arc<dyn Quarantine>,
     pub config: Arc<dyn Config>,
     pub timer: Timer,
     pub limits: Limits,
@@ -155,7 +160,9 @@
 impl Core {
     fn new(parts: GatewayParts, takeover: Option<Arc<dyn Takeover>>) -> Self {
         Self {
-            relay: Relay::new(parts.engine, parts.timer),
+            relay: Relay::new(Arc::clone(&parts.engine), parts.timer),
+            engine: parts.engine,
+            quarantine: parts.quarantine,
             flights: Flights::new(parts.metrics.clone()),
             bodies: Budget::new(BODIES),
             answers: Budget::new(ANSWERS),
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -2,6 +2,7 @@
 
 use std::{pin::pin, sync::Arc};
 
+use ::quarantine::Fingerprint;
 use events::Event;
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
@@ -33,6 +34,8 @@
     pub wanted: Wanted,
     /// The call for the service.
     pub call: PlainCall,
+    /// What stays the same of it when it is sent again.
+    pub fingerprint: Fingerprint,
     /// Memory that the body takes up.
     pub _share: Share,
     /// Counts it as in flight.
@@ -61,8 +64,15 @@
     let held = request::body(core, req).await?;
     let idempotent = rule.knobs.idempotent.unwrap_or_else(|| method.is_safe());
     let deadline = wishes.deadline(caller.arrived, rule.knobs.deadline_ms);
+    let fingerprint = Fingerprint::new(&[
+        method.as_str().as_bytes(),
+        path.as_bytes(),
+        caller.workspace.as_bytes(),
+        &held.bytes,
+    ]);
     let request = PlainRequest {
         core: Arc::clone(core),
+        fingerprint,
         wanted: wanted(&caller, &rule, class, deadline, idempotent),
         call: PlainCall {
             method: method.as_str().into(),
@@ -124,13 +134,21 @@
 
     async fn try_on(&self, gone: impl Future<Output = ()>) -> Result<PlainAnswer, Refusal> {
         let mut gone = pin!(gone);
+        self.core.check(&self.fingerprint)?;
         let admit = self.core.admission.admit(self.wanted.clone());
         let admit = self.core.permit(self.wanted.deadline, admit);
         let mut permit = unless(gone.as_mut(), admit).await?;
         let mut ever_ran = false;
         loop {
-            let ending = match self.attempt(permit.as_ref()).await {
+            let sent = self.core.admission.now();
+            let tried = self.attempt(permit.as_ref()).await;
+            if matches!(tried, Err((Ending::Failed, true))) {
+                let (kind, target) = (self.wanted.kind, permit.target());
+                self.core.look_into(self.fingerprint, kind, target, sent);
+            }
+            let ending = match tried {
                 Ok((ending, answer)) => {
+                    self.core.quarantine.served(&self.fingerprint);
                     permit.end(ending);
                     return Ok(answer);
                 }
@@ -146,6 +164,10 @@
                     ending
                 }
             };
+            if let Err(refusal) = self.core.check(&self.fingerprint) {
+                permit.end(ending);
+                return Err(truthful(refusal, ever_ran));
+            }
             self.core.metrics.retried();
             let again = self.core.permit(self.wanted.deadline, permit.again(ending));
             let again = unless(gone.as_mut(), again).await;
--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -200,6 +200,16 @@
     .with_retry_after(SOON)
 }
 
+/// Targets ended while they ran this very request.
+pub fn quarantined() -> Refusal {
+    Refusal::new(
+        422,
+        "quarantined",
+        "The request crashes what runs it",
+        "several targets ended while they ran this request; it is not sent again",
+    )
+}
+
 /// The call was sent once, and its outcome is not known.
 pub fn outcome_unknown() -> Refusal {
     Refusal::new(
--- a/components/gateway/src/streams.rs
+++ b/components/gateway/src/streams.rs
@@ -153,6 +153,7 @@
         class: ticket.class,
         prompt: ticket.prompt,
         max_output: ticket.max_output,
+        fingerprint: None,
     };
     let reply = writer::carry(core, &account, permit, running, None, flight);
     Ok(reply.done())
--- a/components/gateway/src/whole.rs
+++ b/components/gateway/src/whole.rs
@@ -106,6 +106,7 @@
     let produced = finish(&core, work);
     let sum = Sum::of(&gathered.data).inspect_err(|e| generation.flight.note(e.run.into()))?;
     generation.flight.note(Outcome::Whole);
+    core.quarantine.served(&generation.fingerprint);
     let document = sum.document(&generation, produced);
     Ok(Reply::json(200, &document)
         .with_header(REQUEST_ID, &gathered.request)
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use ::quarantine::Fingerprint;
 use async_trait::async_trait;
 use bytes::{BufMut, Bytes, BytesMut};
 use hyper::Response;
@@ -72,6 +73,8 @@
     pub prompt: Tokens,
     /// The most tokens to produce.
     pub max_output: Tokens,
+    /// What stays the same of the request when it is sent again, where it is known.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 impl Account {
@@ -82,6 +85,7 @@
             class: generation.class,
             prompt: generation.call.prompt_tokens,
             max_output: generation.max_output,
+            fingerprint: Some(generation.fingerprint),
         }
     }
 
@@ -116,6 +120,7 @@
         core: Arc::clone(core),
         running,
         workspace: account.workspace.clone(),
+        fingerprint: account.fingerprint,
         writer,
         flight: Some(flight),
     };
--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -9,11 +9,12 @@
 
 use bytes::Bytes;
 use config::{Change, ChangeError, Config, Current, Entry, Fault, Update};
-use gateway::{Gateway, GatewayParts, Metrics, Takeover};
+use gateway::{Gateway, GatewayParts, Metrics, Quarantine, Takeover};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, body::Incoming};
 use net::{Client, ServeLimits, Server};
 use parking_lot::Mutex;
+use quarantine::{Evidence, Fingerprint, Ledger};
 use settings::Limits;
 use sha2::{Digest, Sha256};
 use targets::StreamId;
@@ -26,6 +27,26 @@
 
 use self::{admission::FakeAdmission, engine::FakeEngine, plain::FakeClaims, plain::FakePlain};
 
+/// What one instance alone knows.
+#[derive(Default)]
+struct FakeQuarantine {
+    ledger: Mutex<Ledger>,
+}
+
+impl Quarantine for FakeQuarantine {
+    fn rejects(&self, fingerprint: &Fingerprint) -> bool {
+        self.ledger.lock().rejects(Duration::ZERO, fingerprint)
+    }
+
+    fn ended(&self, evidence: Evidence) {
+        self.ledger.lock().ended(Duration::ZERO, evidence);
+    }
+
+    fn served(&self, fingerprint: &Fingerprint) {
+        self.ledger.lock().served(Duration::ZERO, fingerprint);
+    }
+}
+
 /// Keys of the workspaces `a` and `b`.
 pub const KEY_A: &str = "key-a";
 pub const KEY_B: &str = "key-b";
@@ -101,6 +122,7 @@
             engine: engine.clone(),
             plain: plain.clone(),
             claims: claims.clone(),
+            quarantine: Arc::new(FakeQuarantine::default()),
             config: Arc::new(FakeConfig),
             timer,
             limits: Limits {
--- a/components/members/src/reading.rs
+++ b/components/members/src/reading.rs
@@ -29,6 +29,7 @@
             draining: self.draining,
             owned,
             follows,
+            quarantine: 0,
         }
     }
 
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -13,10 +13,11 @@
 use members::{Change, Input, Membership, times::PAUSE};
 use parking_lot::Mutex;
 use policy::{Action, Decide, Event, RequestId, ShardRole, Used, View};
+use quarantine::Ledger;
 use smol::channel::{Receiver, Sender, bounded};
 use timer::{Pauses, Timer};
 use types::{Incarnation, InstanceId, Moment, Refusal, Shard};
-use wire::Message;
+use wire::{Heartbeat, Message};
 
 use crate::outbox::Outbox;
 
@@ -60,6 +61,8 @@
     waiting: Mutex<HashMap<RequestId, Waiting>>,
     pauses: Mutex<Pauses>,
     view: Mutex<Arc<View>>,
+    /// Requests that crash targets; held alone.
+    pub(crate) quarantine: Mutex<Ledger>,
     /// Shards whose ownership was logged.
     owned: Mutex<BTreeSet<Shard>>,
     outbox: Outbox,
@@ -87,6 +90,7 @@
             waiting: Mutex::default(),
             pauses: Mutex::new(Pauses::new(now, PAUSE)),
             view: Mutex::default(),
+            quarantine: Mutex::default(),
             owned: Mutex::default(),
             outbox,
             config_hints,
@@ -111,6 +115,7 @@
         self.check_pause();
         match &message {
             Message::Heartbeat(heartbeat) => {
+                self.answer_mark(from, heartbeat.quarantine);
                 let heartbeat = heartbeat.clone();
                 self.feed_members(Input::Heartbeat {
                     from: from.clone(),
@@ -123,6 +128,8 @@
                 shard: query.shard.clone(),
                 epoch: query.epoch,
             }),
+            Message::Ended(evidence) => self.take_evidence(evidence.clone()),
+            Message::Words(words) => self.learn_words(words),
             _ => {}
         }
         self.feed(Event::Received {
@@ -132,6 +139,11 @@
         });
     }
 
+    /// Sends a message to a peer.
+    pub fn push(&self, to: &InstanceId, message: Message) {
+        self.outbox.push(to, message);
+    }
+
     /// Registers a request that is about to wait; `id` is reused for another try.
     pub fn register(&self, id: Option<RequestId>) -> Waiter {
         let id = id.unwrap_or_else(|| self.next_request.fetch_add(1, Ordering::Relaxed));
@@ -180,12 +192,16 @@
     /// Sends a heartbeat to every peer.
     pub fn send_heartbeats(&self, config_version: u64) {
         self.check_pause();
+        let mark = self.quarantine.lock().mark(self.timer.now());
         let members = self.members.lock();
         let now = self.timer.now();
         let owned = self.policy.lock().summaries(now);
         self.outbox.set_peers(&members.peers());
         for peer in members.peers() {
-            let heartbeat = members.heartbeat(now, &peer.id, owned.clone(), config_version);
+            let heartbeat = Heartbeat {
+                quarantine: mark,
+                ..members.heartbeat(now, &peer.id, owned.clone(), config_version)
+            };
             self.outbox.push(&peer.id, heartbeat.into());
         }
         drop(members);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod outbox;
 mod parts;
 mod peers;
+mod quarantine;
 mod reports;
 mod serve;
 mod servers;
--- a/components/node/src/parts.rs
+++ b/components/node/src/parts.rs
@@ -27,6 +27,7 @@
     liveness::Heard,
     outbox::{Outbox, Refusals},
     peers::PeerClient,
+    quarantine::Suspects,
     reports::{Reports, Scope},
     ticks,
 };
@@ -131,6 +132,7 @@
             engine: Arc::clone(&self.engine),
             plain: Arc::clone(&self.plain),
             claims: Arc::clone(&self.claims) as Arc<dyn Claims>,
+            quarantine: Arc::new(Suspects::new(Arc::clone(&self.core))),
             config: self.config(),
             timer: self.core.timer,
             limits: settings.limits.clone(),
--- a/components/standins/src/engine/mod.rs
+++ b/components/standins/src/engine/mod.rs
@@ -21,7 +21,7 @@
         batch::{Batch, End, Generation, Totals, Work},
         text::{Api, Ask},
     },
-    life::{Entry, Faults, Life, LifeLog, Load},
+    life::{Act, Entry, Faults, Life, LifeLog, Load},
     link::{self, Running},
 };
 
@@ -58,6 +58,9 @@
     pub generations: Vec<Generation>,
 }
 
+/// What a prompt holds that crashes the engine that runs it.
+pub const CRASHING: &str = "crashes what runs it";
+
 /// The engine stand-in.
 pub struct Engine {
     inner: Arc<Inner>,
@@ -147,6 +150,14 @@
         if prompt_tokens + 1 >= self.settings.capacity {
             return Err(control::not_run(400, "prompt-too-long").into());
         }
+        if prompt.contains(CRASHING) {
+            let crash = Faults {
+                act: Some(Act::Crash),
+                ..Faults::default()
+            };
+            self.set(crash);
+            return Err(control::hang_up(&call.link).into());
+        }
         let mut state = self.state.lock();
         let inside = state.batch.running() + state.batch.waiting();
         if state.batch.waiting() >= self.settings.most_waiting {
--- a/components/wire/src/heartbeat.rs
+++ b/components/wire/src/heartbeat.rs
@@ -51,4 +51,6 @@
     /// For shards owned by the receiver: the ownership that the sender follows. For shards that
     /// the receiver claims in an outdated term: the newest term that the sender knows.
     pub follows: Vec<Claim>,
+    /// A digest of what the sender knows of requests that crash targets.
+    pub quarantine: u64,
 }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -1,6 +1,7 @@
 //! The envelope that instances exchange.
 
 use derive_more::From;
+use quarantine::{Evidence, Word};
 use serde::{Deserialize, Serialize};
 use types::{Incarnation, InstanceId};
 
@@ -31,6 +32,10 @@
     Held(Held),
     /// Periodic sign of life.
     Heartbeat(Heartbeat),
+    /// A target ended while it ran a request for the sender; the receiver sums such evidence up.
+    Ended(Evidence),
+    /// How requests are taken under which targets ended.
+    Words(Vec<Word>),
 }
 
 /// A batch of messages from one instance to one other.
@@ -53,5 +58,5 @@
 
 impl Envelope {
     /// The format this code speaks.
-    pub const FORMAT: u16 = 1;
+    pub const FORMAT: u16 = 2;
 }
