--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -25,6 +25,10 @@
 const POLL: Duration = Duration::from_millis(50);
 /// Events of the generation that is carried over: about two seconds.
 const EVENTS: u32 = 130;
+/// Engines beside the first ones for a request that crashes them.
+const ENGINES: usize = 5;
+/// Times that it is sent.
+const REPEATS: usize = 6;
 /// Time after which its engine is said to leave.
 const BEFORE_LEAVING: Duration = Duration::from_millis(300);
 
@@ -76,7 +80,38 @@
         .call(to, "GET", "/titles/1", "try-denied")
         .await;
     output::line(format_args!("With a wrong key: {}", denied.status))?;
-    carried(deployment, &caller, to).await
+    carried(deployment, &caller, to).await?;
+    crashing(deployment, &caller, to).await
+}
+
+/// A request that crashes each engine that runs it, sent again and again.
+async fn crashing(deployment: &Deployment, caller: &Caller, to: SocketAddr) -> errors::Result<()> {
+    let mut engines = Vec::new();
+    for number in 3..3 + ENGINES {
+        engines.push(deployment.add_engine(&format!("e-{number}")).await);
+    }
+    engines.push(deployment.engines[1].clone());
+    let timer = Timer::new();
+    let mut last = Got::default();
+    for number in 0..REPEATS {
+        let id = format!("try-crash-{number}");
+        last = caller.crash(to, "POST", "/drafts/1", &id).await;
+        timer.sleep(BEFORE_LEAVING).await;
+        for engine in engines.iter().filter(|engine| engine.has_crashed()) {
+            deployment.store.drop_row("servers", &engine.id());
+        }
+        timer.sleep(BEFORE_LEAVING).await;
+    }
+    let ended = engines.iter().filter(|engine| engine.has_crashed()).count();
+    output::line(format_args!(
+        "A request that crashes what runs it, sent {REPEATS} times: {ended} engines ended; the last \
+         answer: {} {}",
+        last.status, last.body
+    ))?;
+    if ended < ENGINES {
+        return Ok(());
+    }
+    Err(Error::new("the request was not rejected"))
 }
 
 async fn until_served(caller: &Caller, to: SocketAddr) -> errors::Result<Got> {
