Log targets that name how many requests a second they take

The record could not tell whether an instance had read a target's limit. The face decodes it, each instance remembers what targets said last, and 928 and 929 tell of changes. An answer that was under way while another one named a limit does not end it. No decision changes.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -604,4 +604,22 @@
         927, Info, "requests {fingerprint} are not rejected any more",
         "Nothing.",
     ),
+    /// A target in need takes only so many requests a second from all instances together.
+    TargetLimited {
+        /// The target.
+        target: TargetId,
+        /// How many in a thousand seconds.
+        per_1000_s: u64,
+    } = (
+        928, Warn, "{target} takes {per_1000_s} requests in 1000 s from all instances together",
+        "Look at the target. Its requests go elsewhere while others have room.",
+    ),
+    /// A target that was in need takes any number of requests again.
+    TargetUnlimited {
+        /// The target.
+        target: TargetId,
+    } = (
+        929, Info, "{target} names no limit any more",
+        "Nothing.",
+    ),
 }
--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -90,7 +90,7 @@
 }
 
 /// What the head of a target's answer says.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Heading {
     /// It answers the request that was sent.
     pub ours: bool,
@@ -102,6 +102,8 @@
     pub encoded: bool,
     /// The target's load.
     pub load: Option<SaidLoad>,
+    /// Requests a second that the target takes from all instances together, while it is in need.
+    pub limit: Option<f64>,
 }
 
 /// Speaks with callers and targets.
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gate;
 pub mod generations;
 pub mod instances;
+pub mod limited;
 pub mod metrics;
 pub mod plain_calls;
 pub mod quarantine;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -161,6 +161,7 @@
             bounds.retry_slack,
         )),
         cold: Mutex::new(ColdTargets::default()),
+        limits: Mutex::default(),
         quarantine: Mutex::default(),
         endings: Endings::default(),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -7,6 +7,7 @@
 use hyper::{Response, StatusCode, body::Incoming, http};
 use net::{Body, SendError, full};
 use timer::{Timer, boot_time};
+use types::Moment;
 use view::Target;
 
 use crate::{
@@ -15,6 +16,7 @@
         refuse::{QUARANTINED, millis},
     },
     face::{Heading, Resume, Sending},
+    limited,
     quarantine::ends,
     state::Front,
 };
@@ -90,7 +92,7 @@
                 late: false,
             }
         }
-        Some(Ok(resp)) => judge(front, call, resp),
+        Some(Ok(resp)) => judge(front, call, target, from, resp),
     };
     match &sent {
         Sent::Head { .. } => front.metrics.head(boot_time().saturating_sub(from)),
@@ -113,7 +115,13 @@
 
 /// Judges the head of an answer. Only what surely is the target's whole answer to this request
 /// may pass: bytes of a late answer, or of a broken target, would be another caller's.
-fn judge(front: &Front, call: &Call, resp: Response<Incoming>) -> Sent {
+fn judge(
+    front: &Front,
+    call: &Call,
+    target: &Target,
+    sent: Moment,
+    resp: Response<Incoming>,
+) -> Sent {
     let (head, body) = resp.into_parts();
     let heading = front.face.heading(&call.asked.id, &head);
     let unknown = |reason: String| Sent::Unknown {
@@ -123,6 +131,9 @@
     if !heading.ours {
         return unknown("the answer belongs to another request".into());
     }
+    if heading.sealed || heading.not_run {
+        limited::heard(front, target, sent, heading.limit);
+    }
     if heading.not_run {
         return Sent::NotRun {
             reason: format!("the target refused it with status {}", head.status).into(),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,7 +1,7 @@
 //! What all parts of one instance share.
 //!
 //! Locks, in the order in which they may be held together: `bounds`, `budget`, `cold`, `choice`, then those
-//! inside `live`, `placement`, `peers` and `view`. `quarantine` is held alone. None is held over an await.
+//! inside `live`, `placement`, `peers` and `view`. `quarantine` and `limits` are held alone. None is held over an await.
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
@@ -11,6 +11,7 @@
 use net::{Client, Terms};
 use parking_lot::{Mutex, RwLock};
 use quarantine::Ledger;
+use rates::Limits;
 use timer::{Timer, boot_time};
 use types::Moment;
 use view::{Service, Target, View};
@@ -70,6 +71,8 @@
     pub budget: Mutex<Budget>,
     /// Cold targets.
     pub cold: Mutex<ColdTargets>,
+    /// Rates that targets have named for all instances.
+    pub limits: Mutex<Limits>,
     /// Requests under which targets ended.
     pub quarantine: Mutex<Ledger>,
     /// Targets that have ended lately.
