--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod endings;
 mod explaining;
 mod generations;
+mod limits;
 mod quarantine;
 mod starting;
 mod stopping;
