Keep the rates that targets in need name, over all instances together

Cause: no instance read the limit, and none that did could keep it alone: nine instances that each send four a second send 36. Class: what one instance learns of a target and the others must act on, with a bound over their sum. Ruled out: repeats (4 of 73 sendings to the two).

Change: what an answer says is remembered with its time; changes go to the keeper of the target's rate, the first in an order by its id, and from there to all. Each request to such a target asks the keeper for a slot. It hands out three quarters of the rate, begins without a burst and allows two at once, so that two keepers at a time, as after a cut, stay within one and a half times the rate. While others have room, targets in need get two calls in a hundred, by which the end of their need is noticed; owners pass engines in need over. What no target takes waits for a slot within its aim, or is refused at once with a time at which the rate has room, another one for each.

Weighed: shares by rank, by which only as many instances send as there are whole requests in the window. Four a second at 195 instances leave callers of 187 of them without that target though its rate is unused.

--- a/components/front/src/generations/generation.rs
+++ b/components/front/src/generations/generation.rs
@@ -7,6 +7,7 @@
 use hyper::{Response, http};
 use net::{Body, fed};
 use placing::{Answer, Ask, Note, Shard};
+use rates::Slot;
 use smol::future;
 use timer::boot_time;
 use types::TargetId;
@@ -23,6 +24,7 @@
         relay::Relay,
         silence::{Silence, Verdict, look_into},
     },
+    limited,
     quarantine::{ends, keeping},
     send::{Sent, collect, send},
     state::Front,
@@ -35,6 +37,8 @@
 const SHARDS_ASKED: u32 = 3;
 /// Engines that may say in a row that they did not run a generation before its caller is told.
 const NOT_RUN_MOST: usize = 4;
+/// Part of its aim that a generation waits for an engine in need.
+const SLOT_PART: f64 = 0.25;
 /// Sizes of a generation that declares none: that of a short question.
 const UNKNOWN_SIZES: Sizes = Sizes {
     prompt: 1_000,
@@ -222,6 +226,15 @@
     avoid: &mut Vec<TargetId>,
 ) -> Attempt {
     let mut place = Place::new(front, live(call, &target));
+    if let Slot::Full { after } = wait_for_slot(front, call, &target.id).await {
+        // Nothing was sent, so that no budget of repeats is drawn on.
+        avoid.push(Arc::clone(&target.id));
+        place.give_up().await;
+        if avoid.len() < NOT_RUN_MOST {
+            return Attempt::Again;
+        }
+        return Attempt::GiveUp(Refusal::not_run("engines in need take no more", after));
+    }
     let sending = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
     if !front.take_cold(&call.service, &target) {
         avoid.push(Arc::clone(&target.id));
@@ -269,6 +282,16 @@
     }
 }
 
+/// Waits for a slot of the rate that an engine in need has named.
+async fn wait_for_slot(front: &Arc<Front>, call: &Call, target: &TargetId) -> Slot {
+    let patience = call.aim_left().mul_f64(SLOT_PART);
+    let slot = limited::slot(front, target, patience).await;
+    if let Slot::At { after } = slot {
+        smol::Timer::after(after).await;
+    }
+    slot
+}
+
 /// Waits until an engine that owes the first event is known to be gone. Its caller would wait for
 /// seconds otherwise, and learn no more.
 async fn until_gone(front: &Arc<Front>, call: &Call, live: &Live) -> Sent {
--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -144,9 +144,13 @@
             memory: kind.memory,
             token_copy: kind.token_copy(),
         };
-        let usable = self.usable(&service);
-        let inside = usable.iter().filter(|target| shard.holds(&target.id));
-        inside.map(engine).collect()
+        let mut inside = self.usable(&service);
+        inside.retain(|target| shard.holds(&target.id));
+        // Those in need are passed over while there are others.
+        if inside.iter().any(|target| !self.is_limited(&target.id)) {
+            inside.retain(|target| !self.is_limited(&target.id));
+        }
+        inside.iter().map(engine).collect()
     }
 
     /// Tells the owner of an engine what happened to a generation there. The word may get lost; the
--- a/components/front/src/instances/message.rs
+++ b/components/front/src/instances/message.rs
@@ -15,6 +15,7 @@
         peers::{MESSAGE_LIMIT, MESSAGES_PATH, Members},
         wire::{Message, Reply, Topic},
     },
+    limited,
     quarantine::keeping,
     state::{Front, age},
     store::follow::{self, PEER_AGE},
@@ -84,6 +85,13 @@
                 keeping::learn(front, &words);
                 Reply::Noted
             }
+            Message::Limit(word) => {
+                limited::learn(front, &word);
+                Reply::Noted
+            }
+            Message::Slot { limit, patience } => {
+                Reply::Slot(limited::take(front, &limit, patience))
+            }
             Message::Carry(order) => Reply::Carried(self.carry(order).await),
         }
     }
--- a/components/front/src/instances/mod.rs
+++ b/components/front/src/instances/mod.rs
@@ -4,4 +4,5 @@
 pub mod membership;
 pub mod message;
 pub mod peers;
+pub mod telling;
 pub mod wire;
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -5,6 +5,7 @@
 use derive_more::Display;
 use placing::{Answer, Ask, Carried, Carry, Note, Sync};
 use quarantine::{Evidence, Word};
+use rates::{self, Slot};
 use serde::{Deserialize, Serialize};
 use types::{DataCentreId, InstanceId, TargetId};
 
@@ -111,6 +112,15 @@
     Ended(Evidence),
     /// How requests are taken under which targets ended.
     Words(Vec<Word>),
+    /// What a target has said of the rate that it takes from all instances together.
+    Limit(rates::Word),
+    /// An ask for a slot of that rate, to the one that hands it out.
+    Slot {
+        /// What the sender knows of the rate.
+        limit: rates::Word,
+        /// How long the request can wait.
+        patience: Duration,
+    },
     /// An order to carry a generation over.
     Carry(Carry),
     /// The sender has heard that an engine leaves, on which it has generations running.
@@ -145,6 +155,7 @@
             Self::Leaving(_) => "leaving",
             Self::Hello { .. } => "hello",
             Self::Ended(_) | Self::Words(_) => "quarantine",
+            Self::Limit(_) | Self::Slot { .. } => "rates",
             Self::Follow { topic, .. } => topic.name(),
         }
     }
@@ -155,7 +166,9 @@
 pub enum Reply {
     /// To an ask.
     Answer(Answer),
-    /// To notes, to word of requests that crash targets, and to a hello that asks nothing.
+    /// To an ask for a slot.
+    Slot(Slot),
+    /// To notes, to word of requests that crash targets or of rates, and to a hello that asks nothing.
     Noted,
     /// To a sync: members that were heard lately; to a hello that asks: those that lead.
     Members {
--- a/components/front/src/plain_calls/choice.rs
+++ b/components/front/src/plain_calls/choice.rs
@@ -165,6 +165,12 @@
         self.sets_aside && known.is_some_and(|known| known.aside_until > now)
     }
 
+    /// Whether a target has a free place as far as is known, and is not put aside.
+    #[must_use]
+    pub fn has_room(&self, now: Moment, target: &Target) -> bool {
+        self.load(now, target) < 1.0 && !self.is_aside(now, &target.id)
+    }
+
     /// Calls at a target as a part of its places: our own, or those that it said if more.
     fn load(&self, now: Moment, target: &Target) -> f64 {
         let Some(known) = self.known.get(&target.id) else {
--- a/components/front/src/plain_calls/plain.rs
+++ b/components/front/src/plain_calls/plain.rs
@@ -5,6 +5,7 @@
 use events::{Event, emit};
 use hyper::Response;
 use net::Body;
+use rates::Slot;
 use timer::boot_time;
 use types::{Moment, TargetId};
 use view::{Kind, Target};
@@ -14,6 +15,7 @@
         call::Call,
         refuse::{Refusal, millis},
     },
+    limited::slot,
     plain_calls::choice::connection_share,
     quarantine::{ends, keeping},
     send::{Sent, collect, log_failure, send},
@@ -31,6 +33,8 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// How long a call waits for a usable target, as a part of its aim.
 const LOOK_PART: f64 = 1.0;
+/// Part of the calls that may go to a target in need though others have room.
+const PROBED_PART: f64 = 0.02;
 /// Targets that may say in a row that they did not run a call before its caller is told so.
 const NOT_RUN_MOST: usize = 4;
 
@@ -77,6 +81,8 @@
     spare: Option<Response<Body>>,
     late: bool,
     reason: Option<Arc<str>>,
+    /// When a target takes more, where none does now.
+    come_back: Option<Duration>,
 }
 
 impl Tries {
@@ -88,7 +94,7 @@
         }
         let reason = self.reason.unwrap_or_else(|| "no target takes it".into());
         let refusal = match (self.run, self.late) {
-            (0, _) => Refusal::not_run(reason, NO_TARGET_RETRY),
+            (0, _) => Refusal::not_run(reason, self.come_back.unwrap_or(NO_TARGET_RETRY)),
             (_, true) => Refusal::late(reason),
             (_, false) => Refusal::unknown(reason),
         };
@@ -103,8 +109,13 @@
         if !may_try(front, call, &tries) {
             return tries.give_up(front, call);
         }
-        let Some(target) = find(front, call, &tries.tried).await else {
-            return tries.give_up(front, call);
+        let target = match find(front, call, &tries.tried).await {
+            Ok(target) => target,
+            Err(NoTarget::Unusable) => return tries.give_up(front, call),
+            Err(NoTarget::Limited { after }) => {
+                tries.come_back = Some(after);
+                return tries.give_up(front, call);
+            }
         };
         tries.sendings += 1;
         tries.tried.push(Arc::clone(&target.id));
@@ -155,30 +166,64 @@
     granted
 }
 
+/// Why no target was found.
+enum NoTarget {
+    /// None is usable, or all were tried.
+    Unusable,
+    /// Those that are usable are in need, and take nothing more for so long.
+    Limited { after: Duration },
+}
+
 /// Finds a target; waits a little where none is usable just now.
-async fn find(front: &Front, call: &Call, tried: &[TargetId]) -> Option<Arc<Target>> {
+async fn find(
+    front: &Arc<Front>,
+    call: &Call,
+    tried: &[TargetId],
+) -> Result<Arc<Target>, NoTarget> {
     let patience = call.route.aim.mul_f64(LOOK_PART).min(call.until_due());
     let until = boot_time() + patience;
+    let mut passed_over = tried.to_vec();
+    let mut limited: Option<Duration> = None;
     loop {
         let now = boot_time();
-        let picked = pick(front, call, tried, now);
+        let picked = pick(front, call, &passed_over, now);
         if let Some(target) = picked.filter(|target| front.take_cold(&call.service, target)) {
-            return Some(target);
+            match slot(front, &target.id, until.saturating_sub(now)).await {
+                Slot::At { after } => {
+                    smol::Timer::after(after).await;
+                    return Ok(target);
+                }
+                Slot::Full { after } => {
+                    passed_over.push(Arc::clone(&target.id));
+                    limited = Some(limited.map_or(after, |least| least.min(after)));
+                    continue;
+                }
+            }
+        }
+        if let Some(after) = limited {
+            return Err(NoTarget::Limited { after });
         }
         // Others than those tried may come, but a call that was sent is not held for them.
         if now >= until || !tried.is_empty() {
-            return None;
+            return Err(NoTarget::Unusable);
         }
         smol::Timer::after(LOOK_AGAIN).await;
     }
 }
 
-/// Picks among the targets that this instance may open one more connection to.
+/// Picks among the targets that this instance may open one more connection to. Those in need are
+/// passed over while others have room, but for a few calls that tell whether the need is over.
 fn pick(front: &Front, call: &Call, tried: &[TargetId], now: Moment) -> Option<Arc<Target>> {
     let share = connection_share(call.service.connections, front.instances());
     let mut targets = front.usable(&call.service);
+    targets.retain(|target| !tried.contains(&target.id));
     let choice = front.choice.lock();
     targets.retain(|target| choice.mine(&target.id) < share);
+    let has_room = |target: &&Arc<Target>| choice.has_room(now, target);
+    let is_free = |target: &&Arc<Target>| !front.is_limited(&target.id);
+    if targets.iter().filter(is_free).any(|t| has_room(&t)) && fastrand::f64() >= PROBED_PART {
+        targets.retain(|target| is_free(&target));
+    }
     let near = &front.cfg.data_centre;
     choice.pick(now, &targets, tried, near, fastrand::f64())
 }
--- a/components/front/src/quarantine/keeping.rs
+++ b/components/front/src/quarantine/keeping.rs
@@ -4,7 +4,7 @@
 //! the request's keepers, the first in an order by its fingerprint. Word of what they find goes to each
 //! instance at once, and with the syncs to those that were not reached or have just started.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use ::quarantine::{Audience, Evidence, Fingerprint, Standing, Word};
 use events::{Event, emit};
@@ -13,18 +13,15 @@
 
 use crate::{
     callers::refuse::millis,
-    instances::wire::{Message, Reply},
+    instances::{
+        telling::{PATIENCE, tell, tell_all},
+        wire::{Message, Reply},
+    },
     state::Front,
 };
 
 /// Instances that sum up the evidence against one request: another one, should the first end.
 const KEEPERS: usize = 2;
-/// Time for an instance to take a message.
-const PATIENCE: Duration = Duration::from_millis(300);
-/// Times that an instance is told before it is left to its syncs.
-const TRIES: u32 = 4;
-/// Pause between them.
-const AGAIN: Duration = Duration::from_millis(500);
 
 impl Front {
     /// Whether a request must not be sent to any target.
@@ -48,7 +45,7 @@
     let word = front.quarantine.lock().ended(boot_time(), evidence);
     if let Some(word) = word {
         log(&word);
-        tell_all(front, word);
+        tell_all(front, &Message::Words(vec![word]));
     }
 }
 
@@ -64,7 +61,7 @@
         }
         Some((word, Audience::All)) => {
             log(&word);
-            tell_all(front, word);
+            tell_all(front, &Message::Words(vec![word]));
         }
     }
 }
@@ -117,25 +114,6 @@
     keepers
 }
 
-fn tell_all(front: &Arc<Front>, word: Word) {
-    for peer in front.peers.all() {
-        tell(front, peer, Message::Words(vec![word]));
-    }
-}
-
-fn tell(front: &Arc<Front>, peer: InstanceId, message: Message) {
-    let front = Arc::clone(front);
-    let telling = async move {
-        for _ in 0..TRIES {
-            if front.peers.call(&peer, &message, PATIENCE).await.is_some() {
-                return;
-            }
-            smol::Timer::after(AGAIN).await;
-        }
-    };
-    workers::spawn(telling).detach();
-}
-
 fn log(word: &Word) {
     let fingerprint = word.fingerprint.to_string().into();
     match word.standing {
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -162,6 +162,7 @@
         )),
         cold: Mutex::new(ColdTargets::default()),
         limits: Mutex::default(),
+        slots: Mutex::default(),
         quarantine: Mutex::default(),
         endings: Endings::default(),
         bodies: net::Budget::new(cfg.memory / BODIES_PART),
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -116,7 +116,7 @@
 /// Judges the head of an answer. Only what surely is the target's whole answer to this request
 /// may pass: bytes of a late answer, or of a broken target, would be another caller's.
 fn judge(
-    front: &Front,
+    front: &Arc<Front>,
     call: &Call,
     target: &Target,
     sent: Moment,
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,7 +1,8 @@
 //! What all parts of one instance share.
 //!
 //! Locks, in the order in which they may be held together: `bounds`, `budget`, `cold`, `choice`, then those
-//! inside `live`, `placement`, `peers` and `view`. `quarantine` and `limits` are held alone. None is held over an await.
+//! inside `live`, `placement`, `peers` and `view`. `quarantine`, `limits` and `slots` are held
+//! alone. None is held over an await.
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
@@ -11,7 +12,7 @@
 use net::{Client, Terms};
 use parking_lot::{Mutex, RwLock};
 use quarantine::Ledger;
-use rates::Limits;
+use rates::{Limits, Slots};
 use timer::{Timer, boot_time};
 use types::Moment;
 use view::{Service, Target, View};
@@ -73,6 +74,8 @@
     pub cold: Mutex<ColdTargets>,
     /// Rates that targets have named for all instances.
     pub limits: Mutex<Limits>,
+    /// The rates that this instance hands out.
+    pub slots: Mutex<Slots>,
     /// Requests under which targets ended.
     pub quarantine: Mutex<Ledger>,
     /// Targets that have ended lately.
