Keep rejections of requests in the store

After a loss of all instances at once nobody knew which requests crash targets, and each crashed three more: 6 engines where 3 are allowed (a_rejection_outlives_the_loss_of_all_instances, failing before this commit).

Cause: word of a rejection was with the instances alone. The first keeper now also writes it to the platform's store, one write each, among the rows of instances that every instance reads once when it starts; it is dropped when it is lifted, and by its keeper when its time is over.

--- a/components/front/src/face.rs
+++ b/components/front/src/face.rs
@@ -11,7 +11,10 @@
 use types::{DataCentreId, TargetId, Tokens};
 use view::{Rules, Target};
 
-use crate::instances::wire::{Member, News, Row, Topic};
+use crate::{
+    instances::wire::{Member, News, Row, Topic},
+    quarantine::kept::Kept,
+};
 
 /// Sizes that a caller declares for a generation.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -227,6 +230,8 @@
     Unlisted(TargetId),
     /// An instance.
     Member(Member),
+    /// A request that is rejected.
+    Quarantined(Kept),
     /// Something that can't be read; it names nothing.
     Unreadable {
         /// Its key.
@@ -285,4 +290,10 @@
 
     /// Makes an instance known.
     async fn announce(&self, member: &Member) -> Result<(), StoreError>;
+
+    /// Keeps a rejection of a request, among the instances.
+    async fn keep(&self, kept: &Kept) -> Result<(), StoreError>;
+
+    /// Drops a rejection.
+    async fn drop_kept(&self, kept: &Kept) -> Result<(), StoreError>;
 }
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -12,7 +12,7 @@
         joining,
         wire::{Message, Reply, Topic},
     },
-    quarantine::keeping,
+    quarantine::{keeping, kept},
     state::Front,
     store::timeouts,
 };
@@ -107,7 +107,7 @@
     }
 }
 
-async fn look_until_seen(front: &Front, store: &Arc<dyn Store>) {
+async fn look_until_seen(front: &Arc<Front>, store: &Arc<dyn Store>) {
     while look(front, store).await.is_none() {
         pause_after_failure().await;
     }
@@ -118,7 +118,7 @@
 }
 
 /// Learns the members that are listed in the store; nothing comes of it where the store fails.
-async fn look(front: &Front, store: &Arc<dyn Store>) -> Option<Look> {
+async fn look(front: &Arc<Front>, store: &Arc<dyn Store>) -> Option<Look> {
     let news = store.read(Topic::Members, timeouts::READ).await.ok()?;
     let me = front.peers.me();
     let mut look = Look {
@@ -126,8 +126,13 @@
         lists_me: false,
     };
     for row in &news.rows {
-        let Some(Record::Member(member)) = store.decode(Topic::Members, row) else {
-            continue;
+        let member = match store.decode(Topic::Members, row) {
+            Some(Record::Member(member)) => member,
+            Some(Record::Quarantined(kept)) => {
+                kept::found(front, &kept);
+                continue;
+            }
+            _ => continue,
         };
         if member.id == me.id {
             look.lists_me = member.is_reached_like(me);
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -28,4 +28,5 @@
     Record, Resume, RunReport, SaidLoad, Sending, Sizes, Store, StoreError,
 };
 pub use instances::wire::{Member, News, Row, Topic};
+pub use quarantine::kept::Kept;
 pub use run::{Outside, serve};
--- a/components/front/src/quarantine/keeping.rs
+++ b/components/front/src/quarantine/keeping.rs
@@ -17,6 +17,7 @@
         telling::{PATIENCE, tell, tell_all},
         wire::{Message, Reply},
     },
+    quarantine::kept,
     state::Front,
 };
 
@@ -43,9 +44,13 @@
 /// Takes evidence in; tells all instances what comes of it.
 pub fn take(front: &Arc<Front>, evidence: Evidence) {
     let word = front.quarantine.lock().ended(boot_time(), evidence);
-    if let Some(word) = word {
-        log(&word);
-        tell_all(front, &Message::Words(vec![word]));
+    let Some(word) = word else {
+        return;
+    };
+    log(&word);
+    tell_all(front, &Message::Words(vec![word]));
+    if word.standing == Standing::Rejected && is_first_keeper(front, &word.fingerprint) {
+        kept::keep(front, &word);
     }
 }
 
@@ -62,6 +67,7 @@
         Some((word, Audience::All)) => {
             log(&word);
             tell_all(front, &Message::Words(vec![word]));
+            kept::keep(front, &word);
         }
     }
 }
@@ -106,6 +112,13 @@
     }
 }
 
+/// Whether this instance is the first of those that sum up the evidence against a request.
+#[must_use]
+pub fn is_first_keeper(front: &Front, fingerprint: &Fingerprint) -> bool {
+    let order = front.peers.owners(&fingerprint.to_string());
+    order.first() == Some(&front.cfg.instance)
+}
+
 /// The other instances that sum up the evidence against a request.
 fn keepers(front: &Front, fingerprint: &Fingerprint) -> Vec<InstanceId> {
     let mut keepers = front.peers.owners(&fingerprint.to_string());
--- /dev/null
+++ b/components/front/src/quarantine/kept.rs
@@ -0,0 +1,79 @@
+//! Rejections in the store: all instances may be lost at the same moment.
+
+use std::{
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use ::quarantine::{Fingerprint, Standing, Word};
+use serde::{Deserialize, Serialize};
+
+use crate::{quarantine::keeping, state::Front};
+
+/// Tries to write a rejection or to drop one.
+const TRIES: u32 = 20;
+/// Mean pause between them.
+const AGAIN: Duration = Duration::from_millis(700);
+
+/// A rejection as it is kept.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Kept {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How often it was rejected.
+    pub round: u32,
+    /// Until when, in Unix milliseconds.
+    pub until_ms: u64,
+}
+
+/// Writes a rejection to the store, or drops one that was lifted.
+pub fn keep(front: &Arc<Front>, word: &Word) {
+    let (front, word) = (Arc::clone(front), *word);
+    let kept = Kept {
+        fingerprint: word.fingerprint,
+        round: word.round,
+        until_ms: unix_millis().saturating_add(millis(word.left)),
+    };
+    let keeping = async move {
+        for _ in 0..TRIES {
+            let done = match word.standing {
+                Standing::Rejected => front.store.keep(&kept).await,
+                Standing::Suspected | Standing::Cleared => front.store.drop_kept(&kept).await,
+            };
+            if done.is_ok() {
+                return;
+            }
+            smol::Timer::after(AGAIN.mul_f64(0.5 + fastrand::f64())).await;
+        }
+    };
+    workers::spawn(keeping).detach();
+}
+
+/// Takes a rejection that was found in the store; drops it if its time is over.
+pub fn found(front: &Arc<Front>, kept: &Kept) {
+    let left = kept.until_ms.saturating_sub(unix_millis());
+    let word = Word {
+        fingerprint: kept.fingerprint,
+        round: kept.round,
+        standing: Standing::Rejected,
+        left: Duration::from_millis(left),
+    };
+    if left > 0 {
+        keeping::learn(front, &[word]);
+    } else if keeping::is_first_keeper(front, &kept.fingerprint) {
+        let lapsed = Word {
+            standing: Standing::Cleared,
+            ..word
+        };
+        keep(front, &lapsed);
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    millis(since.unwrap_or_default())
+}
--- a/components/front/src/quarantine/mod.rs
+++ b/components/front/src/quarantine/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod ends;
 pub mod keeping;
+pub mod kept;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -104,8 +104,7 @@
     };
     workers::spawn(peers.run()).detach();
     workers::spawn(ready.run()).detach();
-    let calls = front.metrics.store_calls.clone();
-    let store: Arc<dyn Store> = Arc::new(CountedStore::new(Arc::clone(&outside.store), calls));
+    let store = Arc::clone(&front.store);
     for topic in [Topic::Operator, Topic::Targets] {
         let follower = Follower::new(Arc::clone(&front), Arc::clone(&store), topic);
         workers::spawn(follower.run()).detach();
@@ -138,10 +137,12 @@
         ..ServeLimits::default()
     };
     let metrics = Metrics::new();
+    let calls = metrics.store_calls.clone();
     Front {
         view: View::new(),
         face: Arc::clone(&outside.face),
         engines: Arc::clone(&outside.engines),
+        store: Arc::new(CountedStore::new(Arc::clone(&outside.store), calls)),
         client: Client::new().with_connect_limit(CONNECT_LIMIT),
         peers: Peers::new(me, Client::new().with_connect_limit(CONNECT_LIMIT))
             .with_strong_first(cfg.decisions.parts.strong_first)
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -20,7 +20,7 @@
 use crate::{
     callers::{open::OpenRequests, shutdown::Ending},
     config::{Bounds, Config},
-    face::{Engines, Face},
+    face::{Engines, Face, Store},
     gate::Gate,
     generations::{live::LiveRuns, placement::Placement},
     instances::{peers::Peers, wire::Topic},
@@ -52,6 +52,8 @@
     pub face: Arc<dyn Face>,
     /// Gives engines orders.
     pub engines: Arc<dyn Engines>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
     /// Connections to targets.
     pub client: Client,
     /// The other instances.
--- a/components/front/src/store/counted.rs
+++ b/components/front/src/store/counted.rs
@@ -9,6 +9,7 @@
     face::{Record, Store, StoreError},
     instances::wire::{Member, News, Row, Topic},
     metrics::StoreCall,
+    quarantine::kept::Kept,
 };
 
 /// A store whose calls are counted.
@@ -68,4 +69,16 @@
         self.count(Topic::Members, "write", &answer);
         answer
     }
+
+    async fn keep(&self, kept: &Kept) -> Result<(), StoreError> {
+        let answer = self.inner.keep(kept).await;
+        self.count(Topic::Members, "write", &answer);
+        answer
+    }
+
+    async fn drop_kept(&self, kept: &Kept) -> Result<(), StoreError> {
+        let answer = self.inner.drop_kept(kept).await;
+        self.count(Topic::Members, "write", &answer);
+        answer
+    }
 }
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -20,6 +20,7 @@
     face::{Record, Store, StoreError},
     generations::evacuation,
     instances::wire::{Message, News, Reply, Row, Topic},
+    quarantine::kept,
     state::{Front, age},
     store::{
         sources::{Failing, Source, Sources},
@@ -284,6 +285,10 @@
                 self.front.peers.learn(member);
                 None
             }
+            Some(Record::Quarantined(kept)) => {
+                kept::found(&self.front, &kept);
+                None
+            }
             Some(Record::Unreadable { key, reason }) => {
                 emit(&Event::RowUnreadable {
                     topic: self.topic.to_string().into(),
--- a/tests/platform/quarantine.rs
+++ b/tests/platform/quarantine.rs
@@ -103,6 +103,26 @@
     });
 }
 
+/// Guards against a loss of all instances, after which a request crashes as many engines once more.
+#[test]
+fn a_rejection_outlives_the_loss_of_all_instances() {
+    smol::block_on(async {
+        let (platform, engines, mut instances) = start("all", 3).await;
+        crash_some(&platform, &engines, &instances, MOST).await;
+        instances.iter_mut().for_each(Instance::kill);
+        instances.iter_mut().for_each(Instance::start_again);
+        for instance in &instances {
+            let ready = instance.ready;
+            eventually("it takes callers again", || async move {
+                status(ready, "/v1/readiness").await == Some(200)
+            })
+            .await;
+        }
+        crash_some(&platform, &engines, &instances, MOST).await;
+        assert_eq!(crashed(&engines), MOST);
+    });
+}
+
 /// Guards against one attempt of a caller that is sent again and crashes a target with each sending,
 /// and against its caller's own repeats.
 #[test]
