--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -25,6 +25,12 @@
 const POLL: Duration = Duration::from_millis(50);
 /// Events of the generation that is carried over: about two seconds.
 const EVENTS: u32 = 130;
+/// Requests a second that a process in need takes.
+const TAKES: f64 = 4.0;
+/// How long it is in need.
+const NEED: Duration = Duration::from_secs(2);
+/// Time between two calls meanwhile.
+const CALL_EVERY: Duration = Duration::from_millis(20);
 /// Engines beside the first ones for a request that crashes them.
 const ENGINES: usize = 5;
 /// Times that it is sent.
@@ -80,10 +86,33 @@
         .call(to, "GET", "/titles/1", "try-denied")
         .await;
     output::line(format_args!("With a wrong key: {}", denied.status))?;
+    in_need(deployment, &caller, to).await?;
     carried(deployment, &caller, to).await?;
     crashing(deployment, &caller, to).await
 }
 
+/// A process of the plain service that takes few requests a second.
+async fn in_need(deployment: &Deployment, caller: &Caller, to: SocketAddr) -> errors::Result<()> {
+    let plain = &deployment.plain[0];
+    plain.set_limit(Some(TAKES));
+    let (timer, before, mut calls) = (Timer::new(), plain.ran(), 0);
+    while timer.now() < NEED {
+        let id = format!("try-need-{calls}");
+        caller.call(to, "GET", "/titles/1", &id).await;
+        calls += 1;
+        timer.sleep(CALL_EVERY).await;
+    }
+    plain.set_limit(None);
+    let got = plain.ran() - before;
+    output::line(format_args!(
+        "A process that takes {TAKES} requests a second got {got} of {calls} calls in {NEED:?}"
+    ))?;
+    if got * 2 < calls {
+        return Ok(());
+    }
+    Err(Error::new("the process got more than it takes"))
+}
+
 /// A request that crashes each engine that runs it, sent again and again.
 async fn crashing(deployment: &Deployment, caller: &Caller, to: SocketAddr) -> errors::Result<()> {
     let mut engines = Vec::new();
