--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -74,6 +74,19 @@
     });
 }
 
+/// Guards against a generation that is stopped for a move to an engine which has crashed and is listed
+/// still.
+#[test]
+fn a_generation_stays_where_it_is_if_its_destination_has_crashed() {
+    smol::block_on(async {
+        let (platform, _instance, resp) = under_way("crashed-destination", LONG).await;
+        platform.engines[1].crash();
+        platform.engine_leaves(0);
+        let got = read(resp).await;
+        assert_eq!((got.whole, got.body), (true, all_events(LONG)));
+    });
+}
+
 /// The instance has lost the store, and nobody tells it that an engine leaves but the engine
 /// itself.
 #[test]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -40,6 +40,14 @@
     }
 }
 
+/// Guards against moves to engines that have crashed while the store is down and are listed still; the
+/// stand-in said that such a copy was whole.
+#[test]
+fn generations_survive_a_crashed_destination_while_the_store_is_down() {
+    let shown = play(607, SHORT * 2, false);
+    assert!(shown.breaches.is_empty(), "{shown}");
+}
+
 /// Guards against the end of a process while it still takes requests, which cuts them unanswered.
 #[test]
 fn a_request_that_a_stopping_instance_takes_last_is_answered_or_refused() {
