Let whoever was told of a suspicion end it

An instance that had seen no end itself, but was told that a request is suspected, said nothing when a target served it: a frequent request beside crashing ones would have been rejected in spite of that. Found on reading; the test failed before. Suspicion by word counts like evidence of one's own.

--- a/components/quarantine/src/ledger.rs
+++ b/components/quarantine/src/ledger.rs
@@ -189,12 +189,11 @@
     /// nothing. None where nothing was held against it.
     pub fn served(&mut self, now: Moment, fingerprint: &Fingerprint) -> Option<(Word, Audience)> {
         let case = self.cases.get_mut(fingerprint)?;
-        if case.ends.is_empty() && case.holds(now) != Some(Standing::Rejected) {
-            return None;
-        }
         let audience = match case.holds(now) {
             Some(Standing::Rejected) => Audience::All,
-            _ => Audience::Keepers,
+            Some(Standing::Suspected) => Audience::Keepers,
+            Some(Standing::Cleared) | None if case.ends.is_empty() => return None,
+            Some(Standing::Cleared) | None => Audience::Keepers,
         };
         case.ends.clear();
         case.set(now, Standing::Cleared);
--- a/components/quarantine/tests/ledger.rs
+++ b/components/quarantine/tests/ledger.rs
@@ -94,6 +94,20 @@
     assert!(!ledger.rejects(SECOND * 6, &request()));
 }
 
+/// Guards against a suspicion that only those could end who have seen an end themselves.
+#[test]
+fn an_instance_that_was_told_of_a_suspicion_tells_that_the_request_was_served() {
+    let (mut keeper, mut other) = (Ledger::new(), Ledger::new());
+    keeper.ended(SECOND, end("e-1", SECOND));
+    let suspected = keeper.ended(SECOND * 3, end("e-2", SECOND));
+    assert!(other.learn(SECOND * 3, &suspected.expect("a word")));
+    let (word, audience) = other.served(SECOND * 4, &request()).expect("a word");
+    assert_eq!(audience, Audience::Keepers);
+    assert!(keeper.learn(SECOND * 4, &word));
+    keeper.ended(SECOND * 5, end("e-3", SECOND));
+    assert!(!keeper.rejects(SECOND * 6, &request()));
+}
+
 /// Guards against a wrong rejection that outlives its disproof at other instances.
 #[test]
 fn all_hear_that_a_rejected_request_was_served_after_all() {
