Keep no body while it is looked into whether a target has ended

What waits for word of a target's end held the whole request, and with it a part of the memory that all bodies share, for up to five seconds. It now keeps id, fingerprint and times. Listings are looked at every 0.25 s in place of 0.1 s.

--- a/components/front/src/generations/generation.rs
+++ b/components/front/src/generations/generation.rs
@@ -302,8 +302,8 @@
     loop {
         smol::Timer::after(silence.ask_at().saturating_sub(boot_time())).await;
         if look_into(front, live, &mut silence).await == Verdict::Gone {
-            let times = (call.arrived, boot_time());
-            ends::ended_under(front, call, &live.target(), times, live.events());
+            let sent = call.arrived;
+            ends::ended_under(front, call, &live.target(), sent, live.events());
             return Sent::Unknown {
                 reason: "its engine is silent and not listed any more".into(),
                 late: false,
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -187,14 +187,8 @@
             Verdict::Wait => None,
             Verdict::Gone => {
                 self.place.doubt = true;
-                let times = (self.call.arrived, boot_time());
-                ends::ended_under(
-                    &self.front,
-                    &self.call,
-                    &live.target(),
-                    times,
-                    live.events(),
-                );
+                let sent = self.call.arrived;
+                ends::ended_under(&self.front, &self.call, &live.target(), sent, live.events());
                 Some(Stop::Cut(
                     "its engine is silent and not listed any more".into(),
                 ))
--- a/components/front/src/quarantine/ends.rs
+++ b/components/front/src/quarantine/ends.rs
@@ -6,9 +6,10 @@
 
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
-use ::quarantine::{Evidence, Life};
+use ::quarantine::{Evidence, Fingerprint, Life};
 use events::{Event, emit};
 use parking_lot::Mutex;
+use placing::RunId;
 use smol::net::TcpStream;
 use timer::{Timer, boot_time};
 use types::{Moment, TargetId};
@@ -26,7 +27,7 @@
 /// Time for the listing of a target that has ended to lapse, and for word of it to arrive.
 const LISTING_PATIENCE: Duration = Duration::from_millis(5_000);
 /// Time between two looks at the listing.
-const LOOK_AGAIN: Duration = Duration::from_millis(100);
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
 /// How long an end is remembered for other requests that the target ran.
 const REMEMBERED: Duration = Duration::from_secs(10);
 
@@ -67,43 +68,64 @@
     if matches!(listed(front, target), Listed::Leaving | Listed::Gone) {
         return;
     }
-    let lost = boot_time();
-    let (front, target, call) = (Arc::clone(front), Arc::clone(target), call.clone());
+    let loss = Loss::new(call, sent, events);
+    let (front, target) = (Arc::clone(front), Arc::clone(target));
     let look = async move {
         if has_ended(&front, &target).await {
-            ended_under(&front, &call, &target, (sent, lost), events);
+            loss.blame(&front, &target);
         }
     };
     workers::spawn(look).detach();
 }
 
-/// Notes that a target ended while it ran a request: when that was sent, and when its connection was
-/// lost.
-pub fn ended_under(
-    front: &Arc<Front>,
-    call: &Call,
-    target: &Target,
-    (sent, lost): (Moment, Moment),
+/// Notes that a target has ended while it ran a request, which was sent at `sent`; `events` of its
+/// answer had come.
+pub fn ended_under(front: &Arc<Front>, call: &Call, target: &Target, sent: Moment, events: u64) {
+    Loss::new(call, sent, events).blame(front, target);
+}
+
+/// A request that was lost with its connection. Its body is not kept.
+struct Loss {
+    id: RunId,
+    fingerprint: Fingerprint,
+    sent: Moment,
+    lost: Moment,
     events: u64,
-) {
-    front.endings.remember(boot_time(), target);
-    emit(&Event::TargetEnded {
-        id: Arc::clone(&call.asked.id),
-        fingerprint: call.fingerprint.to_string().into(),
-        target: Arc::clone(&target.id),
-        events,
-    });
-    let life = Life {
-        target: Arc::clone(&target.id),
-        born: target.born,
-    };
-    let evidence = Evidence {
-        fingerprint: call.fingerprint,
-        life,
-        age: boot_time().saturating_sub(lost),
-        ran: lost.saturating_sub(sent),
-    };
-    keeping::found(front, evidence);
+}
+
+impl Loss {
+    /// A request that is lost now.
+    fn new(call: &Call, sent: Moment, events: u64) -> Self {
+        Self {
+            id: Arc::clone(&call.asked.id),
+            fingerprint: call.fingerprint,
+            sent,
+            lost: boot_time(),
+            events,
+        }
+    }
+
+    /// Holds the end of its target against the request.
+    fn blame(self, front: &Arc<Front>, target: &Target) {
+        front.endings.remember(boot_time(), target);
+        emit(&Event::TargetEnded {
+            id: self.id,
+            fingerprint: self.fingerprint.to_string().into(),
+            target: Arc::clone(&target.id),
+            events: self.events,
+        });
+        let life = Life {
+            target: Arc::clone(&target.id),
+            born: target.born,
+        };
+        let evidence = Evidence {
+            fingerprint: self.fingerprint,
+            life,
+            age: boot_time().saturating_sub(self.lost),
+            ran: self.lost.saturating_sub(self.sent),
+        };
+        keeping::found(front, evidence);
+    }
 }
 
 async fn has_ended(front: &Front, target: &Target) -> bool {
