--- a/components/front/src/quarantine/kept.rs
+++ b/components/front/src/quarantine/kept.rs
@@ -1,14 +1,15 @@
 //! Rejections in the store: all instances may be lost at the same moment.
 
-use std::{
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{sync::Arc, time::Duration};
 
 use ::quarantine::{Fingerprint, Standing, Word};
 use serde::{Deserialize, Serialize};
 
-use crate::{quarantine::keeping, state::Front};
+use crate::{
+    callers::refuse::millis,
+    quarantine::keeping,
+    state::{Front, unix_millis},
+};
 
 /// Tries to write a rejection or to drop one.
 const TRIES: u32 = 20;
@@ -68,12 +69,3 @@
         keep(front, &lapsed);
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    millis(since.unwrap_or_default())
-}
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 
 use errors::{Context, Result};
@@ -34,7 +34,7 @@
     plain_calls::{budget::Budget, choice::Choice, cold::ColdTargets},
     quarantine::ends::Endings,
     reload,
-    state::Front,
+    state::{Front, unix_millis},
     store::{counted::CountedStore, follow::Follower, topic_cache::TopicCache},
 };
 
@@ -180,11 +180,6 @@
     }
 }
 
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 fn limits(front: &Front) -> ServeLimits {
     ServeLimits {
         // The rest is for targets and peers.
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -6,7 +6,7 @@
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use net::{Client, Terms};
@@ -194,3 +194,10 @@
 pub fn age(moment: Moment) -> Duration {
     boot_time().saturating_sub(moment)
 }
+
+/// The time of day, in Unix milliseconds.
+#[must_use]
+pub fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
