Tests: ask an instance that knows nothing only once it has lost its sources

Cause: the first failure of the store may come while the test's question waits, and an instance that loses its sources wakes those that wait (TopicCache::set_lost), which is its promise. The bound is as it was. The order of the two was never given; nothing in the program changes.

--- a/tests/platform/starting.rs
+++ b/tests/platform/starting.rs
@@ -77,6 +77,12 @@
     smol::block_on(async {
         let platform = Platform::start().await;
         let instance = platform.unready_instance("alone").await;
+        // An instance that loses its sources while somebody waits tells so at once.
+        eventually("it has lost the store for both topics", || async {
+            let events = instance.events();
+            events.iter().filter(|event| *event == "StoreLost").count() >= 2
+        })
+        .await;
         let message = Message::Follow {
             topic: Topic::Operator,
             after: None,
