--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,8 +1,8 @@
 //! What all parts of one instance share.
 //!
 //! Locks, in the order in which they may be held together: `bounds`, `budget`, `cold`, `choice`, then those
-//! inside `live`, `placement`, `peers` and `view`. `quarantine`, `limits` and `slots` are held
-//! alone. None is held over an await.
+//! inside `live`, `placement`, `peers` and `view`. `limits` comes after all of
+//! these; `quarantine` and `slots` are held alone. None is held over an await.
 
 use std::{
     sync::{Arc, atomic::AtomicBool},
