Crash checks: reports from before a failure prove nothing, runs of one attempt count each

Change: a report counts as proof of life only if it was made after the last failure; evidence names the targets that lost earlier runs of the attempt (envelopes of format 3, since the message grows); an attempt that lost two runs waits for their checks, at most until its deadline.

--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -11,7 +11,8 @@
 use bytes::Bytes;
 use hyper::http;
 use net::Share;
-use quarantine::Fingerprint;
+use parking_lot::Mutex;
+use quarantine::{Fingerprint, TargetIncarnation};
 use timer::boot_time;
 use types::{Moment, WorkspaceId};
 use view::{Route, RouteKind, Service};
@@ -49,6 +50,8 @@
     pub config_version: u64,
     /// Whether the request has been sent to a target, so that it may have run. Clones share it.
     pub sent: Arc<AtomicBool>,
+    /// Targets that have lost a run of this request, in this order. Clones share them.
+    pub lost_runs: Arc<Mutex<Vec<TargetIncarnation>>>,
 }
 
 impl Call {
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -224,6 +224,7 @@
             arrived,
             config_version: rules.version,
             sent: Arc::new(AtomicBool::new(false)),
+            lost_runs: Arc::default(),
         })
     }
 }
--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -78,7 +78,7 @@
     ) {
         return;
     }
-    let request = LostRequest::new(call, sent_at, events);
+    let request = LostRequest::new(call, target, sent_at, events);
     let (front, target) = (Arc::clone(front), Arc::clone(target));
     let investigation = async move {
         if has_crashed(&front, &target).await {
@@ -97,7 +97,7 @@
     sent_at: Moment,
     events: u64,
 ) {
-    LostRequest::new(call, sent_at, events).report_crash(front, target);
+    LostRequest::new(call, target, sent_at, events).report_crash(front, target);
 }
 
 /// A request whose connection was lost while a target was running it. Its body is not retained.
@@ -107,12 +107,24 @@
     sent_at: Moment,
     lost_at: Moment,
     events: u64,
+    incarnation: TargetIncarnation,
+    /// Targets that lost earlier runs of the request.
+    earlier: Vec<TargetIncarnation>,
 }
 
 impl LostRequest {
-    /// Creates the record of a request that is lost now.
-    fn new(call: &Call, sent_at: Moment, events: u64) -> Self {
+    /// Creates the record of a request that a target loses now.
+    fn new(call: &Call, target: &Target, sent_at: Moment, events: u64) -> Self {
+        let incarnation = TargetIncarnation {
+            target: Arc::clone(&target.id),
+            started_at: target.started_at,
+        };
+        let mut lost_runs = call.lost_runs.lock();
+        let earlier = lost_runs.clone();
+        lost_runs.push(incarnation.clone());
         Self {
+            incarnation,
+            earlier,
             id: Arc::clone(&call.request.id),
             fingerprint: call.fingerprint,
             sent_at,
@@ -130,15 +142,12 @@
             target: Arc::clone(&target.id),
             events: self.events,
         });
-        let incarnation = TargetIncarnation {
-            target: Arc::clone(&target.id),
-            started_at: target.started_at,
-        };
         let evidence = Evidence {
             fingerprint: self.fingerprint,
-            incarnation,
+            incarnation: self.incarnation,
             age: boot_time().saturating_sub(self.lost_at),
             ran_for: self.lost_at.saturating_sub(self.sent_at),
+            earlier: self.earlier,
         };
         aggregation::report_evidence(front, evidence);
     }
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, OnceLock,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -102,6 +102,10 @@
         let admin = listen(addr, ServeLimits::default(), admin).await?;
         workers::spawn(admin.run()).detach();
     }
+    emit(&Event::Started {
+        instance: Arc::clone(&front.cfg.instance),
+    });
+    front.serving_since.get_or_init(boot_time);
     let retire = callers.retire();
     let mut callers = drain::CallerServer {
         stop: callers.stop(),
@@ -118,9 +122,6 @@
     workers::spawn(membership::join(Arc::clone(&front), store)).detach();
     workers::spawn(membership::sync_with_owners(Arc::clone(&front))).detach();
     workers::spawn(probing::watch(Arc::clone(&front))).detach();
-    emit(&Event::Started {
-        instance: Arc::clone(&front.cfg.instance),
-    });
     reload::watch(&front, &adapters.reload, &stop, &signal).await;
     retire.store(true, Ordering::Release);
     drain::drain(&front, &mut callers).await;
@@ -181,6 +182,7 @@
         connection_limits: Arc::new(DynamicLimits::new(&serve_limits)),
         targets_lost: AtomicBool::new(false),
         started_at: boot_time(),
+        serving_since: OnceLock::new(),
         bounds: RwLock::new(bounds),
         cfg,
     }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -5,7 +5,7 @@
 //! `rate_allocator` are never held together with another lock. No lock is held across an await.
 
 use std::{
-    sync::{Arc, atomic::AtomicBool},
+    sync::{Arc, OnceLock, atomic::AtomicBool},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -36,7 +36,8 @@
 /// Margin beyond the configured idle time before an idle connection is closed. A request that
 /// arrives just as its connection is closed is lost, and its caller can't tell whether it was read.
 const IDLE_MARGIN: Duration = Duration::from_secs(1);
-/// Time after the start during which requests wait until the instance is ready.
+/// Time from the first moment of serving callers during which requests wait until the instance is
+/// ready.
 const START_TIMEOUT: Duration = Duration::from_millis(400);
 /// Size of a connection's read buffer as a multiple of the limit on headers: the request line comes
 /// on top, and the body may arrive with the head.
@@ -101,6 +102,8 @@
     pub targets_lost: AtomicBool,
     /// When the instance started.
     pub started_at: Moment,
+    /// When the instance began to serve callers.
+    pub serving_since: OnceLock<Moment>,
     /// The operators' bounds, from the current settings.
     pub bounds: RwLock<Bounds>,
 }
@@ -143,7 +146,9 @@
     /// Waits until the instance is ready, if it has only just started: a short wait saves callers
     /// one of their few retries.
     pub async fn wait_until_ready_after_start(&self) {
-        let time_left = START_TIMEOUT.saturating_sub(elapsed_since(self.started_at));
+        let since = self.serving_since.get().copied();
+        let serving_for = since.map_or(Duration::ZERO, elapsed_since);
+        let time_left = START_TIMEOUT.saturating_sub(serving_for);
         if !time_left.is_zero() {
             // If the wait times out, the request is handled as at any other time.
             let _ = Timer::new()
--- a/components/front/tests/objectives.rs
+++ b/components/front/tests/objectives.rs
@@ -56,6 +56,7 @@
         answer_deadline: boot_time() + left,
         config_version: 1,
         sent: Arc::default(),
+        lost_runs: Arc::default(),
     };
     assert!(
         call.objective_left() > objective / 2,
--- a/components/gateway/src/delivery.rs
+++ b/components/gateway/src/delivery.rs
@@ -179,7 +179,7 @@
             .admission
             .now()
             .saturating_sub(delivery.stream.elapsed());
-        core.detect_crash(fingerprint, ServiceKind::Model, target, sent_at);
+        core.detect_crash(fingerprint, ServiceKind::Model, target, sent_at, Vec::new());
     }
     let refusal = refusals::partial(&format!("{error}; {produced} tokens were produced"));
     delivery.writer.finish_permit(WorkOutcome::Failed);
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -19,7 +19,9 @@
     completion_request::{Api, CompletionRequest},
     gateway::Core,
     in_flight::InFlightGuard,
-    prefix, refusals,
+    prefix,
+    quarantine::CrashChecks,
+    refusals,
     request::{self, Caller, RequestOptions},
     writer,
 };
@@ -222,6 +224,7 @@
         let admit = self.core.admission.admit(self.admission_request());
         let mut permit = self.core.wait_for_permit(self.deadline, admit).await?;
         let mut ever_ran = false;
+        let mut checks = CrashChecks::default();
         loop {
             let (target, sent_at) = (permit.target().clone(), self.core.admission.now());
             let (attempt, result) = run_attempt(Attempt::new(permit)).await;
@@ -237,9 +240,15 @@
                     ever_ran |= ran;
                     if ran && outcome == WorkOutcome::Failed {
                         let kind = self.rule.kind;
-                        self.core
-                            .detect_crash(self.fingerprint, kind, &target, sent_at);
+                        self.core.detect_crash_again(
+                            &mut checks,
+                            self.fingerprint,
+                            kind,
+                            &target,
+                            sent_at,
+                        );
                     }
+                    self.core.settle_crash_checks(&checks, self.deadline).await;
                     let checked = self.core.check_quarantine(&self.fingerprint);
                     if let Err(refusal) = checked {
                         attempt.take().0.finish(outcome);
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod prefix;
 mod problem;
 mod progress;
-mod quarantine;
+pub mod quarantine;
 mod refusals;
 mod request;
 pub mod resume_handle;
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -19,6 +19,7 @@
     idempotency,
     in_flight::InFlightGuard,
     metrics::Outcome,
+    quarantine::CrashChecks,
     refusals,
     request::{self, Caller, RequestOptions},
 };
@@ -144,13 +145,14 @@
             .wait_for_permit(self.admission_request.deadline, admit);
         let mut permit = unless_caller_left(caller_left.as_mut(), admit).await?;
         let mut ever_ran = false;
+        let mut checks = CrashChecks::default();
         loop {
             let sent_at = self.core.admission.now();
             let result = self.attempt(permit.as_ref()).await;
             if matches!(result, Err((WorkOutcome::Failed, true))) {
                 let (kind, target) = (self.admission_request.kind, permit.target());
                 self.core
-                    .detect_crash(self.fingerprint, kind, target, sent_at);
+                    .detect_crash_again(&mut checks, self.fingerprint, kind, target, sent_at);
             }
             let outcome = match result {
                 Ok((outcome, answer)) => {
@@ -170,6 +172,8 @@
                     outcome
                 }
             };
+            let deadline = self.admission_request.deadline;
+            self.core.settle_crash_checks(&checks, deadline).await;
             if let Err(refusal) = self.core.check_quarantine(&self.fingerprint) {
                 permit.finish(outcome);
                 return Err(with_earlier_runs(refusal, ever_ran));
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use ::quarantine::{Evidence, Fingerprint, TargetIncarnation};
+use async_channel::{Receiver, bounded};
 use events::Event;
+use futures_lite::future;
 use targets::{TargetError, TargetReport};
 use types::{Moment, Refusal, ServiceKind, ServingState, Target};
 
@@ -17,6 +19,46 @@
 /// may refuse a single connection.
 const MAX_CONSECUTIVE_REFUSALS: u32 = 2;
 
+/// Runs of one request that may be lost before its crash checks are awaited: a single loss is mostly
+/// a network fault, and the retry must not wait for the check.
+const UNCHECKED_LOSSES: usize = 1;
+
+/// Checks whether targets have crashed that lost the runs of one request.
+#[derive(Debug, Default)]
+pub struct CrashChecks {
+    /// One for each lost run; closed when its check has ended.
+    pending: Vec<Receiver<()>>,
+    /// The targets of the lost runs.
+    targets: Vec<TargetIncarnation>,
+}
+
+impl CrashChecks {
+    async fn settle(&self) {
+        if self.pending.len() <= UNCHECKED_LOSSES {
+            return;
+        }
+        for check in &self.pending {
+            // Nothing is ever sent: `recv` fails once the check has ended.
+            let _ = check.recv().await;
+        }
+    }
+}
+
+/// Whether a load report shows that an incarnation of a target has ended, `since_failure` after the
+/// target last failed; none if the report doesn't tell. Reports lag, so that one which arrives after
+/// a restart may still describe the incarnation that crashed.
+#[must_use]
+pub fn shows_crash(
+    report: &TargetReport,
+    incarnation: u64,
+    since_failure: Duration,
+) -> Option<bool> {
+    if report.incarnation != incarnation {
+        return Some(true);
+    }
+    (report.age < since_failure).then_some(false)
+}
+
 /// Quarantine of requests that crash targets, shared by all instances.
 pub trait Quarantine: Send + Sync {
     /// Whether the request is quarantined and must not be sent.
@@ -38,24 +80,51 @@
         Ok(())
     }
 
+    /// Waits for a request's crash checks if several of its runs were lost, at most until its
+    /// deadline. Otherwise it could crash every target of a service before the first crash is known.
+    pub async fn settle_crash_checks(&self, checks: &CrashChecks, deadline: Moment) {
+        let timeout = self.timer.sleep(self.time_left(deadline));
+        future::or(checks.settle(), timeout).await;
+    }
+
+    /// Checks in the background whether a target has crashed that lost a run of a request, sent at
+    /// `sent_at`, after the runs in `checks` were lost; adds the check to those.
+    pub fn detect_crash_again(
+        self: &Arc<Self>,
+        checks: &mut CrashChecks,
+        fingerprint: Fingerprint,
+        kind: ServiceKind,
+        target: &Target,
+        sent_at: Moment,
+    ) {
+        let earlier = checks.targets.clone();
+        let check = self.detect_crash(fingerprint, kind, target, sent_at, earlier);
+        checks.pending.push(check);
+        checks.targets.push(incarnation(target));
+    }
+
     /// Checks in the background whether a target has crashed that lost a request sent at `sent_at`,
-    /// and records the evidence if so.
+    /// and records the evidence if so. `earlier` are the targets that lost earlier runs of the same
+    /// attempt. The returned channel is closed when the check has ended.
     pub fn detect_crash(
         self: &Arc<Self>,
         fingerprint: Fingerprint,
         kind: ServiceKind,
         target: &Target,
         sent_at: Moment,
-    ) {
+        earlier: Vec<TargetIncarnation>,
+    ) -> Receiver<()> {
+        let (running, done) = bounded(1);
         let listed = self.admission.find_target(&target.id);
         // A target that is leaving, or no longer listed, ended on purpose.
         if listed.is_none_or(|listed| listed.state == ServingState::Leaving) {
-            return;
+            return done;
         }
         let (core, target) = (Arc::clone(self), target.clone());
         let lost_at = core.admission.now();
         let check = async move {
-            if !core.has_crashed(kind, &target).await {
+            let _running = running;
+            if !core.has_crashed(kind, &target, lost_at).await {
                 return;
             }
             events::emit(&Event::TargetEnded {
@@ -64,28 +133,38 @@
                 target: Arc::clone(&target.id),
                 events: 0,
             });
-            let incarnation = TargetIncarnation {
-                target: target.id,
-                started_at: Some(target.incarnation),
-            };
             core.quarantine.record_crash(Evidence {
                 fingerprint,
-                incarnation,
+                incarnation: incarnation(&target),
                 age: core.admission.now().saturating_sub(lost_at),
                 ran_for: lost_at.saturating_sub(sent_at),
+                earlier,
             });
         };
         workers::spawn(check).detach();
+        done
     }
 
-    /// Whether the target has a new incarnation or refuses connections.
-    async fn has_crashed(&self, kind: ServiceKind, target: &Target) -> bool {
+    /// Whether the target has a new incarnation or refuses connections after it lost a run at
+    /// `lost_at`.
+    async fn has_crashed(&self, kind: ServiceKind, target: &Target, lost_at: Moment) -> bool {
         let mut refusals = 0;
+        // A report made before the last failure may describe the incarnation that has ended.
+        let mut failed_at = lost_at;
         for _ in 0..CRASH_CHECKS {
             match self.load_report(kind, target).await {
-                Ok(report) => return report.incarnation != target.incarnation,
-                Err(TargetError::Unsent { .. }) => refusals += 1,
-                Err(_) => refusals = 0,
+                Ok(report) => {
+                    let since_failure = self.admission.now().saturating_sub(failed_at);
+                    if let Some(crashed) = shows_crash(&report, target.incarnation, since_failure) {
+                        return crashed;
+                    }
+                    refusals = 0;
+                }
+                Err(e) => {
+                    let refused = matches!(e, TargetError::Unsent { .. });
+                    refusals = if refused { refusals + 1 } else { 0 };
+                    failed_at = self.admission.now();
+                }
             }
             if refusals == MAX_CONSECUTIVE_REFUSALS {
                 return true;
@@ -106,3 +185,10 @@
         }
     }
 }
+
+fn incarnation(target: &Target) -> TargetIncarnation {
+    TargetIncarnation {
+        target: Arc::clone(&target.id),
+        started_at: Some(target.incarnation),
+    }
+}
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -62,11 +62,16 @@
     /// Earliest time at which the target may have started the request.
     run_started: Moment,
     at: Moment,
+    /// Targets that lost earlier runs of the same attempt.
+    earlier: Vec<TargetIncarnation>,
 }
 
 impl Crash {
     /// Whether both crashes may have the same cause outside of the request.
     fn shares_cause(&self, other: &Self) -> bool {
+        if self.earlier.contains(&other.incarnation) || other.earlier.contains(&self.incarnation) {
+            return false;
+        }
         let concurrent = self.run_started < other.at && other.run_started < self.at;
         concurrent && self.at.abs_diff(other.at) < SAME_CAUSE_WINDOW
     }
@@ -168,6 +173,7 @@
             incarnation: evidence.incarnation,
             run_started: at.saturating_sub(evidence.ran_for),
             at,
+            earlier: evidence.earlier,
         };
         let record = self.record_mut(now, fingerprint);
         record.drop_expired_crashes(now);
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -30,6 +30,11 @@
     /// Upper bound on the time for which the target had been running the request by then.
     #[serde(rename = "ran")]
     pub ran_for: Duration,
+    /// Targets that lost earlier runs of the same attempt. This run began after those were lost, so
+    /// their crashes have no common cause with this one; the times alone can't tell, since reports
+    /// are delayed by different amounts.
+    #[serde(default)]
+    pub earlier: Vec<TargetIncarnation>,
 }
 
 /// Whether a request may be sent to targets. Within one round a later variant overrides an earlier
--- a/components/quarantine/tests/simulation.rs
+++ b/components/quarantine/tests/simulation.rs
@@ -223,6 +223,7 @@
             },
             age: noticed,
             ran_for,
+            earlier: Vec::new(),
         };
         self.schedule(now + ran_for + noticed, Step::Crash(to, evidence));
     }
--- a/components/quarantine/tests/state.rs
+++ b/components/quarantine/tests/state.rs
@@ -22,6 +22,7 @@
         },
         age: Duration::ZERO,
         ran_for,
+        earlier: Vec::new(),
     }
 }
 
@@ -170,3 +171,22 @@
     assert_ne!(one, Fingerprint::new(&[b"a", b"bc"]));
     assert_eq!(one, Fingerprint::new(&[b"ab", b"c"]));
 }
+
+/// Guards against crashes of one attempt's targets that are taken for one crash with a common cause
+/// because their reports arrive with different delays.
+#[test]
+fn crashes_under_runs_of_one_attempt_count_each_whatever_the_delays_of_reports() {
+    let mut state = QuarantineState::new();
+    let ran_for = Duration::from_millis(2);
+    let first = crash("e-1", ran_for);
+    let mut second = crash("e-2", ran_for);
+    second.earlier = vec![first.incarnation.clone()];
+    let mut third = crash("e-3", ran_for);
+    third.earlier = vec![first.incarnation.clone(), second.incarnation.clone()];
+    // The reports arrive at the same moment, the first one last.
+    let now = Duration::from_secs(60);
+    assert_eq!(state.record_crash(now, third), None);
+    assert!(state.record_crash(now, second).is_some());
+    let verdict = state.record_crash(now, first);
+    assert_eq!(verdict.map(|v| v.kind), Some(VerdictKind::Rejected));
+}
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -63,5 +63,5 @@
 
 impl Envelope {
     /// Version that this code sends and accepts.
-    pub const FORMAT: u16 = 2;
+    pub const FORMAT: u16 = 3;
 }
