--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -7,7 +7,10 @@
 
 use std::sync::Arc;
 
-use types::{ConfigVersion, DataCentreId, Epoch, InstanceId, Shard, TargetId, WorkspaceId};
+use types::{
+    ConfigVersion, DataCentreId, Epoch, InstanceId, ServiceId, Shard, TargetId, VersionId,
+    WorkspaceId,
+};
 
 use crate::declare::declare_events;
 
@@ -622,4 +625,74 @@
         929, Info, "{target} no longer limits its request rate",
         "Nothing.",
     ),
+    /// The operator has ordered a rollout.
+    RolloutOrdered {
+        /// The service.
+        service: ServiceId,
+        /// The version that is rolled out.
+        version: VersionId,
+        /// Time from the order to its deadline, in milliseconds.
+        duration_ms: u64,
+    } = (
+        930, Info, "{service} is to be moved to version {version} within {duration_ms} ms",
+        "Wait for 934.",
+    ),
+    /// The operator's order of a rollout is gone.
+    RolloutWithdrawn {
+        /// The service.
+        service: ServiceId,
+    } = (
+        931, Info, "the order of a rollout of {service} is gone",
+        "Nothing. A rollout that was under way is rolled back.",
+    ),
+    /// This instance coordinates a rollout.
+    RolloutCoordinated {
+        /// The service.
+        service: ServiceId,
+        /// The version that is rolled out.
+        version: VersionId,
+        /// Time since the order, in milliseconds.
+        age_ms: u64,
+        /// Time from the order to its deadline, in milliseconds.
+        duration_ms: u64,
+    } = (
+        932, Info, "this instance coordinates the rollout of {version} of {service}, ordered {age_ms} ms ago for {duration_ms} ms",
+        "Nothing. If it comes twice, another instance coordinated it before.",
+    ),
+    /// The coordinator has ended a rollout.
+    RolloutDecided {
+        /// The service.
+        service: ServiceId,
+        /// The version that was rolled out.
+        version: VersionId,
+        /// How it has ended.
+        outcome: Arc<str>,
+        /// Why: what was compared, bad and all answers of the version, the same of the others.
+        reason: Arc<str>,
+    } = (
+        933, Info, "the rollout of {version} of {service} has {outcome}: {reason}",
+        "If it was rolled back, look at the answers of that version on the route that is named.",
+    ),
+    /// An instance knows that a rollout has ended.
+    RolloutEnded {
+        /// The service.
+        service: ServiceId,
+        /// The version that was rolled out.
+        version: VersionId,
+        /// How it has ended.
+        outcome: Arc<str>,
+    } = (
+        934, Info, "the rollout of {version} of {service} has {outcome}",
+        "Nothing. The reason is in event 933 of the instance that coordinated it.",
+    ),
+    /// The state of a rollout can't be read from the store or written to it.
+    RolloutUnrecorded {
+        /// The service.
+        service: ServiceId,
+        /// The reason.
+        reason: Arc<str>,
+    } = (
+        935, Warn, "the rollout of {service} can't be recorded in the store: {reason}",
+        "Check the store. Until it answers, the version gets no more requests than before, and no verdict is given.",
+    ),
 }
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -9,12 +9,14 @@
 use http_body_util::Full;
 use hyper::{HeaderMap, Request, http};
 use placing::{GenerationId, LoadReport};
-use types::{DataCentreId, TargetId, Tokens};
+use rollouts::Order;
+use types::{DataCentreId, ServiceId, TargetId, Tokens};
 use view::{Rules, Target};
 
 use crate::{
     instances::wire::{Member, Row, Topic, TopicUpdate},
     quarantine::record::QuarantineRecord,
+    rollouts::record::{RolloutRecord, StoredRollout},
 };
 
 /// The sizes that a caller declares for a generation.
@@ -235,6 +237,10 @@
     Member(Member),
     /// A request that is quarantined because targets crashed while they ran it.
     Quarantined(QuarantineRecord),
+    /// The operator has ordered a service's traffic to be moved to another version.
+    RolloutOrdered(Order),
+    /// The operator's order for this service is gone.
+    RolloutWithdrawn(ServiceId),
     /// The row can't be decoded.
     Unreadable {
         /// The row's key.
@@ -299,4 +305,15 @@
 
     /// Deletes the record of a quarantined request.
     async fn delete_quarantine_record(&self, record: &QuarantineRecord) -> Result<(), StoreError>;
+
+    /// Reads the record of a service's last rollout, if there is one.
+    async fn read_rollout(&self, service: &str) -> Result<Option<StoredRollout>, StoreError>;
+
+    /// Writes the record of a rollout, and its status for the operator, if the record is still at
+    /// `revision` (0: there is none). Returns whether it was.
+    async fn write_rollout(
+        &self,
+        record: &RolloutRecord,
+        revision: u64,
+    ) -> Result<bool, StoreError>;
 }
--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -25,6 +25,10 @@
     pub cold_overage: f64,
     /// Requests a second allowed to a cold target in addition to that.
     pub cold_slack: f64,
+    /// Part of a service's requests allowed to a version before its rollout has succeeded.
+    pub exposure_share: f64,
+    /// Requests allowed to such a version in addition to that.
+    pub exposure_slack: f64,
 }
 
 /// Settings of one instance.
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -10,7 +10,7 @@
 use rates::Reservation;
 use smol::future;
 use timer::boot_time;
-use types::TargetId;
+use types::{Moment, TargetId, VersionChoice};
 use view::Target;
 
 use crate::{
@@ -25,6 +25,7 @@
         relay::Relay,
     },
     quarantine::{aggregation, crash_detection},
+    rollouts::version_permit::VersionPermit,
     send::{SendOutcome, buffer_response, send},
     state::Front,
     target_rates,
@@ -111,11 +112,16 @@
 pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
     let mut avoid = Vec::new();
     loop {
-        let target = match assign_engine(&front, &call, &avoid).await {
+        let mut version = VersionPermit::new(&front, &call.service.name);
+        let mut assigned = assign_engine(&front, &call, &avoid, version.choice()).await;
+        if assigned.is_err() && version.avoid_new() {
+            assigned = assign_engine(&front, &call, &avoid, version.choice()).await;
+        }
+        let target = match assigned {
             Ok(target) => target,
             Err(refusal) => return front.refuse_call(&call, &refusal),
         };
-        match attempt(&front, &call, target, &mut avoid).await {
+        match attempt(&front, &call, target, &mut avoid, version).await {
             Attempt::Answer(resp) => return resp,
             Attempt::Retry => {}
             Attempt::Refuse(refusal) => return front.refuse_call(&call, &refusal),
@@ -128,6 +134,7 @@
     front: &Arc<Front>,
     call: &Call,
     avoid: &[TargetId],
+    versions: &VersionChoice,
 ) -> Result<Arc<Target>, Refusal> {
     let mut shard = first_shard(front, call);
     let mut full_shards = 0;
@@ -146,7 +153,10 @@
         }
         unusable.retain(|id| usable(id).is_none());
         let avoid = [avoid, &unusable].concat();
-        let request = placement_request(front, call, shard.clone(), &avoid);
+        let request = PlacementRequest {
+            versions: versions.clone(),
+            ..placement_request(front, call, shard.clone(), &avoid)
+        };
         if !front.can_complete(&request) {
             return Err(Refusal::not_run(
                 "this instance stops before it would end",
@@ -225,6 +235,7 @@
         deadline_left: call.time_left(),
         waited: call.elapsed(),
         avoid: avoid.to_vec(),
+        versions: VersionChoice::Any,
     }
 }
 
@@ -239,6 +250,7 @@
     call: &Call,
     target: Arc<Target>,
     avoid: &mut Vec<TargetId>,
+    version: VersionPermit,
 ) -> Attempt {
     let mut assignment = Assignment::new(front, new_handle(call, &target));
     if let Reservation::Rejected { after } = wait_for_rate(front, call, &target.id).await {
@@ -264,6 +276,8 @@
         left_ms: millis(call.caller_time_left()),
     });
     front.metrics.observe_held(call.elapsed());
+    version.use_up();
+    let sent_at = boot_time();
     let sending = send(front, call, &target, None, call.time_left());
     match future::or(
         sending,
@@ -272,9 +286,10 @@
     .await
     {
         SendOutcome::Response { head, body, .. } if head.status.is_success() => {
-            Attempt::Answer(stream(front, call, assignment, &head, body))
+            Attempt::Answer(stream(front, call, assignment, &head, body, sent_at))
         }
         SendOutcome::Response { head, body, .. } => {
+            front.record_answer(call, &target, sent_at, head.status.is_server_error());
             match buffer_response(front, &head, body, call.time_left()).await {
                 Ok(resp) => {
                     front.metrics.count_request(call.kind(), "failed");
@@ -386,8 +401,10 @@
     assignment: Assignment,
     head: &http::response::Parts,
     body: hyper::body::Incoming,
+    sent_at: Moment,
 ) -> Response<Body> {
-    let relay = Relay::new(Arc::clone(front), call.clone(), assignment, head, body);
+    let relay =
+        Relay::new(Arc::clone(front), call.clone(), assignment, head, body).with_sent_at(sent_at);
     let mut resp = Response::new(task_body(move |tx| relay.run(tx)));
     *resp.status_mut() = head.status;
     *resp.headers_mut() = front.adapter.forwarded_headers(head);
--- a/components/front/src/generations/evacuation.rs
+++ b/components/front/src/generations/evacuation.rs
@@ -25,22 +25,42 @@
 /// Time for the owner to accept the notification of a leaving engine.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Migrates the generations in this instance's account off an engine.
+/// Migrates the generations in this instance's account off an engine that is leaving.
 pub async fn evacuate(front: Arc<Front>, source: Arc<Target>) {
     if !front.cfg.decisions.features.migration {
         return;
     }
+    migrate_all(&front, &source, || true).await;
+    front.placement.owner.lock().remove_engine(&source.id);
+}
+
+/// Migrates the generations in this instance's account off an engine whose version is being replaced,
+/// as long as the rollout goes on.
+pub async fn evacuate_replaced(front: Arc<Front>, source: Arc<Target>) {
+    if !front.cfg.decisions.features.migration {
+        return;
+    }
+    let goes_on = || {
+        let migrates = front.rollouts.with(&source.service, |rollout| {
+            rollout.exposure.migrates(boot_time())
+        });
+        migrates == Some(true)
+    };
+    migrate_all(&front, &source, goes_on).await;
+}
+
+async fn migrate_all(front: &Arc<Front>, source: &Target, goes_on: impl Fn() -> bool) {
     let until = boot_time() + EVACUATION_TIME;
     let mut excluded: HashSet<(GenerationId, Option<TargetId>)> = HashSet::new();
     let shard = front.shard_of(&source.service, &source.id);
-    while boot_time() < until {
+    while boot_time() < until && goes_on() {
         // On most instances the account shows nothing on this engine, and hundreds of engines may
         // leave at once, so this check comes before the expensive ones.
         if !front.placement.owner.lock().has_generations_on(&source.id) {
             smol::Timer::after(EMPTY_PAUSE).await;
             continue;
         }
-        let engines = front.engines_of(&shard);
+        let engines = front.migration_destinations(&shard, source);
         let is_excluded = |generation: &GenerationId, to: &TargetId| {
             excluded.contains(&(Arc::clone(generation), None))
                 || excluded.contains(&(Arc::clone(generation), Some(Arc::clone(to))))
@@ -56,7 +76,7 @@
             smol::Timer::after(RETRY_PAUSE).await;
             continue;
         };
-        let outcome = send_order(&front, &order).await;
+        let outcome = send_order(front, &order).await;
         front
             .placement
             .owner
@@ -72,7 +92,6 @@
             }
         }
     }
-    front.placement.owner.lock().remove_engine(&source.id);
 }
 
 /// Notifies the owner that an engine is leaving on which this instance has generations. The owner
--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -8,7 +8,8 @@
     Engine, GenerationUpdate, Owner, PlacementAnswer, PlacementRequest, Shard, ShardCounts, Tuning,
 };
 use timer::boot_time;
-use types::{InstanceId, ServiceId};
+use types::{InstanceId, ServiceId, VersionChoice};
+use view::Target;
 
 use crate::{
     instances::wire::{Message, Reply},
@@ -101,7 +102,7 @@
     /// Answers a placement request from this instance's own account.
     #[must_use]
     pub fn place_locally(&self, request: &PlacementRequest) -> PlacementAnswer {
-        let engines = self.engines_of(&request.shard);
+        let engines = self.engines_of(&request.shard, &request.versions);
         self.placement
             .owner
             .lock()
@@ -140,9 +141,22 @@
         self.peers.owners(&shard.to_string())
     }
 
-    /// Engines of a shard that accept work.
+    /// Engines of a shard that can take over the generations of another engine: those with the same
+    /// weights, and of the version that a rollout allows.
     #[must_use]
-    pub fn engines_of(&self, shard: &Shard) -> Vec<Engine> {
+    pub fn migration_destinations(&self, shard: &Shard, source: &Target) -> Vec<Engine> {
+        let choice = self.rollouts.destinations(boot_time(), source);
+        let mut engines = self.engines_of(shard, &choice);
+        engines.retain(|engine| {
+            let target = self.view.target(&engine.id);
+            target.is_some_and(|target| target.weights == source.weights)
+        });
+        engines
+    }
+
+    /// Engines of a shard that accept work, of the versions of a choice.
+    #[must_use]
+    pub fn engines_of(&self, shard: &Shard, choice: &VersionChoice) -> Vec<Engine> {
         let rules = self.view.rules();
         let Some(service) = rules.and_then(|rules| rules.service(&shard.service).cloned()) else {
             return Vec::new();
@@ -150,14 +164,14 @@
         let Some(kind) = &service.engine else {
             return Vec::new();
         };
-        let engine = |target: &Arc<view::Target>| Engine {
+        let engine = |target: &Arc<Target>| Engine {
             id: Arc::clone(&target.id),
             data_centre: Arc::clone(&target.data_centre),
             slots: target.slots,
             memory: kind.memory,
             token_copy_time: kind.token_copy_time(),
         };
-        let mut usable = self.usable_targets(&service);
+        let mut usable = self.usable_targets(&service.name, choice);
         usable.retain(|target| shard.contains(&target.id));
         // Engines that have announced a rate limit are used only if there are no others.
         if usable.iter().any(|target| !self.is_limited(&target.id)) {
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -79,6 +79,7 @@
 ) -> Result<Arc<Target>, Arc<str>> {
     let shard = dispatch::first_shard(front, call);
     let mut request = dispatch::placement_request(front, call, shard, &[Arc::clone(&source.id)]);
+    request.versions = front.rollouts.destinations(boot_time(), source);
     request.prompt_tokens += generation.tokens_generated();
     // The first event is already late, so any engine will do.
     request.objective_left = call.time_left();
@@ -86,7 +87,8 @@
         PlacementAnswer::Assigned { target } => front
             .view
             .target(&target)
-            .ok_or_else(|| "the assigned engine is not listed".into()),
+            .filter(|target| target.weights == source.weights)
+            .ok_or_else(|| "the assigned engine is not listed, or has other weights".into()),
         PlacementAnswer::Wait { .. } | PlacementAnswer::Rejected { .. } => {
             Err("no engine has room for the generation".into())
         }
@@ -99,7 +101,8 @@
     generation: &GenerationHandle,
     source: &Target,
 ) -> Option<Arc<Target>> {
-    let mut others = front.view.usable_targets(&generation.service);
-    others.retain(|target| target.id != source.id);
+    let choice = front.rollouts.destinations(boot_time(), source);
+    let mut others = front.usable_targets(&generation.service, &choice);
+    others.retain(|target| target.id != source.id && target.weights == source.weights);
     fastrand::choice(others)
 }
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -18,6 +18,7 @@
 use placing::GenerationUpdate;
 use smol::future;
 use timer::{Timer, boot_time};
+use types::Moment;
 use view::Target;
 
 use crate::{
@@ -58,6 +59,10 @@
     splitter: EventSplitter,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
+    /// When the request was sent.
+    sent_at: Moment,
+    /// When the first event arrived, and from which engine.
+    first_event: Option<(Moment, Arc<Target>)>,
     /// The engine is stopping the generation for a migration.
     stopping: bool,
     /// The engine may have stopped the generation for a migration that failed.
@@ -65,6 +70,9 @@
     monitor: IdleMonitor,
 }
 
+/// Gaps between events that a generation needs for their mean to count.
+const MIN_GAPS: u64 = 8;
+
 /// What the relay reacts to next.
 enum Input {
     Bytes(Bytes),
@@ -112,12 +120,41 @@
             framed: is_framed(head),
             splitter: EventSplitter::new(),
             last_event: None,
+            sent_at: boot_time(),
+            first_event: None,
             stopping: false,
             maybe_stopped: false,
             monitor: IdleMonitor::new(boot_time()),
         }
     }
 
+    /// Sets when the request was sent.
+    #[must_use]
+    pub const fn with_sent_at(mut self, sent_at: Moment) -> Self {
+        self.sent_at = sent_at;
+        self
+    }
+
+    /// Records the mean time between events of a complete generation that ran on one engine.
+    fn record_gap(&self) {
+        let Some((first_event_at, first)) = &self.first_event else {
+            return;
+        };
+        let gaps = self
+            .assignment
+            .generation
+            .events_received()
+            .saturating_sub(1);
+        let target = self.assignment.generation.target();
+        if gaps < MIN_GAPS || first.id != target.id {
+            return;
+        }
+        let time = boot_time().saturating_sub(*first_event_at);
+        let gap = time / u32::try_from(gaps).unwrap_or(u32::MAX);
+        let route = &self.call.route.name;
+        self.front.rollouts.record_gap(&target, route, gap);
+    }
+
     /// Forwards events until the stream ends; then records the outcome and logs it.
     pub async fn run(mut self, out: EventSender) {
         let front = Arc::clone(&self.front);
@@ -132,6 +169,7 @@
         match end {
             RelayEnd::Complete => {
                 self.assignment.completed = true;
+                self.record_gap();
                 aggregation::report_success(&self.front, &self.call.fingerprint);
                 self.front
                     .metrics
@@ -272,11 +310,15 @@
     }
 
     /// Counts an event. The first one is logged, and the owner of the engine is notified.
-    fn count_event(&self) {
+    fn count_event(&mut self) {
         let generation = &self.assignment.generation;
         if !generation.record_event() {
             return;
         }
+        let target = generation.target();
+        self.front
+            .record_answer(&self.call, &target, self.sent_at, false);
+        self.first_event = Some((boot_time(), target));
         emit(&Event::FirstEvent {
             id: Arc::clone(&self.call.request.id),
             target: Arc::clone(&generation.target().id),
--- a/components/front/src/instances/message_handler.rs
+++ b/components/front/src/instances/message_handler.rs
@@ -16,6 +16,7 @@
         wire::{Message, Reply, Topic},
     },
     quarantine::aggregation,
+    rollouts::coordination,
     state::{Front, elapsed_since},
     store::follow::{self, MAX_PEER_STATE_AGE},
     target_rates,
@@ -95,6 +96,17 @@
             Message::ReserveRate { report, max_wait } => {
                 Reply::Reservation(target_rates::allocate(front, &report, max_wait))
             }
+            Message::RolloutReport(report) => {
+                coordination::receive(front, report).map_or(Reply::NoData, Reply::RolloutDirective)
+            }
+            Message::RolloutEnded {
+                service,
+                version,
+                outcome,
+            } => {
+                front.rollouts.end(&service, &version, outcome);
+                Reply::Acknowledged
+            }
             Message::Migrate(order) => Reply::Migrated(self.migrate(order).await),
         }
     }
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -11,8 +11,9 @@
 };
 use quarantine::{Evidence, Verdict};
 use rates::{RateReport, Reservation};
+use rollouts::{Directive, Outcome, Report};
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, TargetId};
+use types::{DataCentreId, InstanceId, ServiceId, TargetId, VersionId};
 
 /// An instance as the others know it. Also stored as JSON in the table of instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -139,6 +140,17 @@
         #[serde(rename = "patience")]
         max_wait: Duration,
     },
+    /// The sender's counts of a rollout, to its coordinator.
+    RolloutReport(Report),
+    /// A rollout has ended.
+    RolloutEnded {
+        /// The service.
+        service: ServiceId,
+        /// The version that was rolled out.
+        version: VersionId,
+        /// How it has ended.
+        outcome: Outcome,
+    },
     /// An order to migrate a generation to another engine.
     #[serde(rename = "Carry")]
     Migrate(Migration),
@@ -177,6 +189,7 @@
             Self::Hello { .. } => "hello",
             Self::TargetCrashed(_) | Self::Verdicts(_) => "quarantine",
             Self::RateReport(_) | Self::ReserveRate { .. } => "rates",
+            Self::RolloutReport(_) | Self::RolloutEnded { .. } => "rollouts",
             Self::Follow { topic, .. } => topic.name(),
         }
     }
@@ -191,6 +204,8 @@
     /// To a request for a reservation.
     #[serde(rename = "Slot")]
     Reservation(Reservation),
+    /// To a report on a rollout.
+    RolloutDirective(Directive),
     /// To updates, reports and verdicts, and to a hello that asks for nothing.
     #[serde(rename = "Noted")]
     Acknowledged,
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -8,7 +8,7 @@
 use net::Body;
 use rates::Reservation;
 use timer::boot_time;
-use types::{Moment, TargetId};
+use types::{Moment, TargetId, VersionChoice};
 use view::{RouteKind, Target};
 
 use crate::{
@@ -18,6 +18,7 @@
     },
     plain_calls::selection::connection_share,
     quarantine::{aggregation, crash_detection},
+    rollouts::version_permit::VersionPermit,
     send::{SendOutcome, buffer_response, log_send_failure, send},
     state::Front,
     target_rates,
@@ -112,7 +113,8 @@
         if !may_attempt(front, call, &attempts) {
             return attempts.into_response(front, call);
         }
-        let target = match find_target(front, call, &attempts.tried).await {
+        let mut version = VersionPermit::new(front, &call.service.name);
+        let target = match find_target(front, call, &attempts.tried, &mut version).await {
             Ok(target) => target,
             Err(NoTarget::Unusable) => return attempts.into_response(front, call),
             Err(NoTarget::Limited { after }) => {
@@ -120,6 +122,7 @@
                 return attempts.into_response(front, call);
             }
         };
+        version.use_up();
         attempts.count += 1;
         attempts.tried.push(Arc::clone(&target.id));
         match attempt(front, call, &target, attempts.count).await {
@@ -185,6 +188,7 @@
     front: &Arc<Front>,
     call: &Call,
     tried: &[TargetId],
+    version: &mut VersionPermit,
 ) -> Result<Arc<Target>, NoTarget> {
     let timeout = call
         .route
@@ -196,7 +200,10 @@
     let mut limited: Option<Duration> = None;
     loop {
         let now = boot_time();
-        let selected = select(front, call, &skipped, now);
+        let mut selected = select(front, call, &skipped, version.choice(), now);
+        if selected.is_none() && version.avoid_new() {
+            selected = select(front, call, &skipped, version.choice(), now);
+        }
         if let Some(target) =
             selected.filter(|target| front.take_cold_permit(&call.service, target))
         {
@@ -226,9 +233,15 @@
 /// Selects among the targets to which this instance may open one more connection. Those with a rate
 /// limit are avoided while others have room, except for a few calls that find out whether the limit
 /// still applies.
-fn select(front: &Front, call: &Call, tried: &[TargetId], now: Moment) -> Option<Arc<Target>> {
+fn select(
+    front: &Front,
+    call: &Call,
+    tried: &[TargetId],
+    versions: &VersionChoice,
+    now: Moment,
+) -> Option<Arc<Target>> {
     let share = connection_share(call.service.max_connections, front.instance_count());
-    let mut targets = front.usable_targets(&call.service);
+    let mut targets = front.usable_targets(&call.service.name, versions);
     targets.retain(|target| !tried.contains(&target.id));
     let selector = front.selector.lock();
     targets.retain(|target| selector.in_flight(&target.id) < share);
@@ -275,7 +288,7 @@
             }
             let rest = timeout.saturating_sub(now.saturating_sub(started));
             match buffer_response(front, &head, body, rest.max(LOOKUP_PAUSE)).await {
-                Ok(resp) => record_answer(front, call, target, resp),
+                Ok(resp) => record_answer(front, call, target, resp, started),
                 Err(reason) => {
                     log_send_failure(call, target, &reason, false);
                     crash_detection::investigate(front, call, target, started, 0);
@@ -299,6 +312,9 @@
             timed_out: false,
         },
         SendOutcome::Unknown { reason, timed_out } => {
+            if timed_out {
+                front.record_answer(call, target, started, false);
+            }
             front
                 .selector
                 .lock()
@@ -314,8 +330,10 @@
     call: &Call,
     target: &Target,
     resp: Response<Body>,
+    sent_at: Moment,
 ) -> Outcome {
     let status = resp.status();
+    front.record_answer(call, target, sent_at, status.is_server_error());
     aggregation::report_success(front, &call.fingerprint);
     emit(&Event::RequestAnswered {
         id: Arc::clone(&call.request.id),
--- /dev/null
+++ b/components/front/src/rollouts/mod.rs
@@ -0,0 +1,7 @@
+//! Rollouts of new versions: which version each request may go to, what the answers show, and the
+//! coordinator's part.
+
+pub mod coordination;
+pub mod local;
+pub mod record;
+pub mod version_permit;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -34,6 +34,7 @@
     plain_calls::{cold::ColdTargets, retry_budget::RetryBudget, selection::TargetSelector},
     quarantine::crash_detection::RecentCrashes,
     reload,
+    rollouts::{coordination, local::Rollouts},
     state::{Front, unix_millis},
     store::{counted::CountedStore, follow::Follower, topic_cache::TopicCache},
 };
@@ -122,6 +123,7 @@
     workers::spawn(membership::join(Arc::clone(&front), store)).detach();
     workers::spawn(membership::sync_with_owners(Arc::clone(&front))).detach();
     workers::spawn(probing::watch(Arc::clone(&front))).detach();
+    workers::spawn(coordination::run(Arc::clone(&front))).detach();
     reload::watch(&front, &adapters.reload, &stop, &signal).await;
     retire.store(true, Ordering::Release);
     drain::drain(&front, &mut callers).await;
@@ -172,6 +174,7 @@
         rate_limits: Mutex::default(),
         rate_allocator: Mutex::default(),
         quarantine: Mutex::default(),
+        rollouts: Rollouts::default(),
         recent_crashes: RecentCrashes::default(),
         body_budget: net::Budget::new(cfg.memory / BODY_MEMORY_DIVISOR),
         shutdown: Shutdown::default(),
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -75,6 +75,10 @@
     };
     let req = front.adapter.build_request(&outgoing);
     call.mark_sent();
+    // A generation that is resumed is the same request.
+    if resume.is_none() {
+        front.rollouts.record_sent(target);
+    }
     let sent_at = boot_time();
     let answer = Timer::new()
         .within(timeout, front.client.send(target.addr, req))
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `bounds`, `retry_budget`, `cold_targets`, `selector`, then the locks inside
 //! `generations`, `placement`, `peers` and `view`, then `rate_limits`. `quarantine` and
-//! `rate_allocator` are never held together with another lock. No lock is held across an await.
+//! `rate_allocator` and the locks inside `rollouts` are never held together with another lock. No lock is held across an await.
 
 use std::{
     sync::{Arc, OnceLock, atomic::AtomicBool},
@@ -14,7 +14,7 @@
 use quarantine::QuarantineState;
 use rates::{RateAllocator, RateLimits};
 use timer::{Timer, boot_time};
-use types::Moment;
+use types::{Moment, ServiceId, VersionChoice};
 use view::{Service, Target, View};
 
 use crate::{
@@ -27,6 +27,7 @@
     metrics::Metrics,
     plain_calls::{cold::ColdTargets, retry_budget::RetryBudget, selection::TargetSelector},
     quarantine::crash_detection::RecentCrashes,
+    rollouts::local::Rollouts,
     store::topic_cache::TopicCache,
 };
 
@@ -81,6 +82,8 @@
     pub rate_allocator: Mutex<RateAllocator>,
     /// Requests during which targets crashed.
     pub quarantine: Mutex<QuarantineState>,
+    /// Rollouts of new versions.
+    pub rollouts: Rollouts,
     /// Targets that have crashed recently.
     pub recent_crashes: RecentCrashes,
     /// The budget of bytes for all request bodies together.
@@ -109,10 +112,14 @@
 }
 
 impl Front {
-    /// The targets of a service that accept work.
+    /// The targets of a service that accept work, of the versions of a choice.
     #[must_use]
-    pub fn usable_targets(&self, service: &Service) -> Vec<Arc<Target>> {
-        self.view.usable_targets(&service.name)
+    pub fn usable_targets(&self, service: &ServiceId, choice: &VersionChoice) -> Vec<Arc<Target>> {
+        let mut targets = self.view.usable_targets(service);
+        let has_listed = |choice: &VersionChoice| self.view.has_version(service, choice);
+        self.rollouts
+            .filter(service, choice, &mut targets, has_listed);
+        targets
     }
 
     /// Whether the cached keys are recent enough to be honoured. A key may have been revoked since
--- a/components/front/src/store/counted.rs
+++ b/components/front/src/store/counted.rs
@@ -11,6 +11,7 @@
     instances::wire::{Member, Row, Topic, TopicUpdate},
     metrics::StoreCallLabels,
     quarantine::record::QuarantineRecord,
+    rollouts::record::{RolloutRecord, StoredRollout},
 };
 
 /// A store that counts the calls to another one.
@@ -82,4 +83,20 @@
         self.count(Topic::Members, "write", &answer);
         answer
     }
+
+    async fn read_rollout(&self, service: &str) -> Result<Option<StoredRollout>, StoreError> {
+        let answer = self.inner.read_rollout(service).await;
+        self.count(Topic::Members, "read", &answer);
+        answer
+    }
+
+    async fn write_rollout(
+        &self,
+        record: &RolloutRecord,
+        revision: u64,
+    ) -> Result<bool, StoreError> {
+        let answer = self.inner.write_rollout(record, revision).await;
+        self.count(Topic::Members, "write", &answer);
+        answer
+    }
 }
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -11,6 +11,7 @@
 };
 
 use events::{Event, emit};
+use rollouts::Order;
 use timer::{Timer, boot_time};
 use types::{DataCentreId, InstanceId, Moment, TargetId};
 use view::Change;
@@ -283,7 +284,10 @@
             return;
         };
         match self.topic {
-            Topic::Operator => self.front.view.confirm_rules(confirmed_at),
+            Topic::Operator => {
+                self.front.view.confirm_rules(confirmed_at);
+                self.front.rollouts.confirm_orders(confirmed_at);
+            }
             Topic::Targets => self.front.view.confirm_targets(confirmed_at),
             Topic::Members => {}
         }
@@ -303,6 +307,7 @@
                 let mut cold = self.front.cold_targets.lock();
                 cold.mark_cold(now, &target.id, target.cold_remaining);
                 drop(cold);
+                self.front.rollouts.record_listed(now, &target);
                 view.apply_target(target)
             }
             Some(Record::Unlisted(id)) => view.unlist_target(&id, now, self.outage_end),
@@ -314,6 +319,16 @@
                 record::apply_stored(&self.front, &record);
                 None
             }
+            Some(Record::RolloutOrdered(order)) => {
+                self.apply_order(order, now);
+                None
+            }
+            Some(Record::RolloutWithdrawn(service)) => {
+                if self.front.rollouts.withdraw(&service) {
+                    emit(&Event::RolloutWithdrawn { service });
+                }
+                None
+            }
             Some(Record::Unreadable { key, reason }) => {
                 emit(&Event::RowUnreadable {
                     topic: self.topic.to_string().into(),
@@ -332,6 +347,21 @@
         }
     }
 
+    fn apply_order(&self, order: Order, now: Moment) {
+        // The first rows show orders of any age.
+        let is_start = self.front.view.rules_read_at().is_none();
+        let event = Event::RolloutOrdered {
+            service: Arc::clone(&order.service),
+            version: Arc::clone(&order.to),
+            duration_ms: millis(order.duration),
+        };
+        let limits = self.front.exposure_limits();
+        let appeared_at = (!is_start).then_some(now);
+        if self.front.rollouts.order(order, appeared_at, limits) {
+            emit(&event);
+        }
+    }
+
     /// Records that a source has supplied current state, and ends an outage.
     fn record_success(&mut self) {
         self.sources.record_success();
--- a/components/front/tests/decisions.rs
+++ b/components/front/tests/decisions.rs
@@ -28,6 +28,8 @@
         slots: 6,
         state: ServingState::Live,
         cold_remaining: Duration::ZERO,
+        version: "v1".into(),
+        weights: None,
         started_at: None,
     })
 }
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens};
+use types::{DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens, VersionChoice};
 
 use crate::shard::Shard;
 
@@ -52,6 +52,8 @@
     pub waited: Duration,
     /// Engines that have rejected or failed this request.
     pub avoid: Vec<TargetId>,
+    /// Versions of engines that it may be sent to.
+    pub versions: VersionChoice,
 }
 
 /// Answer of the owner to a placement request.
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use placing::{Engine, Owner, PlacementAnswer, PlacementRequest, RequestDigest, Shard, Tuning};
-use types::{Moment, TargetId, Tokens};
+use types::{Moment, TargetId, Tokens, VersionChoice};
 
 /// Memory of the engines in these tests, in tokens.
 pub const MEMORY: Tokens = 34_000;
@@ -46,6 +46,7 @@
         deadline_left: Duration::from_secs(36),
         waited: Duration::ZERO,
         avoid: Vec::new(),
+        versions: VersionChoice::Any,
     }
 }
 
--- /dev/null
+++ b/components/rollouts/src/rollout.rs
@@ -0,0 +1,340 @@
+//! The coordinator's account of one rollout: evidence of all instances, the share of requests for
+//! the new version, and the verdict.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+use types::{InstanceId, Moment};
+
+use crate::{
+    evidence::Evidence,
+    exposure::as_f64,
+    fault::{Fault, find_fault},
+    order::{Directive, ExposureLimits, Order, Outcome},
+};
+
+/// Time before the deadline at which a rollout succeeds, so that the store has it in time.
+const SUCCESS_MARGIN: Duration = Duration::from_millis(300);
+/// The same as a part of the order's duration, for short ones.
+const SUCCESS_MARGIN_SHARE: f64 = 0.05;
+/// Time before the end of a rollout at which generations are migrated off the other versions.
+const MIGRATION_TIME: Duration = Duration::from_millis(2_500);
+/// The same as a part of the order's duration, for short ones.
+const MIGRATION_SHARE: f64 = 0.3;
+/// A coordinator that has taken over ends no rollout as a success before it has had the reports of
+/// all instances.
+const MIN_OBSERVATION: Duration = Duration::from_millis(1_000);
+/// Part of the bound's share and slack that is planned for. The rest is for instances that hear two
+/// coordinators for a moment.
+const PLANNED_SHARE: f64 = 0.95;
+const PLANNED_SLACK: f64 = 0.45;
+/// Smallest part of the planned requests that the new version gets before the turn, to show how it
+/// answers. The rest is for the time from the turn to the deadline.
+const MIN_PROBE_PART: f64 = 0.4;
+/// Time between the turn and the success, in which requests drain from the other versions.
+const DRAIN_TIME: Duration = Duration::from_millis(250);
+/// Share of requests for the new version while the request rate is unknown.
+const INITIAL_SHARE: f64 = 0.08;
+/// Highest share of requests for the new version before the turn, so that answers of the others
+/// remain for comparison.
+const MAX_PROBE_SHARE: f64 = 0.5;
+/// The turn comes no earlier than at this part of the order's duration.
+const EARLIEST_TURN: f64 = 0.5;
+/// Time over which the request rate is measured.
+const RATE_WINDOW: Duration = Duration::from_secs(2);
+/// Margin of the forecast request rate for what is sent after the turn.
+const RATE_MARGIN: f64 = 1.1;
+
+/// What an instance reports to the coordinator.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// The order, as the instance knows it.
+    pub order: Order,
+    /// The instance.
+    pub from: InstanceId,
+    /// When the instance started, in Unix milliseconds.
+    pub started_at: u64,
+    /// Time since the instance saw the order appear; none if it was there when it started.
+    pub age: Option<Duration>,
+    /// How the rollout has ended, if the instance knows.
+    pub outcome: Option<Outcome>,
+    /// Its counts.
+    pub evidence: Evidence,
+}
+
+/// Numbers of listed targets that accept requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Fleet {
+    /// Targets of the new version.
+    pub new: usize,
+    /// Targets of the other versions.
+    pub old: usize,
+}
+
+/// Why a rollout has ended.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum Reason {
+    /// The deadline has come, and nothing speaks against the version.
+    #[display("nothing spoke against it")]
+    Good,
+    /// The version answers worse than the others.
+    #[display("{} of its answers: {:.0} of {:.0}, others {:.0} of {:.0}, route {}",
+        _0.measure, _0.new.bad, _0.new.total, _0.old.bad, _0.old.total,
+        _0.route.as_deref().unwrap_or("(all)"))]
+    Worse(Fault),
+    /// The operator has taken the order back, or ordered another version.
+    #[display("the order was taken back")]
+    Withdrawn,
+    /// The deadline has come, and no target runs the version.
+    #[display("no target runs it")]
+    NoTarget,
+    /// The order leaves no time.
+    #[display("the order leaves no time")]
+    NoTime,
+    /// Another coordinator has ended it.
+    #[display("another instance has ended it")]
+    Elsewhere,
+}
+
+/// The end of a rollout.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    /// How it ends.
+    pub outcome: Outcome,
+    /// Why.
+    pub reason: Reason,
+}
+
+/// The last report of one incarnation of an instance.
+#[derive(Clone, Debug)]
+struct Reported {
+    started_at: u64,
+    evidence: Evidence,
+}
+
+/// One rollout, as its coordinator accounts for it.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    order: Order,
+    limits: ExposureLimits,
+    /// When the order was given, as far as is known.
+    ordered_at: Moment,
+    observed_since: Moment,
+    reports: HashMap<InstanceId, Reported>,
+    /// Evidence of incarnations that have ended.
+    past: Evidence,
+    /// Requests sent by all instances, at the times of recent reports.
+    arrivals: VecDeque<(Moment, u64)>,
+    is_withdrawn: bool,
+    verdict: Option<Verdict>,
+}
+
+impl Rollout {
+    /// Starts to coordinate a rollout that was ordered at `ordered_at`.
+    #[must_use]
+    pub fn new(now: Moment, order: Order, limits: ExposureLimits, ordered_at: Moment) -> Self {
+        Self {
+            order,
+            limits,
+            ordered_at,
+            observed_since: now,
+            reports: HashMap::new(),
+            past: Evidence::default(),
+            arrivals: VecDeque::new(),
+            is_withdrawn: false,
+            verdict: None,
+        }
+    }
+
+    /// The order.
+    #[must_use]
+    pub const fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// The end of the rollout, if it has ended.
+    #[must_use]
+    pub const fn verdict(&self) -> Option<&Verdict> {
+        self.verdict.as_ref()
+    }
+
+    /// When the order was given, as far as is known.
+    #[must_use]
+    pub const fn ordered_at(&self) -> Moment {
+        self.ordered_at
+    }
+
+    /// Records that the operator has taken the order back.
+    pub const fn withdraw(&mut self) {
+        self.is_withdrawn = true;
+    }
+
+    /// Applies a verdict that is in force already. A verdict never changes.
+    pub fn end(&mut self, outcome: Outcome) {
+        let reason = Reason::Elsewhere;
+        self.verdict.get_or_insert(Verdict { outcome, reason });
+    }
+
+    /// Applies an instance's report.
+    pub fn report(&mut self, now: Moment, report: Report) {
+        if let Some(outcome) = report.outcome {
+            self.end(outcome);
+        }
+        if let Some(age) = report.age {
+            self.ordered_at = self.ordered_at.min(now.saturating_sub(age));
+        }
+        let new = Reported {
+            started_at: report.started_at,
+            evidence: report.evidence,
+        };
+        match self.reports.get(&report.from) {
+            Some(known) if known.started_at > new.started_at => return,
+            Some(known) if known.started_at < new.started_at => {
+                self.past.merge(&known.evidence);
+                self.reports.insert(report.from, new);
+            }
+            _ => {
+                self.reports.insert(report.from, new);
+            }
+        }
+        self.arrivals.push_back((now, self.total_arrivals()));
+        let oldest = now.saturating_sub(RATE_WINDOW);
+        while self.arrivals.len() > 2 && self.arrivals[1].0 <= oldest {
+            self.arrivals.pop_front();
+        }
+    }
+
+    /// Decides whether the rollout ends now; returns the verdict if it has ended.
+    pub fn decide(&mut self, now: Moment, fleet: Fleet) -> Option<&Verdict> {
+        if self.verdict.is_none() {
+            self.verdict = self.judge(now, fleet);
+        }
+        self.verdict.as_ref()
+    }
+
+    fn judge(&self, now: Moment, fleet: Fleet) -> Option<Verdict> {
+        let rolled_back = |reason| {
+            Some(Verdict {
+                outcome: Outcome::RolledBack,
+                reason,
+            })
+        };
+        if self.is_withdrawn {
+            return rolled_back(Reason::Withdrawn);
+        }
+        if self.order.duration.is_zero() {
+            return rolled_back(Reason::NoTime);
+        }
+        if let Some(fault) = find_fault(&self.evidence()) {
+            return rolled_back(Reason::Worse(fault));
+        }
+        let age = now.saturating_sub(self.ordered_at);
+        let is_observed = now.saturating_sub(self.observed_since) >= MIN_OBSERVATION;
+        if age >= self.order.duration && fleet.new == 0 {
+            return rolled_back(Reason::NoTarget);
+        }
+        (age >= self.success_age() && is_observed && fleet.new > 0).then_some(Verdict {
+            outcome: Outcome::Succeeded,
+            reason: Reason::Good,
+        })
+    }
+
+    /// What to tell an instance now.
+    #[must_use]
+    pub fn directive(&self, now: Moment, to: &InstanceId, fleet: Fleet) -> Directive {
+        // A success counts only once the store has it; until then requests go as before.
+        if let Some(verdict) = &self.verdict
+            && verdict.outcome == Outcome::RolledBack
+        {
+            return Directive::Suspended;
+        }
+        if fleet.old == 0 && fleet.new > 0 {
+            return Directive::Unopposed;
+        }
+        let age = now.saturating_sub(self.ordered_at);
+        let (share, turn_age) = self.plan(now, age);
+        let arrivals = as_f64(self.total_arrivals());
+        let own = self
+            .reports
+            .get(to)
+            .map_or(0.0, |known| as_f64(known.evidence.arrivals));
+        let part = if arrivals > 0.0 { own / arrivals } else { 0.0 };
+        let migration = MIGRATION_TIME.min(self.order.duration.mul_f64(MIGRATION_SHARE));
+        let migration_age = self.order.duration.saturating_sub(migration);
+        Directive::Expose {
+            share,
+            slack: self.limits.slack * PLANNED_SLACK * part,
+            turn_in: turn_age.saturating_sub(age),
+            migrate_in: migration_age.saturating_sub(age),
+        }
+    }
+
+    /// The share of requests for the new version, and the age of the order at which all go there.
+    /// Requests after the turn take what is left of the bound by the deadline.
+    fn plan(&self, now: Moment, age: Duration) -> (f64, Duration) {
+        let duration = self.order.duration;
+        let rate = self.rate(now);
+        let left = duration.saturating_sub(age).as_secs_f64();
+        let expected = as_f64(self.total_arrivals()) + rate * left;
+        let planned =
+            self.limits.share * PLANNED_SHARE * expected + self.limits.slack * PLANNED_SLACK;
+        let exposed = as_f64(self.total_exposed());
+        let after_turn = duration.saturating_sub(self.success_age()) + DRAIN_TIME;
+        let reserved = rate * RATE_MARGIN * after_turn.as_secs_f64();
+        let probes = (planned - reserved).max(planned * MIN_PROBE_PART);
+        let tail = (planned - exposed.max(probes)).max(0.0) / (rate * RATE_MARGIN).max(0.1);
+        let tail = Duration::from_secs_f64(tail.min(duration.as_secs_f64()));
+        let earliest = duration.mul_f64(EARLIEST_TURN);
+        let turn_age = duration.saturating_sub(tail).max(earliest);
+        let until_turn = turn_age.saturating_sub(age).as_secs_f64();
+        let share = if rate > 0.0 {
+            ((probes - exposed) / (rate * until_turn).max(1.0)).clamp(0.0, MAX_PROBE_SHARE)
+        } else {
+            INITIAL_SHARE
+        };
+        (share, turn_age)
+    }
+
+    /// Age of the order at which the rollout succeeds.
+    fn success_age(&self) -> Duration {
+        let duration = self.order.duration;
+        let margin = SUCCESS_MARGIN.min(duration.mul_f64(SUCCESS_MARGIN_SHARE));
+        duration.saturating_sub(margin)
+    }
+
+    /// Requests a second of all instances; 0 while it is unknown.
+    fn rate(&self, now: Moment) -> f64 {
+        let Some((since, before)) = self.arrivals.front() else {
+            return 0.0;
+        };
+        let time = now.saturating_sub(*since).as_secs_f64();
+        if time <= 0.0 {
+            return 0.0;
+        }
+        as_f64(self.total_arrivals().saturating_sub(*before)) / time
+    }
+
+    fn total_arrivals(&self) -> u64 {
+        let current = self.reports.values().map(|known| known.evidence.arrivals);
+        self.past.arrivals + current.sum::<u64>()
+    }
+
+    fn total_exposed(&self) -> u64 {
+        let current = self.reports.values().map(|known| known.evidence.exposed);
+        self.past.exposed + current.sum::<u64>()
+    }
+
+    /// The evidence of all instances.
+    #[must_use]
+    pub fn evidence(&self) -> Evidence {
+        let mut all = self.past.clone();
+        for known in self.reports.values() {
+            all.merge(&known.evidence);
+        }
+        all
+    }
+}
--- /dev/null
+++ b/components/rollouts/tests/rollout.rs
@@ -0,0 +1,152 @@
+//! The coordinator's account, and one instance's part.
+
+use std::time::Duration;
+
+use rollouts::{
+    Directive, Evidence, Exposure, ExposureLimits, Fleet, Order, Outcome, Reason, Report, Rollout,
+};
+use types::Moment;
+
+const LIMITS: ExposureLimits = ExposureLimits {
+    share: 0.1,
+    slack: 50.0,
+};
+const BOTH: Fleet = Fleet { new: 3, old: 3 };
+
+fn order(duration: Duration) -> Order {
+    Order {
+        service: "calls".into(),
+        to: "v2".into(),
+        duration,
+        revision: 1,
+    }
+}
+
+fn rollout(seconds: u64) -> Rollout {
+    let order = order(Duration::from_secs(seconds));
+    Rollout::new(at(0), order, LIMITS, at(0))
+}
+
+const fn at(millis: u64) -> Moment {
+    Duration::from_millis(100_000 + millis)
+}
+
+fn report(arrivals: u64, outcome: Option<Outcome>) -> Report {
+    let evidence = Evidence::default().with_requests(arrivals, 0);
+    Report {
+        order: order(Duration::from_secs(10)),
+        from: "i-1".into(),
+        started_at: 1,
+        age: None,
+        outcome,
+        evidence,
+    }
+}
+
+fn reason(rollout: &mut Rollout, now: Moment, fleet: Fleet) -> Option<Reason> {
+    rollout
+        .decide(now, fleet)
+        .map(|verdict| verdict.reason.clone())
+}
+
+#[test]
+fn an_order_that_leaves_no_time_is_rolled_back() {
+    assert_eq!(reason(&mut rollout(0), at(1), BOTH), Some(Reason::NoTime));
+}
+
+#[test]
+fn an_order_for_a_version_without_targets_is_rolled_back_at_its_deadline() {
+    let mut rollout = rollout(10);
+    let none = Fleet { new: 0, old: 3 };
+    assert_eq!(reason(&mut rollout, at(9_900), none), None);
+    assert_eq!(
+        reason(&mut rollout, at(10_000), none),
+        Some(Reason::NoTarget)
+    );
+}
+
+#[test]
+fn an_order_that_is_taken_back_is_rolled_back() {
+    let mut rollout = rollout(10);
+    rollout.withdraw();
+    assert_eq!(reason(&mut rollout, at(1), BOTH), Some(Reason::Withdrawn));
+}
+
+/// Guards against a coordinator that takes over and ends a rollout before it knows the evidence.
+#[test]
+fn a_new_coordinator_ends_nothing_as_a_success_before_it_has_had_reports() {
+    let order = order(Duration::from_secs(10));
+    let mut rollout = Rollout::new(at(20_000), order, LIMITS, at(0));
+    assert_eq!(reason(&mut rollout, at(20_900), BOTH), None);
+    assert_eq!(reason(&mut rollout, at(21_000), BOTH), Some(Reason::Good));
+}
+
+/// Guards against two verdicts on one rollout, after a change of the coordinator.
+#[test]
+fn a_verdict_that_an_instance_knows_is_final() {
+    let mut rollout = rollout(10);
+    rollout.report(at(100), report(1, Some(Outcome::RolledBack)));
+    rollout.report(at(200), report(2, Some(Outcome::Succeeded)));
+    let verdict = rollout.decide(at(10_000), BOTH).expect("a verdict");
+    assert_eq!(verdict.outcome, Outcome::RolledBack);
+}
+
+/// Guards against an outage where all targets run the ordered version already.
+#[test]
+fn without_targets_of_another_version_all_requests_go_to_the_new_one() {
+    let only_new = Fleet { new: 3, old: 0 };
+    let directive = rollout(10).directive(at(1), &"i-1".into(), only_new);
+    assert_eq!(directive, Directive::Unopposed);
+}
+
+fn exposing(share: f64, slack: f64, turn_in: Duration) -> Directive {
+    Directive::Expose {
+        share,
+        slack,
+        turn_in,
+        migrate_in: turn_in,
+    }
+}
+
+/// Guards against instances that go on sending to a version on what a lost coordinator once said.
+#[test]
+fn an_instance_that_does_not_hear_from_the_coordinator_leaves_the_version_alone() {
+    let mut exposure = Exposure::new(LIMITS, 0.5);
+    assert!(!exposure.take(at(0), 0.0), "nothing heard yet");
+    exposure.apply(at(0), exposing(1.0, 100.0, Duration::ZERO));
+    assert!(exposure.take(at(1_500), 0.0));
+    assert!(!exposure.take(at(1_501), 0.0));
+}
+
+/// Guards against more requests for the version than this instance's part of the bound.
+#[test]
+fn an_instance_sends_its_share_of_its_own_requests_and_its_slack() {
+    let mut exposure = Exposure::new(LIMITS, 0.0);
+    exposure.apply(at(0), exposing(1.0, 2.0, Duration::ZERO));
+    let mut taken = 0;
+    for _ in 0..100 {
+        taken += u32::from(exposure.take(at(1), 0.0));
+        exposure.record_sent();
+    }
+    // 0.095 of 99 earlier requests, and 2.
+    assert_eq!(taken, 11);
+}
+
+#[test]
+fn a_request_that_was_not_sent_is_given_back() {
+    let mut exposure = Exposure::new(LIMITS, 0.0);
+    exposure.apply(at(0), exposing(1.0, 1.0, Duration::ZERO));
+    assert!(exposure.take(at(1), 0.0));
+    assert!(!exposure.take(at(1), 0.0));
+    exposure.give_back();
+    assert!(exposure.take(at(1), 0.0));
+}
+
+#[test]
+fn the_end_of_a_rollout_is_final_for_an_instance() {
+    let mut exposure = Exposure::new(LIMITS, 0.0);
+    assert!(exposure.apply(at(0), Directive::Ended(Outcome::RolledBack)));
+    assert!(!exposure.apply(at(1), Directive::Ended(Outcome::Succeeded)));
+    assert!(!exposure.apply(at(2), exposing(1.0, 100.0, Duration::ZERO)));
+    assert!(!exposure.take(at(3), 0.0));
+}
--- a/components/types/src/ids.rs
+++ b/components/types/src/ids.rs
@@ -14,6 +14,8 @@
 pub type RouteId = Arc<str>;
 /// Name of a target: an engine or a plain service process.
 pub type TargetId = Arc<str>;
+/// Version of the software that a target runs.
+pub type VersionId = Arc<str>;
 /// Incarnation of a process: it grows with each restart.
 pub type Incarnation = u64;
 /// Version of the configuration tree; it only grows.
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -4,11 +4,13 @@
 pub mod ids;
 pub mod refusal;
 pub mod target;
+pub mod version;
 
 pub use class::Class;
 pub use ids::{
     ConfigVersion, DataCentreId, Epoch, Incarnation, InstanceId, Moment, PermitId, PermitRequestId,
-    RouteId, ServiceId, TargetId, Tokens, WorkspaceId,
+    RouteId, ServiceId, TargetId, Tokens, VersionId, WorkspaceId,
 };
 pub use refusal::{Execution, Refusal};
 pub use target::{Listing, Member, ServiceKind, ServingState, Shard, Target};
+pub use version::VersionChoice;
--- a/components/view/src/state.rs
+++ b/components/view/src/state.rs
@@ -8,7 +8,9 @@
 };
 
 use parking_lot::RwLock;
-use types::{ConfigVersion, DataCentreId, Moment, ServiceId, ServingState, TargetId};
+use types::{
+    ConfigVersion, DataCentreId, Moment, ServiceId, ServingState, TargetId, VersionChoice,
+};
 
 use crate::{rules::Rules, target::Target};
 
@@ -113,6 +115,16 @@
         state.by_service.get(service).map_or(0, BTreeMap::len)
     }
 
+    /// Whether any listed target of a service, including those that are shutting down, has a version of
+    /// a choice.
+    #[must_use]
+    pub fn has_version(&self, service: &str, choice: &VersionChoice) -> bool {
+        let state = self.inner.read();
+        let targets = state.by_service.get(service).into_iter().flatten();
+        let mut versions = targets.map(|(_, target)| &target.version);
+        versions.any(|version| choice.allows(version))
+    }
+
     /// Listed target of the given id.
     #[must_use]
     pub fn target(&self, id: &str) -> Option<Arc<Target>> {
--- a/components/view/src/target.rs
+++ b/components/view/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use types::{DataCentreId, ServiceId, ServingState, TargetId};
+use types::{DataCentreId, ServiceId, ServingState, TargetId, VersionId};
 
 /// Address that a target listens on.
 pub type Address = SocketAddr;
@@ -24,6 +24,11 @@
     pub state: ServingState,
     /// Time left of its cold start when the listing was written.
     pub cold_remaining: Duration,
+    /// Version of its software; empty if it is not listed.
+    pub version: VersionId,
+    /// Version of its model weights, if listed. A generation can't go on from the memory of an engine
+    /// with other weights.
+    pub weights: Option<u64>,
     /// Start of the target's process in Unix milliseconds, if listed. A restart under the same id
     /// has lost all state.
     pub started_at: Option<u64>,
--- a/components/view/tests/view.rs
+++ b/components/view/tests/view.rs
@@ -37,6 +37,8 @@
         slots: 4,
         state,
         cold_remaining: Duration::ZERO,
+        version: "v1".into(),
+        weights: None,
         started_at,
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod generations;
 mod limits;
 mod quarantine;
+mod rollouts;
 mod starting;
 mod stopping;
 mod support;
