--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -54,6 +54,15 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of answers during rollouts.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct RolloutLabels {
+    /// `new` for the version that is rolled out, `old` for the others.
+    pub version: &'static str,
+    /// `answered` or `failed`.
+    pub outcome: &'static str,
+}
+
 /// The metrics of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -66,6 +75,8 @@
     pub target_crashes: Counter,
     /// Requests rejected because targets have crashed while they ran them.
     pub quarantined: Counter,
+    /// Answers of targets of services with a rollout.
+    pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
     pub migrations: Family<MigrationLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
@@ -95,6 +106,7 @@
             retries: Counter::default(),
             target_crashes: Counter::default(),
             quarantined: Counter::default(),
+            rollout_answers: Family::default(),
             migrations: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
@@ -122,6 +134,11 @@
             "Requests rejected because targets ended under them",
             all.quarantined.clone(),
         );
+        registry.register(
+            "rollout_answers",
+            "Answers during rollouts by version and outcome",
+            all.rollout_answers.clone(),
+        );
         registry.register(
             "carries",
             "Generations carried over",
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -200,13 +200,11 @@
     let mut limited: Option<Duration> = None;
     loop {
         let now = boot_time();
-        let mut selected = select(front, call, &skipped, version.choice(), now);
+        let mut selected = select_ready(front, call, &skipped, version.choice(), now);
         if selected.is_none() && version.avoid_new() {
-            selected = select(front, call, &skipped, version.choice(), now);
+            selected = select_ready(front, call, &skipped, version.choice(), now);
         }
-        if let Some(target) =
-            selected.filter(|target| front.take_cold_permit(&call.service, target))
-        {
+        if let Some(target) = selected {
             match target_rates::reserve(front, &target.id, until.saturating_sub(now)).await {
                 Reservation::Granted { after } => {
                     smol::Timer::after(after).await;
@@ -230,6 +228,18 @@
     }
 }
 
+/// Selects a target that takes the call now: a cold one may have taken all that it bears.
+fn select_ready(
+    front: &Front,
+    call: &Call,
+    tried: &[TargetId],
+    versions: &VersionChoice,
+    now: Moment,
+) -> Option<Arc<Target>> {
+    let selected = select(front, call, tried, versions, now);
+    selected.filter(|target| front.take_cold_permit(&call.service, target))
+}
+
 /// Selects among the targets to which this instance may open one more connection. Those with a rate
 /// limit are avoided while others have room, except for a few calls that find out whether the limit
 /// still applies.
--- a/components/front/src/rollouts/coordination.rs
+++ b/components/front/src/rollouts/coordination.rs
@@ -332,8 +332,15 @@
 ) -> Result<Option<Outcome>, StoreError> {
     let stored = front.store.read_rollout(&record.service).await?;
     let revision = stored.as_ref().map_or(0, |stored| stored.revision);
+    if stored
+        .as_ref()
+        .is_some_and(|stored| stored.record.order > record.order)
+    {
+        // A later order has taken the place of this one.
+        return Ok(Some(Outcome::RolledBack));
+    }
     let same = stored
-        .filter(|stored| stored.record.to == record.to && stored.record.order >= record.order);
+        .filter(|stored| stored.record.to == record.to && stored.record.order == record.order);
     if let Some(outcome) = same.and_then(|stored| stored.record.state.outcome()) {
         return Ok(Some(outcome));
     }
--- a/components/front/src/rollouts/local.rs
+++ b/components/front/src/rollouts/local.rs
@@ -230,8 +230,8 @@
         .unwrap_or_default()
     }
 
-    /// Keeps the targets that a request with this choice may go to. `listed` are all listed targets of
-    /// the service.
+    /// Keeps the targets that a request with this choice may go to. `has_listed` tells whether any listed
+    /// target of the service, also one that is shutting down, has a version of a choice.
     pub fn filter(
         &self,
         service: &ServiceId,
@@ -271,7 +271,8 @@
         self.with(&target.service, |rollout| rollout.exposure.record_sent());
     }
 
-    /// Counts an answer of a target.
+    /// Counts an answer of a target. Returns whether the target runs the new version; none if its
+    /// service has no rollout.
     pub fn record_answer(
         &self,
         now: Moment,
@@ -279,11 +280,11 @@
         is_cold: bool,
         route: &RouteId,
         answer: Answer,
-    ) {
+    ) -> Option<bool> {
         self.with(&target.service, |rollout| {
             if target.version != rollout.order.to {
                 rollout.evidence.record_old(route, answer);
-                return;
+                return false;
             }
             let listed_at = rollout.listed_at.get(&target.id).copied();
             let is_warm = !is_cold && listed_at.is_none_or(|at| at + WARM_UP <= now);
@@ -292,7 +293,8 @@
                 ..answer
             };
             rollout.evidence.record_new(route, &target.id, answer);
-        });
+            true
+        })
     }
 
     /// Counts the mean time between two events of a complete generation.
--- a/components/front/src/rollouts/version_permit.rs
+++ b/components/front/src/rollouts/version_permit.rs
@@ -7,7 +7,7 @@
 use types::{Moment, ServiceId, VersionChoice};
 use view::Target;
 
-use crate::{callers::call::Call, state::Front};
+use crate::{callers::call::Call, metrics::RolloutLabels, state::Front};
 
 impl Front {
     /// Counts an answer of a target to a call that was sent at `sent_at`, or that none came in time, as
@@ -19,8 +19,18 @@
             failed,
             latency: Some(now.saturating_sub(sent_at)),
         };
-        self.rollouts
-            .record_answer(now, target, is_cold, &call.route.name, answer);
+        let route = &call.route.name;
+        let Some(is_new) = self
+            .rollouts
+            .record_answer(now, target, is_cold, route, answer)
+        else {
+            return;
+        };
+        let labels = RolloutLabels {
+            version: if is_new { "new" } else { "old" },
+            outcome: if failed { "failed" } else { "answered" },
+        };
+        self.metrics.rollout_answers.get_or_create(&labels).inc();
     }
 }
 
