--- a/components/front/src/callers/drain.rs
+++ b/components/front/src/callers/drain.rs
@@ -11,9 +11,9 @@
 use events::{Event, emit};
 use smol::{Task, Timer, future};
 use timer::boot_time;
-use types::Moment;
+use types::{Moment, millis};
 
-use crate::{callers::refusal::millis, state::Front};
+use crate::state::Front;
 
 /// How long new connections are still accepted after the order to stop. The load balancer needs two
 /// failed health checks, a second apart, to stop using this instance.
--- a/components/front/src/callers/open_requests.rs
+++ b/components/front/src/callers/open_requests.rs
@@ -11,9 +11,7 @@
 use parking_lot::Mutex;
 use placing::GenerationId;
 use timer::boot_time;
-use types::Moment;
-
-use crate::callers::refusal::millis;
+use types::{Moment, millis};
 
 /// Requests that have been read and not yet answered.
 #[derive(Debug, Default)]
--- a/components/front/src/callers/refusal.rs
+++ b/components/front/src/callers/refusal.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::{callers::call::Call, state::Front};
+use types::millis;
 
 /// `Retry-After` of a request that another instance would serve: at once, on a new connection.
 pub const ELSEWHERE_RETRY_AFTER: Duration = Duration::from_millis(10);
@@ -144,9 +145,3 @@
         self.refuse(Some(id), held, refusal)
     }
 }
-
-/// A duration in whole milliseconds.
-#[must_use]
-pub fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -4,12 +4,9 @@
 
 use placing::GenerationId;
 use serde::Serialize;
-use types::{ConfigVersion, DataCentreId, InstanceId, TargetId};
+use types::{ConfigVersion, DataCentreId, InstanceId, TargetId, millis};
 
-use crate::{
-    callers::refusal::millis,
-    state::{Front, elapsed_since},
-};
+use crate::state::{Front, elapsed_since};
 
 /// The state of an instance. It contains no keys.
 #[derive(Debug, Serialize)]
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -10,14 +10,14 @@
 use rates::Reservation;
 use smol::future;
 use timer::boot_time;
-use types::{Moment, TargetId, VersionChoice};
+use types::{Moment, TargetId, VersionChoice, millis};
 use view::Target;
 
 use crate::{
     adapters::GenerationSizes,
     callers::{
         call::Call,
-        refusal::{ELSEWHERE_RETRY_AFTER, Refusal, millis},
+        refusal::{ELSEWHERE_RETRY_AFTER, Refusal},
     },
     generations::{
         active::GenerationHandle,
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -6,12 +6,11 @@
 use events::{Event, emit};
 use placing::{Migration, MigrationOutcome};
 use timer::{Timer, boot_time};
-use types::Moment;
+use types::{Moment, millis};
 use view::Target;
 
 use crate::{
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
-    callers::refusal::millis,
     generations::active::{GenerationHandle, RelayCommand},
     metrics::MigrationLabels,
     state::Front,
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -8,11 +8,12 @@
 use events::{Event, emit};
 use placing::PlacementAnswer;
 use timer::boot_time;
+use types::millis;
 use view::Target;
 
 use crate::{
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
-    callers::{call::Call, refusal::millis},
+    callers::call::Call,
     generations::{active::GenerationHandle, dispatch},
     state::Front,
 };
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -18,12 +18,12 @@
 use placing::GenerationUpdate;
 use smol::future;
 use timer::{Timer, boot_time};
-use types::Moment;
+use types::{Moment, millis};
 use view::Target;
 
 use crate::{
     adapters::Resume,
-    callers::{call::Call, refusal::millis},
+    callers::call::Call,
     generations::{
         active::RelayCommand,
         dispatch::Assignment,
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -8,14 +8,11 @@
 use net::Body;
 use rates::Reservation;
 use timer::boot_time;
-use types::{Moment, TargetId, VersionChoice};
+use types::{Moment, TargetId, VersionChoice, millis};
 use view::{RouteKind, Target};
 
 use crate::{
-    callers::{
-        call::Call,
-        refusal::{Refusal, millis},
-    },
+    callers::{call::Call, refusal::Refusal},
     plain_calls::selection::connection_share,
     quarantine::{aggregation, crash_detection},
     rollouts::version_permit::VersionPermit,
--- a/components/front/src/quarantine/aggregation.rs
+++ b/components/front/src/quarantine/aggregation.rs
@@ -11,10 +11,9 @@
 use ::quarantine::{Evidence, Fingerprint, Recipients, Verdict, VerdictKind};
 use events::{Event, emit};
 use timer::boot_time;
-use types::InstanceId;
+use types::{InstanceId, millis};
 
 use crate::{
-    callers::refusal::millis,
     instances::{
         notify::{NOTIFY_TIMEOUT, notify, notify_all},
         wire::{Message, Reply},
--- a/components/front/src/quarantine/record.rs
+++ b/components/front/src/quarantine/record.rs
@@ -6,10 +6,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    callers::refusal::millis,
     quarantine::aggregation,
     state::{Front, unix_millis},
 };
+use types::millis;
 
 /// Attempts to write or delete a record.
 const MAX_ATTEMPTS: u32 = 20;
--- a/components/front/src/rollouts/coordination.rs
+++ b/components/front/src/rollouts/coordination.rs
@@ -9,11 +9,10 @@
 use ::rollouts::{Directive, ExposureLimits, Fleet, Order, Outcome, Reason, Report, Rollout};
 use events::{Event, emit};
 use timer::{Timer, boot_time};
-use types::{InstanceId, Moment, ServiceId, VersionChoice};
+use types::{InstanceId, Moment, ServiceId, VersionChoice, millis};
 
 use crate::{
     adapters::StoreError,
-    callers::refusal::millis,
     generations::evacuation,
     instances::{
         notify::notify_all,
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -7,15 +7,12 @@
 use hyper::{Response, StatusCode, body::Incoming, http};
 use net::{Body, SendError, full};
 use timer::{Timer, boot_time};
-use types::Moment;
+use types::{Moment, millis};
 use view::Target;
 
 use crate::{
     adapters::{OutgoingRequest, ResponseHead, Resume},
-    callers::{
-        call::Call,
-        refusal::{QUARANTINED, millis},
-    },
+    callers::{call::Call, refusal::QUARANTINED},
     quarantine::crash_detection,
     state::Front,
     target_rates,
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -13,12 +13,11 @@
 use events::{Event, emit};
 use rollouts::Order;
 use timer::{Timer, boot_time};
-use types::{DataCentreId, InstanceId, Moment, TargetId};
+use types::{DataCentreId, InstanceId, Moment, TargetId, millis};
 use view::Change;
 
 use crate::{
     adapters::{Record, Store, StoreError},
-    callers::refusal::millis,
     generations::evacuation,
     instances::wire::{Message, Reply, Row, Topic, TopicUpdate},
     quarantine::record,
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod ids;
 pub mod refusal;
 pub mod target;
+pub mod time;
 pub mod version;
 
 pub use class::Class;
@@ -13,4 +14,5 @@
 };
 pub use refusal::{Execution, Refusal};
 pub use target::{Listing, Member, ServiceKind, ServingState, Shard, Target};
+pub use time::millis;
 pub use version::VersionChoice;
