--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -118,7 +118,7 @@
             late_share: 0.7,
             short_generation: Duration::from_millis(1_500),
             retry_share: 0.25,
-            deference: 8.0,
+            deference: 16.0,
             remote_penalty: Duration::from_millis(40),
             memory_pressure_penalty: Duration::from_millis(1_000),
             failure_cooldown: Duration::from_millis(1_000),
