--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -11,6 +11,7 @@
 use platform_standin::{
     caller::{Caller, ReceivedAnswer, all_events, read_answer},
     deployment::{Deployment, settings},
+    plain::Fault,
 };
 use timer::Timer;
 
@@ -32,6 +33,8 @@
 const OVERLOAD_DURATION: Duration = Duration::from_secs(2);
 /// Time between two calls in the meantime.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time from the order of a rollout to its deadline.
+const ROLLOUT_DURATION: Duration = Duration::from_secs(3);
 /// Number of engines that are added for a request that crashes engines.
 const EXTRA_ENGINES: usize = 5;
 /// How often this request is sent.
@@ -88,6 +91,8 @@
         .await;
     output::line(format_args!("With a wrong key: {}", denied.status))?;
     rate_limited_target(deployment, &caller, to).await?;
+    rollout(deployment, &caller, to, "v2", Fault::ServerError).await?;
+    rollout(deployment, &caller, to, "v3", Fault::None).await?;
     migrated_generation(deployment, &caller, to).await?;
     crashing_request(deployment, &caller, to).await
 }
@@ -121,6 +126,45 @@
     ))
 }
 
+/// Shows that a version whose answers are failures is rolled back, and that a good one takes over.
+async fn rollout(
+    deployment: &Deployment,
+    caller: &Caller,
+    to: SocketAddr,
+    version: &str,
+    fault: Fault,
+) -> errors::Result<()> {
+    let is_good = fault == Fault::None;
+    deployment.order_rollout("titles", version, ROLLOUT_DURATION.as_secs_f64());
+    let id = format!("p-{version}");
+    let process = deployment.add_plain(&id, version, fault).await;
+    let (timer, mut calls) = (Timer::new(), 0);
+    let state = loop {
+        let id = format!("try-{version}-{calls}");
+        caller.call(to, "GET", "/titles/1", &id).await;
+        calls += 1;
+        timer.sleep(CALL_INTERVAL).await;
+        match deployment.rollout_status("titles") {
+            Some((state, to)) if to == version && state != "running" => break state,
+            _ if timer.now() > ROLLOUT_DURATION * 2 => {
+                return Err(Error::new("the rollout did not end"));
+            }
+            _ => {}
+        }
+    };
+    let took = timer.now().as_secs_f64();
+    output::line(format_args!(
+        "Version {version}, whose answers are {}: {state} after {took:.1} s; it got {} of {calls} calls",
+        if is_good { "good" } else { "failures" },
+        process.run_count(),
+    ))?;
+    let expected = if is_good { "succeeded" } else { "rolled_back" };
+    if state == expected {
+        return Ok(());
+    }
+    Err(Error::new(format!("the rollout has {state}")))
+}
+
 /// Shows that a request that crashes each engine that runs it is rejected before it has crashed all
 /// engines.
 async fn crashing_request(
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -362,6 +362,8 @@
         "A plain call: 200 GET /titles/1",
         "With a wrong key: 401",
         "all of them once and in order: true; begun anew elsewhere: 0",
+        "Version v2, whose answers are failures: rolled_back",
+        "Version v3, whose answers are good: succeeded",
     ] {
         assert!(shown.contains(part), "{part} in {shown}");
     }
