Stand-ins: a target that is down makes no load reports; a red test is mended

Cause, traced: the test of requests that crash engines counts six crashes and more beside load, since checks for a crash found none. A crashed stand-in went on sampling load reports until its restart, under the incarnation that had ended. With reports 500 ms late such a one arrives after the restart, younger than the crash, and proves to an instance that the target lives. A process that is down makes no reports. Trace of a failing run: four of eight checks ended so, 775 ms after the loss. Change: nothing is sampled while the target is down; a test of the stand-in that fails before (report of incarnation 1, age 65 ms). No product code and no bound of a check is touched.

--- a/components/standins/src/lifecycle.rs
+++ b/components/standins/src/lifecycle.rs
@@ -325,13 +325,17 @@
             state.log.incarnation += 1;
             self.connections.set_down(false);
         }
-        load.incarnation = state.log.incarnation;
-        load.warm = state.log.warm;
-        state.reports.push_back((now, load));
-        if state.reports.len() > RETAINED_REPORTS {
-            state.reports.pop_front();
+        let up = state.restart_at.is_none();
+        // A target that is down makes no reports: one would show that the incarnation still runs.
+        if up {
+            load.incarnation = state.log.incarnation;
+            load.warm = state.log.warm;
+            state.reports.push_back((now, load));
+            if state.reports.len() > RETAINED_REPORTS {
+                state.reports.pop_front();
+            }
         }
-        (state.restart_at.is_none(), state.leaving)
+        (up, state.leaving)
     }
 
     fn directory_entry(&self, addr: SocketAddr, leaving: bool) -> DirectoryEntry {
--- a/components/standins/tests/engine.rs
+++ b/components/standins/tests/engine.rs
@@ -20,6 +20,9 @@
     lifecycle::{Cut, FaultAction, Faults, LifecycleSettings},
 };
 
+/// Precision of the ages in load reports.
+const AGE_PRECISION: Duration = Duration::from_millis(1);
+
 fn settings(warm: bool) -> EngineSettings {
     EngineSettings {
         lifecycle: LifecycleSettings {
@@ -187,6 +190,49 @@
     });
 }
 
+// An engine is down for a while before it restarts. A report that was made meanwhile would show its
+// ended incarnation as running, and an instance that checks for a crash would find none.
+#[test]
+fn an_engine_that_is_down_makes_no_load_reports() {
+    let down_ms = 200;
+    let mut settings = settings(true);
+    settings.lifecycle.restart_ms = down_ms;
+    settings.lifecycle.load_lag_ms = 50;
+    block_on(async {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let handle = engine::start(any_port, settings).await.unwrap();
+        Timer::after(Duration::from_millis(100)).await;
+        handle.standin.set_faults(Faults {
+            action: Some(FaultAction::Crash),
+            ..Faults::default()
+        });
+        let crashed_at = Instant::now();
+        wait_until(|| handle.standin.log().lifecycle.incarnation == 2).await;
+        loop {
+            let since_crash = crashed_at.elapsed();
+            if since_crash > Duration::from_millis(2 * down_ms) {
+                break;
+            }
+            let (status, report) = load_report(handle.addr).await;
+            assert_eq!(status, 200, "{report}");
+            let age = Duration::from_millis(report["age_ms"].as_u64().unwrap());
+            assert!(
+                report["incarnation"] == 2 || age + AGE_PRECISION >= since_crash,
+                "made while the engine was down: {report}"
+            );
+            Timer::after(Duration::from_millis(5)).await;
+        }
+    });
+}
+
+async fn load_report(addr: SocketAddr) -> (u16, serde_json::Value) {
+    let req = Request::get("/load").body(Full::new(Bytes::new()));
+    let resp = Client::new().send(addr, req.unwrap()).await.unwrap();
+    let status = resp.status().as_u16();
+    let body = resp.into_body().collect().await.unwrap().to_bytes();
+    (status, serde_json::from_slice(&body).unwrap())
+}
+
 // An engine crashes during a stall, which can't be ended while the engine is down. The next
 // incarnation stands for a new process, so requests to it must run at once.
 #[test]
