Placement: work of a paused entry is no witness for a target's load report

Another entry is paused for 3 s while its own generation at that engine ends. When it goes on it reads what the engine sent it meanwhile, for over a second, and lists the permit with growing tokens. The owner took a report of one running generation, made in that time, for the paused entry's, dropped the orphan, and granted the cold engine one too many. Ruled out: the engine's report (it was right), lost messages, a change of the owner. Two tests, both fail before.

--- a/components/policy/src/account.rs
+++ b/components/policy/src/account.rs
@@ -13,7 +13,7 @@
     length::{GenerationSource, LengthEstimator},
     limiter::ConcurrencyLimiter,
     memory::{MemoryProjection, RunningGeneration},
-    permit::{GrantedPermit, PermitKey},
+    permit::{GrantedPermit, MAX_SILENCE, PermitKey},
     prefixes::Prefixes,
     tuning::Tuning,
     wait_queue::MAX_TOKENS,
@@ -242,6 +242,10 @@
             };
             self.token_rate += weight * (rate - self.token_rate);
         }
+        if held.produced > permit.produced {
+            permit.progressed_at = Some(now);
+        }
+        permit.was_silent |= now.saturating_sub(permit.updated_at) > MAX_SILENCE;
         permit.produced = permit.produced.max(held.produced.min(MAX_TOKENS));
         permit.updated_at = now;
         permit.answer_started |= held.answer_started;
--- a/components/policy/src/granting.rs
+++ b/components/policy/src/granting.rs
@@ -221,6 +221,8 @@
         max_output: request.max_output,
         produced: 0,
         updated_at: now,
+        progressed_at: None,
+        was_silent: false,
         slots: grant.slots,
         answer_started: false,
         granted_at: now,
--- a/components/policy/src/load_reports.rs
+++ b/components/policy/src/load_reports.rs
@@ -9,7 +9,6 @@
     account::{TargetAccount, TimedReport},
     api::TargetLimits,
     permit::PermitKey,
-    shard::EXPIRY_MARGIN,
 };
 
 /// How long orphaned work counts if no report shows that it has ended.
@@ -80,7 +79,7 @@
     /// A permit whose work has ended stays in the account until its `Done` arrives, or longer if
     /// that is lost. If it counted as running, orphaned work that still runs would look ended, and
     /// a cold target would get one request too many. Therefore a permit counts as running only if
-    /// its entry has still listed it well after the time of the report.
+    /// its entry has received more of it well after the time of the report.
     pub fn drop_ended_orphans(&mut self, now: Moment) {
         let Some(report) = self.report else {
             self.expire_orphans(now);
@@ -90,12 +89,9 @@
         let mut orphans: Vec<PermitKey> = Vec::new();
         let mut running = 0;
         for (key, permit) in &self.permits {
-            let listed_after = permit.updated_at >= taken_at + EXPIRY_MARGIN;
             match permit.orphaned_at {
                 Some(since) if since < taken_at => orphans.push(key.clone()),
-                None if listed_after && permit.started_at.is_some_and(|at| at <= taken_at) => {
-                    running += permit.slots;
-                }
+                None if permit.ran_past(taken_at) => running += permit.slots,
                 _ => {}
             }
         }
--- a/components/policy/tests/lost_connections.rs
+++ b/components/policy/tests/lost_connections.rs
@@ -82,6 +82,46 @@
     assert!(fixture.grants().is_empty(), "the lost work may still run");
 }
 
+// The other work has ended before the report, while its entry was paused. When the entry goes on, it
+// reads for a while what the engine sent it meanwhile. An owner that takes this for running work
+// forgets the lost work that still runs, and a cold engine gets one request more than its limit.
+// Found by tests/chaos.rs, seed 3, eight runs at once.
+#[test]
+fn work_of_an_entry_that_was_paused_is_not_taken_for_running() {
+    let (mut fixture, running) = one_lost_and_one_running();
+    fixture.advance(1000);
+    for produced in [9, 20, 60] {
+        fixture.report_held(
+            "entry",
+            1,
+            vec![support::held_permit(running, "a", produced)],
+        );
+        fixture.advance(250);
+        assert!(fixture.grants().is_empty(), "the lost work may still run");
+    }
+    fixture.report_held("entry", 1, Vec::new());
+    assert_eq!(
+        fixture.grants().len(),
+        1,
+        "the slot of the work that ended is free"
+    );
+    fixture.request_permit("entry", 4);
+    assert!(fixture.grants().is_empty(), "the lost work may still run");
+}
+
+// The other work has ended before the report, but its entry has not noticed yet and still lists it.
+// A list without progress does not show that work ran at the time of the report.
+#[test]
+fn listed_work_without_progress_is_not_taken_for_running() {
+    let (mut fixture, running) = one_lost_and_one_running();
+    for _ in 0..3 {
+        fixture.advance(250);
+        fixture.report_held("entry", 1, vec![support::held_permit(running, "a", 5)]);
+        fixture.advance(10);
+        assert!(fixture.grants().is_empty(), "the lost work may still run");
+    }
+}
+
 // A new owner's query to an entry is lost, because connections between instances start later than
 // ownership. Cold targets would never get work from this owner, and callers would wait until their
 // deadline. Found by tests/path.rs, in one run of ten.
