Placement: tokens that arrive soon after a load report are no proof either; the last red test is mended

A cold engine got one too many. Change: progress counts as proof from 1 s after the report on, not from 250 ms. An orphan's slot is free 0.75 s later where the engine runs other work; at an idle engine at once, as before.

--- a/components/policy/src/permit.rs
+++ b/components/policy/src/permit.rs
@@ -18,6 +18,9 @@
 /// Time without a report after which an entry may have been paused. Entries report twice as often.
 pub const MAX_SILENCE: Duration = Duration::from_millis(500);
 
+/// Time by which a loaded entry may read a token after its target generated it.
+const MAX_RELAY_LAG: Duration = Duration::from_secs(1);
+
 /// Identifies a permit together with the entry that holds it.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct PermitKey {
@@ -118,13 +121,14 @@
     }
 
     /// Returns whether its work certainly ran at the time of a load report, so that the report
-    /// includes it: its entry has received more tokens well after that. An entry that was paused
-    /// still reads what the target sent it meanwhile, and is no witness.
+    /// includes it: its entry has received more tokens so long after that the target must have
+    /// generated them later. An entry that was paused reads what the target sent it meanwhile, and
+    /// is no witness.
     #[must_use]
     pub fn ran_past(&self, at: Moment) -> bool {
         let received_later = self
             .progressed_at
-            .is_some_and(|progressed| progressed >= at + EXPIRY_MARGIN);
+            .is_some_and(|progressed| progressed >= at + MAX_RELAY_LAG);
         received_later && !self.was_silent && self.started_at.is_some_and(|started| started <= at)
     }
 
