--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -74,6 +74,21 @@
     });
 }
 
+/// An engine is reclaimed, and the other one has been given other weights since it was listed. Guards
+/// against a generation that goes on from the memory of another model.
+#[test]
+fn a_generation_does_not_go_on_with_other_weights() {
+    smol::block_on(async {
+        let (platform, _instance, resp) = start_generation("weights", LONG_EVENTS).await;
+        platform.engines[1].load_weights(2);
+        platform.set_engine_leaving(0);
+        let got = read_answer(resp).await;
+        assert_eq!((got.is_complete, got.body), (true, all_events(LONG_EVENTS)));
+        let arrivals = platform.engines[1].arrivals().list();
+        assert!(arrivals.iter().all(|arrival| !arrival.ran));
+    });
+}
+
 /// Guards against stopping a generation for a migration to an engine that has crashed but is still
 /// listed.
 #[test]
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod calls;
 mod endings;
+mod engine_rollouts;
 mod explaining;
 mod generations;
 mod limits;
