Roll-outs: recent answers are tested by themselves, so that a version that turns bad late is found

Cause: the test looked at all answers since the order. A test that fails before; the example prints cases over 5 s.

--- a/components/rollouts/examples/rollout_cases.rs
+++ b/components/rollouts/examples/rollout_cases.rs
@@ -15,6 +15,9 @@
 use rollouts::Outcome;
 use support::{Case, Version, play};
 
+/// Time after its 50th bad answer in which a version must be rolled back.
+const MAX_ROLLBACK_TIME: Duration = Duration::from_secs(5);
+
 #[derive(Default)]
 struct Row {
     cases: u32,
@@ -72,6 +75,9 @@
         let rolled_back = matches!(course.end, Some((Outcome::RolledBack, _)));
         if let Some(after) = course.after_bad.filter(|_| rolled_back) {
             row.slow_rollback += u32::from(after > Duration::from_secs(2));
+            if after > MAX_ROLLBACK_TIME {
+                println!("rolled back after {after:?}: {case:?}");
+            }
             row.longest = row.longest.max(after);
         }
         row.exposed += course.exposed as f64 / course.bound();
--- a/components/rollouts/src/evidence.rs
+++ b/components/rollouts/src/evidence.rs
@@ -55,6 +55,13 @@
             *self.counts.entry(*bucket).or_default() += count;
         }
     }
+
+    fn subtract(&mut self, earlier: &Self) {
+        for (bucket, count) in &mut self.counts {
+            let before = earlier.counts.get(bucket).copied().unwrap_or_default();
+            *count = count.saturating_sub(before);
+        }
+    }
 }
 
 fn bucket(time: Duration) -> u8 {
@@ -110,6 +117,13 @@
         self.latencies.merge(&other.latencies);
         self.gaps.merge(&other.gaps);
     }
+
+    fn subtract(&mut self, earlier: &Self) {
+        self.answers = self.answers.saturating_sub(earlier.answers);
+        self.failures = self.failures.saturating_sub(earlier.failures);
+        self.latencies.subtract(&earlier.latencies);
+        self.gaps.subtract(&earlier.gaps);
+    }
 }
 
 /// Counts of one instance, or of all, since the order. They only grow, so that a lost or repeated
@@ -170,6 +184,24 @@
         }
     }
 
+    /// What was counted since an earlier state of this evidence.
+    #[must_use]
+    pub fn since(mut self, earlier: &Self) -> Self {
+        self.arrivals = self.arrivals.saturating_sub(earlier.arrivals);
+        self.exposed = self.exposed.saturating_sub(earlier.exposed);
+        for (route, tally) in &earlier.old {
+            if let Some(current) = self.old.get_mut(route) {
+                current.subtract(tally);
+            }
+        }
+        for (route, targets) in &earlier.new {
+            for (target, tally) in targets {
+                self.new_tally(route, target).subtract(tally);
+            }
+        }
+        self
+    }
+
     /// The routes that the new version has answered, with its counts by target and those of the
     /// other versions, if they have answered the route.
     pub fn routes(
--- a/components/rollouts/src/fault.rs
+++ b/components/rollouts/src/fault.rs
@@ -61,12 +61,11 @@
 const REFERENCE_DEVIATIONS: f64 = 1.0;
 /// Shares of bad answers, above that of the other versions, that the test is made to find.
 const EXCESS_SHARES: [f64; 3] = [0.05, 0.2, 0.5];
-/// How much more likely the answers must be under a fault than without one.
-const MIN_LIKELIHOOD_RATIO: f64 = 1_000.0;
 
-/// Finds a fault of the new version, if the evidence shows one.
+/// Finds a fault of the new version, if the answers are at least this many times as likely under one as
+/// without one.
 #[must_use]
-pub fn find_fault(evidence: &Evidence) -> Option<Fault> {
+pub fn find_fault(evidence: &Evidence, min_ratio: f64) -> Option<Fault> {
     let mut all_failures = (Sample::default(), Sample::default());
     for (route, targets, old) in evidence.routes() {
         let old = old.cloned().unwrap_or_default();
@@ -76,7 +75,7 @@
             (Measure::Gaps, gaps(targets, &old)),
         ];
         for (measure, (new, reference)) in by_measure {
-            if is_worse(new, reference) {
+            if is_worse(new, reference, min_ratio) {
                 return Some(Fault {
                     route: Some(route.clone()),
                     measure,
@@ -90,7 +89,7 @@
         add(&mut all_failures.1, reference);
     }
     let (new, old) = all_failures;
-    is_worse(new, old).then_some(Fault {
+    is_worse(new, old, min_ratio).then_some(Fault {
         route: None,
         measure: Measure::Failures,
         new,
@@ -101,9 +100,9 @@
 /// Whether the new version's share of bad answers is higher than that of the others.
 ///
 /// A mixture of likelihood ratios: tested after each answer, it rejects a version that is no worse
-/// with a probability of at most one in [`MIN_LIKELIHOOD_RATIO`], however many answers come.
+/// with a probability of at most one in `min_ratio`, however many answers come.
 #[must_use]
-pub fn is_worse(new: Sample, old: Sample) -> bool {
+pub fn is_worse(new: Sample, old: Sample, min_ratio: f64) -> bool {
     let usual = reference_share(old);
     let good = new.total - new.bad;
     let ratio = |excess: &f64| {
@@ -113,7 +112,7 @@
     };
     let sum: f64 = EXCESS_SHARES.iter().map(ratio).sum();
     let count = u32::try_from(EXCESS_SHARES.len()).unwrap_or(u32::MAX);
-    sum / f64::from(count) >= MIN_LIKELIHOOD_RATIO
+    sum / f64::from(count) >= min_ratio
 }
 
 /// Share of bad answers of the other versions, with a margin for few answers.
--- a/components/rollouts/src/rollout.rs
+++ b/components/rollouts/src/rollout.rs
@@ -49,6 +49,15 @@
 /// Margin of the forecast request rate for what is sent after the turn.
 const RATE_MARGIN: f64 = 1.1;
 
+/// How much more likely all answers must be under a fault than without one.
+const MIN_RATIO: f64 = 1_000.0;
+/// The same for recent answers, which are tested anew all the time.
+const MIN_RECENT_RATIO: f64 = 10_000.0;
+/// Time between two snapshots of the evidence.
+const SNAPSHOT_PERIOD: Duration = Duration::from_secs(1);
+/// Snapshots that are kept. Answers since the oldest one are recent.
+const SNAPSHOTS: usize = 6;
+
 /// What an instance reports to the coordinator.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Report {
@@ -129,6 +138,8 @@
     past: Evidence,
     /// Requests sent by all instances, at the times of recent reports.
     arrivals: VecDeque<(Moment, u64)>,
+    /// All evidence at some times, the latest last.
+    snapshots: VecDeque<(Moment, Evidence)>,
     is_withdrawn: bool,
     verdict: Option<Verdict>,
 }
@@ -145,6 +156,7 @@
             reports: HashMap::new(),
             past: Evidence::default(),
             arrivals: VecDeque::new(),
+            snapshots: VecDeque::new(),
             is_withdrawn: false,
             verdict: None,
         }
@@ -212,10 +224,32 @@
     pub fn decide(&mut self, now: Moment, fleet: Fleet) -> Option<&Verdict> {
         if self.verdict.is_none() {
             self.verdict = self.judge(now, fleet);
+            self.take_snapshot(now);
         }
         self.verdict.as_ref()
     }
 
+    fn take_snapshot(&mut self, now: Moment) {
+        let last = self.snapshots.back().map(|(at, _)| *at);
+        if last.is_some_and(|at| now < at + SNAPSHOT_PERIOD) {
+            return;
+        }
+        self.snapshots.push_back((now, self.evidence()));
+        if self.snapshots.len() > SNAPSHOTS {
+            self.snapshots.pop_front();
+        }
+    }
+
+    /// Finds a fault in all answers, or in the recent ones: a version that turns bad has many good
+    /// answers before.
+    fn find_fault(&self) -> Option<Fault> {
+        let all = self.evidence();
+        find_fault(&all, MIN_RATIO).or_else(|| {
+            let (_, earlier) = self.snapshots.front()?;
+            find_fault(&all.since(earlier), MIN_RECENT_RATIO)
+        })
+    }
+
     fn judge(&self, now: Moment, fleet: Fleet) -> Option<Verdict> {
         let rolled_back = |reason| {
             Some(Verdict {
@@ -229,7 +263,7 @@
         if self.order.duration.is_zero() {
             return rolled_back(Reason::NoTime);
         }
-        if let Some(fault) = find_fault(&self.evidence()) {
+        if let Some(fault) = self.find_fault() {
             return rolled_back(Reason::Worse(fault));
         }
         let age = now.saturating_sub(self.ordered_at);
--- a/components/rollouts/tests/rollout.rs
+++ b/components/rollouts/tests/rollout.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use rollouts::{
-    Directive, Evidence, Exposure, ExposureLimits, Fleet, Order, Outcome, Reason, Report, Rollout,
+    Answer, Directive, Evidence, Exposure, ExposureLimits, Fleet, Order, Outcome, Reason, Report,
+    Rollout,
 };
 use types::Moment;
 
@@ -91,6 +92,36 @@
     assert_eq!(verdict.outcome, Outcome::RolledBack);
 }
 
+/// Guards against a version that goes on for seconds after it has turned bad, because it had answered
+/// well for long before.
+#[test]
+fn a_version_that_turns_bad_is_rolled_back_by_its_fiftieth_bad_answer() {
+    let mut rollout = rollout(60);
+    let mut evidence = Evidence::default();
+    let mut record = |millis: u64, failed: bool| {
+        for number in 0..10 {
+            let target = format!("t-{}", number % 3).into();
+            let answer = Answer {
+                failed: failed && number % 2 == 0,
+                latency: None,
+            };
+            evidence.record_new(&"calls".into(), &target, answer);
+            for _ in 0..10 {
+                evidence.record_old(&"calls".into(), Answer::default());
+            }
+        }
+        let mut report = report(millis, None);
+        report.evidence = evidence.clone().with_requests(millis, millis / 10);
+        rollout.report(at(millis), report);
+        reason(&mut rollout, at(millis), BOTH)
+    };
+    for step in 1..=250 {
+        assert_eq!(record(step * 100, false), None);
+    }
+    let verdict = (251..=260).find_map(|step| record(step * 100, true));
+    assert!(matches!(verdict, Some(Reason::Worse(_))), "{verdict:?}");
+}
+
 /// Guards against an outage where all targets run the ordered version already.
 #[test]
 fn without_targets_of_another_version_all_requests_go_to_the_new_one() {
