Store outages: the owner watches all engines that run something, not only those that it uses itself

Without the store the owner of the engines asks them for reports, but every 0.3 s only those that run something for its own callers; the others, which run other instances' generations, only every 1.2 s. Change: each look covers the engines with a generation in the owner's account.

--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -30,8 +30,8 @@
 /// Time between two rounds. Engines leave 1.5 s after their notice at the earliest, and their
 /// reports may be half a second old.
 const PERIOD: Duration = Duration::from_millis(300);
-/// Every n-th round polls all engines; the others poll only those that run something for this
-/// instance. If many instances are partitioned at once, requests to all engines are the main cost.
+/// Every n-th round polls all engines; the others poll only those that run something, as far as the
+/// owner knows. If many instances are partitioned at once, requests to all engines are the main cost.
 const FULL_ROUND_PERIOD: u32 = 4;
 /// Time for an engine to answer.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -45,12 +45,7 @@
         if !has_lost_sources(&front) {
             continue;
         }
-        let in_use: BTreeSet<TargetId> = front
-            .generations
-            .snapshots()
-            .into_iter()
-            .map(|generation| generation.target)
-            .collect();
+        let in_use = engines_in_use(&front);
         let full_round = round.is_multiple_of(FULL_ROUND_PERIOD);
         round = round.wrapping_add(1);
         for target in owned_engines(&front) {
@@ -71,6 +66,14 @@
     front.targets_lost.load(Ordering::Acquire) || elapsed_since(read) >= STALE_AGE
 }
 
+/// Engines that run something for this instance, or for others whose generations it accounts for.
+fn engines_in_use(front: &Front) -> BTreeSet<TargetId> {
+    let own = front.generations.snapshots().into_iter();
+    let mut in_use: BTreeSet<TargetId> = own.map(|generation| generation.target).collect();
+    in_use.extend(front.placement.owner.lock().engines_in_use());
+    in_use
+}
+
 /// Listed engines that accept work, in the shards that this instance owns.
 fn owned_engines(front: &Front) -> Vec<Arc<Target>> {
     let me = &front.cfg.instance;
--- a/components/placing/src/migration.rs
+++ b/components/placing/src/migration.rs
@@ -11,7 +11,7 @@
 use types::{DataCentreId, Moment, TargetId};
 
 use crate::{
-    account::{Engine, Generation},
+    account::{Engine, EngineAccount, Generation},
     message::{GenerationId, Migration, MigrationOutcome},
     owner::Owner,
 };
@@ -87,6 +87,15 @@
             .insert(Arc::clone(&migration.generation));
     }
 
+    /// The engines that run a generation, as far as the account shows.
+    pub fn engines_in_use(&self) -> impl Iterator<Item = TargetId> {
+        let in_use = |(_, account): &(&TargetId, &EngineAccount)| !account.generations.is_empty();
+        self.accounts
+            .iter()
+            .filter(in_use)
+            .map(|(id, _)| TargetId::clone(id))
+    }
+
     /// Whether any known generation runs on an engine.
     #[must_use]
     pub fn has_generations_on(&self, target: &TargetId) -> bool {
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -4,10 +4,13 @@
 
 use crate::support::{Caller, Instance, Platform, all_events, eventually, read_answer, status};
 use hyper::{Response, body::Incoming};
+use platform_standin::engine::Engine;
 use smol::Timer;
 
 /// Events of a generation that takes about two seconds.
 const LONG_EVENTS: u32 = 130;
+/// Half of the shortest notice that engines get: their reports may be half a second old besides.
+const MAX_TIME_TO_EMPTY: Duration = Duration::from_millis(750);
 /// Time after which the first events have arrived.
 const STREAM_START_DELAY: Duration = Duration::from_millis(300);
 
@@ -140,6 +143,69 @@
     });
 }
 
+/// As above, but the instance that relays the generations may not be the one that accounts for them.
+/// Guards against an owner that, without the store, looks often only at the engines that it uses
+/// itself: engines that are reclaimed during an outage would be gone before the others' generations are
+/// migrated.
+#[test]
+fn engines_that_other_instances_use_are_watched_during_a_store_outage() {
+    smol::block_on(async {
+        // One of the two is not the owner.
+        let (first, second) = (let_engines_leave_unseen(0), let_engines_leave_unseen(1));
+        smol::future::zip(first, second).await;
+    });
+}
+
+/// Lets three engines leave during a store outage, with all generations relayed by one of two instances.
+async fn let_engines_leave_unseen(relaying: usize) {
+    let platform = Platform::start().await;
+    let mut instances = Vec::new();
+    for number in 0..2 {
+        let name = format!("watch-{relaying}-{number}");
+        instances.push(platform.instance(&name).await);
+    }
+    let third = platform.add_engine("e-3").await;
+    Timer::after(STREAM_START_DELAY).await;
+    let mut answers = Vec::new();
+    for number in 0..6 {
+        let (caller, id) = (Caller::new("key-1"), format!("g-{number}"));
+        let addr = instances[relaying].addr;
+        let resp = caller.send(addr, "POST", "/drafts/1", &id, 300).await;
+        answers.push(resp.expect("an answer"));
+    }
+    platform.add_engine("e-4").await;
+    Timer::after(STREAM_START_DELAY).await;
+    platform.store.set_down(true);
+    Timer::after(Duration::from_millis(600)).await;
+    // Three notices in the period of a look at all engines: one of them has long to wait for it.
+    let leaving = [&platform.engines[0], &platform.engines[1], &third];
+    let times = leaving.into_iter().zip(0..).map(|(engine, number)| {
+        let time = time_to_empty(engine.clone(), Duration::from_millis(400) * number);
+        smol::spawn(time)
+    });
+    for time in times.collect::<Vec<_>>() {
+        let time = time.await;
+        assert!(time < MAX_TIME_TO_EMPTY, "{time:?}");
+    }
+    for resp in answers {
+        let got = read_answer(resp).await;
+        assert_eq!((got.is_complete, got.body), (true, all_events(300)));
+    }
+}
+
+/// Lets an engine leave after a delay. Returns the time until it generates nothing any more, at most
+/// two seconds.
+async fn time_to_empty(engine: Engine, delay: Duration) -> Duration {
+    Timer::after(delay).await;
+    assert!(engine.active_count() > 0);
+    engine.set_leaving();
+    let start = Instant::now();
+    while engine.active_count() > 0 && start.elapsed() < Duration::from_secs(2) {
+        Timer::after(Duration::from_millis(5)).await;
+    }
+    start.elapsed()
+}
+
 /// An engine crashes without notice. The truncated answer must not look complete.
 #[test]
 fn a_generation_whose_engine_crashed_does_not_look_complete() {
