Store outages: engines are asked for reports for 5 s after the store is back

Change: the owner goes on asking for RECOVERY_TIME after its sources are back. A test with one engine that leaves without a word in the store fails before (1.74 s, when the generation had ended by itself; 0.75 allowed) and passes after.

--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -3,7 +3,7 @@
 //! An instance that reaches neither the store nor a peer may still reach its engines and callers.
 //! It would otherwise notice a leaving engine only when its streams break, and would assume that
 //! engines are empty which other instances have filled. Every request to an engine has a cost, so
-//! engines are polled only while the known state is stale, and only by the owner of their shard: by
+//! engines are polled only while the known state is stale and shortly after, and only by the owner of their shard: by
 //! one instance if all have lost the store, by each if they can't reach one another.
 
 use std::{
@@ -27,6 +27,9 @@
 /// Age at which the known targets are stale: long enough for two reads by a reader and the reply to
 /// a follower.
 const STALE_AGE: Duration = Duration::from_millis(2_300);
+/// How long engines are polled after the sources are back. Engines announce in the store that they
+/// leave, and their calls to it may fail for a while after an outage.
+const RECOVERY_TIME: Duration = Duration::from_secs(5);
 /// Time between two rounds. Engines leave 1.5 s after their notice at the earliest, and their
 /// reports may be half a second old.
 const PERIOD: Duration = Duration::from_millis(300);
@@ -40,9 +43,14 @@
 pub async fn watch(front: Arc<Front>) {
     let mut ticks = Timer::new().every(PERIOD);
     let mut round = 0_u32;
+    let mut lost_at = None;
     loop {
         ticks.next().await;
-        if !has_lost_sources(&front) {
+        let now = boot_time();
+        if has_lost_sources(&front) {
+            lost_at = Some(now);
+        }
+        if lost_at.is_none_or(|at| now > at + RECOVERY_TIME) {
             continue;
         }
         let in_use = engines_in_use(&front);
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -193,6 +193,25 @@
     }
 }
 
+/// Guards against engines that are reclaimed just after a store outage and whose own calls to the store
+/// still fail: the store does not show that they leave.
+#[test]
+fn an_engine_that_leaves_unannounced_after_a_store_outage_is_detected_in_time() {
+    smol::block_on(async {
+        let (platform, instance, resp) = start_generation("after-outage", 300).await;
+        platform.store.set_down(true);
+        Timer::after(Duration::from_millis(1_500)).await;
+        platform.store.set_down(false);
+        instance.first_logged_at("StoreRegained").await;
+        Timer::after(Duration::from_millis(700)).await;
+        let time = time_to_empty(platform.engines[0].clone(), Duration::ZERO).await;
+        assert!(time < MAX_TIME_TO_EMPTY, "{time:?}");
+        platform.engines[0].crash();
+        let got = read_answer(resp).await;
+        assert_eq!((got.is_complete, got.body), (true, all_events(300)));
+    });
+}
+
 /// Lets an engine leave after a delay. Returns the time until it generates nothing any more, at most
 /// two seconds.
 async fn time_to_empty(engine: Engine, delay: Duration) -> Duration {
