--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -3,8 +3,9 @@
 //! An instance that reaches neither the store nor a peer may still reach its engines and callers.
 //! It would otherwise notice a leaving engine only when its streams break, and would assume that
 //! engines are empty which other instances have filled. Every request to an engine has a cost, so
-//! engines are polled only while the known state is stale and shortly after, and only by the owner of their shard: by
-//! one instance if all have lost the store, by each if they can't reach one another.
+//! engines are polled only while the known state is stale and shortly after, and only by the owner
+//! of their shard: by one instance if all have lost the store, by each if they can't reach one
+//! another.
 
 use std::{
     collections::BTreeSet,
