--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -47,11 +47,13 @@
     let mut lost_at = None;
     loop {
         ticks.next().await;
-        let now = boot_time();
-        if has_lost_sources(&front) {
+        let (now, is_lost) = (boot_time(), has_lost_sources(&front));
+        // Before the first read nothing was lost, and all instances may be starting.
+        if is_lost && front.view.targets_read_at().is_some() {
             lost_at = Some(now);
         }
-        if lost_at.is_none_or(|at| now > at + RECOVERY_TIME) {
+        let is_recovering = lost_at.is_some_and(|at| now <= at + RECOVERY_TIME);
+        if !is_lost && !is_recovering {
             continue;
         }
         let in_use = engines_in_use(&front);
