Answers of targets: what a target says of itself is parsed, logged and counted

Server-Leaving in any answer but a 421, which another target at the same address may have sent, and Retry-After of a 503 (seconds with fractions, dates, the longest of several) are read from answers to requests, copy requests and requests for reports. New: events 936 to 938, metrics said_leaving, pauses, withheld. Nothing acts on it yet.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -695,4 +695,38 @@
         935, Warn, "the rollout of {service} can't be recorded in the store: {reason}",
         "Check the store. Until it answers, the version gets no more requests than before, and no verdict is given.",
     ),
+    /// A target says in the head of an answer that it is about to stop.
+    TargetSaidLeaving {
+        /// The target.
+        target: TargetId,
+        /// Start of its process in Unix milliseconds; 0 if unknown.
+        started_at: u64,
+        /// Age of the listing by which it was in service, in milliseconds.
+        listing_age_ms: u64,
+    } = (
+        936, Info, "{target} says in an answer that it is leaving; the targets were last read {listing_age_ms} ms ago",
+        "Nothing. If the store lists it as in service for long, check its connection to the store.",
+    ),
+    /// A target has rejected a request and wants no further ones from this instance for a while.
+    TargetPaused {
+        /// The target.
+        target: TargetId,
+        /// The time for which it wants no requests, in milliseconds.
+        pause_ms: u64,
+    } = (
+        937, Info, "{target} wants no requests from this instance for {pause_ms} ms",
+        "Nothing, unless all targets of a service do: then add targets.",
+    ),
+    /// A request was not sent to the target that was chosen for it.
+    SendingWithheld {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The target.
+        target: TargetId,
+        /// Why nothing may be sent to it.
+        reason: Arc<str>,
+    } = (
+        938, Info, "{id}: not sent to {target}: {reason}",
+        "Nothing. Another target is tried, or the caller is told when to retry.",
+    ),
 }
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -96,6 +96,24 @@
     pub waiting: u32,
 }
 
+/// What a target says of itself in the head of an answer, whatever it answers.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TargetSignals {
+    /// The target is about to stop.
+    pub is_leaving: bool,
+    /// The target wants no requests from this instance for this long.
+    pub pause: Option<Duration>,
+}
+
+/// An engine's answer to a control request, and what the engine says of itself in its head.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineAnswer<T> {
+    /// The answer.
+    pub value: T,
+    /// What the engine says of itself; nothing if there is no answer.
+    pub signals: TargetSignals,
+}
+
 /// The parts of an answer's head that decide whether and how it is forwarded.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ResponseHead {
@@ -112,6 +130,8 @@
     /// The target's rate limit for all instances together, in requests a second, if it announces
     /// one.
     pub rate_limit: Option<f64>,
+    /// What the target says of itself.
+    pub signals: TargetSignals,
 }
 
 /// Translates between the platform's HTTP conventions and the types of this module.
@@ -199,6 +219,8 @@
 /// An engine's report of itself, which may be some hundred milliseconds old.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineReport {
+    /// When the engine's process started, in Unix milliseconds, if it says so.
+    pub started_at: Option<u64>,
     /// Whether the engine accepts work.
     pub state: EngineState,
     /// Its load.
@@ -211,13 +233,14 @@
 #[async_trait]
 pub trait EngineControl: Send + Sync {
     /// Sends a copy request and waits for its outcome.
-    async fn copy_kv(&self, request: &KvCopyRequest<'_>) -> KvCopyOutcome;
+    async fn copy_kv(&self, request: &KvCopyRequest<'_>) -> EngineAnswer<KvCopyOutcome>;
 
-    /// Requests an engine's report.
-    ///
-    /// # Errors
-    /// Returns why there is no report.
-    async fn report(&self, addr: SocketAddr, timeout: Duration) -> Result<EngineReport, Arc<str>>;
+    /// Requests an engine's report; the error says why there is none.
+    async fn report(
+        &self,
+        addr: SocketAddr,
+        timeout: Duration,
+    ) -> EngineAnswer<Result<EngineReport, Arc<str>>>;
 }
 
 /// A row of the store, decoded.
--- a/components/front/src/generations/idle.rs
+++ b/components/front/src/generations/idle.rs
@@ -12,7 +12,7 @@
 use timer::boot_time;
 use types::Moment;
 
-use crate::{adapters::EngineReport, generations::active::GenerationHandle, state::Front};
+use crate::{adapters::EngineReport, generations::active::GenerationHandle, signals, state::Front};
 
 /// Time without events after which the engine is asked for a report: five times the longest gap
 /// between events that callers accept, 180 ms. Events usually arrive every 36 ms.
@@ -112,7 +112,7 @@
     monitor: &mut IdleMonitor,
 ) -> Diagnosis {
     let target = generation.target();
-    let report = front.engines.report(target.addr, REPORT_TIMEOUT).await;
+    let report = signals::request_report(front, &target, REPORT_TIMEOUT).await;
     let observation = Observation {
         listed: front.view.target(&target.id).is_some(),
         report: report.as_ref().ok(),
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -13,6 +13,7 @@
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
     generations::active::{GenerationHandle, RelayCommand},
     metrics::MigrationLabels,
+    signals,
     state::Front,
 };
 
@@ -142,7 +143,7 @@
         is_final: false,
         timeout: COPY_TIMEOUT,
     };
-    let copy = complete_copy(front.engines.copy_kv(&first).await)?;
+    let copy = complete_copy(signals::copy_kv(front, source, &first).await)?;
     generation.store_copy(Arc::clone(&to), resume_from(source, copy));
     let stopped = boot_time();
     if !generation.send_command(RelayCommand::MigrationStarted) {
@@ -162,7 +163,7 @@
         copy_started,
         stopped,
     };
-    match front.engines.copy_kv(&final_copy).await {
+    match signals::copy_kv(front, source, &final_copy).await {
         KvCopyOutcome::Complete { copy } => Ok(stopped_generation(&to, copy)),
         KvCopyOutcome::NoRoom { copy: Some(copy) } => {
             // The generation has stopped, and can only be resumed at the source.
--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     adapters::EngineState,
+    signals,
     state::{Front, elapsed_since},
     store::follow,
 };
@@ -100,7 +101,7 @@
 
 /// Requests an engine's report and applies it.
 async fn probe(front: &Arc<Front>, target: Arc<Target>) {
-    let report = match front.engines.report(target.addr, REPORT_TIMEOUT).await {
+    let report = match signals::request_report(front, &target, REPORT_TIMEOUT).await {
         Ok(report) => report,
         Err(reason) => {
             emit(&Event::EngineUnheard {
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -15,6 +15,7 @@
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
     callers::call::Call,
     generations::{active::GenerationHandle, dispatch},
+    signals,
     state::Front,
 };
 
@@ -52,7 +53,7 @@
         copy,
         after: None,
     };
-    match front.engines.copy_kv(&request).await {
+    match signals::copy_kv(front, &source, &request).await {
         KvCopyOutcome::Complete { copy } => {
             emit(&Event::GenerationRescued {
                 id: Arc::clone(&generation.id),
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -33,6 +33,7 @@
     },
     quarantine::{aggregation, crash_detection},
     send::{SendOutcome, send},
+    signals,
     state::Front,
 };
 
@@ -365,8 +366,8 @@
         }
         // The connections of a process that exits are closed in the same way as those of a complete
         // stream.
-        let addr = self.assignment.generation.target().addr;
-        let report = self.front.engines.report(addr, REPORT_TIMEOUT).await;
+        let target = self.assignment.generation.target();
+        let report = signals::request_report(&self.front, &target, REPORT_TIMEOUT).await;
         let reason = "the stream ended and the engine does not answer";
         report.err().map(|_| reason)
     }
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -18,14 +18,15 @@
 pub mod rollouts;
 pub mod run;
 pub mod send;
+pub mod signals;
 pub mod state;
 pub mod store;
 pub mod target_rates;
 
 pub use adapters::{
-    BadRequest, CallerRequest, EngineControl, EngineReport, EngineState, GenerationReport,
-    GenerationSizes, KvCopyOutcome, KvCopyRequest, OutgoingRequest, ProtocolAdapter, Record,
-    ReportedLoad, ResponseHead, Resume, Store, StoreError,
+    BadRequest, CallerRequest, EngineAnswer, EngineControl, EngineReport, EngineState,
+    GenerationReport, GenerationSizes, KvCopyOutcome, KvCopyRequest, OutgoingRequest,
+    ProtocolAdapter, Record, ReportedLoad, ResponseHead, Resume, Store, StoreError, TargetSignals,
 };
 pub use config::{Bounds, Config};
 pub use decisions::{Decisions, Features};
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -75,6 +75,12 @@
     pub target_crashes: Counter,
     /// Requests rejected because targets have crashed while they ran them.
     pub quarantined: Counter,
+    /// Answers of targets that say that they are leaving.
+    pub said_leaving: Counter,
+    /// Pauses that targets have asked for.
+    pub pauses: Counter,
+    /// Requests that were not sent because of what their target had said.
+    pub withheld: Counter,
     /// Answers of targets of services with a rollout.
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
@@ -106,6 +112,9 @@
             retries: Counter::default(),
             target_crashes: Counter::default(),
             quarantined: Counter::default(),
+            said_leaving: Counter::default(),
+            pauses: Counter::default(),
+            withheld: Counter::default(),
             rollout_answers: Family::default(),
             migrations: Family::default(),
             peer_bytes: Family::default(),
@@ -134,6 +143,21 @@
             "Requests rejected because targets ended under them",
             all.quarantined.clone(),
         );
+        registry.register(
+            "said_leaving",
+            "Answers in which a target says that it is leaving",
+            all.said_leaving.clone(),
+        );
+        registry.register(
+            "pauses",
+            "Pauses that targets have asked for",
+            all.pauses.clone(),
+        );
+        registry.register(
+            "withheld",
+            "Requests not sent because of what their target had said",
+            all.withheld.clone(),
+        );
         registry.register(
             "rollout_answers",
             "Answers during rollouts by version and outcome",
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -14,6 +14,7 @@
     adapters::{OutgoingRequest, ResponseHead, Resume},
     callers::{call::Call, refusal::QUARANTINED},
     quarantine::crash_detection,
+    signals,
     state::Front,
     target_rates,
 };
@@ -128,6 +129,7 @@
 ) -> SendOutcome {
     let (head, body) = resp.into_parts();
     let parsed = front.adapter.parse_response_head(&call.request.id, &head);
+    signals::observe(front, target, parsed.signals);
     let unknown = |reason: String| SendOutcome::Unknown {
         reason: reason.into(),
         timed_out: false,
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -8,6 +8,7 @@
 mod panics;
 mod pool;
 pub mod reply;
+pub mod retry_after;
 pub mod serve;
 mod write_timeout;
 
@@ -15,4 +16,5 @@
 pub use budget::{Budget, Share};
 pub use client::{Client, SendError};
 pub use reply::{Body, BodyAborted, BodySender, Reply, channel, empty, full, task_body};
+pub use retry_after::retry_after;
 pub use serve::{ConnectionGuard, DynamicLimits, Handler, ServeLimits, Server};
