Tests that fail: targets that leave or ask for a pause in their answers

Six tests on real processes fail on the code as it is, with the stand-in's answers saying what the platform's pages name: 20 of 20 requests reach a target 1 s after its answer has said that it leaves (store down); the same after its row is written again as ready; 20 of 20 generations start on such an engine; requests reach a target in its pause (1 plain call, 2 generations in 2.5 s, thinned by ejection); with all targets paused the caller is sent back 3.3 s too early.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod quarantine;
 mod rollouts;
+mod signals;
 mod starting;
 mod stopping;
 mod support;
