Leaving targets: an answer is evidence, and only a later incarnation ends it

Callers saw requests served by a target that was about to stop, and one whose connection had to be refused after its end. Cause: leaving was known from the store's rows and engines' reports alone, so with the store away an instance went on for as long as the row said ready; and what was known was a state of the cached listing, which the next row of the same process turned back. Class: what is believed of a target hung on who said it last, not on which process it is about.

View keeps departures apart from listings: by id and start of the process, whoever reported it (row, peer, answer); a later start alone ends one, at most 4,096 are remembered beyond listed targets. What an owner that has not heard grants is turned back (entry of a generation, destination of a migration). Messages that an engine leaves carry its start, so the messages between instances are v6.

--- a/components/front/src/config.rs
+++ b/components/front/src/config.rs
@@ -13,6 +13,8 @@
     pub revocation_limit: Duration,
     /// Whether that also binds instances that can't reach the store.
     pub strict_revocation: bool,
+    /// A target gets no requests later than this after it became known that it leaves.
+    pub drain_limit: Duration,
     /// Time from the signal to stop until the process is killed.
     pub grace: Duration,
     /// Retries allowed, as a fraction of a service's requests.
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -300,6 +300,15 @@
                 Err(reason) => Attempt::Refuse(Refusal::unknown(reason)),
             }
         }
+        SendOutcome::Withheld { reason } => {
+            // Nothing was sent, so this does not count against the retry budget.
+            avoid.push(Arc::clone(&target.id));
+            assignment.release().await;
+            if avoid.len() < MAX_NOT_RUN {
+                return Attempt::Retry;
+            }
+            Attempt::Refuse(Refusal::not_run(reason, NO_TARGET_RETRY_AFTER))
+        }
         SendOutcome::NotRun { reason } => {
             assignment.target_failed = true;
             avoid.push(Arc::clone(&target.id));
--- a/components/front/src/generations/evacuation.rs
+++ b/components/front/src/generations/evacuation.rs
@@ -110,7 +110,10 @@
     let Some(owner) = owner.filter(|id| *id != front.cfg.instance) else {
         return;
     };
-    let message = Message::TargetLeaving(Arc::clone(&target.id));
+    let message = Message::TargetLeaving {
+        target: Arc::clone(&target.id),
+        started_at: target.started_at,
+    };
     // The reply carries no information, and other entries notify the owner as well.
     let _ = front.peers.call(&owner, &message, NOTIFY_TIMEOUT).await;
 }
--- a/components/front/src/generations/idle.rs
+++ b/components/front/src/generations/idle.rs
@@ -7,7 +7,7 @@
 //! link of this instance may be down. So a generation is given up only if its engine is no longer
 //! listed either.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use timer::boot_time;
 use types::Moment;
@@ -107,7 +107,7 @@
 
 /// Requests a report from the engine of an idle stream, and returns the diagnosis.
 pub async fn diagnose(
-    front: &Front,
+    front: &Arc<Front>,
     generation: &GenerationHandle,
     monitor: &mut IdleMonitor,
 ) -> Diagnosis {
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -13,7 +13,7 @@
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
     generations::active::{GenerationHandle, RelayCommand},
     metrics::MigrationLabels,
-    signals,
+    signals::{self, Purpose},
     state::Front,
 };
 
@@ -127,7 +127,7 @@
 
 /// Copies the KV cache of a generation, stops the generation, and copies what was added since.
 async fn copy(
-    front: &Front,
+    front: &Arc<Front>,
     generation: &GenerationHandle,
     source: &Arc<Target>,
     order: &Migration,
@@ -136,6 +136,11 @@
     let to = front.view.target(&order.to).ok_or_else(|| {
         MigrationError::new(MigrationOutcome::NoRoom, "the destination is not listed")
     })?;
+    // The owner may not have heard yet.
+    if let Some(withheld) = signals::withheld(front, &to, Purpose::NewWork) {
+        let reason = format!("the destination takes nothing: {withheld}");
+        return Err(MigrationError::new(MigrationOutcome::NoRoom, reason));
+    }
     let first = KvCopyRequest {
         generation: &order.generation,
         from: source.addr,
--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -115,6 +115,6 @@
     owner.record_report(boot_time(), &target.id, report.load);
     drop(owner);
     if report.state == EngineState::Leaving {
-        follow::mark_leaving(front, &target.id);
+        follow::mark_leaving(front, &target.id, target.started_at);
     }
 }
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -15,7 +15,7 @@
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
     callers::call::Call,
     generations::{active::GenerationHandle, dispatch},
-    signals,
+    signals::{self, Purpose},
     state::Front,
 };
 
@@ -90,7 +90,8 @@
             .view
             .target(&target)
             .filter(|target| target.weights == source.weights)
-            .ok_or_else(|| "the assigned engine is not listed, or has other weights".into()),
+            .filter(|target| signals::withheld(front, target, Purpose::NewWork).is_none())
+            .ok_or_else(|| "the assigned engine takes nothing, or has other weights".into()),
         PlacementAnswer::Wait { .. } | PlacementAnswer::Rejected { .. } => {
             Err("no engine has room for the generation".into())
         }
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -542,7 +542,7 @@
                 reason: format!("status {}", head.status).into(),
                 not_run: false,
             }),
-            SendOutcome::NotRun { reason } => Err(ResumeError {
+            SendOutcome::NotRun { reason } | SendOutcome::Withheld { reason } => Err(ResumeError {
                 reason,
                 not_run: true,
             }),
--- a/components/front/src/instances/message_handler.rs
+++ b/components/front/src/instances/message_handler.rs
@@ -77,8 +77,8 @@
                 }
             }
             Message::Follow { topic, after, wait } => self.topic_update(topic, after, wait).await,
-            Message::TargetLeaving(target) => {
-                follow::mark_leaving(front, &target);
+            Message::TargetLeaving { target, started_at } => {
+                follow::mark_leaving(front, &target, started_at);
                 Reply::Acknowledged
             }
             Message::TargetCrashed(evidence) => {
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -34,7 +34,7 @@
 };
 
 /// The path for messages between instances.
-pub const MESSAGES_PATH: &str = "/peer/v5/messages";
+pub const MESSAGES_PATH: &str = "/peer/v6/messages";
 /// The most bytes of a message.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1_024 * 1_024;
 /// The longest pause within a reply that has begun to arrive.
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -156,7 +156,12 @@
     Migrate(Migration),
     /// An engine on which the sender has generations running is about to stop.
     #[serde(rename = "Leaving")]
-    TargetLeaving(TargetId),
+    TargetLeaving {
+        /// The engine.
+        target: TargetId,
+        /// Start of its process in Unix milliseconds, if known: a later incarnation does not leave.
+        started_at: Option<u64>,
+    },
     /// The sender introduces itself.
     Hello {
         /// The sender.
@@ -185,7 +190,7 @@
             Self::GenerationUpdates(_) => "notes",
             Self::Sync { .. } => "sync",
             Self::Migrate(_) => "carry",
-            Self::TargetLeaving(_) => "leaving",
+            Self::TargetLeaving { .. } => "leaving",
             Self::Hello { .. } => "hello",
             Self::TargetCrashed(_) | Self::Verdicts(_) => "quarantine",
             Self::RateReport(_) | Self::ReserveRate { .. } => "rates",
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -66,6 +66,8 @@
     ServerError(Response<Body>),
     /// The call did not run.
     NotRun,
+    /// The call was not sent.
+    Withheld,
     /// The call may have run.
     Unknown { reason: Arc<str>, timed_out: bool },
 }
@@ -120,9 +122,12 @@
             }
         };
         version.use_up();
-        attempts.count += 1;
         attempts.tried.push(Arc::clone(&target.id));
-        match attempt(front, call, &target, attempts.count).await {
+        let outcome = attempt(front, call, &target, attempts.count + 1).await;
+        if !matches!(outcome, Outcome::Withheld) {
+            attempts.count += 1;
+        }
+        match outcome {
             Outcome::Answer(resp) => {
                 front.metrics.count_request(call.kind(), "answered");
                 return resp;
@@ -131,7 +136,7 @@
                 attempts.may_have_run += 1;
                 attempts.server_error = Some(resp);
             }
-            Outcome::NotRun => {}
+            Outcome::NotRun | Outcome::Withheld => {}
             Outcome::Unknown { reason, timed_out } => {
                 attempts.may_have_run += 1;
                 attempts.timed_out = timed_out;
@@ -314,6 +319,7 @@
                 .record_failure(boot_time(), &target.id);
             Outcome::NotRun
         }
+        SendOutcome::Withheld { .. } => Outcome::Withheld,
         SendOutcome::Rejected { reason } => Outcome::Unknown {
             reason,
             timed_out: false,
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -14,7 +14,7 @@
     adapters::{OutgoingRequest, ResponseHead, Resume},
     callers::{call::Call, refusal::QUARANTINED},
     quarantine::crash_detection,
-    signals,
+    signals::{self, Purpose},
     state::Front,
     target_rates,
 };
@@ -36,6 +36,11 @@
         /// The target's refusal or the connection error.
         reason: Arc<str>,
     },
+    /// The request was not sent, because of what the target has said of itself.
+    Withheld {
+        /// The reason.
+        reason: Arc<str>,
+    },
     /// The request was not sent, because it is quarantined: targets have crashed while they ran it.
     Rejected {
         /// The reason.
@@ -63,6 +68,17 @@
             reason: QUARANTINED.into(),
         };
     }
+    let purpose = match resume {
+        Some(_) => Purpose::RunningWork,
+        None => Purpose::NewWork,
+    };
+    let check = || match signals::withheld(front, target, purpose) {
+        Some(withheld) => Err(withheld.to_string().into()),
+        None => Ok(()),
+    };
+    if let Err(reason) = check() {
+        return withhold(front, call, target, reason);
+    }
     let outgoing = OutgoingRequest {
         head: &call.head,
         body: &call.body,
@@ -79,14 +95,17 @@
     }
     let sent_at = boot_time();
     let answer = Timer::new()
-        .within(timeout, front.client.send(target.addr, req))
+        .within(timeout, front.client.send_checked(target.addr, req, &check))
         .await;
     let outcome = match answer {
         None => SendOutcome::Unknown {
             reason: format!("no answer within {} ms", millis(timeout)).into(),
             timed_out: true,
         },
-        Some(Err(SendError::Unsent { reason })) => SendOutcome::NotRun { reason },
+        Some(Err(SendError::Unsent { reason })) => match check() {
+            Ok(()) => SendOutcome::NotRun { reason },
+            Err(reason) => withhold(front, call, target, reason),
+        },
         Some(Err(SendError::Lost { reason })) => {
             crash_detection::investigate(front, call, target, sent_at, 0);
             SendOutcome::Unknown {
@@ -102,11 +121,21 @@
             .observe_head(boot_time().saturating_sub(sent_at)),
         SendOutcome::NotRun { reason } => log_send_failure(call, target, reason, true),
         SendOutcome::Unknown { reason, .. } => log_send_failure(call, target, reason, false),
-        SendOutcome::Rejected { .. } => {}
+        SendOutcome::Rejected { .. } | SendOutcome::Withheld { .. } => {}
     }
     outcome
 }
 
+fn withhold(front: &Front, call: &Call, target: &Target, reason: Arc<str>) -> SendOutcome {
+    front.metrics.withheld.inc();
+    emit(&Event::SendingWithheld {
+        id: Arc::clone(&call.request.id),
+        target: Arc::clone(&target.id),
+        reason: Arc::clone(&reason),
+    });
+    SendOutcome::Withheld { reason }
+}
+
 /// Logs that sending a request has failed.
 pub fn log_send_failure(call: &Call, target: &Target, reason: &Arc<str>, not_run: bool) {
     emit(&Event::SendingFailed {
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -307,7 +307,7 @@
                 cold.mark_cold(now, &target.id, target.cold_remaining);
                 drop(cold);
                 self.front.rollouts.record_listed(now, &target);
-                view.apply_target(target)
+                view.apply_target(now, target)
             }
             Some(Record::Unlisted(id)) => view.unlist_target(&id, now, self.outage_end),
             Some(Record::Member(member)) => {
@@ -431,11 +431,15 @@
     }
 }
 
-/// Marks a target as about to stop, on a report from another source than the store.
-pub fn mark_leaving(front: &Arc<Front>, id: &TargetId) {
-    if let Some(change) = front.view.mark_leaving(id) {
+/// Marks an incarnation of a target as about to stop, on a report from another source than the
+/// store. Returns whether it was in service until now.
+pub fn mark_leaving(front: &Arc<Front>, id: &TargetId, started_at: Option<u64>) -> bool {
+    let change = front.view.mark_leaving(boot_time(), id, started_at);
+    let was_in_service = change.is_some();
+    if let Some(change) = change {
         act(front, change);
     }
+    was_in_service
 }
 
 /// Acts on a change of the view.
--- a/components/front/tests/idle.rs
+++ b/components/front/tests/idle.rs
@@ -13,6 +13,7 @@
 
 fn report(events: u64) -> EngineReport {
     EngineReport {
+        started_at: None,
         state: EngineState::Ready,
         load: LoadReport::default(),
         generations: vec![GenerationReport {
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -42,6 +42,9 @@
     },
 }
 
+/// Whether a request may still be sent; the error says why not.
+pub type SendCheck<'a> = &'a (dyn Fn() -> Result<(), Arc<str>> + Sync);
+
 /// The sending half of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -85,16 +88,31 @@
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.send_checked(addr, req, &|| Ok(())).await
+    }
+
+    /// Like [`Self::send`], but asks `check` once the connection is open, right before the request
+    /// is sent: opening it may take long enough for the decision to send the request to be outdated.
+    ///
+    /// # Errors
+    /// The error says whether any byte of the request may have been sent.
+    pub async fn send_checked(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+        check: SendCheck<'_>,
     ) -> Result<Response<Incoming>, SendError> {
         let req = with_host(req, addr);
         let idle = self.pool.lock().take(addr);
         let Some(conn) = idle else {
-            return self.send_new(addr, req).await;
+            return self.send_new(addr, req, check).await;
         };
+        check().map_err(unsent)?;
         match self.send_on(addr, conn, req).await {
             Ok(resp) => Ok(resp),
             // The server had closed the idle connection; nothing was sent on it.
-            Err((_, Some(req))) => self.send_new(addr, req).await,
+            Err((_, Some(req))) => self.send_new(addr, req, check).await,
             Err((error, None)) => Err(error),
         }
     }
@@ -109,7 +127,7 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.send_new(addr, with_host(req, addr)).await
+        self.send_new(addr, with_host(req, addr), &|| Ok(())).await
     }
 
     /// Closes all connections to an address: the idle ones now, those in use after their request.
@@ -127,8 +145,10 @@
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
+        check: SendCheck<'_>,
     ) -> Result<Response<Incoming>, SendError> {
         let conn = connect(addr, self.connect_timeout).await?;
+        check().map_err(unsent)?;
         self.send_on(addr, conn, req)
             .await
             .map_err(|(error, _)| error)
@@ -167,10 +187,12 @@
     }
 }
 
+fn unsent(reason: Arc<str>) -> SendError {
+    SendError::Unsent { reason }
+}
+
 async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Conn, SendError> {
-    let unsent = |reason: String| SendError::Unsent {
-        reason: reason.into(),
-    };
+    let unsent = |reason: String| unsent(reason.into());
     let stream = Timer::new()
         .within(timeout, TcpStream::connect(addr))
         .await
--- a/components/view/src/state.rs
+++ b/components/view/src/state.rs
@@ -19,6 +19,9 @@
 /// gone.
 const EXPIRED_LISTING_GRACE: Duration = Duration::from_millis(2200);
 
+/// Number of departures that are remembered. Those of listed targets are remembered in any case.
+const MAX_DEPARTURES: usize = 4_096;
+
 /// Time at which the read that last confirmed the state was sent; `None` before the first.
 pub type LastRead = Option<Moment>;
 
@@ -44,6 +47,26 @@
     Opened(DataCentreId),
 }
 
+/// The notice of one incarnation of a target that it is shutting down. Only a later incarnation ends
+/// it: a listing that says otherwise is older, whenever it arrives.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Start of the incarnation, if known.
+    started_at: Option<u64>,
+    /// When it became known here.
+    since: Moment,
+}
+
+impl Departure {
+    /// Whether an incarnation that started at this time has departed: this one or an earlier one.
+    fn covers(&self, started_at: Option<u64>) -> bool {
+        match (self.started_at, started_at) {
+            (Some(departed), Some(started_at)) => started_at <= departed,
+            _ => true,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct ViewState {
     rules: Option<Arc<Rules>>,
@@ -54,6 +77,8 @@
     targets_read_at: LastRead,
     /// Listings that expired during an outage of the store, and how long they are retained.
     expired: BTreeMap<TargetId, Moment>,
+    /// Targets that are shutting down, also those that are no longer listed.
+    departures: BTreeMap<TargetId, Departure>,
     closed: BTreeSet<DataCentreId>,
 }
 
@@ -181,11 +206,12 @@
         removed.then(|| Change::Opened(Arc::clone(data_centre)))
     }
 
-    /// Applies the listing of a target.
-    pub fn apply_target(&self, target: Target) -> Option<Change> {
+    /// Applies the listing of a target. An incarnation that is known to be shutting down stays so,
+    /// whatever the listing says.
+    pub fn apply_target(&self, now: Moment, mut target: Target) -> Option<Change> {
         let mut state = self.inner.write();
-        let id = Arc::clone(&target.id);
-        state.expired.remove(&id);
+        state.expired.remove(&target.id);
+        state.apply_departure(now, &mut target);
         let updated = Arc::new(target);
         let previous = state.insert(&updated);
         let Some(previous) = previous else {
@@ -204,19 +230,43 @@
         }
     }
 
-    /// Marks a target as shutting down on a report from a source other than the store. Its known
-    /// listing may be older than the report, so it has no effect until the listing changes.
-    pub fn mark_leaving(&self, id: &TargetId) -> Option<Change> {
+    /// Marks a target as shutting down on a report from a source other than the store. The report is
+    /// about the incarnation that started at `started_at`, if known; about the listed one otherwise.
+    pub fn mark_leaving(
+        &self,
+        now: Moment,
+        id: &TargetId,
+        started_at: Option<u64>,
+    ) -> Option<Change> {
         let mut state = self.inner.write();
-        let target = state.targets.get(id).filter(|t| t.accepts_work())?;
+        let listed = state.targets.get(id).cloned();
+        let incarnation = started_at.or(listed.as_ref().and_then(|target| target.started_at));
+        state.record_departure(now, id, incarnation);
+        let is_departed = |target: &Arc<Target>| {
+            let departure = state.departures.get(id);
+            target.accepts_work() && departure.is_some_and(|it| it.covers(target.started_at))
+        };
+        let target = listed.filter(is_departed)?;
         let leaving = Arc::new(Target {
             state: ServingState::Leaving,
-            ..Target::clone(target)
+            ..Target::clone(&target)
         });
         state.insert(&leaving);
         Some(Change::Leaving(leaving))
     }
 
+    /// Since when a target is known to be shutting down or gone; none if it is in service.
+    #[must_use]
+    pub fn departed_since(&self, now: Moment, target: &Target) -> Option<Moment> {
+        let state = self.inner.read();
+        let departure = state.departures.get(&target.id);
+        let departure = departure.filter(|departure| departure.covers(target.started_at));
+        if let Some(departure) = departure {
+            return Some(departure.since);
+        }
+        (!state.targets.contains_key(&target.id)).then_some(now)
+    }
+
     /// Removes the listing of a target. `outage_end` is the end of the store's last outage, in
     /// which the listing may have expired although the target is healthy. Such listings are
     /// retained for a while; otherwise all targets would be lost at once.
@@ -257,6 +307,43 @@
 }
 
 impl ViewState {
+    /// Applies what is known of a listed target's departure to its listing, or records what the
+    /// listing says of it.
+    fn apply_departure(&mut self, now: Moment, target: &mut Target) {
+        let departure = self.departures.get(&target.id);
+        if departure.is_some_and(|departure| departure.covers(target.started_at)) {
+            target.state = ServingState::Leaving;
+        } else if target.state == ServingState::Leaving {
+            self.record_departure(now, &target.id, target.started_at);
+        } else {
+            self.departures.remove(&target.id);
+        }
+    }
+
+    fn record_departure(&mut self, now: Moment, id: &TargetId, started_at: Option<u64>) {
+        let known = self.departures.get(id);
+        if known.is_some_and(|departure| departure.covers(started_at)) {
+            return;
+        }
+        if self.departures.len() >= MAX_DEPARTURES {
+            self.forget_oldest_departure();
+        }
+        let departure = Departure {
+            started_at,
+            since: now,
+        };
+        self.departures.insert(Arc::clone(id), departure);
+    }
+
+    fn forget_oldest_departure(&mut self) {
+        let unlisted = self.departures.iter();
+        let unlisted = unlisted.filter(|(id, _)| !self.targets.contains_key(*id));
+        let oldest = unlisted.min_by_key(|(_, departure)| departure.since);
+        if let Some(id) = oldest.map(|(id, _)| Arc::clone(id)) {
+            self.departures.remove(&id);
+        }
+    }
+
     /// Inserts or replaces a target; returns the previous listing.
     fn insert(&mut self, target: &Arc<Target>) -> Option<Arc<Target>> {
         let targets = Arc::make_mut(&mut self.targets);
--- a/components/view/tests/view.rs
+++ b/components/view/tests/view.rs
@@ -117,8 +117,8 @@
 #[test]
 fn listings_that_expired_in_an_outage_are_retained_for_a_while() {
     let view = View::new();
-    view.apply_target(target("t-1", ServingState::Live, None));
-    view.apply_target(target("t-2", ServingState::Live, None));
+    view.apply_target(SECOND, target("t-1", ServingState::Live, None));
+    view.apply_target(SECOND, target("t-2", ServingState::Live, None));
     let outage_end = 100 * SECOND;
     assert_eq!(
         view.unlist_target(&"t-1".into(), outage_end, Some(outage_end)),
@@ -129,7 +129,7 @@
         None
     );
     assert!(view.target("t-1").is_some());
-    view.apply_target(target("t-1", ServingState::Live, None));
+    view.apply_target(SECOND, target("t-1", ServingState::Live, None));
     let changes = view.remove_expired_listings(outage_end + 3 * SECOND);
     assert!(matches!(&changes[..], [Change::Leaving(gone)] if &*gone.id == "t-2"));
     assert!(view.target("t-1").is_some());
@@ -138,7 +138,7 @@
 #[test]
 fn a_listing_removed_without_an_outage_is_dropped_at_once() {
     let view = View::new();
-    view.apply_target(target("t-1", ServingState::Live, None));
+    view.apply_target(SECOND, target("t-1", ServingState::Live, None));
     let change = view.unlist_target(&"t-1".into(), SECOND, None);
     assert!(matches!(change, Some(Change::Leaving(_))));
     assert!(view.target("t-1").is_none());
@@ -149,10 +149,10 @@
 #[test]
 fn a_reported_shutdown_takes_effect_before_the_listing_changes() {
     let view = View::new();
-    view.apply_target(target("t-1", ServingState::Live, None));
-    let change = view.mark_leaving(&"t-1".into());
+    view.apply_target(SECOND, target("t-1", ServingState::Live, None));
+    let change = view.mark_leaving(SECOND, &"t-1".into(), None);
     assert!(matches!(change, Some(Change::Leaving(_))));
-    assert_eq!(view.mark_leaving(&"t-1".into()), None);
+    assert_eq!(view.mark_leaving(SECOND, &"t-1".into(), None), None);
     let known = view.target("t-1").expect("still listed");
     assert!(!view.accepts_work(&known));
 }
@@ -162,17 +162,17 @@
 #[test]
 fn a_restart_under_the_same_id_is_detected() {
     let view = View::new();
-    view.apply_target(target("t-1", ServingState::Live, Some(1)));
-    let change = view.apply_target(target("t-1", ServingState::Live, Some(2)));
+    view.apply_target(SECOND, target("t-1", ServingState::Live, Some(1)));
+    let change = view.apply_target(SECOND, target("t-1", ServingState::Live, Some(2)));
     assert!(matches!(change, Some(Change::Restarted(_))));
-    let again = view.apply_target(target("t-1", ServingState::Live, Some(2)));
+    let again = view.apply_target(SECOND, target("t-1", ServingState::Live, Some(2)));
     assert_eq!(again, None);
 }
 
 #[test]
 fn a_closed_data_centre_gets_no_work_until_it_is_opened() {
     let view = View::new();
-    view.apply_target(target("t-1", ServingState::Live, None));
+    view.apply_target(SECOND, target("t-1", ServingState::Live, None));
     let known = view.target("t-1").expect("listed");
     assert!(view.accepts_work(&known));
     view.apply_closed(&"dc-1".into(), true);
@@ -180,3 +180,47 @@
     view.apply_closed(&"dc-1".into(), false);
     assert!(view.accepts_work(&known));
 }
+
+/// Guards against sending work to a target that is shutting down because a listing, which may be
+/// older than its notice, says otherwise.
+#[test]
+fn only_a_later_incarnation_ends_a_departure() {
+    let view = View::new();
+    let id = "t-1".into();
+    let listing = |started_at| target("t-1", ServingState::Live, started_at);
+    view.apply_target(SECOND, listing(Some(5)));
+    assert!(view.mark_leaving(SECOND, &id, Some(5)).is_some());
+    // The same listing again, one that lapsed and came back, one of an earlier incarnation.
+    assert_eq!(view.apply_target(SECOND * 2, listing(Some(5))), None);
+    view.unlist_target(&id, SECOND * 3, None);
+    assert_eq!(view.apply_target(SECOND * 4, listing(Some(5))), None);
+    view.apply_target(SECOND * 5, listing(Some(4)));
+    assert!(view.usable_targets("a-service").is_empty());
+    assert_eq!(
+        view.departed_since(SECOND * 6, &listing(Some(5))),
+        Some(SECOND)
+    );
+    view.apply_target(SECOND * 7, listing(Some(6)));
+    assert_eq!(view.usable_targets("a-service").len(), 1);
+    assert_eq!(view.departed_since(SECOND * 8, &listing(Some(6))), None);
+}
+
+/// Guards against a report of an earlier incarnation that takes its successor out of service.
+#[test]
+fn a_late_report_of_an_earlier_incarnation_has_no_effect() {
+    let view = View::new();
+    view.apply_target(SECOND, target("t-1", ServingState::Live, Some(6)));
+    assert_eq!(view.mark_leaving(SECOND, &"t-1".into(), Some(5)), None);
+    assert_eq!(view.usable_targets("a-service").len(), 1);
+}
+
+/// Guards against forgetting a departure because the listing that says so is gone: the store may
+/// list the target again from an older copy.
+#[test]
+fn a_departure_that_was_listed_outlives_the_listing() {
+    let view = View::new();
+    view.apply_target(SECOND, target("t-1", ServingState::Leaving, Some(1)));
+    view.unlist_target(&"t-1".into(), SECOND, None);
+    view.apply_target(SECOND, target("t-1", ServingState::Live, Some(1)));
+    assert!(view.usable_targets("a-service").is_empty());
+}
