Pauses: a target's Retry-After on a 503 binds the instance that it rejected

Callers saw calls that took a detour: an instance sent a shedding target five requests in three seconds, each rejected and repeated elsewhere. Cause: Retry-After of targets was read by nobody; only ejection after failures set a pace (0.3 s, then doubled). Class: an answer to one request tells what holds for all further ones, and was used for that request alone.

All that an instance sends to a target asks it: selection of targets, the check before sending, resumed generations, copies (which wait for the end if it comes in time), reports, idle checks. It is told to nobody, as the target asks one instance only: an entry names its pausing engines to the owner in the list to avoid, and an engine that paused is not marked as failed there; a pausing target is no failure for ejection either. If all targets of a service pause, callers are refused at once, with the end of the first pause and a random quarter of it on top, so that they don't all return at once.

--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -191,6 +191,11 @@
     NotRunning,
     /// The generation is already being copied.
     Busy,
+    /// The request was not sent.
+    Withheld {
+        /// The reason.
+        reason: Arc<str>,
+    },
     /// There was no proper answer. It is unknown whether the generation was copied or stopped.
     Unknown {
         /// What came in place of an answer.
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -35,6 +35,8 @@
     accepts_work: bool,
     #[serde(rename = "aside")]
     is_ejected: bool,
+    /// Time until the end of the pause that it has asked for, in milliseconds.
+    pause_left_ms: Option<u64>,
 }
 
 #[derive(Debug, Serialize)]
@@ -54,6 +56,7 @@
             data_centre: target.data_centre.clone(),
             accepts_work: self.view.accepts_work(target),
             is_ejected: selector.is_ejected(now, &target.id),
+            pause_left_ms: self.pause_left(target).map(millis),
         };
         Dump {
             instance: self.cfg.instance.clone(),
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -142,7 +142,8 @@
     let mut unusable: Vec<TargetId> = Vec::new();
     let usable = |id: &TargetId| {
         let listed = front.view.target(id);
-        listed.filter(|target| front.view.accepts_work(target))
+        let in_service = listed.filter(|target| front.view.accepts_work(target));
+        in_service.filter(|target| front.pause_left(target).is_none())
     };
     loop {
         if call.time_left().is_zero() {
@@ -151,8 +152,13 @@
                 NO_TARGET_RETRY_AFTER,
             ));
         }
+        if let Some(after) = front.retry_after_pauses(&call.service.name) {
+            return Err(Refusal::not_run("every engine wants a pause", after));
+        }
         unusable.retain(|id| usable(id).is_none());
-        let avoid = [avoid, &unusable].concat();
+        // The owner does not know the pauses: they bind this instance only.
+        let paused = front.paused_targets(&call.service.name);
+        let avoid = [avoid, &unusable, &paused].concat();
         let request = PlacementRequest {
             versions: versions.clone(),
             ..placement_request(front, call, shard.clone(), &avoid)
@@ -310,7 +316,8 @@
             Attempt::Refuse(Refusal::not_run(reason, NO_TARGET_RETRY_AFTER))
         }
         SendOutcome::NotRun { reason } => {
-            assignment.target_failed = true;
+            // The owner would otherwise give the engine no work of other instances either.
+            assignment.target_failed = front.pause_left(&target).is_none();
             avoid.push(Arc::clone(&target.id));
             retry_or_refuse(&reason, assignment, call, avoid).await
         }
--- a/components/front/src/generations/idle.rs
+++ b/components/front/src/generations/idle.rs
@@ -83,6 +83,11 @@
             .map_or(self.idle_since + IDLE_TIMEOUT, |at| at + REPORT_PERIOD)
     }
 
+    /// Postpones the next request for a report.
+    pub const fn postpone(&mut self, now: Moment) {
+        self.requested_at = Some(now);
+    }
+
     /// Adds an observation of the engine of a generation, and returns the diagnosis.
     pub fn observe(&mut self, now: Moment, id: &str, observation: &Observation<'_>) -> Diagnosis {
         self.requested_at = Some(now);
@@ -112,6 +117,11 @@
     monitor: &mut IdleMonitor,
 ) -> Diagnosis {
     let target = generation.target();
+    // Without a request, no answer proves nothing.
+    if front.pause_left(&target).is_some() {
+        monitor.postpone(boot_time());
+        return Diagnosis::Wait;
+    }
     let report = signals::request_report(front, &target, REPORT_TIMEOUT).await;
     let observation = Observation {
         listed: front.view.target(&target.id).is_some(),
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -136,7 +136,7 @@
     let to = front.view.target(&order.to).ok_or_else(|| {
         MigrationError::new(MigrationOutcome::NoRoom, "the destination is not listed")
     })?;
-    // The owner may not have heard yet.
+    // The owner may not have heard yet, and pauses bind this instance only.
     if let Some(withheld) = signals::withheld(front, &to, Purpose::NewWork) {
         let reason = format!("the destination takes nothing: {withheld}");
         return Err(MigrationError::new(MigrationOutcome::NoRoom, reason));
@@ -212,6 +212,9 @@
             MigrationOutcome::Nothing,
             "another copy is in progress",
         )),
+        KvCopyOutcome::Withheld { reason } => {
+            Err(MigrationError::new(MigrationOutcome::Nothing, reason))
+        }
         KvCopyOutcome::Unknown { reason } => {
             Err(MigrationError::new(MigrationOutcome::Lost, reason))
         }
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -68,7 +68,7 @@
         KvCopyOutcome::NoRoom { copy: None } => Err("no room for the copy".into()),
         KvCopyOutcome::NotRunning => Err("the engine no longer has the generation".into()),
         KvCopyOutcome::Busy => Err("another copy is in progress".into()),
-        KvCopyOutcome::Unknown { reason } => Err(reason),
+        KvCopyOutcome::Withheld { reason } | KvCopyOutcome::Unknown { reason } => Err(reason),
     }
 }
 
@@ -107,5 +107,6 @@
     let choice = front.rollouts.destinations(boot_time(), source);
     let mut others = front.usable_targets(&generation.service, &choice);
     others.retain(|target| target.id != source.id && target.weights == source.weights);
+    others.retain(|target| front.pause_left(target).is_none());
     fastrand::choice(others)
 }
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -367,6 +367,10 @@
         // The connections of a process that exits are closed in the same way as those of a complete
         // stream.
         let target = self.assignment.generation.target();
+        if self.front.pause_left(&target).is_some() {
+            let is_gone = crash_detection::refuses_connections(target.addr).await;
+            return is_gone.then_some("the stream ended and the engine refuses connections");
+        }
         let report = signals::request_report(&self.front, &target, REPORT_TIMEOUT).await;
         let reason = "the stream ended and the engine does not answer";
         report.err().map(|_| reason)
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -84,7 +84,7 @@
     server_error: Option<Response<Body>>,
     timed_out: bool,
     reason: Option<Arc<str>>,
-    /// When a target accepts more, if all have reached their rate limits.
+    /// When a target accepts more, if all have reached their rate limits or pause.
     retry_after: Option<Duration>,
 }
 
@@ -97,7 +97,12 @@
         }
         let reason = self.reason.unwrap_or_else(|| "no target takes it".into());
         let refusal = match (self.may_have_run, self.timed_out) {
-            (0, _) => Refusal::not_run(reason, self.retry_after.unwrap_or(NO_TARGET_RETRY_AFTER)),
+            (0, _) => {
+                let after = self
+                    .retry_after
+                    .or_else(|| front.retry_after_pauses(&call.service.name));
+                Refusal::not_run(reason, after.unwrap_or(NO_TARGET_RETRY_AFTER))
+            }
             (_, true) => Refusal::timed_out(reason),
             (_, false) => Refusal::unknown(reason),
         };
@@ -181,7 +186,7 @@
 enum NoTarget {
     /// None is usable, or all have been tried.
     Unusable,
-    /// The usable ones have reached their rate limits, and accept more after this time.
+    /// The usable ones have reached their rate limits or pause, and accept more after this time.
     Limited { after: Duration },
 }
 
@@ -219,7 +224,7 @@
                 }
             }
         }
-        if let Some(after) = limited {
+        if let Some(after) = limited.or_else(|| front.retry_after_pauses(&call.service.name)) {
             return Err(NoTarget::Limited { after });
         }
         // Other targets may join, but a call that has been sent already does not wait for them.
@@ -254,7 +259,7 @@
 ) -> Option<Arc<Target>> {
     let share = connection_share(call.service.max_connections, front.instance_count());
     let mut targets = front.usable_targets(&call.service.name, versions);
-    targets.retain(|target| !tried.contains(&target.id));
+    targets.retain(|target| !tried.contains(&target.id) && front.pause_left(target).is_none());
     let selector = front.selector.lock();
     targets.retain(|target| selector.in_flight(&target.id) < share);
     let has_room = |target: &&Arc<Target>| selector.has_room(now, target);
@@ -313,10 +318,11 @@
             }
         }
         SendOutcome::NotRun { .. } => {
-            front
-                .selector
-                .lock()
-                .record_failure(boot_time(), &target.id);
+            // A target that pauses has not failed, and serves again when the pause ends.
+            if front.pause_left(target).is_none() {
+                let mut selector = front.selector.lock();
+                selector.record_failure(boot_time(), &target.id);
+            }
             Outcome::NotRun
         }
         SendOutcome::Withheld { .. } => Outcome::Withheld,
--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -179,7 +179,7 @@
 }
 
 /// Whether nothing listens at an address.
-async fn refuses_connections(addr: SocketAddr) -> bool {
+pub async fn refuses_connections(addr: SocketAddr) -> bool {
     for number in 1..=REFUSED_CONNECTIONS {
         let connected = Timer::new()
             .within(CONNECT_TIMEOUT, TcpStream::connect(addr))
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -172,6 +172,7 @@
         )),
         cold_targets: Mutex::new(ColdTargets::default()),
         rate_limits: Mutex::default(),
+        pauses: Mutex::default(),
         rate_allocator: Mutex::default(),
         quarantine: Mutex::default(),
         rollouts: Rollouts::default(),
--- a/components/front/src/signals.rs
+++ b/components/front/src/signals.rs
@@ -3,14 +3,15 @@
 //! copy requests and probes.
 //!
 //! A target that leaves gets no new work from the first answer on that says so, whether or not the
-//! store or another instance says the same.
+//! store or another instance says the same. A target that rejects a request with a pause wants
+//! nothing from this instance until the pause ends; others may be served meanwhile.
 
 use std::{sync::Arc, time::Duration};
 
 use derive_more::Display;
 use events::{Event, emit};
 use timer::boot_time;
-use types::millis;
+use types::{ServiceId, TargetId, VersionChoice, millis};
 use view::Target;
 
 use crate::{
@@ -22,6 +23,11 @@
 /// Part of the limit for requests to a leaving target during which a generation may still be
 /// resumed there; the rest is for the request to arrive.
 const RESUME_FRACTION: f64 = 0.8;
+/// Width of the random spread of retries after the end of a pause, as a fraction of the time left.
+const RETRY_SPREAD: f64 = 0.25;
+/// Least width of that spread.
+const MIN_RETRY_SPREAD: Duration = Duration::from_millis(200);
+
 /// What a request to a target is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Purpose {
@@ -37,6 +43,12 @@
     /// It is leaving or gone.
     #[display("it is leaving")]
     Leaving,
+    /// It has asked for a pause.
+    #[display("it wants no requests for {} ms", millis(*left))]
+    Paused {
+        /// Time until the end of the pause.
+        left: Duration,
+    },
 }
 
 /// Records what a target has said of itself in an answer.
@@ -44,7 +56,14 @@
     if signals.is_leaving {
         observe_leaving(front, target);
     }
-    if let Some(pause) = signals.pause {
+    let Some(pause) = signals.pause else {
+        return;
+    };
+    let is_new = front
+        .pauses
+        .lock()
+        .record(boot_time(), &target.id, target.started_at, pause);
+    if is_new {
         front.metrics.pauses.inc();
         emit(&Event::TargetPaused {
             target: Arc::clone(&target.id),
@@ -68,6 +87,9 @@
 /// Why a request may not be sent to a target now, if it may not. To be asked right before sending.
 #[must_use]
 pub fn withheld(front: &Front, target: &Target, purpose: Purpose) -> Option<Withheld> {
+    if let Some(left) = front.pause_left(target) {
+        return Some(Withheld::Paused { left });
+    }
     let now = boot_time();
     let since = front.view.departed_since(now, target)?;
     let limit = front.bounds.read().drain_limit.mul_f64(RESUME_FRACTION);
@@ -84,6 +106,9 @@
     engine: &Target,
     timeout: Duration,
 ) -> Result<EngineReport, Arc<str>> {
+    if let Some(left) = front.pause_left(engine) {
+        return Err(Withheld::Paused { left }.to_string().into());
+    }
     let EngineAnswer { value, signals } = front.engines.report(engine.addr, timeout).await;
     // The address of an engine that has ended may be used by another one.
     if let Ok(report) = &value
@@ -97,13 +122,60 @@
 }
 
 /// Sends a copy request to the engine that runs the generation, and records what the engine says of
-/// itself.
+/// itself. Waits for the end of a pause as long as the copy may take.
 pub async fn copy_kv(
     front: &Arc<Front>,
     source: &Target,
     request: &KvCopyRequest<'_>,
 ) -> KvCopyOutcome {
+    if let Some(left) = front.pause_left(source) {
+        if left >= request.timeout {
+            let reason = Withheld::Paused { left }.to_string().into();
+            return KvCopyOutcome::Withheld { reason };
+        }
+        smol::Timer::after(left).await;
+    }
     let EngineAnswer { value, signals } = front.engines.copy_kv(request).await;
     observe(front, source, signals);
     value
 }
+
+/// When a caller may retry whose request no target takes until the end of a pause. Callers that are
+/// refused during a pause would otherwise all return at its end.
+#[must_use]
+pub fn retry_after_pause(left: Duration) -> Duration {
+    let spread = left.mul_f64(RETRY_SPREAD).max(MIN_RETRY_SPREAD);
+    left + spread.mul_f64(fastrand::f64())
+}
+
+impl Front {
+    /// Time until the end of a target's pause, if it pauses.
+    #[must_use]
+    pub fn pause_left(&self, target: &Target) -> Option<Duration> {
+        self.pauses
+            .lock()
+            .left(boot_time(), &target.id, target.started_at)
+    }
+
+    /// The targets of a service that pause.
+    #[must_use]
+    pub fn paused_targets(&self, service: &ServiceId) -> Vec<TargetId> {
+        if self.pauses.lock().is_empty(boot_time()) {
+            return Vec::new();
+        }
+        let targets = self.view.usable_targets(service).into_iter();
+        let paused = targets.filter(|target| self.pause_left(target).is_some());
+        paused.map(|target| Arc::clone(&target.id)).collect()
+    }
+
+    /// When callers may retry if all usable targets of a service pause.
+    #[must_use]
+    pub fn retry_after_pauses(&self, service: &ServiceId) -> Option<Duration> {
+        if self.pauses.lock().is_empty(boot_time()) {
+            return None;
+        }
+        let targets = self.usable_targets(service, &VersionChoice::Any);
+        let left: Option<Vec<Duration>> = targets.iter().map(|t| self.pause_left(t)).collect();
+        left?.into_iter().min().map(retry_after_pause)
+    }
+}
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -1,7 +1,7 @@
 //! The state that all parts of one instance share.
 //!
 //! Lock order: `bounds`, `retry_budget`, `cold_targets`, `selector`, then the locks inside
-//! `generations`, `placement`, `peers` and `view`, then `rate_limits`. `quarantine` and
+//! `generations`, `placement`, `peers` and `view`, then `rate_limits`, then `pauses`. `quarantine` and
 //! `rate_allocator` and the locks inside `rollouts` are never held together with another lock. No lock is held across an await.
 
 use std::{
@@ -12,7 +12,7 @@
 use net::{Client, DynamicLimits};
 use parking_lot::{Mutex, RwLock};
 use quarantine::QuarantineState;
-use rates::{RateAllocator, RateLimits};
+use rates::{Pauses, RateAllocator, RateLimits};
 use timer::{Timer, boot_time};
 use types::{Moment, ServiceId, VersionChoice};
 use view::{Service, Target, View};
@@ -78,6 +78,8 @@
     pub cold_targets: Mutex<ColdTargets>,
     /// Rate limits that targets have announced for all instances together.
     pub rate_limits: Mutex<RateLimits>,
+    /// Pauses that targets have asked this instance for.
+    pub pauses: Mutex<Pauses>,
     /// Allocation of the rate limits that this instance coordinates.
     pub rate_allocator: Mutex<RateAllocator>,
     /// Requests during which targets crashed.
--- a/components/rates/src/lib.rs
+++ b/components/rates/src/lib.rs
@@ -1,8 +1,10 @@
-//! Rate limits that targets announce for all instances together: which limits are known, and how
-//! one instance allocates a limit among all of them. No I/O and no clock.
+//! Limits that targets announce in their answers: rates for all instances together, how one instance
+//! allocates such a rate among all of them, and pauses for a single instance. No I/O and no clock.
 
 pub mod allocator;
 pub mod limits;
+pub mod pauses;
 
 pub use allocator::{RateAllocator, Reservation};
 pub use limits::{Rate, RateLimits, RateReport};
+pub use pauses::Pauses;
