Pauses behind the product's own interface: Retry-After binds the entry, its permits and its probes

The same class in the other request path: the client of targets read Retry-After of a rejection, and the gateway dropped it (TargetError::Rejected { .. } became Overloaded); the next request went to the same target at once, reports and resumed streams did so in any case, and for cancellations and orders the header was not read at all.

targets::pausing wraps both clients, so that all requests of an instance pass one place: during a pause nothing is sent but cancellations, which free the target. The entry is told (Event::TargetPaused): permits for the target are not used, the owner is asked to avoid it, shards whose targets all pause are passed over, and if all targets of the service pause the caller gets 503 targets-paused at once, with the end of the first pause and up to 2 s more by request. Nobody else is told. Leaving is not announced in answers there: the directory says so, and a target that leaves rejects with Retry-After, which is now kept.

Tests: components/targets/tests/pausing.rs (2), components/policy/tests/pauses.rs (3). They use the new types and were not run on the code before. tests/docs, promises_calls, promises_streams pass.

--- a/components/node/src/components.rs
+++ b/components/node/src/components.rs
@@ -1,22 +1,30 @@
 //! Constructs the components of an instance and connects them.
 
-use std::sync::{Arc, atomic::AtomicBool};
+use std::{
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use claims::{Claims, StoreClaims};
 use config::{Config, ConfigUpdater, PeerConfig};
 use errors::Result;
+use events::Event as Log;
 use gateway::{Gateway, GatewayParts, Metrics};
 use net::Client;
 use policy::{
-    Policy,
+    Event, Policy,
     baseline::{FixedShare, LeastLoaded, LocalPolicy, RoundRobin},
 };
 use prometheus_client::registry::Registry;
 use settings::{Settings, Strategy};
 use smol::channel::{Receiver, bounded};
 use stores::{CallBudget, DynamoTable, PacedTable, SliceDirectory, Table};
-use targets::{Engine, HttpPlainService, OpenAiEngine, PlainService};
+use targets::{
+    Engine, HttpPlainService, OpenAiEngine, PausingEngine, PausingPlainService, PlainService,
+    TargetPauses,
+};
 use timer::Timer;
+use types::{Target, millis};
 use wire::Key;
 
 use crate::{
@@ -87,6 +95,9 @@
         let config = Arc::clone(&updater) as Arc<dyn Config>;
         let directory_watcher =
             DirectoryWatcher::new(Arc::clone(&core), config, Arc::new(directory));
+        let pauses = target_pauses(&core);
+        let engine = Arc::new(OpenAiEngine::new(client.clone(), timer));
+        let plain = Arc::new(HttpPlainService::new(client, timer));
         let components = Self {
             core,
             key,
@@ -95,8 +106,8 @@
             table,
             directory_watcher: Arc::new(directory_watcher),
             peers,
-            engine: Arc::new(OpenAiEngine::new(client.clone(), timer)),
-            plain: Arc::new(HttpPlainService::new(client, timer)),
+            engine: Arc::new(PausingEngine::new(engine, pauses.clone())),
+            plain: Arc::new(PausingPlainService::new(plain, pauses)),
         };
         Ok((components, inputs))
     }
@@ -197,6 +208,23 @@
     )
 }
 
+/// Creates the record of the targets' pauses, of which the policy is told.
+fn target_pauses(core: &Arc<Core>) -> TargetPauses {
+    let policy = Arc::clone(core);
+    let listener = move |target: &Target, time: Duration| {
+        events::emit(&Log::TargetPaused {
+            target: target.id.clone(),
+            pause_ms: millis(time),
+        });
+        policy.handle_event(Event::TargetPaused {
+            target: target.id.clone(),
+            incarnation: target.incarnation,
+            time,
+        });
+    };
+    TargetPauses::new(core.timer, Arc::new(listener))
+}
+
 /// Returns the targets whose load reports are needed: baselines decide by the reports of all
 /// targets, an owner by those of its own shards.
 const fn report_scope(settings: &Settings) -> ReportScope {
--- a/components/policy/src/api.rs
+++ b/components/policy/src/api.rs
@@ -162,6 +162,15 @@
         /// The report.
         report: TargetLoad,
     },
+    /// A target has rejected a request and wants no further ones from this instance for a while.
+    TargetPaused {
+        /// The target.
+        target: TargetId,
+        /// Its incarnation.
+        incarnation: Incarnation,
+        /// Time from now until the end of the pause.
+        time: Duration,
+    },
     /// The configuration or the target listing changed.
     ViewChanged(View),
     /// This instance's role for a shard changed.
--- a/components/policy/src/entry/machine.rs
+++ b/components/policy/src/entry/machine.rs
@@ -1,8 +1,12 @@
 //! The entry's state machine.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
-use types::{DataCentreId, InstanceId, Moment, PermitRequestId, ServiceKind, ServingState, Shard};
+use rates::Pauses;
+use types::{
+    DataCentreId, Incarnation, InstanceId, Moment, PermitRequestId, ServiceId, ServiceKind,
+    ServingState, Shard, Target, TargetId,
+};
 use wire::{Message, Outcome};
 
 use crate::{
@@ -28,6 +32,8 @@
     pub(super) permits: Permits,
     pub(super) call_demand: CallDemand,
     pub(super) retry_budgets: RetryBudgets,
+    /// Pauses that targets have asked this instance for.
+    pub(super) pauses: Pauses,
     /// Shards reported with the last report. Their owners get one more report after the last
     /// permit.
     pub(super) reported_shards: BTreeSet<Shard>,
@@ -50,6 +56,7 @@
             permits: Permits::new(),
             call_demand: CallDemand::default(),
             retry_budgets: RetryBudgets::default(),
+            pauses: Pauses::new(),
             reported_shards: BTreeSet::new(),
             last_report_at: Moment::ZERO,
             known_lengths: false,
@@ -95,6 +102,13 @@
             Event::Summary { owner, shards } => self.shards.apply_summaries(owner, shards),
             Event::PeerGone { peer } => self.remove_owner(now, peer, out),
             Event::Tick => self.tick(now, out),
+            Event::TargetPaused {
+                target,
+                incarnation,
+                time,
+            } => {
+                self.pauses.record(now, target, Some(*incarnation), *time);
+            }
             Event::Sent { .. } | Event::Paused { .. } => {}
             Event::TargetReported { .. } | Event::ExclusivityChanged { .. } => {}
         }
@@ -113,7 +127,8 @@
         let Some(permit) = self.permits.get(key) else {
             return false;
         };
-        permit.valid_until > now && self.accepts_work(&permit.target.id, permit.target.incarnation)
+        permit.valid_until > now
+            && self.accepts_work(now, &permit.target.id, permit.target.incarnation)
     }
 
     /// Returns the state as lines of text for a dump.
@@ -293,12 +308,48 @@
         self.report_held(now, out);
     }
 
-    pub(super) fn accepts_work(&self, target: &str, incarnation: types::Incarnation) -> bool {
-        self.view.targets.iter().any(|t| {
-            *t.id == *target
-                && t.incarnation == incarnation
-                && t.state == ServingState::Live
-                && !self.view.data_centres_out.contains(&t.data_centre)
-        })
+    /// Returns whether work may be sent to a target now.
+    pub(super) fn accepts_work(&self, now: Moment, target: &str, incarnation: Incarnation) -> bool {
+        let in_service = self
+            .view
+            .targets
+            .iter()
+            .any(|t| *t.id == *target && t.incarnation == incarnation && self.is_in_service(t));
+        in_service && self.pauses.left(now, target, Some(incarnation)).is_none()
+    }
+
+    fn is_in_service(&self, target: &Target) -> bool {
+        target.state == ServingState::Live
+            && !self.view.data_centres_out.contains(&target.data_centre)
+    }
+
+    /// Returns the targets of a service that pause.
+    pub(super) fn paused_targets(&self, now: Moment, service: &ServiceId) -> Vec<TargetId> {
+        if self.pauses.is_empty(now) {
+            return Vec::new();
+        }
+        let of_service = self.view.targets.iter().filter(|t| t.service == *service);
+        let paused = of_service.filter(|t| self.pause_left(now, t).is_some());
+        paused.map(|t| t.id.clone()).collect()
+    }
+
+    /// Returns the time until the end of the first pause if all targets in service among those that
+    /// `filter` selects pause.
+    pub(super) fn first_pause_end(
+        &self,
+        now: Moment,
+        filter: impl Fn(&Target) -> bool,
+    ) -> Option<Duration> {
+        if self.pauses.is_empty(now) {
+            return None;
+        }
+        let targets = self.view.targets.iter();
+        let in_service = targets.filter(|t| filter(t) && self.is_in_service(t));
+        let left: Option<Vec<Duration>> = in_service.map(|t| self.pause_left(now, t)).collect();
+        left?.into_iter().min()
+    }
+
+    fn pause_left(&self, now: Moment, target: &Target) -> Option<Duration> {
+        self.pauses.left(now, &target.id, Some(target.incarnation))
     }
 }
--- a/components/policy/src/entry/owner_messages.rs
+++ b/components/policy/src/entry/owner_messages.rs
@@ -38,7 +38,7 @@
             .permit_requests
             .remove(&grant.permit_request)
             .map(|a| a.request);
-        let target = self.granted_target(grant);
+        let target = self.granted_target(now, grant);
         let (Some(request), Some(target), true) = (request, target, valid_until > now) else {
             return_unused(from, grant, out);
             self.retry_request(now, request.flatten(), out);
@@ -62,10 +62,10 @@
         self.fill_block(now, key, out);
     }
 
-    fn granted_target(&self, grant: &Grant) -> Option<Target> {
+    fn granted_target(&self, now: Moment, grant: &Grant) -> Option<Target> {
         let mut targets = self.view.targets.iter();
         let found = targets.find(|t| t.id == grant.target)?;
-        self.accepts_work(&grant.target, grant.incarnation)
+        self.accepts_work(now, &grant.target, grant.incarnation)
             .then(|| found.clone())
     }
 
--- a/components/policy/src/entry/permit_requests.rs
+++ b/components/policy/src/entry/permit_requests.rs
@@ -1,6 +1,6 @@
 //! Sending and withdrawing permit requests.
 
-use types::{InstanceId, Moment, PermitRequestId, Shard};
+use types::{InstanceId, Moment, PermitRequestId, ServiceId, Shard};
 use wire::{PermitRequest, Withdraw};
 
 use crate::{
@@ -8,6 +8,7 @@
     entry::{
         machine::Entry,
         pending::{OutstandingPermitRequest, PERMIT_REQUEST_TIMEOUT, Stage},
+        refusals,
     },
 };
 
@@ -16,12 +17,30 @@
         let Some(pending) = self.requests.get(&id) else {
             return;
         };
-        let request = &pending.request;
-        if let Some((shard, owner)) = self.shards.choose(&request.service, &request.prefix) {
+        let service = &pending.request.service;
+        if let Some(left) = self.first_pause_end(now, |target| target.service == *service) {
+            self.refuse_request(id, refusals::paused(left, id), out);
+            return;
+        }
+        if let Some((shard, owner)) = self.choose_shard(now, service, &pending.request.prefix) {
             self.request_permit_from(now, id, shard, owner, out);
         }
     }
 
+    /// Chooses the shard to request a permit from, among those with a target that does not pause.
+    pub(super) fn choose_shard(
+        &self,
+        now: Moment,
+        service: &ServiceId,
+        prefix: &[u64],
+    ) -> Option<(Shard, InstanceId)> {
+        let pauses = |shard: &Shard| {
+            let end = self.first_pause_end(now, |target| shard.contains(target));
+            end.is_some()
+        };
+        self.shards.choose(service, prefix, |shard| !pauses(shard))
+    }
+
     /// Sends a permit request for a request to the owner of a shard.
     pub(super) fn request_permit_from(
         &mut self,
@@ -32,9 +51,15 @@
         out: &mut Vec<Action>,
     ) {
         let permit_request = self.next_permit_request();
+        let Some(pending) = self.requests.get(&id) else {
+            return;
+        };
+        // The owner does not know the pauses: they bind this instance only.
+        let mut avoid = self.paused_targets(now, &pending.request.service);
         let Some(pending) = self.requests.get_mut(&id) else {
             return;
         };
+        avoid.extend_from_slice(&pending.avoid);
         pending.stage = Stage::Asked(permit_request);
         let request = &pending.request;
         let known_length = request.true_output.filter(|_| self.known_lengths);
@@ -52,7 +77,7 @@
             max_output: known_length.unwrap_or(request.max_output),
             slots: self.call_demand.slots(request),
             prefix: request.prefix.clone(),
-            avoid: pending.avoid.clone(),
+            avoid,
         };
         self.shards.record_permit_request(&shard, &request.prefix);
         let outstanding = OutstandingPermitRequest {
--- a/components/policy/src/entry/plain_calls.rs
+++ b/components/policy/src/entry/plain_calls.rs
@@ -97,7 +97,7 @@
                 && p.shard.service == pending.request.service
                 && p.has_room(now)
                 && !pending.avoid.contains(&p.target.id)
-                && self.accepts_work(&p.target.id, p.target.incarnation)
+                && self.accepts_work(now, &p.target.id, p.target.incarnation)
         });
         // The least used block is chosen, which spreads calls over targets.
         let Some(key) = usable
@@ -143,7 +143,7 @@
         let permit = self.permits.get(&key)?;
         if permit.kind != ServiceKind::Plain
             || !permit.has_room(now)
-            || !self.accepts_work(&permit.target.id, permit.target.incarnation)
+            || !self.accepts_work(now, &permit.target.id, permit.target.incarnation)
         {
             return None;
         }
@@ -189,9 +189,10 @@
         };
         let slots = demand.peak.clamp(1, MAX_SLOTS);
         demand.peak = (demand.peak / 2).max(1);
-        let Some((shard, owner)) = self.shards.choose(service, &[]) else {
+        let Some((shard, owner)) = self.choose_shard(now, service, &[]) else {
             return;
         };
+        let avoid = self.paused_targets(now, service);
         let permit_request = self.next_permit_request();
         let message = PermitRequest {
             shard: shard.clone(),
@@ -207,7 +208,7 @@
             max_output: 0,
             slots: slots.max(2),
             prefix: Vec::new(),
-            avoid: Vec::new(),
+            avoid,
         };
         self.permit_requests.insert(
             permit_request,
--- a/components/policy/src/entry/refusals.rs
+++ b/components/policy/src/entry/refusals.rs
@@ -4,9 +4,16 @@
 
 use types::Refusal;
 
+use crate::api::RequestId;
+
 /// Retry delay for conditions that should soon pass, such as a change of ownership.
 const RETRY_AFTER_TRANSITION: Duration = Duration::from_secs(1);
 
+/// Steps over which retries after a pause are spread, by request.
+const PAUSE_SPREAD_STEPS: u32 = 8;
+/// Time between two such steps.
+const PAUSE_SPREAD_STEP: Duration = Duration::from_millis(250);
+
 /// No target of the service accepts work.
 #[must_use]
 pub fn no_target() -> Refusal {
@@ -14,6 +21,16 @@
     Refusal::new(503, "no-target", "No target", detail).with_retry_after(RETRY_AFTER_TRANSITION)
 }
 
+/// All targets of the service want no requests for a while. Callers that are refused meanwhile are
+/// spread over the time after the first pause.
+#[must_use]
+pub fn paused(left: Duration, request: RequestId) -> Refusal {
+    let detail = "all targets of this service want no requests at present";
+    let step = u32::try_from(request % u64::from(PAUSE_SPREAD_STEPS)).unwrap_or_default();
+    Refusal::new(503, "targets-paused", "No target", detail)
+        .with_retry_after(left + PAUSE_SPREAD_STEP * step)
+}
+
 /// No owner to request a permit from was found in time.
 #[must_use]
 pub fn no_owner() -> Refusal {
--- a/components/policy/src/entry/shard_directory.rs
+++ b/components/policy/src/entry/shard_directory.rs
@@ -132,10 +132,17 @@
         self.shards_of(service).any(|(_, info)| info.targets > 0)
     }
 
-    /// Returns the shard to request a permit from, and its owner.
+    /// Returns the shard to request a permit from, among the usable ones, and its owner.
     #[must_use]
-    pub fn choose(&self, service: &ServiceId, prefix: &[u64]) -> Option<(Shard, InstanceId)> {
-        let usable = self.shards_of(service).filter(|(_, info)| info.targets > 0);
+    pub fn choose(
+        &self,
+        service: &ServiceId,
+        prefix: &[u64],
+        is_usable: impl Fn(&Shard) -> bool,
+    ) -> Option<(Shard, InstanceId)> {
+        let usable = self
+            .shards_of(service)
+            .filter(|(shard, info)| info.targets > 0 && is_usable(shard));
         let scored = usable.filter_map(|(shard, info)| {
             let owner = info.owner.clone()?;
             Some((self.score(shard, info, prefix), shard, owner))
@@ -168,7 +175,7 @@
             return None;
         }
         let (queued, targets) = queue_and_targets(here)?;
-        let (to, owner) = self.choose(&from.service, &[])?;
+        let (to, owner) = self.choose(&from.service, &[], |_| true)?;
         let (queued_there, targets_there) = queue_and_targets(self.shards.get(&to)?)?;
         if to == *from {
             return None;
--- a/components/targets/src/answer.rs
+++ b/components/targets/src/answer.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Response, StatusCode, body::Incoming, header::RETRY_AFTER};
-use net::{SendError, read_all};
+use hyper::{Response, StatusCode, body::Incoming};
+use net::{SendError, read_all, retry_after};
 use serde::Deserialize;
 use types::Execution;
 
@@ -43,19 +43,27 @@
     }
 }
 
+/// An answer that was read to its end.
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// How long the target asks to wait before a retry.
+    pub retry_after: Option<Duration>,
+    /// The body.
+    pub body: Bytes,
+}
+
 /// Reads a whole answer of at most `MAX_ANSWER_BYTES`.
-pub async fn read(resp: Response<Incoming>) -> Result<(StatusCode, Bytes), TargetError> {
-    let status = resp.status();
+pub async fn read(resp: Response<Incoming>) -> Result<Answer, TargetError> {
+    let (status, retry_after) = (resp.status(), retry_after(resp.headers()));
     let body = read_all(resp.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
         .await
         .map_err(|e| lost(e.to_string()))?;
-    Ok((status, body))
-}
-
-/// Returns the time from the `Retry-After` header. Its date form is not supported.
-pub fn retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
-    text.trim().parse().ok().map(Duration::from_secs)
+    Ok(Answer {
+        status,
+        retry_after,
+        body,
+    })
 }
 
 /// Converts an answer that is not a success to an error.
@@ -63,7 +71,12 @@
 /// Only a 429 or 503 with `Retry-After`, or with a problem document that says `not-run`, proves
 /// that nothing ran. A bare 503 may also come from a proxy that lost the answer; taking it for a
 /// proof could run a call twice.
-pub fn error_answer(status: StatusCode, body: Bytes, retry_after: Option<Duration>) -> TargetError {
+pub fn error_answer(answer: Answer) -> TargetError {
+    let Answer {
+        status,
+        retry_after,
+        body,
+    } = answer;
     if is_rejection(status, &body, retry_after) {
         return TargetError::Rejected {
             reason: format!("status {status}").into(),
@@ -109,9 +122,9 @@
 }
 
 /// Accepts any success status.
-pub fn check_success(status: StatusCode, body: Bytes) -> Result<(), TargetError> {
-    if status.is_success() {
+pub fn check_success(answer: Answer) -> Result<(), TargetError> {
+    if answer.status.is_success() {
         return Ok(());
     }
-    Err(error_answer(status, body, None))
+    Err(error_answer(answer))
 }
--- a/components/targets/src/lib.rs
+++ b/components/targets/src/lib.rs
@@ -3,6 +3,7 @@
 mod answer;
 pub mod api;
 pub mod openai;
+pub mod pausing;
 pub mod plain;
 mod report;
 pub mod sse;
@@ -13,4 +14,5 @@
     StreamId, StreamItem, TargetError, TargetReport,
 };
 pub use openai::OpenAiEngine;
+pub use pausing::{PauseListener, PausingEngine, PausingPlainService, TargetPauses};
 pub use plain::HttpPlainService;
--- a/components/targets/src/openai.rs
+++ b/components/targets/src/openai.rs
@@ -16,7 +16,7 @@
 use types::{Target, Tokens};
 
 use crate::{
-    answer::{self, ANSWER_TIMEOUT},
+    answer::{self, ANSWER_TIMEOUT, Answer},
     api::{Command, CommandKind, Engine, EngineCall, Stream, StreamId, TargetError, TargetReport},
     report,
     stream::EngineStream,
@@ -49,7 +49,7 @@
         &self,
         target: &Target,
         req: Request<Full<Bytes>>,
-    ) -> Result<(StatusCode, Bytes), TargetError> {
+    ) -> Result<Answer, TargetError> {
         let exchange = async {
             let resp = self.client.send(target.addr, req).await?;
             answer::read(resp).await
@@ -109,14 +109,13 @@
 
     async fn cancel(&self, target: &Target, stream: &StreamId) -> Result<(), TargetError> {
         let req = request(Method::DELETE, &stream_path(stream), Bytes::new())?;
-        let (status, body) = self.call(target, req).await?;
-        answer::check_success(status, body).map_err(answer::stream_error)
+        let answer = self.call(target, req).await?;
+        answer::check_success(answer).map_err(answer::stream_error)
     }
 
     async fn report(&self, target: &Target) -> Result<TargetReport, TargetError> {
         let req = request(Method::GET, report::PATH, Bytes::new())?;
-        let (status, body) = self.call(target, req).await?;
-        report::decode(status, &body)
+        report::decode(self.call(target, req).await?)
     }
 
     async fn send_command(&self, target: &Target, command: &Command) -> Result<(), TargetError> {
@@ -127,8 +126,8 @@
         };
         let body = json!({ "kind": kind, "name": name, "fence": command.fence }).to_string();
         let req = request(Method::POST, "/v1/orders", body.into())?;
-        let (status, body) = self.call(target, req).await?;
-        answer::check_success(status, body)
+        let answer = self.call(target, req).await?;
+        answer::check_success(answer)
     }
 }
 
@@ -137,9 +136,7 @@
     if resp.status() == StatusCode::OK {
         return Ok(resp);
     }
-    let retry_after = answer::retry_after(resp.headers());
-    let (status, body) = answer::read(resp).await?;
-    Err(answer::error_answer(status, body, retry_after))
+    Err(answer::error_answer(answer::read(resp).await?))
 }
 
 fn request(method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, TargetError> {
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming};
-use net::{Budget, Client, Share, read_shared};
+use net::{Budget, Client, Share, read_shared, retry_after};
 use timer::Timer;
 use types::Target;
 
@@ -87,12 +87,12 @@
             let resp = self.client.send(target.addr, req).await?;
             answer::read(resp).await
         };
-        let (status, body) = self
+        let answer = self
             .timer
             .within(ANSWER_TIMEOUT, exchange)
             .await
             .ok_or_else(|| answer::lost("no load report in time"))??;
-        report::decode(status, &body)
+        report::decode(answer)
     }
 }
 
@@ -115,7 +115,7 @@
     mut share: Share,
 ) -> Result<PlainAnswer, TargetError> {
     let status = resp.status();
-    let retry_after = answer::retry_after(resp.headers());
+    let retry_after = retry_after(resp.headers());
     let headers = resp
         .headers()
         .iter()
--- a/components/targets/src/report.rs
+++ b/components/targets/src/report.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use crate::{
-    answer,
+    answer::{self, Answer},
     api::{TargetError, TargetReport},
 };
 
@@ -31,12 +31,12 @@
 ///
 /// # Errors
 /// Fails if the answer is not a load report.
-pub fn decode(status: StatusCode, body: &[u8]) -> Result<TargetReport, TargetError> {
-    if status != StatusCode::OK {
-        return Err(answer::lost(format!("no load report: status {status}")));
+pub fn decode(answer: Answer) -> Result<TargetReport, TargetError> {
+    if answer.status != StatusCode::OK {
+        return Err(answer::error_answer(answer));
     }
-    let json: ReportJson =
-        serde_json::from_slice(body).map_err(|e| answer::lost(format!("no load report: {e}")))?;
+    let json: ReportJson = serde_json::from_slice(&answer.body)
+        .map_err(|e| answer::lost(format!("no load report: {e}")))?;
     Ok(TargetReport {
         incarnation: json.incarnation,
         age: Duration::from_millis(json.age_ms),
