--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -33,6 +33,10 @@
 const OVERLOAD_DURATION: Duration = Duration::from_secs(2);
 /// Time between two calls in the meantime.
 const CALL_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause that a process asks for, in seconds.
+const PAUSE_S: &str = "2.5";
+/// How long calls are made while a process asks for a pause, or says that it leaves.
+const SIGNAL_DURATION: Duration = Duration::from_secs(1);
 /// Time from the order of a rollout to its deadline.
 const ROLLOUT_DURATION: Duration = Duration::from_secs(3);
 /// Number of engines that are added for a request that crashes engines.
@@ -91,6 +95,8 @@
         .await;
     output::line(format_args!("With a wrong key: {}", denied.status))?;
     rate_limited_target(deployment, &caller, to).await?;
+    leaving_target(deployment, &caller, to).await?;
+    shedding_target(deployment, &caller, to).await?;
     rollout(deployment, &caller, to, "v2", Fault::ServerError).await?;
     rollout(deployment, &caller, to, "v3", Fault::None).await?;
     migrated_generation(deployment, &caller, to).await?;
@@ -126,6 +132,64 @@
     ))
 }
 
+/// Shows that a process that rejects a request and asks for a pause gets nothing until its end.
+async fn shedding_target(
+    deployment: &Deployment,
+    caller: &Caller,
+    to: SocketAddr,
+) -> errors::Result<()> {
+    let plain = &deployment.plain[0];
+    let arrivals = || plain.arrivals().list().len();
+    plain.signals().shed(Some(PAUSE_S));
+    let (timer, before, mut calls) = (Timer::new(), arrivals(), 0);
+    while timer.now() < SIGNAL_DURATION {
+        let id = format!("try-pause-{calls}");
+        caller.call(to, "GET", "/titles/1", &id).await;
+        calls += 1;
+        timer.sleep(CALL_INTERVAL).await;
+    }
+    let got = arrivals() - before;
+    plain.signals().shed(None);
+    output::line(format_args!(
+        "A process that rejects calls and asks for {PAUSE_S} s without any got {got} of {calls} \
+         calls in {SIGNAL_DURATION:?}"
+    ))?;
+    if got <= 1 {
+        return Ok(());
+    }
+    Err(Error::new("the process got calls during its pause"))
+}
+
+/// Shows that a process that says in its answers that it leaves gets no further call, though the
+/// store lists it as in service.
+async fn leaving_target(
+    deployment: &Deployment,
+    caller: &Caller,
+    to: SocketAddr,
+) -> errors::Result<()> {
+    let plain = &deployment.plain[1];
+    plain.signals().set_leaving();
+    let (timer, before, mut calls) = (Timer::new(), plain.run_count(), 0);
+    while timer.now() < SIGNAL_DURATION {
+        let id = format!("try-leaving-{calls}");
+        caller.call(to, "GET", "/titles/1", &id).await;
+        calls += 1;
+        timer.sleep(CALL_INTERVAL).await;
+    }
+    let got = plain.run_count() - before;
+    plain.start_again();
+    let listing = plain.listing("titles", "dc-1", "ready");
+    deployment.store.put("servers", &plain.id(), listing);
+    output::line(format_args!(
+        "A process that says in its answers that it leaves got {got} of {calls} calls in \
+         {SIGNAL_DURATION:?}"
+    ))?;
+    if got <= 1 {
+        return Ok(());
+    }
+    Err(Error::new("the process got calls after its notice"))
+}
+
 /// Shows that a version whose answers are failures is rolled back, and that a good one takes over.
 async fn rollout(
     deployment: &Deployment,
