--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -729,4 +729,18 @@
         938, Info, "{id}: not sent to {target}: {reason}",
         "Nothing. Another target is tried, or the caller is told when to retry.",
     ),
+    /// The store has come back from an older copy.
+    StoreRestored {
+        /// The topic.
+        topic: Arc<str>,
+        /// The store's era; it rises with each return from a copy.
+        era: u64,
+        /// The version that was known before.
+        before: u64,
+        /// The store's version now.
+        version: u64,
+    } = (
+        939, Warn, "the store has come back from an older copy, era {era}: its {topic} rows are at version {version}, previously {before}",
+        "Check that the operator's latest changes are in the store. Those that are missing have to be written again.",
+    ),
 }
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -312,6 +312,10 @@
     /// Reads all rows of a topic. `timeout` is the time until the head of each answer.
     async fn read(&self, topic: Topic, timeout: Duration) -> Result<TopicUpdate, StoreError>;
 
+    /// The highest era in any answer so far. It rises each time the store comes back from an older
+    /// copy; versions of different eras are not comparable.
+    fn era(&self) -> u64;
+
     /// Returns the changes since version `after`; if there are none, waits for changes for at most
     /// `wait`. `timeout` is the time until the head of the answer.
     async fn follow(
--- a/components/front/src/store/counted.rs
+++ b/components/front/src/store/counted.rs
@@ -50,6 +50,10 @@
         answer
     }
 
+    fn era(&self) -> u64 {
+        self.inner.era()
+    }
+
     async fn follow(
         &self,
         topic: Topic,
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -79,6 +79,8 @@
     outage_start: Option<Moment>,
     /// When the last outage ended.
     outage_end: Option<Moment>,
+    /// The store's era at the last answer.
+    era: u64,
 }
 
 impl Follower {
@@ -93,6 +95,7 @@
             topic,
             outage_start: None,
             outage_end: None,
+            era: 0,
         }
     }
 
@@ -122,6 +125,7 @@
             if source == Source::Store {
                 self.sources.record_store_answer();
             }
+            self.log_restore(&answer);
             // A stale update is applied too, since it may be the first one; but its source counts
             // as failed.
             let is_current = answer.is_fresh && self.is_newer(&source, &answer);
@@ -137,6 +141,21 @@
         }
     }
 
+    /// Logs that the store has come back from an older copy.
+    fn log_restore(&mut self, answer: &SourceAnswer) {
+        let era = self.store.era();
+        let before = self.cache.version();
+        if era > self.era && self.era > 0 {
+            emit(&Event::StoreRestored {
+                topic: self.topic.to_string().into(),
+                era,
+                before: before.unwrap_or_default(),
+                version: answer.update.version,
+            });
+        }
+        self.era = self.era.max(era);
+    }
+
     /// Pauses after changes from the store, so that further ones come in one answer. Several
     /// engines are often reclaimed at once, and each of their rows would otherwise take a call of
     /// its own.
