Migrations: a generation is not stopped again for a destination that has refused it

Callers of generations on a leaving engine got truncated answers when the destination refused and the stream ran on for 1.6 s or more. Cause: the owner counts a migration as done once the copy is complete; the refused generation goes on at its source, is synced back to the account 0.7 s later, and is stopped again for the same destination, four times in the three seconds of an evacuation. Since resuming at a leaving engine is bounded by drain_ms, the last stop had nowhere to go back to. The entry now remembers which engines have refused a generation and answers NoRoom, so that the owner picks another one.

Test: a generation of 260 events failed deterministically before (cut), passes now with one arrival at the destination.

--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -11,7 +11,7 @@
 use async_channel::{Receiver, Sender, unbounded};
 use parking_lot::Mutex;
 use placing::{ActiveGeneration, GenerationId};
-use types::{RouteId, ServiceId, Tokens};
+use types::{RouteId, ServiceId, TargetId, Tokens};
 use view::Target;
 
 use crate::adapters::{GenerationSizes, Resume};
@@ -64,6 +64,8 @@
     migrating: AtomicBool,
     /// A copy from which the generation can be resumed if its engine fails.
     copy: Mutex<Option<(Arc<Target>, Resume)>>,
+    /// Engines that have refused to resume it.
+    refused_by: Mutex<Vec<TargetId>>,
     commands: (Sender<RelayCommand>, Receiver<RelayCommand>),
 }
 
@@ -85,6 +87,7 @@
             events_received: AtomicU64::new(0),
             migrating: AtomicBool::new(false),
             copy: Mutex::new(None),
+            refused_by: Mutex::default(),
             commands: unbounded(),
         }
     }
@@ -171,6 +174,17 @@
         self.copy.lock().take()
     }
 
+    /// Records that an engine has refused to resume the generation.
+    pub fn record_refusal(&self, target: &TargetId) {
+        self.refused_by.lock().push(Arc::clone(target));
+    }
+
+    /// Whether an engine has refused to resume the generation.
+    #[must_use]
+    pub fn was_refused_by(&self, target: &TargetId) -> bool {
+        self.refused_by.lock().contains(target)
+    }
+
     /// Sends a command to the relaying task. Returns false if that task has ended.
     #[must_use]
     pub fn send_command(&self, command: RelayCommand) -> bool {
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -137,6 +137,10 @@
         MigrationError::new(MigrationOutcome::NoRoom, "the destination is not listed")
     })?;
     // The owner may not have heard yet, and pauses bind this instance only.
+    if generation.was_refused_by(&to.id) {
+        let reason = "the destination has refused the generation before";
+        return Err(MigrationError::new(MigrationOutcome::NoRoom, reason));
+    }
     if let Some(withheld) = signals::withheld(front, &to, Purpose::NewWork) {
         let reason = format!("the destination takes nothing: {withheld}");
         return Err(MigrationError::new(MigrationOutcome::NoRoom, reason));
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -473,6 +473,7 @@
                 return match resumed {
                     // The copy is still unused, and the engine that made it keeps its memory.
                     Err(failure) if failure.not_run => {
+                        self.assignment.generation.record_refusal(&target.id);
                         self.resume_at_source(&source, resume, failure).await
                     }
                     resumed => resumed
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -9,6 +9,8 @@
 
 /// Events of a generation that takes about two seconds.
 const LONG_EVENTS: u32 = 130;
+/// Events of a generation that runs for longer than a leaving engine is evacuated.
+const VERY_LONG_EVENTS: u32 = 260;
 /// Half of the shortest notice that engines get: their reports may be half a second old besides.
 const MAX_TIME_TO_EMPTY: Duration = Duration::from_millis(750);
 /// Time after which the first events have arrived.
@@ -77,6 +79,21 @@
     });
 }
 
+/// Guards against stopping a generation again and again for a destination that has refused it: in the
+/// end the leaving engine may no longer be asked to go on, and the answer is truncated.
+#[test]
+fn a_generation_is_stopped_once_for_a_destination_that_refuses_it() {
+    smol::block_on(async {
+        let (platform, _instance, resp) = start_generation("once", VERY_LONG_EVENTS).await;
+        platform.engines[1].set_full(true);
+        platform.set_engine_leaving(0);
+        let got = read_answer(resp).await;
+        let expected = (true, all_events(VERY_LONG_EVENTS));
+        assert_eq!((got.is_complete, got.body), expected);
+        assert_eq!(platform.engines[1].arrivals().list().len(), 1);
+    });
+}
+
 /// An engine is reclaimed, and the other one has been given other weights since it was listed. Guards
 /// against a generation that goes on from the memory of another model.
 #[test]
