Reports of engines: compared with the listing's start only if both name one

A listing without the start of its process would have made every report of that engine look like another process's. Found on reading the change again; no run showed it.

--- a/components/front/src/signals.rs
+++ b/components/front/src/signals.rs
@@ -111,10 +111,9 @@
     }
     let EngineAnswer { value, signals } = front.engines.report(engine.addr, timeout).await;
     // The address of an engine that has ended may be used by another one.
-    if let Ok(report) = &value
-        && report.started_at.is_some()
-        && report.started_at != engine.started_at
-    {
+    let starts = value.as_ref().ok().and_then(|report| report.started_at);
+    let starts = starts.zip(engine.started_at);
+    if starts.is_some_and(|(reported, listed)| reported != listed) {
         return Err("another process answers at its address".into());
     }
     observe(front, engine, signals);
