--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -12,6 +12,7 @@
     caller::{Caller, ReceivedAnswer, all_events, read_answer},
     deployment::{Deployment, settings},
     plain::Fault,
+    row_store::Rewrite,
 };
 use timer::Timer;
 
@@ -37,6 +38,8 @@
 const PAUSE_S: &str = "2.5";
 /// How long calls are made while a process asks for a pause, or says that it leaves.
 const SIGNAL_DURATION: Duration = Duration::from_secs(1);
+/// Time within which a changed configuration must be in force.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time from the order of a rollout to its deadline.
 const ROLLOUT_DURATION: Duration = Duration::from_secs(3);
 /// Number of engines that are added for a request that crashes engines.
@@ -100,9 +103,58 @@
     rollout(deployment, &caller, to, "v2", Fault::ServerError).await?;
     rollout(deployment, &caller, to, "v3", Fault::None).await?;
     migrated_generation(deployment, &caller, to).await?;
+    restored_store(deployment, &caller, to).await?;
     crashing_request(deployment, &caller, to).await
 }
 
+/// Shows that a store that comes back from an older copy brings back no revoked key, and that a later
+/// change is in force although the store gives its version out a second time.
+async fn restored_store(
+    deployment: &Deployment,
+    caller: &Caller,
+    to: SocketAddr,
+) -> errors::Result<()> {
+    let other = Caller::new("key-2");
+    deployment.configure(&[KEY, "key-2"]);
+    wait_for_status(&other, to, 200).await?;
+    let copy = deployment.store.copy();
+    deployment.configure(&[KEY]);
+    wait_for_status(&other, to, 401).await?;
+    deployment.store.restore(&copy, &Rewrite::Nothing);
+    Timer::new().sleep(SIGNAL_DURATION).await;
+    let revoked = other
+        .call(to, "GET", "/titles/1", "try-revoked")
+        .await
+        .status;
+    deployment.configure(&[KEY, "key-3"]);
+    let third = Caller::new("key-3");
+    let took = wait_for_status(&third, to, 200).await?;
+    let old = caller.call(to, "GET", "/titles/1", "try-old").await.status;
+    output::line(format_args!(
+        "After the store came back from a copy: a key revoked since: {revoked}; a key added later: \
+         200 after {took:?}; the other: {old}"
+    ))?;
+    if revoked == 401 && old == 200 {
+        return Ok(());
+    }
+    Err(Error::new(
+        "the store's copy brought back an old configuration",
+    ))
+}
+
+/// Repeats a plain call until it is answered with this status; returns the time until then.
+async fn wait_for_status(caller: &Caller, to: SocketAddr, status: u16) -> errors::Result<Duration> {
+    let timer = Timer::new();
+    while timer.now() < CHANGE_TIMEOUT {
+        let id = format!("try-wait-{status}-{}", timer.now().as_millis());
+        if caller.call(to, "GET", "/titles/1", &id).await.status == status {
+            return Ok(timer.now());
+        }
+        timer.sleep(CALL_INTERVAL).await;
+    }
+    Err(Error::new(format!("no call was answered {status} in time")))
+}
+
 /// Shows that a process of the plain service that reports a limit gets few of the calls.
 async fn rate_limited_target(
     deployment: &Deployment,
