--- a/components/front/src/rollouts/coordination.rs
+++ b/components/front/src/rollouts/coordination.rs
@@ -335,14 +335,11 @@
     }
 }
 
-/// Writes a record unless the store has the same state of the rollout. Returns whether the store has
-/// it then.
+/// Writes a record if it says more than the one that the store has. Returns whether nothing is left to
+/// be written.
 async fn write_unless_known(front: &Front, record: &RolloutRecord) -> Result<bool, StoreError> {
     let stored = front.store.read_rollout(&record.service).await?;
-    let is_known = stored.record.is_some_and(|stored| {
-        (stored.order, stored.state, &stored.to) == (record.order, record.state, &record.to)
-    });
-    if is_known {
+    if !record.supersedes(stored.record.as_ref()) {
         return Ok(true);
     }
     front.store.write_rollout(record, stored.revision).await
--- a/components/front/src/rollouts/record.rs
+++ b/components/front/src/rollouts/record.rs
@@ -53,6 +53,23 @@
     pub state: RolloutState,
 }
 
+impl RolloutRecord {
+    /// Whether this record has to take the place of the one that the store has brought back from a copy.
+    /// A later order stays, and so does an end: whoever knows the rollout as running may have been told
+    /// of the end by nobody.
+    #[must_use]
+    pub fn supersedes(&self, stored: Option<&Self>) -> bool {
+        let Some(stored) = stored else {
+            return true;
+        };
+        let is_ended_there = stored.to == self.to && stored.state.outcome().is_some();
+        if stored.order > self.order || (is_ended_there && self.state.outcome().is_none()) {
+            return false;
+        }
+        (stored.order, stored.state, &stored.to) != (self.order, self.state, &self.to)
+    }
+}
+
 /// Reads a revision; earlier programs wrote its number alone.
 fn read_revision<'de, D: Deserializer<'de>>(deserializer: D) -> Result<StoreVersion, D::Error> {
     #[derive(Deserialize)]
--- a/components/front/tests/rollouts.rs
+++ b/components/front/tests/rollouts.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use front::rollouts::local::Rollouts;
+use front::{RolloutRecord, RolloutState, rollouts::local::Rollouts};
 use rollouts::{Directive, ExposureLimits, Order, Outcome};
 use types::{Moment, ServiceId, ServingState, StoreVersion, VersionChoice};
 use view::Target;
@@ -159,3 +159,29 @@
     next.revision = StoreVersion::new(2, 41);
     assert!(rollouts.order(next, None, LIMITS));
 }
+
+fn record(era: u64, number: u64, state: RolloutState) -> RolloutRecord {
+    RolloutRecord {
+        service: service(),
+        to: "v2".into(),
+        order: StoreVersion::new(era, number),
+        ordered_ms: 1,
+        state,
+    }
+}
+
+/// Guards against an end that is taken back by an instance to which the rollout is still under way,
+/// after the store came back from an older copy.
+#[test]
+fn an_end_in_the_store_is_final_and_a_lost_one_is_written_again() {
+    let running = record(2, 40, RolloutState::Running);
+    let ended = record(2, 40, RolloutState::Succeeded);
+    assert!(running.supersedes(None));
+    assert!(ended.supersedes(Some(&running)));
+    assert!(!running.supersedes(Some(&ended)));
+    assert!(!ended.supersedes(Some(&ended)));
+    // The record names the revision that the order has in the later era.
+    assert!(ended.supersedes(Some(&record(1, 50, RolloutState::Succeeded))));
+    let later = record(2, 44, RolloutState::Running);
+    assert!(!ended.supersedes(Some(&later)));
+}
