--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -58,3 +58,11 @@
         assert!(report.violations.is_empty(), "seed {seed}\n{report}");
     }
 }
+
+/// Guards against requests to a target that has said in an answer that it leaves or wants a pause, and
+/// against state that is lost, or holds on to old versions, when the store comes back from a copy.
+#[test]
+fn targets_that_speak_for_themselves_and_a_restored_store_break_no_promise() {
+    let report = run_seed(39, SHORT_RUN + SHORT_RUN / 4, false);
+    assert!(report.violations.is_empty(), "{report}");
+}
