Events 901 and 925: the shared parts of the prompt

Of the requests under which engines ended, all fingerprints differ, and nothing that is logged told whether they have something in common. Both events name digests of the parts of the prompt that other requests may share; the last part is the request's own.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -322,6 +322,8 @@
         target: TargetId,
         /// Fingerprint of the request, the same for all its retries.
         fingerprint: Arc<str>,
+        /// Digests of the parts of its prompt that other requests may share, separated by commas.
+        parts: Arc<str>,
         /// Number of the attempt, from 1.
         sending: u32,
         /// Time from the request's arrival until it was sent, in milliseconds.
@@ -583,11 +585,13 @@
         fingerprint: Arc<str>,
         /// The target.
         target: TargetId,
+        /// Digests of the parts of its prompt that other requests may share, separated by commas.
+        parts: Arc<str>,
         /// Number of events of its answer that had arrived.
         events: u64,
     } = (
         925, Warn, "{id}: {target} crashed while it ran this request, after {events} events",
-        "Look for the same fingerprint at other targets: the request may crash every target that runs it.",
+        "Look for the same fingerprint, or the same part, at other targets: it may crash every target that runs it.",
     ),
     /// Requests with a fingerprint are no longer sent to any target.
     RequestsQuarantined {
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -47,6 +47,8 @@
     pub key: Option<Arc<str>>,
     /// The sizes of a generation, if the caller declares them.
     pub sizes: Option<GenerationSizes>,
+    /// The ids of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<Arc<str>>,
 }
 
 /// Why a request is rejected as malformed.
--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -26,6 +26,8 @@
     pub request: CallerRequest,
     /// Identifies the request across retries by its caller.
     pub fingerprint: Fingerprint,
+    /// Digests of the parts of the prompt that other requests may share, in order.
+    pub shared_parts: Arc<[Fingerprint]>,
     /// The head as received.
     pub head: http::request::Parts,
     /// The body.
@@ -84,6 +86,17 @@
         self.route.objective.saturating_sub(self.elapsed())
     }
 
+    /// The shared parts of the prompt in short form, for the log.
+    #[must_use]
+    pub fn part_names(&self) -> Arc<str> {
+        let names: Vec<String> = self
+            .shared_parts
+            .iter()
+            .map(|part| format!("{:016x}", part.short()))
+            .collect();
+        names.join(",").into()
+    }
+
     /// The kind of the route, as used in metrics.
     #[must_use]
     pub fn kind(&self) -> &'static str {
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -212,6 +212,7 @@
         Ok(Call {
             priority,
             fingerprint: fingerprint(&head, &request.host, workspace.as_deref(), &body.bytes),
+            shared_parts: part_digests(&service.name, &request.shared_parts),
             workspace,
             caller_deadline: arrived + time_left,
             answer_deadline: arrived + time_left.min(timeout_or_default(route.timeout)),
@@ -248,6 +249,15 @@
     ])
 }
 
+/// The digests of the parts of a prompt. A part that one service's engines can't read may be harmless to
+/// those of another.
+fn part_digests(service: &str, parts: &[Arc<str>]) -> Arc<[Fingerprint]> {
+    parts
+        .iter()
+        .map(|part| Fingerprint::new(&[service.as_bytes(), part.as_bytes()]))
+        .collect()
+}
+
 fn priority(identity: &Identity, route_priority: u32) -> u32 {
     match identity {
         Identity::KeyHolder(holder) => holder.priority.unwrap_or(route_priority),
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -287,6 +287,7 @@
         id: Arc::clone(&call.request.id),
         target: Arc::clone(&target.id),
         fingerprint: call.fingerprint.to_string().into(),
+        parts: call.part_names(),
         sending: attempt_number,
         held_ms: millis(call.elapsed()),
         left_ms: millis(call.caller_time_left()),
--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -106,6 +106,7 @@
 struct LostRequest {
     id: GenerationId,
     fingerprint: Fingerprint,
+    part_names: Arc<str>,
     sent_at: Moment,
     lost_at: Moment,
     events: u64,
@@ -129,6 +130,7 @@
             earlier,
             id: Arc::clone(&call.request.id),
             fingerprint: call.fingerprint,
+            part_names: call.part_names(),
             sent_at,
             lost_at: boot_time(),
             events,
@@ -141,6 +143,7 @@
         emit(&Event::TargetEnded {
             id: self.id,
             fingerprint: self.fingerprint.to_string().into(),
+            parts: Arc::clone(&self.part_names),
             target: Arc::clone(&target.id),
             events: self.events,
         });
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -130,6 +130,7 @@
             events::emit(&Event::TargetEnded {
                 id: "-".into(),
                 fingerprint: fingerprint.to_string().into(),
+                parts: "".into(),
                 target: Arc::clone(&target.id),
                 events: 0,
             });
