--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod explaining;
 mod generations;
 mod limits;
+mod prompt_parts;
 mod quarantine;
 mod reaching;
 mod restores;
