Quarantine: parts of prompts under which targets crash are found and rejected

Cause: a fingerprint is of a whole request, so that requests which share only one part of their prompts each count as new and no evidence adds up.

A crash now counts against each shared part of the prompts that the engine had not answered soundly for half a second; a run that does so clears its parts of all earlier crashes. After three crashes a part is rejected. Requests with it are refused outright only if no two parts that they lack explain the crashes as well; the others are sent as probes, one at a time over all instances. Two aggregators for each service keep the sum, all instances get the verdicts, the store keeps them.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -851,4 +851,38 @@
         947, Warn, "{target}, which bears few rejections, has rejected a request; it gets nothing new for {hold_ms} ms",
         "Many of these on several instances within a second may bring the target down: add targets.",
     ),
+    /// Requests whose prompts have a part are no longer sent to any target of a service.
+    PartQuarantined {
+        /// The service.
+        service: ServiceId,
+        /// Digest of the part.
+        part: Arc<str>,
+        /// Crashes of targets under requests with the part, at most the eight latest.
+        crashes: usize,
+        /// Duration of the rejection, in milliseconds.
+        for_ms: u64,
+    } = (
+        948, Warn, "{service}: prompts with part {part} are rejected for {for_ms} ms after {crashes} crashes",
+        "See the events 925 that name this part. Fix the targets, or have the senders leave the part out.",
+    ),
+    /// A part of prompts counts as sound: a target answered a request with it without a crash.
+    PartCleared {
+        /// The service.
+        service: ServiceId,
+        /// Digest of the part.
+        part: Arc<str>,
+    } = (
+        949, Info, "{service}: prompts with part {part} have proved sound",
+        "Nothing.",
+    ),
+    /// A request is sent to find out whether a part of its prompt crashes targets.
+    PartProbed {
+        /// Id of the request.
+        id: Arc<str>,
+        /// Digest of the part.
+        part: Arc<str>,
+    } = (
+        950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
+        "Nothing. 949 or 925 tells the outcome.",
+    ),
 }
--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -52,6 +52,8 @@
     pub config_version: u64,
     /// Whether the request has been sent to a target, so that it may have run. Clones share it.
     pub sent: Arc<AtomicBool>,
+    /// Whether the request was admitted as a probe of a part of its prompt. Clones share it.
+    pub is_probe: Arc<AtomicBool>,
     /// Targets that have lost a run of this request, in this order. Clones share them.
     pub lost_runs: Arc<Mutex<Vec<TargetIncarnation>>>,
 }
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -225,6 +225,7 @@
             arrived,
             config_version: rules.version,
             sent: Arc::new(AtomicBool::new(false)),
+            is_probe: Arc::default(),
             lost_runs: Arc::default(),
         })
     }
--- a/components/front/src/callers/refusal.rs
+++ b/components/front/src/callers/refusal.rs
@@ -19,6 +19,13 @@
 /// Reason of the refusal of a quarantined request.
 pub const QUARANTINED: &str = "targets ended while they ran this request";
 
+/// Reason of the refusal of a request because of a part of its prompt.
+pub const PART_QUARANTINED: &str =
+    "targets ended while they ran requests with a part of this prompt";
+
+/// `Retry-After` of a request while another one is the probe of a part of its prompt.
+const PROBE_RETRY_AFTER: Duration = Duration::from_millis(700);
+
 /// An error response of this instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
@@ -28,6 +35,8 @@
     pub reason: Arc<str>,
     /// When the caller may retry; set only if the request has not run.
     pub retry_after: Option<Duration>,
+    /// Whether the request may have run.
+    has_run: bool,
 }
 
 /// The JSON body of an error response.
@@ -47,6 +56,10 @@
             status,
             reason: reason.into(),
             retry_after: None,
+            has_run: matches!(
+                status,
+                StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+            ),
         }
     }
 
@@ -74,6 +87,33 @@
         Self::unknown(QUARANTINED)
     }
 
+    /// The refusal of a request that was withheld for this reason of a quarantine.
+    #[must_use]
+    pub fn rejected(reason: &str) -> Self {
+        if reason == PART_QUARANTINED {
+            Self::part_quarantined()
+        } else {
+            Self::quarantined()
+        }
+    }
+
+    /// Targets crashed while they ran requests with a part of its prompt. The request has not run, and
+    /// retrying is useless: the status of a refusal that has not run would invite to it.
+    #[must_use]
+    pub fn part_quarantined() -> Self {
+        Self {
+            has_run: false,
+            ..Self::unknown(PART_QUARANTINED)
+        }
+    }
+
+    /// The request has some of the parts of a prompt that may crash targets, and another one is sent to
+    /// find out.
+    #[must_use]
+    pub fn probe_in_progress() -> Self {
+        Self::not_run("a part of its prompt is being probed", PROBE_RETRY_AFTER)
+    }
+
     /// Sets when the caller may retry.
     #[must_use]
     pub const fn with_retry_after(mut self, after: Duration) -> Self {
@@ -82,10 +122,7 @@
     }
 
     fn execution(&self) -> &'static str {
-        match self.status {
-            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => "unknown",
-            _ => "not-run",
-        }
+        if self.has_run { "unknown" } else { "not-run" }
     }
 }
 
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use placing::GenerationId;
+use quarantine::{Fingerprint, PartVerdict, VerdictKind};
 use serde::Serialize;
-use types::{ConfigVersion, DataCentreId, InstanceId, TargetId, millis};
+use types::{ConfigVersion, DataCentreId, InstanceId, ServiceId, TargetId, millis};
 
 use crate::state::{Front, elapsed_since};
 
@@ -23,6 +24,8 @@
     /// Requests that have no answer yet.
     open: Vec<OpenRequestState>,
     generations: Vec<placing::ActiveGeneration>,
+    /// Verdicts on parts of prompts under which targets crashed.
+    prompt_parts: Vec<PartState>,
     /// The engines that this instance keeps an account of as their owner.
     account: Vec<placing::EngineLoad>,
 }
@@ -39,6 +42,36 @@
     pause_left_ms: Option<u64>,
 }
 
+#[derive(Debug, Serialize)]
+struct PartState {
+    service: ServiceId,
+    /// Digest of the part.
+    part: String,
+    /// `Suspected`, `Rejected` or `Cleared`.
+    verdict: VerdictKind,
+    /// For each of the latest crashes that count, digests of the other parts that were suspect.
+    crashes: Vec<Vec<String>>,
+    /// Time until the verdict expires, in milliseconds.
+    left_ms: u64,
+}
+
+impl From<PartVerdict> for PartState {
+    fn from(verdict: PartVerdict) -> Self {
+        let name = |part: &Fingerprint| format!("{:016x}", part.short());
+        Self {
+            part: name(&verdict.part),
+            verdict: verdict.kind,
+            crashes: verdict
+                .crashes
+                .iter()
+                .map(|crash| crash.companions.iter().map(name).collect())
+                .collect(),
+            left_ms: millis(verdict.remaining),
+            service: verdict.service,
+        }
+    }
+}
+
 #[derive(Debug, Serialize)]
 struct OpenRequestState {
     id: GenerationId,
@@ -50,6 +83,7 @@
     #[must_use]
     pub fn dump(&self) -> Dump {
         let now = timer::boot_time();
+        let verdicts = self.part_quarantine.lock().verdicts(now);
         let selector = self.selector.lock();
         let state = |target: &std::sync::Arc<view::Target>| TargetState {
             id: target.id.clone(),
@@ -79,6 +113,7 @@
                 .map(OpenRequestState::from)
                 .collect(),
             generations: self.generations.snapshots(),
+            prompt_parts: verdicts.into_iter().map(PartState::from).collect(),
             account: self.placement.owner.lock().loads(now),
         }
     }
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -24,7 +24,10 @@
         idle::{Diagnosis, IdleMonitor, diagnose},
         relay::Relay,
     },
-    quarantine::{aggregation, crash_detection},
+    quarantine::{
+        aggregation, crash_detection,
+        parts::{self, Progress},
+    },
     reaching::paths,
     rollouts::version_permit::VersionPermit,
     send::{SendOutcome, buffer_response, send},
@@ -113,6 +116,9 @@
 pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
     let mut avoid = Vec::new();
     loop {
+        if let Err(refusal) = parts::admit(&front, &call).await {
+            return front.refuse_call(&call, &refusal);
+        }
         let mut version = VersionPermit::new(&front, &call.service.name);
         let mut assigned = assign_engine(&front, &call, &avoid, version.choice()).await;
         if assigned.is_err() && version.avoid_new() {
@@ -331,7 +337,7 @@
             avoid.push(Arc::clone(&target.id));
             retry_or_refuse(&reason, assignment, call, avoid).await
         }
-        SendOutcome::Rejected { .. } => Attempt::Refuse(Refusal::quarantined()),
+        SendOutcome::Rejected { reason } => Attempt::Refuse(Refusal::rejected(&reason)),
         SendOutcome::Unknown { reason, timed_out } => {
             // Not reported as a failure of the engine: the path from here may have failed, and the owner
             // would give the engine no work of other instances either.
@@ -373,13 +379,7 @@
         smol::Timer::after(monitor.next_report_at().saturating_sub(boot_time())).await;
         if diagnose(front, generation, &mut monitor).await == Diagnosis::EngineGone {
             let sent = call.arrived;
-            crash_detection::report_crash(
-                front,
-                call,
-                &generation.target(),
-                sent,
-                generation.events_received(),
-            );
+            crash_detection::report_crash(front, call, &generation.target(), sent, Progress::NONE);
             return SendOutcome::Unknown {
                 reason: "its engine is silent and not listed any more".into(),
                 timed_out: false,
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -31,7 +31,10 @@
         recovery,
         splitter::EventSplitter,
     },
-    quarantine::{aggregation, crash_detection},
+    quarantine::{
+        aggregation, crash_detection,
+        parts::{self, Progress},
+    },
     send::{SendOutcome, send},
     signals,
     state::Front,
@@ -62,6 +65,8 @@
     last_event: Option<u64>,
     /// When the request was sent.
     sent_at: Moment,
+    /// How far the answer of the current engine has come.
+    progress: Progress,
     /// The sample of times between events, until it is taken or can't be.
     gap_sample: GapSample,
     /// The engine is stopping the generation for a migration.
@@ -140,6 +145,7 @@
             splitter: EventSplitter::new(),
             last_event: None,
             sent_at: boot_time(),
+            progress: Progress::NONE,
             gap_sample: GapSample::Waiting,
             stopping: false,
             maybe_stopped: false,
@@ -210,6 +216,9 @@
                 self.assignment.completed = true;
                 self.record_gap();
                 aggregation::report_success(&self.front, &self.call.fingerprint);
+                if let Some(began) = self.progress.began {
+                    parts::report_sound(&self.front, &self.call, began);
+                }
                 self.front
                     .metrics
                     .count_request(self.call.kind(), "answered");
@@ -290,7 +299,7 @@
                     &self.call,
                     &generation.target(),
                     sent,
-                    generation.events_received(),
+                    self.progress,
                 );
                 Some(RelayEnd::BodyAborted(
                     "engine does not answer and is no longer listed".into(),
@@ -351,6 +360,9 @@
     /// Counts an event. The first one is logged, and the owner of the engine is notified.
     fn count_event(&mut self) {
         self.sample_gap();
+        if let Some(began) = self.progress.record_event(boot_time()) {
+            parts::report_sound(&self.front, &self.call, began);
+        }
         let generation = &self.assignment.generation;
         if !generation.record_event() {
             return;
@@ -437,13 +449,7 @@
         }
         let generation = &self.assignment.generation;
         let (target, sent) = (generation.target(), self.call.arrived);
-        crash_detection::investigate(
-            &self.front,
-            &self.call,
-            &target,
-            sent,
-            generation.events_received(),
-        );
+        crash_detection::investigate(&self.front, &self.call, &target, sent, self.progress);
         let Some((target, resume)) = generation.take_copy() else {
             let recovers = self.front.cfg.decisions.features.stream_recovery;
             if !recovers || !self.assignment.generation.begin_migration() {
@@ -576,6 +582,7 @@
             SendOutcome::Response { head, body, .. } if head.status.is_success() => {
                 self.framed = is_framed(&head);
                 self.maybe_stopped = false;
+                self.progress = Progress::NONE;
                 self.body = body;
                 self.monitor.reset(boot_time());
                 self.assignment.generation.set_target(Arc::clone(target));
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -305,7 +305,7 @@
         member: front.peers.me().clone(),
         state,
         known_revision: front.peers.revision_of(&owner),
-        quarantine_digest: front.quarantine.lock().digest(boot_time()),
+        quarantine_digest: aggregation::digest(front),
     };
     let reply = front.peers.call(&owner, &message, SYNC_TIMEOUT).await;
     aggregation::reconcile(front, &owner, reply.as_ref()).await;
--- a/components/front/src/instances/message_handler.rs
+++ b/components/front/src/instances/message_handler.rs
@@ -17,7 +17,7 @@
         peers::{MAX_MESSAGE_BYTES, MESSAGES_PATH, Members},
         wire::{Message, Reply, Topic},
     },
-    quarantine::aggregation,
+    quarantine::{aggregation, parts},
     reaching::{control, envelope, paths, server},
     rollouts::coordination,
     state::{Front, elapsed_since},
@@ -92,6 +92,21 @@
                 aggregation::apply_verdicts(front, &verdicts);
                 Reply::Acknowledged
             }
+            Message::PartCrashed(evidence) => {
+                parts::apply_evidence(front, &evidence);
+                Reply::Acknowledged
+            }
+            Message::PartVerdicts(verdicts) => {
+                parts::apply_verdicts(front, &verdicts);
+                Reply::Acknowledged
+            }
+            Message::ExchangePartVerdicts(verdicts) => {
+                parts::apply_verdicts(front, &verdicts);
+                Reply::PartVerdicts(front.part_quarantine.lock().verdicts(now))
+            }
+            Message::RequestProbe { service } => {
+                Reply::Probe(front.part_quarantine.lock().try_probe(now, &service))
+            }
             Message::RateReport(report) => {
                 target_rates::apply(front, &report);
                 Reply::Acknowledged
@@ -150,7 +165,7 @@
             members,
             revision,
             verdicts: aggregation::verdicts_unless_known(&self.front, quarantine_digest),
-            quarantine_digest: self.front.quarantine.lock().digest(boot_time()),
+            quarantine_digest: aggregation::digest(&self.front),
         }
     }
 
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -10,7 +10,7 @@
     GenerationId, GenerationUpdate, Migration, MigrationOutcome, PlacementAnswer, PlacementRequest,
     StateSync,
 };
-use quarantine::{Evidence, Verdict};
+use quarantine::{Evidence, PartEvidence, PartVerdict, Verdict};
 use rates::{RateReport, Reservation};
 use rollouts::{Directive, Outcome, Report};
 use serde::{Deserialize, Serialize};
@@ -130,6 +130,17 @@
     /// Verdicts on requests during which targets crashed.
     #[serde(rename = "Words")]
     Verdicts(Vec<Verdict>),
+    /// A target crashed while it ran a request of the sender that had not proved sound.
+    PartCrashed(PartEvidence),
+    /// Verdicts on parts of prompts.
+    PartVerdicts(Vec<PartVerdict>),
+    /// The sender's verdicts on parts of prompts, in exchange for the receiver's.
+    ExchangePartVerdicts(Vec<PartVerdict>),
+    /// A request to send one request of a service as a probe, to the aggregator.
+    RequestProbe {
+        /// The service.
+        service: ServiceId,
+    },
     /// A target's rate limit for all instances together.
     #[serde(rename = "Limit")]
     RateReport(RateReport),
@@ -234,7 +245,12 @@
             Self::CheckTarget { .. } | Self::EngineReport { .. } | Self::CopyKv { .. } => "engines",
             Self::TargetLeaving { .. } => "leaving",
             Self::Hello { .. } => "hello",
-            Self::TargetCrashed(_) | Self::Verdicts(_) => "quarantine",
+            Self::TargetCrashed(_)
+            | Self::Verdicts(_)
+            | Self::PartCrashed(_)
+            | Self::PartVerdicts(_)
+            | Self::ExchangePartVerdicts(_)
+            | Self::RequestProbe { .. } => "quarantine",
             Self::RateReport(_) | Self::ReserveRate { .. } => "rates",
             Self::RolloutReport(_) | Self::RolloutSuspended { .. } | Self::RolloutEnded { .. } => {
                 "rollouts"
@@ -261,6 +277,10 @@
     /// To a placement request.
     #[serde(rename = "Answer")]
     Placement(PlacementAnswer),
+    /// To verdicts in exchange: the replier's.
+    PartVerdicts(Vec<PartVerdict>),
+    /// To a request for a probe: whether it may be sent.
+    Probe(bool),
     /// To a request for a reservation.
     #[serde(rename = "Slot")]
     Reservation(Reservation),
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -33,6 +33,6 @@
 pub use config::{Bounds, Config};
 pub use decisions::{Decisions, Features};
 pub use instances::wire::{Member, Row, Topic, TopicUpdate};
-pub use quarantine::record::QuarantineRecord;
+pub use quarantine::record::{QuarantineRecord, RejectedPart};
 pub use rollouts::record::{RolloutRecord, RolloutState, StoredRollout};
 pub use run::{Adapters, serve};
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -75,6 +75,8 @@
     pub target_crashes: Counter,
     /// Requests rejected because targets have crashed while they ran them.
     pub quarantined: Counter,
+    /// Requests sent to find out whether a part of their prompts crashes targets.
+    pub part_probes: Counter,
     /// Answers of targets that say that they are leaving.
     pub said_leaving: Counter,
     /// Pauses that targets have asked for.
@@ -120,6 +122,7 @@
             retries: Counter::default(),
             target_crashes: Counter::default(),
             quarantined: Counter::default(),
+            part_probes: Counter::default(),
             said_leaving: Counter::default(),
             pauses: Counter::default(),
             withheld: Counter::default(),
@@ -155,6 +158,11 @@
             "Requests rejected because targets ended under them",
             all.quarantined.clone(),
         );
+        registry.register(
+            "part_probes",
+            "Requests sent to find out whether a part of their prompts crashes targets",
+            all.part_probes.clone(),
+        );
         registry.register(
             "said_leaving",
             "Answers in which a target says that it is leaving",
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -15,7 +15,10 @@
 use crate::{
     callers::{call::Call, refusal::Refusal},
     plain_calls::selection::connection_share,
-    quarantine::{aggregation, crash_detection},
+    quarantine::{
+        aggregation, crash_detection,
+        parts::{self, Progress},
+    },
     reaching::paths,
     rollouts::version_permit::VersionPermit,
     send::{SendOutcome, buffer_response, log_send_failure, send},
@@ -117,6 +120,9 @@
 /// Serves a plain call.
 pub async fn serve(front: &Arc<Front>, call: &Call) -> Response<Body> {
     let mut attempts = Attempts::default();
+    if let Err(refusal) = parts::admit(front, call).await {
+        return front.refuse_call(call, &refusal);
+    }
     loop {
         if !may_attempt(front, call, &attempts) {
             return attempts.into_response(front, call);
@@ -343,7 +349,7 @@
                 Ok(resp) => record_answer(front, call, target, resp, started),
                 Err(reason) => {
                     log_send_failure(call, target, &reason, false);
-                    crash_detection::investigate(front, call, target, started, 0);
+                    crash_detection::investigate(front, call, target, started, Progress::NONE);
                     front.selector.lock().record_failure(now, &target.id);
                     Outcome::Unknown {
                         reason,
@@ -404,6 +410,7 @@
     let status = resp.status();
     front.record_answer(call, target, sent_at, status.is_server_error());
     aggregation::report_success(front, &call.fingerprint);
+    parts::report_sound(front, call, sent_at);
     emit(&Event::RequestAnswered {
         id: Arc::clone(&call.request.id),
         target: Arc::clone(&target.id),
--- a/components/front/src/quarantine/aggregation.rs
+++ b/components/front/src/quarantine/aggregation.rs
@@ -18,7 +18,7 @@
         notify::{NOTIFY_TIMEOUT, notify, notify_all},
         wire::{Message, Reply},
     },
-    quarantine::record,
+    quarantine::{parts, record},
     state::Front,
 };
 
@@ -86,15 +86,22 @@
     }
 }
 
-/// The verdicts to send to an instance whose state has this digest: none if it is the same as here.
+/// A digest of the verdicts on requests and on parts of prompts. Instances with equal digests need not
+/// exchange verdicts.
 #[must_use]
-pub fn verdicts_unless_known(front: &Front, digest: u64) -> Vec<Verdict> {
+pub fn digest(front: &Front) -> u64 {
     let now = boot_time();
-    let state = front.quarantine.lock();
-    if state.digest(now) == digest {
+    let of_requests = front.quarantine.lock().digest(now);
+    of_requests ^ front.part_quarantine.lock().digest(now)
+}
+
+/// The verdicts on requests to send to an instance whose state has this digest: none if it is the same as here.
+#[must_use]
+pub fn verdicts_unless_known(front: &Front, digest: u64) -> Vec<Verdict> {
+    if self::digest(front) == digest {
         return Vec::new();
     }
-    state.verdicts(now)
+    front.quarantine.lock().verdicts(boot_time())
 }
 
 /// Exchanges verdicts with the owner that has answered a sync: applies those that it has sent, and
@@ -109,6 +116,9 @@
         return;
     };
     apply_verdicts(front, verdicts);
+    if digest(front) != *quarantine_digest {
+        parts::exchange(front, owner).await;
+    }
     let local = verdicts_unless_known(front, *quarantine_digest);
     if !local.is_empty() {
         // If this is lost, the next sync makes up for it.
--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -7,16 +7,24 @@
 
 use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
-use ::quarantine::{Evidence, Fingerprint, TargetIncarnation};
+use ::quarantine::{Evidence, Fingerprint, PartEvidence, TargetIncarnation};
 use events::{Event, emit};
 use parking_lot::Mutex;
 use placing::GenerationId;
 use smol::net::TcpStream;
 use timer::{Timer, boot_time};
-use types::{Moment, TargetId};
+use types::{Moment, ServiceId, TargetId};
 use view::Target;
 
-use crate::{callers::call::Call, quarantine::aggregation, reaching::paths, state::Front};
+use crate::{
+    callers::call::Call,
+    quarantine::{
+        aggregation,
+        parts::{self, Progress},
+    },
+    reaching::paths,
+    state::Front,
+};
 
 /// Time to connect to a target that may have crashed.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -63,14 +71,13 @@
 }
 
 /// Finds out in the background whether a target has crashed whose connection was lost while it was
-/// running a request, and reports that. The request was sent at `sent_at`, and `events` events of
-/// its answer had been received.
+/// running a request, and reports that. The request was sent at `sent_at`.
 pub fn investigate(
     front: &Arc<Front>,
     call: &Call,
     target: &Arc<Target>,
     sent_at: Moment,
-    events: u64,
+    progress: Progress,
 ) {
     // A target that was leaving has left.
     if matches!(
@@ -79,7 +86,7 @@
     ) {
         return;
     }
-    let request = LostRequest::new(call, target, sent_at, events);
+    let request = LostRequest::new(call, target, sent_at, progress);
     let (front, target) = (Arc::clone(front), Arc::clone(target));
     let investigation = async move {
         // A target that falls over for want of room does so whatever runs there.
@@ -90,26 +97,27 @@
     workers::spawn(investigation).detach();
 }
 
-/// Reports that a target has crashed while it was running a request, which was sent at `sent_at`;
-/// `events` events of its answer had been received.
+/// Reports that a target has crashed while it was running a request, which was sent at `sent_at`.
 pub fn report_crash(
     front: &Arc<Front>,
     call: &Call,
     target: &Target,
     sent_at: Moment,
-    events: u64,
+    progress: Progress,
 ) {
-    LostRequest::new(call, target, sent_at, events).report_crash(front, target);
+    LostRequest::new(call, target, sent_at, progress).report_crash(front, target);
 }
 
 /// A request whose connection was lost while a target was running it. Its body is not retained.
 struct LostRequest {
     id: GenerationId,
     fingerprint: Fingerprint,
+    service: ServiceId,
+    shared_parts: Arc<[Fingerprint]>,
     part_names: Arc<str>,
     sent_at: Moment,
     lost_at: Moment,
-    events: u64,
+    progress: Progress,
     incarnation: TargetIncarnation,
     /// Targets that lost earlier runs of the request.
     earlier: Vec<TargetIncarnation>,
@@ -117,7 +125,7 @@
 
 impl LostRequest {
     /// Creates the record of a request that a target loses now.
-    fn new(call: &Call, target: &Target, sent_at: Moment, events: u64) -> Self {
+    fn new(call: &Call, target: &Target, sent_at: Moment, progress: Progress) -> Self {
         let incarnation = TargetIncarnation {
             target: Arc::clone(&target.id),
             started_at: target.started_at,
@@ -130,10 +138,12 @@
             earlier,
             id: Arc::clone(&call.request.id),
             fingerprint: call.fingerprint,
+            service: Arc::clone(&call.service.name),
+            shared_parts: Arc::clone(&call.shared_parts),
             part_names: call.part_names(),
             sent_at,
             lost_at: boot_time(),
-            events,
+            progress,
         }
     }
 
@@ -145,13 +155,25 @@
             fingerprint: self.fingerprint.to_string().into(),
             parts: Arc::clone(&self.part_names),
             target: Arc::clone(&target.id),
-            events: self.events,
+            events: self.progress.events,
         });
+        let age = boot_time().saturating_sub(self.lost_at);
+        let ran_for = self.lost_at.saturating_sub(self.sent_at);
+        if !self.progress.is_sound(self.lost_at) && !self.shared_parts.is_empty() {
+            let evidence = PartEvidence {
+                service: self.service,
+                parts: self.shared_parts.to_vec(),
+                incarnation: self.incarnation.clone(),
+                age,
+                ran_for,
+            };
+            parts::report_evidence(front, &evidence);
+        }
         let evidence = Evidence {
             fingerprint: self.fingerprint,
             incarnation: self.incarnation,
-            age: boot_time().saturating_sub(self.lost_at),
-            ran_for: self.lost_at.saturating_sub(self.sent_at),
+            age,
+            ran_for,
             earlier: self.earlier,
         };
         aggregation::report_evidence(front, evidence);
--- a/components/front/src/quarantine/mod.rs
+++ b/components/front/src/quarantine/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod aggregation;
 pub mod crash_detection;
+pub mod parts;
 pub mod record;
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -181,6 +181,7 @@
         relays: Mutex::default(),
         others_requests: OthersRequests::default(),
         quarantine: Mutex::default(),
+        part_quarantine: Mutex::default(),
         rollouts: Rollouts::default(),
         recent_crashes: RecentCrashes::default(),
         body_budget: net::Budget::new(cfg.memory / BODY_MEMORY_DIVISOR),
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use ::quarantine::Assessment;
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::{BodyExt, Full};
@@ -20,8 +21,11 @@
 
 use crate::{
     adapters::{OutgoingRequest, ResponseHead, Resume},
-    callers::{call::Call, refusal::QUARANTINED},
-    quarantine::crash_detection,
+    callers::{
+        call::Call,
+        refusal::{PART_QUARANTINED, QUARANTINED},
+    },
+    quarantine::{crash_detection, parts::Progress},
     reaching::{
         entry::{self, Relayed},
         paths,
@@ -87,6 +91,20 @@
             reason: QUARANTINED.into(),
         };
     }
+    let has_begun = resume.is_some_and(|resume| resume.after.is_some());
+    match front.assess_parts(call) {
+        Assessment::Rejected(_) => {
+            return SendOutcome::Rejected {
+                reason: PART_QUARANTINED.into(),
+            };
+        }
+        // A generation that had begun to answer elsewhere has shown that its prompt is sound.
+        Assessment::Ambiguous(_) if !has_begun => {
+            let reason = "a part of its prompt is being probed".into();
+            return withhold(front, call, target, reason);
+        }
+        Assessment::Ambiguous(_) | Assessment::Admitted => {}
+    }
     let sending = Sending {
         call,
         target,
@@ -199,7 +217,13 @@
             },
             Some(Err(SendError::Lost { reason })) => {
                 paths::verify_soon(front, self.target);
-                crash_detection::investigate(front, self.call, self.target, self.sent_at, 0);
+                crash_detection::investigate(
+                    front,
+                    self.call,
+                    self.target,
+                    self.sent_at,
+                    Progress::NONE,
+                );
                 return SendOutcome::Unknown {
                     reason,
                     timed_out: false,
@@ -227,7 +251,13 @@
             Relayed::NotReached { reason } => SendOutcome::NotReached { reason },
             Relayed::Withheld { reason } => withhold(front, self.call, self.target, reason),
             Relayed::Lost { reason, timed_out } => {
-                crash_detection::investigate(front, self.call, self.target, self.sent_at, 0);
+                crash_detection::investigate(
+                    front,
+                    self.call,
+                    self.target,
+                    self.sent_at,
+                    Progress::NONE,
+                );
                 SendOutcome::Unknown { reason, timed_out }
             }
         }
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -2,7 +2,7 @@
 //!
 //! Lock order: `bounds`, `retry_budget`, `cold_targets`, `selector`, then the locks inside
 //! `generations`, `placement`, `peers` and `view`, then `rate_limits`, then `pauses`, then `brittle`, then
-//! `paths`. `quarantine`, `rate_allocator`, `relays` and the locks inside `rollouts` are never held together
+//! `paths`. `quarantine`, `part_quarantine`, `rate_allocator`, `relays` and the locks inside `rollouts` are never held together
 //! with another lock. No lock is held across an await.
 
 use std::{
@@ -15,7 +15,7 @@
 
 use net::{Client, DynamicLimits};
 use parking_lot::{Mutex, RwLock};
-use quarantine::QuarantineState;
+use quarantine::{PartQuarantine, QuarantineState};
 use rates::{BrittleTargets, Pauses, RateAllocator, RateLimits};
 use reach::{Paths, Relays};
 use timer::{Timer, boot_time};
@@ -98,6 +98,8 @@
     pub others_requests: OthersRequests,
     /// Requests during which targets crashed.
     pub quarantine: Mutex<QuarantineState>,
+    /// Parts of prompts under which targets crashed.
+    pub part_quarantine: Mutex<PartQuarantine>,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
     /// Targets that have crashed recently.
--- a/components/front/src/store/restore.rs
+++ b/components/front/src/store/restore.rs
@@ -14,7 +14,7 @@
 use crate::{
     adapters::Record,
     instances::wire::{Member, Topic},
-    quarantine::{aggregation, record},
+    quarantine::{aggregation, parts, record},
     rollouts::coordination,
     state::Front,
     store::timeouts,
@@ -63,6 +63,7 @@
             record::persist(front, &verdict);
         }
     }
+    parts::write_records(front);
 }
 
 /// Writes the rows of all known instances that the store lacks.
--- a/components/front/tests/objectives.rs
+++ b/components/front/tests/objectives.rs
@@ -58,6 +58,7 @@
         answer_deadline: boot_time() + left,
         config_version: 1,
         sent: Arc::default(),
+        is_probe: Arc::default(),
         lost_runs: Arc::default(),
     };
     assert!(
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -5,9 +5,11 @@
 //! verdicts to be sent to other instances are returned.
 
 pub mod fingerprint;
+pub mod parts;
 pub mod state;
 pub mod verdict;
 
 pub use fingerprint::Fingerprint;
+pub use parts::{Assessment, CountedCrash, PartEvidence, PartQuarantine, PartVerdict, SoundRun};
 pub use state::{QuarantineState, Recipients};
 pub use verdict::{Evidence, TargetIncarnation, Verdict, VerdictKind};
--- a/components/quarantine/src/state.rs
+++ b/components/quarantine/src/state.rs
@@ -19,21 +19,21 @@
 };
 
 /// Crashes after which all instances are notified that a request is suspected.
-const SUSPECT_CRASHES: usize = 2;
+pub(crate) const SUSPECT_CRASHES: usize = 2;
 /// Crashes after which a request is rejected.
-const REJECT_CRASHES: usize = 3;
+pub(crate) const REJECT_CRASHES: usize = 3;
 /// Crashes of targets that ran a request concurrently count as one if they are less than this
 /// apart. They then have a common cause outside of the request: a rack or a data centre fails, and
 /// a frequent request is running on all targets there.
-const SAME_CAUSE_WINDOW: Duration = Duration::from_millis(100);
+pub(crate) const SAME_CAUSE_WINDOW: Duration = Duration::from_millis(100);
 /// How long a crash counts as evidence, and how long a verdict of the first round holds.
-const BASE_DURATION: Duration = Duration::from_secs(600);
+pub(crate) const BASE_DURATION: Duration = Duration::from_secs(600);
 /// Upper bound for the time that a verdict holds; it doubles with each round.
 const MAX_DURATION: Duration = Duration::from_secs(7_200);
 /// Maximum number of requests for which records are kept.
-const MAX_RECORDS: usize = 4_096;
+pub(crate) const MAX_RECORDS: usize = 4_096;
 /// Records that are retained when the maximum is reached; the oldest are evicted first.
-const RETAINED_RECORDS: usize = 3_584;
+pub(crate) const RETAINED_RECORDS: usize = 3_584;
 
 /// The instances that a verdict must be sent to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -137,7 +137,7 @@
 }
 
 /// How long a verdict of this round holds.
-fn verdict_duration(round: u32) -> Duration {
+pub(crate) fn verdict_duration(round: u32) -> Duration {
     let doubled = 2_u32.saturating_pow(round.saturating_sub(1));
     BASE_DURATION.saturating_mul(doubled).min(MAX_DURATION)
 }
