--- a/tests/promises_quarantine.rs
+++ b/tests/promises_quarantine.rs
@@ -9,6 +9,11 @@
     caller::{Caller, Outcome, Wanted, What},
     deployment::{Deployment, Plan},
 };
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use net::Client;
+use serde_json::json;
 use standins::engine::CRASH_TRIGGER;
 use timer::Timer;
 
@@ -98,3 +103,56 @@
         assert_eq!(record.outcome, Outcome::Whole);
     });
 }
+
+/// Sends a chat of two messages; returns the status.
+async fn chat(entry: SocketAddr, system: &str, user: &str) -> u16 {
+    let body = json!({
+        "model": "catalogue",
+        "messages": [{"role": "system", "content": system}, {"role": "user", "content": user}],
+        "max_tokens": 10,
+        "metadata": {"output_tokens": "5"},
+    });
+    let req = Request::post("/v1/chat/completions")
+        .header("authorization", "Bearer key-editors")
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("a request");
+    let Ok(resp) = Client::new().send(entry, req).await else {
+        return 0;
+    };
+    let status = resp.status().as_u16();
+    // Read only to end the request.
+    let _ = resp.into_body().collect().await;
+    status
+}
+
+/// Guards against requests that differ but for one message of their prompts and crash one engine after the
+/// other, because evidence counts against whole requests only.
+#[test]
+fn a_message_that_crashes_engines_is_rejected_in_whatever_request() {
+    let started = support::start(&plan());
+    let deployment = &started.deployment;
+    smol::block_on(async {
+        let entries = deployment.entries();
+        let send = async |name: &str, times: usize| {
+            let mut statuses = Vec::new();
+            for number in 0..times {
+                let to = entries[number % entries.len()];
+                let user = format!("{name} {number}");
+                statuses.push(chat(to, CRASH_TRIGGER, &user).await);
+                smol::Timer::after(REQUEST_INTERVAL).await;
+            }
+            statuses
+        };
+        send("first", 3).await;
+        smol::Timer::after(PROPAGATION_TIME).await;
+        let before = crash_count(deployment).await;
+        let later = send("late", 4).await;
+        let after = crash_count(deployment).await;
+        assert!(after - before <= 3, "{before}, {after}: {later:?}");
+        for entry in entries {
+            let status = chat(entry, "You are helpful.", "A short tag.").await;
+            assert_eq!(status, 200);
+        }
+    });
+}
