Gateway: messages of chats under which engines crash are found and rejected

Behind the product's own interface one chat message that crashes engines did so again with each request that had it: 8 engines by the first three requests, 8 more by four others after the contact time. The cause is that of the platform's path, and so is the mend: the messages of a chat but the last are its shared parts, evidence and sound runs count for them, and the same state gives the verdicts. Probes are asked for and granted by messages, since instances there exchange no replies.

An instance of the code before drops an envelope with the new messages, which are sent only after a crash under a chat.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     admission::{PermitHandle, WorkOutcome},
+    prompt_parts::{SharedParts, SoundnessWatch},
     refusals,
 };
 
@@ -60,6 +61,8 @@
     pub stream: Option<ActiveStream>,
     /// Whether any byte of the request may have been sent.
     pub sent: bool,
+    /// Watches whether the prompt proves sound, once the answer has begun.
+    pub watch: Option<SoundnessWatch>,
 }
 
 impl Attempt {
@@ -69,6 +72,7 @@
             permit: Some(permit),
             stream: None,
             sent: false,
+            watch: None,
         }
     }
 
@@ -119,6 +123,14 @@
         }
     }
 
+    /// The parts of its prompt that are suspect if its target has crashed: none once they proved sound.
+    pub fn suspect_parts(&self, parts: &SharedParts) -> SharedParts {
+        match &self.watch {
+            Some(watch) if watch.is_sound() => SharedParts::default(),
+            _ => parts.clone(),
+        }
+    }
+
     /// Takes the attempt apart. The receiver becomes responsible for ending both parts.
     pub fn take(mut self) -> (Box<dyn PermitHandle>, Option<ActiveStream>) {
         let permit = self.permit.take();
--- a/components/gateway/src/buffered.rs
+++ b/components/gateway/src/buffered.rs
@@ -104,10 +104,13 @@
             (attempt, result)
         })
         .await;
-    let (attempt, answer) = match result {
+    let (mut attempt, answer) = match result {
         Ok(success) => success,
         Err(refusal) => return incomplete(&generation, refusal, &partial.into_inner()),
     };
+    if let Some(watch) = attempt.watch.take() {
+        watch.complete();
+    }
     let produced = finish(&core, attempt);
     let joined = JoinedAnswer::of(&answer.data)
         .inspect_err(|e| generation.in_flight.set_outcome(e.execution.into()))?;
@@ -203,6 +206,9 @@
         if progress.is_due(produced, core.timer.now()) {
             attempt.permit().report_buffered(produced);
         }
+        if let Some(watch) = &mut attempt.watch {
+            watch.record_token();
+        }
         item = match attempt.next().await {
             AttemptEvent::StreamItem(item) => item,
             event => {
--- a/components/gateway/src/completion_request.rs
+++ b/components/gateway/src/completion_request.rs
@@ -43,6 +43,8 @@
     pub max_output: Option<Tokens>,
     /// The bytes of the prompt; those of a chat are joined.
     pub prompt: Vec<u8>,
+    /// Where each message of a chat ends in `prompt`; empty for a text.
+    pub message_ends: Vec<usize>,
     /// Number of tokens in the prompt; estimated unless the prompt is a list of tokens.
     pub prompt_tokens: Tokens,
     /// How many tokens the generation will really produce; for the oracle baseline only.
@@ -62,13 +64,14 @@
             return Err(invalid("the body", "an object"));
         };
         check_choices(&body)?;
-        let (prompt, prompt_tokens) = prompt(api, &body)?;
+        let (prompt, message_ends, prompt_tokens) = prompt(api, &body)?;
         Ok(Self {
             api,
             model: model(&body)?,
             stream: stream(&body)?,
             max_output: max_output(&body)?,
             prompt,
+            message_ends,
             prompt_tokens,
             true_output: true_output(&body),
             body,
@@ -150,19 +153,22 @@
         .ok()
 }
 
-fn prompt(api: Api, body: &Map<String, Value>) -> Result<(Vec<u8>, Tokens), Refusal> {
+/// The bytes of a prompt, the ends of its messages and its tokens.
+type Prompt = (Vec<u8>, Vec<usize>, Tokens);
+
+fn prompt(api: Api, body: &Map<String, Value>) -> Result<Prompt, Refusal> {
     match api {
         Api::Chat => chat_prompt(body),
-        Api::Text => text_prompt(body),
+        Api::Text => text_prompt(body).map(|(text, tokens)| (text, Vec::new(), tokens)),
     }
 }
 
-fn chat_prompt(body: &Map<String, Value>) -> Result<(Vec<u8>, Tokens), Refusal> {
+fn chat_prompt(body: &Map<String, Value>) -> Result<Prompt, Refusal> {
     let expected = "a list of one or more objects with `role` and `content`";
     let messages = body.get("messages").and_then(Value::as_array);
     let messages = messages.filter(|list| !list.is_empty());
     let messages = messages.ok_or_else(|| invalid("`messages`", expected))?;
-    let mut text = Vec::new();
+    let (mut text, mut ends) = (Vec::new(), Vec::new());
     for message in messages {
         let role = message.get("role").and_then(Value::as_str);
         let role = role.ok_or_else(|| invalid("`messages`", expected))?;
@@ -175,9 +181,10 @@
             Some(_) => return Err(invalid("`messages`", expected)),
         }
         text.push(b'\n');
+        ends.push(text.len());
     }
     let tokens = estimate_tokens(&text);
-    Ok((text, tokens))
+    Ok((text, ends, tokens))
 }
 
 fn text_prompt(body: &Map<String, Value>) -> Result<(Vec<u8>, Tokens), Refusal> {
--- a/components/gateway/src/delivery.rs
+++ b/components/gateway/src/delivery.rs
@@ -11,8 +11,16 @@
 use types::{ServiceKind, WorkspaceId};
 
 use crate::{
-    admission::WorkOutcome, attempt, gateway::Core, in_flight::InFlightGuard, metrics::Outcome,
-    refusals, streams::Superseded, writer::Writer,
+    admission::WorkOutcome,
+    attempt,
+    gateway::Core,
+    in_flight::InFlightGuard,
+    metrics::Outcome,
+    prompt_parts::{SharedParts, SoundnessWatch},
+    quarantine::LostRun,
+    refusals,
+    streams::Superseded,
+    writer::Writer,
 };
 
 /// How long a generation keeps running after its caller disconnected, so that the caller can resume
@@ -30,6 +38,8 @@
     /// Identifies the request across retries. `None` if the caller resumed the stream here: the
     /// request is then unknown.
     pub fingerprint: Option<Fingerprint>,
+    /// The parts of the prompt that other requests may share; none if they are not known here.
+    pub shared_parts: SharedParts,
     /// Writes to the caller.
     pub writer: Writer,
     /// Counts the request as in flight; `None` once the request has ended at this instance.
@@ -161,6 +171,9 @@
 }
 
 async fn finished(mut delivery: StreamDelivery, caller_left: bool) {
+    if let Some(watch) = delivery.writer.watch.take() {
+        watch.complete();
+    }
     if let Some(fingerprint) = &delivery.fingerprint {
         delivery.core.quarantine.record_success(fingerprint);
     }
@@ -179,7 +192,22 @@
             .admission
             .now()
             .saturating_sub(delivery.stream.elapsed());
-        core.detect_crash(fingerprint, ServiceKind::Model, target, sent_at, Vec::new());
+        let is_sound = delivery
+            .writer
+            .watch
+            .as_ref()
+            .is_some_and(SoundnessWatch::is_sound);
+        let run = LostRun {
+            fingerprint,
+            shared_parts: if is_sound {
+                SharedParts::default()
+            } else {
+                delivery.shared_parts.clone()
+            },
+            kind: ServiceKind::Model,
+            sent_at,
+        };
+        core.detect_crash(run, target, Vec::new());
     }
     let refusal = refusals::partial(&format!("{error}; {produced} tokens were produced"));
     delivery.writer.finish_permit(WorkOutcome::Failed);
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -19,7 +19,8 @@
     gateway::Core,
     in_flight::InFlightGuard,
     prefix,
-    quarantine::CrashChecks,
+    prompt_parts::{self, SharedParts, SoundnessWatch},
+    quarantine::{CrashChecks, LostRun},
     refusals,
     request::{self, Caller, RequestOptions},
     writer,
@@ -48,6 +49,8 @@
     pub completion: CompletionRequest,
     /// Identifies the request across retries.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share.
+    pub shared_parts: SharedParts,
     /// Memory reserved for the body.
     pub _share: Share,
     /// Counts the request as in flight.
@@ -79,9 +82,12 @@
         caller.workspace.as_bytes(),
         &body.bytes,
     ]);
+    let shared_parts =
+        SharedParts::of_chat(&rule.service, &completion.prompt, &completion.message_ends);
     let generation = Generation {
         core: Arc::clone(core),
         fingerprint,
+        shared_parts,
         class,
         deadline: options.deadline(caller.arrived, rule.knobs.deadline_ms),
         max_output: completion
@@ -148,10 +154,13 @@
             AttemptEvent::DeadlineExceeded
         };
         match future::or(attempt.next(), deadline).await {
-            AttemptEvent::StreamItem(item) => AttemptResult::Success(StartedGeneration {
-                item,
-                request: call.request,
-            }),
+            AttemptEvent::StreamItem(item) => {
+                attempt.watch = Some(SoundnessWatch::new(&self.core, &self.shared_parts));
+                AttemptResult::Success(StartedGeneration {
+                    item,
+                    request: call.request,
+                })
+            }
             event => attempt.give_up(event).await,
         }
     }
@@ -214,6 +223,15 @@
             .inspect_err(|refusal| self.in_flight.set_outcome(refusal.execution.into()))
     }
 
+    /// Refuses the request if a part of its prompt is quarantined; waits for the outcome of a probe.
+    async fn admit_parts(&self, is_probe: &mut bool) -> Result<(), Refusal> {
+        if !*is_probe {
+            let admission = prompt_parts::admit(&self.core, &self.shared_parts, self.deadline);
+            *is_probe = admission.await?;
+        }
+        Ok(())
+    }
+
     async fn run_attempts<T, F>(
         &self,
         mut run_attempt: impl FnMut(Attempt) -> F,
@@ -222,6 +240,8 @@
         F: Future<Output = (Attempt, AttemptResult<T>)>,
     {
         self.core.check_quarantine(&self.fingerprint)?;
+        let mut is_probe = false;
+        self.admit_parts(&mut is_probe).await?;
         let admit = self.core.admission.admit(self.admission_request());
         let mut permit = self.core.wait_for_permit(self.deadline, admit).await?;
         let mut ever_ran = false;
@@ -240,17 +260,19 @@
                 AttemptResult::Retry { outcome, ran } => {
                     ever_ran |= ran;
                     if ran && outcome == WorkOutcome::Failed {
-                        let kind = self.rule.kind;
-                        self.core.detect_crash_again(
-                            &mut checks,
-                            self.fingerprint,
-                            kind,
-                            &target,
+                        let run = LostRun {
+                            fingerprint: self.fingerprint,
+                            shared_parts: attempt.suspect_parts(&self.shared_parts),
+                            kind: self.rule.kind,
                             sent_at,
-                        );
+                        };
+                        self.core.detect_crash_again(&mut checks, run, &target);
                     }
                     self.core.settle_crash_checks(&checks, self.deadline).await;
-                    let checked = self.core.check_quarantine(&self.fingerprint);
+                    let checked = match self.core.check_quarantine(&self.fingerprint) {
+                        Ok(()) => self.admit_parts(&mut is_probe).await,
+                        refused => refused,
+                    };
                     if let Err(refusal) = checked {
                         attempt.take().0.finish(outcome);
                         return Err(with_earlier_runs(refusal, ever_ran));
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod prefix;
 mod problem;
 mod progress;
+mod prompt_parts;
 pub mod quarantine;
 mod refusals;
 mod request;
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -19,7 +19,8 @@
     idempotency,
     in_flight::InFlightGuard,
     metrics::Outcome,
-    quarantine::CrashChecks,
+    prompt_parts::SharedParts,
+    quarantine::{CrashChecks, LostRun},
     refusals,
     request::{self, Caller, RequestOptions},
 };
@@ -150,9 +151,14 @@
             let sent_at = self.core.admission.now();
             let result = self.attempt(permit.as_ref()).await;
             if matches!(result, Err((WorkOutcome::Failed, true))) {
-                let (kind, target) = (self.admission_request.kind, permit.target());
+                let run = LostRun {
+                    fingerprint: self.fingerprint,
+                    shared_parts: SharedParts::default(),
+                    kind: self.admission_request.kind,
+                    sent_at,
+                };
                 self.core
-                    .detect_crash_again(&mut checks, self.fingerprint, kind, target, sent_at);
+                    .detect_crash_again(&mut checks, run, permit.target());
             }
             let outcome = match result {
                 Ok((outcome, answer)) => {
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -2,14 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use ::quarantine::{Evidence, Fingerprint, TargetIncarnation};
+use ::quarantine::{Assessment, Evidence, Fingerprint, PartEvidence, TargetIncarnation};
 use async_channel::{Receiver, bounded};
 use events::Event;
 use futures_lite::future;
 use targets::{TargetError, TargetReport};
-use types::{Moment, Refusal, ServiceKind, ServingState, Target};
+use types::{Moment, Refusal, ServiceId, ServiceKind, ServingState, Target};
 
-use crate::{gateway::Core, refusals};
+use crate::{gateway::Core, prompt_parts::SharedParts, refusals};
 
 /// Load reports requested from a target to find out whether it has crashed.
 const CRASH_CHECKS: u32 = 8;
@@ -59,6 +59,18 @@
     (report.age < since_failure).then_some(false)
 }
 
+/// A run that was lost with the connection to its target.
+pub struct LostRun {
+    /// Identifies the request across retries.
+    pub fingerprint: Fingerprint,
+    /// The parts of its prompt that have not proved sound.
+    pub shared_parts: SharedParts,
+    /// Kind of the service.
+    pub kind: ServiceKind,
+    /// When the request was sent.
+    pub sent_at: Moment,
+}
+
 /// Quarantine of requests that crash targets, shared by all instances.
 pub trait Quarantine: Send + Sync {
     /// Whether the request is quarantined and must not be sent.
@@ -69,6 +81,19 @@
 
     /// Records that a target has answered a request completely.
     fn record_success(&self, fingerprint: &Fingerprint);
+
+    /// Whether a request whose prompt has these shared parts may be sent.
+    fn assess_parts(&self, parts: &[Fingerprint]) -> Assessment;
+
+    /// Whether a request to a service may be sent as a probe now. The right to it may arrive only some
+    /// time after it was requested.
+    fn try_probe(&self, service: &ServiceId) -> bool;
+
+    /// Records evidence that a target crashed while it ran a request whose prompt had not proved sound.
+    fn record_part_crash(&self, evidence: &PartEvidence);
+
+    /// Records that a run whose answer began `age` ago has proved its prompt sound.
+    fn record_sound_parts(&self, parts: &[Fingerprint], age: Duration);
 }
 
 impl Core {
@@ -87,31 +112,27 @@
         future::or(checks.settle(), timeout).await;
     }
 
-    /// Checks in the background whether a target has crashed that lost a run of a request, sent at
-    /// `sent_at`, after the runs in `checks` were lost; adds the check to those.
+    /// Checks in the background whether a target has crashed that lost a run of a request, after the
+    /// runs in `checks` were lost; adds the check to those.
     pub fn detect_crash_again(
         self: &Arc<Self>,
         checks: &mut CrashChecks,
-        fingerprint: Fingerprint,
-        kind: ServiceKind,
+        run: LostRun,
         target: &Target,
-        sent_at: Moment,
     ) {
         let earlier = checks.targets.clone();
-        let check = self.detect_crash(fingerprint, kind, target, sent_at, earlier);
+        let check = self.detect_crash(run, target, earlier);
         checks.pending.push(check);
         checks.targets.push(incarnation(target));
     }
 
-    /// Checks in the background whether a target has crashed that lost a request sent at `sent_at`,
-    /// and records the evidence if so. `earlier` are the targets that lost earlier runs of the same
+    /// Checks in the background whether a target has crashed that lost a run, and records the evidence if
+    /// so. `earlier` are the targets that lost earlier runs of the same
     /// attempt. The returned channel is closed when the check has ended.
     pub fn detect_crash(
         self: &Arc<Self>,
-        fingerprint: Fingerprint,
-        kind: ServiceKind,
+        run: LostRun,
         target: &Target,
-        sent_at: Moment,
         earlier: Vec<TargetIncarnation>,
     ) -> Receiver<()> {
         let (running, done) = bounded(1);
@@ -124,21 +145,32 @@
         let lost_at = core.admission.now();
         let check = async move {
             let _running = running;
-            if !core.has_crashed(kind, &target, lost_at).await {
+            if !core.has_crashed(run.kind, &target, lost_at).await {
                 return;
             }
             events::emit(&Event::TargetEnded {
                 id: "-".into(),
-                fingerprint: fingerprint.to_string().into(),
-                parts: "".into(),
+                fingerprint: run.fingerprint.to_string().into(),
+                parts: run.shared_parts.names(),
                 target: Arc::clone(&target.id),
                 events: 0,
             });
+            let age = core.admission.now().saturating_sub(lost_at);
+            let ran_for = lost_at.saturating_sub(run.sent_at);
+            if !run.shared_parts.is_empty() {
+                core.quarantine.record_part_crash(&PartEvidence {
+                    service: target.service.clone(),
+                    parts: run.shared_parts.to_vec(),
+                    incarnation: incarnation(&target),
+                    age,
+                    ran_for,
+                });
+            }
             core.quarantine.record_crash(Evidence {
-                fingerprint,
+                fingerprint: run.fingerprint,
                 incarnation: incarnation(&target),
-                age: core.admission.now().saturating_sub(lost_at),
-                ran_for: lost_at.saturating_sub(sent_at),
+                age,
+                ran_for,
                 earlier,
             });
         };
--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -213,6 +213,27 @@
     )
 }
 
+/// Several targets crashed while they ran requests with a part of this prompt.
+pub fn part_quarantined() -> Refusal {
+    Refusal::new(
+        422,
+        "quarantined",
+        "A part of the prompt crashes what runs it",
+        "several targets ended while they ran requests with a message of this prompt; it was not sent",
+    )
+}
+
+/// Another request is being sent to find out whether a part of this prompt crashes targets.
+pub fn probe_in_progress() -> Refusal {
+    Refusal::new(
+        503,
+        "probe-in-progress",
+        "A part of the prompt is being probed",
+        "targets ended while they ran requests with messages of this prompt; another request is sent to find out which of them is the cause",
+    )
+    .with_retry_after(RETRY_AFTER_SHORTAGE)
+}
+
 /// The call was sent once, and it is unknown whether it ran.
 pub fn outcome_unknown() -> Refusal {
     Refusal::new(
--- a/components/gateway/src/streams.rs
+++ b/components/gateway/src/streams.rs
@@ -21,6 +21,7 @@
     gateway::Core,
     generate::DEFAULT_IN_FLIGHT,
     metrics::Outcome,
+    prompt_parts::SharedParts,
     refusals,
     request::{self, Caller, RequestOptions},
     resume_handle::ResumeHandle,
@@ -164,8 +165,10 @@
         prompt_tokens: handle.prompt_tokens,
         max_output: handle.max_output,
         fingerprint: None,
+        shared_parts: SharedParts::default(),
+        watch: None,
     };
-    let reply = writer::start_delivery(core, &context, permit, stream, None, in_flight);
+    let reply = writer::start_delivery(core, context, permit, stream, None, in_flight);
     Ok(reply.done())
 }
 
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -24,6 +24,7 @@
     metrics::Metrics,
     problem,
     progress::ProgressThrottle,
+    prompt_parts::{SharedParts, SoundnessWatch},
     resume_handle::ResumeHandle,
 };
 
@@ -40,7 +41,7 @@
 pub async fn answer(generation: Generation) -> Result<Response<Body>, Refusal> {
     let core = Arc::clone(&generation.core);
     let request = &generation;
-    let (attempt, started) = request
+    let (mut attempt, started) = request
         .with_retries(|mut attempt| async move {
             let result = request.start(&mut attempt).await;
             if let AttemptResult::Success(started) = &result {
@@ -50,15 +51,16 @@
             (attempt, result)
         })
         .await?;
+    let watch = attempt.watch.take();
     let (permit, stream) = attempt.take();
     let stream = stream.expect("a started generation has a stream");
     let arrived = generation.caller.arrived;
     let time = core.admission.now().saturating_sub(arrived);
     core.metrics.record_first_token(time);
-    let context = StreamContext::of(&generation);
+    let context = StreamContext::of(&generation).with_watch(watch);
     let StartedGeneration { item, request } = started;
     let in_flight = generation.in_flight;
-    let reply = start_delivery(&core, &context, permit, stream, Some(item), in_flight);
+    let reply = start_delivery(&core, context, permit, stream, Some(item), in_flight);
     Ok(reply.with_header(REQUEST_ID, &request).done())
 }
 
@@ -76,6 +78,10 @@
     pub max_output: Tokens,
     /// Identifies the request across retries; `None` if it is not known here.
     pub fingerprint: Option<Fingerprint>,
+    /// The parts of the prompt that other requests may share; none if they are not known here.
+    pub shared_parts: SharedParts,
+    /// Watches whether the prompt proves sound.
+    pub watch: Option<SoundnessWatch>,
 }
 
 impl StreamContext {
@@ -87,9 +93,17 @@
             prompt_tokens: generation.completion.prompt_tokens,
             max_output: generation.max_output,
             fingerprint: Some(generation.fingerprint),
+            shared_parts: generation.shared_parts.clone(),
+            watch: None,
         }
     }
 
+    /// Sets what watches whether the prompt proves sound.
+    fn with_watch(mut self, watch: Option<SoundnessWatch>) -> Self {
+        self.watch = watch;
+        self
+    }
+
     fn resume_handle(&self, core: &Core, stream: &ActiveStream) -> String {
         let handle = ResumeHandle {
             target: stream.target().id.clone(),
@@ -108,7 +122,7 @@
 /// already been read. Returns the response head with the body to stream.
 pub fn start_delivery(
     core: &Arc<Core>,
-    context: &StreamContext,
+    context: StreamContext,
     permit: Box<dyn PermitHandle>,
     stream: ActiveStream,
     item: Option<StreamItem>,
@@ -116,12 +130,13 @@
 ) -> Reply {
     let (tx, body) = channel();
     let handle = context.resume_handle(core, &stream);
-    let writer = Writer::new(core, tx, &handle, permit);
+    let writer = Writer::new(core, tx, &handle, permit).with_watch(context.watch);
     let delivery = StreamDelivery {
         core: Arc::clone(core),
         stream,
-        workspace: context.workspace.clone(),
+        workspace: context.workspace,
         fingerprint: context.fingerprint,
+        shared_parts: context.shared_parts,
         writer,
         in_flight: Some(in_flight),
     };
@@ -143,6 +158,8 @@
     metrics: Metrics,
     progress: ProgressThrottle,
     last_write_at: Moment,
+    /// Watches whether the prompt proves sound.
+    pub watch: Option<SoundnessWatch>,
 }
 
 impl Writer {
@@ -156,9 +173,15 @@
             metrics: core.metrics.clone(),
             progress: ProgressThrottle::new(0, now),
             last_write_at: now,
+            watch: None,
         }
     }
 
+    fn with_watch(mut self, watch: Option<SoundnessWatch>) -> Self {
+        self.watch = watch;
+        self
+    }
+
     /// Writes the end of a complete stream.
     pub async fn write_done(&self) -> Result<(), ReceiverClosed> {
         self.send_last(Bytes::from_static(DONE)).await
@@ -226,6 +249,9 @@
         self.metrics
             .record_tokens(data.len() as u64, now.saturating_sub(self.last_write_at));
         self.last_write_at = now;
+        if let Some(watch) = &mut self.watch {
+            watch.record_token();
+        }
         self.report_progress(first + data.len() as Tokens);
         self.send(encode_events(&self.event_prefix, first, &data))
             .await
--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -21,7 +21,9 @@
 use hyper::{HeaderMap, Request, body::Incoming};
 use net::{Client, ServeLimits, Server};
 use parking_lot::Mutex;
-use quarantine::{Evidence, Fingerprint, QuarantineState};
+use quarantine::{
+    Assessment, Evidence, Fingerprint, PartEvidence, PartQuarantine, QuarantineState,
+};
 use settings::Limits;
 use sha2::{Digest, Sha256};
 use targets::StreamId;
@@ -38,6 +40,7 @@
 #[derive(Default)]
 pub struct FakeQuarantine {
     state: Mutex<QuarantineState>,
+    parts: Mutex<PartQuarantine>,
     /// Crashes of targets that were recorded.
     pub crashes: AtomicUsize,
 }
@@ -52,6 +55,24 @@
         self.state.lock().record_crash(Duration::ZERO, evidence);
     }
 
+    fn assess_parts(&self, parts: &[Fingerprint]) -> Assessment {
+        self.parts.lock().assess(Duration::ZERO, parts)
+    }
+
+    fn try_probe(&self, service: &ServiceId) -> bool {
+        self.parts.lock().try_probe(Duration::ZERO, service)
+    }
+
+    fn record_part_crash(&self, evidence: &PartEvidence) {
+        self.parts.lock().record_crash(Duration::ZERO, evidence);
+    }
+
+    fn record_sound_parts(&self, parts: &[Fingerprint], _: Duration) {
+        self.parts
+            .lock()
+            .record_sound(Duration::ZERO, parts, Duration::ZERO);
+    }
+
     fn record_success(&self, fingerprint: &Fingerprint) {
         self.state
             .lock()
--- a/components/node/src/core.rs
+++ b/components/node/src/core.rs
@@ -16,10 +16,10 @@
 use members::{Change, Input, Membership, timeouts::PAUSE_THRESHOLD};
 use parking_lot::Mutex;
 use policy::{Action, DispatchPermit, Event, Policy, RequestId, ShardRole, View};
-use quarantine::QuarantineState;
+use quarantine::{PartQuarantine, QuarantineState};
 use smol::channel::{Receiver, Sender, bounded};
 use timer::{PauseDetector, Timer};
-use types::{Incarnation, InstanceId, Moment, Refusal, Shard};
+use types::{Incarnation, InstanceId, Moment, Refusal, ServiceId, Shard};
 use wire::{Heartbeat, Message};
 
 use crate::outbox::Outbox;
@@ -66,6 +66,11 @@
     view: Mutex<Arc<View>>,
     /// Requests that crash targets. This lock is never held together with another one.
     pub(crate) quarantine: Mutex<QuarantineState>,
+    /// Parts of prompts that crash targets. This lock is never held together with another one.
+    pub(crate) part_quarantine: Mutex<PartQuarantine>,
+    /// When this instance was granted a probe of a service. This lock is never held together with another
+    /// one.
+    pub(crate) granted_probes: Mutex<HashMap<ServiceId, Moment>>,
     /// Shards for which the start of the ownership was logged.
     owned: Mutex<BTreeSet<Shard>>,
     outbox: Outbox,
@@ -94,6 +99,8 @@
             pauses: Mutex::new(PauseDetector::new(now, PAUSE_THRESHOLD)),
             view: Mutex::default(),
             quarantine: Mutex::default(),
+            part_quarantine: Mutex::default(),
+            granted_probes: Mutex::default(),
             owned: Mutex::default(),
             outbox,
             config_hints,
@@ -133,6 +140,10 @@
             }),
             Message::TargetCrashed(evidence) => self.record_evidence(evidence.clone()),
             Message::Verdicts(verdicts) => self.apply_verdicts(verdicts),
+            Message::PartCrashed(evidence) => self.record_part_evidence(evidence),
+            Message::PartVerdicts(verdicts) => self.apply_part_verdicts(verdicts),
+            Message::RequestProbe { service } => self.grant_probe(from, service),
+            Message::ProbeGranted { service } => self.record_probe_grant(service),
             _ => {}
         }
         self.feed_policy(Event::Received {
@@ -196,7 +207,7 @@
     /// Sends a heartbeat to every peer.
     pub fn send_heartbeats(&self, config_version: u64) {
         self.check_pause();
-        let digest = self.quarantine.lock().digest(self.timer.now());
+        let digest = self.quarantine_digest();
         let members = self.members.lock();
         let now = self.timer.now();
         let owned = self.policy.lock().summaries(now);
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod liveness;
 mod outbox;
 mod peers;
+mod prompt_parts;
 mod quarantine;
 mod reports;
 mod serve;
--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -4,12 +4,14 @@
 //! the live instances. They send their verdicts to all peers. Heartbeats carry a digest of the
 //! verdicts that an instance has; a receiver with another digest answers with its own verdicts.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use ::quarantine::{Evidence, Fingerprint, Recipients, Verdict, VerdictKind};
+use ::quarantine::{
+    Assessment, Evidence, Fingerprint, PartEvidence, Recipients, Verdict, VerdictKind,
+};
 use events::Event;
 use gateway::Quarantine;
-use types::InstanceId;
+use types::{InstanceId, ServiceId};
 use wire::Message;
 
 use crate::core::Core;
@@ -44,6 +46,23 @@
         self.core.record_evidence(evidence);
     }
 
+    fn assess_parts(&self, parts: &[Fingerprint]) -> Assessment {
+        let now = self.core.timer.now();
+        self.core.part_quarantine.lock().assess(now, parts)
+    }
+
+    fn try_probe(&self, service: &ServiceId) -> bool {
+        self.core.try_probe(service)
+    }
+
+    fn record_part_crash(&self, evidence: &PartEvidence) {
+        self.core.report_part_crash(evidence);
+    }
+
+    fn record_sound_parts(&self, parts: &[Fingerprint], age: Duration) {
+        self.core.record_sound_parts(parts, age);
+    }
+
     fn record_success(&self, fingerprint: &Fingerprint) {
         let now = self.core.timer.now();
         let changed = self.core.quarantine.lock().record_success(now, fingerprint);
@@ -89,34 +108,48 @@
 
     /// Sends the verdicts of this instance to a peer whose digest differs from this instance's.
     pub fn reply_to_digest(&self, peer: &InstanceId, digest: u64) {
+        if self.quarantine_digest() == digest {
+            return;
+        }
         let now = self.timer.now();
-        let state = self.quarantine.lock();
-        let verdicts = if state.digest(now) == digest {
-            Vec::new()
-        } else {
-            state.verdicts(now)
-        };
-        drop(state);
+        let verdicts = self.quarantine.lock().verdicts(now);
         if !verdicts.is_empty() {
             self.send(peer, Message::Verdicts(verdicts));
         }
+        let verdicts = self.part_quarantine.lock().verdicts(now);
+        if !verdicts.is_empty() {
+            self.send(peer, Message::PartVerdicts(verdicts));
+        }
+    }
+
+    /// A digest of the verdicts on requests and on parts of prompts.
+    pub fn quarantine_digest(&self) -> u64 {
+        let now = self.timer.now();
+        let of_requests = self.quarantine.lock().digest(now);
+        of_requests ^ self.part_quarantine.lock().digest(now)
     }
 
     /// Returns all listed instances except this one.
-    fn other_instances(&self) -> Vec<InstanceId> {
+    pub fn other_instances(&self) -> Vec<InstanceId> {
         let peers = self.with_members(|members, _| members.peers());
         peers.into_iter().map(|peer| peer.id).collect()
     }
 
     /// Returns the aggregators of a request, without this instance.
     fn aggregators(&self, fingerprint: &Fingerprint) -> Vec<InstanceId> {
+        let mut all = self.ranked_aggregators(fingerprint);
+        all.retain(|id| *id != self.me);
+        all
+    }
+
+    /// Returns the aggregators of a request.
+    pub fn ranked_aggregators(&self, fingerprint: &Fingerprint) -> Vec<InstanceId> {
         let mut all = self.with_members(|members, now| members.alive_peers(now));
         all.push(Arc::clone(&self.me));
         all.sort_by_cached_key(|id| {
             Fingerprint::new(&[&fingerprint.short().to_be_bytes(), id.as_bytes()])
         });
         all.truncate(AGGREGATORS_PER_REQUEST);
-        all.retain(|id| *id != self.me);
         all
     }
 }
--- a/components/wire/src/message.rs
+++ b/components/wire/src/message.rs
@@ -1,9 +1,9 @@
 //! Messages between instances and the envelope that carries them.
 
 use derive_more::From;
-use quarantine::{Evidence, Verdict};
+use quarantine::{Evidence, PartEvidence, PartVerdict, Verdict};
 use serde::{Deserialize, Serialize};
-use types::{Incarnation, InstanceId};
+use types::{Incarnation, InstanceId, ServiceId};
 
 use crate::{
     heartbeat::Heartbeat,
@@ -40,6 +40,23 @@
     /// Verdicts on requests that were running when targets crashed.
     #[serde(rename = "Words")]
     Verdicts(Vec<Verdict>),
+    /// A target crashed while it ran a request whose prompt had not proved sound. The receiver aggregates
+    /// the evidence.
+    PartCrashed(PartEvidence),
+    /// Verdicts on parts of prompts.
+    PartVerdicts(Vec<PartVerdict>),
+    /// The sender asks to send a request as a probe, so that one is sent at a time.
+    #[from(skip)]
+    RequestProbe {
+        /// The service.
+        service: ServiceId,
+    },
+    /// The receiver may send a request as a probe.
+    #[from(skip)]
+    ProbeGranted {
+        /// The service.
+        service: ServiceId,
+    },
 }
 
 /// A batch of messages from one instance to another.
