--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -14,6 +14,7 @@
 use net::Client;
 use platform::{EngineClient, HttpAdapter, RowStore};
 use platform_standin::{
+    CRASHING_PART,
     brittle::Limits,
     caller::{Caller, ReceivedAnswer, all_events, read_answer},
     deployment::{Deployment, settings},
@@ -67,6 +68,8 @@
 const EXTRA_ENGINES: usize = 5;
 /// How often this request is sent.
 const CRASH_ATTEMPTS: usize = 6;
+/// Events of an answer to a request with parts in its prompt.
+const PART_EVENTS: u32 = 20;
 /// Delay until an engine is listed as leaving, or one that has crashed is removed from the list.
 const LEAVE_DELAY: Duration = Duration::from_millis(300);
 
@@ -136,7 +139,8 @@
     rollout(deployment, &caller, to, "v3", Fault::None).await?;
     migrated_generation(deployment, &caller, to).await?;
     restored_store(deployment, &caller, to).await?;
-    crashing_request(deployment, &caller, to).await
+    crashing_request(deployment, &caller, to).await?;
+    crashing_part(deployment, &caller, to).await
 }
 
 /// Shows that a store that comes back from an older copy brings back no revoked key, and that a later
@@ -445,6 +449,51 @@
     Err(Error::new("the request was not rejected"))
 }
 
+/// Shows that requests which differ but for one part of their prompts, which crashes each engine that begins
+/// to answer it, are rejected, and that sound ones with the same first part are served.
+async fn crashing_part(
+    deployment: &Deployment,
+    caller: &Caller,
+    to: SocketAddr,
+) -> errors::Result<()> {
+    let mut engines = Vec::new();
+    for number in 0..EXTRA_ENGINES {
+        engines.push(deployment.add_engine(&format!("e-part-{number}")).await);
+    }
+    let (timer, mut served) = (Timer::new(), 0);
+    let mut last = ReceivedAnswer::default();
+    for number in 0..CRASH_ATTEMPTS {
+        let prompt = format!("aa01:40,{CRASHING_PART}:30,c{number}:9");
+        let id = format!("try-part-{number}");
+        last = caller
+            .generate_with_prompt(to, &id, PART_EVENTS, &prompt)
+            .await;
+        timer.sleep(LEAVE_DELAY).await;
+        for engine in engines.iter().filter(|engine| engine.has_crashed()) {
+            deployment.store.delete_row("servers", &engine.id());
+        }
+        timer.sleep(LEAVE_DELAY).await;
+        let prompt = format!("aa01:40,dd{number}:30,d{number}:9");
+        let id = format!("try-sound-{number}");
+        let got = caller
+            .generate_with_prompt(to, &id, PART_EVENTS, &prompt)
+            .await;
+        served += usize::from(got.status == 200 && got.is_complete);
+    }
+    let crashed = engines.iter().filter(|engine| engine.has_crashed()).count();
+    output::line(format_args!(
+        "{CRASH_ATTEMPTS} requests with one part in their prompts that crashes what answers it: {crashed} \
+         engines ended; the last answer: {} {}; sound ones with the same first part served: {served}",
+        last.status, last.body
+    ))?;
+    if crashed < EXTRA_ENGINES && served == CRASH_ATTEMPTS {
+        return Ok(());
+    }
+    Err(Error::new(
+        "the part was not rejected, or sound requests were",
+    ))
+}
+
 /// Repeats a plain call until it is served.
 async fn wait_until_served(caller: &Caller, to: SocketAddr) -> errors::Result<ReceivedAnswer> {
     let timer = Timer::new();
