Generations: a stream that ends inside its first event is broken off

Callers got a part of an event as the end of a complete stream: one whose answer has neither a length nor chunks and ends inside its first event, at an engine that goes on serving. The check asked for an event before; that was meant for bodies that are no events, which the type of the body tells.

--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::{
     body::Incoming,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     http::response::Parts,
 };
 use net::BodyAborted;
@@ -40,6 +40,8 @@
     state::Front,
 };
 
+/// The type of a body that consists of events.
+const EVENT_STREAM: &str = "text/event-stream";
 /// Time for the last events of a stopped engine to arrive and for its stream to close.
 const LAST_EVENTS_TIMEOUT: Duration = Duration::from_millis(30);
 /// Time for the next command of a migration after the stream has closed: the time of a copy plus a
@@ -60,6 +62,8 @@
     body: Incoming,
     /// Whether the stream marks its own end; otherwise it ends when its connection is closed.
     framed: bool,
+    /// Whether the body consists of events.
+    has_events: bool,
     splitter: EventSplitter,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
@@ -142,6 +146,7 @@
             assignment,
             body,
             framed: is_framed(head),
+            has_events: is_event_stream(head),
             splitter: EventSplitter::new(),
             last_event: None,
             sent_at: boot_time(),
@@ -411,7 +416,7 @@
         if self.maybe_stopped {
             return Some("the engine may have stopped it for a migration");
         }
-        if self.assignment.generation.has_started() && !self.splitter.is_empty() {
+        if self.has_events && !self.splitter.is_empty() {
             return Some("the stream ended in the middle of an event");
         }
         // The connections of a process that exits are closed in the same way as those of a complete
@@ -581,6 +586,7 @@
         match send(&self.front, &self.call, target, Some(&resume), timeout).await {
             SendOutcome::Response { head, body, .. } if head.status.is_success() => {
                 self.framed = is_framed(&head);
+                self.has_events = is_event_stream(&head);
                 self.maybe_stopped = false;
                 self.progress = Progress::NONE;
                 self.body = body;
@@ -615,6 +621,14 @@
         .any(|name| head.headers.contains_key(name))
 }
 
+/// Whether the body of a response consists of events.
+fn is_event_stream(head: &Parts) -> bool {
+    let kind = head.headers.get(CONTENT_TYPE);
+    let kind = kind.and_then(|kind| kind.to_str().ok());
+    kind.and_then(|kind| kind.trim_start().get(..EVENT_STREAM.len()))
+        .is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM))
+}
+
 /// Waits for the next bytes of a stream or its end.
 async fn next_bytes(body: &mut Incoming) -> Input {
     loop {
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -479,3 +479,33 @@
         assert_eq!((got.is_complete, got.body), (true, all_events(LONG_EVENTS)));
     });
 }
+
+/// Guards against forwarding a stream as complete that ended inside an event, also inside its first one, when
+/// its engine goes on serving.
+#[test]
+fn a_close_delimited_stream_is_complete_only_at_the_end_of_an_event() {
+    const EVENTS: u32 = 3;
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("delimited").await;
+        let whole = all_events(EVENTS);
+        let ends: Vec<usize> = whole.match_indices("\n\n").map(|(at, _)| at + 2).collect();
+        for size in 1..=whole.len() {
+            for engine in &platform.engines {
+                engine.set_faults(Faults {
+                    close_delimited: true,
+                    stream_bytes: Some(size),
+                    ..Faults::default()
+                });
+            }
+            let id = format!("g-{size}");
+            let got = Caller::new("key-1")
+                .generate(instance.addr, &id, EVENTS)
+                .await;
+            // A stream that is broken off may be continued at the other engine, to its end.
+            let may_be_complete = ends.contains(&size) || got.body == whole;
+            assert_eq!(got.is_complete, may_be_complete, "{size}: {got:?}");
+            assert!(whole.starts_with(&got.body), "{size}: {got:?}");
+        }
+    });
+}
