--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -221,7 +221,7 @@
                 self.assignment.completed = true;
                 self.record_gap();
                 aggregation::report_success(&self.front, &self.call.fingerprint);
-                if let Some(began) = self.progress.began {
+                if let Some(began) = self.progress.began_here() {
                     parts::report_sound(&self.front, &self.call, began);
                 }
                 self.front
@@ -588,7 +588,7 @@
                 self.framed = is_framed(&head);
                 self.has_events = is_event_stream(&head);
                 self.maybe_stopped = false;
-                self.progress = Progress::NONE;
+                self.progress = Progress::RESUMED;
                 self.body = body;
                 self.monitor.reset(boot_time());
                 self.assignment.generation.set_target(Arc::clone(target));
--- a/components/front/src/quarantine/parts.rs
+++ b/components/front/src/quarantine/parts.rs
@@ -40,9 +40,11 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
     /// When the first event arrived.
-    pub began: Option<Moment>,
+    began: Option<Moment>,
     /// Events that have arrived.
     pub events: u64,
+    /// Whether the answer goes on from a copy: the target has not read the prompt, so that nothing is proved.
+    is_resumed: bool,
     /// Whether the prompt has proved sound.
     is_proved: bool,
 }
@@ -52,9 +54,22 @@
     pub const NONE: Self = Self {
         began: None,
         events: 0,
+        is_resumed: false,
         is_proved: false,
     };
 
+    /// The target is about to go on with an answer that began elsewhere.
+    pub const RESUMED: Self = Self {
+        is_resumed: true,
+        ..Self::NONE
+    };
+
+    /// When the answer began, if it began on this target.
+    #[must_use]
+    pub fn began_here(&self) -> Option<Moment> {
+        self.began.filter(|_| !self.is_resumed)
+    }
+
     /// Counts an event. Returns when the answer began if this event proves that the prompt is sound.
     pub fn record_event(&mut self, now: Moment) -> Option<Moment> {
         self.events += 1;
@@ -63,7 +78,7 @@
             return None;
         }
         self.is_proved = true;
-        Some(began)
+        (!self.is_resumed).then_some(began)
     }
 
     /// Whether the prompt has proved sound by a moment.
