Quarantine of parts: the suspects of one crash are bounded; one file a job

Callers make up parts: with 70 requests of 64 parts each under way, one crash would have made 4,480 records that each name the others, and messages to match.

--- /dev/null
+++ b/components/quarantine/src/parts/messages.rs
@@ -0,0 +1,70 @@
+//! Evidence and verdicts that instances exchange about parts of prompts.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use types::ServiceId;
+
+use crate::{
+    fingerprint::Fingerprint,
+    verdict::{TargetIncarnation, VerdictKind},
+};
+
+/// Evidence that a target crashed while it was running a request that had not proved sound.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartEvidence {
+    /// The service of the target.
+    pub service: ServiceId,
+    /// The parts of the request's prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
+    /// The target process that crashed.
+    pub incarnation: TargetIncarnation,
+    /// Time since the connection to the target was lost.
+    pub age: Duration,
+    /// Upper bound on the time for which the target had been running the request by then.
+    pub ran_for: Duration,
+}
+
+/// A crash that counts against a part, as it is sent to other instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CountedCrash {
+    /// The target process that crashed.
+    pub incarnation: TargetIncarnation,
+    /// Time since then.
+    pub age: Duration,
+    /// Upper bound on the time for which the target had been running a request with the part.
+    pub ran_for: Duration,
+    /// The other parts that were suspect.
+    pub companions: BTreeSet<Fingerprint>,
+}
+
+/// A run that proved sound, as it is sent to other instances. Its number and id identify it: its age grows
+/// with each delay on the way, and must not count as that of another run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct SoundRun {
+    /// Higher than that of the sound runs that its instance knew of.
+    pub number: u64,
+    /// Tells runs with the same number apart.
+    pub id: u64,
+    /// Time since it began.
+    pub age: Duration,
+}
+
+/// A verdict on one part, as it is sent to other instances.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PartVerdict {
+    /// The service.
+    pub service: ServiceId,
+    /// The part.
+    pub part: Fingerprint,
+    /// Incremented each time that the part is rejected again after a rejection has expired.
+    pub round: u32,
+    /// Whether requests with the part may be sent.
+    pub kind: VerdictKind,
+    /// The latest crashes that count against the part.
+    pub crashes: Vec<CountedCrash>,
+    /// The latest run with the part that proved sound.
+    pub sound_run: Option<SoundRun>,
+    /// Time until the verdict expires.
+    pub remaining: Duration,
+}
--- a/components/quarantine/src/parts.rs
+++ b/components/quarantine/src/parts/mod.rs
@@ -10,90 +10,30 @@
 //! well. Otherwise it may be sound: it is sent as a probe, one at a time over all instances, and its outcome
 //! decides.
 
+mod messages;
+mod record;
+
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
     time::Duration,
 };
 
-use serde::{Deserialize, Serialize};
 use types::{Moment, ServiceId};
 
+pub use self::messages::{CountedCrash, PartEvidence, PartVerdict, SoundRun};
+use self::record::{PartCrash, Record};
 use crate::{
     fingerprint::Fingerprint,
-    state::{
-        BASE_DURATION, MAX_RECORDS, REJECT_CRASHES, RETAINED_RECORDS, Recipients,
-        SAME_CAUSE_WINDOW, SUSPECT_CRASHES, verdict_duration,
-    },
-    verdict::{TargetIncarnation, VerdictKind},
+    state::{BASE_DURATION, MAX_RECORDS, RETAINED_RECORDS, Recipients, verdict_duration},
+    verdict::VerdictKind,
 };
 
-/// The most crashes that are kept for one part.
-const MAX_COUNTED_CRASHES: usize = 8;
-/// The most crashes that are remembered as void for one part.
-const MAX_VOID_CRASHES: usize = 16;
+/// The most parts that are suspects of one crash; callers make up the parts.
+const MAX_SUSPECTS: usize = 48;
 /// How long a probe holds back others if its outcome does not become known.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Evidence that a target crashed while it was running a request that had not proved sound.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartEvidence {
-    /// The service of the target.
-    pub service: ServiceId,
-    /// The parts of the request's prompt that other requests may share.
-    pub parts: Vec<Fingerprint>,
-    /// The target process that crashed.
-    pub incarnation: TargetIncarnation,
-    /// Time since the connection to the target was lost.
-    pub age: Duration,
-    /// Upper bound on the time for which the target had been running the request by then.
-    pub ran_for: Duration,
-}
-
-/// A crash that counts against a part, as it is sent to other instances.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct CountedCrash {
-    /// The target process that crashed.
-    pub incarnation: TargetIncarnation,
-    /// Time since then.
-    pub age: Duration,
-    /// Upper bound on the time for which the target had been running a request with the part.
-    pub ran_for: Duration,
-    /// The other parts that were suspect.
-    pub companions: BTreeSet<Fingerprint>,
-}
-
-/// A run that proved sound, as it is sent to other instances. Its number and id identify it: its age grows
-/// with each delay on the way, and must not count as that of another run.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct SoundRun {
-    /// Higher than that of the sound runs that its instance knew of.
-    pub number: u64,
-    /// Tells runs with the same number apart.
-    pub id: u64,
-    /// Time since it began.
-    pub age: Duration,
-}
-
-/// A verdict on one part, as it is sent to other instances.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct PartVerdict {
-    /// The service.
-    pub service: ServiceId,
-    /// The part.
-    pub part: Fingerprint,
-    /// Incremented each time that the part is rejected again after a rejection has expired.
-    pub round: u32,
-    /// Whether requests with the part may be sent.
-    pub kind: VerdictKind,
-    /// The latest crashes that count against the part.
-    pub crashes: Vec<CountedCrash>,
-    /// The latest run with the part that proved sound.
-    pub sound_run: Option<SoundRun>,
-    /// Time until the verdict expires.
-    pub remaining: Duration,
-}
-
 /// Whether a request may be sent, by the parts of its prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Assessment {
@@ -105,192 +45,6 @@
     Rejected(Fingerprint),
 }
 
-/// The crash of a target under runs with one part.
-#[derive(Clone, Debug)]
-struct PartCrash {
-    incarnation: TargetIncarnation,
-    /// Earliest time at which the target may have started such a run.
-    run_started: Moment,
-    at: Moment,
-    /// The other parts that were suspect.
-    companions: BTreeSet<Fingerprint>,
-}
-
-impl PartCrash {
-    /// Whether both crashes may have the same cause outside of the requests.
-    fn shares_cause(&self, other: &Self) -> bool {
-        let concurrent = self.run_started < other.at && other.run_started < self.at;
-        concurrent && self.at.abs_diff(other.at) < SAME_CAUSE_WINDOW
-    }
-
-    fn counted(&self, now: Moment) -> CountedCrash {
-        CountedCrash {
-            incarnation: self.incarnation.clone(),
-            age: now.saturating_sub(self.at),
-            ran_for: self.at.saturating_sub(self.run_started),
-            companions: self.companions.clone(),
-        }
-    }
-
-    fn from_counted(now: Moment, counted: &CountedCrash) -> Self {
-        let at = now.saturating_sub(counted.age);
-        Self {
-            incarnation: counted.incarnation.clone(),
-            run_started: at.saturating_sub(counted.ran_for),
-            at,
-            companions: counted.companions.clone(),
-        }
-    }
-}
-
-/// Evidence and verdict on one part.
-#[derive(Clone, Debug)]
-struct Record {
-    service: ServiceId,
-    round: u32,
-    kind: Option<VerdictKind>,
-    /// When the verdict expires.
-    until: Moment,
-    /// The latest crashes that count against the part.
-    crashes: Vec<PartCrash>,
-    /// Targets whose crashes no longer count. Another instance may still report them, and each report
-    /// dates a crash later by its delay.
-    void_crashes: VecDeque<TargetIncarnation>,
-    /// Number and id of the latest run with the part that proved sound, and when it began.
-    sound_run: Option<((u64, u64), Moment)>,
-}
-
-impl Record {
-    const fn new(service: ServiceId) -> Self {
-        Self {
-            service,
-            round: 1,
-            kind: None,
-            until: Duration::ZERO,
-            crashes: Vec::new(),
-            void_crashes: VecDeque::new(),
-            sound_run: None,
-        }
-    }
-
-    /// The kind of the verdict, unless it has expired.
-    fn effective_kind(&self, now: Moment) -> Option<VerdictKind> {
-        self.kind.filter(|_| self.until > now)
-    }
-
-    /// Whether a rejection has expired only recently. A single crash then rejects the part again.
-    fn is_on_probation(&self, now: Moment) -> bool {
-        self.kind == Some(VerdictKind::Rejected)
-            && self.until <= now
-            && now < self.until + verdict_duration(self.round)
-    }
-
-    /// Whether the record has no effect any more and can be dropped.
-    fn is_expired(&self, now: Moment) -> bool {
-        self.effective_kind(now).is_none() && !self.is_on_probation(now) && self.crashes.is_empty()
-    }
-
-    /// Whether a run that began after a moment has proved sound.
-    fn is_sound(&self, since: Moment) -> bool {
-        self.sound_run.is_some_and(|(_, began)| began > since)
-    }
-
-    /// Whether at most two parts that a request lacks explain all crashes as well.
-    fn has_other_explanation(&self, parts: &[Fingerprint]) -> bool {
-        let lacking = |crash: &PartCrash| {
-            let companions = crash.companions.iter();
-            let lacking = companions.filter(|part| !parts.contains(part));
-            lacking.copied().collect::<BTreeSet<_>>()
-        };
-        let sets: Vec<_> = self.crashes.iter().map(lacking).collect();
-        let Some((first, others)) = sets.split_first() else {
-            return false;
-        };
-        first.iter().any(|one| {
-            let rest = others.iter().filter(|set| !set.contains(one));
-            let common = rest.cloned().reduce(|common, set| &common & &set);
-            common.is_none_or(|common| !common.is_empty())
-        })
-    }
-
-    /// Counts a crash, or adds to the suspects beside it. Returns whether anything has changed.
-    fn add(&mut self, crash: PartCrash) -> bool {
-        let same = |known: &&mut PartCrash| known.incarnation == crash.incarnation;
-        if let Some(known) = self.crashes.iter_mut().find(same) {
-            let before = known.companions.len();
-            known.companions.extend(crash.companions);
-            return known.companions.len() > before;
-        }
-        if self.is_sound(crash.at) || self.void_crashes.contains(&crash.incarnation) {
-            return false;
-        }
-        if self.crashes.iter().any(|known| known.shares_cause(&crash)) {
-            return false;
-        }
-        self.crashes.push(crash);
-        self.crashes.sort_by_key(|crash| crash.at);
-        let surplus = self.crashes.len().saturating_sub(MAX_COUNTED_CRASHES);
-        self.crashes.drain(..surplus);
-        true
-    }
-
-    /// Sets the verdict that follows from the crashes, if it is stricter than the present one.
-    fn judge(&mut self, now: Moment) {
-        let known = self.effective_kind(now);
-        if self.is_on_probation(now) {
-            self.round += 1;
-            self.set_verdict(now, VerdictKind::Rejected);
-        } else if self.crashes.len() >= REJECT_CRASHES {
-            self.set_verdict(now, VerdictKind::Rejected);
-        } else if self.crashes.len() >= SUSPECT_CRASHES && known != Some(VerdictKind::Rejected) {
-            self.set_verdict(now, VerdictKind::Suspected);
-        }
-    }
-
-    fn set_verdict(&mut self, now: Moment, kind: VerdictKind) {
-        self.kind = Some(kind);
-        self.until = now + verdict_duration(self.round);
-    }
-
-    /// Drops the crashes before a run began that proved sound. Sets the verdict that the part is cleared if
-    /// too few are left; returns whether it is.
-    fn exonerate(&mut self, now: Moment, number: (u64, u64), began: Moment) -> bool {
-        let latest = self.sound_run.map_or(began, |(_, known)| known.max(began));
-        self.sound_run = Some((number, latest));
-        let (void, rest) = self.crashes.drain(..).partition(|crash| crash.at < began);
-        self.crashes = rest;
-        let void: Vec<PartCrash> = void;
-        self.void_crashes
-            .extend(void.into_iter().map(|crash| crash.incarnation));
-        let surplus = self.void_crashes.len().saturating_sub(MAX_VOID_CRASHES);
-        self.void_crashes.drain(..surplus);
-        let is_cleared = self.crashes.len() < SUSPECT_CRASHES;
-        if is_cleared {
-            self.set_verdict(now, VerdictKind::Cleared);
-        } else if self.crashes.len() < REJECT_CRASHES {
-            self.set_verdict(now, VerdictKind::Suspected);
-        }
-        is_cleared
-    }
-
-    fn verdict(&self, now: Moment, part: Fingerprint) -> Option<PartVerdict> {
-        let crashes = self.crashes.iter();
-        Some(PartVerdict {
-            service: self.service.clone(),
-            part,
-            round: self.round,
-            kind: self.effective_kind(now)?,
-            crashes: crashes.map(|crash| crash.counted(now)).collect(),
-            sound_run: self.sound_run.map(|((number, id), began)| SoundRun {
-                number,
-                id,
-                age: now.saturating_sub(began),
-            }),
-            remaining: self.until.saturating_sub(now),
-        })
-    }
-}
-
 /// Parts of prompts under which targets crashed, as far as one instance knows. Bounded in size.
 #[derive(Debug, Default)]
 pub struct PartQuarantine {
@@ -355,7 +109,8 @@
             crashes.any(|crash| crash.incarnation == evidence.incarnation)
         });
         let mut all: BTreeSet<Fingerprint> = known.map(|(part, _)| *part).collect();
-        all.extend(&suspects);
+        let room = MAX_SUSPECTS.saturating_sub(all.len());
+        all.extend(suspects.iter().take(room));
         let mut verdicts = Vec::new();
         for part in &all {
             let mut companions = all.clone();
--- a/components/quarantine/tests/part_state.rs
+++ b/components/quarantine/tests/part_state.rs
@@ -174,3 +174,30 @@
     }
     assert!(state.verdicts(SECOND).len() <= 4_096);
 }
+
+/// Guards against verdicts that grow with the square of the parts that callers make up.
+#[test]
+fn the_suspects_of_one_crash_are_bounded() {
+    let mut state = PartQuarantine::new();
+    for (target, at) in [("e-1", SECOND), ("e-2", SECOND * 3)] {
+        for run in 0..40 {
+            let names: Vec<String> = (0..60).map(|number| format!("{run}-{number}")).collect();
+            let names: Vec<&str> = names.iter().map(String::as_str).collect();
+            state.record_crash(at, &crash(target, &names));
+        }
+    }
+    let verdicts = state.verdicts(SECOND * 3);
+    assert!(
+        !verdicts.is_empty() && verdicts.len() <= 96,
+        "{}",
+        verdicts.len()
+    );
+    for verdict in verdicts {
+        assert!(
+            verdict
+                .crashes
+                .iter()
+                .all(|crash| crash.companions.len() < 48)
+        );
+    }
+}
