Quarantine of parts: all instances end with the same verdicts

Instances with different verdicts exchange them with each sync. Void crashes are told with the verdict now, suspects are taken out when a request is assessed, and the common cause is looked at once, by the aggregators.

--- a/components/front/src/quarantine/record.rs
+++ b/components/front/src/quarantine/record.rs
@@ -1,8 +1,10 @@
 //! Rejections in the store, which survive if all instances are lost at the same time.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use ::quarantine::{CountedCrash, Fingerprint, PartVerdict, SoundRun, Verdict, VerdictKind};
+use ::quarantine::{
+    CountedCrash, Fingerprint, PartVerdict, SoundRun, TargetIncarnation, Verdict, VerdictKind,
+};
 use serde::{Deserialize, Serialize};
 use types::{ServiceId, millis};
 
@@ -37,6 +39,8 @@
     pub service: ServiceId,
     /// The latest crashes that count against the part; their ages are as of the writing.
     pub crashes: Vec<CountedCrash>,
+    /// Targets whose crashes no longer count.
+    pub void_crashes: BTreeSet<TargetIncarnation>,
     /// The latest run that had proved sound; its age is as of the writing.
     pub sound_run: Option<SoundRun>,
     /// When the record was written, in Unix milliseconds.
@@ -64,6 +68,7 @@
         part: Some(RejectedPart {
             service: Arc::clone(&verdict.service),
             crashes: verdict.crashes.clone(),
+            void_crashes: verdict.void_crashes.clone(),
             sound_run: verdict.sound_run,
             written_ms: now_ms,
         }),
@@ -120,6 +125,7 @@
                 round: record.round,
                 kind: VerdictKind::Rejected,
                 crashes: part.crashes.clone(),
+                void_crashes: part.void_crashes.clone(),
                 sound_run: part.sound_run,
                 remaining,
             };
--- a/components/quarantine/src/parts/messages.rs
+++ b/components/quarantine/src/parts/messages.rs
@@ -63,6 +63,8 @@
     pub kind: VerdictKind,
     /// The latest crashes that count against the part.
     pub crashes: Vec<CountedCrash>,
+    /// Targets whose crashes no longer count against the part.
+    pub void_crashes: BTreeSet<TargetIncarnation>,
     /// The latest run with the part that proved sound.
     pub sound_run: Option<SoundRun>,
     /// Time until the verdict expires.
--- a/components/quarantine/src/parts/mod.rs
+++ b/components/quarantine/src/parts/mod.rs
@@ -26,7 +26,7 @@
 use crate::{
     fingerprint::Fingerprint,
     state::{BASE_DURATION, MAX_RECORDS, RETAINED_RECORDS, Recipients, verdict_duration},
-    verdict::VerdictKind,
+    verdict::{TargetIncarnation, VerdictKind},
 };
 
 /// The most parts that are suspects of one crash; callers make up the parts.
@@ -76,7 +76,10 @@
             let Some(record) = record.filter(is_rejected) else {
                 continue;
             };
-            if !record.has_other_explanation(parts) {
+            let may_be_cause = |other: &Fingerprint, target: &TargetIncarnation| {
+                !parts.contains(other) && !self.is_void(other, target)
+            };
+            if !record.has_other_explanation(may_be_cause) {
                 return Assessment::Rejected(*part);
             }
             if assessment == Assessment::Admitted {
@@ -122,8 +125,8 @@
                 companions,
             };
             let record = self.record_mut(now, &evidence.service, *part);
-            if record.add(crash) {
-                record.judge(now);
+            if !record.has_same_cause(&crash) && record.add(crash) {
+                record.judge(now, true);
                 let verdict = record.verdict(now, *part);
                 verdicts.extend(verdict.filter(|v| v.kind != VerdictKind::Cleared));
             }
@@ -152,11 +155,11 @@
             };
             let number = record.sound_run.map_or(0, |((number, _), _)| number) + 1;
             let id = u64::try_from(began.as_nanos()).unwrap_or(u64::MAX);
-            if record.exonerate(now, (number, id), began) {
-                let verdict = record.verdict(now, *part);
-                clearances.extend(verdict.map(|verdict| (verdict, recipients)));
-            }
-            self.remove_companion(*part, began);
+            record.exonerate((number, id), began);
+            record.judge(now, false);
+            let verdict = record.verdict(now, *part);
+            let cleared = verdict.filter(|verdict| verdict.kind == VerdictKind::Cleared);
+            clearances.extend(cleared.map(|verdict| (verdict, recipients)));
         }
         clearances
     }
@@ -166,47 +169,33 @@
         if verdict.remaining.is_zero() {
             return false;
         }
-        let mut has_changed = false;
+        let record = self.record_mut(now, &verdict.service, verdict.part);
+        let known = record.effective_kind(now);
+        let mut has_changed = record.void(verdict.void_crashes.iter().cloned());
         if let Some(run) = verdict.sound_run {
             let (number, began) = ((run.number, run.id), now.saturating_sub(run.age));
-            let record = self.record_mut(now, &verdict.service, verdict.part);
-            let was_cleared = record.effective_kind(now) == Some(VerdictKind::Cleared);
             if record.sound_run.is_none_or(|(known, _)| known < number) {
-                has_changed = record.exonerate(now, number, began) && !was_cleared;
-                self.remove_companion(verdict.part, began);
-            }
-            if has_changed {
-                self.probes.remove(&verdict.service);
+                record.exonerate(number, began);
             }
         }
-        let mut is_newer = false;
+        let mut is_new = false;
         for counted in &verdict.crashes {
-            let mut crash = PartCrash::from_counted(now, counted);
-            crash
-                .companions
-                .retain(|part| !self.is_sound(part, crash.at));
-            let record = self.record_mut(now, &verdict.service, verdict.part);
-            is_newer |= record.add(crash);
+            is_new |= record.add(PartCrash::from_counted(now, counted));
         }
-        let record = self.record_mut(now, &verdict.service, verdict.part);
-        let known = record
-            .effective_kind(now)
-            .filter(|kind| *kind != VerdictKind::Cleared);
-        let known_run = record.sound_run.map(|(number, _)| number);
-        let is_current = verdict.sound_run.map(|run| (run.number, run.id)) >= known_run;
-        if verdict.kind == VerdictKind::Cleared {
-            return has_changed;
-        }
-        if is_current && known < Some(verdict.kind) && !record.crashes.is_empty() {
-            record.round = record.round.max(verdict.round);
+        if verdict.round > record.round {
+            record.round = verdict.round;
             record.kind = Some(verdict.kind);
             record.until = now + verdict.remaining.min(verdict_duration(verdict.round));
-            return true;
         }
-        if is_newer {
-            record.judge(now);
+        record.judge(now, false);
+        if record.effective_kind(now) != known {
+            record.until = now + verdict.remaining.min(verdict_duration(record.round));
+        }
+        has_changed |= is_new || record.effective_kind(now) != known;
+        if has_changed && record.effective_kind(now) == Some(VerdictKind::Cleared) {
+            self.probes.remove(&verdict.service);
         }
-        has_changed || is_newer
+        has_changed
     }
 
     /// All verdicts that are in force.
@@ -225,10 +214,16 @@
             let kind = record.effective_kind(now)?;
             let mut hasher = DefaultHasher::new();
             (part, kind as u8).hash(&mut hasher);
-            for crash in &record.crashes {
+            // In an order that does not depend on when an instance heard of them.
+            let mut crashes: Vec<&PartCrash> = record.crashes.iter().collect();
+            crashes.sort_by_key(|crash| &crash.incarnation);
+            for crash in crashes {
                 (&crash.incarnation.target, crash.incarnation.started_at).hash(&mut hasher);
                 crash.companions.hash(&mut hasher);
             }
+            for void in &record.void_crashes {
+                (&void.target, void.started_at).hash(&mut hasher);
+            }
             Some(hasher.finish())
         };
         let digests = self.records.iter().filter_map(digest);
@@ -241,14 +236,10 @@
         record.is_some_and(|record| record.is_sound(since))
     }
 
-    /// Removes a part that proved sound from the suspects of crashes before that run began.
-    fn remove_companion(&mut self, part: Fingerprint, began: Moment) {
-        for record in self.records.values_mut() {
-            let earlier = record.crashes.iter_mut().filter(|crash| crash.at < began);
-            earlier.for_each(|crash| {
-                crash.companions.remove(&part);
-            });
-        }
+    /// Whether a crash no longer counts against a part.
+    fn is_void(&self, part: &Fingerprint, target: &TargetIncarnation) -> bool {
+        let record = self.records.get(part);
+        record.is_some_and(|record| record.void_crashes.contains(target))
     }
 
     /// The record of a part, created if there is none.
--- a/components/quarantine/src/parts/record.rs
+++ b/components/quarantine/src/parts/record.rs
@@ -1,9 +1,6 @@
 //! What one instance knows of one part.
 
-use std::{
-    collections::{BTreeSet, VecDeque},
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use types::{Moment, ServiceId};
 
@@ -15,9 +12,9 @@
 };
 
 /// The most crashes that are kept for one part.
-const MAX_COUNTED_CRASHES: usize = 8;
+const MAX_COUNTED_CRASHES: usize = 12;
 /// The most crashes that are remembered as void for one part.
-const MAX_VOID_CRASHES: usize = 16;
+const MAX_VOID_CRASHES: usize = 32;
 
 /// The crash of a target under runs with one part.
 #[derive(Clone, Debug)]
@@ -70,9 +67,9 @@
     pub until: Moment,
     /// The latest crashes that count against the part.
     pub crashes: Vec<PartCrash>,
-    /// Targets whose crashes no longer count. Another instance may still report them, and each report
-    /// dates a crash later by its delay.
-    void_crashes: VecDeque<TargetIncarnation>,
+    /// Targets whose crashes no longer count. Other instances get them with the verdict: which crashes lie
+    /// before a sound run is decided once, and not again by times that each instance knows less exactly.
+    pub void_crashes: BTreeSet<TargetIncarnation>,
     /// Number and id of the latest run with the part that proved sound, and when it began.
     pub sound_run: Option<(RunNumber, Moment)>,
 }
@@ -85,7 +82,7 @@
             kind: None,
             until: Duration::ZERO,
             crashes: Vec::new(),
-            void_crashes: VecDeque::new(),
+            void_crashes: BTreeSet::new(),
             sound_run: None,
         }
     }
@@ -112,14 +109,17 @@
         self.sound_run.is_some_and(|(_, began)| began > since)
     }
 
-    /// Whether at most two parts that a request lacks explain all crashes as well.
-    pub fn has_other_explanation(&self, parts: &[Fingerprint]) -> bool {
-        let lacking = |crash: &PartCrash| {
+    /// Whether at most two of the parts that may be the cause of a crash explain all crashes as well.
+    pub fn has_other_explanation(
+        &self,
+        may_be_cause: impl Fn(&Fingerprint, &TargetIncarnation) -> bool,
+    ) -> bool {
+        let causes = |crash: &PartCrash| {
             let companions = crash.companions.iter();
-            let lacking = companions.filter(|part| !parts.contains(part));
-            lacking.copied().collect::<BTreeSet<_>>()
+            let suspects = companions.filter(|part| may_be_cause(part, &crash.incarnation));
+            suspects.copied().collect::<BTreeSet<_>>()
         };
-        let sets: Vec<_> = self.crashes.iter().map(lacking).collect();
+        let sets: Vec<_> = self.crashes.iter().map(causes).collect();
         let Some((first, others)) = sets.split_first() else {
             return false;
         };
@@ -138,10 +138,7 @@
             known.companions.extend(crash.companions);
             return known.companions.len() > before;
         }
-        if self.is_sound(crash.at) || self.void_crashes.contains(&crash.incarnation) {
-            return false;
-        }
-        if self.crashes.iter().any(|known| known.shares_cause(&crash)) {
+        if self.void_crashes.contains(&crash.incarnation) {
             return false;
         }
         self.crashes.push(crash);
@@ -151,43 +148,56 @@
         true
     }
 
-    /// Sets the verdict that follows from the crashes, if it is stricter than the present one.
-    pub fn judge(&mut self, now: Moment) {
+    /// Whether a crash may have the same cause, outside of the requests, as another one that counts.
+    pub fn has_same_cause(&self, crash: &PartCrash) -> bool {
+        let mut others = self.crashes.iter();
+        let is_known = others
+            .clone()
+            .any(|other| other.incarnation == crash.incarnation);
+        !is_known && others.any(|other| other.shares_cause(crash))
+    }
+
+    /// Sets the verdict that follows from the crashes, and renews it if `is_renewed`.
+    pub fn judge(&mut self, now: Moment, is_renewed: bool) {
         let known = self.effective_kind(now);
-        if self.is_on_probation(now) {
-            self.round += 1;
-            self.set_verdict(now, VerdictKind::Rejected);
-        } else if self.crashes.len() >= REJECT_CRASHES {
-            self.set_verdict(now, VerdictKind::Rejected);
-        } else if self.crashes.len() >= SUSPECT_CRASHES && known != Some(VerdictKind::Rejected) {
-            self.set_verdict(now, VerdictKind::Suspected);
+        let is_in_force = self.round > 1 && known == Some(VerdictKind::Rejected);
+        let kind = match self.crashes.len() {
+            0 if self.void_crashes.is_empty() => return,
+            1.. if self.is_on_probation(now) => {
+                self.round += 1;
+                VerdictKind::Rejected
+            }
+            1.. if is_in_force => VerdictKind::Rejected,
+            REJECT_CRASHES.. => VerdictKind::Rejected,
+            SUSPECT_CRASHES.. => VerdictKind::Suspected,
+            _ if self.void_crashes.is_empty() => return,
+            _ => VerdictKind::Cleared,
+        };
+        if is_renewed || known != Some(kind) {
+            self.kind = Some(kind);
+            self.until = now + verdict_duration(self.round);
         }
     }
 
-    fn set_verdict(&mut self, now: Moment, kind: VerdictKind) {
-        self.kind = Some(kind);
-        self.until = now + verdict_duration(self.round);
+    /// Declares crashes void; returns whether any of them counted or was not known to be void.
+    pub fn void(&mut self, incarnations: impl IntoIterator<Item = TargetIncarnation>) -> bool {
+        let before = self.void_crashes.len();
+        self.void_crashes.extend(incarnations);
+        while self.void_crashes.len() > MAX_VOID_CRASHES {
+            self.void_crashes.pop_first();
+        }
+        self.crashes
+            .retain(|crash| !self.void_crashes.contains(&crash.incarnation));
+        self.void_crashes.len() > before
     }
 
-    /// Drops the crashes before a run began that proved sound. Sets the verdict that the part is cleared if
-    /// too few are left; returns whether it is.
-    pub fn exonerate(&mut self, now: Moment, number: RunNumber, began: Moment) -> bool {
+    /// Records a run that proved sound, and declares the crashes before it began void.
+    pub fn exonerate(&mut self, number: RunNumber, began: Moment) {
         let latest = self.sound_run.map_or(began, |(_, known)| known.max(began));
         self.sound_run = Some((number, latest));
-        let (void, rest) = self.crashes.drain(..).partition(|crash| crash.at < began);
-        self.crashes = rest;
-        let void: Vec<PartCrash> = void;
-        self.void_crashes
-            .extend(void.into_iter().map(|crash| crash.incarnation));
-        let surplus = self.void_crashes.len().saturating_sub(MAX_VOID_CRASHES);
-        self.void_crashes.drain(..surplus);
-        let is_cleared = self.crashes.len() < SUSPECT_CRASHES;
-        if is_cleared {
-            self.set_verdict(now, VerdictKind::Cleared);
-        } else if self.crashes.len() < REJECT_CRASHES {
-            self.set_verdict(now, VerdictKind::Suspected);
-        }
-        is_cleared
+        let earlier = self.crashes.iter().filter(|crash| crash.at < began);
+        let earlier: Vec<_> = earlier.map(|crash| crash.incarnation.clone()).collect();
+        self.void(earlier);
     }
 
     pub fn verdict(&self, now: Moment, part: Fingerprint) -> Option<PartVerdict> {
@@ -198,6 +208,7 @@
             round: self.round,
             kind: self.effective_kind(now)?,
             crashes: crashes.map(|crash| crash.counted(now)).collect(),
+            void_crashes: self.void_crashes.clone(),
             sound_run: self.sound_run.map(|((number, id), began)| SoundRun {
                 number,
                 id,
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -8,7 +8,7 @@
 use crate::fingerprint::Fingerprint;
 
 /// One run of a target's process, from its start to its end.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct TargetIncarnation {
     /// The target.
     pub target: TargetId,
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -42,6 +42,18 @@
     }
 }
 
+/// Guards against instances that exchange verdicts for ever because their states never become the same.
+#[test]
+fn all_instances_have_the_same_verdicts_in_the_end() {
+    for seed in 30_000..30_000 + case_count() {
+        for instances in [3, 9, 40] {
+            let seen = simulate(seed, instances, 4);
+            let case = format!("seed {seed}, {instances} instances: {seen:?}");
+            assert_eq!(seen.digests, 1, "{case}");
+        }
+    }
+}
+
 /// Guards against verdicts on parts that are lost together with an aggregator, or never reach an instance
 /// which was partitioned when they were sent.
 #[test]
--- a/components/quarantine/tests/support/mod.rs
+++ b/components/quarantine/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
     time::Duration,
 };
 
@@ -20,6 +20,8 @@
 const KNOWN_CRASHES: usize = 5;
 /// Simulated time in which requests are sent.
 const SIMULATED: Duration = Duration::from_secs(60);
+/// Time after that in which runs still end, and all instances hear of it.
+const LAST_RUNS: Duration = Duration::from_secs(15);
 /// Start of the simulated time.
 const START: Duration = Duration::from_secs(6);
 /// Targets of the service.
@@ -102,6 +104,8 @@
     pub sound: usize,
     /// Those of them that were sent.
     pub sound_sent: usize,
+    /// Different states of verdicts among all instances at the end.
+    pub digests: usize,
 }
 
 #[derive(Clone)]
@@ -555,7 +559,7 @@
     }
 
     fn sync(&mut self, number: usize) {
-        if self.now < START + SIMULATED {
+        if self.now < START + SIMULATED + LAST_RUNS {
             self.schedule(self.now + SYNC_PERIOD, Step::Sync(number));
         }
         let other = usize::from(number == 0 && self.instances.len() > 1);
@@ -587,11 +591,14 @@
             .max();
         let from = last.map_or(Duration::MAX, |last| last + CONTACT * 2);
         let sound = self.sound.iter().filter(|(arrived, _)| *arrived >= from);
+        let digests = self.instances.iter().map(|i| i.state.digest(self.now));
+        let digests: BTreeSet<u64> = digests.collect();
         Seen {
             crashes: self.crashes.iter().map(Vec::len).collect(),
             late: late.collect(),
             sound: sound.clone().count(),
             sound_sent: sound.filter(|(_, sent)| *sent).count(),
+            digests: digests.len(),
         }
     }
 }
