--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -857,7 +857,7 @@
         service: ServiceId,
         /// Digest of the part.
         part: Arc<str>,
-        /// Crashes of targets under requests with the part, at most the eight latest.
+        /// Crashes of targets under requests with the part that count; only the latest are kept.
         crashes: usize,
         /// Duration of the rejection, in milliseconds.
         for_ms: u64,
