Interfaces of the parts for hard load: pauses and resumption of routes, workspace of a placement, reported work time

The parts to come need figures that nobody decoded: the longest pause that a route allows, whether its streams may be resumed, the workspace that a generation is placed for, the longest pause that an entry saw, and the fourth figure of a target's load.

--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -97,6 +97,9 @@
     pub running: u32,
     /// Requests in the target's queue.
     pub waiting: u32,
+    /// How long work takes on the target's machine at this moment, in percent of the usual time, if
+    /// the target reports it.
+    pub work_time_percent: Option<u32>,
 }
 
 /// How many rejections a target bears in a second, as it says in an answer.
--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -6,6 +6,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use async_channel::{Receiver, Sender, unbounded};
@@ -215,6 +216,7 @@
             length_hint: self.length_hint,
             priority: self.priority,
             started: self.has_started(),
+            longest_pause: Duration::ZERO,
         }
     }
 }
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -258,6 +258,8 @@
         waited: call.elapsed(),
         avoid: avoid.to_vec(),
         versions: VersionChoice::Any,
+        max_pause: call.route.max_pause,
+        workspace: call.workspace.clone(),
     }
 }
 
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -389,6 +389,7 @@
             &shard,
             GenerationUpdate::Started {
                 generation: generation_id,
+                work_time_percent: None,
             },
         );
     }
--- a/components/front/tests/decisions.rs
+++ b/components/front/tests/decisions.rs
@@ -86,6 +86,7 @@
     let load = ReportedLoad {
         running: 6,
         waiting: 2,
+        work_time_percent: None,
     };
     selector.record_load(now, &"local".into(), load);
     assert_eq!(pick(&selector).as_deref(), Some("remote"));
--- a/components/front/tests/objectives.rs
+++ b/components/front/tests/objectives.rs
@@ -20,6 +20,8 @@
         kind: RouteKind::Generation,
         timeout: Duration::from_secs(39),
         objective,
+        max_pause: None,
+        is_resumable: false,
         max_targets: 1,
         priority: 0,
         allows_anonymous: true,
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -3,7 +3,9 @@
 use std::{sync::Arc, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens, VersionChoice};
+use types::{
+    DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens, VersionChoice, WorkspaceId,
+};
 
 use crate::shard::Shard;
 
@@ -56,6 +58,12 @@
     pub avoid: Vec<TargetId>,
     /// Versions of engines that it may be sent to.
     pub versions: VersionChoice,
+    /// Longest pause between two events for which the answer is on time, if its route sets one.
+    #[serde(default)]
+    pub max_pause: Option<Duration>,
+    /// The caller's workspace, if the configuration has workspaces.
+    #[serde(default)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// Answer of the owner to a placement request.
@@ -88,6 +96,10 @@
         /// Generation that started.
         #[serde(rename = "run")]
         generation: GenerationId,
+        /// How long work takes on the engine at this moment, in percent of the usual time, if the
+        /// engine reports it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        work_time_percent: Option<u32>,
     },
     /// The generation no longer occupies its engine.
     Ended {
@@ -132,6 +144,9 @@
     pub priority: u32,
     /// Whether the first event has arrived.
     pub started: bool,
+    /// Longest pause between two events since the previous sync, as the entry received them.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub longest_pause: Duration,
 }
 
 /// All generations of one entry on the engines of one shard. Entries send it to the owner
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -144,7 +144,7 @@
     /// Applies an entry's update about a generation.
     pub fn apply_update(&mut self, now: Moment, update: &GenerationUpdate) {
         match update {
-            GenerationUpdate::Started { generation } => self.mark_started(now, generation),
+            GenerationUpdate::Started { generation, .. } => self.mark_started(now, generation),
             GenerationUpdate::Ended {
                 generation,
                 target_failed,
--- a/components/placing/tests/migration.rs
+++ b/components/placing/tests/migration.rs
@@ -22,6 +22,7 @@
             now,
             &GenerationUpdate::Started {
                 generation: request.generation,
+                work_time_percent: None,
             },
         );
     }
@@ -88,6 +89,7 @@
         later,
         &GenerationUpdate::Started {
             generation: "a".into(),
+            work_time_percent: None,
         },
     );
     assert!(next_migration(&mut owner, later, &destinations).is_some());
--- a/components/placing/tests/overload.rs
+++ b/components/placing/tests/overload.rs
@@ -272,6 +272,7 @@
             now,
             &GenerationUpdate::Started {
                 generation: relaxed.generation,
+                work_time_percent: None,
             },
         );
         number += 1;
@@ -314,6 +315,7 @@
             now,
             &GenerationUpdate::Started {
                 generation: hinted.generation,
+                work_time_percent: None,
             },
         );
     }
@@ -368,6 +370,7 @@
             now,
             &GenerationUpdate::Started {
                 generation: generation.into(),
+                work_time_percent: None,
             },
         );
     }
--- a/components/placing/tests/placement.rs
+++ b/components/placing/tests/placement.rs
@@ -75,6 +75,7 @@
                 now,
                 &GenerationUpdate::Started {
                     generation: request.generation,
+                    work_time_percent: None,
                 },
             );
         }
@@ -212,6 +213,7 @@
         later,
         &GenerationUpdate::Started {
             generation: "b".into(),
+            work_time_percent: None,
         },
     );
     assert_eq!(
@@ -241,6 +243,7 @@
         length_hint: None,
         priority: 1,
         started: false,
+        longest_pause: Duration::ZERO,
     };
     // The entry still waits, long after the prompt should have been processed.
     let later = now + 1_500 * MS;
@@ -259,6 +262,7 @@
         later,
         &GenerationUpdate::Started {
             generation: "a".into(),
+            work_time_percent: None,
         },
     );
     assert_eq!(
@@ -285,6 +289,7 @@
             length_hint: None,
             priority: 1,
             started: true,
+            longest_pause: Duration::ZERO,
         })
         .collect();
     let entry = "entry-1".into();
@@ -433,6 +438,7 @@
                         now,
                         &GenerationUpdate::Started {
                             generation: format!("run-{generation}").into(),
+                            work_time_percent: None,
                         },
                     );
                 }
--- a/components/placing/tests/shards.rs
+++ b/components/placing/tests/shards.rs
@@ -28,6 +28,7 @@
         length_hint: None,
         priority: 1,
         started: true,
+        longest_pause: Duration::ZERO,
     }
 }
 
@@ -73,7 +74,13 @@
     let mut number = 0;
     while assigned(owner.place(now, &relaxed(&format!("run-{number}"), 0), &full)).is_some() {
         let generation = format!("run-{number}").into();
-        owner.apply_update(now, &GenerationUpdate::Started { generation });
+        owner.apply_update(
+            now,
+            &GenerationUpdate::Started {
+                generation,
+                work_time_percent: None,
+            },
+        );
         number += 1;
     }
     let mut late = relaxed("late", 1);
--- a/components/placing/tests/support/load.rs
+++ b/components/placing/tests/support/load.rs
@@ -243,6 +243,7 @@
                 length_hint: placed.length_hint,
                 priority: placed.priority,
                 started: started_at.is_some(),
+                longest_pause: Duration::ZERO,
             }
         };
         let sync = StateSync {
@@ -281,8 +282,13 @@
         });
         let tokens = u32::try_from(caller.answer_tokens).unwrap_or_default();
         let generation = generation(number, caller).into();
-        self.owner
-            .apply_update(now, &GenerationUpdate::Started { generation });
+        self.owner.apply_update(
+            now,
+            &GenerationUpdate::Started {
+                generation,
+                work_time_percent: None,
+            },
+        );
         self.push(now + TOKEN_TIME.saturating_mul(tokens), number, Step::End);
     }
 
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -48,6 +48,8 @@
         waited: Duration::ZERO,
         avoid: Vec::new(),
         versions: VersionChoice::Any,
+        max_pause: None,
+        workspace: None,
     }
 }
 
--- a/components/placing/tests/throughput.rs
+++ b/components/placing/tests/throughput.rs
@@ -25,6 +25,7 @@
             now,
             &GenerationUpdate::Started {
                 generation: generation.clone(),
+                work_time_percent: None,
             },
         );
         let ended = GenerationUpdate::Ended {
@@ -89,6 +90,7 @@
             length_hint: Some(1_000),
             priority: 1,
             started: true,
+            longest_pause: Duration::ZERO,
         };
         let sync = StateSync {
             entry: "entry-1".into(),
--- a/components/view/src/rules.rs
+++ b/components/view/src/rules.rs
@@ -39,6 +39,12 @@
     pub timeout: Duration,
     /// Objective for the time until the answer, or until the first event of a generation.
     pub objective: Duration,
+    /// Longest pause between two events of a stream for which an answer is still on time, if the
+    /// configuration sets one.
+    pub max_pause: Option<Duration>,
+    /// Whether a stream may be resumed at another target after its last event, so that its request
+    /// may be executed again.
+    pub is_resumable: bool,
     /// Maximum number of targets that one request may be executed on.
     pub max_targets: u32,
     /// Priority; lower values go first.
--- a/components/view/tests/view.rs
+++ b/components/view/tests/view.rs
@@ -18,6 +18,8 @@
         kind: RouteKind::Idempotent,
         timeout: SECOND,
         objective: SECOND / 10,
+        max_pause: None,
+        is_resumable: false,
         max_targets: 1,
         priority: 0,
         allows_anonymous: false,
