Quarantine of parts: the requests on a crashed target may be the cause as well

What callers saw: two requests that crash engines by themselves, without parts, ended engines on which sound requests with one first part had just begun.

Cause: only parts were weighed as other explanations. Change: evidence names the whole request too, also of runs without parts and of runs that had proved sound; the requests of a crash count among what may be its cause. Requests that differ each time explain one crash each, so that a guilty part is still rejected after its third.

--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -159,16 +159,21 @@
         });
         let age = boot_time().saturating_sub(self.lost_at);
         let ran_for = self.lost_at.saturating_sub(self.sent_at);
-        if !self.progress.is_sound(self.lost_at) && !self.shared_parts.is_empty() {
-            let evidence = PartEvidence {
-                service: self.service,
-                parts: self.shared_parts.to_vec(),
-                incarnation: self.incarnation.clone(),
-                age,
-                ran_for,
-            };
-            parts::report_evidence(front, &evidence);
-        }
+        // A request can crash its target by itself at any time, a part of its prompt only at the start.
+        let suspects = if self.progress.is_sound(self.lost_at) {
+            Vec::new()
+        } else {
+            self.shared_parts.to_vec()
+        };
+        let evidence = PartEvidence {
+            service: self.service,
+            parts: suspects,
+            incarnation: self.incarnation.clone(),
+            age,
+            ran_for,
+            request: Some(self.fingerprint),
+        };
+        parts::report_evidence(front, &evidence);
         let evidence = Evidence {
             fingerprint: self.fingerprint,
             incarnation: self.incarnation,
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -157,15 +157,14 @@
             });
             let age = core.admission.now().saturating_sub(lost_at);
             let ran_for = lost_at.saturating_sub(run.sent_at);
-            if !run.shared_parts.is_empty() {
-                core.quarantine.record_part_crash(&PartEvidence {
-                    service: target.service.clone(),
-                    parts: run.shared_parts.to_vec(),
-                    incarnation: incarnation(&target),
-                    age,
-                    ran_for,
-                });
-            }
+            core.quarantine.record_part_crash(&PartEvidence {
+                service: target.service.clone(),
+                parts: run.shared_parts.to_vec(),
+                incarnation: incarnation(&target),
+                age,
+                ran_for,
+                request: Some(run.fingerprint),
+            });
             core.quarantine.record_crash(Evidence {
                 fingerprint: run.fingerprint,
                 incarnation: incarnation(&target),
--- a/components/quarantine/src/parts/messages.rs
+++ b/components/quarantine/src/parts/messages.rs
@@ -10,12 +10,12 @@
     verdict::{TargetIncarnation, VerdictKind},
 };
 
-/// Evidence that a target crashed while it was running a request that had not proved sound.
+/// Evidence that a target crashed while it was running a request.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PartEvidence {
     /// The service of the target.
     pub service: ServiceId,
-    /// The parts of the request's prompt that other requests may share.
+    /// The parts of the request's prompt that other requests may share; none if it has proved sound.
     pub parts: Vec<Fingerprint>,
     /// The target process that crashed.
     pub incarnation: TargetIncarnation,
@@ -23,6 +23,9 @@
     pub age: Duration,
     /// Upper bound on the time for which the target had been running the request by then.
     pub ran_for: Duration,
+    /// The request as a whole, which may have crashed the target by itself.
+    #[serde(default)]
+    pub request: Option<Fingerprint>,
 }
 
 /// A crash that counts against a part, as it is sent to other instances.
@@ -34,7 +37,7 @@
     pub age: Duration,
     /// Upper bound on the time for which the target had been running a request with the part.
     pub ran_for: Duration,
-    /// The other parts that were suspect.
+    /// What else may be the cause: the other parts that were suspect, and whole requests.
     pub companions: BTreeSet<Fingerprint>,
 }
 
--- a/components/quarantine/src/parts/mod.rs
+++ b/components/quarantine/src/parts/mod.rs
@@ -5,11 +5,12 @@
 //! parts of all runs suspect that had not yet proved sound; a run that proves sound exonerates its parts
 //! from all crashes before it began. A part that stays suspect over several crashes is rejected.
 //!
-//! Crashes alone don't tell which of the parts that were present is the cause. A request with a rejected
-//! part is rejected outright only if no two parts that it lacks explain all crashes under that part as
-//! well. Otherwise it may be sound: it is sent as a probe, one at a time over all instances, and its outcome
-//! decides.
+//! Crashes alone don't tell which of the parts that were present is the cause, or whether a request that was
+//! there crashes targets by itself, with or without parts. A request with a rejected part is rejected
+//! outright only if no two parts that it lacks, or requests, explain all crashes under that part as well.
+//! Otherwise it may be sound: it is sent as a probe, one at a time over all instances, and its outcome decides.
 
+mod lost_requests;
 mod messages;
 mod record;
 
@@ -22,7 +23,10 @@
 use types::{Moment, ServiceId};
 
 pub use self::messages::{CountedCrash, PartEvidence, PartVerdict, SoundRun};
-use self::record::{PartCrash, Record};
+use self::{
+    lost_requests::LostRequests,
+    record::{PartCrash, Record},
+};
 use crate::{
     fingerprint::Fingerprint,
     state::{BASE_DURATION, MAX_RECORDS, RETAINED_RECORDS, Recipients, verdict_duration},
@@ -53,6 +57,8 @@
     order: VecDeque<Fingerprint>,
     /// When the probe of a service ends at the latest.
     probes: HashMap<ServiceId, Moment>,
+    /// The requests that crashed targets were running.
+    lost_requests: LostRequests,
 }
 
 impl PartQuarantine {
@@ -101,7 +107,9 @@
     /// Records the crash of a target. Returns verdicts for all instances on parts that become suspected
     /// or rejected, or of which more is known.
     pub fn record_crash(&mut self, now: Moment, evidence: &PartEvidence) -> Vec<PartVerdict> {
-        self.probes.remove(&evidence.service);
+        if !evidence.parts.is_empty() {
+            self.probes.remove(&evidence.service);
+        }
         let at = now.saturating_sub(evidence.age);
         let is_suspect = |part: &&Fingerprint| !self.is_sound(part, at);
         let suspects: Vec<Fingerprint> =
@@ -114,9 +122,12 @@
         let mut all: BTreeSet<Fingerprint> = known.map(|(part, _)| *part).collect();
         let room = MAX_SUSPECTS.saturating_sub(all.len());
         all.extend(suspects.iter().take(room));
+        let requests =
+            self.lost_requests
+                .record(now, &evidence.incarnation, evidence.request.as_ref());
         let mut verdicts = Vec::new();
         for part in &all {
-            let mut companions = all.clone();
+            let mut companions = &all | &requests;
             companions.remove(part);
             let crash = PartCrash {
                 incarnation: evidence.incarnation.clone(),
--- a/components/quarantine/src/parts/record.rs
+++ b/components/quarantine/src/parts/record.rs
@@ -23,7 +23,7 @@
     /// Earliest time at which the target may have started such a run.
     pub run_started: Moment,
     pub at: Moment,
-    /// The other parts that were suspect.
+    /// What else may be the cause: the other parts that were suspect, and whole requests.
     pub companions: BTreeSet<Fingerprint>,
 }
 
--- a/components/quarantine/tests/part_state.rs
+++ b/components/quarantine/tests/part_state.rs
@@ -28,6 +28,15 @@
         },
         age: Duration::ZERO,
         ran_for: SECOND / 2,
+        request: None,
+    }
+}
+
+/// The same for one of the requests that the target was running.
+fn crash_under(target: &str, names: &[&str], request: &str) -> PartEvidence {
+    PartEvidence {
+        request: Some(part(request)),
+        ..crash(target, names)
     }
 }
 
@@ -78,6 +87,44 @@
     assert!(matches!(assess(&["other", "bad"]), Assessment::Rejected(_)));
 }
 
+/// Guards against an outage of all requests that share a part with those beside which two requests without
+/// parts crashed their targets.
+#[test]
+fn a_part_is_not_rejected_outright_if_two_requests_explain_its_crashes() {
+    for is_request_known_first in [true, false] {
+        let mut state = PartQuarantine::new();
+        for (number, request) in (1..).zip(["lone-1", "lone-2", "lone-1", "lone-2"]) {
+            let target = format!("e-{number}");
+            let sound = crash_under(&target, &["first"], &format!("sound-{number}"));
+            let lone = crash_under(&target, &[], request);
+            let mut evidence = [lone, sound];
+            if !is_request_known_first {
+                evidence.reverse();
+            }
+            for evidence in &evidence {
+                state.record_crash(SECOND * number, evidence);
+            }
+        }
+        assert_eq!(
+            state.assess(SECOND * 5, &parts(&["first"])),
+            Assessment::Ambiguous(part("first"))
+        );
+    }
+}
+
+/// Guards against probes of a guilty part without end, because each crash has another request under way.
+#[test]
+fn requests_that_differ_do_not_explain_the_crashes_of_the_part_that_they_share() {
+    let mut state = PartQuarantine::new();
+    for number in 1..4 {
+        let request = format!("request-{number}");
+        let evidence = crash_under(&format!("e-{number}"), &["first", "bad"], &request);
+        state.record_crash(SECOND * number, &evidence);
+    }
+    let assessment = state.assess(SECOND * 5, &parts(&["first", "bad"]));
+    assert!(matches!(assessment, Assessment::Rejected(_)));
+}
+
 /// Guards against clearing a part by a run that began before it crashed targets.
 #[test]
 fn a_run_that_began_before_the_last_crash_does_not_clear_its_parts() {
--- a/components/quarantine/tests/support/mod.rs
+++ b/components/quarantine/tests/support/mod.rs
@@ -498,6 +498,7 @@
                 },
                 age: noticed,
                 ran_for: self.now - run.sent,
+                request: Some(Fingerprint::new(&[b"request", &number.to_be_bytes()])),
             };
             let entry = run.entry;
             self.schedule(self.now + noticed, Step::Notice(entry, evidence));
