Rollouts: coordination, what the store keeps and the verdict are a module each

front/rollouts/coordination.rs held three jobs in 580 lines. It keeps the ticks, the reports and the coordinator's decisions; records.rs has what the store keeps while a rollout runs, verdicts.rs how its end is written and told. Moved only; cargo test -p front passes.

--- a/components/front/src/rollouts/mod.rs
+++ b/components/front/src/rollouts/mod.rs
@@ -4,4 +4,6 @@
 pub mod coordination;
 pub mod local;
 pub mod record;
+pub mod records;
+pub mod verdicts;
 pub mod version_permit;
--- a/components/front/src/store/restore.rs
+++ b/components/front/src/store/restore.rs
@@ -15,7 +15,7 @@
     adapters::Record,
     instances::wire::{Member, Topic},
     quarantine::{aggregation, parts, record},
-    rollouts::coordination,
+    rollouts::records,
     state::Front,
     store::timeouts,
 };
@@ -41,7 +41,7 @@
     let writing = async move {
         smol::Timer::after(SPREAD.mul_f64(fastrand::f64())).await;
         write_quarantine_records(&front);
-        coordination::record_again(&front);
+        records::record_again(&front);
         let order = front.peers.owners(RANKING);
         let is_writer = order
             .iter()
