Fair shares among workspaces while room is short

Callers saw: one workspace at eight times its rate took the room of all.

Cause: placing knew no workspace. It refused by forecast, in proportion to what was sent.

Change: owners sum what each workspace asks for and gets, fading with 4 s, and find the max-min fair share where something is refused. Refusals of workspaces above their share no longer make others leave room. Switch: `placing: fair_shares`. Without workspaces or without shortage there is no level, and decisions are as before (tests).

Existing tests: three patterns `Rejected { after }` became `Rejected { after, .. }`, for the answer has a new field.

--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -211,8 +211,13 @@
                 shard = shard.next();
                 continue;
             }
-            PlacementAnswer::Rejected { after } => {
-                return Err(Refusal::not_run("no engine can begin it in time", after));
+            PlacementAnswer::Rejected { after, above_share } => {
+                let reason = if above_share {
+                    "no engine can begin it in time, its workspace is above its share"
+                } else {
+                    "no engine can begin it in time"
+                };
+                return Err(Refusal::not_run(reason, after));
             }
         };
         smol::Timer::after(after.min(call.time_left())).await;
--- a/components/placing/src/demand.rs
+++ b/components/placing/src/demand.rs
@@ -39,12 +39,54 @@
     /// 95th percentile of the prompt length in tokens.
     large_prompt: f64,
     /// Share of recent requests that was rejected, from 0 to 1.
-    rejected_share: f64,
+    rejected_shares: RejectedShares,
 }
 
 impl RouteDemand {
-    fn shortage(&self) -> f64 {
-        (self.rejected_share / FULL_SHORTAGE_AT).min(1.0)
+    fn shortage(&self, standing: Standing) -> f64 {
+        (self.rejected_shares.of(standing) / FULL_SHORTAGE_AT).min(1.0)
+    }
+}
+
+/// Whether the workspace of a request asks for more than its fair share. Rejections of those that do
+/// must not make other workspaces leave room to them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Standing {
+    /// The workspace is within its share, or there is room for all.
+    Within,
+    /// The workspace is above its share.
+    Above,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct RejectedShares {
+    within: f64,
+    above: f64,
+}
+
+impl RejectedShares {
+    const fn of(&self, standing: Standing) -> f64 {
+        match standing {
+            Standing::Within => self.within,
+            Standing::Above => self.above,
+        }
+    }
+
+    /// The largest share of the requests to which one of this standing leaves room.
+    const fn relevant_for(&self, standing: Standing) -> f64 {
+        match standing {
+            Standing::Within => self.within,
+            Standing::Above => self.within.max(self.above),
+        }
+    }
+
+    fn record(&mut self, standing: Standing, rejected: bool) {
+        let share = match standing {
+            Standing::Within => &mut self.within,
+            Standing::Above => &mut self.above,
+        };
+        let sample = if rejected { 1.0 } else { 0.0 };
+        *share += REJECTION_WEIGHT * (sample - *share);
     }
 }
 
@@ -63,7 +105,7 @@
             service: Arc::clone(&request.shard.service),
             priority: request.route_priority,
             large_prompt: size,
-            rejected_share: 0.0,
+            rejected_shares: RejectedShares::default(),
         });
         demand.priority = request.route_priority;
         demand.large_prompt *= if size > demand.large_prompt {
@@ -74,26 +116,30 @@
     }
 
     /// Records whether a request was rejected or assigned an engine.
-    pub fn record_outcome(&mut self, route: &RouteId, rejected: bool) {
+    pub fn record_outcome(&mut self, route: &RouteId, standing: Standing, rejected: bool) {
         if let Some(demand) = self.routes.get_mut(route) {
-            let sample = if rejected { 1.0 } else { 0.0 };
-            demand.rejected_share += REJECTION_WEIGHT * (sample - demand.rejected_share);
+            demand.rejected_shares.record(standing, rejected);
         }
     }
 
     /// Prompt length in tokens for which a request must find room: its own, raised towards that of
     /// a large prompt by the shortage on its route.
-    pub fn effective_prompt_tokens(&self, route: &str, prompt_tokens: Tokens) -> Tokens {
+    pub fn effective_prompt_tokens(
+        &self,
+        route: &str,
+        standing: Standing,
+        prompt_tokens: Tokens,
+    ) -> Tokens {
         let Some(demand) = self.routes.get(route) else {
             return prompt_tokens;
         };
         let excess = (demand.large_prompt - as_f64(prompt_tokens)).max(0.0);
-        prompt_tokens + round_tokens(excess * demand.shortage())
+        prompt_tokens + round_tokens(excess * demand.shortage(standing))
     }
 
     /// By how much the rejected share of a more urgent route of the same service exceeds that of a route;
     /// 0 if none is rejected more often.
-    pub fn excess_of_more_urgent(&self, route: &str) -> f64 {
+    pub fn excess_of_more_urgent(&self, route: &str, standing: Standing) -> f64 {
         let Some(own) = self.routes.get(route) else {
             return 0.0;
         };
@@ -102,12 +148,16 @@
             .values()
             .filter(|other| other.service == own.service && other.priority < own.priority);
         more_urgent
-            .map(|other| other.rejected_share - own.rejected_share)
+            .map(|other| {
+                other.rejected_shares.relevant_for(standing) - own.rejected_shares.of(standing)
+            })
             .fold(0.0, f64::max)
     }
 
     /// Shortage of engines on a route, from 0 (no rejections) to 1.
-    pub fn shortage(&self, route: &str) -> f64 {
-        self.routes.get(route).map_or(0.0, RouteDemand::shortage)
+    pub fn shortage(&self, route: &str, standing: Standing) -> f64 {
+        self.routes
+            .get(route)
+            .map_or(0.0, |demand| demand.shortage(standing))
     }
 }
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -85,6 +85,9 @@
     Rejected {
         /// Time after which the caller should retry.
         after: Duration,
+        /// Whether the caller's workspace is above its fair share, so that others went first.
+        #[serde(default)]
+        above_share: bool,
     },
 }
 
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -10,15 +10,16 @@
 
 use crate::{
     account::{Engine, EngineAccount, Generation, LoadReport},
-    demand::Demand,
+    demand::{Demand, Standing},
     length::{LengthEstimate, LengthEstimator},
     memory::{Allocation, peak_tokens, sum_of_final_tokens},
     message::{
         ActiveGeneration, EngineLoad, GenerationId, GenerationUpdate, PlacementAnswer,
         PlacementRequest,
     },
-    queue::{EvaluatedRequest, WaitingRequest},
+    queue::{EvaluatedRequest, WaitingRequest, standing},
     retry_schedule::RetrySchedule,
+    shares::{ShareChange, ShareDecisions, Shares, WorkspaceLoad, work},
     throughput::{Throughput, ThroughputEstimator},
     tuning::{Tuning, as_f64},
 };
@@ -29,6 +30,10 @@
 /// Greatest part of its objective that a request leaves to more urgent ones.
 const MAX_DEFERENCE: f64 = 0.8;
 
+/// Greatest part of its objective that a request leaves to workspaces within their share. With what is
+/// left, it is served in time if it finds an engine whose backlog is short.
+const MAX_SHARE_DEFERENCE: f64 = 0.7;
+
 /// State of all generations that this instance has assigned to engines or learned of.
 ///
 /// The state is soft: a new owner rebuilds it from the entries' syncs, and errors in it cost
@@ -43,6 +48,8 @@
     pub(crate) throughputs: HashMap<ServiceId, ThroughputEstimator>,
     /// Demand by route.
     pub(crate) demand: Demand,
+    /// Work of the workspaces.
+    pub(crate) shares: Shares,
     /// Rejected callers that are expected to retry.
     pub(crate) retries: RetrySchedule,
     /// Requests that were told to wait.
@@ -72,6 +79,7 @@
         self.release(&request.generation);
         if !self.waiting.contains_key(&request.generation) {
             self.demand.record_request(request);
+            self.record_demand(now, request);
         }
         let evaluated = self.evaluate(now, request);
         let Some((time_to_first_event, target)) = self.best_engine(now, &evaluated, engines) else {
@@ -86,11 +94,23 @@
             return self.wait_for_memory(now, &evaluated, engines);
         }
         self.waiting.remove(&request.generation);
-        self.demand.record_outcome(&request.route, false);
+        self.demand
+            .record_outcome(&request.route, evaluated.standing(), false);
+        self.shares.record_service(now, request, evaluated.work());
         self.assign(now, &evaluated, &target);
         PlacementAnswer::Assigned { target }
     }
 
+    /// Records what a new request asks for. A caller that comes back after a rejection has been counted.
+    fn record_demand(&mut self, now: Moment, request: &PlacementRequest) {
+        if self.retries.is_retry(now, request) {
+            return;
+        }
+        let length = self.estimate_length(&request.route, request.max_tokens, request.length_hint);
+        let work = work(request.prompt_tokens, length.expected_remaining(0));
+        self.shares.record_demand(now, request, work);
+    }
+
     fn evaluate<'a>(&self, now: Moment, request: &'a PlacementRequest) -> EvaluatedRequest<'a> {
         let objective_left = if self.tuning.recognizes_retries {
             self.retries.objective_left(now, request)
@@ -98,22 +118,33 @@
             request.objective_left
         };
         let throughput = self.throughput(&request.shard.service);
+        let share_excess = self.share_excess(request);
         EvaluatedRequest {
             request,
+            share_excess,
             objective_left,
             throughput,
             prefill_time: throughput.prefill_time(request.prompt_tokens),
-            effective_prompt_tokens: self.effective_prompt_tokens(request),
+            effective_prompt_tokens: self.effective_prompt_tokens(request, standing(share_excess)),
             length: self.estimate_length(&request.route, request.max_tokens, request.length_hint),
         }
     }
 
+    /// By how much the workspace of a request is above its share, from 0 to 1.
+    fn share_excess(&self, request: &PlacementRequest) -> f64 {
+        if self.tuning.fair_shares {
+            self.shares.excess(request)
+        } else {
+            0.0
+        }
+    }
+
     /// Prompt length for which the request must find room: between its own and that of a large
     /// prompt of its route.
-    fn effective_prompt_tokens(&self, request: &PlacementRequest) -> Tokens {
+    fn effective_prompt_tokens(&self, request: &PlacementRequest, standing: Standing) -> Tokens {
         if self.tuning.levels_prompt_sizes {
             self.demand
-                .effective_prompt_tokens(&request.route, request.prompt_tokens)
+                .effective_prompt_tokens(&request.route, standing, request.prompt_tokens)
         } else {
             request.prompt_tokens
         }
@@ -125,7 +156,18 @@
         evaluated: &EvaluatedRequest<'_>,
         time_to_first_event: Duration,
     ) -> bool {
-        let idle = time_to_first_event <= evaluated.prefill_time + self.tuning.idle_slack;
+        // Late and less urgent requests of a workspace above its share would take the engines that its
+        // others could still use in time.
+        let urgent_are_short = self
+            .demand
+            .excess_of_more_urgent(&evaluated.request.route, evaluated.standing())
+            > 0.0;
+        let slack = if evaluated.yields() && (evaluated.is_late() || urgent_are_short) {
+            Duration::ZERO
+        } else {
+            self.tuning.idle_slack
+        };
+        let idle = time_to_first_event <= evaluated.prefill_time + slack;
         let large = time_to_first_event - evaluated.prefill_time
             + evaluated
                 .throughput
@@ -134,11 +176,36 @@
     }
 
     /// The part of the time left until the first event is due that a request may use: the rest is left
-    /// to more urgent requests that are rejected more often.
+    /// to more urgent requests that are rejected more often, and to workspaces within their share.
     fn usable_objective(&self, evaluated: &EvaluatedRequest<'_>) -> Duration {
-        let excess = self.demand.excess_of_more_urgent(&evaluated.request.route);
+        let excess = self
+            .demand
+            .excess_of_more_urgent(&evaluated.request.route, evaluated.standing());
         let left_to_urgent = (excess * self.tuning.deference).min(MAX_DEFERENCE);
-        evaluated.objective_left.mul_f64(1.0 - left_to_urgent)
+        let left_to_others = evaluated.share_excess * MAX_SHARE_DEFERENCE;
+        evaluated
+            .objective_left
+            .mul_f64((1.0 - left_to_urgent) * (1.0 - left_to_others))
+    }
+
+    /// The workspaces that have come above their share or are within it again since the last call.
+    pub fn take_share_changes(&mut self, now: Moment) -> Vec<ShareChange> {
+        if self.tuning.fair_shares {
+            self.shares.take_changes(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    /// What happened to requests of workspaces above their share since the last call.
+    pub fn take_share_decisions(&mut self) -> ShareDecisions {
+        std::mem::take(&mut self.shares.decisions)
+    }
+
+    /// Work of the workspaces in the shards of this owner.
+    #[must_use]
+    pub fn workspace_loads(&self, now: Moment) -> Vec<WorkspaceLoad> {
+        self.shares.loads(now)
     }
 
     /// Applies an entry's update about a generation.
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -6,11 +6,13 @@
 
 use crate::{
     account::Engine,
+    demand::Standing,
     length::LengthEstimate,
     memory::Allocation,
     message::{GenerationId, PlacementAnswer, PlacementRequest},
     owner::Owner,
     shard::Shard,
+    shares::work,
     throughput::Throughput,
     tuning::as_f64,
 };
@@ -19,6 +21,8 @@
 pub(crate) struct EvaluatedRequest<'a> {
     /// The request as the entry sent it.
     pub request: &'a PlacementRequest,
+    /// By how much its workspace is above its fair share, from 0 to 1.
+    pub share_excess: f64,
     /// Time left until the first event is due, counted from the caller's first attempt.
     pub objective_left: Duration,
     /// Speed of the service's engines.
@@ -39,6 +43,24 @@
         self.objective_left < self.prefill_time
     }
 
+    /// Work that its workspace is charged with.
+    pub fn work(&self) -> f64 {
+        work(
+            self.request.prompt_tokens,
+            self.length.expected_remaining(0),
+        )
+    }
+
+    /// Whether its workspace is above its share, so that requests of others go first.
+    pub fn standing(&self) -> Standing {
+        standing(self.share_excess)
+    }
+
+    /// Whether requests of other workspaces go before it.
+    pub fn yields(&self) -> bool {
+        self.standing() == Standing::Above
+    }
+
     /// Memory for which the request must find room.
     pub fn effective_allocation(&self) -> Allocation {
         Allocation {
@@ -57,6 +79,8 @@
     is_late: bool,
     priority: u32,
     route_priority: u32,
+    /// Whether its workspace was above its share.
+    yields: bool,
     /// Time since its arrival, as of `last_request_at`.
     waited: Duration,
     /// Time of the last placement request of the entry.
@@ -64,9 +88,21 @@
 }
 
 /// Position of a waiting request; the lowest goes first. Requests that can still meet their
-/// objective come before late ones, then the order is by priority, by that of the route, and by
-/// waiting time.
-type WaitOrder = (bool, u32, u32, Reverse<Duration>, GenerationId);
+/// objective come before late ones, then the order is by priority, by that of the route, by whether
+/// their workspace is above its share, and by waiting time.
+type WaitOrder = (bool, u32, u32, bool, Reverse<Duration>, GenerationId);
+
+/// Excess of a workspace's demand over its share from which on its requests go behind those of others.
+const YIELDING_EXCESS: f64 = 0.25;
+
+/// Standing of a workspace with such an excess.
+pub(crate) fn standing(share_excess: f64) -> Standing {
+    if share_excess >= YIELDING_EXCESS {
+        Standing::Above
+    } else {
+        Standing::Within
+    }
+}
 
 impl Owner {
     /// Decides on a request that fits on no engine. Memory comes free as generations end, so
@@ -153,10 +189,17 @@
         earliest: Duration,
     ) -> PlacementAnswer {
         self.waiting.remove(&evaluated.request.generation);
-        self.demand.record_outcome(&evaluated.request.route, true);
+        if evaluated.yields() {
+            self.shares.decisions.rejections += 1;
+        }
+        self.demand
+            .record_outcome(&evaluated.request.route, evaluated.standing(), true);
         let earliest = earliest.max(self.tuning.wait_interval);
         if !self.tuning.recognizes_retries {
-            return PlacementAnswer::Rejected { after: earliest };
+            return PlacementAnswer::Rejected {
+                after: earliest,
+                above_share: evaluated.yields(),
+            };
         }
         self.retries.record_rejection(now, evaluated.request);
         let engines = u32::try_from(self.accounts.len())
@@ -166,7 +209,10 @@
         let after = self
             .retries
             .schedule_retry(now, earliest, spacing, evaluated.request);
-        PlacementAnswer::Rejected { after }
+        PlacementAnswer::Rejected {
+            after,
+            above_share: evaluated.yields(),
+        }
     }
 
     fn wait(&mut self, now: Moment, evaluated: &EvaluatedRequest<'_>) -> PlacementAnswer {
@@ -176,11 +222,16 @@
             is_late: evaluated.is_late(),
             priority: request.priority,
             route_priority: request.route_priority,
+            yields: evaluated.yields(),
             waited: request.waited,
             last_request_at: now,
         };
-        self.waiting
+        let known = self
+            .waiting
             .insert(Arc::clone(&request.generation), waiting);
+        if known.is_none() && evaluated.yields() {
+            self.shares.decisions.waits += 1;
+        }
         // Every waiting entry retries periodically; the interval grows with their number, so
         // that the requests do not take all of the owner's time.
         let steps =
@@ -229,6 +280,7 @@
             evaluated.is_late(),
             request.priority,
             request.route_priority,
+            evaluated.yields(),
             Reverse(request.waited),
             Arc::clone(&request.generation),
         );
@@ -238,6 +290,7 @@
                 other.is_late,
                 other.priority,
                 other.route_priority,
+                other.yields,
                 Reverse(waited),
                 Arc::clone(generation),
             );
@@ -285,7 +338,8 @@
 
     /// Shortage of engines on the request's route, from 0 to 1.
     fn shortage(&self, evaluated: &EvaluatedRequest<'_>) -> f64 {
-        self.demand.shortage(&evaluated.request.route)
+        self.demand
+            .shortage(&evaluated.request.route, evaluated.standing())
     }
 
     /// Whether a generation will probably run for longer than a reclaimed engine does after its
--- a/components/placing/src/retry_schedule.rs
+++ b/components/placing/src/retry_schedule.rs
@@ -72,6 +72,12 @@
         request.objective_left.saturating_sub(elapsed)
     }
 
+    /// Whether a request is the retry of a caller that was rejected.
+    pub fn is_retry(&self, now: Moment, request: &PlacementRequest) -> bool {
+        let known = self.rejected.get(&request.digest);
+        known.is_some_and(|rejected| rejected.is_same_caller(now, request))
+    }
+
     /// Records that a request is rejected.
     pub fn record_rejection(&mut self, now: Moment, request: &PlacementRequest) {
         let known = self.rejected.get(&request.digest);
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -99,6 +99,9 @@
     /// Whether waiting requests are served in order of priority and waiting time.
     #[serde(rename = "takes_turns")]
     pub orders_waiting: bool,
+    /// Whether workspaces that ask for more than their fair share leave room to the others while
+    /// requests wait or are rejected.
+    pub fair_shares: bool,
     /// Whether a request is rejected at once if its prompt cannot be processed in time.
     #[serde(rename = "refuses_by_forecast")]
     pub rejects_by_forecast: bool,
@@ -138,6 +141,7 @@
             uses_length_hints: true,
             uses_peak_memory: true,
             orders_waiting: true,
+            fair_shares: true,
             rejects_by_forecast: true,
             migrates_longest_first: true,
         }
--- a/components/placing/tests/overload.rs
+++ b/components/placing/tests/overload.rs
@@ -191,7 +191,7 @@
 
 fn retry_delay(answer: PlacementAnswer) -> Option<Duration> {
     match answer {
-        PlacementAnswer::Rejected { after } => Some(after),
+        PlacementAnswer::Rejected { after, .. } => Some(after),
         PlacementAnswer::Assigned { .. } | PlacementAnswer::Wait { .. } => None,
     }
 }
--- a/components/placing/tests/placement.rs
+++ b/components/placing/tests/placement.rs
@@ -93,7 +93,7 @@
     let answers: Vec<PlacementAnswer> = (0..6)
         .map(|n| owner.place(now, &request(&format!("run-{n}")), &engines))
         .collect();
-    let is_rejected = |answer: &PlacementAnswer| matches!(answer, PlacementAnswer::Rejected { after } if !after.is_zero());
+    let is_rejected = |answer: &PlacementAnswer| matches!(answer, PlacementAnswer::Rejected { after, .. } if !after.is_zero());
     assert!(!is_rejected(&answers[0]));
     assert!(is_rejected(&answers[5]), "{:?}", answers[5]);
 }
--- a/components/placing/tests/support/load.rs
+++ b/components/placing/tests/support/load.rs
@@ -12,7 +12,7 @@
     ActiveGeneration, Engine, GenerationUpdate, Owner, PlacementAnswer, PlacementRequest,
     StateSync, Tuning,
 };
-use types::{Moment, TargetId, Tokens};
+use types::{Moment, TargetId, Tokens, WorkspaceId};
 
 use super::{engine, request};
 
@@ -22,6 +22,10 @@
 const TOKEN_TIME: Duration = Duration::from_millis(9);
 /// Time between two confirmations of the generations that run.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_millis(700);
+/// Time after which an impatient caller repeats a rejected request.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(50);
+/// The workspace that floods.
+pub const FIRST_WORKSPACE: &str = "workspace-0";
 /// Time after which a caller gives up.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(36);
 
@@ -64,6 +68,25 @@
     pub confirms: bool,
 }
 
+/// Callers of several workspaces, which send equally often except for one.
+#[derive(Clone, Copy, Debug)]
+pub struct Workspaces {
+    /// Number of workspaces.
+    pub count: usize,
+    /// How many times as often as usual the first workspace sends while it floods.
+    pub flood_factor: usize,
+    /// Time in which it floods, since the start of the load.
+    pub flood: (Duration, Duration),
+    /// Seed by which callers are drawn from the workspaces, as a shard's are by the hash of their
+    /// requests; otherwise they belong to them in turn.
+    pub seed: Option<u64>,
+    /// How often callers of the first workspace repeat a rejected request, without waiting as long as
+    /// they are told.
+    pub repeats: u32,
+    /// When another instance becomes the owner, which knows only what entries confirm to it.
+    pub new_owner_at: Option<Duration>,
+}
+
 /// Outcome for one caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -80,6 +103,10 @@
 pub struct Caller {
     /// Arrival of the first request.
     pub arrived_at: Moment,
+    /// Its workspace, if there are any.
+    pub workspace: Option<WorkspaceId>,
+    /// Time from its arrival to the first event.
+    pub first_event_after: Option<Duration>,
     /// The kind of its request; none if it is of the first kind.
     pub kind: Option<Kind>,
     /// Tokens of the prompt.
@@ -92,6 +119,8 @@
     pub longest_wait: Duration,
     /// Time of the retry, if the first request was rejected.
     pub retry_at: Option<Moment>,
+    /// Number of further retries that the caller sends at once.
+    pub repeats_left: u32,
 }
 
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -104,15 +133,20 @@
     End,
     /// The entry confirms all generations that run.
     Confirm,
+    /// Another instance becomes the owner.
+    ChangeOwner,
 }
 
 /// Simulates a load; returns all callers with their outcomes.
 pub fn simulate(load: &Workload, tuning: Tuning) -> Vec<Caller> {
+    Simulation::new(load, tuning).run()
+}
+
+/// Simulates a load of several workspaces.
+pub fn simulate_workspaces(load: &Workload, shared: Workspaces, tuning: Tuning) -> Vec<Caller> {
     let mut simulation = Simulation::new(load, tuning);
-    while let Some(Reverse((now, number, step))) = simulation.steps.pop() {
-        simulation.step(now, number, step);
-    }
-    simulation.callers
+    simulation.assign_workspaces(load, shared);
+    simulation.run()
 }
 
 /// Number of callers with an outcome.
@@ -125,6 +159,7 @@
 
 struct Simulation {
     owner: Owner,
+    tuning: Tuning,
     engines: Vec<Engine>,
     prefill_tokens_per_ms: f64,
     /// Time until which each engine processes prompts.
@@ -150,12 +185,15 @@
             let number = u32::try_from(n).unwrap_or_default();
             Caller {
                 arrived_at: start + load.interval.saturating_mul(number),
+                workspace: None,
+                first_event_after: None,
                 kind,
                 prompt_tokens: spread_evenly(n, 0.618, prompt_range),
                 answer_tokens: spread_evenly(n, 0.414, answer_range),
                 outcome: None,
                 longest_wait: Duration::ZERO,
                 retry_at: None,
+                repeats_left: 0,
             }
         };
         let callers: Vec<Caller> = (0..count).map(caller).collect();
@@ -173,6 +211,7 @@
         });
         Self {
             owner: Owner::new(tuning),
+            tuning,
             engines: engines.collect(),
             prefill_tokens_per_ms: load.prefill_tokens_per_ms,
             prefill_until: BTreeMap::new(),
@@ -185,8 +224,54 @@
         }
     }
 
+    fn run(mut self) -> Vec<Caller> {
+        while let Some(Reverse((now, number, step))) = self.steps.pop() {
+            self.step(now, number, step);
+        }
+        self.callers
+    }
+
+    /// Distributes the callers over workspaces, and adds those of the flood.
+    fn assign_workspaces(&mut self, load: &Workload, shared: Workspaces) {
+        let Some(start) = self.callers.first().map(|caller| caller.arrived_at) else {
+            return;
+        };
+        let (from, until) = shared.flood;
+        let round = load.interval * u32::try_from(shared.count).unwrap_or_default();
+        let more = u32::try_from(shared.flood_factor).unwrap_or_default();
+        for number in 0..self.callers.len() {
+            let workspace = shared.seed.map_or(number, |seed| drawn(number, seed)) % shared.count;
+            self.callers[number].workspace = Some(format!("workspace-{workspace}").into());
+            let caller = self.callers[number].clone();
+            let since_start = caller.arrived_at.saturating_sub(start);
+            if workspace != 0 || since_start < from || since_start >= until {
+                continue;
+            }
+            for extra in 1..more {
+                let added = self.callers.len();
+                let arrived_at = caller.arrived_at + round * extra / more;
+                self.callers.push(Caller {
+                    arrived_at,
+                    // Its requests are those of the callers in turn, of all kinds and sizes.
+                    ..self.callers[(added * 7) % number.max(1)].clone()
+                });
+                self.callers[added].workspace = caller.workspace.clone();
+                self.push(arrived_at, added, Step::Place { arrived_at });
+            }
+        }
+        for caller in &mut self.callers {
+            if caller.workspace.as_deref() == Some(FIRST_WORKSPACE) {
+                caller.repeats_left = shared.repeats;
+            }
+        }
+        if let Some(after) = shared.new_owner_at {
+            self.push(start + after, usize::MAX, Step::ChangeOwner);
+        }
+    }
+
     fn step(&mut self, now: Moment, number: usize, step: Step) {
         match step {
+            Step::ChangeOwner => self.owner = Owner::new(self.tuning),
             Step::Place { arrived_at } => self.place(now, number, arrived_at),
             Step::Start => self.start(now, number),
             Step::Confirm => self.confirm(now),
@@ -222,7 +307,7 @@
             PlacementAnswer::Wait { after } => {
                 self.push(now + after, number, Step::Place { arrived_at })
             }
-            PlacementAnswer::Rejected { after } => self.reject(now, number, waited, after),
+            PlacementAnswer::Rejected { after, .. } => self.reject(now, number, waited, after),
         }
     }
 
@@ -274,7 +359,9 @@
             *started_at = Some(now);
         }
         let caller = &mut self.callers[number];
-        let in_time = now.saturating_sub(caller.arrived_at) <= objective(caller);
+        let after = now.saturating_sub(caller.arrived_at);
+        caller.first_event_after = Some(after);
+        let in_time = after <= objective(caller);
         caller.outcome = Some(if in_time {
             Outcome::InTime
         } else {
@@ -295,11 +382,13 @@
     fn reject(&mut self, now: Moment, number: usize, waited: Duration, after: Duration) {
         let caller = &mut self.callers[number];
         caller.longest_wait = caller.longest_wait.max(waited);
-        if caller.retry_at.is_some() {
+        if caller.retry_at.is_some() && caller.repeats_left == 0 {
             caller.outcome = Some(Outcome::Rejected);
             return;
         }
-        let retry_at = now + after;
+        let repeats = caller.repeats_left > 0;
+        caller.repeats_left = caller.repeats_left.saturating_sub(1);
+        let retry_at = now + if repeats { REPEAT_INTERVAL } else { after };
         caller.retry_at = Some(retry_at);
         self.push(
             retry_at,
@@ -339,10 +428,20 @@
         digest: u64::try_from(number).unwrap_or_default(),
         prompt_tokens: caller.prompt_tokens,
         length_hint: None,
+        workspace: caller.workspace.clone(),
         ..request(&generation(number, caller))
     }
 }
 
+/// A number that is spread like a hash and the same in every run.
+fn drawn(number: usize, seed: u64) -> usize {
+    let number = u64::try_from(number).unwrap_or_default();
+    let mut hash = (number + seed * 1_000_003).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash ^= hash >> 29;
+    hash = hash.wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    usize::try_from(hash >> 40).unwrap_or_default()
+}
+
 /// Whether a caller belongs to a share of all, spread evenly and the same in every run.
 fn is_in_share(number: usize, share: f64) -> bool {
     let number = f64::from(u32::try_from(number).unwrap_or_default());
