Placing: a new owner learns the prompts that engines have not begun

Callers saw: after a change of the owner under overload nearly all first events were late for good.

Cause: an entry's sync told a new owner which generations run, but not that their prompts are part of the engine's backlog. The owner filled the same time again, and the difference stayed while the load lasted.

Change: a generation that is new to the owner and has not started adds its prompt to the backlog. The next first event trims it, as before. This concerns deployments without workspaces too.

--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -55,7 +55,13 @@
         account.generations.insert(Arc::clone(&reported.generation));
         self.record_decode(now, reported);
         let throughput = self.throughput(&reported.service);
-        let first_event_due = now + throughput.prefill_time(reported.prompt_tokens);
+        let prefill_time = throughput.prefill_time(reported.prompt_tokens);
+        if !reported.started && !self.generations.contains_key(&reported.generation) {
+            // Another owner assigned it: its prompt is part of the engine's backlog.
+            let account = self.account(&reported.target);
+            account.prefill_until = account.prefill_until.max(now) + prefill_time;
+        }
+        let first_event_due = now + prefill_time;
         let length =
             self.estimate_length(&reported.route, reported.max_tokens, reported.length_hint);
         let generation = self
