--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -885,4 +885,32 @@
         950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
         "Nothing. 949 or 925 tells the outcome.",
     ),
+    /// A workspace asks for more than its fair share of engines that have too little room for all.
+    WorkspaceAboveShare {
+        /// The service.
+        service: ServiceId,
+        /// Index of the shard of its engines that this instance owns.
+        shard: u32,
+        /// The workspace.
+        workspace: WorkspaceId,
+        /// What it was served of what it asked for, in percent.
+        served_percent: u32,
+        /// Number of other workspaces that ask for the same engines.
+        others: usize,
+    } = (
+        955, Warn, "{service}: workspace {workspace} asks shard {shard} for more than its share and gets {served_percent}% of it, beside {others} other workspaces",
+        "If it is meant to send so much, add engines. Its requests wait and are refused first until 956.",
+    ),
+    /// A workspace is within its fair share again.
+    WorkspaceWithinShare {
+        /// The service.
+        service: ServiceId,
+        /// Index of the shard of its engines that this instance owns.
+        shard: u32,
+        /// The workspace.
+        workspace: WorkspaceId,
+    } = (
+        956, Info, "{service}: workspace {workspace} is within its share of shard {shard} again",
+        "Nothing.",
+    ),
 }
--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -28,6 +28,8 @@
     prompt_parts: Vec<PartState>,
     /// The engines that this instance keeps an account of as their owner.
     account: Vec<placing::EngineLoad>,
+    /// Work that workspaces ask for and get, as this instance accounts for it as an owner.
+    shares: Vec<placing::WorkspaceLoad>,
 }
 
 #[derive(Debug, Serialize)]
@@ -115,6 +117,7 @@
             generations: self.generations.snapshots(),
             prompt_parts: verdicts.into_iter().map(PartState::from).collect(),
             account: self.placement.owner.lock().loads(now),
+            shares: self.placement.owner.lock().workspace_loads(now),
         }
     }
 }
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -3,7 +3,8 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
-use placing::{Shard, StateSync};
+use events::{Event, emit};
+use placing::{Shard, ShareChange, StateSync};
 use timer::{Timer, boot_time};
 use types::InstanceId;
 
@@ -259,9 +260,34 @@
             .retain(|id| targets.contains_key(id));
         let mut owner = front.placement.owner.lock();
         owner.retain_engines(|id| targets.contains_key(id));
+        let decisions = owner.take_share_decisions();
+        let changes = owner.take_share_changes(boot_time());
+        drop(owner);
+        front.metrics.count_share_decisions(decisions);
+        changes.into_iter().for_each(log_share_change);
     }
 }
 
+fn log_share_change(change: ShareChange) {
+    let service = change.shard.service;
+    let workspace = change.workspace;
+    emit(&if change.is_above {
+        Event::WorkspaceAboveShare {
+            service,
+            shard: change.shard.index,
+            workspace,
+            served_percent: change.served_percent,
+            others: change.others,
+        }
+    } else {
+        Event::WorkspaceWithinShare {
+            service,
+            shard: change.shard.index,
+            workspace,
+        }
+    });
+}
+
 /// The shards to sync: those in which this instance has generations, and at least one of each
 /// service, since the owner also returns other instances.
 fn shards_to_sync(front: &Front) -> BTreeSet<Shard> {
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -1,5 +1,6 @@
 //! The metrics of an instance.
 
+use placing::ShareDecisions;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -63,6 +64,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of requests of workspaces above their fair share.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ShareLabels {
+    /// `waits` or `rejected`.
+    pub decision: &'static str,
+}
+
 /// The metrics of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -95,6 +103,8 @@
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
     pub migrations: Family<MigrationLabels, Counter>,
+    /// Requests of workspaces above their fair share, by what this instance decided as owner.
+    pub above_share: Family<ShareLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -132,6 +142,7 @@
             others_requests: Counter::default(),
             rollout_answers: Family::default(),
             migrations: Family::default(),
+            above_share: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -208,6 +219,11 @@
             "Generations carried over",
             all.migrations.clone(),
         );
+        registry.register(
+            "above_share",
+            "Requests of workspaces above their fair share by decision",
+            all.above_share.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
@@ -245,6 +261,20 @@
             .inc();
     }
 
+    /// Counts decisions on requests of workspaces above their fair share.
+    pub fn count_share_decisions(&self, decisions: ShareDecisions) {
+        for (decision, count) in [
+            ("waits", decisions.waits),
+            ("rejected", decisions.rejections),
+        ] {
+            if count > 0 {
+                self.above_share
+                    .get_or_create(&ShareLabels { decision })
+                    .inc_by(count);
+            }
+        }
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn to_text(&self) -> String {
