Fair shares: protect usual workspaces also where even they ask for more than equal parts

Callers saw, in a test with one engine: where even two usual workspaces asked for more than equal parts, nobody was within the level, so that the flooding workspace left nothing.

Change: an excess is measured against the usual demand, the median or the mean of those within their share if that is less, and what usual workspaces could use is their share, not only demand that is met whole.

Tests for what operators are told and for the bound on workspaces.

--- a/components/placing/src/shares.rs
+++ b/components/placing/src/shares.rs
@@ -39,13 +39,13 @@
 const MIN_DEMAND: f64 = 1.0;
 /// Part of the demand that may be unmet before there is a level: sums lag behind each other.
 const SLACK: f64 = 0.03;
-/// Part of the served work that goes to workspaces within their share from which on others leave them
-/// the whole of `MAX_EXCESS`.
+/// Part of the served work that is the share of usual workspaces from which on others leave them all
+/// that their excess says.
 const FULL_CLAIM: f64 = 0.1;
 /// Ratio of a workspace's demand to its share, less one, at which it is fully above it.
 const FULL_EXCESS_AT: f64 = 0.5;
-/// Ratio of a workspace's demand to the mean of those within their share up to which it leaves nothing
-/// to them: sums of a few requests differ as much by chance.
+/// Ratio of a workspace's demand to a usual one up to which it leaves nothing to others: sums of a few
+/// requests differ as much by chance.
 const INDISTINCT_RATIO: f64 = 2.0;
 /// The ratio from which on it leaves them all that its excess says.
 const DISTINCT_RATIO: f64 = 3.0;
@@ -103,10 +103,29 @@
 struct Level {
     /// Work that each workspace may get. Those that ask for less are within their share.
     share: f64,
-    /// Part of the served work that those within their share ask for, from 0 to 1.
+    /// Demand of a usual workspace.
+    usual: f64,
+    /// Part of the served work that is the share of those with about the usual demand, from 0 to 1.
     claimed: f64,
-    /// Mean demand of those within their share.
-    mean_within: f64,
+}
+
+/// The level up to which all of the demands, in ascending order, can be met with what is served.
+fn max_min_share(demands: &[f64], served: f64) -> Option<f64> {
+    let mut left = served;
+    let mut sharing = as_f64(u64::try_from(demands.len()).unwrap_or(u64::MAX));
+    for demand in demands {
+        if demand * sharing > left {
+            return Some(left / sharing);
+        }
+        left -= demand;
+        sharing -= 1.0;
+    }
+    None
+}
+
+fn mean<'a>(values: impl Iterator<Item = &'a f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), it| (sum + it, count + 1.0));
+    (count > 0.0).then(|| sum / count)
 }
 
 impl Pool {
@@ -151,28 +170,23 @@
             return None;
         }
         demands.sort_unstable_by(f64::total_cmp);
-        let mut left = served;
-        let mut within = 0.0;
-        let mut sharing = as_f64(u64::try_from(demands.len()).unwrap_or(u64::MAX));
-        let mut met = 0.0;
-        for demand in demands {
-            if demand * sharing > left {
-                return Some(Level {
-                    share: left / sharing,
-                    claimed: within / served.max(MIN_DEMAND),
-                    mean_within: within / f64::max(met, 1.0),
-                });
-            }
-            left -= demand;
-            within += demand;
-            sharing -= 1.0;
-            met += 1.0;
-        }
-        None
+        let share = max_min_share(&demands, served)?;
+        let median = demands[(demands.len() - 1) / 2];
+        let within = demands.iter().filter(|demand| **demand <= share);
+        let usual = mean(within).map_or(median, |mean| mean.min(median));
+        let modest = demands
+            .iter()
+            .filter(|demand| **demand <= usual * INDISTINCT_RATIO);
+        let claimed: f64 = modest.map(|demand| demand.min(share)).sum();
+        Some(Level {
+            share,
+            usual,
+            claimed: claimed / served.max(MIN_DEMAND),
+        })
     }
 
-    /// By how much a workspace asks for more than its share, from 0 to 1. It is 0 if no other
-    /// workspace is within its share, because nobody would use what it leaves.
+    /// By how much a workspace asks for more than its share and than others, from 0 to 1. It is 0 if all
+    /// ask for about as much, because they have nothing to leave to each other.
     fn excess(&self, workspace: &str) -> f64 {
         let Some(usage) = self.usages.get(workspace) else {
             return 0.0;
@@ -180,7 +194,7 @@
         self.level().map_or(0.0, |level| {
             let claim = (level.claimed / FULL_CLAIM).min(1.0);
             let above = usage.demand / level.share.max(MIN_DEMAND) - 1.0;
-            let ratio = usage.demand / level.mean_within.max(MIN_DEMAND);
+            let ratio = usage.demand / level.usual.max(MIN_DEMAND);
             let distinct = (ratio - INDISTINCT_RATIO) / (DISTINCT_RATIO - INDISTINCT_RATIO);
             claim * (above / FULL_EXCESS_AT).clamp(0.0, 1.0) * distinct.clamp(0.0, 1.0)
         })
--- a/components/placing/tests/fair_shares.rs
+++ b/components/placing/tests/fair_shares.rs
@@ -8,10 +8,13 @@
 
 use std::time::Duration;
 
-use placing::Tuning;
-use support::load::{
-    Caller, FIRST_WORKSPACE, Kind, Outcome, Workload, Workspaces, simulate_workspaces,
+use placing::{GenerationUpdate, Owner, PlacementAnswer, PlacementRequest, Tuning};
+use support::{
+    engine,
+    load::{Caller, FIRST_WORKSPACE, Kind, Outcome, Workload, Workspaces, simulate_workspaces},
+    owner, request,
 };
+use types::Moment;
 
 const MS: Duration = Duration::from_millis(1);
 const S: Duration = Duration::from_secs(1);
@@ -149,6 +152,18 @@
     }
 }
 
+/// There was hardly room for all before: even the other workspaces ask for more than equal parts.
+#[test]
+fn a_flood_takes_nothing_from_others_that_have_hardly_room_themselves() {
+    let load = Workload {
+        interval: 40 * MS,
+        ..short_answers()
+    };
+    let before = in_time(&others(arrivals(&load, flood(1), FLOOD)));
+    let beside = in_time(&others(arrivals(&load, flood(8), FLOOD)));
+    assert!(beside >= before * KEPT, "{before} before, {beside} beside");
+}
+
 /// Guards against engines that stand idle for workspaces that don't use them.
 #[test]
 fn a_flooding_workspace_gets_all_that_the_others_leave() {
@@ -334,3 +349,85 @@
         "{before} before, {flooded} beside"
     );
 }
+
+/// Sends ten requests in a second, eight of them from one workspace and one each from two others, to
+/// one engine, which processes two prompts in a second. Returns the last answer to each workspace.
+fn send_for_a_second(owner: &mut Owner, start: Moment) -> [Option<PlacementAnswer>; 3] {
+    let engines = [engine("e-1", "dc-1")];
+    let mut last = [None, None, None];
+    for number in 0..10_u32 {
+        let now = start + 100 * MS * number;
+        let workspace = match number {
+            4 => 1,
+            9 => 2,
+            _ => 0,
+        };
+        let placed = PlacementRequest {
+            workspace: Some(format!("workspace-{workspace}").into()),
+            ..request(&format!("{start:?}-{number}"))
+        };
+        let answer = owner.place(now, &placed, &engines);
+        // The answer is short, but the engine processes its prompt all the same.
+        let ended = GenerationUpdate::Ended {
+            generation: placed.generation,
+            target_failed: false,
+            tokens_generated: None,
+        };
+        owner.apply_update(now, &ended);
+        last[workspace] = Some(answer);
+    }
+    last
+}
+
+/// Guards against a log that says nothing, or the same again and again, of a workspace that makes
+/// others wait.
+#[test]
+fn an_operator_is_told_once_which_workspace_is_above_its_share() {
+    let (mut owner, start) = owner();
+    let mut last = [None, None, None];
+    for second in 0..8 {
+        last = send_for_a_second(&mut owner, start + S * second);
+    }
+    let now = start + 8 * S;
+    let above = owner.take_share_changes(now);
+    let [change] = above.as_slice() else {
+        panic!("{above:?}");
+    };
+    assert_eq!(change.workspace.as_ref(), FIRST_WORKSPACE);
+    assert!(change.is_above && change.others == 2, "{change:?}");
+    assert!(owner.take_share_decisions().rejections > 0);
+    assert!(owner.take_share_changes(now).is_empty());
+    let told = |answer: &Option<PlacementAnswer>| {
+        matches!(
+            answer,
+            Some(PlacementAnswer::Rejected {
+                above_share: true,
+                ..
+            })
+        )
+    };
+    assert!(told(&last[0]), "{last:?}");
+    assert!(!told(&last[1]) && !told(&last[2]), "{last:?}");
+    let after = owner.take_share_changes(now + 60 * S);
+    assert!(
+        after.iter().all(|it| !it.is_above) && after.len() == 1,
+        "{after:?}"
+    );
+}
+
+/// Guards against state that grows with the number of workspaces.
+#[test]
+fn an_owner_knows_a_bounded_number_of_workspaces_and_forgets_them() {
+    let (mut owner, now) = owner();
+    let engines = [engine("e-1", "dc-1")];
+    for number in 0..2_000 {
+        let placed = PlacementRequest {
+            workspace: Some(format!("workspace-{number}").into()),
+            ..request(&format!("run-{number}"))
+        };
+        owner.place(now, &placed, &engines);
+    }
+    assert_eq!(owner.workspace_loads(now).len(), 256);
+    owner.take_share_changes(now + 120 * S);
+    assert!(owner.workspace_loads(now + 120 * S).is_empty());
+}
