Each engine's own speed: placing judges an engine by what was measured of it

Callers saw: on a service whose engines differ by a factor of two and more, first events of slow engines came late while fast ones were idle. Cause: one throughput for a service stood for every engine in backlogs, projected memory, completions and migrations.

Change: `placing::speed` measures each engine from the samples that the service's estimate gets. The mean is that of the engines, not of the busiest. A reported work time delays the forecast of the next first event for some hundred milliseconds, and samples under it say little. First events of frozen entries and of adopted generations say nothing. Engines that would miss the objective come last, and a request waits for a faster one if only such have room. An engine whose first event is overdue by more than `idle_slack_ms` has all its prompts without a first event still before it; that also holds where engines are equal. Switch: `learns_engine_speeds`.

Existing tests are unchanged; `tests/support/load.rs` can give engines speeds (1 unless asked for).

--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -57,6 +57,8 @@
     pub confirmed_at: Moment,
     /// Destination of a migration in progress.
     pub copying_to: Option<TargetId>,
+    /// Whether a sync told of the generation, so that the time of its assignment is not known.
+    pub is_adopted: bool,
 }
 
 impl Generation {
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -16,6 +16,7 @@
 mod queue;
 mod retry_schedule;
 pub mod shard;
+pub mod speed;
 mod sync;
 pub mod throughput;
 pub mod tuning;
@@ -29,5 +30,6 @@
 pub use owner::Owner;
 pub use ownership::{OwnerCandidate, rank_owners};
 pub use shard::{Shard, ShardCounts};
+pub use speed::{RelativeSpeed, SpeedChange};
 pub use throughput::Throughput;
 pub use tuning::Tuning;
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -7,7 +7,7 @@
     DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens, VersionChoice, WorkspaceId,
 };
 
-use crate::shard::Shard;
+use crate::{shard::Shard, speed::RelativeSpeed};
 
 /// Id of a generation; the same as the id of its request.
 pub type GenerationId = Arc<str>;
@@ -173,6 +173,9 @@
     /// Number of generations on the engine.
     #[serde(rename = "runs")]
     pub generations: u32,
+    /// Speeds in percent of those of the service, if they were measured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<RelativeSpeed>,
 }
 
 /// Order from an owner to an entry to migrate a generation to another engine.
--- a/components/placing/src/migration.rs
+++ b/components/placing/src/migration.rs
@@ -21,6 +21,8 @@
 /// Share of the destination's prefill backlog that delays a migrated generation: every step of the
 /// batch waits for a chunk of a prompt.
 const PREFILL_DELAY_SHARE: f64 = 0.3;
+/// Share of the additional time that a slow destination needs for the rest of a generation.
+const DECODE_DELAY_SHARE: f64 = 0.05;
 /// Penalty for each generation on the destination: steps take longer with a larger batch, and more
 /// streams break if that engine fails.
 const DELAY_PER_GENERATION: Duration = Duration::from_millis(12);
@@ -120,7 +122,8 @@
             })
             .collect();
         if self.tuning.migrates_longest_first {
-            let throughput = |generation: &Generation| self.throughput(&generation.service);
+            let throughput =
+                |generation: &Generation| self.engine_throughput(now, &generation.service, from);
             generations.sort_by_key(|(_, generation)| {
                 Reverse(generation.time_left(now, throughput(generation)))
             });
@@ -141,7 +144,10 @@
         engines: &[Engine],
         is_excluded_destination: &dyn Fn(&TargetId) -> bool,
     ) -> Option<TargetId> {
-        let allocation = generation.allocation(now, self.throughput(&generation.service));
+        let service = &generation.service;
+        let current = self.engine_throughput(now, service, &generation.target);
+        let allocation = generation.allocation(now, current);
+        let mean = self.throughput(service);
         let tokens_held = allocation.prompt_tokens + allocation.tokens_generated;
         let mut best = None;
         for engine in engines {
@@ -156,6 +162,11 @@
             if *data_centre != engine.data_centre {
                 copy_time = copy_time.saturating_mul(REMOTE_COPY_FACTOR);
             }
+            let throughput = self.engine_throughput(now, service, &engine.id);
+            let decode_delay = generation
+                .time_left(now, throughput)
+                .saturating_sub(generation.time_left(now, mean))
+                .mul_f64(DECODE_DELAY_SHARE);
             let account = self.account(&engine.id);
             let incoming = u32::try_from(account.incoming_copies.len()).unwrap_or(u32::MAX);
             let copy_queue = copy_time.saturating_mul(incoming);
@@ -165,7 +176,7 @@
                 .mul_f64(PREFILL_DELAY_SHARE);
             let batch_delay = DELAY_PER_GENERATION
                 .saturating_mul(u32::try_from(account.generations.len()).unwrap_or(0));
-            let cost = copy_time + copy_queue + prefill_delay + batch_delay;
+            let cost = copy_time + copy_queue + prefill_delay + batch_delay + decode_delay;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Arc::clone(&engine.id)));
             }
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -19,7 +19,8 @@
     },
     queue::{EvaluatedRequest, WaitingRequest},
     retry_schedule::RetrySchedule,
-    throughput::{Throughput, ThroughputEstimator},
+    speed::{SampleOrigin, SpeedChange, Speeds},
+    throughput::Throughput,
     tuning::{Tuning, as_f64},
 };
 
@@ -29,6 +30,21 @@
 /// Greatest part of its objective that a request leaves to more urgent ones.
 const MAX_DEFERENCE: f64 = 0.8;
 
+/// Time for which an entry may be silent about a generation whose first event it then reports. An
+/// entry that was frozen reports first events long after they arrived.
+const MAX_ENTRY_SILENCE: Duration = Duration::from_secs(2);
+
+/// An engine that has room for a request.
+struct Candidate<'a> {
+    engine: &'a Engine,
+    /// Time until the engine sends the first event.
+    time_to_first_event: Duration,
+    /// The part of it that the prompt itself takes.
+    prefill_time: Duration,
+    /// Time for the prompt for which the request must find room.
+    effective_prefill_time: Duration,
+}
+
 /// State of all generations that this instance has assigned to engines or learned of.
 ///
 /// The state is soft: a new owner rebuilds it from the entries' syncs, and errors in it cost
@@ -39,8 +55,8 @@
     pub(crate) accounts: BTreeMap<TargetId, EngineAccount>,
     pub(crate) generations: HashMap<GenerationId, Generation>,
     pub(crate) lengths: LengthEstimator,
-    /// Measured speed of each service's engines.
-    pub(crate) throughputs: HashMap<ServiceId, ThroughputEstimator>,
+    /// Measured speeds of services and of their engines.
+    pub(crate) speeds: Speeds,
     /// Demand by route.
     pub(crate) demand: Demand,
     /// Rejected callers that are expected to retry.
@@ -73,36 +89,52 @@
         if !self.waiting.contains_key(&request.generation) {
             self.demand.record_request(request);
         }
-        let evaluated = self.evaluate(now, request);
-        let Some((time_to_first_event, target)) = self.best_engine(now, &evaluated, engines) else {
+        let evaluated = self.evaluate(now, request, engines);
+        let Some(best) = self.best_engine(now, &evaluated, engines) else {
             return self.wait_for_memory(now, &evaluated, engines);
         };
-        if self.tuning.rejects_by_forecast
-            && !self.can_meet_objective(&evaluated, time_to_first_event)
-        {
-            return self.wait_for_prefill(now, &evaluated, time_to_first_event);
+        if self.tuning.rejects_by_forecast && !self.can_meet_objective(&evaluated, &best) {
+            if self.faster_engine_may_free(now, &evaluated, engines) {
+                return self.wait_for_memory(now, &evaluated, engines);
+            }
+            return self.wait_for_prefill(now, &evaluated, best.time_to_first_event);
         }
         if self.waiting_ahead(now, &evaluated) >= self.available_engines(now, &evaluated, engines) {
             return self.wait_for_memory(now, &evaluated, engines);
         }
         self.waiting.remove(&request.generation);
         self.demand.record_outcome(&request.route, false);
-        self.assign(now, &evaluated, &target);
-        PlacementAnswer::Assigned { target }
+        self.assign(now, &evaluated, &best);
+        PlacementAnswer::Assigned {
+            target: Arc::clone(&best.engine.id),
+        }
     }
 
-    fn evaluate<'a>(&self, now: Moment, request: &'a PlacementRequest) -> EvaluatedRequest<'a> {
+    fn evaluate<'a>(
+        &self,
+        now: Moment,
+        request: &'a PlacementRequest,
+        engines: &[Engine],
+    ) -> EvaluatedRequest<'a> {
         let objective_left = if self.tuning.recognizes_retries {
             self.retries.objective_left(now, request)
         } else {
             request.objective_left
         };
-        let throughput = self.throughput(&request.shard.service);
+        let service = &request.shard.service;
+        let throughput = self.throughput(service);
+        let prefill_time = throughput.prefill_time(request.prompt_tokens);
+        let usable = engines.iter().filter(|e| !request.avoid.contains(&e.id));
+        let shortest = usable
+            .map(|e| self.engine_throughput(now, service, &e.id))
+            .map(|throughput| throughput.prefill_time(request.prompt_tokens))
+            .min();
         EvaluatedRequest {
             request,
             objective_left,
             throughput,
-            prefill_time: throughput.prefill_time(request.prompt_tokens),
+            prefill_time,
+            shortest_prefill: shortest.unwrap_or(prefill_time),
             effective_prompt_tokens: self.effective_prompt_tokens(request),
             length: self.estimate_length(&request.route, request.max_tokens, request.length_hint),
         }
@@ -123,13 +155,11 @@
     fn can_meet_objective(
         &self,
         evaluated: &EvaluatedRequest<'_>,
-        time_to_first_event: Duration,
+        candidate: &Candidate<'_>,
     ) -> bool {
-        let idle = time_to_first_event <= evaluated.prefill_time + self.tuning.idle_slack;
-        let large = time_to_first_event - evaluated.prefill_time
-            + evaluated
-                .throughput
-                .prefill_time(evaluated.effective_prompt_tokens);
+        let time_to_first_event = candidate.time_to_first_event;
+        let idle = time_to_first_event <= candidate.prefill_time + self.tuning.idle_slack;
+        let large = time_to_first_event - candidate.prefill_time + candidate.effective_prefill_time;
         idle || (!evaluated.is_late() && large <= self.usable_objective(evaluated))
     }
 
@@ -144,7 +174,10 @@
     /// Applies an entry's update about a generation.
     pub fn apply_update(&mut self, now: Moment, update: &GenerationUpdate) {
         match update {
-            GenerationUpdate::Started { generation, .. } => self.mark_started(now, generation),
+            GenerationUpdate::Started {
+                generation,
+                work_time_percent,
+            } => self.mark_started(now, generation, *work_time_percent),
             GenerationUpdate::Ended {
                 generation,
                 target_failed,
@@ -172,6 +205,7 @@
             target: Arc::clone(target),
             prefill_backlog: account.prefill_until.saturating_sub(now),
             generations: u32::try_from(account.generations.len()).unwrap_or(u32::MAX),
+            speed: self.speeds.relative(now, target),
         };
         self.accounts.iter().map(load).collect()
     }
@@ -193,10 +227,13 @@
         self.accounts.retain(|id, account| {
             !account.generations.is_empty() || !account.incoming_copies.is_empty() || listed(id)
         });
+        self.speeds
+            .retain(|id| listed(id) || self.accounts.contains_key(id));
     }
 
     /// Drops an engine that is gone or has restarted, with its generations.
     pub fn remove_engine(&mut self, target: &TargetId) {
+        self.speeds.remove(target);
         let Some(account) = self.accounts.remove(target) else {
             return;
         };
@@ -205,45 +242,99 @@
         }
     }
 
-    fn best_engine(
+    fn best_engine<'a>(
         &mut self,
         now: Moment,
         evaluated: &EvaluatedRequest<'_>,
-        engines: &[Engine],
-    ) -> Option<(Duration, TargetId)> {
+        engines: &'a [Engine],
+    ) -> Option<Candidate<'a>> {
         let request = evaluated.request;
-        let mut best: Option<(Duration, Duration, &Engine)> = None;
+        let is_uneven = self.has_uneven_engines(now, evaluated, engines);
+        let mut best: Option<((bool, Duration), Candidate<'a>)> = None;
         for engine in engines {
             if request.avoid.contains(&engine.id) || !self.can_admit(now, engine, evaluated) {
                 continue;
             }
-            let time_to_first_event = self.time_to_first_event(now, engine, evaluated);
+            let candidate = self.candidate(now, engine, evaluated);
             let delay = self.first_event_delay(now, &engine.id, &request.entry);
-            let cost = time_to_first_event + delay + self.placement_penalty(now, request, engine);
-            if best.is_none_or(|(least, ..)| cost < least) {
-                best = Some((cost, time_to_first_event, engine));
+            let cost = candidate.time_to_first_event
+                + delay
+                + self.placement_penalty(now, request, engine);
+            // An engine that is too slow for the request must not cost it a faster one.
+            let is_too_slow = is_uneven && !self.can_meet_objective(evaluated, &candidate);
+            let rank = (is_too_slow, cost);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, candidate));
             }
         }
-        best.map(|(_, time_to_first_event, engine)| (time_to_first_event, Arc::clone(&engine.id)))
+        best.map(|(_, candidate)| candidate)
     }
 
-    /// Time until the first event of a request that is sent to an engine now.
-    fn time_to_first_event(
+    /// Whether an engine could meet the objective if it had room, while those with room are too slow.
+    fn faster_engine_may_free(
         &mut self,
         now: Moment,
+        evaluated: &EvaluatedRequest<'_>,
+        engines: &[Engine],
+    ) -> bool {
+        let avoid = &evaluated.request.avoid;
+        !evaluated.is_late()
+            && self.has_uneven_engines(now, evaluated, engines)
+            && engines.iter().any(|engine| {
+                !avoid.contains(&engine.id) && self.would_meet_objective(now, evaluated, engine)
+            })
+    }
+
+    /// Whether a request that is sent to an engine now would meet its objective.
+    pub(crate) fn would_meet_objective(
+        &mut self,
+        now: Moment,
+        evaluated: &EvaluatedRequest<'_>,
         engine: &Engine,
+    ) -> bool {
+        let candidate = self.candidate(now, engine, evaluated);
+        self.can_meet_objective(evaluated, &candidate)
+    }
+
+    /// Whether the speeds of the engines differ by more than the error of their measurement.
+    pub(crate) fn has_uneven_engines(
+        &self,
+        now: Moment,
         evaluated: &EvaluatedRequest<'_>,
-    ) -> Duration {
+        engines: &[Engine],
+    ) -> bool {
+        let service = &evaluated.request.shard.service;
+        engines
+            .iter()
+            .any(|e| self.engine_throughput(now, service, &e.id) != evaluated.throughput)
+    }
+
+    /// Forecasts the first event of a request that is sent to an engine now.
+    fn candidate<'a>(
+        &mut self,
+        now: Moment,
+        engine: &'a Engine,
+        evaluated: &EvaluatedRequest<'_>,
+    ) -> Candidate<'a> {
         let prefill_until = self.account(&engine.id).prefill_until;
         let backlog = prefill_until.saturating_sub(now);
         let queued = self
             .fresh_report(now, &engine.id)
             .map_or(0, |report| report.queued);
-        let reported_prefill = evaluated
-            .throughput
+        let service = &evaluated.request.shard.service;
+        let throughput = self.engine_throughput(now, service, &engine.id);
+        let reported_prefill = throughput
             .prefill_time(QUEUED_PROMPT_TOKENS)
             .saturating_mul(queued);
-        backlog.max(reported_prefill) + evaluated.prefill_time
+        let prefill_time = throughput.prefill_time(evaluated.request.prompt_tokens);
+        let backlog = backlog.max(reported_prefill);
+        let slowdown = self.slowdown_delay(now, service, &engine.id, backlog + prefill_time);
+        Candidate {
+            engine,
+            time_to_first_event: backlog + slowdown + prefill_time,
+            prefill_time,
+            effective_prefill_time: throughput.prefill_time(evaluated.effective_prompt_tokens),
+        }
     }
 
     /// The longest time by which a first event from an engine is overdue. An engine that has failed
@@ -346,7 +437,10 @@
         };
         let all = account.generations.iter().chain(&account.incoming_copies);
         all.filter_map(|generation| self.generations.get(generation))
-            .map(|generation| generation.allocation(now, self.throughput(&generation.service)))
+            .map(|generation| {
+                let throughput = self.engine_throughput(now, &generation.service, target);
+                generation.allocation(now, throughput)
+            })
             .collect()
     }
 
@@ -370,32 +464,77 @@
         self.lengths.estimate(route, max_tokens, length_hint)
     }
 
-    /// Speed of a service's engines: measured, or configured while nothing was measured.
+    /// Mean speed of a service's engines: measured, or configured while nothing was measured.
     pub(crate) fn throughput(&self, service: &ServiceId) -> Throughput {
-        let estimator = self
-            .throughputs
-            .get(service)
+        let measured = self
+            .speeds
+            .of_service(service)
             .filter(|_| self.tuning.learns_throughput);
-        estimator.map_or_else(|| self.tuning.throughput(), ThroughputEstimator::throughput)
+        measured.unwrap_or_else(|| self.tuning.throughput())
     }
 
-    fn estimator(&mut self, service: &ServiceId) -> &mut ThroughputEstimator {
-        let prior = self.tuning.throughput();
-        self.throughputs
-            .entry(service.clone())
-            .or_insert_with(|| ThroughputEstimator::new(prior))
+    /// Speed of one engine, as far as it was measured; otherwise that of its service.
+    pub(crate) fn engine_throughput(
+        &self,
+        now: Moment,
+        service: &ServiceId,
+        target: &TargetId,
+    ) -> Throughput {
+        let measured = self
+            .speeds
+            .of_engine(now, service, target)
+            .filter(|_| self.measures_engines());
+        measured.unwrap_or_else(|| self.throughput(service))
+    }
+
+    /// Additional time that an engine needs now, because its machine is slower than usual.
+    fn slowdown_delay(
+        &self,
+        now: Moment,
+        service: &ServiceId,
+        target: &TargetId,
+        work: Duration,
+    ) -> Duration {
+        if !self.measures_engines() {
+            return Duration::ZERO;
+        }
+        self.speeds.slowdown_delay(now, service, target, work)
+    }
+
+    /// Engines whose speed has become slow or usual since the last call.
+    pub fn take_speed_changes(&mut self, now: Moment) -> Vec<SpeedChange> {
+        if self.measures_engines() {
+            self.speeds.take_changes(now)
+        } else {
+            Vec::new()
+        }
+    }
+
+    const fn measures_engines(&self) -> bool {
+        self.tuning.learns_throughput && self.tuning.learns_engine_speeds
     }
 
     /// Records the prefill time that a first event shows. An engine processes one prompt after the
     /// other, so prefill began at the previous first event or at the assignment, whichever came
     /// later.
     fn record_prefill(&mut self, now: Moment, generation: &Generation) {
+        let per_engine = self.measures_engines();
+        let was_silent = now.saturating_sub(generation.confirmed_at) > MAX_ENTRY_SILENCE;
+        if per_engine && (generation.is_adopted || was_silent) {
+            return;
+        }
         let account = self.account(&generation.target);
         let prefill_began = account.last_first_event.max(generation.assigned_at);
         account.last_first_event = now;
         let time = now.saturating_sub(prefill_began);
-        self.estimator(&generation.service)
-            .record_prefill(generation.prompt_tokens, time);
+        let origin = SampleOrigin {
+            now,
+            service: &generation.service,
+            target: &generation.target,
+        };
+        let prior = self.tuning.throughput();
+        self.speeds
+            .record_prefill(origin, prior, per_engine, generation.prompt_tokens, time);
     }
 
     /// Records the generation speed since the entry's previous sync.
@@ -410,8 +549,15 @@
             .tokens_generated
             .saturating_sub(generation.tokens_generated);
         let time = now.saturating_sub(generation.counted_at);
-        self.estimator(&reported.service)
-            .record_decode(tokens_generated, time);
+        let per_engine = self.measures_engines();
+        let prior = self.tuning.throughput();
+        let origin = SampleOrigin {
+            now,
+            service: &reported.service,
+            target: &reported.target,
+        };
+        self.speeds
+            .record_decode(origin, prior, per_engine, tokens_generated, time);
     }
 
     /// Records the length of a finished generation.
@@ -427,9 +573,10 @@
         }
     }
 
-    fn assign(&mut self, now: Moment, evaluated: &EvaluatedRequest<'_>, target: &TargetId) {
+    fn assign(&mut self, now: Moment, evaluated: &EvaluatedRequest<'_>, best: &Candidate<'_>) {
         let request = evaluated.request;
-        let first_event_due = self.account(target).prefill_until.max(now) + evaluated.prefill_time;
+        let target = &best.engine.id;
+        let first_event_due = self.account(target).prefill_until.max(now) + best.prefill_time;
         let generation = Generation {
             entry: Arc::clone(&request.entry),
             service: Arc::clone(&request.shard.service),
@@ -446,6 +593,7 @@
             counted_at: now,
             confirmed_at: now,
             copying_to: None,
+            is_adopted: false,
         };
         let account = self.account(target);
         account.prefill_until = first_event_due;
@@ -454,19 +602,31 @@
             .insert(Arc::clone(&request.generation), generation);
     }
 
-    fn mark_started(&mut self, now: Moment, id: &GenerationId) {
+    fn mark_started(&mut self, now: Moment, id: &GenerationId, work_time_percent: Option<u32>) {
         let Some(generation) = self.generations.get_mut(id) else {
             return;
         };
         generation.started_at = Some(now);
         generation.counted_at = now;
         let generation = generation.clone();
+        if let Some(percent) = work_time_percent {
+            let origin = SampleOrigin {
+                now,
+                service: &generation.service,
+                target: &generation.target,
+            };
+            let prior = self.tuning.throughput();
+            self.speeds.record_work_time(origin, prior, percent);
+        }
         self.record_prefill(now, &generation);
-        self.trim_prefill_backlog(now, &generation.target);
+        let is_behind =
+            self.measures_engines() && now > generation.first_event_due + self.tuning.idle_slack;
+        self.trim_prefill_backlog(now, &generation.target, is_behind);
     }
 
-    /// Shortens the prefill backlog of an engine to the prompts that have no first event yet.
-    fn trim_prefill_backlog(&mut self, now: Moment, target: &TargetId) {
+    /// Shortens the prefill backlog of an engine to the prompts that have no first event yet. An engine
+    /// that is behind its schedule still has all of them before it.
+    fn trim_prefill_backlog(&mut self, now: Moment, target: &TargetId, is_behind: bool) {
         let Some(account) = self.accounts.get(target) else {
             return;
         };
@@ -476,13 +636,17 @@
             .filter_map(|generation| self.generations.get(generation))
             .filter(|generation| generation.started_at.is_none())
             .map(|generation| {
-                self.throughput(&generation.service)
+                self.engine_throughput(now, &generation.service, target)
                     .prefill_time(generation.prompt_tokens)
             })
             .sum();
         let latest = now + remaining_prefill;
         let account = self.account(target);
-        account.prefill_until = account.prefill_until.min(latest);
+        account.prefill_until = if is_behind {
+            latest
+        } else {
+            account.prefill_until.min(latest)
+        };
     }
 
     /// Removes a generation; returns the engine that it ran on.
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -2,7 +2,7 @@
 
 use std::{cmp::Reverse, sync::Arc, time::Duration};
 
-use types::{Moment, Tokens};
+use types::{Moment, TargetId, Tokens};
 
 use crate::{
     account::Engine,
@@ -21,10 +21,12 @@
     pub request: &'a PlacementRequest,
     /// Time left until the first event is due, counted from the caller's first attempt.
     pub objective_left: Duration,
-    /// Speed of the service's engines.
+    /// Mean speed of the service's engines.
     pub throughput: Throughput,
-    /// Time to process the prompt.
+    /// Time in which an engine of that speed processes the prompt.
     pub prefill_time: Duration,
+    /// Time in which the fastest usable engine processes the prompt.
+    pub shortest_prefill: Duration,
     /// Prompt length for which the request must find room; larger than its own where its prompt is
     /// small. If each request were judged by its own size, later small ones would take every gap,
     /// and large ones would be rejected.
@@ -36,7 +38,7 @@
 impl EvaluatedRequest<'_> {
     /// Whether even an idle engine could not meet the objective.
     pub fn is_late(&self) -> bool {
-        self.objective_left < self.prefill_time
+        self.objective_left < self.shortest_prefill
     }
 
     /// Memory for which the request must find room.
@@ -83,16 +85,16 @@
             if evaluated.request.waited < self.max_late_wait(evaluated) {
                 return self.wait(now, evaluated);
             }
-            return self.reject(now, evaluated, evaluated.prefill_time);
+            return self.reject(now, evaluated, evaluated.shortest_prefill);
         }
         let time_for_waiting = evaluated
             .objective_left
-            .saturating_sub(evaluated.prefill_time);
+            .saturating_sub(evaluated.shortest_prefill);
         // Without any engine there is nothing to forecast: an engine that joins will have room.
         if self.tuning.rejects_by_forecast && !engines.is_empty() {
             let available = as_f64_count(self.engines_with_room(now, evaluated, engines));
             let ahead = as_f64_count(self.waiting_ahead(now, evaluated));
-            let completions = self.expected_completions(now, evaluated, time_for_waiting, engines);
+            let completions = self.expected_completions(now, evaluated, engines);
             if ahead + 1.0 > available + completions {
                 return self.reject(now, evaluated, time_for_waiting);
             }
@@ -100,27 +102,32 @@
         self.wait(now, evaluated)
     }
 
-    /// Conservative estimate of how many generations end within `time`: the mean less one standard
-    /// deviation.
+    /// Conservative estimate of how many generations end while each engine can still process the prompt
+    /// in time afterwards: the mean less one standard deviation.
     fn expected_completions(
         &self,
         now: Moment,
         evaluated: &EvaluatedRequest<'_>,
-        time: Duration,
         engines: &[Engine],
     ) -> f64 {
-        let throughput = evaluated.throughput;
-        let more = throughput.tokens_in(time);
-        let accounts = engines.iter().filter_map(|e| self.accounts.get(&e.id));
-        let generations = accounts.flat_map(|account| &account.generations);
         let mut mean = 0.0;
         let mut variance = 0.0;
-        for generation in generations.filter_map(|generation| self.generations.get(generation)) {
-            let still_runs = generation
-                .length
-                .survival_probability(generation.generated_by(now, throughput), more);
-            mean += 1.0 - still_runs;
-            variance += still_runs * (1.0 - still_runs);
+        for engine in engines {
+            let Some(account) = self.accounts.get(&engine.id) else {
+                continue;
+            };
+            let service = &evaluated.request.shard.service;
+            let throughput = self.engine_throughput(now, service, &engine.id);
+            let prefill_time = throughput.prefill_time(evaluated.request.prompt_tokens);
+            let more = throughput.tokens_in(evaluated.objective_left.saturating_sub(prefill_time));
+            let generations = account.generations.iter();
+            for generation in generations.filter_map(|id| self.generations.get(id)) {
+                let still_runs = generation
+                    .length
+                    .survival_probability(generation.generated_by(now, throughput), more);
+                mean += 1.0 - still_runs;
+                variance += still_runs * (1.0 - still_runs);
+            }
         }
         mean - variance.sqrt()
     }
@@ -205,14 +212,19 @@
         self.engines_with_room(now, evaluated, engines)
     }
 
-    /// Number of engines that have room for the request.
+    /// Number of engines that have room for the request. Of unequal ones those count that can meet its
+    /// objective.
     fn engines_with_room(
         &mut self,
         now: Moment,
         evaluated: &EvaluatedRequest<'_>,
         engines: &[Engine],
     ) -> usize {
-        let available = |engine: &&Engine| self.can_admit(now, engine, evaluated);
+        let is_uneven = self.has_uneven_engines(now, evaluated, engines);
+        let available = |engine: &&Engine| {
+            self.can_admit(now, engine, evaluated)
+                && (!is_uneven || self.would_meet_objective(now, evaluated, engine))
+        };
         engines.iter().filter(available).count()
     }
 
@@ -256,7 +268,8 @@
         evaluated: &EvaluatedRequest<'_>,
     ) -> bool {
         let tuning = self.tuning;
-        let share = match (evaluated.is_late(), self.is_long(evaluated)) {
+        let is_long = self.is_long(now, evaluated, &engine.id);
+        let share = match (evaluated.is_late(), is_long) {
             (true, _) => interpolate(
                 tuning.long_share,
                 tuning.late_share,
@@ -290,9 +303,8 @@
 
     /// Whether a generation will probably run for longer than a reclaimed engine does after its
     /// notice.
-    pub(crate) fn is_long(&self, evaluated: &EvaluatedRequest<'_>) -> bool {
-        evaluated
-            .throughput
+    fn is_long(&self, now: Moment, evaluated: &EvaluatedRequest<'_>, target: &TargetId) -> bool {
+        self.engine_throughput(now, &evaluated.request.shard.service, target)
             .decode_time(evaluated.length.expected_remaining(0))
             > self.tuning.short_generation
     }
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -54,7 +54,7 @@
         let account = self.account(&reported.target);
         account.generations.insert(Arc::clone(&reported.generation));
         self.record_decode(now, reported);
-        let throughput = self.throughput(&reported.service);
+        let throughput = self.engine_throughput(now, &reported.service, &reported.target);
         let first_event_due = now + throughput.prefill_time(reported.prompt_tokens);
         let length =
             self.estimate_length(&reported.route, reported.max_tokens, reported.length_hint);
@@ -77,6 +77,7 @@
                 counted_at: now,
                 confirmed_at: now,
                 copying_to: None,
+                is_adopted: true,
             });
         generation.confirmed_at = now;
         generation.tokens_generated = reported.tokens_generated;
--- a/components/placing/src/throughput.rs
+++ b/components/placing/src/throughput.rs
@@ -20,10 +20,10 @@
 /// be frozen or slow.
 const MAX_DEVIATION: f64 = 6.0;
 /// Shorter prompts are ignored: most of their time to the first event is fixed overhead.
-const MIN_PREFILL_TOKENS: Tokens = 400;
+pub(crate) const MIN_PREFILL_TOKENS: Tokens = 400;
 
-/// Speed of a service's engines.
-#[derive(Clone, Copy, Debug)]
+/// Speed of one engine, or the mean of a service's engines.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Throughput {
     /// Prompt tokens processed per millisecond while a batch is running.
     prompt_tokens_per_ms: f64,
@@ -41,6 +41,21 @@
         }
     }
 
+    /// Prompt tokens processed per millisecond.
+    pub(crate) const fn prompt_tokens_per_ms(&self) -> f64 {
+        self.prompt_tokens_per_ms
+    }
+
+    /// Time between two tokens of a generation.
+    pub(crate) const fn token_time(&self) -> Duration {
+        self.token_time
+    }
+
+    /// Tokens that one generation generates per millisecond.
+    pub(crate) fn generated_tokens_per_ms(&self) -> f64 {
+        1.0 / (self.token_time.as_secs_f64() * 1_000.0)
+    }
+
     /// Time to process a prompt.
     #[must_use]
     pub fn prefill_time(&self, prompt_tokens: Tokens) -> Duration {
@@ -71,9 +86,9 @@
 }
 
 impl RateTotals {
-    fn add(&mut self, tokens: Tokens, time: Duration) {
-        self.tokens += as_f64(tokens);
-        self.time_ms += time.as_secs_f64() * 1_000.0;
+    fn add(&mut self, tokens: Tokens, time: Duration, weight: f64) {
+        self.tokens += as_f64(tokens) * weight;
+        self.time_ms += time.as_secs_f64() * 1_000.0 * weight;
         if self.tokens > WINDOW_TOKENS {
             self.tokens /= 2.0;
             self.time_ms /= 2.0;
@@ -110,8 +125,9 @@
         }
     }
 
-    /// Records the time that an engine took for a prompt.
-    pub fn record_prefill(&mut self, prompt_tokens: Tokens, time: Duration) {
+    /// Records the time that an engine took for a prompt. A weight of 1 is that of a sample of an
+    /// engine that is as busy as the others.
+    pub fn record_prefill(&mut self, prompt_tokens: Tokens, time: Duration, weight: f64) {
         let min = self
             .prior
             .prefill_time(prompt_tokens)
@@ -121,16 +137,17 @@
             .prefill_time(prompt_tokens)
             .mul_f64(MAX_DEVIATION);
         if prompt_tokens >= MIN_PREFILL_TOKENS {
-            self.prefill.add(prompt_tokens, time.clamp(min, max));
+            self.prefill
+                .add(prompt_tokens, time.clamp(min, max), weight);
         }
     }
 
     /// Records the time that an engine took for some tokens of a generation.
-    pub fn record_decode(&mut self, tokens: Tokens, time: Duration) {
+    pub fn record_decode(&mut self, tokens: Tokens, time: Duration, weight: f64) {
         let min = self.prior.decode_time(tokens).div_f64(MAX_DEVIATION);
         let max = self.prior.decode_time(tokens).mul_f64(MAX_DEVIATION);
         if tokens > 0 {
-            self.decode.add(tokens, time.clamp(min, max));
+            self.decode.add(tokens, time.clamp(min, max), weight);
         }
     }
 
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -88,6 +88,9 @@
     /// Whether the engines' throughput is measured.
     #[serde(rename = "learns_pace")]
     pub learns_throughput: bool,
+    /// Whether the speed of each engine is measured beside that of its service. Without it every
+    /// engine counts as fast as the service's mean.
+    pub learns_engine_speeds: bool,
     /// Whether lengths are estimated from finished generations.
     pub learns_lengths: bool,
     /// Whether callers' length hints are used.
@@ -134,6 +137,7 @@
             recognizes_retries: true,
             levels_prompt_sizes: true,
             learns_throughput: true,
+            learns_engine_speeds: true,
             learns_lengths: true,
             uses_length_hints: true,
             uses_peak_memory: true,
--- a/components/placing/tests/support/load.rs
+++ b/components/placing/tests/support/load.rs
@@ -106,9 +106,19 @@
     Confirm,
 }
 
+/// Speed of an engine as a multiple of the usual speed, by its number and the time since the start of
+/// the load.
+pub type SpeedAt = fn(usize, Duration) -> f64;
+
 /// Simulates a load; returns all callers with their outcomes.
 pub fn simulate(load: &Workload, tuning: Tuning) -> Vec<Caller> {
+    simulate_with_speeds(load, tuning, |_, _| 1.0)
+}
+
+/// Simulates a load on engines of given speeds.
+pub fn simulate_with_speeds(load: &Workload, tuning: Tuning, speed: SpeedAt) -> Vec<Caller> {
     let mut simulation = Simulation::new(load, tuning);
+    simulation.speed = speed;
     while let Some(Reverse((now, number, step))) = simulation.steps.pop() {
         simulation.step(now, number, step);
     }
@@ -127,6 +137,8 @@
     owner: Owner,
     engines: Vec<Engine>,
     prefill_tokens_per_ms: f64,
+    speed: SpeedAt,
+    start: Moment,
     /// Time until which each engine processes prompts.
     prefill_until: BTreeMap<TargetId, Moment>,
     callers: Vec<Caller>,
@@ -175,6 +187,8 @@
             owner: Owner::new(tuning),
             engines: engines.collect(),
             prefill_tokens_per_ms: load.prefill_tokens_per_ms,
+            speed: |_, _| 1.0,
+            start,
             prefill_until: BTreeMap::new(),
             steps: arrivals
                 .chain(load.confirms.then_some(first_confirmation))
@@ -231,7 +245,8 @@
             let caller = &self.callers[*number];
             let placed = placement_request(*number, caller);
             let running = started_at.map(|at| now.saturating_sub(at));
-            let tokens = running.unwrap_or_default().as_millis() / TOKEN_TIME.as_millis();
+            let token_time = TOKEN_TIME.div_f64(self.speed_of(now, target));
+            let tokens = running.unwrap_or_default().as_micros() / token_time.as_micros();
             ActiveGeneration {
                 generation: Arc::clone(&placed.generation),
                 service: Arc::clone(&placed.shard.service),
@@ -261,17 +276,29 @@
     fn send(&mut self, now: Moment, number: usize, target: &TargetId) {
         self.active.insert(number, (target.clone(), None));
         let tokens = u32::try_from(self.callers[number].prompt_tokens).unwrap_or_default();
-        let prefill_time =
-            Duration::from_secs_f64(f64::from(tokens) / self.prefill_tokens_per_ms / 1_000.0);
+        let tokens_per_ms = self.prefill_tokens_per_ms * self.speed_of(now, target);
+        let prefill_time = Duration::from_secs_f64(f64::from(tokens) / tokens_per_ms / 1_000.0);
         let ready_at = self.prefill_until.entry(target.clone()).or_default();
         *ready_at = now.max(*ready_at) + prefill_time;
         let first_event = *ready_at;
         self.push(first_event, number, Step::Start);
     }
 
+    /// Speed of an engine, whose id ends in its number.
+    fn speed_of(&self, now: Moment, target: &TargetId) -> f64 {
+        let number = target.strip_prefix("e-").and_then(|n| n.parse().ok());
+        (self.speed)(
+            number.expect("an engine of this load"),
+            now.saturating_sub(self.start),
+        )
+    }
+
     fn start(&mut self, now: Moment, number: usize) {
-        if let Some((_, started_at)) = self.active.get_mut(&number) {
+        let mut token_time = TOKEN_TIME;
+        if let Some((target, started_at)) = self.active.get_mut(&number) {
             *started_at = Some(now);
+            let target = target.clone();
+            token_time = TOKEN_TIME.div_f64(self.speed_of(now, &target));
         }
         let caller = &mut self.callers[number];
         let in_time = now.saturating_sub(caller.arrived_at) <= objective(caller);
@@ -289,7 +316,7 @@
                 work_time_percent: None,
             },
         );
-        self.push(now + TOKEN_TIME.saturating_mul(tokens), number, Step::End);
+        self.push(now + token_time.saturating_mul(tokens), number, Step::End);
     }
 
     fn reject(&mut self, now: Moment, number: usize, waited: Duration, after: Duration) {
