Entries pass on reported work times; logs, metric and dump show engines' speeds

The fourth figure of a target's load was decoded and dropped. The relay now passes it on with the first event if the head of the answer is no older than 100 ms. 951 and 952 tell that an engine is much slower than its service's mean, or no longer, at most every 10 s for each; `engines{speed}` counts them, and the dump's `account` has the speeds. Operators can tell from the logs why a request went to an engine.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -885,4 +885,32 @@
         950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
         "Nothing. 949 or 925 tells the outcome.",
     ),
+    /// An engine is much slower than its service.
+    EngineSlow {
+        /// The engine.
+        target: TargetId,
+        /// Its service.
+        service: ServiceId,
+        /// Speed of processing prompts, in percent of the service's mean.
+        prefill_percent: u32,
+        /// Speed of generating tokens, in percent of the service's mean.
+        decode_percent: u32,
+    } = (
+        951, Info, "{target} is slow: prompts at {prefill_percent} and tokens at {decode_percent} percent of the mean speed of {service}",
+        "If the engine isn't of a slower model, look at its machine. It gets as much work as it can do in time.",
+    ),
+    /// An engine that was slow is about as fast as its service again.
+    EngineUsual {
+        /// The engine.
+        target: TargetId,
+        /// Its service.
+        service: ServiceId,
+        /// Speed of processing prompts, in percent of the service's mean.
+        prefill_percent: u32,
+        /// Speed of generating tokens, in percent of the service's mean.
+        decode_percent: u32,
+    } = (
+        952, Info, "{target} is no longer slow: prompts at {prefill_percent} and tokens at {decode_percent} percent of the mean speed of {service}",
+        "Nothing.",
+    ),
 }
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -14,7 +14,7 @@
 use view::Target;
 
 use crate::{
-    adapters::GenerationSizes,
+    adapters::{GenerationSizes, ReportedLoad},
     callers::{
         call::Call,
         refusal::{ELSEWHERE_RETRY_AFTER, Refusal},
@@ -310,8 +310,13 @@
     )
     .await
     {
-        SendOutcome::Response { head, body, .. } if head.status.is_success() => {
-            Attempt::Answer(stream(front, call, assignment, &head, body, sent_at))
+        SendOutcome::Response {
+            head,
+            parsed_head,
+            body,
+        } if head.status.is_success() => {
+            let load = parsed_head.load;
+            Attempt::Answer(stream(front, call, assignment, &head, load, body, sent_at))
         }
         SendOutcome::Response { head, body, .. } => {
             front.record_answer(call, &target, sent_at, head.status.is_server_error());
@@ -433,11 +438,13 @@
     call: &Call,
     assignment: Assignment,
     head: &http::response::Parts,
+    load: Option<ReportedLoad>,
     body: hyper::body::Incoming,
     sent_at: Moment,
 ) -> Response<Body> {
-    let relay =
-        Relay::new(Arc::clone(front), call.clone(), assignment, head, body).with_sent_at(sent_at);
+    let relay = Relay::new(Arc::clone(front), call.clone(), assignment, head, body)
+        .with_sent_at(sent_at)
+        .with_load(load);
     let mut resp = Response::new(task_body(move |tx| relay.run(tx)));
     *resp.status_mut() = head.status;
     *resp.headers_mut() = front.adapter.forwarded_headers(head);
--- a/components/front/src/generations/mod.rs
+++ b/components/front/src/generations/mod.rs
@@ -9,4 +9,5 @@
 pub mod probing;
 pub mod recovery;
 pub mod relay;
+pub mod speeds;
 pub mod splitter;
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -22,7 +22,7 @@
 use view::Target;
 
 use crate::{
-    adapters::Resume,
+    adapters::{ReportedLoad, Resume},
     callers::call::Call,
     generations::{
         active::RelayCommand,
@@ -69,6 +69,9 @@
     last_event: Option<u64>,
     /// When the request was sent.
     sent_at: Moment,
+    /// How long work takes on the engine's machine, in percent of the usual time, and when the engine
+    /// reported that.
+    work_time: Option<(Moment, u32)>,
     /// How far the answer of the current engine has come.
     progress: Progress,
     /// The sample of times between events, until it is taken or can't be.
@@ -83,6 +86,8 @@
 /// Gaps between events whose mean counts. Those of a whole generation would tell of a slow one only when
 /// it ends, several times later than of a fast one.
 const SAMPLED_GAPS: u32 = 16;
+/// Age up to which a reported work time is passed on; it changes many times a second.
+const MAX_WORK_TIME_AGE: Duration = Duration::from_millis(100);
 /// Gaps that a generation needs which ends before.
 const MIN_GAPS: u32 = 8;
 
@@ -150,6 +155,7 @@
             splitter: EventSplitter::new(),
             last_event: None,
             sent_at: boot_time(),
+            work_time: None,
             progress: Progress::NONE,
             gap_sample: GapSample::Waiting,
             stopping: false,
@@ -165,6 +171,21 @@
         self
     }
 
+    /// Sets what the head of the answer, which has just arrived, reports of the engine's load.
+    #[must_use]
+    pub fn with_load(mut self, load: Option<ReportedLoad>) -> Self {
+        let percent = load.and_then(|load| load.work_time_percent);
+        self.work_time = percent.map(|percent| (boot_time(), percent));
+        self
+    }
+
+    /// The reported work time, if it still holds.
+    fn work_time_percent(&self) -> Option<u32> {
+        let (at, percent) = self.work_time?;
+        let age = boot_time().saturating_sub(at);
+        (age <= MAX_WORK_TIME_AGE).then_some(percent)
+    }
+
     /// Counts an event for the sample of gaps, and records the sample once it is large enough.
     fn sample_gap(&mut self) {
         let is_over = matches!(self.gap_sample, GapSample::Over);
@@ -389,7 +410,7 @@
             &shard,
             GenerationUpdate::Started {
                 generation: generation_id,
-                work_time_percent: None,
+                work_time_percent: self.work_time_percent(),
             },
         );
     }
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     adapters::{Record, Store},
+    generations::speeds,
     instances::{
         joining,
         wire::{Message, Reply, Topic},
@@ -257,8 +258,12 @@
             .rate_allocator
             .lock()
             .retain(|id| targets.contains_key(id));
-        let mut owner = front.placement.owner.lock();
-        owner.retain_engines(|id| targets.contains_key(id));
+        front
+            .placement
+            .owner
+            .lock()
+            .retain_engines(|id| targets.contains_key(id));
+        speeds::report(&front);
     }
 }
 
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -5,6 +5,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -32,6 +33,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the gauge of engines.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct EngineLabels {
+    /// `slow`, `usual` or `fast`, against the mean of the service.
+    pub speed: &'static str,
+}
+
 /// Labels of the counter of bytes exchanged with other instances.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerBytesLabels {
@@ -95,6 +103,8 @@
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
     pub migrations: Family<MigrationLabels, Counter>,
+    /// Engines that this instance accounts for, by their speed.
+    pub engines: Family<EngineLabels, Gauge>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -132,6 +142,7 @@
             others_requests: Counter::default(),
             rollout_answers: Family::default(),
             migrations: Family::default(),
+            engines: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -208,6 +219,11 @@
             "Generations carried over",
             all.migrations.clone(),
         );
+        registry.register(
+            "engines",
+            "Engines that this instance accounts for, by speed",
+            all.engines.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
