--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     adapters::{Record, Store},
+    generations::speeds,
     instances::{
         joining,
         wire::{Message, Reply, Topic},
@@ -265,6 +266,7 @@
         drop(owner);
         front.metrics.count_share_decisions(decisions);
         changes.into_iter().for_each(log_share_change);
+        speeds::report(&front);
     }
 }
 
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -6,6 +6,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -33,6 +34,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the gauge of engines.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct EngineLabels {
+    /// `slow`, `usual` or `fast`, against the mean of the service.
+    pub speed: &'static str,
+}
+
 /// Labels of the counter of bytes exchanged with other instances.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerBytesLabels {
@@ -105,6 +113,8 @@
     pub migrations: Family<MigrationLabels, Counter>,
     /// Requests of workspaces above their fair share, by what this instance decided as owner.
     pub above_share: Family<ShareLabels, Counter>,
+    /// Engines that this instance accounts for, by their speed.
+    pub engines: Family<EngineLabels, Gauge>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -143,6 +153,7 @@
             rollout_answers: Family::default(),
             migrations: Family::default(),
             above_share: Family::default(),
+            engines: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -224,6 +235,11 @@
             "Requests of workspaces above their fair share by decision",
             all.above_share.clone(),
         );
+        registry.register(
+            "engines",
+            "Engines that this instance accounts for, by speed",
+            all.engines.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -54,7 +54,7 @@
         let account = self.account(&reported.target);
         account.generations.insert(Arc::clone(&reported.generation));
         self.record_decode(now, reported);
-        let throughput = self.throughput(&reported.service);
+        let throughput = self.engine_throughput(now, &reported.service, &reported.target);
         let prefill_time = throughput.prefill_time(reported.prompt_tokens);
         if !reported.started && !self.generations.contains_key(&reported.generation) {
             // Another owner assigned it: its prompt is part of the engine's backlog.
@@ -83,6 +83,7 @@
                 counted_at: now,
                 confirmed_at: now,
                 copying_to: None,
+                is_adopted: true,
             });
         generation.confirmed_at = now;
         generation.tokens_generated = reported.tokens_generated;
