Plain calls: select by expected time to answer where targets report how long work takes

Callers of plain services whose targets share machines with others waited behind targets that were slow for a moment: the selection took load over slots, without speed, and a report counted fully for a second and then not at all.

Each instance now learns the work time of each target from its answers, with the service's as a prior, and takes the reported figure and line as evidence that fades over 200 ms. The target with the least expected time takes the call; among near-equals the shorter line of two drawn at random. Services whose targets do not report the figure are selected as before. Events 959 and 960, two metrics.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -885,4 +885,34 @@
         950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
         "Nothing. 949 or 925 tells the outcome.",
     ),
+    /// A call is sent to another target than the usual one, which is slow or crowded at the moment.
+    SlowTargetPassedOver {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The target that the call is sent to.
+        target: TargetId,
+        /// Its expected time to answer, in milliseconds.
+        expected_ms: u64,
+        /// The usual target.
+        passed_over: TargetId,
+        /// The expected time of the usual target, in milliseconds.
+        passed_over_ms: u64,
+    } = (
+        959, Info, "{id}: to {target}, expected to answer in {expected_ms} ms; {passed_over} would take {passed_over_ms} ms",
+        "Nothing. Many of these for one target: see the machine that it shares with others.",
+    ),
+    /// The usual work time of a target has come to differ from its service's, or no longer does.
+    TargetSpeedChanged {
+        /// The target.
+        target: TargetId,
+        /// `slow` or `normal`.
+        state: Arc<str>,
+        /// Its work time, in milliseconds.
+        work_ms: u64,
+        /// The work time of its service, in milliseconds.
+        service_ms: u64,
+    } = (
+        960, Info, "{target} is {state}: its work takes {work_ms} ms, that of its service {service_ms} ms",
+        "If it stays slow, look at its machine.",
+    ),
 }
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -5,6 +5,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -63,6 +64,14 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of targets that were selected by expected time to answer.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SpeedSelectionLabels {
+    /// `passed_over` if the target that would usually take the call was expected to be slower, otherwise
+    /// `usual`.
+    pub choice: &'static str,
+}
+
 /// The metrics of one instance.
 #[derive(Debug)]
 pub struct Metrics {
@@ -93,6 +102,10 @@
     pub others_requests: Counter,
     /// Answers of targets of services with a rollout.
     pub rollout_answers: Family<RolloutLabels, Counter>,
+    /// Targets of plain calls that were selected by expected time to answer.
+    pub speed_selections: Family<SpeedSelectionLabels, Counter>,
+    /// Targets of plain calls whose work takes longer than that of their services.
+    pub slow_targets: Gauge,
     /// Migrations of generations by outcome.
     pub migrations: Family<MigrationLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
@@ -131,6 +144,8 @@
             relayed: Counter::default(),
             others_requests: Counter::default(),
             rollout_answers: Family::default(),
+            speed_selections: Family::default(),
+            slow_targets: Gauge::default(),
             migrations: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
@@ -203,6 +218,16 @@
             "Answers during rollouts by version and outcome",
             all.rollout_answers.clone(),
         );
+        registry.register(
+            "speed_selections",
+            "Targets selected by expected time to answer",
+            all.speed_selections.clone(),
+        );
+        registry.register(
+            "slow_targets",
+            "Targets whose work takes longer than that of their services",
+            all.slow_targets.clone(),
+        );
         registry.register(
             "carries",
             "Generations carried over",
@@ -245,6 +270,19 @@
             .inc();
     }
 
+    /// Counts a target that was selected by expected time to answer.
+    pub fn count_speed_selection(&self, choice: &'static str) {
+        self.speed_selections
+            .get_or_create(&SpeedSelectionLabels { choice })
+            .inc();
+    }
+
+    /// Sets the number of targets that are slower than their services.
+    pub fn set_slow_targets(&self, count: usize) {
+        self.slow_targets
+            .set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn to_text(&self) -> String {
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -13,8 +13,9 @@
 use view::{RouteKind, Target};
 
 use crate::{
+    adapters::ReportedLoad,
     callers::{call::Call, refusal::Refusal},
-    plain_calls::selection::connection_share,
+    plain_calls::selection::{Selection, connection_share},
     quarantine::{
         aggregation, crash_detection,
         parts::{self, Progress},
@@ -129,7 +130,10 @@
         }
         let mut version = VersionPermit::new(front, &call.service.name);
         let target = match find_target(front, call, &attempts.tried, &mut version).await {
-            Ok(target) => target,
+            Ok(selection) => {
+                record_selection(front, call, &selection);
+                selection.target
+            }
             Err(NoTarget::Unusable) => return attempts.into_response(front, call),
             Err(NoTarget::Unreached) => {
                 attempts
@@ -214,7 +218,7 @@
     call: &Call,
     tried: &[TargetId],
     version: &mut VersionPermit,
-) -> Result<Arc<Target>, NoTarget> {
+) -> Result<Selection, NoTarget> {
     let timeout = call
         .route
         .objective
@@ -229,11 +233,12 @@
         if selected.is_none() && version.avoid_new() {
             selected = select_ready(front, call, &skipped, version.choice(), now);
         }
-        if let Some(target) = selected {
+        if let Some(selection) = selected {
+            let target = &selection.target;
             match target_rates::reserve(front, &target.id, until.saturating_sub(now)).await {
                 Reservation::Granted { after } => {
                     smol::Timer::after(after).await;
-                    return Ok(target);
+                    return Ok(selection);
                 }
                 Reservation::Rejected { after } => {
                     skipped.push(Arc::clone(&target.id));
@@ -268,9 +273,31 @@
     tried: &[TargetId],
     versions: &VersionChoice,
     now: Moment,
-) -> Option<Arc<Target>> {
+) -> Option<Selection> {
     let selected = select(front, call, tried, versions, now);
-    selected.filter(|target| front.take_cold_permit(&call.service, target))
+    selected.filter(|selection| front.take_cold_permit(&call.service, &selection.target))
+}
+
+/// Counts a target that was selected by its expected time to answer, and logs one that was selected in
+/// place of the usual one.
+fn record_selection(front: &Front, call: &Call, selection: &Selection) {
+    let Some(expected) = selection.expected else {
+        return;
+    };
+    let choice = match &selection.passed_over {
+        Some(passed_over) => {
+            emit(&Event::SlowTargetPassedOver {
+                id: Arc::clone(&call.request.id),
+                target: Arc::clone(&selection.target.id),
+                expected_ms: millis(expected),
+                passed_over: Arc::clone(&passed_over.target),
+                passed_over_ms: millis(passed_over.expected),
+            });
+            "passed_over"
+        }
+        None => "usual",
+    };
+    front.metrics.count_speed_selection(choice);
 }
 
 /// Selects among the targets to which this instance may open one more connection. Those with a rate
@@ -282,7 +309,7 @@
     tried: &[TargetId],
     versions: &VersionChoice,
     now: Moment,
-) -> Option<Arc<Target>> {
+) -> Option<Selection> {
     let share = connection_share(call.service.max_connections, front.instance_count());
     let mut targets = front.usable_targets(&call.service.name, versions);
     targets.retain(|target| !tried.contains(&target.id) && front.rest_left(target).is_none());
@@ -310,7 +337,7 @@
         targets.retain(|target| is_unlimited(&target));
     }
     let local = &front.cfg.data_centre;
-    selector.select(now, &targets, tried, local, fastrand::f64())
+    selector.choose(now, &targets, tried, local, fastrand::f64())
 }
 
 async fn attempt(
@@ -342,7 +369,10 @@
         } => {
             let now = boot_time();
             if let Some(load) = parsed_head.load {
-                front.selector.lock().record_load(now, &target.id, load);
+                let tells_speed =
+                    !head.status.is_server_error() && front.path(target) == Path::Direct;
+                let took = tells_speed.then(|| now.saturating_sub(started));
+                record_load(front, target, took, load);
             }
             let rest = timeout.saturating_sub(now.saturating_sub(started));
             match buffer_response(front, &head, body, rest.max(LOOKUP_PAUSE)).await {
@@ -384,6 +414,23 @@
     }
 }
 
+/// Records the load that a target has reported, and how long it took to answer if that tells its speed.
+fn record_load(front: &Front, target: &Target, took: Option<Duration>, load: ReportedLoad) {
+    let mut selector = front.selector.lock();
+    let change = selector.record_answer(boot_time(), target, took, load);
+    let slow_count = selector.slow_count();
+    drop(selector);
+    if let Some(change) = change {
+        front.metrics.set_slow_targets(slow_count);
+        emit(&Event::TargetSpeedChanged {
+            target: Arc::clone(&target.id),
+            state: if change.is_slow { "slow" } else { "normal" }.into(),
+            work_ms: millis(change.work_time),
+            service_ms: millis(change.service_work_time),
+        });
+    }
+}
+
 /// Records in the background that no answer came in time, if a connection to the target opens: the silence
 /// is then that of the target. Otherwise it may be that of this instance's network.
 fn record_silence(front: &Arc<Front>, call: &Call, target: &Arc<Target>, sent_at: Moment) {
--- a/components/front/src/plain_calls/mod.rs
+++ b/components/front/src/plain_calls/mod.rs
@@ -4,3 +4,4 @@
 pub mod dispatch;
 pub mod retry_budget;
 pub mod selection;
+pub mod target_speed;
--- a/components/front/src/plain_calls/selection.rs
+++ b/components/front/src/plain_calls/selection.rs
@@ -5,13 +5,19 @@
 //! therefore counts only for a short time, the instance's own calls always. A target that fails is
 //! ejected for a while, unless more than half of a service would be ejected at once: the cause may
 //! then be the callers' requests or this instance's network.
+//!
+//! Where targets report how long work takes at the moment, the expected time to answer decides instead of
+//! the load; see [`super::target_speed`].
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use types::{DataCentreId, Moment, TargetId};
+use types::{DataCentreId, Moment, ServiceId, TargetId};
 use view::Target;
 
-use crate::adapters::ReportedLoad;
+use crate::{
+    adapters::ReportedLoad,
+    plain_calls::target_speed::{PassedOver, SpeedChange, TargetSpeeds},
+};
 
 /// How long a reported load counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
@@ -54,7 +60,18 @@
     ejected_until: Moment,
 }
 
-/// Selects targets of plain services by load, distance and recent failures.
+/// A selected target, and what decided.
+#[derive(Clone, Debug)]
+pub struct Selection {
+    /// The target.
+    pub target: Arc<Target>,
+    /// Its expected time to answer, if that decided.
+    pub expected: Option<Duration>,
+    /// The target that would usually take the call, if the expected time decided for another one.
+    pub passed_over: Option<PassedOver>,
+}
+
+/// Selects targets of plain services by load or expected time to answer, distance and recent failures.
 #[derive(Debug)]
 pub struct TargetSelector {
     /// Targets in the same data centre are preferred.
@@ -62,6 +79,7 @@
     /// Targets are ejected after failures.
     ejects: bool,
     stats: HashMap<TargetId, TargetStats>,
+    speeds: TargetSpeeds,
 }
 
 impl Default for TargetSelector {
@@ -78,6 +96,7 @@
             prefers_local,
             ejects,
             stats: HashMap::new(),
+            speeds: TargetSpeeds::new(prefers_local),
         }
     }
 
@@ -93,6 +112,20 @@
         local: &DataCentreId,
         tie_breaker: f64,
     ) -> Option<Arc<Target>> {
+        self.choose(now, targets, tried, local, tie_breaker)
+            .map(|selection| selection.target)
+    }
+
+    /// Selects like [`Self::select`], and tells what decided.
+    #[must_use]
+    pub fn choose(
+        &self,
+        now: Moment,
+        targets: &[Arc<Target>],
+        tried: &[TargetId],
+        local: &DataCentreId,
+        tie_breaker: f64,
+    ) -> Option<Selection> {
         let untried: Vec<&Arc<Target>> = targets
             .iter()
             .filter(|target| !tried.contains(&target.id))
@@ -102,6 +135,21 @@
             .filter(|t| self.is_ejected(now, &t.id))
             .count();
         let ignore_ejection = ejected * 2 > untried.len();
+        if untried.iter().any(|t| self.is_by_speed(&t.service)) {
+            let mut candidates = untried;
+            if !ignore_ejection {
+                candidates.retain(|t| !self.is_ejected(now, &t.id));
+            }
+            let in_flight = |id: &TargetId| self.in_flight(id);
+            let choice = self
+                .speeds
+                .select(now, &candidates, in_flight, local, tie_breaker)?;
+            return Some(Selection {
+                target: choice.target,
+                expected: Some(choice.expected),
+                passed_over: choice.passed_over,
+            });
+        }
         let mut best: Option<(f64, &Arc<Target>)> = None;
         for (index, target) in untried.iter().enumerate() {
             let mut cost = self.load(now, target);
@@ -117,7 +165,30 @@
                 best = Some((cost, target));
             }
         }
-        best.map(|(_, target)| Arc::clone(target))
+        best.map(|(_, target)| Selection {
+            target: Arc::clone(target),
+            expected: None,
+            passed_over: None,
+        })
+    }
+
+    /// Whether the expected time to answer decides among the targets of a service.
+    #[must_use]
+    pub fn is_by_speed(&self, service: &ServiceId) -> bool {
+        self.speeds.covers(service)
+    }
+
+    /// Expected time until a target answers a call that is sent now.
+    #[must_use]
+    pub fn expected(&self, now: Moment, target: &Target) -> Duration {
+        self.speeds
+            .expected(now, target, self.in_flight(&target.id))
+    }
+
+    /// The number of targets that are slower than their services.
+    #[must_use]
+    pub fn slow_count(&self) -> usize {
+        self.speeds.slow_count()
     }
 
     /// Calls of this instance that are in flight at a target. Each uses one connection, and an idle
@@ -130,6 +201,7 @@
     /// Records that a call is sent to a target.
     pub fn call_started(&mut self, target: &TargetId) {
         self.entry(target).in_flight += 1;
+        self.speeds.call_started(target);
     }
 
     /// Records that a call at a target has ended, whatever its outcome.
@@ -143,6 +215,25 @@
         self.entry(target).reported = Some((now, load));
     }
 
+    /// Records the load in the head of an answer, and the time from sending the call to the head if that
+    /// tells the target's speed. Returns a change of its speed that the operator should know of.
+    pub fn record_answer(
+        &mut self,
+        now: Moment,
+        target: &Target,
+        took: Option<Duration>,
+        load: ReportedLoad,
+    ) -> Option<SpeedChange> {
+        self.record_load(now, &target.id, load);
+        match took {
+            Some(took) => self.speeds.record_answer(now, target, took, load),
+            None => {
+                self.speeds.record_load(now, target, load);
+                None
+            }
+        }
+    }
+
     /// Records that a target has answered a call.
     pub fn record_success(&mut self, target: &TargetId) {
         let stats = self.entry(target);
@@ -165,6 +256,7 @@
     pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
         self.stats
             .retain(|id, stats| stats.in_flight > 0 || listed(id));
+        self.speeds.retain(listed);
     }
 
     /// Whether a target is ejected.
@@ -186,6 +278,10 @@
         let Some(stats) = self.stats.get(&target.id) else {
             return 0.0;
         };
+        if self.is_by_speed(&target.service) {
+            let line = self.speeds.line(now, &target.id, stats.in_flight);
+            return line / f64::from(target.slots.max(1));
+        }
         let reported = stats
             .reported
             .filter(|(at, _)| now.saturating_sub(*at) < REPORT_LIFETIME)
