Stand-in and soak: machines of uneven speed that turn slow for moments

Nothing of ours played targets that report how long work takes, so the selection by expected time was held by its model alone. Engines and plain targets of the stand-in can be given a speed of their own, which they don't report, and moments in which work takes longer, which they do, in the fourth figure of their load; off by default. An instance before two such targets is a test on the platform (calls_go_past_a_local_target_whose_work_takes_long_at_the_moment), kept once.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod restores;
 mod rollouts;
 mod signals;
+mod speeds;
 mod starting;
 mod stopping;
 mod support;
