Metric of slow targets: targets that are no longer listed don't count

The gauge was set only when a target's speed changed, so that a slow target that was taken away stayed in it. It is set with each round of the members too; counting no longer happens for each answer.

--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -244,7 +244,10 @@
             sync_shard(&front, shard, round % IDLE_SYNC_INTERVAL == FIRST_IDLE_SYNC).await;
         }
         let targets = front.view.targets();
-        front.selector.lock().retain(|id| targets.contains_key(id));
+        let mut selector = front.selector.lock();
+        selector.retain(|id| targets.contains_key(id));
+        front.metrics.set_slow_targets(selector.slow_count());
+        drop(selector);
         front.brittle.lock().retain(|id| targets.contains_key(id));
         front.paths.lock().retain(|id| targets.contains_key(id));
         let known: BTreeSet<InstanceId> = front.peers.ids().into_iter().collect();
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -416,11 +416,10 @@
 
 /// Records the load that a target has reported, and how long it took to answer if that tells its speed.
 fn record_load(front: &Front, target: &Target, took: Option<Duration>, load: ReportedLoad) {
-    let mut selector = front.selector.lock();
-    let change = selector.record_answer(boot_time(), target, took, load);
-    let slow_count = selector.slow_count();
-    drop(selector);
+    let now = boot_time();
+    let change = front.selector.lock().record_answer(now, target, took, load);
     if let Some(change) = change {
+        let slow_count = front.selector.lock().slow_count();
         front.metrics.set_slow_targets(slow_count);
         emit(&Event::TargetSpeedChanged {
             target: Arc::clone(&target.id),
