Streams that may be resumed go on at another engine within the response

Callers of routes with resumable streams got a truncated answer, or an engine's error, whenever their engine crashed, was reclaimed without notice or stopped in the middle of an event; they began again with the whole prompt.

Cause: such routes were served like those whose requests run once.

The relay now asks a decision of its own (front::generations::resumption, without network or clock) what becomes of a generation that its engine failed: another engine goes on after the last whole event, runs it from the start if nothing was forwarded, or it ends. It goes by the route, the engines that have run it, the quarantine, the time left and the shared retry budget, which is asked last. Moves and recovery from the engine's memory come first. The first connection is closed and the owner notified before the next engine is requested; that one is found and sent to like any first one. Failures before the head are tried once more as for idempotent calls, and no refusal after a possible run claims that the request has not run.

A caller's own Last-Event-Id was passed on already; its position now counts for sizes, repeated events and resumptions within its response. On a resumable route, a stream whose last event is cut is not complete, also if the engine closed it in an orderly way. Events 957 and 958, one metric.

Routes that are not resumable take the same way as before.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -885,4 +885,38 @@
         950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
         "Nothing. 949 or 925 tells the outcome.",
     ),
+    /// A generation goes on at another engine within the same response, from the prompt and the last event.
+    StreamResumed {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine that failed it.
+        from: TargetId,
+        /// The engine that goes on with it.
+        to: TargetId,
+        /// Id of the last event that the caller had; 0 if it had none.
+        after: u64,
+        /// How the first engine failed.
+        cause: Arc<str>,
+        /// Time from the failure to the head of the new answer, in milliseconds.
+        took_ms: u64,
+    } = (
+        957, Info, "{id}: goes on at {to} after event {after}, {took_ms} ms after {from} failed it: {cause}",
+        "If this happens often, find out why the first engines fail: 925 tells of crashes.",
+    ),
+    /// A generation that an engine failed does not go on at another one, though its route allows it.
+    ResumptionGivenUp {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine that failed it.
+        target: TargetId,
+        /// How it failed.
+        cause: Arc<str>,
+        /// Why no other engine goes on.
+        why: Arc<str>,
+        /// Id of the last event that the caller had; 0 if it had none.
+        last_event: u64,
+    } = (
+        958, Warn, "{id}: not resumed after event {last_event}, which {target} failed ({cause}): {why}",
+        "For budget_used_up or engines_used_up, find out why engines fail; for no_engine, see the reason in 905 or 900, and add engines.",
+    ),
 }
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -47,6 +47,8 @@
     pub key: Option<Arc<str>>,
     /// The sizes of a generation, if the caller declares them.
     pub sizes: Option<GenerationSizes>,
+    /// The id of the last event that the caller has received, if it resumes a stream.
+    pub last_event: Option<u64>,
     /// The ids of the parts of the prompt that other requests may share, in order.
     pub shared_parts: Vec<Arc<str>>,
 }
@@ -88,6 +90,9 @@
     pub workspace: Option<&'a str>,
     /// The copy to resume from, if the request resumes a generation.
     pub resume: Option<&'a Resume>,
+    /// The id of the event after which the target goes on without a copy, if the request resumes a
+    /// stream within its response.
+    pub after: Option<u64>,
 }
 
 /// A target's load as reported in the head of an answer.
--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -56,6 +56,8 @@
     pub is_probe: Arc<AtomicBool>,
     /// Targets that have lost a run of this request, in this order. Clones share them.
     pub lost_runs: Arc<Mutex<Vec<TargetIncarnation>>>,
+    /// The id of the last event that this response has carried, if its stream goes on at another target.
+    pub resumes_after: Option<u64>,
 }
 
 impl Call {
@@ -64,6 +66,26 @@
         self.sent.store(true, Ordering::Release);
     }
 
+    /// The id of the last event that the caller has from an earlier response, if the route allows that
+    /// streams are resumed.
+    #[must_use]
+    pub fn caller_last_event(&self) -> Option<u64> {
+        self.request.last_event.filter(|_| self.route.is_resumable)
+    }
+
+    /// The call as it is placed once more to go on after an event. Its caller waits anew, at most for
+    /// `patience`.
+    #[must_use]
+    pub fn with_resumption(&self, after: Option<u64>, patience: Duration) -> Self {
+        let now = boot_time();
+        Self {
+            arrived: now,
+            answer_deadline: self.answer_deadline.min(now + patience),
+            resumes_after: after,
+            ..self.clone()
+        }
+    }
+
     /// Time since the request arrived.
     #[must_use]
     pub fn elapsed(&self) -> Duration {
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -227,6 +227,7 @@
             sent: Arc::new(AtomicBool::new(false)),
             is_probe: Arc::default(),
             lost_runs: Arc::default(),
+            resumes_after: None,
         })
     }
 }
--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -103,6 +103,13 @@
         self
     }
 
+    /// Sets the number of events that its caller has already.
+    #[must_use]
+    pub fn with_events_received(mut self, count: u64) -> Self {
+        self.events_received = AtomicU64::new(count);
+        self
+    }
+
     /// Sets the route and the priority.
     #[must_use]
     pub fn with_route(mut self, route: RouteId, priority: u32) -> Self {
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -4,13 +4,13 @@
 
 use async_channel::Receiver;
 use events::{Event, emit};
-use hyper::{Response, http};
+use hyper::{Response, body::Incoming, http};
 use net::{Body, task_body};
 use placing::{GenerationUpdate, PlacementAnswer, PlacementRequest, Shard};
 use rates::Reservation;
 use smol::future;
 use timer::boot_time;
-use types::{Moment, TargetId, VersionChoice, millis};
+use types::{Moment, TargetId, Tokens, VersionChoice, millis};
 use view::Target;
 
 use crate::{
@@ -21,8 +21,10 @@
     },
     generations::{
         active::GenerationHandle,
+        attempts::{Attempts, Loss, decide, record_give_up, take_retry},
         idle::{Diagnosis, IdleMonitor, diagnose},
         relay::Relay,
+        resumption::{Cause, Decision, GiveUp, Position},
     },
     quarantine::{
         aggregation, crash_detection,
@@ -82,7 +84,12 @@
     /// Releases the assignment, and waits until the owner has processed that. The owner would
     /// otherwise take an update that arrives after the next placement request for the end of the
     /// new assignment.
-    async fn release(mut self) {
+    pub async fn release(mut self) {
+        self.release_early().await;
+    }
+
+    /// Releases the assignment of a generation that goes on elsewhere, as [`Self::release`] does.
+    pub async fn release_early(&mut self) {
         // Nothing is ever sent: `recv` fails once the owner has been notified.
         let _ = self.notify_owner().recv().await;
     }
@@ -112,30 +119,129 @@
     }
 }
 
-/// Serves a generation; retries on other engines while it certainly has not run.
-pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
-    let mut avoid = Vec::new();
-    loop {
-        if let Err(refusal) = parts::admit(&front, &call).await {
-            return front.refuse_call(&call, &refusal);
+/// A generation that an engine has begun to answer.
+pub struct Started {
+    /// The assignment to the engine.
+    pub assignment: Assignment,
+    /// The head of the engine's answer.
+    pub head: Box<http::response::Parts>,
+    /// The stream.
+    pub body: Incoming,
+    /// When the request was sent.
+    pub sent_at: Moment,
+    /// The engines that it was sent to.
+    pub attempts: Attempts,
+}
+
+/// Why no engine has begun a generation, or the error of one that did.
+pub enum Failure {
+    /// The error of an engine.
+    Answer(Response<Body>),
+    /// No engine has answered.
+    Refusal(Refusal),
+}
+
+impl Failure {
+    /// The reason, for the log.
+    #[must_use]
+    pub fn reason(&self) -> Arc<str> {
+        match self {
+            Self::Answer(resp) => format!("status {}", resp.status()).into(),
+            Self::Refusal(refusal) => Arc::clone(&refusal.reason),
         }
-        let mut version = VersionPermit::new(&front, &call.service.name);
-        let mut assigned = assign_engine(&front, &call, &avoid, version.choice()).await;
-        if assigned.is_err() && version.avoid_new() {
-            assigned = assign_engine(&front, &call, &avoid, version.choice()).await;
+    }
+
+    fn into_response(self, front: &Front, call: &Call) -> Response<Body> {
+        match self {
+            Self::Answer(resp) => {
+                front.metrics.count_request(call.kind(), "failed");
+                resp
+            }
+            Self::Refusal(refusal) => front.refuse_call(call, &refusal),
         }
-        let target = match assigned {
-            Ok(target) => target,
-            Err(refusal) => return front.refuse_call(&call, &refusal),
-        };
-        match attempt(&front, &call, target, &mut avoid, version).await {
-            Attempt::Answer(resp) => return resp,
+    }
+}
+
+/// Serves a generation.
+pub async fn serve(front: Arc<Front>, call: Call) -> Response<Body> {
+    match start(&front, &call, Attempts::default()).await {
+        Ok(started) => stream(&front, &call, started),
+        Err(failure) => failure.into_response(&front, &call),
+    }
+}
+
+/// Starts a generation at an engine; retries on other engines while it certainly has not run, or as the
+/// route allows if it may be run again.
+///
+/// # Errors
+/// Returns what the caller is answered if no engine begins it. Once it may have run, that is the failure of
+/// the last engine which may have run it: no later refusal may deny the run.
+pub async fn start(
+    front: &Arc<Front>,
+    call: &Call,
+    mut attempts: Attempts,
+) -> Result<Started, Failure> {
+    let mut failure = None;
+    loop {
+        match try_next(front, call, &mut attempts).await {
+            Attempt::Started {
+                assignment,
+                head,
+                body,
+                sent_at,
+            } => {
+                attempts.runs += 1;
+                return Ok(Started {
+                    assignment,
+                    head,
+                    body,
+                    sent_at,
+                    attempts,
+                });
+            }
             Attempt::Retry => {}
-            Attempt::Refuse(refusal) => return front.refuse_call(&call, &refusal),
+            Attempt::Answer(resp) => return Err(Failure::Answer(resp)),
+            Attempt::Refuse(refusal) => {
+                if let Some(loss) = &attempts.loss {
+                    record_give_up(front, call, loss, GiveUp::NoEngine);
+                }
+                return Err(failure.unwrap_or(Failure::Refusal(refusal)));
+            }
+            Attempt::Failed(loss, latest) => {
+                attempts.runs += 1;
+                attempts.record_loss(loss.clone());
+                match decide(front, call, &attempts, &loss) {
+                    Decision::GiveUp(_) => return Err(latest),
+                    Decision::Restart => {
+                        let cause = loss.cause.label();
+                        front.metrics.count_resumption(cause, "restarted");
+                    }
+                    // Counted once it has been resumed.
+                    Decision::Resume { .. } => {}
+                }
+                failure = Some(latest);
+            }
         }
     }
 }
 
+/// Assigns an engine and sends the generation to it.
+async fn try_next(front: &Arc<Front>, call: &Call, attempts: &mut Attempts) -> Attempt {
+    if let Err(refusal) = parts::admit(front, call).await {
+        return Attempt::Refuse(refusal);
+    }
+    let mut version = VersionPermit::new(front, &call.service.name);
+    let avoid = attempts.avoid();
+    let mut assigned = assign_engine(front, call, &avoid, version.choice()).await;
+    if assigned.is_err() && version.avoid_new() {
+        assigned = assign_engine(front, call, &avoid, version.choice()).await;
+    }
+    match assigned {
+        Ok(target) => attempt(front, call, target, attempts, version).await,
+        Err(refusal) => Attempt::Refuse(refusal),
+    }
+}
+
 /// Requests engines until one is assigned, or refuses once none can serve the call in time.
 async fn assign_engine(
     front: &Arc<Front>,
@@ -240,7 +346,7 @@
     shard: Shard,
     avoid: &[TargetId],
 ) -> PlacementRequest {
-    let sizes = call.request.sizes.unwrap_or(DEFAULT_SIZES);
+    let sizes = remaining_sizes(call);
     PlacementRequest {
         generation: Arc::clone(&call.request.id),
         digest: call.fingerprint.short(),
@@ -263,33 +369,66 @@
     }
 }
 
+/// The sizes of what is left of a generation: events that the caller has are read as part of the prompt.
+fn remaining_sizes(call: &Call) -> GenerationSizes {
+    let sizes = call.request.sizes.unwrap_or(DEFAULT_SIZES);
+    let events = call.resumes_after.or_else(|| call.caller_last_event());
+    let generated = (events.unwrap_or(0))
+        .saturating_mul(tokens_per_event(call))
+        .min(sizes.max_tokens);
+    GenerationSizes {
+        prompt_tokens: sizes.prompt_tokens.saturating_add(generated),
+        max_tokens: sizes.max_tokens - generated,
+        length_hint: sizes.length_hint.map(|hint| hint.saturating_sub(generated)),
+    }
+}
+
+/// Tokens in one event of the call's service.
+fn tokens_per_event(call: &Call) -> Tokens {
+    let engine = call.service.engine.as_ref();
+    engine.map_or(1, |engine| engine.tokens_per_event)
+}
+
+/// The outcome of one attempt.
 enum Attempt {
-    Answer(Response<Body>),
+    /// The engine has begun to answer.
+    Started {
+        assignment: Assignment,
+        head: Box<http::response::Parts>,
+        body: Incoming,
+        sent_at: Moment,
+    },
+    /// The engine has not run it, and another one is tried.
     Retry,
+    /// No engine is tried any more.
     Refuse(Refusal),
+    /// The engine's answer, which another engine would give as well.
+    Answer(Response<Body>),
+    /// The engine may have run it, and the caller gets this if no other one does better.
+    Failed(Loss, Failure),
 }
 
 async fn attempt(
     front: &Arc<Front>,
     call: &Call,
     target: Arc<Target>,
-    avoid: &mut Vec<TargetId>,
+    attempts: &mut Attempts,
     version: VersionPermit,
 ) -> Attempt {
     let mut assignment = Assignment::new(front, new_handle(call, &target));
     if let Reservation::Rejected { after } = wait_for_rate(front, call, &target.id).await {
         // Nothing was sent, so this does not count against the retry budget.
-        avoid.push(Arc::clone(&target.id));
+        attempts.refused.push(Arc::clone(&target.id));
         assignment.release().await;
-        if avoid.len() < MAX_NOT_RUN {
+        if attempts.refused.len() < MAX_NOT_RUN {
             return Attempt::Retry;
         }
         return Attempt::Refuse(Refusal::not_run("engines in need take no more", after));
     }
-    let attempt_number = u32::try_from(avoid.len() + 1).unwrap_or(u32::MAX);
+    let attempt_number = attempts.next_number();
     if !front.take_cold_permit(&call.service, &target) {
-        avoid.push(Arc::clone(&target.id));
-        return retry_or_refuse("every engine is cold", assignment, call, avoid).await;
+        attempts.refused.push(Arc::clone(&target.id));
+        return retry_or_refuse("every engine is cold", assignment, call, attempts).await;
     }
     emit(&Event::RequestSent {
         id: Arc::clone(&call.request.id),
@@ -304,31 +443,27 @@
     version.use_up();
     let sent_at = boot_time();
     let sending = send(front, call, &target, None, call.time_left());
-    match future::or(
+    let outcome = future::or(
         sending,
         wait_until_gone(front, call, &assignment.generation),
     )
-    .await
-    {
-        SendOutcome::Response { head, body, .. } if head.status.is_success() => {
-            Attempt::Answer(stream(front, call, assignment, &head, body, sent_at))
-        }
+    .await;
+    match outcome {
+        SendOutcome::Response { head, body, .. } if head.status.is_success() => Attempt::Started {
+            assignment,
+            head,
+            body,
+            sent_at,
+        },
         SendOutcome::Response { head, body, .. } => {
             front.record_answer(call, &target, sent_at, head.status.is_server_error());
-            match buffer_response(front, &head, body, call.time_left()).await {
-                Ok(resp) => {
-                    front.metrics.count_request(call.kind(), "failed");
-                    aggregation::report_success(front, &call.fingerprint);
-                    Attempt::Answer(resp)
-                }
-                Err(reason) => Attempt::Refuse(Refusal::unknown(reason)),
-            }
+            handle_error(front, call, assignment, &head, body).await
         }
         SendOutcome::Withheld { reason } | SendOutcome::NotReached { reason } => {
             // Nothing was sent, so this does not count against the retry budget.
-            avoid.push(Arc::clone(&target.id));
+            attempts.refused.push(Arc::clone(&target.id));
             assignment.release().await;
-            if avoid.len() < MAX_NOT_RUN {
+            if attempts.refused.len() < MAX_NOT_RUN {
                 return Attempt::Retry;
             }
             Attempt::Refuse(Refusal::not_run(reason, NO_TARGET_RETRY_AFTER))
@@ -336,8 +471,8 @@
         SendOutcome::NotRun { reason } => {
             // The owner would otherwise give the engine no work of other instances either.
             assignment.target_failed = front.rest_left(&target).is_none();
-            avoid.push(Arc::clone(&target.id));
-            retry_or_refuse(&reason, assignment, call, avoid).await
+            attempts.refused.push(Arc::clone(&target.id));
+            retry_or_refuse(&reason, assignment, call, attempts).await
         }
         SendOutcome::Rejected { reason } => Attempt::Refuse(Refusal::rejected(&reason)),
         SendOutcome::Unknown { reason, timed_out } => {
@@ -346,16 +481,57 @@
             if timed_out {
                 paths::verify_soon(front, &target);
             }
-            let refusal = if timed_out {
-                Refusal::timed_out
+            let (cause, refusal) = if timed_out {
+                (Cause::TimedOut, Refusal::timed_out(reason))
             } else {
-                Refusal::unknown
+                (Cause::ConnectionLost, Refusal::unknown(reason))
             };
-            Attempt::Refuse(refusal(reason))
+            fail(call, assignment, cause, Failure::Refusal(refusal)).await
+        }
+    }
+}
+
+/// Handles an engine's answer that is no success: it is the answer to the caller, unless it is a server
+/// error and another engine may answer better.
+async fn handle_error(
+    front: &Arc<Front>,
+    call: &Call,
+    assignment: Assignment,
+    head: &http::response::Parts,
+    body: Incoming,
+) -> Attempt {
+    match buffer_response(front, head, body, call.time_left()).await {
+        Ok(resp) => {
+            aggregation::report_success(front, &call.fingerprint);
+            if !head.status.is_server_error() {
+                return Attempt::Answer(resp);
+            }
+            let failure = Failure::Answer(resp);
+            fail(call, assignment, Cause::ServerError, failure).await
+        }
+        Err(reason) => {
+            let failure = Failure::Refusal(Refusal::unknown(reason));
+            fail(call, assignment, Cause::ConnectionLost, failure).await
         }
     }
 }
 
+/// Ends an attempt at an engine that may have run the generation. The owner has to know of that before
+/// another engine is requested.
+async fn fail(call: &Call, assignment: Assignment, cause: Cause, failure: Failure) -> Attempt {
+    let target = assignment.generation.target();
+    if call.route.is_resumable {
+        assignment.release().await;
+    }
+    let position = call.resumes_after.map_or(Position::Start, Position::After);
+    let loss = Loss {
+        target,
+        cause,
+        position,
+    };
+    Attempt::Failed(loss, failure)
+}
+
 /// Waits for a reservation under the rate limit of an engine, if it has announced one.
 async fn wait_for_rate(front: &Arc<Front>, call: &Call, target: &TargetId) -> Reservation {
     let timeout = call.objective_left().mul_f64(RATE_WAIT_FRACTION);
@@ -395,51 +571,36 @@
     reason: &str,
     assignment: Assignment,
     call: &Call,
-    avoid: &[TargetId],
+    attempts: &Attempts,
 ) -> Attempt {
     let front = Arc::clone(&assignment.front);
-    let service = &call.service.name;
-    let instances = front.instance_count();
     let granted = front.cfg.decisions.features.retries
-        && avoid.len() < MAX_NOT_RUN
-        && front
-            .retry_budget
-            .lock()
-            .try_take(boot_time(), service, instances);
+        && attempts.refused.len() < MAX_NOT_RUN
+        && take_retry(&front, call);
     if !granted {
         return Attempt::Refuse(Refusal::not_run(reason, NO_TARGET_RETRY_AFTER));
     }
-    front.metrics.retries.inc();
     assignment.release().await;
     Attempt::Retry
 }
 
 fn new_handle(call: &Call, target: &Arc<Target>) -> GenerationHandle {
     let sizes = call.request.sizes.unwrap_or(DEFAULT_SIZES);
-    let tokens_per_event = call
-        .service
-        .engine
-        .as_ref()
-        .map_or(1, |engine| engine.tokens_per_event);
+    let events = call.resumes_after.or_else(|| call.caller_last_event());
     let id = Arc::clone(&call.request.id);
     let service = Arc::clone(&call.service.name);
     GenerationHandle::new(id, service, Arc::clone(target))
-        .with_sizes(sizes, tokens_per_event)
+        .with_sizes(sizes, tokens_per_event(call))
+        .with_events_received(events.unwrap_or(0))
         .with_route(Arc::clone(&call.route.name), call.priority)
 }
 
-fn stream(
-    front: &Arc<Front>,
-    call: &Call,
-    assignment: Assignment,
-    head: &http::response::Parts,
-    body: hyper::body::Incoming,
-    sent_at: Moment,
-) -> Response<Body> {
-    let relay =
-        Relay::new(Arc::clone(front), call.clone(), assignment, head, body).with_sent_at(sent_at);
+fn stream(front: &Arc<Front>, call: &Call, started: Started) -> Response<Body> {
+    let status = started.head.status;
+    let headers = front.adapter.forwarded_headers(&started.head);
+    let relay = Relay::new(Arc::clone(front), call.clone(), started);
     let mut resp = Response::new(task_body(move |tx| relay.run(tx)));
-    *resp.status_mut() = head.status;
-    *resp.headers_mut() = front.adapter.forwarded_headers(head);
+    *resp.status_mut() = status;
+    *resp.headers_mut() = headers;
     resp
 }
--- a/components/front/src/generations/mod.rs
+++ b/components/front/src/generations/mod.rs
@@ -1,6 +1,7 @@
 //! Generations: assignment to an engine, relaying of the stream, and migration between engines.
 
 pub mod active;
+pub mod attempts;
 pub mod dispatch;
 pub mod evacuation;
 pub mod idle;
@@ -9,4 +10,5 @@
 pub mod probing;
 pub mod recovery;
 pub mod relay;
+pub mod resumption;
 pub mod splitter;
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -19,23 +19,25 @@
 use smol::future;
 use timer::{Timer, boot_time};
 use types::{Moment, millis};
-use view::Target;
 
+mod gaps;
+mod resuming;
+
+use self::gaps::GapSample;
 use crate::{
-    adapters::Resume,
     callers::call::Call,
     generations::{
         active::RelayCommand,
-        dispatch::Assignment,
+        attempts::Attempts,
+        dispatch::{Assignment, Started},
         idle::{Diagnosis, IdleMonitor, REPORT_TIMEOUT, diagnose},
-        recovery,
+        resumption::Cause,
         splitter::EventSplitter,
     },
     quarantine::{
         aggregation, crash_detection,
         parts::{self, Progress},
     },
-    send::{SendOutcome, send},
     signals,
     state::Front,
 };
@@ -47,10 +49,6 @@
 /// Time for the next command of a migration after the stream has closed: the time of a copy plus a
 /// margin.
 const MIGRATION_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Time for an engine to answer a resumed generation. Engines admit resumed generations first, in
-/// their next step, and a caller gives up long before this time is over.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Channel to the body of the response to the caller.
 pub type EventSender = Sender<Result<Bytes, BodyAborted>>;
 
@@ -59,14 +57,21 @@
     front: Arc<Front>,
     call: Call,
     assignment: Assignment,
-    body: Incoming,
+    /// The stream of the current engine; `None` once it is given up.
+    body: Option<Incoming>,
+    /// The engines that the generation was sent to.
+    attempts: Attempts,
     /// Whether the stream marks its own end; otherwise it ends when its connection is closed.
     framed: bool,
     /// Whether the body consists of events.
     has_events: bool,
     splitter: EventSplitter,
-    /// Id of the last event that was forwarded.
+    /// Id of the last event that the caller has received.
     last_event: Option<u64>,
+    /// Whether an event was forwarded in this response.
+    has_begun: bool,
+    /// Whether events without an id were forwarded after that one.
+    has_unnumbered: bool,
     /// When the request was sent.
     sent_at: Moment,
     /// How far the answer of the current engine has come.
@@ -80,27 +85,6 @@
     monitor: IdleMonitor,
 }
 
-/// Gaps between events whose mean counts. Those of a whole generation would tell of a slow one only when
-/// it ends, several times later than of a fast one.
-const SAMPLED_GAPS: u32 = 16;
-/// Gaps that a generation needs which ends before.
-const MIN_GAPS: u32 = 8;
-
-/// A sample of the times between events of a generation on one engine that has warmed up.
-#[derive(Clone, Debug)]
-enum GapSample {
-    /// No event has arrived from an engine that has warmed up.
-    Waiting,
-    /// Gaps are counted from an event on.
-    Running {
-        from: Moment,
-        gaps: u32,
-        target: Arc<Target>,
-    },
-    /// It was taken, or the generation was migrated.
-    Over,
-}
-
 /// What the relay reacts to next.
 enum Input {
     Bytes(Bytes),
@@ -113,13 +97,6 @@
     DeadlinePassed,
 }
 
-/// Why a generation was not resumed at an engine.
-struct ResumeError {
-    reason: Arc<str>,
-    /// The engine certainly did not resume it, so that its copy can still be used.
-    not_run: bool,
-}
-
 /// Why the relay ends.
 enum RelayEnd {
     /// The stream is complete.
@@ -128,28 +105,28 @@
     CallerGone,
     /// The stream can't be continued, for this reason.
     BodyAborted(Arc<str>),
+    /// The engine failed, and its memory is lost.
+    EngineFailed { cause: Cause, reason: Arc<str> },
 }
 
 impl Relay {
     /// Creates the relay of a stream that has just begun.
     #[must_use]
-    pub fn new(
-        front: Arc<Front>,
-        call: Call,
-        assignment: Assignment,
-        head: &Parts,
-        body: Incoming,
-    ) -> Self {
+    pub fn new(front: Arc<Front>, call: Call, started: Started) -> Self {
+        let last_event = call.caller_last_event();
         Self {
             front,
             call,
-            assignment,
-            body,
-            framed: is_framed(head),
-            has_events: is_event_stream(head),
+            assignment: started.assignment,
+            framed: is_framed(&started.head),
+            has_events: is_event_stream(&started.head),
+            body: Some(started.body),
+            attempts: started.attempts,
             splitter: EventSplitter::new(),
-            last_event: None,
-            sent_at: boot_time(),
+            last_event,
+            has_begun: false,
+            has_unnumbered: false,
+            sent_at: started.sent_at,
             progress: Progress::NONE,
             gap_sample: GapSample::Waiting,
             stopping: false,
@@ -158,53 +135,6 @@
         }
     }
 
-    /// Sets when the request was sent.
-    #[must_use]
-    pub const fn with_sent_at(mut self, sent_at: Moment) -> Self {
-        self.sent_at = sent_at;
-        self
-    }
-
-    /// Counts an event for the sample of gaps, and records the sample once it is large enough.
-    fn sample_gap(&mut self) {
-        let is_over = matches!(self.gap_sample, GapSample::Over);
-        if is_over || self.front.rollouts.is_empty() {
-            return;
-        }
-        let target = self.assignment.generation.target();
-        match &mut self.gap_sample {
-            GapSample::Waiting if self.front.is_warm(&target) => {
-                self.gap_sample = GapSample::Running {
-                    from: boot_time(),
-                    gaps: 0,
-                    target,
-                };
-            }
-            GapSample::Running { target: first, .. } if first.id != target.id => {
-                self.gap_sample = GapSample::Over;
-            }
-            GapSample::Running { gaps, .. } => {
-                *gaps += 1;
-                if *gaps >= SAMPLED_GAPS {
-                    self.record_gap();
-                }
-            }
-            GapSample::Waiting | GapSample::Over => {}
-        }
-    }
-
-    /// Records the mean time between the sampled events, if there are enough.
-    fn record_gap(&mut self) {
-        let sample = std::mem::replace(&mut self.gap_sample, GapSample::Over);
-        if let GapSample::Running { from, gaps, target } = sample
-            && gaps >= MIN_GAPS
-        {
-            let gap = boot_time().saturating_sub(from) / gaps;
-            let route = &self.call.route.name;
-            self.front.rollouts.record_gap(&target, route, gap);
-        }
-    }
-
     /// Forwards events until the stream ends; then records the outcome and logs it.
     pub async fn run(mut self, out: EventSender) {
         let front = Arc::clone(&self.front);
@@ -235,7 +165,7 @@
                 });
             }
             RelayEnd::CallerGone => {}
-            RelayEnd::BodyAborted(reason) => {
+            RelayEnd::BodyAborted(reason) | RelayEnd::EngineFailed { reason, .. } => {
                 self.front.metrics.count_request(self.call.kind(), "cut");
                 emit(&Event::StreamCut {
                     id: Arc::clone(&self.call.request.id),
@@ -254,13 +184,22 @@
             let end = match self.next_input().await {
                 Input::Bytes(bytes) => self.forward(&bytes, out).await.err(),
                 Input::End => self.handle_end(out).await,
-                Input::Interrupted(reason) => self.handle_interruption(reason, out).await,
+                Input::Interrupted(reason) => {
+                    let cause = Cause::ConnectionLost;
+                    self.handle_interruption(cause, reason, out).await
+                }
                 Input::Command(command) => self.handle_command(command, out).await,
                 Input::Idle => self.handle_idle().await,
                 Input::DeadlinePassed => {
                     Some(RelayEnd::BodyAborted("the deadline has passed".into()))
                 }
             };
+            let end = match end {
+                Some(RelayEnd::EngineFailed { cause, reason }) => {
+                    self.resume_elsewhere(cause, reason).await
+                }
+                end => end,
+            };
             if let Some(end) = end {
                 return end;
             }
@@ -306,36 +245,20 @@
                     sent,
                     self.progress,
                 );
-                Some(RelayEnd::BodyAborted(
-                    "engine does not answer and is no longer listed".into(),
-                ))
+                Some(RelayEnd::EngineFailed {
+                    cause: Cause::EngineGone,
+                    reason: "engine does not answer and is no longer listed".into(),
+                })
             }
             // The outcome of a migration in progress decides about the stream.
             Diagnosis::ConnectionLost if !generation.begin_migration() => None,
             Diagnosis::ConnectionLost => {
-                self.recover("events of a running engine do not arrive".into())
-                    .await
+                let reason = "events of a running engine do not arrive".into();
+                self.recover(Cause::ConnectionLost, reason).await
             }
         }
     }
 
-    /// Resumes the generation from the memory of its engine, if that can still be copied. The
-    /// caller of this function holds the right to migrate the generation.
-    async fn recover(&mut self, reason: Arc<str>) -> Option<RelayEnd> {
-        let generation = Arc::clone(&self.assignment.generation);
-        let resumed = match recovery::recover(&self.front, &self.call, &generation).await {
-            Ok((target, resume)) => self
-                .resume_at(&target, resume)
-                .await
-                .map_err(|failure| failure.reason),
-            Err(why) => Err(why),
-        };
-        generation.end_migration();
-        resumed
-            .err()
-            .map(|why| RelayEnd::BodyAborted(format!("{reason}; recovery failed: {why}").into()))
-    }
-
     /// Forwards the events that are complete after these bytes.
     async fn forward(&mut self, bytes: &[u8], out: &EventSender) -> Result<(), RelayEnd> {
         if self.splitter.push(bytes).is_err() {
@@ -351,6 +274,7 @@
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
+            self.has_unnumbered = event.id.is_none();
             self.count_event();
             ready.push(event.bytes);
         }
@@ -368,6 +292,7 @@
         if let Some(began) = self.progress.record_event(boot_time()) {
             parts::report_sound(&self.front, &self.call, began);
         }
+        let is_first = !std::mem::replace(&mut self.has_begun, true);
         let generation = &self.assignment.generation;
         if !generation.record_event() {
             return;
@@ -375,11 +300,13 @@
         let target = generation.target();
         self.front
             .record_answer(&self.call, &target, self.sent_at, false);
-        emit(&Event::FirstEvent {
-            id: Arc::clone(&self.call.request.id),
-            target: Arc::clone(&generation.target().id),
-            took_ms: millis(self.call.elapsed()),
-        });
+        if is_first {
+            emit(&Event::FirstEvent {
+                id: Arc::clone(&self.call.request.id),
+                target: Arc::clone(&target.id),
+                took_ms: millis(self.call.elapsed()),
+            });
+        }
         let generation_id = Arc::clone(&generation.id);
         let shard = self
             .front
@@ -404,20 +331,22 @@
             return self.handle_command(Some(command), out).await;
         }
         if let Some(reason) = self.incompleteness().await {
-            return self.handle_interruption(reason.into(), out).await;
+            let cause = Cause::Truncated;
+            return self.handle_interruption(cause, reason.into(), out).await;
         }
         Some(self.finish(out).await)
     }
 
     /// Why a stream whose end is not marked may be incomplete.
     async fn incompleteness(&self) -> Option<&'static str> {
-        if self.framed {
+        let is_within_event = self.has_events && !self.splitter.is_empty();
+        if self.framed && !(is_within_event && self.call.route.is_resumable) {
             return None;
         }
         if self.maybe_stopped {
             return Some("the engine may have stopped it for a migration");
         }
-        if self.has_events && !self.splitter.is_empty() {
+        if is_within_event {
             return Some("the stream ended in the middle of an event");
         }
         // The connections of a process that exits are closed in the same way as those of a complete
@@ -445,6 +374,7 @@
     /// copy or the engine's memory.
     async fn handle_interruption(
         &mut self,
+        cause: Cause,
         reason: Arc<str>,
         out: &EventSender,
     ) -> Option<RelayEnd> {
@@ -459,17 +389,16 @@
         let Some((target, resume)) = generation.take_copy() else {
             let recovers = self.front.cfg.decisions.features.stream_recovery;
             if !recovers || !self.assignment.generation.begin_migration() {
-                return Some(RelayEnd::BodyAborted(reason));
+                return Some(RelayEnd::EngineFailed { cause, reason });
             }
-            return self.recover(reason).await;
+            return self.recover(cause, reason).await;
         };
         match self.resume_at(&target, resume).await {
             Ok(()) => None,
             Err(failure) => {
                 let why = failure.reason;
-                Some(RelayEnd::BodyAborted(
-                    format!("{reason}; resuming from the copy failed: {why}").into(),
-                ))
+                let reason = format!("{reason}; resuming from the copy failed: {why}").into();
+                Some(RelayEnd::EngineFailed { cause, reason })
             }
         }
     }
@@ -526,9 +455,10 @@
                         self.assignment.generation.record_refusal(&target.id);
                         self.resume_at_source(&source, resume, failure).await
                     }
-                    resumed => resumed
-                        .err()
-                        .map(|failure| RelayEnd::BodyAborted(failure.reason)),
+                    resumed => resumed.err().map(|failure| RelayEnd::EngineFailed {
+                        cause: Cause::ConnectionLost,
+                        reason: failure.reason,
+                    }),
                 };
             }
             // The handle holds a sender, so the channel is not closed while the relay runs.
@@ -553,66 +483,6 @@
             }
         }
     }
-
-    /// Resumes the generation at the engine that it was to leave, because the destination did not
-    /// take it. The owner can choose another destination if the engine stays up long enough.
-    async fn resume_at_source(
-        &mut self,
-        source: &Arc<Target>,
-        resume: Resume,
-        failure: ResumeError,
-    ) -> Option<RelayEnd> {
-        let resumed = self.resume_at(source, resume).await;
-        let why = |at_source: ResumeError| {
-            format!(
-                "{}; resuming at the source failed: {}",
-                failure.reason, at_source.reason
-            )
-        };
-        resumed
-            .err()
-            .map(|at_source| RelayEnd::BodyAborted(why(at_source).into()))
-    }
-
-    /// Resumes the generation at an engine from a copy.
-    async fn resume_at(
-        &mut self,
-        target: &Arc<Target>,
-        mut resume: Resume,
-    ) -> Result<(), ResumeError> {
-        resume.after = self.last_event;
-        // Drops the incomplete event of the previous engine; the new stream repeats it.
-        let _ = self.splitter.take_rest();
-        let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-        match send(&self.front, &self.call, target, Some(&resume), timeout).await {
-            SendOutcome::Response { head, body, .. } if head.status.is_success() => {
-                self.framed = is_framed(&head);
-                self.has_events = is_event_stream(&head);
-                self.maybe_stopped = false;
-                self.progress = Progress::RESUMED;
-                self.body = body;
-                self.monitor.reset(boot_time());
-                self.assignment.generation.set_target(Arc::clone(target));
-                Ok(())
-            }
-            SendOutcome::Response { head, .. } => Err(ResumeError {
-                reason: format!("status {}", head.status).into(),
-                not_run: false,
-            }),
-            SendOutcome::NotRun { reason }
-            | SendOutcome::NotReached { reason }
-            | SendOutcome::Withheld { reason } => Err(ResumeError {
-                reason,
-                not_run: true,
-            }),
-            SendOutcome::Unknown { reason, .. } | SendOutcome::Rejected { reason } => {
-                Err(ResumeError {
-                    reason,
-                    not_run: false,
-                })
-            }
-        }
-    }
 }
 
 /// Whether the head of a response tells how its body ends.
@@ -631,7 +501,10 @@
 }
 
 /// Waits for the next bytes of a stream or its end.
-async fn next_bytes(body: &mut Incoming) -> Input {
+async fn next_bytes(body: &mut Option<Incoming>) -> Input {
+    let Some(body) = body else {
+        return Input::End;
+    };
     loop {
         match body.frame().await {
             Some(Ok(frame)) => {
--- /dev/null
+++ b/components/front/src/generations/relay/resuming.rs
@@ -0,0 +1,203 @@
+//! Goes on with a generation: from its memory, at the engine that has it or at another one, or after its last
+//! event where the route allows that.
+
+use std::{sync::Arc, time::Duration};
+
+use events::{Event, emit};
+use timer::boot_time;
+use types::{TargetId, millis};
+use view::Target;
+
+use super::{Relay, RelayEnd, is_event_stream, is_framed};
+use crate::{
+    adapters::Resume,
+    generations::{
+        attempts::{self, Loss},
+        dispatch::{self, Started},
+        recovery,
+        resumption::{Cause, Decision, Position, patience},
+    },
+    quarantine::parts::Progress,
+    send::{SendOutcome, send},
+};
+
+/// Time for an engine to answer a resumed generation. Engines admit resumed generations first, in
+/// their next step, and a caller gives up long before this time is over.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Why a generation was not resumed at an engine.
+pub(super) struct ResumeError {
+    pub(super) reason: Arc<str>,
+    /// The engine certainly did not resume it, so that its copy can still be used.
+    pub(super) not_run: bool,
+}
+
+impl Relay {
+    /// Resumes the generation from the memory of its engine, if that can still be copied. The
+    /// caller of this function holds the right to migrate the generation.
+    pub(super) async fn recover(&mut self, cause: Cause, reason: Arc<str>) -> Option<RelayEnd> {
+        let generation = Arc::clone(&self.assignment.generation);
+        let resumed = match recovery::recover(&self.front, &self.call, &generation).await {
+            Ok((target, resume)) => self
+                .resume_at(&target, resume)
+                .await
+                .map_err(|failure| failure.reason),
+            Err(why) => Err(why),
+        };
+        generation.end_migration();
+        resumed.err().map(|why| RelayEnd::EngineFailed {
+            cause,
+            reason: format!("{reason}; recovery failed: {why}").into(),
+        })
+    }
+
+    /// Resumes the generation at the engine that it was to leave, because the destination did not
+    /// take it. The owner can choose another destination if the engine stays up long enough.
+    pub(super) async fn resume_at_source(
+        &mut self,
+        source: &Arc<Target>,
+        resume: Resume,
+        failure: ResumeError,
+    ) -> Option<RelayEnd> {
+        let resumed = self.resume_at(source, resume).await;
+        let why = |at_source: ResumeError| {
+            format!(
+                "{}; resuming at the source failed: {}",
+                failure.reason, at_source.reason
+            )
+        };
+        resumed.err().map(|at_source| RelayEnd::EngineFailed {
+            cause: Cause::ConnectionLost,
+            reason: why(at_source).into(),
+        })
+    }
+
+    /// Resumes the generation at an engine from a copy.
+    pub(super) async fn resume_at(
+        &mut self,
+        target: &Arc<Target>,
+        mut resume: Resume,
+    ) -> Result<(), ResumeError> {
+        resume.after = self.last_event;
+        // Drops the incomplete event of the previous engine; the new stream repeats it.
+        let _ = self.splitter.take_rest();
+        let timeout = RESUME_TIMEOUT.min(self.call.time_left());
+        match send(&self.front, &self.call, target, Some(&resume), timeout).await {
+            SendOutcome::Response { head, body, .. } if head.status.is_success() => {
+                self.framed = is_framed(&head);
+                self.has_events = is_event_stream(&head);
+                self.maybe_stopped = false;
+                self.progress = Progress::RESUMED;
+                self.body = Some(body);
+                self.monitor.reset(boot_time());
+                self.assignment.generation.set_target(Arc::clone(target));
+                Ok(())
+            }
+            SendOutcome::Response { head, .. } => Err(ResumeError {
+                reason: format!("status {}", head.status).into(),
+                not_run: false,
+            }),
+            SendOutcome::NotRun { reason }
+            | SendOutcome::NotReached { reason }
+            | SendOutcome::Withheld { reason } => Err(ResumeError {
+                reason,
+                not_run: true,
+            }),
+            SendOutcome::Unknown { reason, .. } | SendOutcome::Rejected { reason } => {
+                Err(ResumeError {
+                    reason,
+                    not_run: false,
+                })
+            }
+        }
+    }
+
+    /// Goes on at another engine after the last event, if the route allows it. The events so far, and the
+    /// head, stay those of the first engine.
+    pub(super) async fn resume_elsewhere(
+        &mut self,
+        cause: Cause,
+        reason: Arc<str>,
+    ) -> Option<RelayEnd> {
+        let failed_at = boot_time();
+        let loss = Loss {
+            target: self.assignment.generation.target(),
+            cause,
+            position: self.position(),
+        };
+        let decision = attempts::decide(&self.front, &self.call, &self.attempts, &loss);
+        if matches!(decision, Decision::GiveUp(_)) {
+            return Some(RelayEnd::BodyAborted(reason));
+        }
+        // Closes the connection, so that the engine stops before another one goes on.
+        self.body = None;
+        // The rest of an incomplete event; the next engine sends the event anew.
+        let _ = self.splitter.take_rest();
+        self.assignment.release_early().await;
+        let patience = patience(self.call.route.objective, self.call.time_left());
+        let after = self.last_event.filter(|_| decision != Decision::Restart);
+        let call = self.call.with_resumption(after, patience);
+        let unsuitable = self.other_weights(&loss.target);
+        let attempts = self.attempts.after_loss(loss.clone(), unsuitable);
+        match dispatch::start(&self.front, &call, attempts).await {
+            Ok(started) if is_event_stream(&started.head) => {
+                let took = boot_time().saturating_sub(failed_at);
+                self.record_resumption(&loss, &started, millis(took));
+                self.go_on_with(started);
+                None
+            }
+            Ok(_) => Some(RelayEnd::BodyAborted(
+                format!("{reason}; the next engine answered no stream").into(),
+            )),
+            Err(failure) => Some(RelayEnd::BodyAborted(
+                format!("{reason}; not resumed: {}", failure.reason()).into(),
+            )),
+        }
+    }
+
+    /// How much of the stream the caller has received.
+    fn position(&self) -> Position {
+        if !self.has_events || self.has_unnumbered {
+            return Position::Unknown;
+        }
+        self.last_event.map_or(Position::Start, Position::After)
+    }
+
+    /// Engines that would go on with other weights than those that have generated events.
+    fn other_weights(&self, first: &Target) -> Vec<TargetId> {
+        if self.last_event.is_none() {
+            return Vec::new();
+        }
+        let listed = self.front.view.targets();
+        let others = listed
+            .values()
+            .filter(|target| target.service == first.service && target.weights != first.weights);
+        others.map(|target| Arc::clone(&target.id)).collect()
+    }
+
+    fn record_resumption(&self, loss: &Loss, started: &Started, took_ms: u64) {
+        let cause = loss.cause.label();
+        self.front.metrics.count_resumption(cause, "resumed");
+        emit(&Event::StreamResumed {
+            id: Arc::clone(&self.call.request.id),
+            from: Arc::clone(&loss.target.id),
+            to: Arc::clone(&started.assignment.generation.target().id),
+            after: self.last_event.unwrap_or_default(),
+            cause: cause.into(),
+            took_ms,
+        });
+    }
+
+    /// Reads on from an engine that has begun to go on.
+    fn go_on_with(&mut self, started: Started) {
+        self.framed = is_framed(&started.head);
+        self.body = Some(started.body);
+        self.assignment = started.assignment;
+        self.attempts = started.attempts;
+        self.sent_at = started.sent_at;
+        self.stopping = false;
+        self.maybe_stopped = false;
+        self.progress = Progress::NONE;
+        self.monitor.reset(boot_time());
+    }
+}
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -32,6 +32,16 @@
     pub outcome: &'static str,
 }
 
+/// Labels of the counter of generations that engines failed on routes whose streams may be resumed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ResumptionLabels {
+    /// How the engine failed, as [`crate::generations::resumption::Cause`] names it.
+    pub cause: &'static str,
+    /// `restarted`, `resumed`, or why it was given up, as
+    /// [`crate::generations::resumption::GiveUp`] names it.
+    pub outcome: &'static str,
+}
+
 /// Labels of the counter of bytes exchanged with other instances.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerBytesLabels {
@@ -95,6 +105,8 @@
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
     pub migrations: Family<MigrationLabels, Counter>,
+    /// Generations that engines failed on routes whose streams may be resumed, by what became of them.
+    pub resumptions: Family<ResumptionLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -132,6 +144,7 @@
             others_requests: Counter::default(),
             rollout_answers: Family::default(),
             migrations: Family::default(),
+            resumptions: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -208,6 +221,11 @@
             "Generations carried over",
             all.migrations.clone(),
         );
+        registry.register(
+            "resumptions",
+            "Generations that engines failed where streams may be resumed, by cause and outcome",
+            all.resumptions.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
@@ -245,6 +263,13 @@
             .inc();
     }
 
+    /// Counts a generation that an engine failed where streams may be resumed.
+    pub fn count_resumption(&self, cause: &'static str, outcome: &'static str) {
+        self.resumptions
+            .get_or_create(&ResumptionLabels { cause, outcome })
+            .inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn to_text(&self) -> String {
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -175,6 +175,7 @@
             time_left: self.call.caller_time_left(),
             workspace: self.call.workspace.as_deref(),
             resume: self.resume,
+            after: self.call.resumes_after,
         };
         front.adapter.build_request(&outgoing)
     }
--- a/components/front/tests/objectives.rs
+++ b/components/front/tests/objectives.rs
@@ -44,6 +44,7 @@
             time_left: Some(left),
             key: None,
             sizes: None,
+            last_event: None,
             shared_parts: Vec::new(),
         },
         fingerprint: Fingerprint::new(&[]),
@@ -62,6 +63,7 @@
         sent: Arc::default(),
         is_probe: Arc::default(),
         lost_runs: Arc::default(),
+        resumes_after: None,
     };
     assert!(
         call.objective_left() > objective / 2,
