--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod reaching;
 mod restores;
+mod resuming;
 mod rollouts;
 mod signals;
 mod starting;
