--- a/tests/platform/resuming.rs
+++ b/tests/platform/resuming.rs
@@ -22,12 +22,14 @@
 /// Time within which an engine stops for a caller that has gone.
 const MAX_TIME_TO_STOP: Duration = Duration::from_millis(500);
 
-/// Starts a platform in which streams of the route `notes` may be resumed, by at most two engines.
+/// Starts a platform in which streams of the route `notes` may be resumed, by at most two engines, and those
+/// of the route `orders` may not.
 async fn start(name: &str) -> (Platform, Instance) {
     let platform = Platform::start().await;
     let mut notes = route("notes", "streaming", "drafts", 2);
     notes["resume_streams"] = json!(true);
-    let config = configuration(100, &["key-1"], &[notes]);
+    let orders = route("orders", "streaming", "drafts", 2);
+    let config = configuration(100, &["key-1"], &[notes, orders]);
     platform.store.put("op", "config", config);
     let instance = platform.instance(name).await;
     (platform, instance)
@@ -239,7 +241,7 @@
             ..Faults::default()
         });
         let got = Caller::new("key-1")
-            .generate(instance.addr, "g-1", 20)
+            .call(instance.addr, "POST", "/orders/1", "g-1")
             .await;
         assert_eq!(got.status, 500);
         assert!(platform.engines[1].started().is_empty());
