--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -430,24 +430,9 @@
         attempts.refused.push(Arc::clone(&target.id));
         return retry_or_refuse("every engine is cold", assignment, call, attempts).await;
     }
-    emit(&Event::RequestSent {
-        id: Arc::clone(&call.request.id),
-        target: Arc::clone(&target.id),
-        fingerprint: call.fingerprint.to_string().into(),
-        parts: call.part_names(),
-        sending: attempt_number,
-        held_ms: millis(call.elapsed()),
-        left_ms: millis(call.caller_time_left()),
-    });
-    front.metrics.observe_held(call.elapsed());
     version.use_up();
     let sent_at = boot_time();
-    let sending = send(front, call, &target, None, call.time_left());
-    let outcome = future::or(
-        sending,
-        wait_until_gone(front, call, &assignment.generation),
-    )
-    .await;
+    let outcome = send_first(front, call, &assignment.generation, attempt_number).await;
     match outcome {
         SendOutcome::Response { head, body, .. } if head.status.is_success() => Attempt::Started {
             assignment,
@@ -491,6 +476,29 @@
     }
 }
 
+/// Sends a generation to its engine and waits for the head of the answer, or until the engine is found to
+/// be gone.
+async fn send_first(
+    front: &Arc<Front>,
+    call: &Call,
+    generation: &GenerationHandle,
+    attempt_number: u32,
+) -> SendOutcome {
+    let target = generation.target();
+    emit(&Event::RequestSent {
+        id: Arc::clone(&call.request.id),
+        target: Arc::clone(&target.id),
+        fingerprint: call.fingerprint.to_string().into(),
+        parts: call.part_names(),
+        sending: attempt_number,
+        held_ms: millis(call.elapsed()),
+        left_ms: millis(call.caller_time_left()),
+    });
+    front.metrics.observe_held(call.elapsed());
+    let sending = send(front, call, &target, None, call.time_left());
+    future::or(sending, wait_until_gone(front, call, generation)).await
+}
+
 /// Handles an engine's answer that is no success: it is the answer to the caller, unless it is a server
 /// error and another engine may answer better.
 async fn handle_error(
