--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -41,6 +41,16 @@
     pub speed: &'static str,
 }
 
+/// Labels of the counter of generations that engines failed on routes whose streams may be resumed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct ResumptionLabels {
+    /// How the engine failed, as [`crate::generations::resumption::Cause`] names it.
+    pub cause: &'static str,
+    /// `restarted`, `resumed`, or why it was given up, as
+    /// [`crate::generations::resumption::GiveUp`] names it.
+    pub outcome: &'static str,
+}
+
 /// Labels of the counter of bytes exchanged with other instances.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerBytesLabels {
@@ -127,6 +137,8 @@
     pub above_share: Family<ShareLabels, Counter>,
     /// Engines that this instance accounts for, by their speed.
     pub engines: Family<EngineLabels, Gauge>,
+    /// Generations that engines failed on routes whose streams may be resumed, by what became of them.
+    pub resumptions: Family<ResumptionLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -168,6 +180,7 @@
             migrations: Family::default(),
             above_share: Family::default(),
             engines: Family::default(),
+            resumptions: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -264,6 +277,11 @@
             "Engines that this instance accounts for, by speed",
             all.engines.clone(),
         );
+        registry.register(
+            "resumptions",
+            "Generations that engines failed where streams may be resumed, by cause and outcome",
+            all.resumptions.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
@@ -328,6 +346,13 @@
             .set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Counts a generation that an engine failed where streams may be resumed.
+    pub fn count_resumption(&self, cause: &'static str, outcome: &'static str) {
+        self.resumptions
+            .get_or_create(&ResumptionLabels { cause, outcome })
+            .inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn to_text(&self) -> String {
