Pauses between events: prompts are kept from engines where they would stretch running answers too far

Cause, by measuring: slow engines (time factor 1.2) read one prompt at a time beside running answers; that doubles pauses (36 to 74 ms), and in the slow moments of their machines (2.5 times) pauses reach 181 to 189 ms. More prompts add nothing there: the suspicion that prompts add up is refuted. No decision knew of pauses.

Change: entries report the longest pause of each generation with the syncs; owners learn pauses for each engine and by how much prompts stretch them, prefer engines that keep what routes allow, hold requests as long as they can still begin in time, and otherwise choose the engine where answers are disturbed for the shortest time. Switch bounds_pauses, events 953 and 954, metrics placements_held and pauses_stretched. Where no route sets a longest pause nothing changes.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -885,4 +885,32 @@
         950, Info, "{id}: sent to find out whether part {part} of its prompt crashes targets",
         "Nothing. 949 or 925 tells the outcome.",
     ),
+    /// The pause between two events of an answer was longer than its route allows.
+    AnswerPaused {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine that ran it last.
+        target: TargetId,
+        /// The longest pause, in milliseconds.
+        pause_ms: u64,
+        /// The longest pause that the route allows, in milliseconds.
+        allowed_ms: u64,
+    } = (
+        953, Info, "{id}: {pause_ms} ms between two events from {target}, its route allows {allowed_ms} ms",
+        "If there are many, look for 954 with these engines, then at the engines' load and speed.",
+    ),
+    /// A request is placed beside answers whose pauses it is expected to stretch too far.
+    PausesStretched {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine.
+        target: TargetId,
+        /// The pause that is expected there, in milliseconds.
+        expected_ms: u64,
+        /// The shortest pause that an answer there allows, in milliseconds.
+        allowed_ms: u64,
+    } = (
+        954, Info, "{id}: its prompt stretches pauses on {target} to {expected_ms} ms where {allowed_ms} ms are allowed",
+        "If there are many, add engines: prompts arrive faster than they can be read without disturbing answers.",
+    ),
 }
--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender, unbounded};
 use parking_lot::Mutex;
 use placing::{ActiveGeneration, GenerationId};
-use types::{RouteId, ServiceId, TargetId, Tokens};
+use types::{Moment, RouteId, ServiceId, TargetId, Tokens};
 use view::Target;
 
 use crate::adapters::{GenerationSizes, Resume};
@@ -61,6 +61,7 @@
     /// Whether the first event has been received.
     started: AtomicBool,
     events_received: AtomicU64,
+    pauses: Mutex<PauseClock>,
     /// Whether a migration or recovery is in progress.
     migrating: AtomicBool,
     /// A copy from which the generation can be resumed if its engine fails.
@@ -86,6 +87,7 @@
             target: Mutex::new(target),
             started: AtomicBool::new(false),
             events_received: AtomicU64::new(0),
+            pauses: Mutex::default(),
             migrating: AtomicBool::new(false),
             copy: Mutex::new(None),
             refused_by: Mutex::default(),
@@ -133,6 +135,29 @@
     pub fn set_target(&self, target: Arc<Target>) {
         *self.target.lock() = target;
         *self.copy.lock() = None;
+        self.pauses.lock().interrupt();
+    }
+
+    /// Measures the pause that an event of the stream ends.
+    pub fn record_pause(&self, now: Moment) {
+        self.pauses.lock().record_event(now);
+    }
+
+    /// Leaves out the pause before the next event: something else than the engine delays it.
+    pub fn interrupt_pause(&self) {
+        self.pauses.lock().interrupt();
+    }
+
+    /// The longest pause between two events.
+    #[must_use]
+    pub fn longest_pause(&self) -> Duration {
+        self.pauses.lock().longest_of_all
+    }
+
+    /// The longest pause between two events since this was last called.
+    #[must_use]
+    pub fn take_longest_pause(&self) -> Duration {
+        std::mem::take(&mut self.pauses.lock().longest)
     }
 
     /// Counts an event; returns whether it was the first.
@@ -221,6 +246,31 @@
     }
 }
 
+/// Measures the pauses between the events of one generation.
+#[derive(Debug, Default)]
+struct PauseClock {
+    /// Arrival of the last event, unless the next pause doesn't count.
+    last_event: Option<Moment>,
+    /// The longest pause since the last report.
+    longest: Duration,
+    /// The longest pause of all.
+    longest_of_all: Duration,
+}
+
+impl PauseClock {
+    fn record_event(&mut self, now: Moment) {
+        if let Some(last) = self.last_event.replace(now) {
+            let pause = now.saturating_sub(last);
+            self.longest = self.longest.max(pause);
+            self.longest_of_all = self.longest_of_all.max(pause);
+        }
+    }
+
+    const fn interrupt(&mut self) {
+        self.last_event = None;
+    }
+}
+
 /// The active generations of this instance, by request id.
 #[derive(Debug, Default)]
 pub struct ActiveGenerations {
@@ -255,6 +305,24 @@
             .collect()
     }
 
+    /// The states of the generations on some engines, each with its longest pause since the last
+    /// call.
+    #[must_use]
+    pub fn report(
+        &self,
+        includes: impl Fn(&ServiceId, &TargetId) -> bool,
+    ) -> Vec<ActiveGeneration> {
+        let by_id = self.by_id.lock();
+        let included = |generation: &&Arc<GenerationHandle>| {
+            includes(&generation.service, &generation.target.lock().id)
+        };
+        let report = |generation: &Arc<GenerationHandle>| ActiveGeneration {
+            longest_pause: generation.take_longest_pause(),
+            ..generation.snapshot()
+        };
+        by_id.values().filter(included).map(report).collect()
+    }
+
     /// Number of active generations.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -3,12 +3,13 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::{Receiver, bounded};
+use events::{Event, emit};
 use parking_lot::Mutex;
 use placing::{
     Engine, GenerationUpdate, Owner, PlacementAnswer, PlacementRequest, Shard, ShardCounts, Tuning,
 };
 use timer::boot_time;
-use types::{InstanceId, ServiceId, VersionChoice};
+use types::{InstanceId, ServiceId, VersionChoice, millis};
 use view::Target;
 
 use crate::{
@@ -103,10 +104,23 @@
     #[must_use]
     pub fn place_locally(&self, request: &PlacementRequest) -> PlacementAnswer {
         let engines = self.engines_of(&request.shard, &request.versions);
-        self.placement
-            .owner
-            .lock()
-            .place(boot_time(), request, &engines)
+        let mut owner = self.placement.owner.lock();
+        let before = owner.pause_counts();
+        let answer = owner.place(boot_time(), request, &engines);
+        let (after, excess) = (owner.pause_counts(), owner.take_pause_excess());
+        drop(owner);
+        let metrics = &self.metrics;
+        metrics.placements_held.inc_by(after.held - before.held);
+        if let Some(excess) = excess {
+            metrics.pauses_stretched.inc();
+            emit(&Event::PausesStretched {
+                id: Arc::clone(&request.generation),
+                target: excess.target,
+                expected_ms: millis(excess.expected),
+                allowed_ms: millis(excess.allowed),
+            });
+        }
+        answer
     }
 
     /// Number of shards into which a service's engines are divided.
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -51,6 +51,9 @@
 /// their next step, and a caller gives up long before this time is over.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Time after which the caller's reading, not the engine, delays the next event.
+const SLOW_READING: Duration = Duration::from_millis(5);
+
 /// Channel to the body of the response to the caller.
 pub type EventSender = Sender<Result<Bytes, BodyAborted>>;
 
@@ -216,6 +219,7 @@
         };
         let end = future::or(self.forward_all(&out), shutdown).await;
         let target = self.assignment.generation.target();
+        self.log_long_pause(&target);
         match end {
             RelayEnd::Complete => {
                 self.assignment.completed = true;
@@ -249,6 +253,19 @@
         }
     }
 
+    /// Logs the longest pause if the route does not allow it.
+    fn log_long_pause(&self, target: &Target) {
+        let pause = self.assignment.generation.longest_pause();
+        if let Some(allowed) = self.call.route.max_pause.filter(|allowed| pause > *allowed) {
+            emit(&Event::AnswerPaused {
+                id: Arc::clone(&self.call.request.id),
+                target: Arc::clone(&target.id),
+                pause_ms: millis(pause),
+                allowed_ms: millis(allowed),
+            });
+        }
+    }
+
     async fn forward_all(&mut self, out: &EventSender) -> RelayEnd {
         loop {
             let end = match self.next_input().await {
@@ -344,7 +361,8 @@
             ));
         }
         let mut ready = Vec::new();
-        self.monitor.reset(boot_time());
+        let received_at = boot_time();
+        self.monitor.reset(received_at);
         while let Some(event) = self.splitter.next_event() {
             // A resumed stream may repeat events that the caller already has.
             if event.id.is_some() && event.id <= self.last_event {
@@ -359,6 +377,9 @@
                 .await
                 .map_err(|_| RelayEnd::CallerGone)?;
         }
+        if boot_time().saturating_sub(received_at) >= SLOW_READING {
+            self.assignment.generation.interrupt_pause();
+        }
         Ok(())
     }
 
@@ -369,6 +390,7 @@
             parts::report_sound(&self.front, &self.call, began);
         }
         let generation = &self.assignment.generation;
+        generation.record_pause(boot_time());
         if !generation.record_event() {
             return;
         }
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -5,7 +5,7 @@
 
 use placing::{Shard, StateSync};
 use timer::{Timer, boot_time};
-use types::InstanceId;
+use types::{InstanceId, ServiceId, TargetId};
 
 use crate::{
     adapters::{Record, Store},
@@ -284,8 +284,10 @@
 /// Syncs this instance's generations in a shard with its owner; if there are none, only if
 /// `even_if_idle`.
 async fn sync_shard(front: &Front, shard: Shard, even_if_idle: bool) {
-    let mut generations = front.generations.snapshots();
-    generations.retain(|it| it.service == shard.service && shard.contains(&it.target));
+    let of_shard = |service: &ServiceId, target: &TargetId| {
+        *service == shard.service && shard.contains(target)
+    };
+    let generations = front.generations.report(of_shard);
     if generations.is_empty() && !even_if_idle {
         return;
     }
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -91,6 +91,10 @@
     pub relayed: Counter,
     /// Requests of other instances to targets that these don't reach.
     pub others_requests: Counter,
+    /// Times that requests were told to wait because their prompts would stretch pauses too far.
+    pub placements_held: Counter,
+    /// Placements that are expected to stretch pauses too far.
+    pub pauses_stretched: Counter,
     /// Answers of targets of services with a rollout.
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Migrations of generations by outcome.
@@ -130,6 +134,8 @@
             failed_connections: Counter::default(),
             relayed: Counter::default(),
             others_requests: Counter::default(),
+            placements_held: Counter::default(),
+            pauses_stretched: Counter::default(),
             rollout_answers: Family::default(),
             migrations: Family::default(),
             peer_bytes: Family::default(),
@@ -198,6 +204,16 @@
             "Requests of other instances to targets that these don't reach",
             all.others_requests.clone(),
         );
+        registry.register(
+            "placements_held",
+            "Waits of requests whose prompts would stretch the pauses of running answers too far",
+            all.placements_held.clone(),
+        );
+        registry.register(
+            "pauses_stretched",
+            "Placements that are expected to stretch the pauses of running answers too far",
+            all.pauses_stretched.clone(),
+        );
         registry.register(
             "rollout_answers",
             "Answers during rollouts by version and outcome",
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod migration;
 pub mod owner;
 pub mod ownership;
+pub mod pauses;
 mod queue;
 mod retry_schedule;
 pub mod shard;
@@ -28,6 +29,7 @@
 };
 pub use owner::Owner;
 pub use ownership::{OwnerCandidate, rank_owners};
+pub use pauses::{Excess, PauseCounts, Pauses};
 pub use shard::{Shard, ShardCounts};
 pub use throughput::Throughput;
 pub use tuning::Tuning;
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -17,6 +17,7 @@
         ActiveGeneration, EngineLoad, GenerationId, GenerationUpdate, PlacementAnswer,
         PlacementRequest,
     },
+    pauses::{Choice, PauseState},
     queue::{EvaluatedRequest, WaitingRequest},
     retry_schedule::RetrySchedule,
     throughput::{Throughput, ThroughputEstimator},
@@ -41,6 +42,8 @@
     pub(crate) lengths: LengthEstimator,
     /// Measured speed of each service's engines.
     pub(crate) throughputs: HashMap<ServiceId, ThroughputEstimator>,
+    /// Pauses between the events of answers.
+    pub(crate) pauses: PauseState,
     /// Demand by route.
     pub(crate) demand: Demand,
     /// Rejected callers that are expected to retry.
@@ -73,9 +76,12 @@
         if !self.waiting.contains_key(&request.generation) {
             self.demand.record_request(request);
         }
+        self.record_allowed_pause(request);
         let evaluated = self.evaluate(now, request);
-        let Some((time_to_first_event, target)) = self.best_engine(now, &evaluated, engines) else {
-            return self.wait_for_memory(now, &evaluated, engines);
+        let (time_to_first_event, target) = match self.choose_engine(now, &evaluated, engines) {
+            Choice::Engine(time_to_first_event, target) => (time_to_first_event, target),
+            Choice::Hold => return self.wait(now, &evaluated),
+            Choice::NoRoom => return self.wait_for_memory(now, &evaluated, engines),
         };
         if self.tuning.rejects_by_forecast
             && !self.can_meet_objective(&evaluated, time_to_first_event)
@@ -120,7 +126,7 @@
     }
 
     /// Whether the first event arrives within the objective, or the engine would be idle otherwise.
-    fn can_meet_objective(
+    pub(crate) fn can_meet_objective(
         &self,
         evaluated: &EvaluatedRequest<'_>,
         time_to_first_event: Duration,
@@ -135,7 +141,7 @@
 
     /// The part of the time left until the first event is due that a request may use: the rest is left
     /// to more urgent requests that are rejected more often.
-    fn usable_objective(&self, evaluated: &EvaluatedRequest<'_>) -> Duration {
+    pub(crate) fn usable_objective(&self, evaluated: &EvaluatedRequest<'_>) -> Duration {
         let excess = self.demand.excess_of_more_urgent(&evaluated.request.route);
         let left_to_urgent = (excess * self.tuning.deference).min(MAX_DEFERENCE);
         evaluated.objective_left.mul_f64(1.0 - left_to_urgent)
@@ -193,6 +199,7 @@
         self.accounts.retain(|id, account| {
             !account.generations.is_empty() || !account.incoming_copies.is_empty() || listed(id)
         });
+        self.pauses.retain(listed);
     }
 
     /// Drops an engine that is gone or has restarted, with its generations.
@@ -205,7 +212,7 @@
         }
     }
 
-    fn best_engine(
+    pub(crate) fn best_engine(
         &mut self,
         now: Moment,
         evaluated: &EvaluatedRequest<'_>,
@@ -219,7 +226,9 @@
             }
             let time_to_first_event = self.time_to_first_event(now, engine, evaluated);
             let delay = self.first_event_delay(now, &engine.id, &request.entry);
-            let cost = time_to_first_event + delay + self.placement_penalty(now, request, engine);
+            let penalty = self.placement_penalty(now, request, engine)
+                + self.pause_penalty(now, evaluated, &engine.id);
+            let cost = time_to_first_event + delay + penalty;
             if best.is_none_or(|(least, ..)| cost < least) {
                 best = Some((cost, time_to_first_event, engine));
             }
@@ -452,6 +461,7 @@
         account.generations.insert(Arc::clone(&request.generation));
         self.generations
             .insert(Arc::clone(&request.generation), generation);
+        self.record_prompts(now, &request.shard.service, target);
     }
 
     fn mark_started(&mut self, now: Moment, id: &GenerationId) {
@@ -463,6 +473,7 @@
         let generation = generation.clone();
         self.record_prefill(now, &generation);
         self.trim_prefill_backlog(now, &generation.target);
+        self.record_prompts(now, &generation.service, &generation.target);
     }
 
     /// Shortens the prefill backlog of an engine to the prompts that have no first event yet.
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -169,7 +169,11 @@
         PlacementAnswer::Rejected { after }
     }
 
-    fn wait(&mut self, now: Moment, evaluated: &EvaluatedRequest<'_>) -> PlacementAnswer {
+    pub(crate) fn wait(
+        &mut self,
+        now: Moment,
+        evaluated: &EvaluatedRequest<'_>,
+    ) -> PlacementAnswer {
         let request = evaluated.request;
         let waiting = WaitingRequest {
             shard: request.shard.clone(),
@@ -304,6 +308,6 @@
 }
 
 /// Converts a count of engines or requests; these are far below the 52 bits that are exact.
-fn as_f64_count(count: usize) -> f64 {
+pub(crate) fn as_f64_count(count: usize) -> f64 {
     as_f64(u64::try_from(count).unwrap_or(u64::MAX))
 }
--- a/components/placing/src/sync.rs
+++ b/components/placing/src/sync.rs
@@ -54,6 +54,7 @@
         let account = self.account(&reported.target);
         account.generations.insert(Arc::clone(&reported.generation));
         self.record_decode(now, reported);
+        self.record_pause(now, entry, reported);
         let throughput = self.throughput(&reported.service);
         let first_event_due = now + throughput.prefill_time(reported.prompt_tokens);
         let length =
@@ -84,6 +85,7 @@
         if reported.started && generation.started_at.is_none() {
             generation.started_at = Some(now);
         }
+        self.record_prompts(now, &reported.service, &reported.target);
     }
 
     /// Removes generations that their entry has not confirmed for a long time; the entry has
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -99,6 +99,9 @@
     /// Whether waiting requests are served in order of priority and waiting time.
     #[serde(rename = "takes_turns")]
     pub orders_waiting: bool,
+    /// Whether requests are kept from engines where their prompts would stretch the pauses of running
+    /// answers beyond what their routes allow.
+    pub bounds_pauses: bool,
     /// Whether a request is rejected at once if its prompt cannot be processed in time.
     #[serde(rename = "refuses_by_forecast")]
     pub rejects_by_forecast: bool,
@@ -138,6 +141,7 @@
             uses_length_hints: true,
             uses_peak_memory: true,
             orders_waiting: true,
+            bounds_pauses: true,
             rejects_by_forecast: true,
             migrates_longest_first: true,
         }
--- a/components/placing/tests/support/mod.rs
+++ b/components/placing/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
 pub mod load;
+pub mod side_by_side;
 
 use std::time::Duration;
 
