--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -3,9 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use async_channel::{Receiver, bounded};
+use events::{Event, emit};
 use parking_lot::Mutex;
 use placing::{
-    Engine, GenerationUpdate, Owner, PlacementAnswer, PlacementRequest, Shard, ShardCounts, Tuning,
+    Engine, GenerationId, GenerationUpdate, Owner, PlacementAnswer, PlacementRequest, Shard,
+    ShardCounts, StretchedPauses, Tuning,
 };
 use timer::boot_time;
 use types::{InstanceId, ServiceId, VersionChoice};
@@ -103,10 +105,15 @@
     #[must_use]
     pub fn place_locally(&self, request: &PlacementRequest) -> PlacementAnswer {
         let engines = self.engines_of(&request.shard, &request.versions);
-        self.placement
-            .owner
-            .lock()
-            .place(boot_time(), request, &engines)
+        let mut owner = self.placement.owner.lock();
+        let answer = owner.place(boot_time(), request, &engines);
+        let stretched = owner.take_stretched_pauses();
+        drop(owner);
+        if let Some(stretched) = stretched {
+            self.metrics.pauses_stretched.inc();
+            log_stretched_pauses(&request.generation, &stretched);
+        }
+        answer
     }
 
     /// Number of shards into which a service's engines are divided.
@@ -214,3 +221,18 @@
         let _ = self.peers.call(owner, &message, UPDATE_TIMEOUT).await;
     }
 }
+
+fn log_stretched_pauses(generation: &GenerationId, stretched: &StretchedPauses) {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a percentage"
+    )]
+    let risk_percent = (stretched.risk * 100.0).round() as u32;
+    emit(&Event::PausesStretched {
+        id: Arc::clone(generation),
+        target: Arc::clone(&stretched.target),
+        answers: stretched.answers,
+        risk_percent,
+    });
+}
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -125,6 +125,8 @@
     pub relayed: Counter,
     /// Requests of other instances to targets that these don't reach.
     pub others_requests: Counter,
+    /// Placements that probably make a running answer pause for too long.
+    pub pauses_stretched: Counter,
     /// Answers of targets of services with a rollout.
     pub rollout_answers: Family<RolloutLabels, Counter>,
     /// Targets of plain calls that were selected by expected time to answer.
@@ -174,6 +176,7 @@
             failed_connections: Counter::default(),
             relayed: Counter::default(),
             others_requests: Counter::default(),
+            pauses_stretched: Counter::default(),
             rollout_answers: Family::default(),
             speed_selections: Family::default(),
             slow_targets: Gauge::default(),
@@ -247,6 +250,11 @@
             "Requests of other instances to targets that these don't reach",
             all.others_requests.clone(),
         );
+        registry.register(
+            "pauses_stretched",
+            "Placements that probably make a running answer pause for too long",
+            all.pauses_stretched.clone(),
+        );
         registry.register(
             "rollout_answers",
             "Answers during rollouts by version and outcome",
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod migration;
 pub mod owner;
 pub mod ownership;
+pub mod pauses;
 mod queue;
 mod retry_schedule;
 pub mod shard;
@@ -30,6 +31,7 @@
 };
 pub use owner::Owner;
 pub use ownership::{OwnerCandidate, rank_owners};
+pub use pauses::{Pauses, StretchedPauses};
 pub use shard::{Shard, ShardCounts};
 pub use shares::{ShareChange, ShareDecisions, WorkspaceLoad};
 pub use speed::{RelativeSpeed, SpeedChange};
--- a/components/placing/src/migration.rs
+++ b/components/placing/src/migration.rs
@@ -176,7 +176,9 @@
                 .mul_f64(PREFILL_DELAY_SHARE);
             let batch_delay = DELAY_PER_GENERATION
                 .saturating_mul(u32::try_from(account.generations.len()).unwrap_or(0));
-            let cost = copy_time + copy_queue + prefill_delay + batch_delay + decode_delay;
+            let pause_cost = self.migration_pause_cost(now, generation, engine, engines.len());
+            let cost =
+                copy_time + copy_queue + prefill_delay + batch_delay + decode_delay + pause_cost;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, Arc::clone(&engine.id)));
             }
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -17,6 +17,7 @@
         ActiveGeneration, EngineLoad, GenerationId, GenerationUpdate, PlacementAnswer,
         PlacementRequest,
     },
+    pauses::PauseState,
     queue::{EvaluatedRequest, WaitingRequest, standing},
     retry_schedule::RetrySchedule,
     shares::{ShareChange, ShareDecisions, Shares, WorkspaceLoad, work},
@@ -40,12 +41,13 @@
 const MAX_ENTRY_SILENCE: Duration = Duration::from_secs(2);
 
 /// An engine that has room for a request.
-struct Candidate<'a> {
-    engine: &'a Engine,
+pub(crate) struct Candidate<'a> {
+    /// The engine.
+    pub engine: &'a Engine,
     /// Time until the engine sends the first event.
     time_to_first_event: Duration,
     /// The part of it that the prompt itself takes.
-    prefill_time: Duration,
+    pub prefill_time: Duration,
     /// Time for the prompt for which the request must find room.
     effective_prefill_time: Duration,
 }
@@ -62,6 +64,8 @@
     pub(crate) lengths: LengthEstimator,
     /// Measured speeds of services and of their engines.
     pub(crate) speeds: Speeds,
+    /// Pauses between the events of answers.
+    pub(crate) pauses: PauseState,
     /// Demand by route.
     pub(crate) demand: Demand,
     /// Work of the workspaces.
@@ -97,6 +101,7 @@
             self.demand.record_request(request);
             self.record_demand(now, request);
         }
+        self.record_allowed_pause(request);
         let evaluated = self.evaluate(now, request, engines);
         let Some(best) = self.best_engine(now, &evaluated, engines) else {
             return self.wait_for_memory(now, &evaluated, engines);
@@ -114,6 +119,7 @@
         self.demand
             .record_outcome(&request.route, evaluated.standing(), false);
         self.shares.record_service(now, request, evaluated.work());
+        self.record_placed_prompt(now, request, &best);
         self.assign(now, &evaluated, &best);
         PlacementAnswer::Assigned {
             target: Arc::clone(&best.engine.id),
@@ -183,7 +189,7 @@
     }
 
     /// Whether the first event arrives within the objective, or the engine would be idle otherwise.
-    fn can_meet_objective(
+    pub(crate) fn can_meet_objective(
         &self,
         evaluated: &EvaluatedRequest<'_>,
         candidate: &Candidate<'_>,
@@ -296,6 +302,7 @@
         });
         self.speeds
             .retain(|id| listed(id) || self.accounts.contains_key(id));
+        self.pauses.retain(&listed);
     }
 
     /// Drops an engine that is gone or has restarted, with its generations.
@@ -324,11 +331,14 @@
             }
             let candidate = self.candidate(now, engine, evaluated);
             let delay = self.first_event_delay(now, &engine.id, &request.entry);
+            let pause_cost = self.pause_cost(now, evaluated, &candidate, engines.len());
             let cost = candidate.time_to_first_event
                 + delay
+                + pause_cost
                 + self.placement_penalty(now, request, engine);
-            // An engine that is too slow for the request must not cost it a faster one.
-            let is_too_slow = is_uneven && !self.can_meet_objective(evaluated, &candidate);
+            // An engine that is too slow for the request, or too busy, must not cost it a faster one.
+            let ranks_by_time = is_uneven || self.pauses.has_risks(&request.shard.service);
+            let is_too_slow = ranks_by_time && !self.can_meet_objective(evaluated, &candidate);
             let rank = (is_too_slow, cost);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, candidate));
@@ -667,6 +677,7 @@
         account.generations.insert(Arc::clone(&request.generation));
         self.generations
             .insert(Arc::clone(&request.generation), generation);
+        self.record_prompts(now, &request.shard.service, target);
     }
 
     fn mark_started(&mut self, now: Moment, id: &GenerationId, work_time_percent: Option<u32>) {
@@ -689,6 +700,7 @@
         let is_behind =
             self.measures_engines() && now > generation.first_event_due + self.tuning.idle_slack;
         self.trim_prefill_backlog(now, &generation.target, is_behind);
+        self.record_prompts(now, &generation.service, &generation.target);
     }
 
     /// Shortens the prefill backlog of an engine to the prompts that have no first event yet. An engine
--- a/components/placing/src/tuning.rs
+++ b/components/placing/src/tuning.rs
@@ -46,6 +46,10 @@
     /// over engines even where this delays a first event a little.
     #[serde(rename = "crowding_ms", deserialize_with = "millis")]
     pub memory_pressure_penalty: Duration,
+    /// Penalty for an engine on which one answer is expected to pause for longer than its route allows,
+    /// as additional time to the first event. 0 switches this off.
+    #[serde(rename = "pause_penalty_ms", deserialize_with = "millis")]
+    pub pause_penalty: Duration,
     /// How long an engine is given no work after it rejected or failed a request.
     #[serde(rename = "doubt_ms", deserialize_with = "millis")]
     pub failure_cooldown: Duration,
@@ -127,6 +131,7 @@
             deference: 16.0,
             remote_penalty: Duration::from_millis(40),
             memory_pressure_penalty: Duration::from_millis(1_000),
+            pause_penalty: Duration::from_millis(1_500),
             failure_cooldown: Duration::from_millis(1_000),
             report_max_age: Duration::from_millis(1_800),
             wait_interval: Duration::from_millis(40),
