--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1005,4 +1005,32 @@
         958, Warn, "{id}: not resumed after event {last_event}, which {target} failed ({cause}): {why}",
         "For budget_used_up or engines_used_up, find out why engines fail; for no_engine, see the reason in 905 or 900, and add engines.",
     ),
+    /// The pause between two events of an answer was longer than its route allows.
+    AnswerPaused {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine that ran it last.
+        target: TargetId,
+        /// The longest pause, in milliseconds.
+        pause_ms: u64,
+        /// The longest pause that the route allows, in milliseconds.
+        allowed_ms: u64,
+    } = (
+        953, Info, "{id}: {pause_ms} ms between two events from {target}, its route allows {allowed_ms} ms",
+        "If there are many, look for 954 with these engines, then at the engines' load and speed.",
+    ),
+    /// A request is placed beside answers of which its prompt probably makes one pause for too long.
+    PausesStretched {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine.
+        target: TargetId,
+        /// Answers on the engine that allow a longest pause.
+        answers: usize,
+        /// Share of them that is expected to pause for longer, in percent.
+        risk_percent: u32,
+    } = (
+        954, Info, "{id}: its prompt is processed on {target} beside {answers} answers, of which {risk_percent}% are expected to pause for too long",
+        "If there are many, add engines, or faster ones: most of those there are can't process prompts beside answers.",
+    ),
 }
