State dump: the owner's account is locked once

What operators saw: an instance whose state was asked for stopped for good, with all its callers: the merge of engine speeds and fair shares left two locks of one mutex in one expression, which the first held to its end. Found by calls::metrics_and_the_dump_are_served_without_keys and two more tests of calls:: that did not end in a whole run; stacks of the instances showed the worker in Front::dump. The lock is taken once, before that of the selector. The same tests pass.

--- a/components/front/src/dump.rs
+++ b/components/front/src/dump.rs
@@ -86,6 +86,9 @@
     pub fn dump(&self) -> Dump {
         let now = timer::boot_time();
         let verdicts = self.part_quarantine.lock().verdicts(now);
+        let owner = self.placement.owner.lock();
+        let (account, shares) = (owner.loads(now), owner.workspace_loads(now));
+        drop(owner);
         let selector = self.selector.lock();
         let state = |target: &std::sync::Arc<view::Target>| TargetState {
             id: target.id.clone(),
@@ -116,8 +119,8 @@
                 .collect(),
             generations: self.generations.snapshots(),
             prompt_parts: verdicts.into_iter().map(PartState::from).collect(),
-            account: self.placement.owner.lock().loads(now),
-            shares: self.placement.owner.lock().workspace_loads(now),
+            account,
+            shares,
         }
     }
 }
