--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -913,6 +913,34 @@
         952, Info, "{target} is no longer slow: prompts at {prefill_percent} and tokens at {decode_percent} percent of the mean speed of {service}",
         "Nothing.",
     ),
+    /// The pause between two events of an answer was longer than its route allows.
+    AnswerPaused {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine that ran it last.
+        target: TargetId,
+        /// The longest pause, in milliseconds.
+        pause_ms: u64,
+        /// The longest pause that the route allows, in milliseconds.
+        allowed_ms: u64,
+    } = (
+        953, Info, "{id}: {pause_ms} ms between two events from {target}, its route allows {allowed_ms} ms",
+        "If there are many, look for 954 with these engines, then at the engines' load and speed.",
+    ),
+    /// A request is placed beside answers of which its prompt probably makes one pause for too long.
+    PausesStretched {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine.
+        target: TargetId,
+        /// Answers on the engine that allow a longest pause.
+        answers: usize,
+        /// Share of them that is expected to pause for longer, in percent.
+        risk_percent: u32,
+    } = (
+        954, Info, "{id}: its prompt is processed on {target} beside {answers} answers, of which {risk_percent}% are expected to pause for too long",
+        "If there are many, add engines, or faster ones: most of those there are can't process prompts beside answers.",
+    ),
     /// A workspace asks for more than its fair share of engines that have too little room for all.
     WorkspaceAboveShare {
         /// The service.
@@ -941,36 +969,6 @@
         956, Info, "{service}: workspace {workspace} is within its share of shard {shard} again",
         "Nothing.",
     ),
-    /// A call is sent to another target than the usual one, which is slow or crowded at the moment.
-    SlowTargetPassedOver {
-        /// Id of the request.
-        id: Arc<str>,
-        /// The target that the call is sent to.
-        target: TargetId,
-        /// Its expected time to answer, in milliseconds.
-        expected_ms: u64,
-        /// The usual target.
-        passed_over: TargetId,
-        /// The expected time of the usual target, in milliseconds.
-        passed_over_ms: u64,
-    } = (
-        959, Info, "{id}: to {target}, expected to answer in {expected_ms} ms; {passed_over} would take {passed_over_ms} ms",
-        "Nothing. Many of these for one target: see the machine that it shares with others.",
-    ),
-    /// The usual work time of a target has come to differ from its service's, or no longer does.
-    TargetSpeedChanged {
-        /// The target.
-        target: TargetId,
-        /// `slow` or `normal`.
-        state: Arc<str>,
-        /// Its work time, in milliseconds.
-        work_ms: u64,
-        /// The work time of its service, in milliseconds.
-        service_ms: u64,
-    } = (
-        960, Info, "{target} is {state}: its work takes {work_ms} ms, that of its service {service_ms} ms",
-        "If it stays slow, look at its machine.",
-    ),
     /// A generation goes on at another engine within the same response, from the prompt and the last event.
     StreamResumed {
         /// Id of the request.
@@ -1005,32 +1003,34 @@
         958, Warn, "{id}: not resumed after event {last_event}, which {target} failed ({cause}): {why}",
         "For budget_used_up or engines_used_up, find out why engines fail; for no_engine, see the reason in 905 or 900, and add engines.",
     ),
-    /// The pause between two events of an answer was longer than its route allows.
-    AnswerPaused {
+    /// A call is sent to another target than the usual one, which is slow or crowded at the moment.
+    SlowTargetPassedOver {
         /// Id of the request.
         id: Arc<str>,
-        /// The engine that ran it last.
+        /// The target that the call is sent to.
         target: TargetId,
-        /// The longest pause, in milliseconds.
-        pause_ms: u64,
-        /// The longest pause that the route allows, in milliseconds.
-        allowed_ms: u64,
+        /// Its expected time to answer, in milliseconds.
+        expected_ms: u64,
+        /// The usual target.
+        passed_over: TargetId,
+        /// The expected time of the usual target, in milliseconds.
+        passed_over_ms: u64,
     } = (
-        953, Info, "{id}: {pause_ms} ms between two events from {target}, its route allows {allowed_ms} ms",
-        "If there are many, look for 954 with these engines, then at the engines' load and speed.",
+        959, Info, "{id}: to {target}, expected to answer in {expected_ms} ms; {passed_over} would take {passed_over_ms} ms",
+        "Nothing. Many of these for one target: see the machine that it shares with others.",
     ),
-    /// A request is placed beside answers of which its prompt probably makes one pause for too long.
-    PausesStretched {
-        /// Id of the request.
-        id: Arc<str>,
-        /// The engine.
+    /// The usual work time of a target has come to differ from its service's, or no longer does.
+    TargetSpeedChanged {
+        /// The target.
         target: TargetId,
-        /// Answers on the engine that allow a longest pause.
-        answers: usize,
-        /// Share of them that is expected to pause for longer, in percent.
-        risk_percent: u32,
+        /// `slow` or `normal`.
+        state: Arc<str>,
+        /// Its work time, in milliseconds.
+        work_ms: u64,
+        /// The work time of its service, in milliseconds.
+        service_ms: u64,
     } = (
-        954, Info, "{id}: its prompt is processed on {target} beside {answers} answers, of which {risk_percent}% are expected to pause for too long",
-        "If there are many, add engines, or faster ones: most of those there are can't process prompts beside answers.",
+        960, Info, "{target} is {state}: its work takes {work_ms} ms, that of its service {service_ms} ms",
+        "If it stays slow, look at its machine.",
     ),
 }
