--- a/components/front/src/generations/mod.rs
+++ b/components/front/src/generations/mod.rs
@@ -1,6 +1,7 @@
 //! Generations: assignment to an engine, relaying of the stream, and migration between engines.
 
 pub mod active;
+pub mod assignment;
 pub mod attempts;
 pub mod dispatch;
 pub mod evacuation;
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -14,7 +14,7 @@
 use crate::{
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
     callers::call::Call,
-    generations::{active::GenerationHandle, dispatch},
+    generations::{active::GenerationHandle, assignment},
     signals::{self, Purpose},
     state::Front,
 };
@@ -79,8 +79,8 @@
     generation: &GenerationHandle,
     source: &Target,
 ) -> Result<Arc<Target>, Arc<str>> {
-    let shard = dispatch::first_shard(front, call);
-    let mut request = dispatch::placement_request(front, call, shard, &[Arc::clone(&source.id)]);
+    let shard = assignment::first_shard(front, call);
+    let mut request = assignment::placement_request(front, call, shard, &[Arc::clone(&source.id)]);
     request.versions = front.rollouts.destinations(boot_time(), source);
     request.prompt_tokens += generation.tokens_generated();
     // The first event is already late, so any engine will do.
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -29,8 +29,9 @@
     callers::call::Call,
     generations::{
         active::RelayCommand,
+        assignment::Assignment,
         attempts::Attempts,
-        dispatch::{Assignment, Started},
+        dispatch::Started,
         idle::{Diagnosis, IdleMonitor, REPORT_TIMEOUT, diagnose},
         resumption::Cause,
         splitter::EventSplitter,
--- a/components/placing/src/lib.rs
+++ b/components/placing/src/lib.rs
@@ -6,8 +6,10 @@
 //! include the time; this crate does no I/O and reads no clock.
 
 pub mod account;
+mod choice;
 mod demand;
 pub mod length;
+mod measurement;
 pub mod memory;
 pub mod message;
 pub mod migration;
--- a/components/placing/src/pauses.rs
+++ b/components/placing/src/pauses.rs
@@ -18,8 +18,9 @@
 
 use crate::{
     account::{Engine, Generation},
+    choice::Candidate,
     message::{ActiveGeneration, PlacementRequest},
-    owner::{Candidate, Owner},
+    owner::Owner,
     queue::EvaluatedRequest,
 };
 
