Stand-ins: a control request that is never answered ends the test with its address

What was seen: crashed_targets_restart_cold_and_are_not_overloaded did not end once; its runner awaited something, and nothing told what. A control request had no limit of its own, so it may have been that. It has one now, of 30 s as for bodies, and names stand-in and path; nothing passes that did not before.

--- a/components/standins/src/control.rs
+++ b/components/standins/src/control.rs
@@ -12,6 +12,8 @@
 
 /// Size above which a request body is rejected.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// Time for a stand-in to answer to a control request.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Longest wait for the next part of a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -154,12 +156,19 @@
 /// Posts a JSON message to a stand-in's control path and returns the response's body; empty if
 /// there was no response. Opens a new connection, because an injected fault may have silenced
 /// those in the pool.
+///
+/// # Panics
+/// The stand-in accepts the connection and does not answer in time. No fault does that to a control path.
 pub async fn post(client: &Client, addr: SocketAddr, path: &str, msg: &impl Serialize) -> Bytes {
     // Serializing the control messages can't fail.
     let text = serde_json::to_vec(msg).unwrap_or_default();
     let req = Request::post(path).body(http_body_util::Full::new(Bytes::from(text)));
     let Ok(req) = req else { return Bytes::new() };
-    let Ok(resp) = client.send_fresh(addr, req).await else {
+    let answer = timer::Timer::new()
+        .within(CONTROL_TIMEOUT, client.send_fresh(addr, req))
+        .await;
+    let answer = answer.unwrap_or_else(|| panic!("{addr} did not answer to {path} in time"));
+    let Ok(resp) = answer else {
         return Bytes::new();
     };
     read_limited(resp.into_body(), usize::MAX, BODY_TIMEOUT)
