Fair shares: those that wait go in the order of shares however little the others ask for

What callers saw: a workspace with one caller waited behind 48 requests of a flood, or was refused at once because of them. Cause: the excess that decides the order was scaled by how much the others ask for, which is meant for room that is left free; the less a workspace asked for, the less it was protected. And those that waited kept the standing that they had when they began to. Change: the order goes by the excess alone, judged when it is compared; the room left free is scaled as before.

--- a/components/placing/src/choice.rs
+++ b/components/placing/src/choice.rs
@@ -137,7 +137,7 @@
             .demand
             .excess_of_more_urgent(&evaluated.request.route, evaluated.standing());
         let left_to_urgent = (excess * self.tuning.deference).min(MAX_DEFERENCE);
-        let left_to_others = evaluated.share_excess * MAX_SHARE_DEFERENCE;
+        let left_to_others = evaluated.share_excess.of_room * MAX_SHARE_DEFERENCE;
         evaluated
             .objective_left
             .mul_f64((1.0 - left_to_urgent) * (1.0 - left_to_others))
--- a/components/placing/src/owner.rs
+++ b/components/placing/src/owner.rs
@@ -17,7 +17,7 @@
     pauses::PauseState,
     queue::{EvaluatedRequest, WaitingRequest, standing},
     retry_schedule::RetrySchedule,
-    shares::{ShareChange, ShareDecisions, Shares, WorkspaceLoad, work},
+    shares::{Excess, ShareChange, ShareDecisions, Shares, WorkspaceLoad, work},
     speed::{SampleOrigin, Speeds},
     tuning::Tuning,
 };
@@ -133,17 +133,18 @@
             throughput,
             prefill_time,
             shortest_prefill: shortest.unwrap_or(prefill_time),
-            effective_prompt_tokens: self.effective_prompt_tokens(request, standing(share_excess)),
+            effective_prompt_tokens: self
+                .effective_prompt_tokens(request, standing(share_excess.of_room)),
             length: self.estimate_length(&request.route, request.max_tokens, request.length_hint),
         }
     }
 
-    /// By how much the workspace of a request is above its share, from 0 to 1.
-    fn share_excess(&self, request: &PlacementRequest) -> f64 {
+    /// By how much the workspace of a request is above its share.
+    fn share_excess(&self, request: &PlacementRequest) -> Excess {
         if self.tuning.fair_shares {
             self.shares.excess(request)
         } else {
-            0.0
+            Excess::NONE
         }
     }
 
--- a/components/placing/src/queue.rs
+++ b/components/placing/src/queue.rs
@@ -1,8 +1,8 @@
 //! Decides which requests wait for an engine, in which order, and which are rejected.
 
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+use std::{cmp::Reverse, collections::HashMap, sync::Arc, time::Duration};
 
-use types::{Moment, TargetId, Tokens};
+use types::{Moment, TargetId, Tokens, WorkspaceId};
 
 use crate::{
     account::Engine,
@@ -12,7 +12,7 @@
     message::{GenerationId, PlacementAnswer, PlacementRequest},
     owner::Owner,
     shard::Shard,
-    shares::work,
+    shares::{Excess, work},
     throughput::Throughput,
     tuning::as_f64,
 };
@@ -21,8 +21,8 @@
 pub(crate) struct EvaluatedRequest<'a> {
     /// The request as the entry sent it.
     pub request: &'a PlacementRequest,
-    /// By how much its workspace is above its fair share, from 0 to 1.
-    pub share_excess: f64,
+    /// By how much its workspace is above its fair share.
+    pub share_excess: Excess,
     /// Time left until the first event is due, counted from the caller's first attempt.
     pub objective_left: Duration,
     /// Mean speed of the service's engines.
@@ -55,14 +55,19 @@
 
     /// Whether its workspace is above its share, so that requests of others go first.
     pub fn standing(&self) -> Standing {
-        standing(self.share_excess)
+        standing(self.share_excess.of_room)
     }
 
-    /// Whether requests of other workspaces go before it.
+    /// Whether it leaves room to requests of other workspaces.
     pub fn yields(&self) -> bool {
         self.standing() == Standing::Above
     }
 
+    /// Whether waiting requests of other workspaces go before it.
+    pub fn yields_turn(&self) -> bool {
+        self.share_excess.of_turns >= YIELDING_EXCESS
+    }
+
     /// Memory for which the request must find room.
     pub fn effective_allocation(&self) -> Allocation {
         Allocation {
@@ -81,8 +86,8 @@
     is_late: bool,
     priority: u32,
     route_priority: u32,
-    /// Whether its workspace was above its share.
-    yields: bool,
+    /// Workspace of its caller.
+    workspace: Option<WorkspaceId>,
     /// Time since its arrival, as of `last_request_at`.
     waited: Duration,
     /// Time of the last placement request of the entry.
@@ -233,7 +238,7 @@
             is_late: evaluated.is_late(),
             priority: request.priority,
             route_priority: request.route_priority,
-            yields: evaluated.yields(),
+            workspace: request.workspace.clone(),
             waited: request.waited,
             last_request_at: now,
         };
@@ -296,17 +301,23 @@
             evaluated.is_late(),
             request.priority,
             request.route_priority,
-            evaluated.yields(),
+            evaluated.yields_turn(),
             Reverse(request.waited),
             Arc::clone(&request.generation),
         );
+        let mut yields: HashMap<Option<WorkspaceId>, bool> = HashMap::new();
         let ahead = |(generation, other): &(&GenerationId, &WaitingRequest)| {
+            let workspace = other.workspace.clone();
+            // Only those with the same priorities compete by their shares.
+            let yields = *yields
+                .entry(workspace)
+                .or_insert_with_key(|workspace| self.workspace_yields(request, workspace.as_ref()));
             let waited = other.waited + now.saturating_sub(other.last_request_at);
             let other_order: WaitOrder = (
                 other.is_late,
                 other.priority,
                 other.route_priority,
-                other.yields,
+                yields,
                 Reverse(waited),
                 Arc::clone(generation),
             );
@@ -315,6 +326,18 @@
         self.waiting.iter().filter(ahead).count()
     }
 
+    /// Whether a workspace lets waiting requests of others with the priorities of `request` go first.
+    fn workspace_yields(
+        &self,
+        request: &PlacementRequest,
+        workspace: Option<&WorkspaceId>,
+    ) -> bool {
+        self.tuning.fair_shares
+            && workspace.is_some_and(|workspace| {
+                self.shares.excess_of(request, workspace).of_turns >= YIELDING_EXCESS
+            })
+    }
+
     /// Whether the memory of an engine admits the request. Late requests must leave more memory
     /// free where many are rejected, for the next ones that can meet their objective. Long ones
     /// must leave room for generations that migrate when another engine shuts down.
--- a/components/placing/src/shares.rs
+++ b/components/placing/src/shares.rs
@@ -98,6 +98,24 @@
     last_request_at: Moment,
 }
 
+/// By how much a workspace is above its share, from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Excess {
+    /// For the order of those that wait: how little the others ask for doesn't matter, since letting them go
+    /// first costs no room.
+    pub of_turns: f64,
+    /// For the room that it leaves free: no more than what the others may ask for.
+    pub of_room: f64,
+}
+
+impl Excess {
+    /// Within the share.
+    pub const NONE: Self = Self {
+        of_turns: 0.0,
+        of_room: 0.0,
+    };
+}
+
 /// Max-min fair share of the workspaces of a pool.
 #[derive(Clone, Copy, Debug)]
 struct Level {
@@ -185,18 +203,22 @@
         })
     }
 
-    /// By how much a workspace asks for more than its share and than others, from 0 to 1. It is 0 if all
-    /// ask for about as much, because they have nothing to leave to each other.
-    fn excess(&self, workspace: &str) -> f64 {
+    /// By how much a workspace asks for more than its share and than others. It is nothing if all ask for
+    /// about as much, because they have nothing to leave to each other.
+    fn excess(&self, workspace: &str) -> Excess {
         let Some(usage) = self.usages.get(workspace) else {
-            return 0.0;
+            return Excess::NONE;
         };
-        self.level().map_or(0.0, |level| {
+        self.level().map_or(Excess::NONE, |level| {
             let claim = (level.claimed / FULL_CLAIM).min(1.0);
             let above = usage.demand / level.share.max(MIN_DEMAND) - 1.0;
             let ratio = usage.demand / level.usual.max(MIN_DEMAND);
             let distinct = (ratio - INDISTINCT_RATIO) / (DISTINCT_RATIO - INDISTINCT_RATIO);
-            claim * (above / FULL_EXCESS_AT).clamp(0.0, 1.0) * distinct.clamp(0.0, 1.0)
+            let of_turns = (above / FULL_EXCESS_AT).clamp(0.0, 1.0) * distinct.clamp(0.0, 1.0);
+            Excess {
+                of_turns,
+                of_room: claim * of_turns,
+            }
         })
     }
 }
@@ -277,12 +299,16 @@
         }
     }
 
-    /// By how much the workspace of a request is above its share, from 0 to 1.
-    pub fn excess(&self, request: &PlacementRequest) -> f64 {
+    /// By how much the workspace of a request is above its share.
+    pub fn excess(&self, request: &PlacementRequest) -> Excess {
         let workspace = request.workspace.as_deref();
+        workspace.map_or(Excess::NONE, |workspace| self.excess_of(request, workspace))
+    }
+
+    /// By how much a workspace is above its share of the engines that a request competes for.
+    pub fn excess_of(&self, request: &PlacementRequest, workspace: &str) -> Excess {
         let pool = self.pools.get(&PoolId::of(request));
-        pool.zip(workspace)
-            .map_or(0.0, |(pool, workspace)| pool.excess(workspace))
+        pool.map_or(Excess::NONE, |pool| pool.excess(workspace))
     }
 
     /// The workspaces that have come above their share or are within it again since the last call.
@@ -294,7 +320,7 @@
             let excesses: Vec<(WorkspaceId, f64)> = pool
                 .usages
                 .keys()
-                .map(|workspace| (Arc::clone(workspace), pool.excess(workspace)))
+                .map(|workspace| (Arc::clone(workspace), pool.excess(workspace).of_room))
                 .collect();
             for (workspace, excess) in excesses {
                 let Some(usage) = pool.usages.get_mut(&workspace) else {
@@ -333,7 +359,7 @@
                 workspace: Arc::clone(workspace),
                 asked: round_tokens(usage.demand),
                 served: round_tokens(usage.served),
-                excess_percent: percent(pool.excess(workspace)),
+                excess_percent: percent(pool.excess(workspace).of_room),
                 age_ms: millis(now.saturating_sub(pool.faded_at)),
             };
             pool.usages.iter().map(load).collect::<Vec<_>>()
--- a/components/placing/tests/fair_shares.rs
+++ b/components/placing/tests/fair_shares.rs
@@ -431,3 +431,48 @@
     owner.take_share_changes(now + 120 * S);
     assert!(owner.workspace_loads(now + 120 * S).is_empty());
 }
+
+/// Guards against a light workspace that waits behind all requests of a flood because it asks for too little
+/// to count: with all slots taken, the one that comes free is its own.
+#[test]
+fn beside_a_flood_that_takes_all_slots_a_workspace_that_asks_for_little_goes_first() {
+    let (mut owner, start) = owner();
+    let engines = [placing::Engine {
+        slots: 4,
+        ..engine("e-1", "dc-1")
+    }];
+    let asks = |workspace: &str, name: String, waited: Duration| PlacementRequest {
+        workspace: Some(workspace.into()),
+        prompt_tokens: 100,
+        max_tokens: 100,
+        length_hint: Some(40),
+        objective_left: (2 * S).saturating_sub(waited),
+        waited,
+        ..request(&name)
+    };
+    for number in 0..60 {
+        let flood = asks("flooding", format!("flood-{number}"), Duration::ZERO);
+        owner.place(start + MS * number, &flood, &engines);
+    }
+    let light = asks("light", "light-0".into(), Duration::ZERO);
+    let answer = owner.place(start + 60 * MS, &light, &engines);
+    assert!(matches!(answer, PlacementAnswer::Wait { .. }), "{answer:?}");
+    let later = start + 120 * MS;
+    owner.apply_update(
+        later,
+        &GenerationUpdate::Ended {
+            generation: "flood-0".into(),
+            target_failed: false,
+            tokens_generated: Some(40),
+        },
+    );
+    for number in 10..14 {
+        let waited = later - start - MS * number;
+        let flood = asks("flooding", format!("flood-{number}"), waited);
+        let answer = owner.place(later, &flood, &engines);
+        assert!(support::assigned(answer).is_none(), "flood-{number}");
+    }
+    let light = asks("light", "light-0".into(), 60 * MS);
+    let answer = owner.place(later, &light, &engines);
+    assert_eq!(support::assigned(answer), Some("e-1".into()));
+}
