--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -60,6 +60,22 @@
 const BRITTLE_DURATION: Duration = Duration::from_secs(3);
 /// How often the processes may fall: twice, and a tenth of their number.
 const MAX_FALLS: usize = 2;
+/// The workspace that sends too much, and its key.
+const FLOODING: &str = "flooding";
+/// See [`FLOODING`].
+const FLOODING_KEY: &str = "key-flooding";
+/// Its callers; the two engines have 24 slots each.
+const FLOODING_CALLERS: usize = 120;
+/// Events of each of its generations: slots come free within the time to the first event that callers want.
+const FLOODING_EVENTS: u32 = 16;
+/// Pause of each of its callers between two generations, also after a refusal.
+const FLOODING_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause of the other workspace between two generations.
+const LIGHT_INTERVAL: Duration = Duration::from_millis(150);
+/// A prompt without shared parts; the bodies of the requests differ, as those of real callers do.
+const OWN_PART: &str = "c0:9";
+/// How long both send.
+const FLOOD_DURATION: Duration = Duration::from_secs(4);
 /// Time within which a changed configuration must be in force.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time from the order of a rollout to its deadline.
@@ -134,6 +150,7 @@
     leaving_target(deployment, &caller, to).await?;
     shedding_target(deployment, &caller, to).await?;
     brittle_targets(deployment, to).await?;
+    light_beside_flooding(deployment, to).await?;
     cut_off_instance(deployment, &caller).await?;
     rollout(deployment, &caller, to, "v2", Fault::ServerError).await?;
     rollout(deployment, &caller, to, "v3", Fault::None).await?;
@@ -316,6 +333,64 @@
     Err(Error::new("brittle processes fell over again and again"))
 }
 
+/// Shows that a workspace with one caller is served beside one that sends far more generations than there is
+/// room for.
+async fn light_beside_flooding(deployment: &Deployment, to: SocketAddr) -> errors::Result<()> {
+    let workspaces = [("editors", KEY), (FLOODING, FLOODING_KEY)];
+    deployment.configure_workspaces(&workspaces);
+    wait_for_status(&Caller::new(FLOODING_KEY), to, 200).await?;
+    let flood = (0..FLOODING_CALLERS).map(|number| {
+        let name = format!("try-flood-{number}");
+        smol::spawn(generate_for_a_while(
+            to,
+            FLOODING_KEY,
+            name,
+            FLOODING_EVENTS,
+            FLOODING_INTERVAL,
+        ))
+    });
+    let flood: Vec<_> = flood.collect();
+    Timer::new().sleep(LEAVE_DELAY).await;
+    let light =
+        generate_for_a_while(to, KEY, "try-light".into(), PART_EVENTS, LIGHT_INTERVAL).await;
+    let mut flooding = (0, 0);
+    for caller in flood {
+        let (served, asked) = caller.await;
+        flooding = (flooding.0 + served, flooding.1 + asked);
+    }
+    deployment.configure(&[KEY]);
+    output::line(format_args!(
+        "A workspace with one caller beside one with {FLOODING_CALLERS}: served {} of {}; the other {} of {}",
+        light.0, light.1, flooding.0, flooding.1
+    ))?;
+    if light.1 > 0 && light.0 * 20 >= light.1 * 19 {
+        return Ok(());
+    }
+    Err(Error::new("the light workspace was not served"))
+}
+
+/// Asks for generations one after the other, with pauses; returns how many were complete, and all.
+async fn generate_for_a_while(
+    to: SocketAddr,
+    key: &str,
+    name: String,
+    events: u32,
+    pause: Duration,
+) -> (usize, usize) {
+    let timer = Timer::new();
+    let (mut served, mut asked) = (0, 0);
+    while timer.now() < FLOOD_DURATION {
+        // Each closes its connection, which the next one would not use again.
+        let caller = Caller::new(key);
+        let id = format!("{name}-{asked}");
+        let got = caller.generate_with_prompt(to, &id, events, OWN_PART).await;
+        asked += 1;
+        served += usize::from(got.status == 200 && got.is_complete);
+        timer.sleep(pause).await;
+    }
+    (served, asked)
+}
+
 /// Sends calls one after the other; returns how many were answered, and all.
 async fn call_for_a_while(to: SocketAddr, number: usize) -> (usize, usize) {
     let (timer, caller) = (Timer::new(), Caller::new(KEY));
@@ -524,7 +599,8 @@
     deployment.set_engine_leaving(0);
     let got = read_answer(resp).await;
     let is_complete = got.is_complete && got.body == all_events(EVENTS);
-    let second = deployment.engines[1].started().len();
+    let started = deployment.engines[1].started();
+    let second = started.iter().filter(|id| *id == "try-carried").count();
     output::line(format_args!(
         "A generation of {EVENTS} events whose engine left: all of them once and in order: \
          {is_complete}; begun anew elsewhere: {second}"
