--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -204,7 +204,9 @@
     let episodes = if case == Case::Unbounded { 0 } else { EPISODES };
     for episode in 0..episodes {
         Timer::after(CALM).await;
-        let change = play(case, episode, &machines, &store, &operator, &replicas, trouble, &record);
+        let change = play(
+            case, episode, &machines, &store, &operator, &replicas, trouble, &record,
+        );
         changes.push(change.await);
     }
     stop.store(true, Ordering::Release);
@@ -220,8 +222,18 @@
             if unanswered > 0 { hung } else { 0 }
         }
     };
-    let what = if case == Case::Unbounded { "processes" } else { "requests" };
-    record.line(Instant::now(), &format!("{} requests sent, {broken} {what} break the rule", sent.len()));
+    let what = if case == Case::Unbounded {
+        "processes"
+    } else {
+        "requests"
+    };
+    record.line(
+        Instant::now(),
+        &format!(
+            "{} requests sent, {broken} {what} break the rule",
+            sent.len()
+        ),
+    );
     println!("{broken} {what} break the rule");
     drop(machines);
     let _ = fs::remove_dir_all(&temp);
@@ -250,7 +262,10 @@
 ) -> Change {
     let (partitioned, frozen) = case.disrupted();
     let find = |name: &str| machines.iter().find(|machine| machine.name == name);
-    let (partitioned, frozen) = (find(partitioned).expect("known"), find(frozen).expect("known"));
+    let (partitioned, frozen) = (
+        find(partitioned).expect("known"),
+        find(frozen).expect("known"),
+    );
     // Changes come all the time; the disruption begins right after one.
     match case {
         Case::Drain => replicas.beat(store),
@@ -260,7 +275,10 @@
     let begin = Instant::now();
     if trouble {
         partitioned.link.set_mode(Mode::Cut);
-        record.line(begin, &format!("{} is partitioned from the store", partitioned.name));
+        record.line(
+            begin,
+            &format!("{} is partitioned from the store", partitioned.name),
+        );
         Timer::after(Duration::from_millis(50)).await;
         frozen.signal(Signal::STOP);
         record.line(Instant::now(), &format!("{} freezes", frozen.name));
@@ -289,12 +307,18 @@
     if trouble {
         partitioned.link.set_mode(Mode::Pass);
         partitioned.link.reset_connections();
-        record.line(Instant::now(), &format!("{} reaches the store again", partitioned.name));
+        record.line(
+            Instant::now(),
+            &format!("{} reaches the store again", partitioned.name),
+        );
     }
     match case {
         Case::Drain => {
             replicas.replace(store, episode).await;
-            record.line(Instant::now(), &format!("{replica} has left, and another replica is listed"));
+            record.line(
+                Instant::now(),
+                &format!("{replica} has left, and another replica is listed"),
+            );
         }
         Case::Config | Case::Unbounded => operator.next_key(),
     }
@@ -317,11 +341,23 @@
     let mut req = request("POST", "/drafts/1", "unbounded", 1, "key-x");
     let counts = format!("3000,{most}").parse().expect("a header");
     req.headers_mut().insert("token-counts", counts);
-    req.headers_mut().insert("deadline-milliseconds", 39_000.into());
+    req.headers_mut()
+        .insert("deadline-milliseconds", 39_000.into());
     let begin = Instant::now();
-    record.line(begin, &format!("a generation with Token-Counts 3000,{most} is sent to {}", machines[0].name));
+    record.line(
+        begin,
+        &format!(
+            "a generation with Token-Counts 3000,{most} is sent to {}",
+            machines[0].name
+        ),
+    );
     let to = machines[0].callers;
-    let sending = workers::spawn(async move { Client::new().send_fresh(to, req).await.map(|resp| resp.status()) });
+    let sending = workers::spawn(async move {
+        Client::new()
+            .send_fresh(to, req)
+            .await
+            .map(|resp| resp.status())
+    });
     sleep_until(begin + OBSERVATION - PROCESSOR_WINDOW).await;
     let before: Vec<Option<f64>> = machines.iter().map(processor_seconds).collect();
     Timer::after(PROCESSOR_WINDOW).await;
@@ -335,7 +371,8 @@
         let ready = readiness(machine).await;
         let text = format!(
             "{}: {used:.2} s of processor time in {} s, readiness check: {ready}",
-            machine.name, PROCESSOR_WINDOW.as_secs()
+            machine.name,
+            PROCESSOR_WINDOW.as_secs()
         );
         record.line(Instant::now(), &text);
         // A second of the window is left for what else the process has to wait for.
@@ -347,7 +384,10 @@
         Timer::after(Duration::from_millis(1)).await;
         None
     });
-    record.line(Instant::now(), &format!("answer to the generation: {:?}", answer.await));
+    record.line(
+        Instant::now(),
+        &format!("answer to the generation: {:?}", answer.await),
+    );
     hung
 }
 
@@ -378,17 +418,29 @@
 /// Requests that had no answer half a second after their route's timeout, if they are more than half of those that
 /// had none at the timeout.
 fn check_unanswered(sent: &[Sent], record: &Record) -> usize {
-    let at_timeout = sent.iter().filter(|request| request.took >= ROUTE_TIMEOUT).count();
-    let late: Vec<&Sent> = sent.iter().filter(|request| request.took >= ROUTE_TIMEOUT + ANSWER_SLACK).collect();
+    let at_timeout = sent
+        .iter()
+        .filter(|request| request.took >= ROUTE_TIMEOUT)
+        .count();
+    let late: Vec<&Sent> = sent
+        .iter()
+        .filter(|request| request.took >= ROUTE_TIMEOUT + ANSWER_SLACK)
+        .collect();
     for request in &late {
         let text = format!("no answer: {} sent to {}", request.id, request.machine);
         record.line(request.at, &text);
     }
     let text = format!(
-        "{} plain calls unanswered at their route's timeout, {} of them half a second later", at_timeout, late.len()
+        "{} plain calls unanswered at their route's timeout, {} of them half a second later",
+        at_timeout,
+        late.len()
     );
     record.line(Instant::now(), &text);
-    if late.len() * 2 > at_timeout { late.len() } else { 0 }
+    if late.len() * 2 > at_timeout {
+        late.len()
+    } else {
+        0
+    }
 }
 
 /// Starts the engines of the streaming service; they write their entries every `heartbeat_ms`.
@@ -403,7 +455,11 @@
     let beats = async move {
         loop {
             for (engine, zone) in &engines {
-                store.put("servers", &engine.id(), engine.listing("synopsis-llm", zone, "ready"));
+                store.put(
+                    "servers",
+                    &engine.id(),
+                    engine.listing("synopsis-llm", zone, "ready"),
+                );
             }
             Timer::after(HEARTBEAT).await;
         }
@@ -428,7 +484,12 @@
             broken += 1;
             let text = format!(
                 "DRAIN: {} through {} reaches {} {} ms after the acknowledgement (ran: {}); answer {}",
-                request.id, request.machine, change.replica, late.as_millis(), arrival.ran, request.status
+                request.id,
+                request.machine,
+                change.replica,
+                late.as_millis(),
+                arrival.ran,
+                request.status
             );
             record.line(arrival.at, &text);
         }
@@ -451,7 +512,11 @@
             broken += 1;
             let text = format!(
                 "CONFIG: {} with key-{} sent to {} {} ms after the acknowledgement has run; answer {}",
-                request.id, request.key, request.machine, late.as_millis(), request.status
+                request.id,
+                request.key,
+                request.machine,
+                late.as_millis(),
+                request.status
             );
             record.line(request.at, &text);
         }
@@ -474,16 +539,29 @@
     while !stop.load(Ordering::Acquire) {
         count += 1;
         // Every other request has a key that is never taken away.
-        let key = if count.is_multiple_of(2) { usize::MAX } else { operator.current_key() };
-        let name = if key == usize::MAX { "key-x".to_owned() } else { format!("key-{key}") };
+        let key = if count.is_multiple_of(2) {
+            usize::MAX
+        } else {
+            operator.current_key()
+        };
+        let name = if key == usize::MAX {
+            "key-x".to_owned()
+        } else {
+            format!("key-{key}")
+        };
         let id = format!("r{number}-{count}");
         // Clients that may repeat a request abandon it when a machine doesn't read it; the others wait.
         let is_order = case == Case::Unbounded || count.is_multiple_of(4);
         let deadline = if case == Case::Unbounded { 1_500 } else { 600 };
-        let (method, path) = if is_order { ("POST", "/grants/1") } else { ("GET", "/titles/1") };
+        let (method, path) = if is_order {
+            ("POST", "/grants/1")
+        } else {
+            ("GET", "/titles/1")
+        };
         let mut req = request(method, path, &id, 1, &name);
         req.headers_mut().remove("token-counts");
-        req.headers_mut().insert("deadline-milliseconds", deadline.into());
+        req.headers_mut()
+            .insert("deadline-milliseconds", deadline.into());
         let at = Instant::now();
         let answer = async {
             match client.send_fresh(machine.callers, req).await {
@@ -530,7 +608,9 @@
 
     /// The key that is taken away in this episode.
     fn current_key(&self) -> usize {
-        usize::try_from(self.revoked.load(Ordering::Acquire)).unwrap_or_default().min(EPISODES - 1)
+        usize::try_from(self.revoked.load(Ordering::Acquire))
+            .unwrap_or_default()
+            .min(EPISODES - 1)
     }
 
     /// Takes a key away. Clients go on with it until the end of the episode.
@@ -550,7 +630,9 @@
 
     fn write(&self, first_key: usize) {
         let version = self.version.fetch_add(3, Ordering::AcqRel) + 3;
-        let mut keys: Vec<String> = (first_key..EPISODES).map(|key| format!("key-{key}")).collect();
+        let mut keys: Vec<String> = (first_key..EPISODES)
+            .map(|key| format!("key-{key}"))
+            .collect();
         keys.push("key-x".to_owned());
         let route = |name: &str, kind: &str, attempts: u32| {
             json!({
@@ -559,7 +641,10 @@
                 "max_attempts": attempts,
             })
         };
-        let mut routes = vec![route("titles", "idempotent", 2), route("grants", "non_idempotent", 1)];
+        let mut routes = vec![
+            route("titles", "idempotent", 2),
+            route("grants", "non_idempotent", 1),
+        ];
         let mut services =
             vec![json!({"name": "viewer-api", "health_path": "/health", "connection_limit": 110})];
         if self.has_engines {
@@ -623,7 +708,10 @@
         let replica = Plain::new(id);
         replica.start().await;
         self.all.lock().expect("no panic").push(replica.clone());
-        self.current.lock().expect("no panic").push((replica, zone, "ready"));
+        self.current
+            .lock()
+            .expect("no panic")
+            .push((replica, zone, "ready"));
     }
 
     /// Writes the entries of all replicas.
@@ -672,14 +760,19 @@
     fn arrivals(&self, id: &str) -> Vec<platform_standin::arrivals::Arrival> {
         let all = self.all.lock().expect("no panic");
         let replica = all.iter().find(|replica| *replica.id() == *id);
-        replica.map(|replica| replica.arrivals().list()).unwrap_or_default()
+        replica
+            .map(|replica| replica.arrivals().list())
+            .unwrap_or_default()
     }
 
     /// The ids of all requests that replicas have run.
     fn all_run(&self) -> std::collections::HashSet<String> {
         let all = self.all.lock().expect("no panic");
         let arrivals = all.iter().flat_map(|replica| replica.arrivals().list());
-        arrivals.filter(|it| it.ran).map(|it| it.id.to_string()).collect()
+        arrivals
+            .filter(|it| it.ran)
+            .map(|it| it.id.to_string())
+            .collect()
     }
 }
 
@@ -766,5 +859,8 @@
         }
         Timer::after(Duration::from_millis(50)).await;
     }
-    Err(io::Error::other(format!("{} did not become ready", machine.name)))
+    Err(io::Error::other(format!(
+        "{} did not become ready",
+        machine.name
+    )))
 }
