Numbers from outside are bounded where they are decoded; a request whose owner falls silent is not handed on

Cause: LengthEstimate::expected_remaining added steps to an offset that wrapped around within 24 of 2^64, under the lock of the owner's account. The header's numbers were any of 64 bits. The entry took the owner's silence for a failure of the owner, handed the same request to the second owner, and then decided itself.

Ruled out: a lock between instances; the stand-ins. A debug build panics at the addition itself.

Change: - types::bounded: counts, requests at one target and times have a bound, applied by serde and by the readers of headers, listings, reports, configurations and messages. Digits beyond 64 bits count as the bound. - The estimate sums a fixed number of parts.

--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -11,7 +11,7 @@
 use placing::{GenerationId, LoadReport};
 use rollouts::{Checkpoint, Order};
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, ServiceId, StoreVersion, TargetId, Tokens};
+use types::{DataCentreId, ServiceId, StoreVersion, TargetId, Tokens, bounded};
 use view::{Rules, Target};
 
 use crate::{
@@ -125,6 +125,7 @@
     /// The target is about to stop.
     pub is_leaving: bool,
     /// The target wants no requests from this instance for this long.
+    #[serde(default, deserialize_with = "bounded")]
     pub pause: Option<Duration>,
     /// How many rejections it bears.
     pub rejections: RejectionBound,
@@ -246,6 +247,7 @@
     /// The generation's id.
     pub generation: GenerationId,
     /// Events that the engine has produced so far.
+    #[serde(deserialize_with = "bounded")]
     pub events: u64,
 }
 
--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -12,7 +12,7 @@
 use async_channel::{Receiver, Sender, unbounded};
 use parking_lot::Mutex;
 use placing::{ActiveGeneration, GenerationId};
-use types::{Moment, RouteId, ServiceId, TargetId, Tokens};
+use types::{Bounded, Moment, RouteId, ServiceId, TargetId, Tokens};
 use view::Target;
 
 use crate::adapters::{GenerationSizes, Resume};
@@ -123,7 +123,9 @@
     /// Tokens generated so far, as counted from the events received.
     #[must_use]
     pub fn tokens_generated(&self) -> Tokens {
-        self.events_received() * self.tokens_per_event
+        self.events_received()
+            .saturating_mul(self.tokens_per_event)
+            .bounded()
     }
 
     /// Events received so far, from all engines that have run the generation.
--- a/components/front/src/generations/assignment.rs
+++ b/components/front/src/generations/assignment.rs
@@ -19,6 +19,8 @@
 
 /// `Retry-After` of a generation for which no engine was found.
 pub(super) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(1_000);
+/// `Retry-After` of a generation that fits into no engine. Only another configuration changes that.
+const TOO_LARGE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Shards of a service's engines that are tried before a generation is refused. Even with two of
 /// many, a full shard hardly ever decides while others have room.
 const MAX_SHARD_ATTEMPTS: u32 = 3;
@@ -104,6 +106,7 @@
     avoid: &[TargetId],
     versions: &VersionChoice,
 ) -> Result<Arc<Target>, Refusal> {
+    check_size(call)?;
     let mut shard = first_shard(front, call);
     let mut full_shards = 0;
     // Engines that the owner assigned although this instance can't use them.
@@ -185,6 +188,24 @@
     }
 }
 
+/// Refuses a generation that is larger than the memory of an engine.
+fn check_size(call: &Call) -> Result<(), Refusal> {
+    let memory = call
+        .service
+        .engine
+        .as_ref()
+        .map_or(0, |engine| engine.memory);
+    let sizes = call.request.sizes.unwrap_or_default();
+    // A memory of zero is not known.
+    if memory > 0 && sizes.prompt_tokens + sizes.max_tokens > memory {
+        return Err(Refusal::not_run(
+            "it is larger than the memory of an engine",
+            TOO_LARGE_RETRY_AFTER,
+        ));
+    }
+    Ok(())
+}
+
 /// The shard that is tried first for a generation. It is chosen by the fingerprint, so that
 /// requests are spread over the shards while retries of one request go to the same shard.
 pub(crate) fn first_shard(front: &Front, call: &Call) -> Shard {
--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -14,6 +14,7 @@
 use view::Target;
 
 use crate::{
+    generations::assignment::DEFAULT_SIZES,
     instances::wire::{Message, Reply},
     state::Front,
 };
@@ -27,8 +28,6 @@
 /// is stopping. Half of the drafts run longer than a shutdown takes, while nearly all short ones
 /// complete well within it.
 const MIN_COMPLETION_PROBABILITY: f64 = 0.9;
-/// Owners that are tried before an instance decides locally.
-const MAX_OWNER_ATTEMPTS: usize = 2;
 
 /// This instance's account of engines. As an owner it keeps the account for all instances;
 /// otherwise it uses it for its own generations while no owner answers.
@@ -63,23 +62,20 @@
 impl Front {
     /// Requests an engine for a generation.
     pub async fn place(&self, request: &PlacementRequest) -> PlacementAnswer {
-        let max_attempts = if self.cfg.decisions.features.owner_placement {
-            MAX_OWNER_ATTEMPTS
-        } else {
-            0
+        let owner = self.owners(&request.shard).into_iter().next();
+        let owner = owner.filter(|owner| {
+            self.cfg.decisions.features.owner_placement && *owner != self.cfg.instance
+        });
+        let Some(owner) = owner else {
+            return self.place_locally(request);
         };
-        for owner in self.owners(&request.shard).into_iter().take(max_attempts) {
-            if owner == self.cfg.instance {
-                break;
-            }
-            let message = Message::Place(request.clone());
-            if let Some(Reply::Placement(answer)) =
-                self.peers.call(&owner, &message, PLACE_TIMEOUT).await
-            {
-                return answer;
-            }
+        let message = Message::Place(request.clone());
+        match self.peers.call(&owner, &message, PLACE_TIMEOUT).await {
+            Some(Reply::Placement(answer)) => answer,
+            // This very decision may have stopped the owner. It is not handed to another instance,
+            // and what the caller declares is left out of the one that is made here.
+            _ => self.place_locally(&with_default_sizes(request)),
         }
-        self.place_locally(request)
     }
 
     /// Whether a generation will probably complete before this instance stops. Otherwise it would
@@ -222,6 +218,16 @@
     }
 }
 
+/// The request without the sizes that its caller declares.
+fn with_default_sizes(request: &PlacementRequest) -> PlacementRequest {
+    PlacementRequest {
+        prompt_tokens: DEFAULT_SIZES.prompt_tokens,
+        max_tokens: DEFAULT_SIZES.max_tokens,
+        length_hint: DEFAULT_SIZES.length_hint,
+        ..request.clone()
+    }
+}
+
 fn log_stretched_pauses(generation: &GenerationId, stretched: &StretchedPauses) {
     #[expect(
         clippy::cast_possible_truncation,
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -14,7 +14,7 @@
 use rates::{RateReport, Reservation};
 use rollouts::{Directive, Outcome, Report};
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, ServiceId, StoreVersion, TargetId, VersionId};
+use types::{DataCentreId, InstanceId, ServiceId, StoreVersion, TargetId, VersionId, bounded};
 
 use crate::adapters::{EngineAnswer, EngineReport, KvCopyOutcome};
 
@@ -151,7 +151,7 @@
         #[serde(rename = "limit")]
         report: RateReport,
         /// The longest time that the request can wait.
-        #[serde(rename = "patience")]
+        #[serde(rename = "patience", deserialize_with = "bounded")]
         max_wait: Duration,
     },
     /// The sender's counts of a rollout, to its coordinator.
@@ -189,6 +189,7 @@
         /// Start of its process in Unix milliseconds, if known.
         started_at: Option<u64>,
         /// The longest time that the engine may take.
+        #[serde(deserialize_with = "bounded")]
         timeout: Duration,
     },
     /// A request to an engine that the sender can't connect to, to copy a generation's memory.
@@ -204,6 +205,7 @@
         /// Stop the generation before copying.
         is_final: bool,
         /// The longest time for the copy.
+        #[serde(deserialize_with = "bounded")]
         timeout: Duration,
     },
     /// An engine on which the sender has generations running is about to stop.
@@ -229,6 +231,7 @@
         /// The version that the sender knows, if any.
         after: Option<StoreVersion>,
         /// The longest time that the receiver may wait for changes.
+        #[serde(deserialize_with = "bounded")]
         wait: Duration,
     },
 }
@@ -321,10 +324,13 @@
         #[serde(rename = "news")]
         update: TopicUpdate,
         /// How long before the arrival of the request the read was sent; zero if after it.
+        #[serde(deserialize_with = "bounded")]
         before: Duration,
         /// How long after the arrival of the request the read was sent; zero if before it.
+        #[serde(deserialize_with = "bounded")]
         after: Duration,
         /// Time from that read to this reply.
+        #[serde(deserialize_with = "bounded")]
         age: Duration,
     },
     /// The replier's history of the topic does not reach back to the requested version. The store
--- a/components/placing/src/account.rs
+++ b/components/placing/src/account.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{DataCentreId, InstanceId, Moment, RouteId, ServiceId, TargetId, Tokens};
+use types::{DataCentreId, InstanceId, Moment, RouteId, ServiceId, TargetId, Tokens, bounded};
 
 use crate::{
     length::LengthEstimate, memory::Allocation, message::GenerationId, throughput::Throughput,
@@ -106,8 +106,10 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadReport {
     /// Tokens in the KV cache that belong to generations.
+    #[serde(deserialize_with = "bounded")]
     pub tokens_held: Tokens,
     /// Generations in the engine's queue.
+    #[serde(deserialize_with = "bounded")]
     pub queued: u32,
 }
 
--- a/components/placing/src/length.rs
+++ b/components/placing/src/length.rs
@@ -42,7 +42,7 @@
     /// further tokens.
     #[must_use]
     pub fn survival_probability(&self, tokens_generated: Tokens, more: Tokens) -> f64 {
-        if tokens_generated + more >= self.max_tokens {
+        if tokens_generated.saturating_add(more) >= self.max_tokens {
             return 0.0;
         }
         let current = self.tail_probability(tokens_generated);
@@ -50,7 +50,7 @@
             // Longer than the distribution allows for: it may end at any moment.
             return 0.5;
         }
-        (self.tail_probability(tokens_generated + more) / current).clamp(0.0, 1.0)
+        (self.tail_probability(tokens_generated.saturating_add(more)) / current).clamp(0.0, 1.0)
     }
 
     /// Expected number of further tokens of a generation that has `tokens_generated` tokens.
@@ -58,14 +58,12 @@
     pub fn expected_remaining(&self, tokens_generated: Tokens) -> Tokens {
         let remaining = self.max_tokens.saturating_sub(tokens_generated);
         let step = remaining / Tokens::from(INTEGRATION_STEPS) + 1;
-        let mut sum = 0.0;
-        let mut offset = 0;
-        while offset < remaining {
+        let part = |index: u32| {
+            let offset = step.saturating_mul(Tokens::from(index)).min(remaining);
             let width = step.min(remaining - offset);
-            sum += self.survival_probability(tokens_generated, offset + width / 2) * as_f64(width);
-            offset += step;
-        }
-        round_tokens(sum)
+            self.survival_probability(tokens_generated, offset + width / 2) * as_f64(width)
+        };
+        round_tokens((0..INTEGRATION_STEPS).map(part).sum())
     }
 
     /// Probability of more than `tokens` tokens.
--- a/components/placing/src/memory.rs
+++ b/components/placing/src/memory.rs
@@ -42,9 +42,10 @@
     let final_tokens = |allocation: &Allocation| {
         let tokens_generated = allocation.tokens_generated;
         as_f64(
-            allocation.prompt_tokens
-                + tokens_generated
-                + allocation.length.expected_remaining(tokens_generated),
+            allocation
+                .prompt_tokens
+                .saturating_add(tokens_generated)
+                .saturating_add(allocation.length.expected_remaining(tokens_generated)),
         )
     };
     allocations.iter().map(final_tokens).sum()
@@ -61,7 +62,10 @@
                 .length
                 .survival_probability(allocation.tokens_generated, ahead)
         };
-        let size = as_f64(allocation.prompt_tokens + allocation.tokens_generated + ahead);
+        let held = allocation
+            .prompt_tokens
+            .saturating_add(allocation.tokens_generated);
+        let size = as_f64(held.saturating_add(ahead));
         sum += size * probability;
         variance += size * size * probability * (1.0 - probability);
     }
--- a/components/placing/src/message.rs
+++ b/components/placing/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use types::{
     DataCentreId, InstanceId, RouteId, ServiceId, TargetId, Tokens, VersionChoice, WorkspaceId,
+    bounded,
 };
 
 use crate::{shard::Shard, speed::RelativeSpeed};
@@ -33,13 +34,13 @@
     /// Route of the request; lengths are estimated by route.
     pub route: RouteId,
     /// Length of the prompt.
-    #[serde(rename = "prompt")]
+    #[serde(rename = "prompt", deserialize_with = "bounded")]
     pub prompt_tokens: Tokens,
     /// Maximum length of the answer.
-    #[serde(rename = "longest")]
+    #[serde(rename = "longest", deserialize_with = "bounded")]
     pub max_tokens: Tokens,
     /// The caller's estimate of the answer's length in tokens.
-    #[serde(rename = "hint")]
+    #[serde(rename = "hint", default, deserialize_with = "bounded")]
     pub length_hint: Option<Tokens>,
     /// Priority; lower values go first.
     #[serde(rename = "rank")]
@@ -47,19 +48,20 @@
     /// Priority of the route, whoever sends the request; lower values go first.
     pub route_priority: u32,
     /// Time left until the first event is due, counted from the arrival of this request.
-    #[serde(rename = "aim_left")]
+    #[serde(rename = "aim_left", deserialize_with = "bounded")]
     pub objective_left: Duration,
     /// Time left until the caller gives up.
-    #[serde(rename = "left")]
+    #[serde(rename = "left", deserialize_with = "bounded")]
     pub deadline_left: Duration,
     /// Time since the arrival of this request.
+    #[serde(deserialize_with = "bounded")]
     pub waited: Duration,
     /// Engines that have rejected or failed this request.
     pub avoid: Vec<TargetId>,
     /// Versions of engines that it may be sent to.
     pub versions: VersionChoice,
     /// Longest pause between two events for which the answer is on time, if its route sets one.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "bounded")]
     pub max_pause: Option<Duration>,
     /// The caller's workspace, if the configuration has workspaces.
     #[serde(default)]
@@ -78,12 +80,14 @@
     /// No engine has room now; the entry retries later.
     Wait {
         /// Time after which to retry.
+        #[serde(deserialize_with = "bounded")]
         after: Duration,
     },
     /// No engine will have room in time; the caller is told to retry.
     #[serde(rename = "Full")]
     Rejected {
         /// Time after which the caller should retry.
+        #[serde(deserialize_with = "bounded")]
         after: Duration,
         /// Whether the caller's workspace is above its fair share, so that others went first.
         #[serde(default)]
@@ -113,7 +117,7 @@
         #[serde(rename = "doubt")]
         target_failed: bool,
         /// Length of the answer; `None` if the generation did not finish.
-        #[serde(rename = "made")]
+        #[serde(rename = "made", default, deserialize_with = "bounded")]
         tokens_generated: Option<Tokens>,
     },
 }
@@ -129,18 +133,18 @@
     /// Engine that runs the generation.
     pub target: TargetId,
     /// Length of the prompt.
-    #[serde(rename = "prompt")]
+    #[serde(rename = "prompt", deserialize_with = "bounded")]
     pub prompt_tokens: Tokens,
     /// Tokens generated so far.
-    #[serde(rename = "made")]
+    #[serde(rename = "made", deserialize_with = "bounded")]
     pub tokens_generated: Tokens,
     /// Route of the request.
     pub route: RouteId,
     /// Maximum length of the answer.
-    #[serde(rename = "longest")]
+    #[serde(rename = "longest", deserialize_with = "bounded")]
     pub max_tokens: Tokens,
     /// The caller's estimate of the answer's length in tokens.
-    #[serde(rename = "hint")]
+    #[serde(rename = "hint", default, deserialize_with = "bounded")]
     pub length_hint: Option<Tokens>,
     /// Priority; lower values go first.
     #[serde(rename = "rank")]
@@ -148,7 +152,11 @@
     /// Whether the first event has arrived.
     pub started: bool,
     /// Longest pause between two events since the previous sync, as the entry received them.
-    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    #[serde(
+        default,
+        skip_serializing_if = "Duration::is_zero",
+        deserialize_with = "bounded"
+    )]
     pub longest_pause: Duration,
 }
 
@@ -171,7 +179,7 @@
     /// Id of the engine.
     pub target: TargetId,
     /// Time until the engine has processed all prompts assigned to it.
-    #[serde(rename = "busy")]
+    #[serde(rename = "busy", deserialize_with = "bounded")]
     pub prefill_backlog: Duration,
     /// Number of generations on the engine.
     #[serde(rename = "runs")]
--- a/components/placing/src/throughput.rs
+++ b/components/placing/src/throughput.rs
@@ -6,7 +6,10 @@
 
 use std::time::Duration;
 
-use types::Tokens;
+use types::{
+    Tokens,
+    bounded::{Bounded, MAX_TIME},
+};
 
 use crate::tuning::as_f64;
 
@@ -59,7 +62,8 @@
     /// Time to process a prompt.
     #[must_use]
     pub fn prefill_time(&self, prompt_tokens: Tokens) -> Duration {
-        Duration::from_secs_f64(as_f64(prompt_tokens) / self.prompt_tokens_per_ms / 1_000.0)
+        let seconds = as_f64(prompt_tokens) / self.prompt_tokens_per_ms / 1_000.0;
+        Duration::try_from_secs_f64(seconds).map_or(MAX_TIME, Bounded::bounded)
     }
 
     /// Number of tokens that one generation generates in `time`.
@@ -73,7 +77,7 @@
     #[must_use]
     pub fn decode_time(&self, tokens: Tokens) -> Duration {
         let count = u32::try_from(tokens).unwrap_or(u32::MAX);
-        self.token_time.saturating_mul(count)
+        self.token_time.saturating_mul(count).bounded()
     }
 }
 
--- a/components/quarantine/src/parts/messages.rs
+++ b/components/quarantine/src/parts/messages.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::ServiceId;
+use types::{ServiceId, bounded};
 
 use crate::{
     fingerprint::Fingerprint,
@@ -20,8 +20,10 @@
     /// The target process that crashed.
     pub incarnation: TargetIncarnation,
     /// Time since the connection to the target was lost.
+    #[serde(deserialize_with = "bounded")]
     pub age: Duration,
     /// Upper bound on the time for which the target had been running the request by then.
+    #[serde(deserialize_with = "bounded")]
     pub ran_for: Duration,
     /// The request as a whole, which may have crashed the target by itself.
     #[serde(default)]
@@ -34,8 +36,10 @@
     /// The target process that crashed.
     pub incarnation: TargetIncarnation,
     /// Time since then.
+    #[serde(deserialize_with = "bounded")]
     pub age: Duration,
     /// Upper bound on the time for which the target had been running a request with the part.
+    #[serde(deserialize_with = "bounded")]
     pub ran_for: Duration,
     /// What else may be the cause: the other parts that were suspect, and whole requests.
     pub companions: BTreeSet<Fingerprint>,
@@ -50,6 +54,7 @@
     /// Tells runs with the same number apart.
     pub id: u64,
     /// Time since it began.
+    #[serde(deserialize_with = "bounded")]
     pub age: Duration,
 }
 
@@ -71,5 +76,6 @@
     /// The latest run with the part that proved sound.
     pub sound_run: Option<SoundRun>,
     /// Time until the verdict expires.
+    #[serde(deserialize_with = "bounded")]
     pub remaining: Duration,
 }
--- a/components/quarantine/src/verdict.rs
+++ b/components/quarantine/src/verdict.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use types::TargetId;
+use types::{TargetId, bounded};
 
 use crate::fingerprint::Fingerprint;
 
@@ -26,9 +26,10 @@
     #[serde(rename = "life")]
     pub incarnation: TargetIncarnation,
     /// Time since the connection to the target was lost.
+    #[serde(deserialize_with = "bounded")]
     pub age: Duration,
     /// Upper bound on the time for which the target had been running the request by then.
-    #[serde(rename = "ran")]
+    #[serde(rename = "ran", deserialize_with = "bounded")]
     pub ran_for: Duration,
     /// Targets that lost earlier runs of the same attempt. This run began after those were lost, so
     /// their crashes have no common cause with this one; the times alone can't tell, since reports
@@ -62,6 +63,6 @@
     #[serde(rename = "standing")]
     pub kind: VerdictKind,
     /// Time until the verdict expires.
-    #[serde(rename = "left")]
+    #[serde(rename = "left", deserialize_with = "bounded")]
     pub remaining: Duration,
 }
--- a/components/rates/src/allocator.rs
+++ b/components/rates/src/allocator.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{Moment, TargetId};
+use types::{Moment, TargetId, bounded};
 
 use crate::limits::Rate;
 
@@ -27,12 +27,14 @@
     #[serde(rename = "At")]
     Granted {
         /// Time to wait before it is sent.
+        #[serde(deserialize_with = "bounded")]
         after: Duration,
     },
     /// The limit is used up for longer than the request can wait.
     #[serde(rename = "Full")]
     Rejected {
         /// Time after which its caller should retry.
+        #[serde(deserialize_with = "bounded")]
         after: Duration,
     },
 }
--- a/components/rates/src/limits.rs
+++ b/components/rates/src/limits.rs
@@ -6,7 +6,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use serde::{Deserialize, Serialize};
-use types::{Moment, TargetId};
+use types::{Moment, TargetId, bounded};
 
 /// Requests a second.
 pub type Rate = f64;
@@ -22,6 +22,7 @@
     /// The limit; none if the target no longer announces one.
     pub rate: Option<Rate>,
     /// Time since the target's announcement.
+    #[serde(deserialize_with = "bounded")]
     pub age: Duration,
 }
 
--- a/components/rollouts/src/evidence.rs
+++ b/components/rollouts/src/evidence.rs
@@ -21,13 +21,13 @@
 impl Histogram {
     /// Counts a duration.
     pub fn record(&mut self, time: Duration) {
-        *self.counts.entry(bucket(time)).or_default() += 1;
+        add(self.counts.entry(bucket(time)).or_default(), 1);
     }
 
     /// Number of durations.
     #[must_use]
     pub fn total(&self) -> u32 {
-        self.counts.values().sum()
+        sum(self.counts.values().copied())
     }
 
     /// Bucket of the median; none without any duration.
@@ -36,7 +36,7 @@
         let half = self.total().div_ceil(2);
         let mut below = 0;
         for (bucket, count) in &self.counts {
-            below += count;
+            add(&mut below, *count);
             if below >= half && half > 0 {
                 return Some(*bucket);
             }
@@ -47,12 +47,12 @@
     /// Number of durations in a bucket and those above it.
     #[must_use]
     pub fn count_from(&self, bucket: u8) -> u32 {
-        self.counts.range(bucket..).map(|(_, count)| count).sum()
+        sum(self.counts.range(bucket..).map(|(_, count)| *count))
     }
 
     fn merge(&mut self, other: &Self) {
         for (bucket, count) in &other.counts {
-            *self.counts.entry(*bucket).or_default() += count;
+            add(self.counts.entry(*bucket).or_default(), *count);
         }
     }
 
@@ -64,6 +64,15 @@
     }
 }
 
+/// Adds to a count. Counts of other instances may be of any size.
+const fn add(count: &mut u32, more: u32) {
+    *count = count.saturating_add(more);
+}
+
+fn sum(counts: impl Iterator<Item = u32>) -> u32 {
+    counts.fold(0, u32::saturating_add)
+}
+
 fn bucket(time: Duration) -> u8 {
     let ratio = time.as_secs_f64() * 1_000.0 / FIRST_BUCKET_MS;
     #[expect(
@@ -102,9 +111,9 @@
 
 impl Tally {
     fn record(&mut self, answer: Answer) {
-        self.answers += 1;
+        add(&mut self.answers, 1);
         if answer.failed {
-            self.failures += 1;
+            add(&mut self.failures, 1);
         } else if let Some(latency) = answer.latency {
             self.latencies.record(latency);
         }
@@ -112,8 +121,8 @@
 
     /// Adds the counts of another tally.
     pub fn merge(&mut self, other: &Self) {
-        self.answers += other.answers;
-        self.failures += other.failures;
+        add(&mut self.answers, other.answers);
+        add(&mut self.failures, other.failures);
         self.latencies.merge(&other.latencies);
         self.gaps.merge(&other.gaps);
     }
@@ -172,8 +181,8 @@
 
     /// Adds the counts of other evidence.
     pub fn merge(&mut self, other: &Self) {
-        self.arrivals += other.arrivals;
-        self.exposed += other.exposed;
+        self.arrivals = self.arrivals.saturating_add(other.arrivals);
+        self.exposed = self.exposed.saturating_add(other.exposed);
         for (route, tally) in &other.old {
             self.old.entry(route.clone()).or_default().merge(tally);
         }
@@ -205,25 +214,25 @@
     /// Number of answers of the new version.
     #[must_use]
     pub fn new_answers(&self) -> u32 {
-        self.new_tallies().map(|tally| tally.answers).sum()
+        sum(self.new_tallies().map(|tally| tally.answers))
     }
 
     /// Number of failures among the answers of the new version.
     #[must_use]
     pub fn new_failures(&self) -> u32 {
-        self.new_tallies().map(|tally| tally.failures).sum()
+        sum(self.new_tallies().map(|tally| tally.failures))
     }
 
     /// Number of answers of the other versions.
     #[must_use]
     pub fn old_answers(&self) -> u32 {
-        self.old.values().map(|tally| tally.answers).sum()
+        sum(self.old.values().map(|tally| tally.answers))
     }
 
     /// Number of failures among the answers of the other versions.
     #[must_use]
     pub fn old_failures(&self) -> u32 {
-        self.old.values().map(|tally| tally.failures).sum()
+        sum(self.old.values().map(|tally| tally.failures))
     }
 
     /// Drops the histograms if there are more tallies than this, so that the size stays bounded.
--- a/components/rollouts/src/order.rs
+++ b/components/rollouts/src/order.rs
@@ -4,7 +4,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use types::{ServiceId, StoreVersion, VersionId};
+use types::{ServiceId, StoreVersion, VersionId, bounded};
 
 /// An operator's order to move a service's traffic to targets of another version.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -14,6 +14,7 @@
     /// The version that is rolled out.
     pub to: VersionId,
     /// Time from the order until its deadline.
+    #[serde(deserialize_with = "bounded")]
     pub duration: Duration,
     /// Revision of the order in the store; a later order has a larger one.
     pub revision: StoreVersion,
@@ -73,8 +74,10 @@
         /// Requests that the instance may send there in addition to its part of the bound.
         slack: f64,
         /// Time until all requests go to the new version, as far as the bound allows.
+        #[serde(deserialize_with = "bounded")]
         turn_in: Duration,
         /// Time until generations are migrated off engines of the other versions.
+        #[serde(deserialize_with = "bounded")]
         migrate_in: Duration,
     },
     /// There are no targets of another version, so the bound does not apply.
--- a/components/rollouts/src/rollout.rs
+++ b/components/rollouts/src/rollout.rs
@@ -8,7 +8,7 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
-use types::{InstanceId, Moment};
+use types::{InstanceId, Moment, bounded};
 
 use crate::{
     checkpoint::Checkpoint,
@@ -92,6 +92,7 @@
     /// When the instance started, in Unix milliseconds.
     pub started_at: u64,
     /// Time since the instance saw the order appear; none if it was there when it started.
+    #[serde(default, deserialize_with = "bounded")]
     pub age: Option<Duration>,
     /// How the rollout has ended, if the instance knows.
     pub outcome: Option<Outcome>,
--- a/components/types/src/lib.rs
+++ b/components/types/src/lib.rs
@@ -1,5 +1,6 @@
 //! Ids and small values that all parts of celerystand share.
 
+pub mod bounded;
 pub mod class;
 pub mod ids;
 pub mod refusal;
@@ -8,6 +9,7 @@
 pub mod time;
 pub mod version;
 
+pub use bounded::{Bounded, bounded};
 pub use class::Class;
 pub use ids::{
     ConfigVersion, DataCentreId, Epoch, Incarnation, InstanceId, Moment, PermitId, PermitRequestId,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -16,6 +16,7 @@
 mod resuming;
 mod rollouts;
 mod signals;
+mod sizes;
 mod speeds;
 mod starting;
 mod stopping;
