Following: one patience for the whole way of a change, whichever sources are ill

Keys that had been taken away ran, and a leaving replica got requests, up to 3.4 s after the acknowledgement, at instances that nothing disturbed, while one reader had lost the store and the other one was silent.

Change: SourceSelector keeps the time up to which its state is known to be current. All calls to other instances since then share 1.25 s (1.45 s behind relays); then the store is read at once, and pauses after failed rounds end by then. The time is that of the source's read of the store as far as it can be told, so that chains of slow instances do not add up. After a failed read of the store this waits for the next success of any source, so that a lost store is called as seldom as before. The sum is asserted where the constants stand.

--- a/components/front/src/store/fanout.rs
+++ b/components/front/src/store/fanout.rs
@@ -43,6 +43,8 @@
     /// The instances that it follows, in order of preference; for a reader, in case the store
     /// fails.
     pub upstream: Vec<InstanceId>,
+    /// Whether those are the relays of its data centre.
+    pub follows_relays: bool,
 }
 
 /// The position of `me`. `swap` exchanges the two upstream instances of a leaf, to spread the load.
@@ -61,12 +63,14 @@
         return TreePosition {
             role: Role::Reader,
             upstream: others(readers, false),
+            follows_relays: false,
         };
     }
     if ranking.same_data_centre.len() <= MAX_WITHOUT_RELAYS {
         return TreePosition {
             role: Role::Leaf,
             upstream: others(readers, swap),
+            follows_relays: false,
         };
     }
     match relays.iter().position(|id| id == me) {
@@ -75,10 +79,12 @@
         Some(number) => TreePosition {
             role: Role::Relay,
             upstream: others(readers, number == 1),
+            follows_relays: false,
         },
         None => TreePosition {
             role: Role::Leaf,
             upstream: others(relays, swap),
+            follows_relays: true,
         },
     }
 }
--- a/components/front/src/store/follow.rs
+++ b/components/front/src/store/follow.rs
@@ -24,23 +24,19 @@
     state::{Front, elapsed_since},
     store::{
         restore,
-        sources::{Source, SourceFailure, SourceSelector},
+        sources::{CallLimits, Confirmation, STORE_WAIT, Source, SourceFailure, SourceSelector},
         timeouts,
         topic_cache::TopicCache,
     },
 };
 
-/// How long one call to the store waits for changes. Keys are honoured for less than five seconds
-/// after a read was sent. When a follower gets its state, that is up to two such calls old, and the
-/// rest must suffice for detecting a reader that does not answer and for switching to the next
-/// source. Changes must be in force everywhere within two seconds: the wait and timeout of a call
-/// to a peer, then a read of the store.
-const STORE_WAIT: Duration = Duration::from_millis(800);
-/// How long a peer may wait for changes, as a multiple of `STORE_WAIT`. The peer answers when its
-/// own call to the store ends, which takes a little longer than that call's wait.
-const PEER_WAIT_FACTOR: f64 = 1.45;
-/// Timeout for a call to a peer, in addition to the wait that it is allowed.
-const PEER_TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
+/// The shortest timeout after which a peer that has not answered counts as failed.
+const MIN_TELLING_TIMEOUT: Duration = Duration::from_millis(600);
+/// Time beyond the timeout of a call in which a late instance may still notice the answer. A change must
+/// be in force in time all the same.
+const OWN_LATENESS: Duration = Duration::from_millis(50);
+/// Time for an answer of a peer with all rows.
+const FULL_UPDATE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after changes from the store, so that the next call collects several. Changes are delayed
 /// by as much; an engine that is about to stop announces it at least 1.5 s in advance.
 const BATCH_PAUSE: Duration = Duration::from_millis(40);
@@ -68,12 +64,26 @@
 /// The answer of a source.
 struct SourceAnswer {
     update: TopicUpdate,
+    /// When the source was called.
+    sent_at: Moment,
+    /// The limits of the call; none if the source is the store.
+    limits: Option<CallLimits>,
     /// When the read that confirmed the update was sent.
     read_at: Moment,
     /// Whether the source is up to date with the store.
     is_fresh: bool,
 }
 
+impl SourceAnswer {
+    const fn confirmation(&self) -> Confirmation {
+        Confirmation {
+            sent_at: self.sent_at,
+            read_at: self.read_at,
+            limits: self.limits,
+        }
+    }
+}
+
 /// Follows one topic.
 pub struct Follower {
     front: Arc<Front>,
@@ -138,7 +148,7 @@
                 && !self.is_outdated(&source, &answer);
             self.apply(&answer);
             if is_current {
-                self.record_success();
+                self.record_success(&answer.confirmation());
                 self.pause_to_batch(&source, &answer.update).await;
             } else {
                 let error = no_answer(format!("the state of {source} is stale"));
@@ -208,6 +218,8 @@
                 };
                 update.map(|update| SourceAnswer {
                     update,
+                    sent_at,
+                    limits: None,
                     read_at: sent_at,
                     is_fresh: true,
                 })
@@ -239,6 +251,8 @@
         match update.await {
             Ok(update) if update.version >= from => Ok(SourceAnswer {
                 update,
+                sent_at,
+                limits: None,
                 read_at: sent_at,
                 is_fresh: true,
             }),
@@ -252,19 +266,19 @@
         after: Option<StoreVersion>,
     ) -> Result<SourceAnswer, StoreError> {
         let sent_at = boot_time();
-        let wait = STORE_WAIT.mul_f64(PEER_WAIT_FACTOR);
+        let limits = self.sources.call_limits(sent_at);
+        let CallLimits { wait, timeout } = limits;
         let message = Message::Follow {
             topic: self.topic,
             after,
             wait,
         };
-        let timeout = wait + PEER_TIMEOUT_MARGIN;
         let reply = if self.cache.version().is_none()
             && elapsed_since(self.front.started_at) < START_TIME
         {
             self.query_while_starting(peer, &message).await
         } else {
-            self.front.peers.call(peer, &message, timeout).await
+            self.call_peer(peer, &message, timeout).await
         };
         match reply {
             Some(Reply::Update {
@@ -274,6 +288,8 @@
                 age,
             }) => Ok(SourceAnswer {
                 update,
+                sent_at,
+                limits: Some(limits),
                 read_at: (sent_at + after).saturating_sub(before),
                 is_fresh: age < MAX_PEER_STATE_AGE,
             }),
@@ -283,6 +299,32 @@
         }
     }
 
+    /// Calls a peer. What is left of the patience may be too short for a peer that is merely busy, so
+    /// that its silence tells nothing then.
+    async fn call_peer(
+        &self,
+        peer: &InstanceId,
+        message: &Message,
+        timeout: Duration,
+    ) -> Option<Reply> {
+        let peers = &self.front.peers;
+        let call = async {
+            if timeout < MIN_TELLING_TIMEOUT {
+                peers.try_call(peer, message, timeout).await
+            } else {
+                peers.call(peer, message, timeout).await
+            }
+        };
+        // All rows may take long over a narrow link, changes do not.
+        let is_full = matches!(message, Message::Follow { after: None, .. });
+        let limit = if is_full {
+            FULL_UPDATE_TIMEOUT
+        } else {
+            timeout + OWN_LATENESS
+        };
+        Timer::new().within(limit, call).await.flatten()
+    }
+
     /// Queries a peer repeatedly for a short time after the start, because the peer may be starting
     /// too. Callers wait meanwhile, so the store is tried soon.
     async fn query_while_starting(&self, peer: &InstanceId, message: &Message) -> Option<Reply> {
@@ -438,8 +480,8 @@
     }
 
     /// Records that a source has supplied current state, and ends an outage.
-    fn record_success(&mut self) {
-        self.sources.record_success();
+    fn record_success(&mut self, confirmation: &Confirmation) {
+        self.sources.record_success(boot_time(), confirmation);
         self.cache.set_source_lost(self.sources.has_no_source());
         self.set_targets_lost(false);
         let Some(outage_start) = self.outage_start.take() else {
@@ -485,7 +527,8 @@
             .saturating_mul(1 << failed_rounds.min(4))
             .min(MAX_RETRY_PAUSE);
         // All instances lose the store at the same time; their retries are spread.
-        smol::Timer::after(pause.mul_f64(0.5 + fastrand::f64())).await;
+        let pause = pause.mul_f64(0.5 + fastrand::f64());
+        smol::Timer::after(self.sources.cut_pause(boot_time(), pause)).await;
     }
 }
 
--- a/components/front/src/store/sources.rs
+++ b/components/front/src/store/sources.rs
@@ -13,6 +13,38 @@
 
 use crate::store::fanout::{Ranking, Role, TreePosition, position};
 
+/// Time within which each change must be in force at every instance that reaches the store, whatever
+/// has become of its other sources.
+pub const CHANGE_LIMIT: Duration = Duration::from_secs(2);
+/// How long one call to the store waits for changes. Keys are honoured for less than five seconds
+/// after a read was sent, and a follower's state is up to two such calls old.
+pub const STORE_WAIT: Duration = Duration::from_millis(800);
+/// How long a follower goes without a confirmation of its state before it reads the store itself,
+/// however many other instances it has asked meanwhile. A reader confirms its state after each
+/// `STORE_WAIT`.
+pub const PATIENCE: Duration = Duration::from_millis(1_250);
+/// The same for a follower of relays, which read the store earlier and on behalf of many.
+pub const LEAF_PATIENCE: Duration = Duration::from_millis(1_450);
+/// The longest time from a source's read of the store until its confirmation arrives, besides the time
+/// for which that read waited. By more than this the patience of the receiver is shorter.
+pub const MAX_CONFIRMATION_DELAY: Duration = Duration::from_millis(150);
+/// Time for a read of the store that waits for nothing, after the patience has ended: one lost call
+/// on a broken connection, then the answer.
+pub const STORE_READ_TIME: Duration = Duration::from_millis(400);
+/// An answer of another instance that takes less than this did not wait for a confirmation: the instance had
+/// it already, perhaps for some time.
+const MIN_WAITED: Duration = Duration::from_millis(50);
+/// Part of the patience that is left for another instance, if the first one has nothing new, or has
+/// not answered.
+const LAST_CALL_TIME: Duration = Duration::from_millis(250);
+/// The shortest time for which another instance is called.
+const MIN_CALL_TIME: Duration = Duration::from_millis(50);
+// The whole way of a change, whichever sources are ill.
+const _: () = assert!(
+    LEAF_PATIENCE.as_millis() + MAX_CONFIRMATION_DELAY.as_millis() + STORE_READ_TIME.as_millis()
+        <= CHANGE_LIMIT.as_millis()
+);
+
 /// Failed calls to the store in a row after which it is considered unavailable to all instances. A
 /// single one may be a broken connection.
 const STORE_FAILURE_THRESHOLD: u32 = 3;
@@ -43,6 +75,40 @@
     Peer(InstanceId),
 }
 
+/// The limits of a call to another instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CallLimits {
+    /// How long the other instance may wait for changes.
+    pub wait: Duration,
+    /// How long its answer is awaited.
+    pub timeout: Duration,
+}
+
+/// An answer of a source with current state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Confirmation {
+    /// When the source was called.
+    pub sent_at: Moment,
+    /// When the read of the store was sent that confirmed the state.
+    pub read_at: Moment,
+    /// The limits of the call; none if the source is the store.
+    pub limits: Option<CallLimits>,
+}
+
+impl Confirmation {
+    /// The earliest time up to which the state may have the changes of the store, if it arrives now.
+    fn current_until(&self, now: Moment) -> Moment {
+        let took = now.saturating_sub(self.sent_at);
+        // Another instance answers as soon as a read of the store has ended, which has waited for changes.
+        // Before and after its wait it answers with what it had already.
+        let is_new = self
+            .limits
+            .is_none_or(|limits| (MIN_WAITED..limits.wait).contains(&took));
+        let waited = if is_new { STORE_WAIT } else { Duration::ZERO };
+        now.min(self.read_at.saturating_add(waited + MAX_CONFIRMATION_DELAY))
+    }
+}
+
 /// How a source failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SourceFailure {
@@ -74,6 +140,12 @@
     failed_rounds: u32,
     /// Failed calls to the store in a row.
     store_failures: u32,
+    /// Up to when the state is known to be current.
+    confirmed_until: Option<Moment>,
+    /// Whether the store has failed since the last success of any source.
+    store_has_failed: bool,
+    /// Whether the store was selected because the patience has ended.
+    is_overdue: bool,
 }
 
 impl SourceSelector {
@@ -86,6 +158,7 @@
             position: TreePosition {
                 role: Role::Leaf,
                 upstream: Vec::new(),
+                follows_relays: false,
             },
             extra_peer: None,
             tries_store: true,
@@ -94,6 +167,9 @@
             failures: 0,
             failed_rounds: 0,
             store_failures: 0,
+            confirmed_until: None,
+            store_has_failed: false,
+            is_overdue: false,
         }
     }
 
@@ -103,7 +179,10 @@
         if self.failed.is_empty() {
             self.tries_store = self.draw_store_attempt(ranking.all.len());
         }
-        if let Some((source, since)) = &self.fallback {
+        self.is_overdue = self.must_read_store(now);
+        if let Some((source, since)) = &self.fallback
+            && !self.is_overdue
+        {
             let is_valid =
                 since.saturating_add(FALLBACK_TIME) >= now && self.is_responsive(source, ranking);
             if is_valid {
@@ -112,7 +191,10 @@
             self.fallback = None;
         }
         self.draw_extra_peer(me, &ranking.all);
-        let source = self.untried().unwrap_or(Source::Store);
+        let source = self
+            .untried()
+            .filter(|_| !self.is_overdue)
+            .unwrap_or(Source::Store);
         // A peer that did not answer is left out of the ranking anyway, and the next one replaces
         // it. One that answers with stale state would be selected again and again, so its
         // replacement is kept for a while.
@@ -129,7 +211,31 @@
     /// store answers, the state is recent, and immediate calls would follow one another without a pause.
     #[must_use]
     pub fn needs_immediate_answer(&self, state_age: Option<Duration>) -> bool {
-        self.failures > 0 && state_age.is_none_or(|age| age >= RECENT_STATE_AGE)
+        (self.failures > 0 || self.is_overdue)
+            && state_age.is_none_or(|age| age >= RECENT_STATE_AGE)
+    }
+
+    /// The limits of a call to another instance that begins now: all calls since the last confirmation
+    /// share the patience.
+    #[must_use]
+    pub fn call_limits(&self, now: Moment) -> CallLimits {
+        let left = self
+            .patience_left(now)
+            .filter(|left| *left >= MIN_CALL_TIME);
+        let timeout = left.unwrap_or_else(|| self.patience());
+        CallLimits {
+            wait: timeout.saturating_sub(LAST_CALL_TIME),
+            timeout,
+        }
+    }
+
+    /// The pause after a failed round, cut where the store must be read before its end.
+    #[must_use]
+    pub fn cut_pause(&self, now: Moment, pause: Duration) -> Duration {
+        match self.patience_left(now) {
+            Some(left) if !self.store_has_failed => pause.min(left),
+            _ => pause,
+        }
     }
 
     /// Whether this instance has no source, so that its followers should not wait for it: several
@@ -162,7 +268,9 @@
     }
 
     /// Records that a source has supplied current state.
-    pub fn record_success(&mut self) {
+    pub fn record_success(&mut self, now: Moment, confirmation: &Confirmation) {
+        self.confirmed_until = Some(confirmation.current_until(now));
+        self.store_has_failed = false;
         self.failures = 0;
         self.failed_rounds = 0;
         self.failed.clear();
@@ -172,6 +280,7 @@
     pub fn record_failure(&mut self, source: &Source, failure: SourceFailure) -> bool {
         if *source == Source::Store {
             self.store_failures = self.store_failures.saturating_add(1);
+            self.store_has_failed = true;
         }
         self.failures = self.failures.saturating_add(1);
         self.fallback = None;
@@ -185,6 +294,30 @@
         true
     }
 
+    /// How long this instance waits without a confirmation until it reads the store.
+    fn patience(&self) -> Duration {
+        if self.position.follows_relays {
+            LEAF_PATIENCE
+        } else {
+            PATIENCE
+        }
+    }
+
+    /// What is left of the patience; none before the first confirmation.
+    fn patience_left(&self, now: Moment) -> Option<Duration> {
+        let end = self.confirmed_until?.saturating_add(self.patience());
+        Some(end.saturating_sub(now))
+    }
+
+    /// Whether the patience has ended. The store is then read once, until another source supplies
+    /// current state: it may be unavailable to all.
+    fn must_read_store(&self, now: Moment) -> bool {
+        let is_over = self
+            .patience_left(now)
+            .is_some_and(|left| left < MIN_CALL_TIME);
+        is_over && !self.store_has_failed && self.untried_store().is_some()
+    }
+
     /// The next source of this round that has not failed.
     fn untried(&self) -> Option<Source> {
         if self.position.role == Role::Reader {
--- a/components/front/tests/sources.rs
+++ b/components/front/tests/sources.rs
@@ -5,10 +5,10 @@
 use fastrand::Rng;
 use front::store::{
     fanout::{READERS, Ranking},
-    sources::{Source, SourceFailure, SourceSelector},
+    sources::{Confirmation, Source, SourceFailure, SourceSelector},
 };
 use proptest::prelude::*;
-use types::InstanceId;
+use types::{InstanceId, Moment};
 
 const NOW: Duration = Duration::from_secs(100);
 
@@ -37,6 +37,15 @@
     SourceSelector::new(Rng::with_seed(seed))
 }
 
+/// The answer of the store to a read at a time.
+fn confirmation(at: Moment) -> Confirmation {
+    Confirmation {
+        sent_at: at,
+        read_at: at,
+        limits: None,
+    }
+}
+
 /// Fails all sources of a round, and returns them. The store does not answer; peers fail with
 /// `failure`.
 fn failing_round(
@@ -176,11 +185,13 @@
         assert!(!sources.record_failure(&reader, SourceFailure::Stale));
     }
     let extra = sources.next(NOW, me, &ranking);
-    sources.record_success();
+    sources.record_success(NOW, &confirmation(NOW));
     assert_eq!(
         sources.next(NOW + Duration::from_secs(1), me, &ranking),
         extra
     );
+    let confirmed_at = NOW + Duration::from_secs(1);
+    sources.record_success(confirmed_at, &confirmation(confirmed_at));
     let later = sources.next(NOW + Duration::from_secs(2), me, &ranking);
     assert!(
         all[..READERS]
