Rollouts: a success rests on answers of the version

Cause: a success needed only that nothing speaks against the version. A handful of failures is too little to speak against it at odds of 1,000, and no answer never does. Answers were asked for only after a loss of evidence.

Change: Rollout::support. A success needs five answers, or a quarter of the requests to the service if that is less. A share of failures that is higher than that of the others by 0.25 rolls the version back, however few answers there are. With too few the others stay, at the deadline. While so little is asked for that half of it would bring fewer than five answers, all goes to the version, within the bound on exposure. Without any request, or without other targets, as before.

Ruled out: lower odds. They blame good versions for chance (docs/design/rollouts.md has the figures), and zero answers still pass.

A test changed: `no_version_succeeds_because...` asserted that versions do succeed if nothing is stored, as a control of the model. They don't any more, so that it asserts none in all four ways.

--- a/components/rollouts/src/rollout.rs
+++ b/components/rollouts/src/rollout.rs
@@ -34,8 +34,14 @@
 /// A coordinator that has taken over ends no rollout as a success before it has had the reports of
 /// all instances.
 const MIN_OBSERVATION: Duration = Duration::from_millis(1_000);
-/// Answers of the version that a success rests on at least, if evidence was lost with the instances.
+/// Answers of the version that a success rests on at least.
 const MIN_ANSWERS: u32 = 5;
+/// Part of all requests to the service that a success asks for as answers of the version, where it has had
+/// too few for that number.
+const MIN_ANSWERED_PART: f64 = 0.25;
+/// Share of failures among a version's answers, above that of the other versions, with which it does not
+/// succeed, however few they are.
+const MAX_EXCESS: f64 = 0.25;
 /// Answers among them that are later than the stored evidence: the version may have turned bad since.
 const MIN_LATE_ANSWERS: u32 = 3;
 /// Share of failures among these, above that of the other versions, with which they prove nothing.
@@ -129,6 +135,14 @@
     /// The order leaves no time.
     #[display("the order leaves no time")]
     NoTime,
+    /// The version has answered too little, or too often with failures, for a success.
+    #[display("only {answers} of its answers are known, {failures} of them failures")]
+    Unsupported {
+        /// Its answers.
+        answers: u32,
+        /// Failures among them.
+        failures: u32,
+    },
     /// Evidence was lost with the instances, and too few answers came afterwards.
     #[display("evidence was lost, and only {_0} answers are known")]
     Unproven(u32),
@@ -178,6 +192,17 @@
     evidence: Evidence,
 }
 
+/// What a version's answers say for a success.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Support {
+    /// They support it.
+    Enough,
+    /// They are too few.
+    TooLittle,
+    /// Too many of them are failures.
+    Failures,
+}
+
 /// One rollout, as its coordinator accounts for it.
 #[derive(Clone, Debug)]
 pub struct Rollout {
@@ -369,8 +394,15 @@
         if age < self.success_age() || !is_observed || fleet.new == 0 {
             return None;
         }
-        let answers = self.evidence().new_answers();
-        if self.is_complete() || self.is_proven() || fleet.old == 0 {
+        let evidence = self.evidence();
+        let (answers, failures) = (evidence.new_answers(), evidence.new_failures());
+        let unsupported = Reason::Unsupported { answers, failures };
+        let support = self.support(&evidence);
+        if fleet.old > 0 && support == Support::Failures {
+            return rolled_back(unsupported);
+        }
+        let has_account = self.is_complete() || self.is_proven();
+        if fleet.old == 0 || (has_account && support == Support::Enough) {
             return Some(Verdict {
                 outcome: Outcome::Succeeded,
                 reason: Reason::Good,
@@ -378,9 +410,28 @@
         }
         let account_age = now.saturating_sub(self.observed_since);
         let is_over = age >= self.order.duration && account_age >= MAX_PROOF_TIME;
-        is_over
-            .then(|| rolled_back(Reason::Unproven(answers)))
-            .flatten()
+        let reason = if has_account {
+            unsupported
+        } else {
+            Reason::Unproven(answers)
+        };
+        is_over.then(|| rolled_back(reason)).flatten()
+    }
+
+    /// Whether the version's answers support a success. That nothing speaks against a version does not: the
+    /// others are stopped at a success, and it must be known to answer.
+    fn support(&self, evidence: &Evidence) -> Support {
+        let (answers, failures) = (evidence.new_answers(), evidence.new_failures());
+        let usual = share(evidence.old_failures(), evidence.old_answers());
+        if answers > 0 && share(failures, answers) > usual + MAX_EXCESS {
+            return Support::Failures;
+        }
+        let expected = as_f64(self.total_arrivals()) * MIN_ANSWERED_PART;
+        if f64::from(answers) >= expected.ceil().min(f64::from(MIN_ANSWERS)) {
+            Support::Enough
+        } else {
+            Support::TooLittle
+        }
     }
 
     /// Whether the account holds evidence from the order on: it began with the order, or an instance
@@ -510,7 +561,12 @@
         let earliest = duration.mul_f64(EARLIEST_TURN);
         let turn_age = duration.saturating_sub(tail).max(earliest);
         let until_turn = turn_age.saturating_sub(age).as_secs_f64();
-        let share = if rate > 0.0 {
+        let is_quiet = now.saturating_sub(self.observed_since) >= RATE_WINDOW
+            && rate * until_turn * MAX_PROBE_SHARE < f64::from(MIN_ANSWERS);
+        let share = if is_quiet {
+            // Else hardly any answer would tell how the version does.
+            1.0
+        } else if rate > 0.0 {
             ((probes - exposed) / (rate * until_turn).max(1.0)).clamp(0.0, MAX_PROBE_SHARE)
         } else {
             INITIAL_SHARE
--- a/components/rollouts/tests/cases.rs
+++ b/components/rollouts/tests/cases.rs
@@ -138,13 +138,15 @@
 #[test]
 fn no_version_succeeds_because_its_failures_were_forgotten() {
     for rate in [4.0, 8.0, 30.0] {
-        for memory in [Memory::Stored, Memory::Answers] {
+        for memory in [
+            Memory::Stored,
+            Memory::Answers,
+            Memory::StoredAlone,
+            Memory::Nothing,
+        ] {
             assert_eq!(count_successes(memory, rate), 0, "{memory:?} {rate}");
         }
     }
-    for memory in [Memory::Nothing, Memory::StoredAlone] {
-        assert!(count_successes(memory, 4.0) > 0, "{memory:?}");
-    }
 }
 
 /// Guards against a good version that does not come into service, or late, because all instances were
@@ -224,3 +226,41 @@
         );
     }
 }
+
+/// Guards against a version that succeeds because few requests, or none, have reached it.
+#[test]
+fn a_version_of_failures_does_not_succeed_with_little_traffic() {
+    for seconds in [4, 6, 12, 30] {
+        for rate in [1.2, 3.0, 8.0] {
+            for seed in 0..60 {
+                let mut case = case(seed, 4, rate, Version::Fails(1.0));
+                case.duration = Duration::from_secs(seconds);
+                let course = play(&case);
+                let has_requests = course.requests > 0;
+                assert!(
+                    !has_requests || outcome(&course) != Some(Outcome::Succeeded),
+                    "seed {seed}, {rate} a second, {seconds} s: {:?}",
+                    course.reason
+                );
+            }
+        }
+    }
+}
+
+/// Guards against good versions that wait for more answers than little traffic brings.
+#[test]
+fn a_good_version_succeeds_in_time_with_little_traffic() {
+    for (rate, seconds, least) in [(1.2, 12, 57), (3.0, 6, 57), (3.0, 12, 59), (8.0, 6, 60)] {
+        let succeeded = (0..60).filter(|seed| {
+            let mut case = case(*seed, 4, rate, Version::Good);
+            case.duration = Duration::from_secs(seconds);
+            let course = play(&case);
+            matches!(course.end, Some((Outcome::Succeeded, at)) if at <= case.duration)
+        });
+        let succeeded = succeeded.count();
+        assert!(
+            succeeded >= least,
+            "{rate} a second, {seconds} s: {succeeded} of 60"
+        );
+    }
+}
--- a/components/rollouts/tests/rollout.rs
+++ b/components/rollouts/tests/rollout.rs
@@ -294,3 +294,33 @@
     assert!(!exposure.apply(at(2), exposing(1.0, 100.0, Duration::ZERO)));
     assert!(!exposure.take(at(3), 0.0));
 }
+
+/// Guards against a success of a version of which no answer is known, or only failures.
+#[test]
+fn a_success_needs_answers_of_the_version() {
+    let ending = |evidence: Evidence| {
+        let mut rollout = rollout(10);
+        rollout.report(
+            at(9_000),
+            Report {
+                evidence,
+                ..report(0, None)
+            },
+        );
+        let early = reason(&mut rollout, at(9_800), BOTH);
+        early.or_else(|| reason(&mut rollout, at(10_000), BOTH))
+    };
+    let with_requests = |answered: u32, failures: u32| {
+        let evidence = ending(answers(answered, failures).with_requests(40, 10));
+        evidence.expect("an end")
+    };
+    let unsupported = |answers, failures| Reason::Unsupported { answers, failures };
+    assert_eq!(with_requests(0, 0), unsupported(0, 0));
+    assert_eq!(with_requests(1, 1), unsupported(1, 1));
+    assert_eq!(with_requests(4, 0), unsupported(4, 0));
+    assert_eq!(with_requests(5, 0), Reason::Good);
+    // Nobody asks for the service: nothing can be known, and nobody is harmed.
+    assert_eq!(ending(Evidence::default()), Some(Reason::Good));
+    let few = answers(1, 0).with_requests(3, 1);
+    assert_eq!(ending(few), Some(Reason::Good));
+}
