Generations: an engine that loses one after the other is avoided by the instance that loses them

Cause: what an instance loses is not reported to the owner of the engine, as its own path may be at fault, and the instance did not remember it either. The owner went on to assign the engines, whose backlog was the shortest.

Change: front/src/generations/avoidance.rs counts losses in a row before an answer. From the third one on the engine is among those to avoid in the instance's own placement requests, for 0.5 s, doubled up to 8 s; an answer of any kind ends it. None is avoided if that left less than half. Other instances are not bound by it.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1063,4 +1063,14 @@
         963, Error, "{addr}: can't listen again: {reason}",
         "See which process uses the port; restart the instance on another one.",
     ),
+    /// An engine has lost generations of this instance one after the other, before it began to answer.
+    EngineAvoided {
+        /// The engine.
+        target: Arc<str>,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    } = (
+        964, Warn, "{target} is avoided for {for_ms} ms: it has lost several generations in a row",
+        "See 902 for the reasons; look at the engine and at the links to it.",
+    ),
 }
--- a/components/front/src/generations/assignment.rs
+++ b/components/front/src/generations/assignment.rs
@@ -4,7 +4,8 @@
 
 use async_channel::Receiver;
 use placing::{GenerationUpdate, PlacementAnswer, PlacementRequest, Shard};
-use types::{TargetId, Tokens, VersionChoice};
+use timer::boot_time;
+use types::{ServiceId, TargetId, Tokens, VersionChoice};
 use view::Target;
 
 use crate::{
@@ -137,7 +138,8 @@
         // that neither this instance nor its relays do.
         let paused = front.paused_targets(&call.service.name);
         let down = front.down_targets(&call.service.name);
-        let avoid = [avoid, &unusable, &paused, &down].concat();
+        let losing = front.losing_engines(&call.service.name);
+        let avoid = [avoid, &unusable, &paused, &down, &losing].concat();
         let request = PlacementRequest {
             versions: versions.clone(),
             ..placement_request(front, call, shard.clone(), &avoid)
@@ -188,6 +190,27 @@
     }
 }
 
+impl Front {
+    /// Engines of a service that are avoided because they have lost generations of this instance. None if
+    /// that would leave less than half of them.
+    fn losing_engines(&self, service: &ServiceId) -> Vec<TargetId> {
+        let avoided = self.avoided_engines.lock();
+        if avoided.is_empty() {
+            return Vec::new();
+        }
+        let now = boot_time();
+        let usable = self.view.usable_targets(service);
+        let losing = usable
+            .iter()
+            .filter(|target| avoided.is_avoided(now, &target.id));
+        let losing: Vec<TargetId> = losing.map(|target| Arc::clone(&target.id)).collect();
+        if 2 * losing.len() > usable.len() {
+            return Vec::new();
+        }
+        losing
+    }
+}
+
 /// Refuses a generation that is larger than the memory of an engine.
 fn check_size(call: &Call) -> Result<(), Refusal> {
     let memory = call
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -211,6 +211,7 @@
     version.use_up();
     let sent_at = boot_time();
     let outcome = send_first(front, call, &assignment.generation, attempt_number).await;
+    record_outcome(front, &target, &outcome);
     match outcome {
         SendOutcome::Response {
             head,
@@ -259,6 +260,31 @@
     }
 }
 
+/// Counts the losses of an engine in a row.
+fn record_outcome(front: &Front, target: &Target, outcome: &SendOutcome) {
+    let now = boot_time();
+    match outcome {
+        SendOutcome::Response { .. } | SendOutcome::NotRun { .. } => {
+            front.avoided_engines.lock().record_answer(&target.id);
+        }
+        SendOutcome::Unknown {
+            timed_out: false, ..
+        } => {
+            let avoided = front.avoided_engines.lock().record_loss(now, &target.id);
+            if let Some(time) = avoided {
+                emit(&Event::EngineAvoided {
+                    target: Arc::clone(&target.id),
+                    for_ms: millis(time),
+                });
+            }
+        }
+        SendOutcome::Unknown { .. }
+        | SendOutcome::NotReached { .. }
+        | SendOutcome::Withheld { .. }
+        | SendOutcome::Rejected { .. } => {}
+    }
+}
+
 /// Sends a generation to its engine and waits for the head of the answer, or until the engine is found to
 /// be gone.
 async fn send_first(
--- a/components/front/src/generations/mod.rs
+++ b/components/front/src/generations/mod.rs
@@ -3,6 +3,7 @@
 pub mod active;
 pub mod assignment;
 pub mod attempts;
+pub mod avoidance;
 pub mod dispatch;
 pub mod evacuation;
 pub mod idle;
--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -251,6 +251,10 @@
         front.metrics.set_slow_targets(selector.slow_count());
         drop(selector);
         front.brittle.lock().retain(|id| targets.contains_key(id));
+        front
+            .avoided_engines
+            .lock()
+            .retain(|id| targets.contains_key(id));
         front.paths.lock().retain(|id| targets.contains_key(id));
         let known: BTreeSet<InstanceId> = front.peers.ids().into_iter().collect();
         front.relays.lock().retain(|id| known.contains(id));
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -202,6 +202,7 @@
         rate_limits: Mutex::default(),
         pauses: Mutex::default(),
         brittle: Mutex::default(),
+        avoided_engines: Mutex::default(),
         rate_allocator: Mutex::default(),
         paths: Mutex::default(),
         relays: Mutex::default(),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -26,7 +26,7 @@
     adapters::{EngineControl, ProtocolAdapter, Store},
     callers::{intake_limit::IntakeLimit, open_requests::OpenRequests, shutdown::Shutdown},
     config::{Bounds, Config},
-    generations::{active::ActiveGenerations, placement::Placement},
+    generations::{active::ActiveGenerations, avoidance::AvoidedEngines, placement::Placement},
     instances::{peers::Peers, wire::Topic},
     latch::Latch,
     metrics::Metrics,
@@ -92,6 +92,8 @@
     pub rate_allocator: Mutex<RateAllocator>,
     /// Paths to the targets.
     pub paths: Mutex<Paths>,
+    /// Engines that have lost generations of this instance one after the other.
+    pub avoided_engines: Mutex<AvoidedEngines>,
     /// The other instances as relays.
     pub relays: Mutex<Relays>,
     /// Requests of other instances to targets that these don't reach.
--- a/tests/platform/floods.rs
+++ b/tests/platform/floods.rs
@@ -22,6 +22,9 @@
 const REQUESTS: usize = 12;
 /// The longest time for an answer: the longest timeout of a route, and half a second.
 const MAX_ANSWER_TIME: Duration = Duration::from_millis(8_500);
+/// Generations of 30 that an engine which answers none may lose: three until it is avoided, and one after each
+/// time of that.
+const MAX_LOST: usize = 7;
 /// Limit of the instance's memory. It has 110 MB on the users' machines.
 const MAX_MEMORY_KB: u64 = 110 * 1_024;
 /// Time within which a change must be in force.
@@ -200,3 +203,22 @@
         }
     });
 }
+
+/// Guards against generations that go again and again to an engine which answers none.
+#[test]
+fn an_engine_that_loses_each_generation_is_avoided_while_the_other_serves() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let (instance, links) = platform.instance_with_links("floods-avoided").await;
+        links.engines[0].set_mode(Mode::Flood(Flood::Line));
+        let caller = Caller::new("key-1");
+        let mut lost = 0;
+        for number in 0..30 {
+            let got = caller
+                .generate(instance.addr, &format!("g-{number}"), 2)
+                .await;
+            lost += usize::from(got.status != 200);
+        }
+        assert!(lost <= MAX_LOST, "{lost}");
+    });
+}
