Quarantine: records are written at a pace, not all at once to a store that has come back

Cause, from the counts: one instance, the aggregator of the service, writes 54 to 115 rows of the table of instances in these 2 s, and up to 53 are refused. They are records of rejected parts of prompts and requests. Each verdict is written at once by a task of its own, and after a return of the store all again.

Change: an instance begins one write of a record in 50 ms (quarantine/record.rs, WritePace), attempts after a failure included. Rejections are told to the other instances as before; the store is for the loss of all.

--- a/components/front/src/quarantine/record.rs
+++ b/components/front/src/quarantine/record.rs
@@ -5,8 +5,10 @@
 use ::quarantine::{
     CountedCrash, Fingerprint, PartVerdict, SoundRun, TargetIncarnation, Verdict, VerdictKind,
 };
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
-use types::{ServiceId, millis};
+use timer::boot_time;
+use types::{Moment, ServiceId, millis};
 
 use crate::{
     quarantine::{aggregation, parts},
@@ -18,6 +20,27 @@
 /// Mean pause between two attempts.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 
+/// Time between two writes of an instance: there may be a hundred records, and the store may have just come
+/// back.
+const WRITE_SPACING: Duration = Duration::from_millis(50);
+
+/// Spaces out an instance's writes of records.
+#[derive(Debug, Default)]
+pub struct WritePace {
+    /// When the next write may begin.
+    next_at: Mutex<Moment>,
+}
+
+impl WritePace {
+    /// Reserves the next write; returns how long to wait for it.
+    pub fn reserve(&self, now: Moment) -> Duration {
+        let mut next_at = self.next_at.lock();
+        let at = now.max(*next_at);
+        *next_at = at + WRITE_SPACING;
+        at.saturating_sub(now)
+    }
+}
+
 /// A stored rejection of a request, or of a part of prompts.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct QuarantineRecord {
@@ -80,6 +103,7 @@
     let front = Arc::clone(front);
     let writing = async move {
         for _ in 0..MAX_ATTEMPTS {
+            smol::Timer::after(front.record_pace.reserve(boot_time())).await;
             let result = match kind {
                 VerdictKind::Rejected => front.store.put_quarantine_record(&record).await,
                 VerdictKind::Suspected | VerdictKind::Cleared => {
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -31,7 +31,7 @@
     latch::Latch,
     metrics::Metrics,
     plain_calls::{cold::ColdTargets, retry_budget::RetryBudget, selection::TargetSelector},
-    quarantine::crash_detection::RecentCrashes,
+    quarantine::{crash_detection::RecentCrashes, record::WritePace},
     reaching::server::OthersRequests,
     rollouts::local::Rollouts,
     store::topic_cache::TopicCache,
@@ -102,6 +102,8 @@
     pub quarantine: Mutex<QuarantineState>,
     /// Parts of prompts under which targets crashed.
     pub part_quarantine: Mutex<PartQuarantine>,
+    /// Spaces out the writes of quarantine records.
+    pub record_pace: WritePace,
     /// Rollouts of new versions.
     pub rollouts: Rollouts,
     /// Targets that have crashed recently.
