Rollouts: an instance's part and the coordinator's part have a module each

front/src/rollouts/coordination.rs held three jobs: an instance's reports, the coordinator's decisions, and what an instance does at the end. The first and the last are rollouts/participation.rs now. Moved as they were; no change of behaviour.

--- a/components/front/src/rollouts/mod.rs
+++ b/components/front/src/rollouts/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod coordination;
 pub mod local;
+pub mod participation;
 pub mod record;
 pub mod records;
 pub mod verdicts;
--- a/components/front/src/rollouts/records.rs
+++ b/components/front/src/rollouts/records.rs
@@ -12,7 +12,7 @@
     adapters::StoreError,
     instances::wire::{Message, Reply},
     rollouts::{
-        coordination::{REPORT_TIMEOUT, coordinator, end},
+        participation::{REPORT_TIMEOUT, coordinator, end},
         record::{RolloutRecord, RolloutState, Standing, StoredRollout},
     },
     state::{Front, unix_millis},
--- a/components/front/src/rollouts/verdicts.rs
+++ b/components/front/src/rollouts/verdicts.rs
@@ -11,7 +11,7 @@
     adapters::StoreError,
     instances::{notify::notify_all, wire::Message},
     rollouts::{
-        coordination::end,
+        participation::end,
         record::{RolloutRecord, RolloutState, StoredRollout},
         records::{call_all, log_store_error, pause_after_failure},
     },
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -38,7 +38,7 @@
     quarantine::{crash_detection::RecentCrashes, record::WritePace},
     reaching::{paths, server::OthersRequests},
     reload,
-    rollouts::{coordination, local::Rollouts},
+    rollouts::{local::Rollouts, participation},
     state::{Front, unix_millis},
     store::{counted::CountedStore, follow::Follower, topic_cache::TopicCache},
 };
@@ -151,7 +151,7 @@
     workers::spawn(membership::sync_with_owners(Arc::clone(&front))).detach();
     workers::spawn(probing::watch(Arc::clone(&front))).detach();
     workers::spawn(paths::probe(Arc::clone(&front))).detach();
-    workers::spawn(coordination::run(Arc::clone(&front))).detach();
+    workers::spawn(participation::run(Arc::clone(&front))).detach();
     reload::watch(&front, &adapters.reload, &stop, &signal).await;
     retire.store(true, Ordering::Release);
     drain::drain(&front, &mut callers).await;
