Rollouts: only a version with few answers so far gets all requests of a quiet service

Whether half of what is still expected brings fewer than five answers is true of any service right before the turn, when hardly any time is left. All requests then went to the new version too early and used up what the bound on exposure leaves for the time after the turn, so that more generations ran at the old engines when these were stopped.

Change: requests that went to the version already count.

--- a/components/rollouts/src/rollout.rs
+++ b/components/rollouts/src/rollout.rs
@@ -562,7 +562,7 @@
         let turn_age = duration.saturating_sub(tail).max(earliest);
         let until_turn = turn_age.saturating_sub(age).as_secs_f64();
         let is_quiet = now.saturating_sub(self.observed_since) >= RATE_WINDOW
-            && rate * until_turn * MAX_PROBE_SHARE < f64::from(MIN_ANSWERS);
+            && exposed + rate * until_turn * MAX_PROBE_SHARE < f64::from(MIN_ANSWERS);
         let share = if is_quiet {
             // Else hardly any answer would tell how the version does.
             1.0
