--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -398,7 +398,7 @@
                     if answer.is_ok() {
                         break;
                     }
-                    smol::Timer::after(RETRY_PAUSE).await;
+                    Timer::after(RETRY_PAUSE).await;
                     answer = Client::new().send_fresh(addr, req.clone()).await;
                 }
                 answer
