net: that nothing was sent is a proof that only the client makes; unread bytes end an idle connection

What callers saw: none of it by itself; it is what the claims of front rest on. - SendError::Unsent holds a value that only the client can make, from a connection that never opened, a check that held the request back, or a request that the HTTP library returned whole. The time limit is the client's now: a limit that ends while a connection opens proves that nothing left, one that ends later proves nothing. - An idle connection on which bytes have arrived, or that its server has closed, carries no further request: the bytes belong to none and what follows could be taken for the next response. One whose response does not belong to its request carries none either, or all further responses would be off by one. Tests: net: connections.

--- a/components/bench/src/caller.rs
+++ b/components/bench/src/caller.rs
@@ -168,7 +168,7 @@
             .await
         {
             Some(Ok(resp)) => Ok(resp),
-            Some(Err(SendError::Unsent { .. })) => Err(None),
+            Some(Err(SendError::Unsent(_))) => Err(None),
             _ => Err(Some(Outcome::Broken)),
         }
     }
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -18,7 +18,7 @@
 use events::{Event, emit};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
-use net::{Client, SendError, read_limited};
+use net::{AnyConnection, Client, SendError, read_limited};
 use parking_lot::Mutex;
 use placing::{OwnerCandidate, rank_owners};
 use prometheus_client::metrics::{counter::Counter, family::Family};
@@ -331,20 +331,17 @@
         Some(reply)
     }
 
-    /// Sends a request for a target to a peer, which passes it on.
-    ///
-    /// # Errors
-    /// The error says whether any byte of the request may have been sent.
+    /// Sends a request for a target to a peer, which passes it on, and waits at most `timeout` for the head of
+    /// the answer. Returns nothing if the peer is not known any more; then nothing was sent.
     pub async fn relay(
         &self,
         via: &InstanceId,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendError> {
-        let Some((addr, _)) = self.address_of(via) else {
-            let reason = "the instance is not known any more".into();
-            return Err(SendError::Unsent { reason });
-        };
-        self.client.send(addr, req).await
+        timeout: Duration,
+    ) -> Option<Result<Response<Incoming>, SendError>> {
+        let (addr, _) = self.address_of(via)?;
+        let sent = self.client.send_within(timeout, addr, req, &AnyConnection);
+        Some(sent.await)
     }
 
     /// Whether an instance is known and has this address.
--- a/components/front/src/reaching/entry.rs
+++ b/components/front/src/reaching/entry.rs
@@ -9,7 +9,7 @@
 use net::SendError;
 use reach::Path;
 use timer::{Timer, boot_time};
-use types::{InstanceId, millis};
+use types::InstanceId;
 use view::Target;
 
 use crate::{
@@ -129,29 +129,27 @@
     req: Request<Full<Bytes>>,
     left: Duration,
 ) -> Attempt {
-    let sent = front.peers.relay(via, req);
-    let resp = match Timer::new().within(left, sent).await {
-        None => {
-            fail(front, via);
-            return Attempt::Done(Relayed::Lost {
-                reason: format!("no answer through {via} within {} ms", millis(left)).into(),
-                timed_out: true,
-            });
-        }
-        Some(Err(SendError::Unsent { reason })) => {
+    let Some(sent) = front.peers.relay(via, req, left).await else {
+        return Attempt::Next {
+            reason: format!("{via} is not known any more").into(),
+        };
+    };
+    match sent {
+        Ok(resp) => interpret(front, target, via, resp),
+        Err(SendError::Unsent(unsent)) => {
             fail(front, via);
-            return Attempt::Next { reason };
+            Attempt::Next {
+                reason: Arc::clone(unsent.reason()),
+            }
         }
-        Some(Err(SendError::Lost { reason })) => {
+        Err(SendError::Lost { reason, timed_out }) => {
             fail(front, via);
-            return Attempt::Done(Relayed::Lost {
-                reason,
-                timed_out: false,
-            });
+            Attempt::Done(Relayed::Lost {
+                reason: format!("through {via}: {reason}").into(),
+                timed_out,
+            })
         }
-        Some(Ok(resp)) => resp,
-    };
-    interpret(front, target, via, resp)
+    }
 }
 
 fn interpret(
--- a/components/front/src/reaching/server.rs
+++ b/components/front/src/reaching/server.rs
@@ -12,10 +12,9 @@
 use events::{Event, emit};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use net::{Body, BodyAborted, ConnectionUse, SendError, empty, read_shared, task_body};
+use net::{Body, BodyAborted, ConnectionUse, SendError, SendRules, empty, read_shared, task_body};
 use reach::Path;
-use timer::{Timer, boot_time};
-use types::millis;
+use timer::boot_time;
 use view::Target;
 
 use crate::{
@@ -189,34 +188,48 @@
     req: Request<Full<bytes::Bytes>>,
     left: Duration,
 ) -> Result<Response<Incoming>, Failure> {
-    let check = || match signals::withheld(front, target, envelope.purpose) {
-        Some(withheld) => Err(withheld.to_string().into()),
-        None => Ok(()),
+    let rules = Rules {
+        front,
+        envelope,
+        target,
     };
-    check().map_err(|reason| Failure::new(RelayOutcome::Withheld, reason))?;
-    let sent = front.client.send_checked(target.addr, req, &check);
-    match Timer::new().within(left, sent).await {
-        None => {
-            paths::verify_soon(front, target);
-            let reason = format!("no answer within {} ms", millis(left));
-            Err(Failure::new(RelayOutcome::Lost, reason))
+    let withheld = |reason| Failure::new(RelayOutcome::Withheld, reason);
+    rules.may_send().map_err(withheld)?;
+    let sent = front
+        .client
+        .send_within(left, target.addr, req, &rules)
+        .await;
+    match sent {
+        Err(SendError::Unsent(unsent)) => {
+            rules.may_send().map_err(withheld)?;
+            front.record_no_connection(target, unsent.reason());
+            Err(not_reached(front, target, Arc::clone(unsent.reason())).await)
         }
-        Some(Err(SendError::Unsent { reason })) => {
-            check().map_err(|reason| Failure::new(RelayOutcome::Withheld, reason))?;
-            front.record_no_connection(target, &reason);
-            Err(not_reached(front, target, reason).await)
-        }
-        Some(Err(SendError::Lost { reason })) => {
+        Err(SendError::Lost { reason, .. }) => {
             paths::verify_soon(front, target);
             Err(Failure::new(RelayOutcome::Lost, reason))
         }
-        Some(Ok(resp)) => {
+        Ok(resp) => {
             front.record_contact(target);
             Ok(resp)
         }
     }
 }
 
+/// By which rules a request is sent for another instance.
+struct Rules<'a> {
+    front: &'a Front,
+    envelope: &'a Envelope,
+    target: &'a Target,
+}
+
+impl SendRules for Rules<'_> {
+    fn may_send(&self) -> Result<(), Arc<str>> {
+        let withheld = signals::withheld(self.front, self.target, self.envelope.purpose);
+        withheld.map_or(Ok(()), |withheld| Err(withheld.to_string().into()))
+    }
+}
+
 /// The target's answer as it is passed on. The guard lives until the body has ended.
 fn answer(
     front: &Arc<Front>,
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -1,22 +1,16 @@
 //! Sends a request to a target once, and classifies the outcome.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use ::quarantine::Assessment;
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming, http};
-use net::{Body, SendError, full};
+use net::{Body, SendError, SendRules, full};
 use reach::Path;
 use timer::{Timer, boot_time};
-use types::{InstanceId, Moment, millis};
+use types::{InstanceId, Moment};
 use view::Target;
 
 use crate::{
@@ -190,33 +184,26 @@
 
     /// Sends the call over a connection of this instance, and through another one if none opens.
     async fn send(&self, front: &Arc<Front>, timeout: Duration) -> SendOutcome {
-        // Whether a connection has opened, so that the request may have left.
-        let has_left = AtomicBool::new(false);
-        let check = || {
-            self.check(front)?;
-            has_left.store(true, Ordering::Release);
-            Ok(())
+        let rules = Rules {
+            sending: self,
+            front,
         };
         let sent = front
             .client
-            .send_checked(self.target.addr, self.request(front), &check);
-        let answer = Timer::new().within(timeout, sent).await;
-        let reason: Arc<str> = match answer {
-            None if has_left.load(Ordering::Acquire) => {
+            .send_within(timeout, self.target.addr, self.request(front), &rules)
+            .await;
+        let unsent = match sent {
+            Err(SendError::Unsent(unsent)) => unsent,
+            Err(SendError::Lost {
+                reason,
+                timed_out: true,
+            }) => {
                 return SendOutcome::Unknown {
-                    reason: format!("no answer within {} ms", millis(timeout)).into(),
+                    reason,
                     timed_out: true,
                 };
             }
-            None => {
-                let waited = millis(timeout);
-                format!("no connection to {} within {waited} ms", self.target.addr).into()
-            }
-            Some(Err(SendError::Unsent { reason })) => match self.check(front) {
-                Ok(()) => reason,
-                Err(reason) => return withhold(front, self.call, self.target, reason),
-            },
-            Some(Err(SendError::Lost { reason })) => {
+            Err(SendError::Lost { reason, .. }) => {
                 paths::verify_soon(front, self.target);
                 crash_detection::investigate(
                     front,
@@ -230,11 +217,15 @@
                     timed_out: false,
                 };
             }
-            Some(Ok(resp)) => {
+            Ok(resp) => {
                 front.record_contact(self.target);
                 return self.classify(front, None, resp);
             }
         };
+        if let Err(reason) = self.check(front) {
+            return withhold(front, self.call, self.target, reason);
+        }
+        let reason = Arc::clone(unsent.reason());
         front.record_no_connection(self.target, &reason);
         let is_own_fault = front.reached_another(self.target, self.sent_at);
         if is_own_fault || !front.cfg.decisions.features.relaying {
@@ -280,6 +271,18 @@
     }
 }
 
+/// By which rules a call is sent.
+struct Rules<'a> {
+    sending: &'a Sending<'a>,
+    front: &'a Front,
+}
+
+impl SendRules for Rules<'_> {
+    fn may_send(&self) -> Result<(), Arc<str>> {
+        self.sending.check(self.front)
+    }
+}
+
 fn withhold(front: &Front, call: &Call, target: &Target, reason: Arc<str>) -> SendOutcome {
     front.metrics.withheld.inc();
     emit(&Event::SendingWithheld {
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -1,6 +1,13 @@
 //! An HTTP client with a pool of idle connections.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -26,27 +33,79 @@
 /// How long a new connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Proof that no byte of a request has left this process, and none will. Only the client makes it.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("{reason}")]
+pub struct Unsent {
+    reason: Arc<str>,
+}
+
+impl Unsent {
+    fn new(reason: impl Into<Arc<str>>) -> Self {
+        Self {
+            reason: reason.into(),
+        }
+    }
+
+    /// The cause.
+    #[must_use]
+    pub const fn reason(&self) -> &Arc<str> {
+        &self.reason
+    }
+}
+
 /// Why a request got no response.
 #[derive(Clone, Debug, Display, Eq, Error, PartialEq)]
 pub enum SendError {
     /// No byte of the request left this process.
-    #[display("no byte was sent: {reason}")]
-    Unsent {
-        /// The cause.
-        #[error(not(source))]
-        reason: Arc<str>,
-    },
+    #[display("no byte was sent: {_0}")]
+    Unsent(#[error(not(source))] Unsent),
     /// Some bytes of the request may have been sent; whether it was served is unknown.
     #[display("the connection was lost: {reason}")]
     Lost {
         /// The cause.
         #[error(not(source))]
         reason: Arc<str>,
+        /// Whether the time for the response ran out.
+        timed_out: bool,
     },
 }
 
-/// Whether a request may still be sent; the error says why not.
-pub type SendCheck<'a> = &'a (dyn Fn() -> Result<(), Arc<str>> + Sync);
+/// What the sender of a request decides on its way.
+pub trait SendRules: Sync {
+    /// Whether the request may be sent, asked once the connection is open, right before that: opening it may
+    /// take long enough for the decision to send the request to be outdated. The error says why not.
+    fn may_send(&self) -> Result<(), Arc<str>> {
+        Ok(())
+    }
+
+    /// Whether the request needs a connection that has carried no other one.
+    fn needs_new_connection(&self) -> bool {
+        false
+    }
+
+    /// Whether a response belongs to the request. If it does not, the next one on its connection may, so that
+    /// the connection carries no further request.
+    fn is_own(&self, _resp: &Response<Incoming>) -> bool {
+        true
+    }
+}
+
+/// Sends the request over any connection, and takes any response for its own.
+#[derive(Clone, Copy, Debug)]
+pub struct AnyConnection;
+
+impl SendRules for AnyConnection {}
+
+/// Sends the request over a new connection, and takes any response for its own.
+#[derive(Clone, Copy, Debug)]
+pub struct NewConnection;
+
+impl SendRules for NewConnection {
+    fn needs_new_connection(&self) -> bool {
+        true
+    }
+}
 
 /// The sending half of a connection.
 pub type Sender = SendRequest<Full<Bytes>>;
@@ -92,58 +151,61 @@
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
-        self.send_checked(addr, req, &|| Ok(())).await
+        self.send_with(addr, req, &AnyConnection).await
     }
 
-    /// Like [`Self::send`], but asks `check` once the connection is open, right before the request
-    /// is sent: opening it may take long enough for the decision to send the request to be outdated.
+    /// Sends a request over a new connection. Used where the pooled connections are suspect, such
+    /// as after another connection to the address stopped responding.
     ///
     /// # Errors
     /// The error says whether any byte of the request may have been sent.
-    pub async fn send_checked(
+    pub async fn send_fresh(
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
-        check: SendCheck<'_>,
     ) -> Result<Response<Incoming>, SendError> {
-        let req = with_host(req, addr);
-        let idle = self.pool.lock().take(addr);
-        let Some(conn) = idle else {
-            return self.send_new(addr, req, check).await;
-        };
-        check().map_err(unsent)?;
-        match self.send_on(addr, conn, req).await {
-            Ok(resp) => Ok(resp),
-            // The server had closed the idle connection; nothing was sent on it.
-            Err((_, Some(req))) => self.send_new(addr, req, check).await,
-            Err((error, None)) => Err(error),
-        }
+        self.send_with(addr, req, &NewConnection).await
     }
 
-    /// Sends a request over a new connection. Used where the pooled connections are suspect, such
-    /// as after another connection to the address stopped responding.
+    /// Like [`Self::send`], by these rules.
     ///
     /// # Errors
     /// The error says whether any byte of the request may have been sent.
-    pub async fn send_fresh(
+    pub async fn send_with(
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
+        rules: &dyn SendRules,
     ) -> Result<Response<Incoming>, SendError> {
-        self.send_fresh_checked(addr, req, &|| Ok(())).await
+        let has_left = AtomicBool::new(false);
+        self.exchange(addr, req, rules, &has_left).await
     }
 
-    /// Like [`Self::send_fresh`], but asks `check` once the connection is open.
+    /// Like [`Self::send_with`], and waits at most `timeout` for the head of the response.
     ///
     /// # Errors
     /// The error says whether any byte of the request may have been sent.
-    pub async fn send_fresh_checked(
+    pub async fn send_within(
         &self,
+        timeout: Duration,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
-        check: SendCheck<'_>,
+        rules: &dyn SendRules,
     ) -> Result<Response<Incoming>, SendError> {
-        self.send_new(addr, with_host(req, addr), check).await
+        let has_left = AtomicBool::new(false);
+        let exchange = self.exchange(addr, req, rules, &has_left);
+        let result = Timer::new().within(timeout, exchange).await;
+        result.unwrap_or_else(|| {
+            let waited = timeout.as_millis();
+            Err(if has_left.load(Ordering::Acquire) {
+                SendError::Lost {
+                    reason: format!("no answer within {waited} ms").into(),
+                    timed_out: true,
+                }
+            } else {
+                unsent(format!("no connection to {addr} within {waited} ms"))
+            })
+        })
     }
 
     /// Closes all connections to an address: the idle ones now, those in use after their request.
@@ -157,17 +219,29 @@
         self.pool.lock().count(addr)
     }
 
-    async fn send_new(
+    /// Sends a request. `has_left` tells whether any of its bytes may have been sent.
+    async fn exchange(
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
-        check: SendCheck<'_>,
+        rules: &dyn SendRules,
+        has_left: &AtomicBool,
     ) -> Result<Response<Incoming>, SendError> {
+        let mut req = with_host(req, addr);
+        if !rules.needs_new_connection() {
+            let idle = self.pool.lock().take(addr);
+            if let Some(conn) = idle {
+                match self.send_on(addr, conn, req, rules, has_left).await {
+                    Ok(resp) => return Ok(resp),
+                    Err(Failure::Final(error)) => return Err(error),
+                    // The server had closed the idle connection; nothing was sent on it.
+                    Err(Failure::Unsent { req: returned, .. }) => req = returned,
+                }
+            }
+        }
         let conn = connect(addr, self.connect_timeout).await?;
-        check().map_err(unsent)?;
-        self.send_on(addr, conn, req)
-            .await
-            .map_err(|(error, _)| error)
+        let sent = self.send_on(addr, conn, req, rules, has_left).await;
+        sent.map_err(Failure::into_error)
     }
 
     async fn send_on(
@@ -175,21 +249,36 @@
         addr: SocketAddr,
         mut conn: Conn,
         req: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, (SendError, Option<Request<Full<Bytes>>>)> {
+        rules: &dyn SendRules,
+        has_left: &AtomicBool,
+    ) -> Result<Response<Incoming>, Failure> {
+        rules
+            .may_send()
+            .map_err(|reason| Failure::Final(unsent(reason)))?;
+        has_left.store(true, Ordering::Release);
         conn.begin();
         match conn.sender.try_send_request(req).await {
             Ok(mut resp) => {
                 resp.extensions_mut().insert(conn.record_response());
-                self.return_when_ready(addr, conn);
+                if rules.is_own(&resp) {
+                    self.return_when_ready(addr, conn);
+                }
                 Ok(resp)
             }
             Err(mut error) => {
-                let unsent = error.take_message();
+                // The library returns a request of which it has sent nothing.
+                let returned = error.take_message();
                 let reason: Arc<str> = error.into_error().to_string().into();
-                match unsent {
-                    Some(req) => Err((SendError::Unsent { reason }, Some(req))),
-                    None => Err((SendError::Lost { reason }, None)),
-                }
+                Err(match returned {
+                    Some(req) => {
+                        has_left.store(false, Ordering::Release);
+                        Failure::Unsent { reason, req }
+                    }
+                    None => Failure::Final(SendError::Lost {
+                        reason,
+                        timed_out: false,
+                    }),
+                })
             }
         }
     }
@@ -205,12 +294,31 @@
     }
 }
 
-fn unsent(reason: Arc<str>) -> SendError {
-    SendError::Unsent { reason }
+/// Why a connection brought no response.
+enum Failure {
+    /// Nothing was sent over it; the request may go over another one.
+    Unsent {
+        reason: Arc<str>,
+        req: Request<Full<Bytes>>,
+    },
+    /// The request is not sent again.
+    Final(SendError),
+}
+
+impl Failure {
+    fn into_error(self) -> SendError {
+        match self {
+            Self::Unsent { reason, .. } => unsent(reason),
+            Self::Final(error) => error,
+        }
+    }
+}
+
+fn unsent(reason: impl Into<Arc<str>>) -> SendError {
+    SendError::Unsent(Unsent::new(reason))
 }
 
 async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Conn, SendError> {
-    let unsent = |reason: String| unsent(reason.into());
     let stream = Timer::new()
         .await_answer(timeout, TcpStream::connect(addr))
         .await
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use body::{BodyError, SharedError, read_all, read_limited, read_shared};
 pub use budget::{Budget, Share};
-pub use client::{Client, SendError};
+pub use client::{AnyConnection, Client, NewConnection, SendError, SendRules, Unsent};
 pub use connection_use::ConnectionUse;
 pub use intake::{Intake, Listening};
 pub use reply::{Body, BodyAborted, BodySender, Reply, channel, empty, full, task_body};
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -7,7 +7,10 @@
     time::{Duration, Instant},
 };
 
-use rustix::net::{RecvFlags, recv};
+use rustix::{
+    io::Errno,
+    net::{RecvFlags, recv},
+};
 use smol::net::TcpStream;
 
 use crate::{bounded_stream::HeadBudget, client::Sender, connection_use::ConnectionUse};
@@ -55,7 +58,7 @@
 
     /// Begins a request, whose response is awaited from now on.
     pub fn begin(&mut self) {
-        self.unexpected_bytes = self.unread_bytes();
+        self.unexpected_bytes = self.unread_bytes().unwrap_or_default();
         self.head.begin();
     }
 
@@ -71,14 +74,17 @@
         }
     }
 
-    /// Bytes that have arrived and were not read yet, up to [`PEEKED_BYTES`].
-    fn unread_bytes(&self) -> usize {
+    /// Bytes that have arrived and were not read yet, up to [`PEEKED_BYTES`]; none if the connection is closed.
+    fn unread_bytes(&self) -> Option<usize> {
+        let stream = self.stream.upgrade()?;
         let mut buf = [0; PEEKED_BYTES];
         let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        let stream = self.stream.upgrade();
-        // An error means that there are none: the connection is closed or has received nothing.
-        let peeked = stream.and_then(|stream| recv(&*stream, &mut buf[..], flags).ok());
-        peeked.map_or(0, |(count, _)| count)
+        match recv(&*stream, &mut buf[..], flags) {
+            Ok((0, _)) => None,
+            Ok((count, _)) => Some(count),
+            Err(Errno::AGAIN) => Some(0),
+            Err(_) => None,
+        }
     }
 }
 
@@ -88,8 +94,12 @@
 }
 
 impl Idle {
+    /// Bytes that have arrived on an idle connection belong to no request. What follows them could be taken
+    /// for the response to the next one.
     fn is_reusable(&self) -> bool {
-        self.idle_since.elapsed() < IDLE_TIMEOUT && self.conn.sender.is_ready()
+        self.idle_since.elapsed() < IDLE_TIMEOUT
+            && self.conn.sender.is_ready()
+            && self.conn.unread_bytes() == Some(0)
     }
 }
 
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -1,16 +1,18 @@
 //! What is known of a connection when it brings a response.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
-use net::{Client, ConnectionUse};
+use net::{AnyConnection, Client, ConnectionUse, SendError, SendRules};
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
 };
 
+/// Time for a response to be read, or for none to come.
+const PAUSE: Duration = Duration::from_millis(20);
 /// A response with an empty body.
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
@@ -49,7 +51,7 @@
     let resp: Response<Incoming> = client.send(addr, request()).await.expect("a response");
     let used = ConnectionUse::of(&resp);
     resp.into_body().collect().await.expect("a whole body");
-    smol::Timer::after(std::time::Duration::from_millis(20)).await;
+    smol::Timer::after(PAUSE).await;
     used
 }
 
@@ -66,3 +68,81 @@
         }
     });
 }
+
+/// Guards against taking bytes that belong to no request for the response to the next one.
+#[test]
+fn a_connection_on_which_further_bytes_have_arrived_carries_no_further_request() {
+    const EXTRA: &str = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n\
+                         HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+    smol::block_on(async {
+        let addr = serve(&[EXTRA]).await;
+        let client = Client::new();
+        for _ in 0..3 {
+            let used = exchange(&client, addr).await;
+            assert_eq!(used.earlier_responses, 0);
+        }
+    });
+}
+
+/// Takes no response for its own.
+struct NoOwnResponse;
+
+impl SendRules for NoOwnResponse {
+    fn is_own(&self, _: &Response<Incoming>) -> bool {
+        false
+    }
+}
+
+/// Guards against responses that are off by one from then on: the next response on the connection is the one
+/// to the request that got another's.
+#[test]
+fn a_connection_that_brought_the_response_to_another_request_carries_no_further_one() {
+    smol::block_on(async {
+        let addr = serve(&[RESPONSE, RESPONSE]).await;
+        let client = Client::new();
+        let resp = client.send_with(addr, request(), &NoOwnResponse).await;
+        drop(resp.expect("a response"));
+        smol::Timer::after(PAUSE).await;
+        assert_eq!(client.idle(addr), 0);
+        assert_eq!(exchange(&client, addr).await.earlier_responses, 0);
+    });
+}
+
+/// Refuses to send.
+struct NeverSend;
+
+impl SendRules for NeverSend {
+    fn may_send(&self) -> Result<(), Arc<str>> {
+        Err("it is withheld".into())
+    }
+}
+
+/// Guards against a claim that nothing was sent because no response came in time.
+#[test]
+fn only_a_request_that_was_held_back_counts_as_unsent() {
+    smol::block_on(async {
+        let silent = serve(&["", ""]).await;
+        let client = Client::new();
+        let sent = client.send_within(PAUSE, silent, request(), &AnyConnection);
+        let Err(SendError::Lost { timed_out, .. }) = sent.await else {
+            panic!("a request to a silent server may have run");
+        };
+        assert!(timed_out);
+        let sent = client.send_within(PAUSE, silent, request(), &NeverSend);
+        assert!(matches!(sent.await, Err(SendError::Unsent(_))));
+    });
+}
+
+/// Guards against a head that is cut off and taken for a whole response, or for one that was not sent.
+#[test]
+fn a_response_cut_within_its_head_is_lost() {
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\nresponse-seal: s\r\n\r\n";
+    smol::block_on(async {
+        for length in 0..WHOLE.len() {
+            let addr = serve(Box::leak(Box::new([&WHOLE[..length]]))).await;
+            let sent = Client::new().send(addr, request()).await;
+            let is_lost = matches!(sent, Err(SendError::Lost { .. }));
+            assert!(is_lost, "{:?}", &WHOLE[..length]);
+        }
+    });
+}
--- a/components/net/tests/floods.rs
+++ b/components/net/tests/floods.rs
@@ -80,7 +80,7 @@
                 let answer = answer.expect("an outcome in time");
                 match answer {
                     Err(SendError::Lost { .. }) => {}
-                    Err(SendError::Unsent { reason }) => panic!("{rest:?}: {reason}"),
+                    Err(SendError::Unsent(unsent)) => panic!("{rest:?}: {unsent}"),
                     // An empty line ends this head; its body has no end.
                     Ok(resp) => drop(resp),
                 }
--- a/components/net/tests/serving.rs
+++ b/components/net/tests/serving.rs
@@ -438,7 +438,7 @@
         let (result, ()) = smol::future::zip(send, close).await;
         assert!(matches!(result, Err(SendError::Lost { .. })));
         let result = Client::new().send(addr, request("/", "x")).await;
-        assert!(matches!(result, Err(SendError::Unsent { .. })));
+        assert!(matches!(result, Err(SendError::Unsent(_))));
     });
 }
 
@@ -558,7 +558,7 @@
             }
             let refused = Client::new().send(addr, request("/", "x")).await;
             assert!(
-                matches!(refused, Err(SendError::Unsent { .. })),
+                matches!(refused, Err(SendError::Unsent(_))),
                 "pause {round}"
             );
             let resp = kept.send(addr, request("/", "x")).await;
--- a/components/node/src/outbox.rs
+++ b/components/node/src/outbox.rs
@@ -179,7 +179,7 @@
             let _ = net::read_all(resp.into_body(), 1024, SEND_TIMEOUT).await;
             accepted
         }
-        Some(Err(SendError::Unsent { .. })) => {
+        Some(Err(SendError::Unsent(_))) => {
             let _ = shared.refused.try_send(member.id.clone());
             false
         }
--- a/components/stores/src/http.rs
+++ b/components/stores/src/http.rs
@@ -150,8 +150,12 @@
         req.headers_mut().extend(self.headers.clone());
         let resp = match self.client.send(self.addr, req).await {
             Ok(resp) => resp,
-            Err(SendError::Unsent { reason }) => return Err(CallError::Unsent { reason }),
-            Err(SendError::Lost { reason }) => return Err(CallError::Lost { reason }),
+            Err(SendError::Unsent(unsent)) => {
+                return Err(CallError::Unsent {
+                    reason: Arc::clone(unsent.reason()),
+                });
+            }
+            Err(SendError::Lost { reason, .. }) => return Err(CallError::Lost { reason }),
         };
         let status = resp.status();
         let body = read_all(resp.into_body(), call.max_answer_bytes, call.timeout)
--- a/components/targets/src/answer.rs
+++ b/components/targets/src/answer.rs
@@ -1,6 +1,6 @@
 //! Interprets the answers of targets: whether a request ran, and whether it may be retried.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode, body::Incoming};
@@ -23,8 +23,10 @@
 impl From<SendError> for TargetError {
     fn from(e: SendError) -> Self {
         match e {
-            SendError::Unsent { reason } => Self::Unsent { reason },
-            SendError::Lost { reason } => Self::Lost { reason },
+            SendError::Unsent(unsent) => Self::Unsent {
+                reason: Arc::clone(unsent.reason()),
+            },
+            SendError::Lost { reason, .. } => Self::Lost { reason },
         }
     }
 }
--- a/components/targets/src/openai.rs
+++ b/components/targets/src/openai.rs
@@ -93,10 +93,7 @@
         let req = request(Method::POST, &call.path, call.body.clone())
             .and_then(|req| with_header(req, REQUEST_ID, &call.request))?;
         let check = SendCheck::new(may_send);
-        let sent = self
-            .client
-            .send_checked(target.addr, req, &|| check.ask())
-            .await;
+        let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
         let resp = check_started(resp).await?;
         let id = stream_id(&resp).ok_or_else(|| answer::lost("the engine named no stream"))?;
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -51,13 +51,11 @@
         may_send: MaySend<'_>,
     ) -> Result<PlainAnswer, TargetError> {
         let req = request(call)?;
-        let check = SendCheck::new(may_send);
-        let ask = || check.ask();
-        let sent = if may_use_idle_connection(req.method()) {
-            self.client.send_checked(target.addr, req, &ask).await
-        } else {
-            self.client.send_fresh_checked(target.addr, req, &ask).await
-        };
+        let mut check = SendCheck::new(may_send);
+        if !may_use_idle_connection(req.method()) {
+            check = check.with_new_connection();
+        }
+        let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
         read(resp, timeout, self.answer_budget.share()).await
     }
--- a/components/targets/src/send_check.rs
+++ b/components/targets/src/send_check.rs
@@ -5,13 +5,14 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use net::SendError;
+use net::{SendError, SendRules};
 
 use crate::api::{MaySend, TargetError};
 
 /// Asks for the permission to send one request, and remembers whether it was refused.
 pub struct SendCheck<'a> {
     may_send: MaySend<'a>,
+    needs_new_connection: bool,
     withheld: AtomicBool,
 }
 
@@ -20,26 +21,38 @@
     pub const fn new(may_send: MaySend<'a>) -> Self {
         Self {
             may_send,
+            needs_new_connection: false,
             withheld: AtomicBool::new(false),
         }
     }
 
-    /// Whether the request may be sent; the error says why not.
-    pub fn ask(&self) -> Result<(), Arc<str>> {
-        if (self.may_send)() {
-            return Ok(());
-        }
-        self.withheld.store(true, Ordering::Release);
-        Err("the permission to send it has ended".into())
+    /// Sends the request over a new connection.
+    pub const fn with_new_connection(mut self) -> Self {
+        self.needs_new_connection = true;
+        self
     }
 
     /// Converts the outcome of the sending.
     pub fn result<T>(&self, sent: Result<T, SendError>) -> Result<T, TargetError> {
         match sent {
-            Err(SendError::Unsent { .. }) if self.withheld.load(Ordering::Acquire) => {
+            Err(SendError::Unsent(_)) if self.withheld.load(Ordering::Acquire) => {
                 Err(TargetError::Withheld)
             }
             sent => sent.map_err(TargetError::from),
         }
     }
 }
+
+impl SendRules for SendCheck<'_> {
+    fn may_send(&self) -> Result<(), Arc<str>> {
+        if (self.may_send)() {
+            return Ok(());
+        }
+        self.withheld.store(true, Ordering::Release);
+        Err("the permission to send it has ended".into())
+    }
+
+    fn needs_new_connection(&self) -> bool {
+        self.needs_new_connection
+    }
+}
--- a/src/client.rs
+++ b/src/client.rs
@@ -173,7 +173,7 @@
 /// Only in the second case may a change have been accepted.
 fn send_failure(addr: SocketAddr, error: &SendError, is_read: bool) -> Failure {
     match error {
-        SendError::Unsent { .. } => Failure::new(FailureKind::Unavailable, error.to_string()),
+        SendError::Unsent(_) => Failure::new(FailureKind::Unavailable, error.to_string()),
         SendError::Lost { .. } => no_response(addr, &error.to_string(), is_read),
     }
 }
--- a/tests/platform/crowds.rs
+++ b/tests/platform/crowds.rs
@@ -113,7 +113,7 @@
                 Err(_) => Try::Failed,
             },
             Ok(_) => Try::Failed,
-            Err(SendError::Lost { .. } | SendError::Unsent { .. }) => Try::Closed,
+            Err(SendError::Lost { .. } | SendError::Unsent(_)) => Try::Closed,
         }
     };
     let late = async {
