Relays: an answer that does not state what became of the request leaves it unknown

Cause: an instance that sends a request through another one took any answer without the relay's header for one of a version that has no relays, and tried the next instance. A handler that fails after it has sent the request answers 500 so, and any process at a reused address answers what it likes. Change: the response to a relayed request states its outcome and names the request, each once; anything else counts as lost. An instance of an earlier version names no request: what it declines while both versions run counts as unknown, so that such calls get 502 in place of another try. Measured: the test fails before and holds after; reaching and floods hold beside it.

--- a/components/front/src/reaching/entry.rs
+++ b/components/front/src/reaching/entry.rs
@@ -100,7 +100,7 @@
         };
         let mut req = build();
         envelope.write(req.headers_mut());
-        match attempt(front, target, &via, req, left).await {
+        match attempt(front, target, (&via, id), req, left).await {
             Attempt::Done(relayed) => {
                 log(front, id, target, &via, &relayed);
                 return relayed;
@@ -125,7 +125,7 @@
 async fn attempt(
     front: &Arc<Front>,
     target: &Arc<Target>,
-    via: &InstanceId,
+    (via, id): (&InstanceId, &str),
     req: Request<Full<Bytes>>,
     left: Duration,
 ) -> Attempt {
@@ -135,7 +135,7 @@
         };
     };
     match sent {
-        Ok(resp) => interpret(front, target, via, resp),
+        Ok(resp) => interpret(front, target, (via, id), resp),
         Err(SendError::Unsent(unsent)) => {
             fail(front, via);
             Attempt::Next {
@@ -155,14 +155,18 @@
 fn interpret(
     front: &Arc<Front>,
     target: &Arc<Target>,
-    via: &InstanceId,
+    (via, id): (&InstanceId, &str),
     mut resp: Response<Incoming>,
 ) -> Attempt {
-    let Some((outcome, reason)) = RelayOutcome::take(resp.headers_mut()) else {
-        // An instance of a version without relays answers that it has no such path.
+    let status = resp.status();
+    let Some((outcome, reason)) = RelayOutcome::take(resp.headers_mut(), id) else {
+        // It may come from a handler that failed after it had sent the request, or from another process at
+        // the instance's address.
         fail(front, via);
-        let reason = format!("{via} relays nothing").into();
-        return Attempt::Next { reason };
+        return Attempt::Done(Relayed::Lost {
+            reason: format!("{via} answered {status} without stating what became of it").into(),
+            timed_out: false,
+        });
     };
     match outcome {
         RelayOutcome::Answered => {
--- a/components/front/src/reaching/envelope.rs
+++ b/components/front/src/reaching/envelope.rs
@@ -83,6 +83,12 @@
     }
 }
 
+/// The id of the caller's request, as a relayed request names it.
+#[must_use]
+pub fn request_id(headers: &HeaderMap) -> Arc<str> {
+    text(headers, &REQUEST).unwrap_or_default().into()
+}
+
 /// Whether a request is a relayed one.
 #[must_use]
 pub fn is_relayed(headers: &HeaderMap) -> bool {
@@ -137,17 +143,22 @@
         all.into_iter().find(|outcome| outcome.name() == name)
     }
 
-    /// Adds the outcome and its reason to a response.
-    pub fn write(&self, headers: &mut HeaderMap, reason: &str) {
+    /// Adds the outcome and its reason to the response to a relayed request.
+    pub fn write(&self, headers: &mut HeaderMap, request: &str, reason: &str) {
         set(headers, RELAY, self.name());
+        set(headers, REQUEST, request);
         let visible = reason.chars().filter(|c| c.is_ascii() && !c.is_control());
         let reason: String = visible.take(MAX_REASON_BYTES).collect();
         set(headers, REASON, &reason);
     }
 
-    /// Takes the outcome and its reason off a response; none if another program has answered.
-    pub fn take(headers: &mut HeaderMap) -> Option<(Self, Arc<str>)> {
-        let outcome = Self::parse(text(headers, &RELAY)?)?;
+    /// Takes the outcome and its reason off the response to a relayed request; none if the response does not
+    /// state, for this request and no other, what became of it.
+    pub fn take(headers: &mut HeaderMap, request: &str) -> Option<(Self, Arc<str>)> {
+        if only(headers, &REQUEST)? != request {
+            return None;
+        }
+        let outcome = Self::parse(only(headers, &RELAY)?)?;
         let reason = text(headers, &REASON).unwrap_or_default().into();
         let is_framed = text(headers, &FRAMED) != Some("0");
         remove_own(headers);
@@ -182,6 +193,13 @@
     }
 }
 
+/// The value of a header that is there once.
+fn only<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?;
+    values.next().is_none().then(|| value.to_str().ok())?
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/components/front/src/reaching/server.rs
+++ b/components/front/src/reaching/server.rs
@@ -106,13 +106,14 @@
     sender: SocketAddr,
     mut req: Request<Incoming>,
 ) -> Response<Body> {
+    let id = envelope::request_id(req.headers());
     let Some(envelope) = Envelope::take(req.headers_mut()) else {
-        return failed(&Failure::declined("the request can't be read"));
+        return failed(&id, &Failure::declined("the request can't be read"));
     };
     let outcome = pass_on(front, sender, &envelope, req).await;
     let (name, resp) = match outcome {
         Ok(resp) => ("answered".into(), resp),
-        Err(failure) => (Arc::clone(&failure.reason), failed(&failure)),
+        Err(failure) => (Arc::clone(&failure.reason), failed(&id, &failure)),
     };
     front.metrics.others_requests.inc();
     emit(&Event::OthersRequest {
@@ -124,10 +125,11 @@
     resp
 }
 
-fn failed(failure: &Failure) -> Response<Body> {
+fn failed(id: &str, failure: &Failure) -> Response<Body> {
     let mut resp = Response::new(empty());
     *resp.status_mut() = StatusCode::BAD_GATEWAY;
-    failure.outcome.write(resp.headers_mut(), &failure.reason);
+    let reason = &failure.reason;
+    failure.outcome.write(resp.headers_mut(), id, reason);
     resp
 }
 
@@ -247,7 +249,7 @@
     *resp.status_mut() = head.status;
     *resp.headers_mut() = head.headers;
     envelope::write_framing(resp.headers_mut());
-    RelayOutcome::Answered.write(resp.headers_mut(), "");
+    RelayOutcome::Answered.write(resp.headers_mut(), source.id, "");
     resp
 }
 
