--- a/components/bench/src/process.rs
+++ b/components/bench/src/process.rs
@@ -7,7 +7,7 @@
     env,
     fs::File,
     io::{self, BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     ops::Range,
     path::{Path, PathBuf},
     process::{self, Child, Command, ExitStatus, Stdio},
@@ -18,6 +18,10 @@
     time::{Duration, Instant},
 };
 
+use rustix::net::{
+    AddressFamily, SocketFlags, SocketType, bind, socket_with, sockopt::set_socket_reuseaddr,
+};
+
 /// Time between two looks at whether a process has ended.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -263,9 +267,20 @@
     let first = BLOCK.get_or_init(PortBlock::claim).first;
     for _ in 0..BLOCK_PORTS {
         let port = first + NEXT.fetch_add(1, Ordering::Relaxed) % BLOCK_PORTS;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr();
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if is_free(addr) {
+            return Ok(addr);
         }
     }
     Err(io::Error::other("no port is free"))
 }
+
+/// Whether a port can be listened at. The probe does not listen itself: a process that is being started has
+/// the files of this one until its program begins, and a listener among them would keep the port.
+fn is_free(addr: SocketAddr) -> bool {
+    let flags = SocketFlags::CLOEXEC;
+    let probe = socket_with(AddressFamily::INET, SocketType::STREAM, flags, None);
+    probe.is_ok_and(|probe| {
+        set_socket_reuseaddr(&probe, true).is_ok() && bind(&probe, &addr).is_ok()
+    })
+}
