--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -429,10 +429,14 @@
                     break;
                 };
                 assert!(request.contains(id), "{request}");
+                let echo = request.lines().find(|line| line.starts_with("request-id:"));
+                let echo = echo.expect("a request with an id").to_owned();
                 let _ = tx.try_send(request);
                 if is_first {
-                    let answer = "HTTP/1.1 200 OK\r\nresponse-seal: a-seal\r\n\
-                                  content-length: 2\r\n\r\nok";
+                    let answer = format!(
+                        "HTTP/1.1 200 OK\r\n{echo}\r\nresponse-seal: a-seal\r\n\
+                         content-length: 2\r\n\r\nok"
+                    );
                     let _ = stream.write_all(answer.as_bytes()).await;
                 }
             }
