The product's own interface: a rejection counts as proof only if it is the answer to the request

A 503 with Retry-After that came late over a pooled connection would have been taken for the answer to the next request there: refused as not-run, or run again. Targets there need not echo the id, and some name ids of their own, so an id alone can't decide. Change: a rejection is certain if it names the request, or if it is the first answer on its connection; otherwise the request may have run, and the target counts as overloaded all the same.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -204,9 +204,9 @@
             outcome: WorkOutcome::Unsent,
             ran: false,
         },
-        TargetError::Rejected { .. } => AttemptResult::Retry {
+        TargetError::Rejected { is_certain, .. } => AttemptResult::Retry {
             outcome: WorkOutcome::Overloaded,
-            ran: false,
+            ran: !is_certain,
         },
         TargetError::ClientError { status, body } => AttemptResult::Failed {
             outcome: Some(WorkOutcome::Cancelled { produced: 0 }),
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -235,7 +235,9 @@
             }
             Err(TargetError::Unsent { .. }) => Err((WorkOutcome::Unreachable, false)),
             Err(TargetError::Withheld) => Err((WorkOutcome::Unsent, false)),
-            Err(TargetError::Rejected { .. }) => Err((WorkOutcome::Overloaded, false)),
+            Err(TargetError::Rejected { is_certain, .. }) => {
+                Err((WorkOutcome::Overloaded, !is_certain))
+            }
             Err(TargetError::Lost { .. } | TargetError::Gone) => Err((WorkOutcome::Failed, true)),
         }
     }
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -41,6 +41,7 @@
     TargetError::Rejected {
         reason: "busy".into(),
         retry_after: None,
+        is_certain: true,
     }
 }
 
--- a/components/gateway/tests/plain_calls.rs
+++ b/components/gateway/tests/plain_calls.rs
@@ -36,6 +36,7 @@
     TargetError::Rejected {
         reason: "busy".into(),
         retry_after: None,
+        is_certain: true,
     }
 }
 
--- a/components/targets/src/answer.rs
+++ b/components/targets/src/answer.rs
@@ -4,11 +4,11 @@
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode, body::Incoming};
-use net::{SendError, read_all, retry_after};
+use net::{ConnectionUse, SendError, read_all, retry_after};
 use serde::Deserialize;
 use types::Execution;
 
-use crate::api::TargetError;
+use crate::{api::TargetError, openai::REQUEST_ID};
 
 /// Time limit for an answer that is not streamed.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -45,6 +45,16 @@
     }
 }
 
+/// Whether an answer is certainly the one to a request: it names the request, or is the first on its
+/// connection. A target may send a further answer late, where the one to the next request is expected. Targets
+/// need not echo the id, and some name requests by ids of their own.
+pub fn is_certain<T>(resp: &Response<T>, request: &str) -> bool {
+    let mut ids = resp.headers().get_all(REQUEST_ID).iter();
+    let names_it = ids.next().is_some_and(|id| id == request) && ids.next().is_none();
+    let used = ConnectionUse::of(resp);
+    names_it || (used.earlier_responses == 0 && used.unexpected_bytes == 0)
+}
+
 /// An answer that was read to its end.
 pub struct Answer {
     /// The status.
@@ -53,10 +63,13 @@
     pub retry_after: Option<Duration>,
     /// The body.
     pub body: Bytes,
+    /// Whether it is certainly the answer to the request.
+    pub is_certain: bool,
 }
 
 /// Reads a whole answer of at most `MAX_ANSWER_BYTES`.
-pub async fn read(resp: Response<Incoming>) -> Result<Answer, TargetError> {
+pub async fn read(resp: Response<Incoming>, request: &str) -> Result<Answer, TargetError> {
+    let is_certain = is_certain(&resp, request);
     let (status, retry_after) = (resp.status(), retry_after(resp.headers()));
     let body = read_all(resp.into_body(), MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
         .await
@@ -65,6 +78,7 @@
         status,
         retry_after,
         body,
+        is_certain,
     })
 }
 
@@ -78,11 +92,13 @@
         status,
         retry_after,
         body,
+        is_certain,
     } = answer;
     if is_rejection(status, &body, retry_after) {
         return TargetError::Rejected {
             reason: format!("status {status}").into(),
             retry_after,
+            is_certain,
         };
     }
     if status.is_client_error() {
--- a/components/targets/src/api.rs
+++ b/components/targets/src/api.rs
@@ -20,7 +20,7 @@
         #[error(not(source))]
         reason: Arc<str>,
     },
-    /// The target rejected the request without running it, because it is overloaded or leaving.
+    /// The target rejected a request without running it, because it is overloaded or leaving.
     #[display("the target did not take it: {reason}")]
     Rejected {
         /// The cause.
@@ -28,6 +28,8 @@
         reason: Arc<str>,
         /// How long the target asks to wait before a retry.
         retry_after: Option<Duration>,
+        /// Whether the answer is certainly the one to this request. Otherwise the request may have run.
+        is_certain: bool,
     },
     /// The target answered with a client error, which is passed on to the caller.
     #[display("the target answered {status}")]
--- a/components/targets/src/openai.rs
+++ b/components/targets/src/openai.rs
@@ -10,7 +10,7 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use net::Client;
+use net::{AnyConnection, Client, NewConnection, SendRules};
 use serde_json::json;
 use timer::Timer;
 use types::{Target, Tokens};
@@ -48,15 +48,16 @@
         Self { client, timer }
     }
 
-    /// Sends a request and reads the whole answer.
+    /// Sends a request by these rules and reads the whole answer.
     async fn call(
         &self,
         target: &Target,
         req: Request<Full<Bytes>>,
+        rules: &dyn SendRules,
     ) -> Result<Answer, TargetError> {
         let exchange = async {
-            let resp = self.client.send(target.addr, req).await?;
-            answer::read(resp).await
+            let resp = self.client.send_with(target.addr, req, rules).await?;
+            answer::read(resp, "").await
         };
         self.within(ANSWER_TIMEOUT, exchange).await
     }
@@ -92,10 +93,11 @@
     ) -> Result<Box<dyn Stream>, TargetError> {
         let req = request(Method::POST, &call.path, call.body.clone())
             .and_then(|req| with_header(req, REQUEST_ID, &call.request))?;
-        let check = SendCheck::new(may_send);
+        // An extra answer to an earlier request can't come over it, and the engine need not echo the id.
+        let check = SendCheck::new(may_send).with_new_connection();
         let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
-        let resp = check_started(resp).await?;
+        let resp = check_started(resp, &call.request).await?;
         let id = stream_id(&resp).ok_or_else(|| answer::lost("the engine named no stream"))?;
         Ok(Box::new(EngineStream::new(id, 0, resp.into_body())))
     }
@@ -113,7 +115,8 @@
             req = with_header(req, LAST_EVENT_ID, &last.to_string())?;
         }
         let resp = self.client.send_fresh(target.addr, req).await?;
-        let resp = check_started(resp).await.map_err(answer::stream_error)?;
+        let resp = check_started(resp, "").await;
+        let resp = resp.map_err(answer::stream_error)?;
         // An answer with another caller's stream must not reach this caller.
         if stream_id(&resp).is_some_and(|named| named != *stream) {
             return Err(answer::lost("the engine answered with another stream"));
@@ -124,13 +127,14 @@
 
     async fn cancel(&self, target: &Target, stream: &StreamId) -> Result<(), TargetError> {
         let req = request(Method::DELETE, &stream_path(stream), Bytes::new())?;
-        let answer = self.call(target, req).await?;
+        // The answer frees the engine's memory for others, so it must be the one to this request.
+        let answer = self.call(target, req, &NewConnection).await?;
         answer::check_success(answer).map_err(answer::stream_error)
     }
 
     async fn report(&self, target: &Target) -> Result<TargetReport, TargetError> {
         let req = request(Method::GET, report::PATH, Bytes::new())?;
-        report::decode(self.call(target, req).await?)
+        report::decode(self.call(target, req, &AnyConnection).await?)
     }
 
     async fn send_command(&self, target: &Target, command: &Command) -> Result<(), TargetError> {
@@ -141,17 +145,20 @@
         };
         let body = json!({ "kind": kind, "name": name, "fence": command.fence }).to_string();
         let req = request(Method::POST, "/v1/orders", body.into())?;
-        let answer = self.call(target, req).await?;
+        let answer = self.call(target, req, &NewConnection).await?;
         answer::check_success(answer)
     }
 }
 
 /// Passes on an answer that starts a stream; converts any other to an error.
-async fn check_started(resp: Response<Incoming>) -> Result<Response<Incoming>, TargetError> {
+async fn check_started(
+    resp: Response<Incoming>,
+    request: &str,
+) -> Result<Response<Incoming>, TargetError> {
     if resp.status() == StatusCode::OK {
         return Ok(resp);
     }
-    Err(answer::error_answer(answer::read(resp).await?))
+    Err(answer::error_answer(answer::read(resp, request).await?))
 }
 
 fn request(method: Method, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, TargetError> {
--- a/components/targets/src/pausing.rs
+++ b/components/targets/src/pausing.rs
@@ -45,6 +45,8 @@
             left => Err(TargetError::Rejected {
                 reason: "it wants no requests for a while".into(),
                 retry_after: left,
+                // Nothing was sent.
+                is_certain: true,
             }),
         }
     }
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -57,7 +57,8 @@
         }
         let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
-        read(resp, timeout, self.answer_budget.share()).await
+        let is_certain = answer::is_certain(&resp, &call.request);
+        read(resp, is_certain, timeout, self.answer_budget.share()).await
     }
 }
 
@@ -98,7 +99,7 @@
             .map_err(|e| answer::unsent(e.to_string()))?;
         let exchange = async {
             let resp = self.client.send(target.addr, req).await?;
-            answer::read(resp).await
+            answer::read(resp, "").await
         };
         let answer = self
             .timer
@@ -124,6 +125,7 @@
 
 async fn read(
     resp: Response<Incoming>,
+    is_certain: bool,
     timeout: Duration,
     mut share: Share,
 ) -> Result<PlainAnswer, TargetError> {
@@ -141,6 +143,7 @@
         return Err(TargetError::Rejected {
             reason: format!("status {status}").into(),
             retry_after,
+            is_certain,
         });
     }
     Ok(PlainAnswer {
