--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -11,6 +11,7 @@
 mod floods;
 mod generations;
 mod limits;
+mod odd_entries;
 mod prompt_parts;
 mod quarantine;
 mod reaching;
