Directory: an entry that no decoder takes hides no other one

What callers saw: with one deeply nested value or number too large anywhere in one slice the whole list could not be read, and an instance stopped following its targets and peers. Cause: the list was decoded as a whole into values, whose decoder gives up at 128 levels and at numbers beyond a float. A port out of range, even one for another purpose, dropped all endpoints of its slice. Change: slices and endpoints are kept as text and decoded one by one; a port that is none counts as missing. Measured: stores: an_entry_that_no_decoder_takes_does_not_hide_others failed before ('recursion limit exceeded') and holds now.

--- a/components/stores/src/slices_format.rs
+++ b/components/stores/src/slices_format.rs
@@ -7,8 +7,8 @@
     sync::Arc,
 };
 
-use serde::Deserialize;
-use serde_json::Value;
+use serde::{Deserialize, Deserializer};
+use serde_json::value::RawValue;
 use types::{Incarnation, Listing, Member, ServiceId, ServingState, Target};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -23,15 +23,16 @@
 /// Name of the port on which targets accept connections, if a slice has several.
 const TARGET_PORT: &str = "http";
 
-/// A page of the list. Slices are decoded one by one, so that an invalid one does not hide the
-/// others.
+/// A page of the list. Slices, and the endpoints and ports in them, are kept as text and decoded one by one, so
+/// that an invalid one does not hide the others: a decoder of the whole gives up at deep nesting and at
+/// numbers that are too large.
 #[derive(Debug, Deserialize)]
 pub struct SliceList {
     /// The page's metadata.
     #[serde(default)]
     pub metadata: ListMetadata,
     /// The slices.
-    pub items: Vec<Value>,
+    pub items: Vec<Box<RawValue>>,
 }
 
 /// Metadata of a page.
@@ -59,7 +60,7 @@
     #[serde(default)]
     metadata: Metadata,
     #[serde(default)]
-    endpoints: Option<Vec<Value>>,
+    endpoints: Option<Vec<Box<RawValue>>>,
     #[serde(default)]
     ports: Option<Vec<Port>>,
 }
@@ -74,10 +75,17 @@
 struct Port {
     #[serde(default)]
     name: Option<Arc<str>>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "port_number")]
     port: Option<u16>,
 }
 
+/// A port's number; none if it is none that a process can listen on.
+fn port_number<'de, D: Deserializer<'de>>(source: D) -> Result<Option<u16>, D::Error> {
+    let text = Box::<RawValue>::deserialize(source)?;
+    let number = serde_json::from_str(text.get()).ok();
+    Ok(number.filter(|port| *port != 0))
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Endpoint {
@@ -130,17 +138,19 @@
 
     fn endpoints(&self) -> Vec<Endpoint> {
         let all = self.endpoints.iter().flatten();
-        all.filter_map(|e| Endpoint::deserialize(e).ok()).collect()
+        all.filter_map(|e| serde_json::from_str(e.get()).ok())
+            .collect()
     }
 }
 
 /// Converts slices to a listing. Invalid entries are skipped: other software writes the list, and
 /// one bad entry must not remove all targets.
 #[must_use]
-pub fn listing(items: &[Value]) -> Listing {
+pub fn listing(items: &[Box<RawValue>]) -> Listing {
     let mut members = MergedEntries::default();
     let mut targets = MergedEntries::default();
-    for slice in items.iter().filter_map(|s| Slice::deserialize(s).ok()) {
+    let slices = items.iter();
+    for slice in slices.filter_map(|slice| serde_json::from_str::<Slice>(slice.get()).ok()) {
         let Some(service) = slice.metadata.labels.get(SERVICE_LABEL) else {
             continue;
         };
--- a/components/stores/tests/stores.rs
+++ b/components/stores/tests/stores.rs
@@ -96,6 +96,44 @@
     assert_ne!(listing.targets[0].incarnation, 0);
 }
 
+/// Guards against an entry whose nesting or numbers stop the reading of the whole list, and against one whose
+/// odd port for another purpose hides its endpoints.
+#[test]
+fn an_entry_that_no_decoder_takes_does_not_hide_others() {
+    let nested = format!("{}{}", "[".repeat(5_000), "]".repeat(5_000));
+    let odd_fields = [
+        format!(r#""spec":{nested}"#),
+        format!(r#""endpoints":{nested}"#),
+        format!(r#""ports":{nested}"#),
+        format!(r#""metadata":{{"labels":{nested}}}"#),
+        r#""spec":1e400"#.into(),
+        r#""ports":[{"name":"http","port":1e400}]"#.into(),
+        r#""ports":[{"name":"http","port":65536}]"#.into(),
+        r#""ports":[{"name":"http","port":0}]"#.into(),
+    ];
+    for field in odd_fields {
+        let odd = VALID_SLICE.replace("good", "odd");
+        let odd = odd.replacen('{', &format!("{{{field},"), 1);
+        for items in [
+            format!("{odd},{VALID_SLICE}"),
+            format!("{VALID_SLICE},{odd}"),
+        ] {
+            let list = format!(r#"{{"items":[{items}]}}"#);
+            let listing = read_listing(list.as_bytes()).expect("it is a list");
+            assert!(listing.targets.iter().any(|target| &*target.id == "good"));
+            assert!(listing.targets.iter().all(|target| target.addr.port() != 0));
+        }
+    }
+    let endpoint = format!(r#""endpoints":[{nested},1e400,"#);
+    let list = VALID_SLICE.replace(r#""endpoints":["#, &endpoint);
+    let list = list.replace(
+        r#"[{"name":"http""#,
+        r#"[{"name":"x","port":70000},{"name":"http""#,
+    );
+    let listing = read_listing(format!(r#"{{"items":[{list}]}}"#).as_bytes());
+    assert_eq!(listing.expect("it is a list").targets.len(), 1);
+}
+
 // While the platform moves an endpoint from one slice to another, the endpoint is in both, and
 // perhaps only one of them says that it is leaving. New work sent to it would be interrupted.
 #[test]
