Tests of targets that close their connection within the head of an answer

Calls and generations with answers cut after 14 lengths, directly and through another instance, and generations that are resumed at an engine whose answer is cut (each did get there): no success looks whole that is not, none runs twice, none that ran is said not to have run.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod calls;
 mod crowds;
+mod cut_heads;
 mod endings;
 mod engine_rollouts;
 mod explaining;
