Rollouts: the end of an earlier order is asked for before its record is rolled back

What the operator saw: the status of a rollout that had succeeded turned to rolled_back, after the store had come back from a copy in which it was under way and another version was ordered. Cause: a later order rolled back whatever the store had under way; nobody was asked, and an instance forgot the end of an order with the next one. Change: an instance keeps the last end before the present order, and the coordinator asks itself and the others (AskRolloutEnd) before it writes. An instance of an earlier version does not answer the question. A second test has every instance see the later order first.

--- a/components/front/src/instances/message_handler.rs
+++ b/components/front/src/instances/message_handler.rs
@@ -7,6 +7,7 @@
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Handler, Reply as HttpReply, full, read_limited};
 use placing::{Migration, MigrationOutcome};
+use rollouts::Directive;
 use timer::boot_time;
 use types::StoreVersion;
 
@@ -129,6 +130,10 @@
                 front.rollouts.end(&service, &version, outcome);
                 Reply::Acknowledged
             }
+            Message::AskRolloutEnd(record) => match self.front.rollouts.end_of(&record) {
+                Some(outcome) => Reply::RolloutDirective(Directive::Ended(outcome)),
+                None => Reply::NoData,
+            },
             Message::CheckTarget { target, started_at } => {
                 Reply::TargetChecked(paths::check(front, &target, started_at).await)
             }
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -16,7 +16,10 @@
 use serde::{Deserialize, Serialize};
 use types::{DataCentreId, InstanceId, ServiceId, StoreVersion, TargetId, VersionId, bounded};
 
-use crate::adapters::{EngineAnswer, EngineReport, KvCopyOutcome};
+use crate::{
+    adapters::{EngineAnswer, EngineReport, KvCopyOutcome},
+    rollouts::record::RolloutRecord,
+};
 
 /// An instance as the others know it. Also stored as JSON in the table of instances.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -172,6 +175,8 @@
         /// How it has ended.
         outcome: Outcome,
     },
+    /// A question how the rollout that a record stands for has ended.
+    AskRolloutEnd(RolloutRecord),
     /// An order to migrate a generation to another engine.
     #[serde(rename = "Carry")]
     Migrate(Migration),
@@ -255,9 +260,10 @@
             | Self::ExchangePartVerdicts(_)
             | Self::RequestProbe { .. } => "quarantine",
             Self::RateReport(_) | Self::ReserveRate { .. } => "rates",
-            Self::RolloutReport(_) | Self::RolloutSuspended { .. } | Self::RolloutEnded { .. } => {
-                "rollouts"
-            }
+            Self::RolloutReport(_)
+            | Self::RolloutSuspended { .. }
+            | Self::RolloutEnded { .. }
+            | Self::AskRolloutEnd(_) => "rollouts",
             Self::Follow { topic, .. } => topic.name(),
         }
     }
--- a/components/front/src/rollouts/local.rs
+++ b/components/front/src/rollouts/local.rs
@@ -14,10 +14,10 @@
     Answer, Directive, Evidence, Exposure, ExposureLimits, Order, Outcome, Report, Rollout,
 };
 use timer::boot_time;
-use types::{Moment, RouteId, ServiceId, TargetId, VersionChoice, VersionId};
+use types::{Moment, RouteId, ServiceId, StoreVersion, TargetId, VersionChoice, VersionId};
 use view::Target;
 
-use crate::latch::Latch;
+use crate::{latch::Latch, rollouts::record::RolloutRecord};
 
 /// How long the latencies of a target do not count after it was listed: it is still warming up.
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -43,11 +43,36 @@
     pub is_recording: bool,
     /// Whether generations are being migrated off the other versions.
     pub is_migrating: bool,
+    /// The last order before this one whose rollout ended.
+    ended_before: Option<EndedOrder>,
     /// When targets of the new version were first listed.
     listed_at: HashMap<TargetId, Moment>,
 }
 
+/// An order whose rollout has ended.
+#[derive(Clone, Debug)]
+struct EndedOrder {
+    to: VersionId,
+    revision: StoreVersion,
+    outcome: Outcome,
+}
+
+impl EndedOrder {
+    fn is_recorded_by(&self, record: &RolloutRecord) -> bool {
+        record.is_of_order(&self.to, self.revision)
+    }
+}
+
 impl LocalRollout {
+    /// The order as one whose rollout has ended, if it has.
+    fn ended(&self) -> Option<EndedOrder> {
+        Some(EndedOrder {
+            to: Arc::clone(&self.order.to),
+            revision: self.order.revision,
+            outcome: self.exposure.outcome()?,
+        })
+    }
+
     /// The versions that a request may go to if it does not go to the new one.
     fn without_new(&self) -> VersionChoice {
         let mut excluded = self.abandoned.clone();
@@ -106,6 +131,7 @@
     pub fn order(&self, order: Order, appeared_at: Option<Moment>, limits: ExposureLimits) -> bool {
         let mut rollouts = self.by_service.lock();
         let mut abandoned = BTreeSet::new();
+        let mut ended_before = None;
         if let Some(known) = rollouts.get_mut(&order.service) {
             if known.order.is_rewritten_as(&order) {
                 known.order.revision = order.revision;
@@ -120,6 +146,7 @@
                 known.order.revision = order.revision;
                 return false;
             }
+            ended_before = known.ended().or_else(|| known.ended_before.clone());
             abandoned.clone_from(&known.abandoned);
             if known.exposure.outcome() != Some(Outcome::Succeeded) {
                 abandoned.insert(Arc::clone(&known.order.to));
@@ -134,6 +161,7 @@
             exposure: Exposure::new(limits, fastrand::f64()),
             evidence: Evidence::default(),
             abandoned,
+            ended_before,
             coordinated: None,
             is_recording: false,
             is_migrating: false,
@@ -190,6 +218,19 @@
         .unwrap_or(false)
     }
 
+    /// How the rollout that a record stands for has ended, if this instance knows that it has.
+    #[must_use]
+    pub fn end_of(&self, record: &RolloutRecord) -> Option<Outcome> {
+        self.with(&record.service, |rollout| {
+            let known = [rollout.ended(), rollout.ended_before.clone()];
+            let mut ended = known.into_iter().flatten();
+            ended
+                .find(|order| order.is_recorded_by(record))
+                .map(|order| order.outcome)
+        })
+        .flatten()
+    }
+
     /// Calls a function with a service's rollout, if there is one.
     pub fn with<T>(
         &self,
--- a/components/front/src/rollouts/record.rs
+++ b/components/front/src/rollouts/record.rs
@@ -97,7 +97,13 @@
     /// Whether two records are of the same order, by the rule of [`Self::standing`].
     #[must_use]
     pub fn is_of_same_order(&self, other: &Self) -> bool {
-        self.to == other.to && (self.order.era != other.order.era || self.order == other.order)
+        self.is_of_order(&other.to, other.order)
+    }
+
+    /// Whether it is the record of the order of a version at a revision, by the same rule.
+    #[must_use]
+    pub fn is_of_order(&self, to: &VersionId, revision: StoreVersion) -> bool {
+        self.to == *to && (self.order.era != revision.era || self.order == revision)
     }
 
     /// Names the order by the later one of its revisions, if the stored record is of the same order.
--- a/components/front/src/rollouts/records.rs
+++ b/components/front/src/rollouts/records.rs
@@ -109,8 +109,10 @@
             Ok(None)
         }
         (Standing::EarlierRunning, Some(mut record)) => {
-            // The operator has ordered another version meanwhile.
-            record.state = RolloutState::RolledBack;
+            // The operator has ordered another version meanwhile. The store may have come back from a copy
+            // that lacks the end of this one.
+            let end = ask_for_earlier_end(front, &record).await;
+            record.state = end.map_or(RolloutState::RolledBack, RolloutState::from);
             front.store.write_rollout(&record, revision).await?;
             Ok(None)
         }
@@ -150,6 +152,19 @@
     })
 }
 
+/// Asks all instances, this one too, how the rollout of an earlier order has ended.
+async fn ask_for_earlier_end(front: &Arc<Front>, record: &RolloutRecord) -> Option<Outcome> {
+    if let Some(outcome) = front.rollouts.end_of(record) {
+        return Some(outcome);
+    }
+    let message = Message::AskRolloutEnd(record.clone());
+    let replies = call_all(front, &message, REPORT_TIMEOUT).await;
+    replies.into_iter().find_map(|reply| match reply {
+        Reply::RolloutDirective(Directive::Ended(outcome)) => Some(outcome),
+        _ => None,
+    })
+}
+
 /// Sends a message to all other instances at the same time, and collects the replies that come in time.
 pub(super) async fn call_all(
     front: &Arc<Front>,
--- a/components/front/tests/restored_rollouts.rs
+++ b/components/front/tests/restored_rollouts.rs
@@ -272,7 +272,9 @@
                 }
             }
             (Standing::EarlierRunning, Some(record)) => {
-                let state = RolloutState::RolledBack;
+                let mut instances = self.instances.iter();
+                let end = instances.find_map(|it| it.rollouts.end_of(&record));
+                let state = end.map_or(RolloutState::RolledBack, RolloutState::from);
                 self.write(RolloutRecord { state, ..record });
             }
             (Standing::Outdated | Standing::EarlierRunning, _) => {}
@@ -423,3 +425,26 @@
     ];
     play(Scope::All, &steps);
 }
+
+/// Guards against the same if every instance has seen the later order, and none holds the earlier one any more.
+#[test]
+fn an_end_that_a_copy_lacks_is_known_to_instances_that_have_seen_a_later_order() {
+    let steps = [
+        Step::Order(true),
+        Step::See(0),
+        Step::Begin(0),
+        Step::Copy,
+        Step::End(0, true),
+        Step::Order(false),
+        Step::See(0),
+        Step::See(2),
+        Step::Restore,
+        Step::Begin(2),
+    ];
+    let mut world = World::new(Scope::All);
+    for step in &steps {
+        world.play(step);
+    }
+    let record = world.rows.record.expect("a record");
+    assert_eq!(record.state, RolloutState::Succeeded);
+}
