--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -235,7 +235,7 @@
                     Ok(resp) => return Ok(resp),
                     Err(Failure::Final(error)) => return Err(error),
                     // The server had closed the idle connection; nothing was sent on it.
-                    Err(Failure::Unsent { req: returned, .. }) => req = returned,
+                    Err(Failure::Unsent { req: returned, .. }) => req = *returned,
                 }
             }
         }
@@ -272,7 +272,10 @@
                 Err(match returned {
                     Some(req) => {
                         has_left.store(false, Ordering::Release);
-                        Failure::Unsent { reason, req }
+                        Failure::Unsent {
+                            reason,
+                            req: Box::new(req),
+                        }
                     }
                     None => Failure::Final(SendError::Lost {
                         reason,
@@ -299,7 +302,7 @@
     /// Nothing was sent over it; the request may go over another one.
     Unsent {
         reason: Arc<str>,
-        req: Request<Full<Bytes>>,
+        req: Box<Request<Full<Bytes>>>,
     },
     /// The request is not sent again.
     Final(SendError),
