--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -46,6 +46,30 @@
         Self(Deployment::start().await)
     }
 
+    /// How often a request ran at any target, without what was resumed.
+    pub fn runs(&self, id: &str) -> usize {
+        let plain = self.plain.iter().map(|process| process.arrivals());
+        let engines = self.engines.iter().map(|engine| engine.arrivals());
+        let arrivals = plain.chain(engines).flat_map(|arrivals| arrivals.list());
+        arrivals
+            .filter(|it| it.ran && !it.resumed && *it.id == *id)
+            .count()
+    }
+
+    /// Checks that a request ran once at most, and not at all if its caller was promised so.
+    ///
+    /// # Errors
+    /// Returns what ran, and what the caller was told.
+    pub fn check_truthful(&self, id: &str, got: &ReceivedAnswer) -> Result<(), String> {
+        let runs = self.runs(id);
+        let promised = matches!(got.status, 408 | 421 | 429 | 503) || got.body.contains("not-run");
+        if runs > 1 || (promised && runs > 0) {
+            let (status, body) = (got.status, &got.body);
+            return Err(format!("{id}: ran {runs} times, answered {status} {body}"));
+        }
+        Ok(())
+    }
+
     /// Starts an instance and waits until it is ready.
     pub async fn instance(&self, name: &str) -> Instance {
         let endpoint = self.store.endpoint();
@@ -431,6 +455,18 @@
     std::array::from_fn(|_| free_addr().expect("a free port"))
 }
 
+/// Waits until a call that must run once and a generation are served.
+pub async fn served_again(instance: &Instance, name: &str) {
+    eventually("requests are served again", || async {
+        let caller = Caller::new("key-1");
+        let id = format!("{name}-again-{}", fastrand::u64(..));
+        let plain = caller.call(instance.addr, "POST", "/grants/1", &id).await;
+        let generation = caller.generate(instance.addr, &format!("{id}-g"), 2).await;
+        plain.status == 200 && generation.body == all_events(2)
+    })
+    .await;
+}
+
 /// Requests a page; returns the status, or `None` if no answer arrived.
 pub async fn status(addr: SocketAddr, path: &str) -> Option<u16> {
     page(addr, path).await.map(|answer| answer.status)
