--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod generations;
 mod limits;
 mod odd_entries;
+mod one_run;
 mod prompt_parts;
 mod quarantine;
 mod reaching;
--- /dev/null
+++ b/tests/platform/one_run.rs
@@ -0,0 +1,279 @@
+//! A generation goes on at another engine only once the engine before works on it no more. A closed connection
+//! is no proof of that.
+
+use std::{
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hyper::{Response, body::Incoming};
+use net::Client;
+use platform_standin::{
+    caller::request,
+    deployment::{configuration, route},
+    engine::{Engine, Faults},
+};
+use serde_json::json;
+use smol::{Task, Timer};
+use soak::check::OverlapDetector;
+
+use crate::support::{
+    Instance, Links, Mode, Platform, ReceivedAnswer, all_events, eventually, read_answer,
+};
+
+/// Events of a generation that takes about four seconds.
+const LONG_EVENTS: u32 = 260;
+/// Time after which the first events have arrived.
+const STREAM_START_DELAY: Duration = Duration::from_millis(300);
+/// Time between two looks at the engines.
+const WATCH_INTERVAL: Duration = Duration::from_millis(10);
+/// Time after the end of an answer in which an engine may still be found at work.
+const WATCH_TAIL: Duration = Duration::from_secs(1);
+/// Longer than the time in which an instance waits for the answer to a resumption.
+const RESUME_TIME: Duration = Duration::from_millis(1_800);
+/// Longer than an instance waits for a copy.
+const SLOW_COPY: Duration = Duration::from_millis(1_600);
+
+/// Watches which engines work on which generations until it is stopped.
+struct Watch {
+    task: Task<()>,
+    stop: Arc<AtomicBool>,
+    detector: Arc<Mutex<OverlapDetector>>,
+}
+
+fn observe(detector: &Mutex<OverlapDetector>, running: &[Vec<String>]) {
+    let mut detector = detector.lock().unwrap_or_else(PoisonError::into_inner);
+    detector.observe(Instant::now(), running);
+}
+
+impl Watch {
+    fn start(engines: &[Engine]) -> Self {
+        let detector: Arc<Mutex<OverlapDetector>> = Arc::default();
+        let stop: Arc<AtomicBool> = Arc::default();
+        let engines = engines.to_vec();
+        let (shared, stopped) = (Arc::clone(&detector), Arc::clone(&stop));
+        let task = smol::spawn(async move {
+            while !stopped.load(Ordering::Acquire) {
+                let running: Vec<_> = engines.iter().map(Engine::active_generations).collect();
+                observe(&shared, &running);
+                Timer::after(WATCH_INTERVAL).await;
+            }
+        });
+        Self {
+            task,
+            stop,
+            detector,
+        }
+    }
+
+    /// Checks that no generation was worked on by two engines for longer than allowed.
+    async fn check(self, name: &str) {
+        Timer::after(WATCH_TAIL).await;
+        self.stop.store(true, Ordering::Release);
+        self.task.await;
+        let detector = self.detector.lock().unwrap_or_else(PoisonError::into_inner);
+        assert!(
+            detector.violations.is_empty(),
+            "{name}: {:?}",
+            detector.violations
+        );
+    }
+}
+
+/// A platform with three engines that go on without their readers. Streams of the route `notes` may be resumed.
+async fn start(name: &str) -> (Platform, Instance, Links, Vec<Engine>) {
+    let platform = Platform::start().await;
+    let mut notes = route("notes", "streaming", "drafts", 2);
+    notes["resume_streams"] = json!(true);
+    let config = configuration(100, &["key-1"], &[notes]);
+    platform.store.put("op", "config", config);
+    let third = platform.add_engine("e-3").await;
+    let (instance, links) = platform.instance_with_links(name).await;
+    let mut engines = platform.engines.clone();
+    engines.push(third);
+    set_faults(&engines, Faults::default());
+    (platform, instance, links, engines)
+}
+
+fn set_faults(engines: &[Engine], faults: Faults) {
+    for engine in engines {
+        engine.set_faults(Faults {
+            outlives_connections: true,
+            ..faults
+        });
+    }
+}
+
+async fn send(to: &Instance, path: &str) -> Response<Incoming> {
+    let req = request("POST", path, "g-1", LONG_EVENTS, "key-1");
+    let resp = Client::new().send_fresh(to.addr, req).await;
+    resp.expect("an answer")
+}
+
+/// The engine that works on a generation.
+fn running(engines: &[Engine]) -> Engine {
+    let running = engines.iter().find(|engine| engine.active_count() == 1);
+    running.expect("an engine runs it").clone()
+}
+
+/// Checks that the caller got a beginning of the stream, all of it if it was told so.
+fn assert_truthful(name: &str, got: &ReceivedAnswer) {
+    let whole = all_events(LONG_EVENTS);
+    assert!(whole.starts_with(&got.body), "{name}: {got:?}");
+    assert_eq!(got.is_complete, got.body == whole, "{name}: {got:?}");
+}
+
+/// Guards against a stream that goes on elsewhere while its engine, whose connection was lost, still works on it:
+/// the engine answers a request to stop too late.
+#[test]
+fn a_stream_is_not_resumed_while_its_engine_may_still_run_it() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            let (_platform, instance, _links, engines) = start("late-stop").await;
+            let watch = Watch::start(&engines);
+            let resp = send(&instance, path).await;
+            Timer::after(STREAM_START_DELAY).await;
+            let source = running(&engines);
+            set_faults(
+                &engines,
+                Faults {
+                    copy_delay: SLOW_COPY,
+                    ..Faults::default()
+                },
+            );
+            source.abort_streams();
+            assert_truthful(path, &read_answer(resp).await);
+            watch.check(path).await;
+        }
+    });
+}
+
+/// Guards against going on from a copy that was made before the engine was told to stop, while it still works.
+#[test]
+fn a_generation_does_not_go_on_from_an_earlier_copy_while_its_engine_may_still_run_it() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            let (platform, instance, _links, engines) = start("earlier-copy").await;
+            let watch = Watch::start(&engines);
+            let resp = send(&instance, path).await;
+            Timer::after(STREAM_START_DELAY).await;
+            let source = running(&engines);
+            source.set_faults(Faults {
+                outlives_connections: true,
+                ignores_final_copy: true,
+                ..Faults::default()
+            });
+            let listing = source.listing("drafts", "dc-0", "draining");
+            platform.store.put("servers", &source.id(), listing);
+            instance.first_logged_at("CarryFailed").await;
+            source.abort_streams();
+            assert_truthful(path, &read_answer(resp).await);
+            watch.check(path).await;
+        }
+    });
+}
+
+/// Guards against a third engine that goes on while the second, whose answer did not arrive, works on it.
+#[test]
+fn a_generation_whose_resumption_is_not_answered_goes_on_at_one_engine() {
+    smol::block_on(async {
+        let (platform, instance, links, engines) = start("unanswered").await;
+        let watch = Watch::start(&engines);
+        let resp = send(&instance, "/notes/1").await;
+        Timer::after(STREAM_START_DELAY).await;
+        let source = running(&engines);
+        let others: Vec<_> = (0..2).filter(|n| engines[*n].id() != source.id()).collect();
+        engines[2].set_faults(Faults {
+            outlives_connections: true,
+            refuses_copies: true,
+            ..Faults::default()
+        });
+        for number in &others {
+            links.engines[*number].set_mode(Mode::HoldResponses);
+        }
+        let listing = source.listing("drafts", "dc-0", "draining");
+        platform.store.put("servers", &source.id(), listing);
+        let moved = || async {
+            engines
+                .iter()
+                .any(|it| it.arrivals().list().iter().any(|a| a.resumed))
+        };
+        eventually("it was moved", moved).await;
+        Timer::after(RESUME_TIME).await;
+        for number in &others {
+            links.engines[*number].set_mode(Mode::Pass);
+        }
+        assert_truthful("unanswered", &read_answer(resp).await);
+        watch.check("unanswered").await;
+    });
+}
+
+/// Guards against a second engine that begins a generation while the first, whose answer was lost, works on it.
+#[test]
+fn a_generation_whose_head_was_lost_runs_at_one_engine() {
+    smol::block_on(async {
+        let (_platform, instance, links, engines) = start("lost-head").await;
+        let watch = Watch::start(&engines);
+        links.set_mode(Mode::HoldResponses);
+        let sending = smol::spawn(async move {
+            let got = read_answer(send(&instance, "/notes/1").await).await;
+            (got, instance)
+        });
+        eventually("an engine runs it", || async {
+            engines.iter().any(|engine| engine.active_count() == 1)
+        })
+        .await;
+        Timer::after(STREAM_START_DELAY).await;
+        links.set_mode(Mode::Pass);
+        links.reset_connections();
+        let (got, _instance) = sending.await;
+        assert_truthful("lost-head", &got);
+        watch.check("lost-head").await;
+    });
+}
+
+/// Guards against an engine that is not listed any more, says nothing and yet works on what it has.
+#[test]
+fn a_generation_of_an_engine_that_is_not_listed_goes_on_at_one_engine() {
+    smol::block_on(async {
+        let (platform, instance, _links, engines) = start("unlisted").await;
+        let watch = Watch::start(&engines);
+        let resp = send(&instance, "/notes/1").await;
+        Timer::after(STREAM_START_DELAY).await;
+        let source = running(&engines);
+        source.set_faults(Faults {
+            outlives_connections: true,
+            report_delay: Duration::from_secs(1),
+            ignores_final_copy: true,
+            copy_delay: SLOW_COPY * 2,
+            ..Faults::default()
+        });
+        source.mute_streams();
+        platform.store.delete_row("servers", &source.id());
+        assert_truthful("unlisted", &read_answer(resp).await);
+        watch.check("unlisted").await;
+    });
+}
+
+/// Guards against waiting for the stop of an engine that has ended.
+#[test]
+fn a_stream_goes_on_soon_after_its_engine_has_crashed() {
+    smol::block_on(async {
+        let (_platform, instance, _links, engines) = start("crashed").await;
+        let resp = send(&instance, "/notes/1").await;
+        Timer::after(STREAM_START_DELAY).await;
+        running(&engines).crash();
+        let crashed = Instant::now();
+        eventually("another engine runs it", || async {
+            engines
+                .iter()
+                .any(|engine| engine.active_count() == 1 && !engine.has_crashed())
+        })
+        .await;
+        assert!(crashed.elapsed() < Duration::from_secs(2));
+        assert_truthful("crashed", &read_answer(resp).await);
+    });
+}
