Generations: an engine must have stopped before another one goes on

Cause: closing the connection was taken for a stop. After a failed copy a stored one from before the stop was used; a destination that had not answered was forgotten; a lost first sending was repeated at once.

generations::stopping asks the engine for the final copy, which stops a generation, until it states that it has stopped or runs nothing, or two connections don't open. The relay keeps the engines that may be running the generation, and resumes nowhere while there is one other than the destination. An engine that ends its answer itself has ended its run. A 400, 405 or 421 to the request comes from another process at the address. If nothing is known within the patience of a caller, the stream is cut. Events 966 and 967, metric generation_stops.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1101,4 +1101,38 @@
         965, Info, "{id}: answer {status} of {target} is not forwarded, it names request {named}, states that nothing ran: {states_not_run}, after {earlier} responses on its connection",
         "Nothing, if the target is full. One that names another request or none shows that the target sends extra answers.",
     ),
+
+    /// An engine no longer works on a generation that goes on elsewhere.
+    GenerationStopped {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine.
+        target: TargetId,
+        /// How that is known: its memory was copied, it states that it does not run it, or no connection to it opens.
+        how: Arc<str>,
+        /// Requests to stop.
+        requests: u32,
+        /// Time until it was known, in milliseconds.
+        took_ms: u64,
+    } = (
+        966, Info, "{id}: {target} no longer works on it ({how}), known after {took_ms} ms",
+        "Nothing.",
+    ),
+
+    /// An engine may still work on a generation, which therefore goes on at no other one.
+    GenerationNotStopped {
+        /// Id of the request.
+        id: Arc<str>,
+        /// The engine.
+        target: TargetId,
+        /// Why it may.
+        reason: Arc<str>,
+        /// Requests to stop.
+        requests: u32,
+        /// Time for which it was asked, in milliseconds.
+        took_ms: u64,
+    } = (
+        967, Warn, "{id}: {target} may still work on it after {requests} requests to stop in {took_ms} ms: {reason}",
+        "Look at the engine: it accepts connections and does not answer.",
+    ),
 }
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -21,7 +21,8 @@
         attempts::{Attempts, Loss, decide, record_give_up, take_retry},
         idle::{Diagnosis, IdleMonitor, diagnose},
         relay::Relay,
-        resumption::{Cause, Decision, GiveUp, Position},
+        resumption::{Cause, Decision, GiveUp, Position, patience},
+        stopping,
     },
     quarantine::{
         aggregation, crash_detection,
@@ -147,12 +148,30 @@
                     // Counted once it has been resumed.
                     Decision::Resume { .. } => {}
                 }
+                if !has_stopped(front, call, &loss).await {
+                    return Err(latest);
+                }
                 failure = Some(latest);
             }
         }
     }
 }
 
+/// Makes sure that an engine that failed a generation does not work on it any more.
+async fn has_stopped(front: &Arc<Front>, call: &Call, loss: &Loss) -> bool {
+    // An engine that answers has ended its run.
+    if loss.cause == Cause::ServerError {
+        return true;
+    }
+    let Some(to) = stopping::any_other_engine(front, &loss.target) else {
+        return false;
+    };
+    let timeout = patience(call.route.objective, call.time_left());
+    let id = &call.request.id;
+    let stopped = stopping::stop(front, id, &loss.target, &to, timeout).await;
+    stopped.is_ok()
+}
+
 /// Assigns an engine and sends the generation to it.
 async fn try_next(front: &Arc<Front>, call: &Call, attempts: &mut Attempts) -> Attempt {
     if let Err(refusal) = parts::admit(front, call).await {
--- a/components/front/src/generations/mod.rs
+++ b/components/front/src/generations/mod.rs
@@ -15,3 +15,4 @@
 pub mod resumption;
 pub mod speeds;
 pub mod splitter;
+pub mod stopping;
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -3,7 +3,7 @@
 //! A connection that is reset or idle says nothing about the engine. Without recovery the caller
 //! would get an incomplete answer although the engine could still hand the generation over.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use events::{Event, emit};
 use placing::PlacementAnswer;
@@ -12,64 +12,74 @@
 use view::Target;
 
 use crate::{
-    adapters::{KvCopyOutcome, KvCopyRequest, Resume},
+    adapters::Resume,
     callers::call::Call,
-    generations::{active::GenerationHandle, assignment},
+    generations::{
+        active::GenerationHandle,
+        assignment,
+        resumption::patience,
+        stopping::{self, Stopped, any_other_engine},
+    },
     signals::{self, Purpose},
     state::Front,
 };
 
-/// Time for the copy: 5,000 tokens take 0.3 s on a free link, and twice that between data centres.
-const COPY_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// What is left of a generation whose engine has stopped.
+pub enum Rest {
+    /// A copy from which it can go on at an engine.
+    Copy(Arc<Target>, Resume),
+    /// Nothing, for this reason.
+    Nothing(Arc<str>),
+}
 
-/// Stops a generation at its engine and copies its KV cache to another one. Returns the engine and
-/// the copy from which it can be resumed.
+/// Stops a generation at its engine, and copies its KV cache to another one. If the engine no longer has it, an
+/// earlier copy counts. `has_ended` says that the engine has ended its answer, and so its run.
 ///
 /// # Errors
-/// The reason why the generation can't be recovered: it has ended, its engine does not answer, or
-/// no copy could be made.
+/// Returns why the engine may still work on the generation, which can then go on nowhere else.
 pub async fn recover(
     front: &Arc<Front>,
     call: &Call,
     generation: &GenerationHandle,
-) -> Result<(Arc<Target>, Resume), Arc<str>> {
+    has_ended: bool,
+) -> Result<Rest, Arc<str>> {
     let source = generation.target();
     let started = boot_time();
-    let to = match destination(front, call, generation, &source).await {
-        Ok(to) => to,
-        // A copy is requested even without an engine that has room: the source then stops the
-        // generation and can resume it from its own memory.
-        Err(why) => any_other_engine(front, generation, &source).ok_or(why)?,
-    };
-    let request = KvCopyRequest {
-        generation: &generation.id,
-        from: source.addr,
-        to: to.addr,
-        is_final: true,
-        timeout: COPY_TIMEOUT.min(call.time_left()),
+    let earlier = generation.take_copy();
+    let to = match &earlier {
+        Some((to, _)) => Arc::clone(to),
+        None => match destination(front, call, generation, &source).await {
+            Ok(to) => to,
+            // A copy is requested even without an engine that has room: the source then stops the
+            // generation and can resume it from its own memory.
+            Err(why) => any_other_engine(front, &source).ok_or(why)?,
+        },
     };
-    let resume = |copy| Resume {
-        source: source.addr,
-        copy,
-        after: None,
+    let stopped = if has_ended {
+        stopping::copy_ended(front, &generation.id, &source, &to).await
+    } else {
+        let timeout = patience(call.route.objective, call.time_left());
+        stopping::stop(front, &generation.id, &source, &to, timeout).await?
     };
-    match signals::copy_kv(front, &source, &request).await {
-        KvCopyOutcome::Complete { copy } => {
-            emit(&Event::GenerationRescued {
-                id: Arc::clone(&generation.id),
-                from: Arc::clone(&source.id),
-                to: Arc::clone(&to.id),
-                copy_ms: millis(boot_time().saturating_sub(started)),
-            });
-            Ok((to, resume(copy)))
+    let reason = match stopped {
+        Stopped::Copied { at, resume } => {
+            if at.id != source.id {
+                emit(&Event::GenerationRescued {
+                    id: Arc::clone(&generation.id),
+                    from: Arc::clone(&source.id),
+                    to: Arc::clone(&at.id),
+                    copy_ms: millis(boot_time().saturating_sub(started)),
+                });
+            }
+            return Ok(Rest::Copy(at, resume));
         }
-        // The generation has stopped, and can only be resumed at the source.
-        KvCopyOutcome::NoRoom { copy: Some(copy) } => Ok((Arc::clone(&source), resume(copy))),
-        KvCopyOutcome::NoRoom { copy: None } => Err("no room for the copy".into()),
-        KvCopyOutcome::NotRunning => Err("the engine no longer has the generation".into()),
-        KvCopyOutcome::Busy => Err("another copy is in progress".into()),
-        KvCopyOutcome::Withheld { reason } | KvCopyOutcome::Unknown { reason } => Err(reason),
-    }
+        Stopped::NotRunning => "the engine no longer has the generation",
+        Stopped::NotReached => "the engine is not reached",
+    };
+    Ok(match earlier {
+        Some((at, resume)) => Rest::Copy(at, resume),
+        None => Rest::Nothing(reason.into()),
+    })
 }
 
 /// Requests an engine with room for the prompt and the tokens generated so far.
@@ -97,16 +107,3 @@
         }
     }
 }
-
-/// Any other engine of the generation's service that accepts work.
-fn any_other_engine(
-    front: &Front,
-    generation: &GenerationHandle,
-    source: &Target,
-) -> Option<Arc<Target>> {
-    let choice = front.rollouts.destinations(boot_time(), source);
-    let mut others = front.usable_targets(&generation.service, &choice);
-    others.retain(|target| target.id != source.id && target.weights == source.weights);
-    others.retain(|target| front.pause_left(target).is_none());
-    fastrand::choice(others)
-}
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -67,6 +67,8 @@
     body: Option<Incoming>,
     /// The engines that the generation was sent to.
     attempts: Attempts,
+    /// The engines that may work on it.
+    running: Vec<Arc<Target>>,
     /// Whether the stream marks its own end; otherwise it ends when its connection is closed.
     framed: bool,
     /// Whether the body consists of events.
@@ -129,6 +131,7 @@
         Self {
             front,
             call,
+            running: vec![started.assignment.generation.target()],
             assignment: started.assignment,
             framed: is_framed(&started.head),
             has_events: is_event_stream(&started.head),
@@ -395,6 +398,9 @@
         }
         if let Some(reason) = self.incompleteness().await {
             let cause = Cause::Truncated;
+            // The engine itself has ended its answer.
+            let engine = self.assignment.generation.target();
+            self.record_stopped(&engine);
             return self.handle_interruption(cause, reason.into(), out).await;
         }
         Some(self.finish(out).await)
@@ -449,21 +455,11 @@
         let generation = &self.assignment.generation;
         let (target, sent) = (generation.target(), self.call.arrived);
         crash_detection::investigate(&self.front, &self.call, &target, sent, self.progress);
-        let Some((target, resume)) = generation.take_copy() else {
-            let recovers = self.front.cfg.decisions.features.stream_recovery;
-            if !recovers || !self.assignment.generation.begin_migration() {
-                return Some(RelayEnd::EngineFailed { cause, reason });
-            }
-            return self.recover(cause, reason).await;
-        };
-        match self.resume_at(&target, resume).await {
-            Ok(()) => None,
-            Err(failure) => {
-                let why = failure.reason;
-                let reason = format!("{reason}; resuming from the copy failed: {why}").into();
-                Some(RelayEnd::EngineFailed { cause, reason })
-            }
+        let recovers = self.front.cfg.decisions.features.stream_recovery;
+        if !recovers || !generation.begin_migration() {
+            return Some(RelayEnd::EngineFailed { cause, reason });
         }
+        self.recover(cause, reason).await
     }
 
     /// Waits for the outcome of a migration in progress, whose engine has already closed the
@@ -508,7 +504,9 @@
                 if let Err(end) = self.forward_last(out).await {
                     return Some(end);
                 }
+                // It has answered the request for the final copy.
                 let source = self.assignment.generation.target();
+                self.record_stopped(&source);
                 let resumed = self.resume_at(&target, resume.clone()).await;
                 // Fails only if the migration no longer waits for it.
                 let _ = done.try_send(resumed.is_ok());
--- a/components/front/src/generations/relay/resuming.rs
+++ b/components/front/src/generations/relay/resuming.rs
@@ -14,8 +14,9 @@
     generations::{
         attempts::{self, Loss},
         dispatch::{self, Started},
-        recovery,
+        recovery::{self, Rest},
         resumption::{Cause, Decision, Position, patience},
+        stopping::{self, Stopped},
     },
     quarantine::parts::Progress,
     send::{SendOutcome, send},
@@ -37,12 +38,20 @@
     /// caller of this function holds the right to migrate the generation.
     pub(super) async fn recover(&mut self, cause: Cause, reason: Arc<str>) -> Option<RelayEnd> {
         let generation = Arc::clone(&self.assignment.generation);
-        let resumed = match recovery::recover(&self.front, &self.call, &generation).await {
-            Ok((target, resume)) => self
+        // Closes the connection: what it may still bring would come twice.
+        self.body = None;
+        let source = generation.target();
+        let has_ended = self.running.iter().all(|it| it.id != source.id);
+        let rest = recovery::recover(&self.front, &self.call, &generation, has_ended).await;
+        if rest.is_ok() {
+            self.record_stopped(&source);
+        }
+        let resumed = match rest {
+            Ok(Rest::Copy(target, resume)) => self
                 .resume_at(&target, resume)
                 .await
                 .map_err(|failure| failure.reason),
-            Err(why) => Err(why),
+            Ok(Rest::Nothing(why)) | Err(why) => Err(why),
         };
         generation.end_migration();
         resumed.err().map(|why| RelayEnd::EngineFailed {
@@ -72,17 +81,36 @@
         })
     }
 
-    /// Resumes the generation at an engine from a copy.
+    /// Resumes the generation at an engine from a copy, unless another engine may still work on it.
     pub(super) async fn resume_at(
         &mut self,
         target: &Arc<Target>,
         mut resume: Resume,
+    ) -> Result<(), ResumeError> {
+        if let Some(other) = self.running.iter().find(|it| it.id != target.id) {
+            return Err(ResumeError {
+                reason: format!("{} may still work on it", other.id).into(),
+                not_run: true,
+            });
+        }
+        self.running = vec![Arc::clone(target)];
+        let resumed = self.send_resumption(target, &mut resume).await;
+        if resumed.as_ref().is_err_and(|failure| failure.not_run) {
+            self.record_stopped(target);
+        }
+        resumed
+    }
+
+    async fn send_resumption(
+        &mut self,
+        target: &Arc<Target>,
+        resume: &mut Resume,
     ) -> Result<(), ResumeError> {
         resume.after = self.last_event;
         // Drops the incomplete event of the previous engine; the new stream repeats it.
         let _ = self.splitter.take_rest();
         let timeout = RESUME_TIMEOUT.min(self.call.time_left());
-        match send(&self.front, &self.call, target, Some(&resume), timeout).await {
+        match send(&self.front, &self.call, target, Some(resume), timeout).await {
             SendOutcome::Response { head, body, .. } if head.status.is_success() => {
                 self.framed = is_framed(&head);
                 self.has_events = is_event_stream(&head);
@@ -101,18 +129,16 @@
                 reason: Arc::clone(proof.reason()),
                 not_run: true,
             }),
-            SendOutcome::NotReached { reason } | SendOutcome::Withheld { reason } => {
-                Err(ResumeError {
-                    reason,
-                    not_run: true,
-                })
-            }
-            SendOutcome::Unknown { reason, .. } | SendOutcome::Rejected { reason } => {
-                Err(ResumeError {
-                    reason,
-                    not_run: false,
-                })
-            }
+            SendOutcome::NotReached { reason }
+            | SendOutcome::Withheld { reason }
+            | SendOutcome::Rejected { reason } => Err(ResumeError {
+                reason,
+                not_run: true,
+            }),
+            SendOutcome::Unknown { reason, .. } => Err(ResumeError {
+                reason,
+                not_run: false,
+            }),
         }
     }
 
@@ -133,10 +159,21 @@
         if matches!(decision, Decision::GiveUp(_)) {
             return Some(RelayEnd::BodyAborted(reason));
         }
-        // Closes the connection, so that the engine stops before another one goes on.
         self.body = None;
         // The rest of an incomplete event; the next engine sends the event anew.
         let _ = self.splitter.take_rest();
+        match self.stop_running().await {
+            Ok(None) => {}
+            Ok(Some((target, resume))) => {
+                if self.resume_at(&target, resume).await.is_ok() {
+                    return None;
+                }
+                if let Err(why) = self.stop_running().await {
+                    return Some(RelayEnd::BodyAborted(format!("{reason}; {why}").into()));
+                }
+            }
+            Err(why) => return Some(RelayEnd::BodyAborted(format!("{reason}; {why}").into())),
+        }
         self.assignment.release_early().await;
         let patience = patience(self.call.route.objective, self.call.time_left());
         let after = self.last_event.filter(|_| decision != Decision::Restart);
@@ -159,6 +196,31 @@
         }
     }
 
+    /// Records that an engine no longer works on the generation.
+    pub(super) fn record_stopped(&mut self, engine: &Target) {
+        self.running.retain(|it| it.id != engine.id);
+    }
+
+    /// Makes sure that no engine works on the generation any more. Returns a copy from which it can go on, if
+    /// one was made.
+    async fn stop_running(&mut self) -> Result<Option<(Arc<Target>, Resume)>, Arc<str>> {
+        let mut copy = None;
+        while let Some(engine) = self.running.last().cloned() {
+            let to = stopping::any_other_engine(&self.front, &engine)
+                .ok_or("no other engine is left")?;
+            let timeout = patience(self.call.route.objective, self.call.time_left());
+            let id = &self.call.request.id;
+            let stopped = stopping::stop(&self.front, id, &engine, &to, timeout).await;
+            let stopped =
+                stopped.map_err(|why| format!("{} may still work on it: {why}", engine.id))?;
+            self.record_stopped(&engine);
+            if let Stopped::Copied { at, resume } = stopped {
+                copy = Some((at, resume));
+            }
+        }
+        Ok(copy)
+    }
+
     /// How much of the stream the caller has received.
     fn position(&self) -> Position {
         if !self.has_events || self.has_unnumbered {
@@ -196,6 +258,7 @@
     fn go_on_with(&mut self, started: Started) {
         self.framed = is_framed(&started.head);
         self.body = Some(started.body);
+        self.running = vec![started.assignment.generation.target()];
         self.assignment = started.assignment;
         self.attempts = started.attempts;
         self.sent_at = started.sent_at;
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -51,6 +51,13 @@
     pub outcome: &'static str,
 }
 
+/// Labels of engines that were told to stop a generation.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct StopLabels {
+    /// What is known of the engine.
+    pub outcome: &'static str,
+}
+
 /// Labels of the counter of bytes exchanged with other instances.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct PeerBytesLabels {
@@ -152,6 +159,8 @@
     pub engines: Family<EngineLabels, Gauge>,
     /// Generations that engines failed on routes whose streams may be resumed, by what became of them.
     pub resumptions: Family<ResumptionLabels, Counter>,
+    /// Engines that were told to stop a generation before another one goes on, by what is known of them.
+    pub stops: Family<StopLabels, Counter>,
     /// Bytes of messages sent to other instances, and of their replies.
     pub peer_bytes: Family<PeerBytesLabels, Counter>,
     /// Calls to the store by topic, call and outcome.
@@ -206,6 +215,7 @@
             above_share: Family::default(),
             engines: Family::default(),
             resumptions: Family::default(),
+            stops: Family::default(),
             peer_bytes: Family::default(),
             store_calls: Family::default(),
             head_seconds: times(),
@@ -322,6 +332,11 @@
             "Generations that engines failed where streams may be resumed, by cause and outcome",
             all.resumptions.clone(),
         );
+        registry.register(
+            "generation_stops",
+            "Engines told to stop a generation before another one goes on, by outcome",
+            all.stops.clone(),
+        );
         registry.register(
             "peer_bytes",
             "Bytes of messages between instances",
@@ -434,6 +449,11 @@
             .inc();
     }
 
+    /// Counts an engine that was told to stop a generation.
+    pub fn count_stop(&self, outcome: &'static str) {
+        self.stops.get_or_create(&StopLabels { outcome }).inc();
+    }
+
     /// All metrics in the text format of Prometheus.
     #[must_use]
     pub fn to_text(&self) -> String {
