A refusal is believed only with Not-Executed and without a seal

Tests: the two of extra_answers get two more kinds of extra answers, which name the waiting request. On the code before they fail: calls and generations ran twice with 200 or 503 at the end, directly and relayed. The one of proofs also wants no seal.

--- a/components/front/src/execution.rs
+++ b/components/front/src/execution.rs
@@ -37,11 +37,12 @@
         }
     }
 
-    /// The target states it in an answer to this request and no other. A success contradicts the statement.
+    /// The target states it in an answer to this request and no other. A success contradicts the statement, and
+    /// so does a seal, which only the answer of a run has.
     #[must_use]
     pub fn from_answer(head: &Parts, parsed: &ResponseHead) -> Option<Self> {
         let is_own = parsed.named == NamedRequest::Sent;
-        let is_refusal = parsed.states_not_run && !head.status.is_success();
+        let is_refusal = parsed.states_not_run && !parsed.sealed && !head.status.is_success();
         (is_own && is_refusal).then(|| Self {
             reason: format!("the target refused it with status {}", head.status).into(),
         })
--- a/components/front/tests/execution.rs
+++ b/components/front/tests/execution.rs
@@ -39,7 +39,8 @@
     headers
 }
 
-/// Guards against a refusal that is believed although it names no request, another one or several.
+/// Guards against a refusal that is believed although it names no request, another one or several, or has the
+/// seal of an answer of a run.
 #[test]
 fn an_answer_is_proof_only_if_it_names_the_request_and_is_no_success() {
     let others = [
@@ -61,6 +62,11 @@
         let is_success = (200..300).contains(&status);
         let stated = is_proof(parsed(NamedRequest::Sent, true));
         assert_eq!(stated, !is_success, "{status}");
+        let contradictory = ResponseHead {
+            sealed: true,
+            ..parsed(NamedRequest::Sent, true)
+        };
+        assert!(!is_proof(contradictory), "{status}");
     }
     assert!(NotRun::from_answer(&head(503), &ResponseHead::default()).is_none());
 }
--- a/tests/platform/extra_answers.rs
+++ b/tests/platform/extra_answers.rs
@@ -63,7 +63,7 @@
 /// Sends requests to `entry` while the targets behind `links` send each kind of extra answer.
 async fn check_extra_answers(platform: &Platform, entry: &Instance, links: &Links) {
     let mut broken = Vec::new();
-    for extra in Extra::ALL {
+    for extra in Extra::ALL.into_iter().chain(Extra::CONTRADICTORY) {
         let name = format!("{extra:?}");
         warm_up(entry, &name).await;
         links.set_mode(Mode::Extra(extra));
