--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod brittle;
 mod calls;
+mod closed_unread;
 mod crowds;
 mod cut_heads;
 mod endings;
--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -34,6 +34,8 @@
 const WATCH_TAIL: Duration = Duration::from_secs(1);
 /// Longer than the time in which an instance waits for the answer to a resumption.
 const RESUME_TIME: Duration = Duration::from_millis(1_800);
+/// How long engines go on without their readers.
+const OUTLIVES: Duration = Duration::from_secs(60);
 /// Longer than an instance waits for a copy.
 const SLOW_COPY: Duration = Duration::from_millis(1_600);
 
@@ -101,7 +103,7 @@
 fn set_faults(engines: &[Engine], faults: Faults) {
     for engine in engines {
         engine.set_faults(Faults {
-            outlives_connections: true,
+            outlives_connections: OUTLIVES,
             ..faults
         });
     }
@@ -162,7 +164,7 @@
             Timer::after(STREAM_START_DELAY).await;
             let source = running(&engines);
             source.set_faults(Faults {
-                outlives_connections: true,
+                outlives_connections: OUTLIVES,
                 ignores_final_copy: true,
                 ..Faults::default()
             });
@@ -187,7 +189,7 @@
         let source = running(&engines);
         let others: Vec<_> = (0..2).filter(|n| engines[*n].id() != source.id()).collect();
         engines[2].set_faults(Faults {
-            outlives_connections: true,
+            outlives_connections: OUTLIVES,
             refuses_copies: true,
             ..Faults::default()
         });
@@ -245,7 +247,7 @@
         Timer::after(STREAM_START_DELAY).await;
         let source = running(&engines);
         source.set_faults(Faults {
-            outlives_connections: true,
+            outlives_connections: OUTLIVES,
             report_delay: Duration::from_secs(1),
             ignores_final_copy: true,
             copy_delay: SLOW_COPY * 2,
