An engine that has ended is asked to stop although none could take its memory

A stream whose engine crashed before the first event was cut, where only an engine with other weights was left: asks for the final copy only if an engine could use it, and without that request the ended engine counted as one that may still run it. Found by reading the change.

Where no copy is needed any other engine is named as the destination, else the engine itself: what counts is its answer, or that it is not reached.

--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -163,9 +163,7 @@
     if loss.cause == Cause::ServerError {
         return true;
     }
-    let Some(to) = stopping::any_other_engine(front, &loss.target) else {
-        return false;
-    };
+    let to = stopping::any_destination(front, &loss.target);
     let timeout = patience(call.route.objective, call.time_left());
     let id = &call.request.id;
     let stopped = stopping::stop(front, id, &loss.target, &to, timeout).await;
--- a/components/front/src/generations/relay/resuming.rs
+++ b/components/front/src/generations/relay/resuming.rs
@@ -206,8 +206,7 @@
     async fn stop_running(&mut self) -> Result<Option<(Arc<Target>, Resume)>, Arc<str>> {
         let mut copy = None;
         while let Some(engine) = self.running.last().cloned() {
-            let to = stopping::any_other_engine(&self.front, &engine)
-                .ok_or("no other engine is left")?;
+            let to = stopping::any_destination(&self.front, &engine);
             let timeout = patience(self.call.route.objective, self.call.time_left());
             let id = &self.call.request.id;
             let stopped = stopping::stop(&self.front, id, &engine, &to, timeout).await;
--- a/components/front/src/generations/stopping.rs
+++ b/components/front/src/generations/stopping.rs
@@ -196,6 +196,18 @@
     });
 }
 
+/// An engine to name as the destination where no copy is needed: best one that could use it, else any other one,
+/// else the engine itself.
+pub fn any_destination(front: &Front, source: &Arc<Target>) -> Arc<Target> {
+    any_other_engine(front, source).unwrap_or_else(|| {
+        let listed = front.view.targets();
+        let mut others = listed
+            .values()
+            .filter(|target| target.service == source.service && target.id != source.id);
+        Arc::clone(others.next().unwrap_or(source))
+    })
+}
+
 /// Any other engine of the service that accepts work and has the same weights, for a copy.
 pub fn any_other_engine(front: &Front, source: &Target) -> Option<Arc<Target>> {
     let choice = front.rollouts.destinations(boot_time(), source);
--- a/tests/platform/resuming.rs
+++ b/tests/platform/resuming.rs
@@ -127,6 +127,27 @@
     });
 }
 
+/// The same where the only other engine has other weights. Guards against an engine that has ended and can't be
+/// told to stop, as no engine could take its memory.
+#[test]
+fn a_stream_that_was_lost_before_its_first_event_runs_at_an_engine_with_other_weights() {
+    smol::block_on(async {
+        let (platform, instance) = start("other-weights").await;
+        platform.engines[0].set_faults(Faults {
+            event_interval: Some(Duration::from_secs(2)),
+            ..Faults::default()
+        });
+        let resp = send(&instance, "g-1", 0).await;
+        assert_eq!(platform.engines[0].active_count(), 1);
+        platform.engines[1].load_weights(2);
+        let listing = platform.engines[1].listing("drafts", "dc-1", "ready");
+        platform.store.put("servers", "e-2", listing);
+        Timer::after(STREAM_START_DELAY).await;
+        platform.engines[0].crash();
+        assert_whole(&read_answer(resp).await);
+    });
+}
+
 /// An engine answers with an error of its own. Without a second attempt the caller gets it although another
 /// engine is sound.
 #[test]
