--- a/components/bench/src/process.rs
+++ b/components/bench/src/process.rs
@@ -176,11 +176,7 @@
     /// Resident memory in bytes, 0 if unknown.
     #[must_use]
     pub fn memory(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let text = std::fs::read_to_string(path).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-        kib.unwrap_or(0) * 1024
+        status_kb(self.child.id(), "VmRSS:") * 1024
     }
 
     /// Open descriptors, 0 if unknown.
@@ -284,3 +280,17 @@
         set_socket_reuseaddr(&probe, true).is_ok() && bind(&probe, &addr).is_ok()
     })
 }
+
+/// The peak of the resident memory of a process since its start in kilobytes, 0 if unknown.
+#[must_use]
+pub fn peak_memory_kb(process: u32) -> u64 {
+    status_kb(process, "VmHWM:")
+}
+
+/// A figure of a process's status in kilobytes, 0 if unknown.
+fn status_kb(process: u32, name: &str) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    let kb = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    kb.unwrap_or(0)
+}
--- a/tests/platform/floods.rs
+++ b/tests/platform/floods.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::BTreeSet,
-    fs,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -10,17 +9,22 @@
 use platform_standin::peer::Peer;
 use smol::Timer;
 
-use crate::support::{Caller, Flood, Instance, Mode, Platform, Proxy, ReceivedAnswer, eventually};
+use crate::support::{
+    Caller, Flood, Instance, Mode, Platform, Proxy, ReceivedAnswer, check_peak_memory, eventually,
+};
 
-const FLOODS: [Flood; 5] = [
+/// All kinds of floods.
+pub const FLOODS: [Flood; 5] = [
     Flood::Line,
     Flood::Interim,
     Flood::Body,
     Flood::Comments,
     Flood::Events,
 ];
-/// Requests of each kind during a flood.
-const REQUESTS: usize = 12;
+/// Requests of each kind at the same time during a flood.
+pub const REQUESTS: usize = 40;
+/// Generations at the same time after a flood.
+const LATER_GENERATIONS: usize = 12;
 /// Retries of a request whose connection was closed unread.
 const MAX_RETRIES: usize = 10;
 /// The longest time for an answer: the longest timeout of a route, and half a second.
@@ -28,22 +32,11 @@
 /// Generations of 30 that an engine which answers none may lose: three until it is avoided, and one after each
 /// time of that.
 const MAX_LOST: usize = 7;
-/// Limit of the instance's memory. It has 110 MB on the users' machines.
-const MAX_MEMORY_KB: u64 = 110 * 1_024;
 /// Time within which a change must be in force.
 const CONFIGURATION_TIME: Duration = Duration::from_secs(2);
 
-/// The resident memory of an instance in kilobytes.
-fn memory_kb(instance: &Instance) -> u64 {
-    let path = format!("/proc/{}/status", instance.process_id());
-    let status = fs::read_to_string(path).unwrap_or_default();
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
-    let kb = line.and_then(|line| line.split_whitespace().nth(1));
-    kb.and_then(|kb| kb.parse().ok()).unwrap_or_default()
-}
-
 /// Waits until all floods of a link have ended, which they do only as the instance closes connections.
-async fn await_end(link: &Proxy) {
+pub async fn await_end(link: &Proxy) {
     eventually("all floods have ended", || async {
         link.ended_floods() == link.begun_floods()
     })
@@ -84,8 +77,7 @@
             }
             await_end(plain).await;
             await_end(engine).await;
-            let memory = memory_kb(&instance);
-            assert!(memory < MAX_MEMORY_KB, "{flood:?}: {memory} kB");
+            check_peak_memory(&instance, &format!("{flood:?}"));
             for link in [plain, engine] {
                 link.set_mode(Mode::Pass);
             }
@@ -98,7 +90,7 @@
 ///
 /// # Errors
 /// Returns which one had no answer in time, or another answer than a sound one.
-async fn send_each_kind(addr: SocketAddr, name: &str) -> Result<Vec<String>, String> {
+pub async fn send_each_kind(addr: SocketAddr, name: &str) -> Result<Vec<String>, String> {
     let caller = Caller::new("key-1");
     let mut denied = Vec::new();
     for kind in ["titles", "grants", "drafts"] {
@@ -124,7 +116,7 @@
 }
 
 /// Checks that requests of each kind are served, several at a time.
-async fn served_again(instance: &Instance, name: &str) {
+pub async fn served_again(instance: &Instance, name: &str) {
     let caller = Caller::new("key-1");
     eventually("all kinds are served again", || async {
         let id = format!("{name}-probe-{}", fastrand::u64(..));
@@ -134,7 +126,7 @@
         plain.status == 200 && generation.status == 200 && generation.is_complete
     })
     .await;
-    let senders = (0..REQUESTS).map(|number| {
+    let senders = (0..LATER_GENERATIONS).map(|number| {
         let (addr, id) = (instance.addr, format!("{name}-again-{number}"));
         smol::spawn(async move {
             let caller = Caller::new("key-1");
@@ -185,8 +177,7 @@
                 assert_eq!(got.status, 200, "{id}: {}", got.body);
                 Timer::after(Duration::from_millis(100)).await;
             }
-            let memory = memory_kb(&instance);
-            assert!(memory < MAX_MEMORY_KB, "{flood:?}: {memory} kB");
+            check_peak_memory(&instance, &format!("{flood:?}"));
             link.set_mode(Mode::Pass);
             await_end(&link).await;
             let key = format!("key-of-{number}");
@@ -228,8 +219,7 @@
                 let id = format!("new-{number}");
                 let got = get_title(&newcomer, instance, &id).await;
                 assert_eq!(got.status, 200, "{flood:?}, {number}: {}", got.body);
-                let memory = memory_kb(instance);
-                assert!(memory < MAX_MEMORY_KB, "{flood:?}: {memory} kB");
+                check_peak_memory(instance, &format!("{flood:?}"));
             }
             await_end(&faulty).await;
         }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod floods;
 mod generations;
 mod limits;
+mod memory;
 mod odd_entries;
 mod one_run;
 mod prompt_parts;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use bench::process::free_addr;
+use bench::process::{free_addr, peak_memory_kb};
 use derive_more::Deref;
 use http_body_util::Full;
 use hyper::Request;
@@ -33,6 +33,8 @@
 const EVENTUALLY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Environment variable that names a folder in which the output of all instances is kept.
 const KEPT_LOGS: &str = "CELERYSTAND_TEST_LOGS";
+/// Limit of an instance's memory on the users' smallest machines.
+const MAX_MEMORY_KB: u64 = 88 * 1_024;
 /// Time between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -371,6 +373,11 @@
         self.child.id()
     }
 
+    /// The peak of the resident memory since the start of the process, in kilobytes; 0 if it can't be read.
+    pub fn peak_memory_kb(&self) -> u64 {
+        peak_memory_kb(self.child.id())
+    }
+
     /// How often each event was logged.
     pub fn event_counts(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
@@ -467,6 +474,12 @@
     .await;
 }
 
+/// Checks the peak of an instance's resident memory since its start.
+pub fn check_peak_memory(instance: &Instance, name: &str) {
+    let peak = instance.peak_memory_kb();
+    assert!(peak > 0 && peak < MAX_MEMORY_KB, "{name}: {peak} kB");
+}
+
 /// Requests a page; returns the status, or `None` if no answer arrived.
 pub async fn status(addr: SocketAddr, path: &str) -> Option<u16> {
     page(addr, path).await.map(|answer| answer.status)
--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -36,6 +36,10 @@
 const FIRST_CALL_DELAY: Duration = Duration::from_millis(10);
 /// How long the end of an instance is awaited after a planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time from the order to stop until the platform kills a process that has not ended.
+const KILL_AFTER: Duration = Duration::from_secs(30);
+/// Latency of services that do not answer before then.
+const ENDLESS_LATENCY_MS: f64 = 120_000.0;
 /// Latency of the services: longer than an idle instance takes to end.
 const LATENCY_MS: f64 = 900.0;
 /// Calls to each instance as it stops accepting connections.
@@ -297,3 +301,32 @@
         assert!(deployment.stop_instance(0, STOP_TIMEOUT).await);
     });
 }
+
+/// Guards against a stop without a time limit: the platform kills the process, and its callers get no answer.
+#[test]
+fn calls_that_outlast_a_stop_are_answered_before_the_process_is_killed() {
+    let mut plan = plan();
+    plan.replica.latency_ms = ENDLESS_LATENCY_MS;
+    for path in [
+        "/services/viewer/routes/saves",
+        "/services/viewer/routes/lookups",
+    ] {
+        let route = plan.tree.get_mut(path).expect("a route");
+        route.knobs.deadline_ms = Some(ENDLESS_LATENCY_MS as u64);
+    }
+    let mut started = support::start(&plan);
+    let deployment = &mut started.deployment;
+    smol::block_on(async {
+        let addr = deployment.instances[0].listen;
+        let early = send_at_once(addr, "early");
+        deployment.signal(0, Signal::Terminate);
+        until_draining(deployment, 0).await;
+        let late = send_at_once(addr, "late");
+        let answers = [early, late].map(|stream| unblock(|| read_status(stream)));
+        let ended = deployment.stop_instance(0, KILL_AFTER).await;
+        assert!(ended, "{}", deployment.tail(0));
+        for answer in answers {
+            assert_eq!(answer.await, Some(504), "{}", deployment.tail(0));
+        }
+    });
+}
