Users' platform: all that is kept counts against one memory budget

What callers would have seen: while targets send answers without end, or callers do not read large ones, an instance takes more than its machine's memory and is ended, and all its other callers lose their answers.

Cause: each answer might take 8 MiB, each event 256 KiB, each message 4 MiB, and a budget of a quarter of the memory counted the bodies of requests alone. The HTTP library copied what it was about to write, and joining a body took it twice.

Change: connections, requests, heads that arrive, bodies, buffered answers until they are written (Share::hold), large and incomplete events, messages, answers of the store and the cached tables count against that one budget. Connections and large holders leave a quarter of it, new requests an eighth, so that small requests are served meanwhile. Beyond it a connection is closed unread, a request gets 503 before it is sent, an answer of unknown length 502; one of known length waits for room until its deadline. Bodies are handed to the HTTP library in slices of 16 KiB; relayed answers wait in two chunks, not 16.

--- a/components/front/src/callers/call.rs
+++ b/components/front/src/callers/call.rs
@@ -29,7 +29,7 @@
     pub head: http::request::Parts,
     /// The body.
     pub body: Bytes,
-    /// The share of the memory budget that the body takes up. Clones share it.
+    /// The share of the memory budget that the request and its body take up. Clones share it.
     pub memory: Arc<Share>,
     /// The route that matches the request.
     pub route: Arc<Route>,
--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -23,7 +23,7 @@
     state::{Front, elapsed_since},
 };
 
-/// `Retry-After` of a request whose body does not fit into the memory budget.
+/// `Retry-After` of a request that does not fit into the memory budget.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Maximum age of a configuration by which requests are denied; an older one may lack a route or a
 /// key.
@@ -35,6 +35,8 @@
 /// Time for an answer if the route sets no timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Reason of the refusal of a request for which there is no memory.
+const MEMORY_REASON: &str = "this instance's memory is in use";
 /// Reason of the refusal of requests that outlast the instance.
 const SHUTDOWN_REASON: &str = "the instance stops before it would end";
 
@@ -65,7 +67,10 @@
         let (head, body) = req.into_parts();
         // The body is read to its end before any answer is sent: a connection that is closed with
         // unread bytes is reset, and the answer may be lost with it.
-        let body = self.read_body(body).await;
+        let body = match self.front.memory.reserve_request() {
+            Some(memory) => self.read_body(body, memory).await,
+            None => Err(Refusal::not_run(MEMORY_REASON, MEMORY_RETRY_AFTER)),
+        };
         let request = match self.front.adapter.parse_request(&head) {
             Ok(request) => request,
             Err(e) => {
@@ -140,7 +145,7 @@
         }
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<BufferedBody, Refusal> {
+    async fn read_body(&self, body: Incoming, mut memory: Share) -> Result<BufferedBody, Refusal> {
         let limits = self
             .front
             .view
@@ -148,7 +153,6 @@
             .and_then(|rules| rules.request_limits);
         let limit = limits.map_or(DEFAULT_BODY_BYTES, |limits| limits.body_bytes);
         let pause = limits.map_or(DEFAULT_BODY_PAUSE, |limits| limits.header_timeout);
-        let mut memory = self.front.body_budget.share();
         let reading = async { Some(read_shared(body, limit, pause, &mut memory).await) };
         let aborted = async {
             self.front.shutdown.aborted().await;
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -14,7 +14,7 @@
     header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
     http::response::Parts,
 };
-use net::BodyAborted;
+use net::{BodyAborted, Share};
 use placing::GenerationUpdate;
 use smol::future;
 use timer::{Timer, boot_time};
@@ -44,6 +44,8 @@
     state::Front,
 };
 
+/// Why a stream ends for which there is no memory.
+const NO_MEMORY: &str = "no memory is left for an event";
 /// The type of a body that consists of events.
 const EVENT_STREAM: &str = "text/event-stream";
 /// Time for the last events of a stopped engine to arrive and for its stream to close.
@@ -55,6 +57,9 @@
 const SLOW_READING: Duration = Duration::from_millis(5);
 /// Events of a stream beyond one for each token: comments, counts of tokens, the mark of its end.
 const MAX_EXTRA_EVENTS: u64 = 64;
+/// Bytes of an incomplete event, and of each event that waits for the caller, for which the memory of the request
+/// suffices.
+const UNCOUNTED_BYTES: usize = 1_024;
 /// Channel to the body of the response to the caller.
 pub type EventSender = Sender<Result<Bytes, BodyAborted>>;
 
@@ -74,6 +79,8 @@
     /// Whether the body consists of events.
     has_events: bool,
     splitter: EventSplitter,
+    /// The memory of an incomplete event beyond [`UNCOUNTED_BYTES`].
+    memory: Share,
     /// Id of the last event that the caller has received.
     last_event: Option<u64>,
     /// Whether an event was forwarded in this response.
@@ -127,6 +134,7 @@
     #[must_use]
     pub fn new(front: Arc<Front>, call: Call, started: Started) -> Self {
         let last_event = call.caller_last_event();
+        let memory = front.memory.share();
         let percent = started.load.and_then(|load| load.work_time_percent);
         Self {
             front,
@@ -138,6 +146,7 @@
             body: Some(started.body),
             attempts: started.attempts,
             splitter: EventSplitter::new(),
+            memory,
             last_event,
             has_begun: false,
             has_unnumbered: false,
@@ -303,13 +312,7 @@
     /// Forwards the events that are complete after these bytes.
     async fn forward(&mut self, bytes: &[u8], out: &EventSender) -> Result<(), RelayEnd> {
         if self.splitter.push(bytes).is_err() {
-            // Closes the connection: whatever follows is not the answer.
-            self.body = None;
-            self.splitter = EventSplitter::new();
-            return Err(RelayEnd::EngineFailed {
-                cause: Cause::ConnectionLost,
-                reason: "an event exceeds the size limit".into(),
-            });
+            return Err(self.give_up_event("an event exceeds the size limit"));
         }
         let mut ready = Vec::new();
         let received_at = boot_time();
@@ -328,7 +331,14 @@
                     "the engine sends more events than were asked for".into(),
                 ));
             }
-            ready.push(event.bytes);
+            let Some(bytes) = self.hold(event.bytes) else {
+                return Err(self.give_up_event(NO_MEMORY));
+            };
+            ready.push(bytes);
+        }
+        let buffered = self.splitter.buffered();
+        if !self.memory.resize(buffered.saturating_sub(UNCOUNTED_BYTES)) {
+            return Err(self.give_up_event(NO_MEMORY));
         }
         for event in ready {
             out.send(Ok(event))
@@ -341,6 +351,28 @@
         Ok(())
     }
 
+    /// Gives up the stream of an engine because of an event. Closes the connection: whatever follows is not the
+    /// answer.
+    fn give_up_event(&mut self, reason: &str) -> RelayEnd {
+        self.body = None;
+        self.splitter = EventSplitter::new();
+        // Releasing always succeeds.
+        let _ = self.memory.resize(0);
+        RelayEnd::EngineFailed {
+            cause: Cause::ConnectionLost,
+            reason: reason.into(),
+        }
+    }
+
+    /// An event as it waits for the caller: a large one counts against the memory budget until it is written.
+    /// None if there is no room for it.
+    fn hold(&self, event: Bytes) -> Option<Bytes> {
+        if event.len() <= UNCOUNTED_BYTES {
+            return Some(event);
+        }
+        self.front.memory.hold(event)
+    }
+
     /// Whether more events have come than the generation may have tokens.
     fn has_too_many_events(&self) -> bool {
         let known = self.call.caller_last_event().unwrap_or_default();
--- a/components/front/src/generations/splitter.rs
+++ b/components/front/src/generations/splitter.rs
@@ -60,6 +60,12 @@
         })
     }
 
+    /// Bytes of an incomplete event that are buffered.
+    #[must_use]
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether no incomplete event is buffered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/components/front/src/instances/message_handler.rs
+++ b/components/front/src/instances/message_handler.rs
@@ -5,7 +5,7 @@
 use async_channel::bounded;
 use async_trait::async_trait;
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Handler, Reply as HttpReply, full, read_limited};
+use net::{Body, Handler, Reply as HttpReply, SharedError, full, read_shared};
 use placing::{Migration, MigrationOutcome};
 use rollouts::Directive;
 use timer::boot_time;
@@ -241,16 +241,30 @@
         if req.uri().path() != MESSAGES_PATH {
             return HttpReply::new(404).done();
         }
-        let Ok(body) = read_limited(req.into_body(), MAX_MESSAGE_BYTES, BODY_PAUSE).await else {
-            return HttpReply::new(400).done();
+        let mut memory = self.front.memory.share();
+        let body = read_shared(req.into_body(), MAX_MESSAGE_BYTES, BODY_PAUSE, &mut memory);
+        let body = match body.await {
+            Ok(body) => body,
+            Err(SharedError::Body(_)) => return HttpReply::new(400).done(),
+            Err(SharedError::BudgetExhausted) => return no_memory(),
         };
         let Ok(message) = rmp_serde::from_slice(&body) else {
             return HttpReply::text(400, "not a message").done();
         };
+        drop((body, memory));
         let reply = self.process(message).await;
         match rmp_serde::to_vec(&reply) {
-            Ok(buf) => HttpReply::new(200).with_body(full(buf)).done(),
+            // An update of all rows may be large, and many instances may ask for one at the same time.
+            Ok(buf) => match self.front.memory.hold(buf.into()) {
+                Some(buf) => HttpReply::new(200).with_body(full(buf)).done(),
+                None => no_memory(),
+            },
             Err(e) => HttpReply::text(500, e.to_string()).done(),
         }
     }
 }
+
+/// The answer to a message that there is no memory for.
+fn no_memory() -> Response<Body> {
+    HttpReply::text(503, "no memory is left").done()
+}
--- a/components/front/src/instances/peers.rs
+++ b/components/front/src/instances/peers.rs
@@ -18,7 +18,7 @@
 use events::{Event, emit};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
-use net::{Client, SendError, SendRules, read_limited};
+use net::{Budget, Client, SendError, SendRules, read_shared};
 use parking_lot::Mutex;
 use placing::{OwnerCandidate, rank_owners};
 use prometheus_client::metrics::{counter::Counter, family::Family};
@@ -94,6 +94,8 @@
     timer: Timer,
     /// Counts the bytes of messages and replies.
     bytes: Family<PeerBytesLabels, Counter>,
+    /// The memory that replies count against.
+    memory: Budget,
 }
 
 impl Peers {
@@ -108,9 +110,17 @@
             client,
             timer: Timer::new(),
             bytes: Family::default(),
+            memory: Budget::unlimited(),
         }
     }
 
+    /// Sets the budget that replies count against while they are read.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Budget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Sets whether instances with more capacity come first as owners and readers; else the order
     /// is by hash alone.
     #[must_use]
@@ -409,7 +419,8 @@
             let body = resp.into_body();
             // The timeout covers the head only: all listings of a large service take a second over
             // a narrow link.
-            let body = read_limited(body, MAX_MESSAGE_BYTES, BODY_PAUSE).await;
+            let mut memory = self.memory.share();
+            let body = read_shared(body, MAX_MESSAGE_BYTES, BODY_PAUSE, &mut memory).await;
             let body = body.map_err(|e| failed(&e))?;
             self.count_bytes(message, "in", is_local, body.len());
             rmp_serde::from_slice(&body).map_err(|e| failed(&e))
--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -90,6 +90,14 @@
     pub version: StoreVersion,
 }
 
+impl Row {
+    /// Bytes of the key and the content.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, |value| value.len())
+    }
+}
+
 /// All rows of a topic, or those that have changed since a version.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TopicUpdate {
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -37,4 +37,4 @@
 pub use instances::wire::{Member, Row, Topic, TopicUpdate};
 pub use quarantine::record::{QuarantineRecord, RejectedPart};
 pub use rollouts::record::{RolloutRecord, RolloutState, StoredRollout};
-pub use run::{Adapters, Signals, serve};
+pub use run::{Adapters, Signals, memory_budget, serve};
--- a/components/front/src/metrics.rs
+++ b/components/front/src/metrics.rs
@@ -177,6 +177,8 @@
     pub listening_pauses: Counter,
     /// Connections of callers that were closed after an answer for want of processor time.
     pub shed: Counter,
+    /// Answers of targets that were not passed on because there was no memory for them.
+    pub answers_without_memory: Counter,
     /// Plain calls refused because this instance's share of connections to the targets was in use.
     pub share_refusals: Counter,
 }
@@ -224,6 +226,7 @@
             closed_unread: Counter::default(),
             listening_pauses: Counter::default(),
             shed: Counter::default(),
+            answers_without_memory: Counter::default(),
             share_refusals: Counter::default(),
             registry: Registry::default(),
         };
@@ -358,6 +361,11 @@
             "Time from the acceptance of a connection to its first turn on a worker thread",
             all.turn_seconds.clone(),
         );
+        registry.register(
+            "answers_without_memory",
+            "Answers of targets that were not passed on because there was no memory for them",
+            all.answers_without_memory.clone(),
+        );
         registry.register(
             "closed_unread",
             "Connections of callers that were closed unread for want of processor time",
--- a/components/front/src/reaching/server.rs
+++ b/components/front/src/reaching/server.rs
@@ -12,7 +12,10 @@
 use events::{Event, emit};
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, StatusCode, body::Incoming};
-use net::{Body, BodyAborted, ConnectionUse, SendError, SendRules, empty, read_shared, task_body};
+use net::{
+    Body, BodyAborted, ConnectionUse, SendError, SendRules, Share, empty, read_shared,
+    short_task_body,
+};
 use reach::Path;
 use timer::boot_time;
 use view::Target;
@@ -50,15 +53,23 @@
 }
 
 /// One request of another instance, until its answer has been passed on.
-struct OthersRequest(Arc<Front>);
+struct OthersRequest {
+    front: Arc<Front>,
+    /// The memory of the request and of its body.
+    memory: Share,
+}
 
 impl OthersRequest {
-    /// Begins a request, unless as many as this instance relays are under way, or it is stopping.
+    /// Begins a request, unless as many as this instance relays are under way, it has no memory for it, or it
+    /// is stopping.
     fn begin(front: &Arc<Front>) -> Option<Self> {
         if front.shutdown.time_left().is_some() {
             return None;
         }
-        let guard = Self(Arc::clone(front));
+        let guard = Self {
+            front: Arc::clone(front),
+            memory: front.memory.reserve_request()?,
+        };
         let before = front.others_requests.count.fetch_add(1, Ordering::AcqRel);
         (before < limit(front)).then_some(guard)
     }
@@ -66,7 +77,10 @@
 
 impl Drop for OthersRequest {
     fn drop(&mut self) {
-        self.0.others_requests.count.fetch_sub(1, Ordering::AcqRel);
+        self.front
+            .others_requests
+            .count
+            .fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -145,12 +159,11 @@
     if !front.peers.is_member(&envelope.from, sender.ip()) {
         return Err(Failure::declined("the sender is no known instance"));
     }
-    let guard = OthersRequest::begin(front)
-        .ok_or_else(|| Failure::declined("enough requests, or stopping"))?;
+    let mut guard = OthersRequest::begin(front)
+        .ok_or_else(|| Failure::declined("enough requests, no memory, or stopping"))?;
     let target = reachable_target(front, envelope).await?;
     let (head, body) = req.into_parts();
-    let mut memory = front.body_budget.share();
-    let body = read_shared(body, MAX_BODY_BYTES, BODY_PAUSE, &mut memory)
+    let body = read_shared(body, MAX_BODY_BYTES, BODY_PAUSE, &mut guard.memory)
         .await
         .map_err(|_| Failure::declined("the body can't be read"))?;
     let mut req = Request::from_parts(head, Full::new(body));
@@ -258,7 +271,7 @@
         signals::observe(front, source.target, parsed.signals);
     }
     source.log_unforwarded(front, &head, &parsed, connection);
-    let mut resp = Response::new(task_body(move |tx| forward(body, tx, guard)));
+    let mut resp = Response::new(short_task_body(move |tx| forward(body, tx, guard)));
     *resp.status_mut() = head.status;
     *resp.headers_mut() = head.headers;
     envelope::write_framing(resp.headers_mut());
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -11,7 +11,7 @@
 
 use errors::{Context, Result};
 use events::{Event, emit};
-use net::{Client, DynamicLimits, Handler, ServeLimits, Server};
+use net::{Budget, Client, DynamicLimits, Handler, ServeLimits, Server};
 use parking_lot::{Mutex, RwLock};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use timer::boot_time;
@@ -46,8 +46,9 @@
 /// Timeout for connecting to the store or a peer. They are a few milliseconds away, and a
 /// lost SYN packet is retransmitted only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Request bodies together may take the process's memory divided by this.
-const BODY_MEMORY_DIVISOR: usize = 4;
+/// All that is kept for callers, targets and other instances may take the process's memory divided by this. The
+/// rest is for the instance's own state, for copies while messages are encoded, and for the allocator.
+const MEMORY_DIVISOR: usize = 4;
 /// The most bytes of request headers before the configuration is known. Callers of the platform
 /// stay within 16 KiB.
 const MAX_HEADER_BYTES: usize = 32 * 1_024;
@@ -65,6 +66,14 @@
     pub store: Arc<dyn Store>,
     /// Rereads the settings.
     pub reload: reload::Read,
+    /// The memory for all that is kept for callers, targets and other instances, of [`memory_budget`].
+    pub memory: Budget,
+}
+
+/// The memory for all that an instance keeps for callers, targets and other instances.
+#[must_use]
+pub fn memory_budget(cfg: &Config) -> Budget {
+    Budget::new(cfg.memory / MEMORY_DIVISOR)
 }
 
 /// Flags that are set when a signal arrives.
@@ -120,6 +129,7 @@
     let callers = callers
         .await?
         .with_dynamic_limits(Arc::clone(&front.connection_limits))
+        .with_memory(front.memory.clone())
         .with_intake(Arc::new(CallerIntake::new(Arc::clone(&front))));
     let messages = MessageHandler::new(Arc::clone(&front));
     let peers = listen(front.cfg.peers, ServeLimits::default(), messages).await?;
@@ -183,12 +193,13 @@
         client: Client::new().with_connect_timeout(paths::CONNECT_TIMEOUT),
         peers: Peers::new(me, Client::new().with_connect_timeout(CONNECT_TIMEOUT))
             .with_capacity_order(cfg.decisions.features.capacity_order)
+            .with_memory(adapters.memory.clone())
             .with_byte_counter(metrics.peer_bytes.clone()),
         placement: Placement::new(cfg.decisions.placing),
         generations: ActiveGenerations::default(),
-        operator_rows: Arc::new(TopicCache::new()),
-        target_rows: Arc::new(TopicCache::new()),
-        member_rows: Arc::new(TopicCache::new()),
+        operator_rows: Arc::new(TopicCache::new().with_memory(&adapters.memory)),
+        target_rows: Arc::new(TopicCache::new().with_memory(&adapters.memory)),
+        member_rows: Arc::new(TopicCache::new().with_memory(&adapters.memory)),
         selector: Mutex::new(TargetSelector::new(
             cfg.decisions.features.locality,
             cfg.decisions.features.ejection,
@@ -212,7 +223,7 @@
         part_quarantine: Mutex::default(),
         rollouts: Rollouts::default(),
         recent_crashes: RecentCrashes::default(),
-        body_budget: net::Budget::new(cfg.memory / BODY_MEMORY_DIVISOR),
+        memory: adapters.memory.clone(),
         shutdown: Shutdown::default(),
         peers_known: Latch::default(),
         intake_limit: Mutex::default(),
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -5,12 +5,12 @@
 use ::quarantine::Assessment;
 use bytes::Bytes;
 use events::{Event, emit};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, http};
-use net::{Body, SendError, SendRules, full};
+use net::{Body, BodyError, SendError, SendRules, SharedError, full, read_held};
 use parking_lot::Mutex;
 use reach::Path;
-use timer::{Timer, boot_time};
+use timer::boot_time;
 use types::{InstanceId, Moment};
 use view::Target;
 
@@ -337,7 +337,8 @@
 /// The most bytes of an answer that is buffered before it is forwarded.
 const MAX_BUFFERED_BYTES: usize = 8 * 1_024 * 1_024;
 
-/// Reads an answer to its end, for at most `timeout`.
+/// Reads an answer to its end, for at most `timeout`. It counts against the memory budget until the caller has
+/// got it.
 ///
 /// # Errors
 /// Returns why the answer is incomplete.
@@ -347,13 +348,15 @@
     body: Incoming,
     timeout: Duration,
 ) -> Result<Response<Body>, Arc<str>> {
-    let body = http_body_util::Limited::new(body, MAX_BUFFERED_BYTES).collect();
-    let body = Timer::new().within(timeout, body).await;
-    let bytes = match body {
-        Some(Ok(body)) => body.to_bytes(),
-        Some(Err(e)) => return Err(format!("the answer broke off: {e}").into()),
-        None => return Err("the answer did not end in time".into()),
-    };
+    let read = read_held(body, MAX_BUFFERED_BYTES, timeout, &front.memory).await;
+    let bytes = read.map_err(|e| match e {
+        SharedError::Body(BodyError::TooSlow) => "the answer did not end in time".to_owned(),
+        SharedError::Body(e) => format!("the answer broke off: {e}"),
+        SharedError::BudgetExhausted => {
+            front.metrics.answers_without_memory.inc();
+            format!("no memory is left for the answer: {e}")
+        }
+    })?;
     let mut resp = Response::new(full(bytes));
     *resp.status_mut() = head.status;
     *resp.headers_mut() = front.adapter.forwarded_headers(head);
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -108,8 +108,8 @@
     pub rollouts: Rollouts,
     /// Targets that have crashed recently.
     pub recent_crashes: RecentCrashes,
-    /// The budget of bytes for all request bodies together.
-    pub body_budget: net::Budget,
+    /// The memory for all that is kept for callers, targets and other instances.
+    pub memory: net::Budget,
     /// Shutdown of this instance.
     pub shutdown: Shutdown,
     /// Opened once the other instances have been read from the store or a seed, or the store has
--- a/components/front/src/store/topic_cache.rs
+++ b/components/front/src/store/topic_cache.rs
@@ -9,6 +9,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_channel::{Receiver, Sender, bounded};
+use net::{Budget, Share};
 use parking_lot::{Mutex, MutexGuard};
 use timer::{Timer, boot_time};
 use types::{Moment, StoreVersion};
@@ -82,10 +83,12 @@
     }
 }
 
-/// The cached rows of one topic.
+/// The cached rows of one topic. Of its locks that of the rows is taken first.
 #[derive(Debug, Default)]
 pub struct TopicCache {
     rows: Mutex<Rows>,
+    /// The memory of the rows.
+    memory: Mutex<Option<Share>>,
 }
 
 impl TopicCache {
@@ -95,6 +98,13 @@
         Self::default()
     }
 
+    /// Sets the budget that the rows count against.
+    #[must_use]
+    pub fn with_memory(mut self, memory: &Budget) -> Self {
+        self.memory = Mutex::new(Some(memory.share()));
+        self
+    }
+
     /// The cached version, if there is one.
     #[must_use]
     pub fn version(&self) -> Option<StoreVersion> {
@@ -122,10 +132,23 @@
             rows.confirmed_at = rows.confirmed_at.max(Some(read_at));
         }
         expire_tombstones(&mut rows);
+        if !changed.is_empty() {
+            self.count_memory(&rows);
+        }
         wake(rows);
         changed
     }
 
+    /// Counts the rows. Rows for which the budget has no room are kept all the same: the instance can't serve
+    /// without them, and less is then left for others.
+    fn count_memory(&self, rows: &Rows) {
+        if let Some(memory) = self.memory.lock().as_mut() {
+            let size = rows.rows.values().map(Row::size).sum();
+            // Counted again with the next change.
+            let _ = memory.resize(size);
+        }
+    }
+
     /// Records whether this instance has no source, and wakes all that wait: an instance without a
     /// source should not keep its followers waiting.
     pub fn set_source_lost(&self, source_lost: bool) {
--- a/components/net/src/body.rs
+++ b/components/net/src/body.rs
@@ -39,6 +39,11 @@
 /// of one byte at a time, each just in time, would hold a connection and its buffers for days.
 const BODY_TIMEOUT_FACTOR: u32 = 6;
 
+/// The most bytes that are allocated before any of a body has arrived.
+const MAX_INITIAL_BYTES: usize = 64 * 1_024;
+/// Time between two looks at whether a budget has room.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Reads a whole body of at most `limit` bytes, waiting at most `frame_timeout` for each frame and
 /// `BODY_TIMEOUT_FACTOR` times that for the whole body.
 ///
@@ -49,11 +54,11 @@
     limit: usize,
     frame_timeout: Duration,
 ) -> Result<Bytes, BodyError> {
-    let mut share = Budget::new(limit).share();
+    let mut share = Budget::unlimited().share();
     let read = read_shared(body, limit, frame_timeout, &mut share).await;
     read.map_err(|e| match e {
         SharedError::Body(e) => e,
-        // No other body uses this budget.
+        // The budget is never used up.
         SharedError::BudgetExhausted => BodyError::TooLarge,
     })
 }
@@ -87,7 +92,8 @@
     share: &mut Share,
 ) -> Result<Bytes, SharedError> {
     let mut timer = ReusableTimeout::new();
-    let mut buf = BytesMut::new();
+    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
+    let mut buf = BytesMut::with_capacity(expected.min(MAX_INITIAL_BYTES));
     loop {
         let frame = timer
             .within(frame_timeout, body.frame())
@@ -110,6 +116,47 @@
     }
 }
 
+/// Reads a body as [`read_shared`] does, at most for `timeout`. Its bytes count against `budget` until their last
+/// clone is dropped.
+///
+/// A body of known length waits until the budget has room for all of it: one that has room for a part only
+/// would hold that part in vain.
+///
+/// # Errors
+/// Fails if the body can't be read in time, or if the budget has no room for it.
+pub async fn read_held(
+    body: Incoming,
+    limit: usize,
+    timeout: Duration,
+    budget: &Budget,
+) -> Result<Bytes, SharedError> {
+    let read = async {
+        if body.size_hint().lower() > limit as u64 {
+            return Err(BodyError::TooLarge.into());
+        }
+        let mut share = budget.share();
+        let length = body.size_hint().exact();
+        let length = length.and_then(|length| usize::try_from(length).ok());
+        if let Some(length) = length {
+            wait_for_room(&mut share, length).await;
+            let read = read_frames(body, limit, timeout, &mut Budget::unlimited().share()).await?;
+            return Ok(share.hold(read));
+        }
+        let read = read_frames(body, limit, timeout, &mut share).await?;
+        Ok(share.hold(read))
+    };
+    let read = Timer::new().within(timeout, read).await;
+    read.unwrap_or(Err(BodyError::TooSlow.into()))
+}
+
+/// Waits until the share has grown by this many bytes.
+async fn wait_for_room(share: &mut Share, bytes: usize) {
+    let mut ticks = Timer::new().every(ROOM_POLL_INTERVAL);
+    while !share.grow(bytes) {
+        ticks.next().await;
+    }
+}
+
 /// Reads the whole body of a trusted peer's response, of at most `limit` bytes within `timeout`.
 ///
 /// # Errors
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -26,6 +26,7 @@
 use crate::{
     bounded_stream::{BoundedStream, HeadBudget},
     pool::{Conn, Pool},
+    sliced::Sliced,
 };
 
 /// Limit on a connection's buffers, and so on one frame of a body and on a response's head.
@@ -108,7 +109,7 @@
 }
 
 /// The sending half of a connection.
-pub type Sender = SendRequest<Full<Bytes>>;
+pub type Sender = SendRequest<Sliced>;
 
 /// An HTTP client that keeps idle connections for reuse. Clones share the pool.
 #[derive(Clone)]
@@ -227,7 +228,7 @@
         rules: &dyn SendRules,
         has_left: &AtomicBool,
     ) -> Result<Response<Incoming>, SendError> {
-        let mut req = with_host(req, addr);
+        let mut req = with_host(req, addr).map(Sliced::new);
         if !rules.needs_new_connection() {
             let idle = self.pool.lock().take(addr);
             if let Some(conn) = idle {
@@ -248,7 +249,7 @@
         &self,
         addr: SocketAddr,
         mut conn: Conn,
-        req: Request<Full<Bytes>>,
+        req: Request<Sliced>,
         rules: &dyn SendRules,
         has_left: &AtomicBool,
     ) -> Result<Response<Incoming>, Failure> {
@@ -302,7 +303,7 @@
     /// Nothing was sent over it; the request may go over another one.
     Unsent {
         reason: Arc<str>,
-        req: Box<Request<Full<Bytes>>>,
+        req: Box<Request<Sliced>>,
     },
     /// The request is not sent again.
     Final(SendError),
--- a/components/net/src/connection.rs
+++ b/components/net/src/connection.rs
@@ -22,8 +22,10 @@
 use smol_hyper::rt::{FuturesIo, SmolTimer};
 
 use crate::{
+    budget::Share,
     intake::Intake,
     linger, panics,
+    read_meter::ReadMeter,
     reply::Body,
     serve::{Handler, ServeLimits},
     write_timeout::WriteTimeoutStream,
@@ -59,16 +61,16 @@
     pub retire: Arc<AtomicBool>,
     pub closing: Receiver<()>,
     pub accepted_at: Instant,
-    pub progress: Arc<Progress>,
+    pub progress: Progress,
 }
 
 /// What has been received over a connection so far.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Progress {
     /// The head of at least one request has arrived.
     has_request: AtomicBool,
-    /// Bytes have arrived since the last request was answered.
-    has_new_bytes: Arc<AtomicBool>,
+    /// What has been read.
+    meter: Arc<ReadMeter>,
     /// The last request has a body.
     has_body: AtomicBool,
     /// The last request uses HTTP/1.0.
@@ -76,7 +78,18 @@
 }
 
 impl Progress {
+    /// Nothing has been received. Heads count against the budget of `memory`, which holds nothing yet.
+    pub fn new(memory: Share) -> Self {
+        Self {
+            has_request: AtomicBool::new(false),
+            meter: Arc::new(ReadMeter::new(memory)),
+            has_body: AtomicBool::new(false),
+            is_http_1_0: AtomicBool::new(false),
+        }
+    }
+
     fn request_started(&self, req: &Request<Incoming>) {
+        self.meter.end_head();
         self.has_request.store(true, Ordering::Release);
         let is_http_1_0 = req.version() < Version::HTTP_11;
         self.is_http_1_0.store(is_http_1_0, Ordering::Release);
@@ -85,7 +98,7 @@
     }
 
     fn request_answered(&self) {
-        self.has_new_bytes.store(false, Ordering::Release);
+        self.meter.begin_head();
     }
 }
 
@@ -103,8 +116,8 @@
     /// Answers all requests of the connection. Returns how to close it.
     async fn serve_requests(&self, stream: TcpStream) -> CloseMode {
         let progress = &self.progress;
-        let stream = WriteTimeoutStream::new(stream, self.write_timeout)
-            .with_read_flag(&progress.has_new_bytes);
+        let stream =
+            WriteTimeoutStream::new(stream, self.write_timeout).with_meter(&progress.meter);
         let service = service_fn(|req| self.answer(req));
         let conn = http1::Builder::new()
             .timer(SmolTimer::new())
@@ -149,7 +162,7 @@
     /// shutdown hyper at once closes a connection on which no request is being answered, even if
     /// a part of one has arrived.
     async fn await_request_in_transit(&self) {
-        if self.progress.has_new_bytes.load(Ordering::Acquire) {
+        if self.progress.meter.has_new_bytes() {
             Timer::after(REQUEST_GRACE).await;
         } else if !self.progress.has_request.load(Ordering::Acquire) {
             Timer::at(self.accepted_at + REQUEST_GRACE).await;
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -11,16 +11,20 @@
 mod listener;
 mod panics;
 mod pool;
+mod read_meter;
 pub mod reply;
 pub mod retry_after;
 pub mod serve;
+mod sliced;
 mod write_timeout;
 
-pub use body::{BodyError, SharedError, read_all, read_limited, read_shared};
-pub use budget::{Budget, Share};
+pub use body::{BodyError, SharedError, read_all, read_held, read_limited, read_shared};
+pub use budget::{Budget, CONNECTION_BYTES, REQUEST_BYTES, Share};
 pub use client::{AnyConnection, Client, NewConnection, SendError, SendRules, Unsent};
 pub use connection_use::ConnectionUse;
 pub use intake::{Intake, Listening};
-pub use reply::{Body, BodyAborted, BodySender, Reply, channel, empty, full, task_body};
+pub use reply::{
+    Body, BodyAborted, BodySender, Reply, channel, empty, full, short_task_body, task_body,
+};
 pub use retry_after::retry_after;
 pub use serve::{ConnectionGuard, DynamicLimits, Handler, ServeLimits, Server};
--- a/components/net/src/reply.rs
+++ b/components/net/src/reply.rs
@@ -27,6 +27,8 @@
     stream::{self, Stream, StreamExt},
 };
 
+use crate::sliced::Sliced;
+
 /// The body can't be continued. The connection is closed without the end of the body, so that the
 /// receiver can tell that it is incomplete.
 #[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
@@ -39,11 +41,13 @@
 /// Chunks of a streamed body that may wait for a slow receiver. Together with the buffers of the
 /// connection it bounds the memory that a receiver which does not read can occupy.
 const CHANNEL_CAPACITY: usize = 16;
+/// The same for a body whose chunks may be large.
+const SHORT_CHANNEL_CAPACITY: usize = 2;
 
-/// A body of known content.
+/// A body of known content. Its memory is released once it has been written to the connection.
 #[must_use]
 pub fn full(content: impl Into<Bytes>) -> Body {
-    Full::new(content.into())
+    Sliced::new(Full::new(content.into()))
         .map_err(|never| match never {})
         .boxed_unsync()
 }
@@ -121,7 +125,27 @@
 where
     F: Future<Output = ()> + Send + 'static,
 {
-    let (tx, rx) = bounded(CHANNEL_CAPACITY);
+    task_body_of(CHANNEL_CAPACITY, sending)
+}
+
+/// Like [`task_body`], for chunks that may be as large as the buffers of a connection: few of them wait for the
+/// receiver.
+#[must_use]
+pub fn short_task_body<F>(sending: impl FnOnce(Sender<Result<Bytes, BodyAborted>>) -> F) -> Body
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    task_body_of(SHORT_CHANNEL_CAPACITY, sending)
+}
+
+fn task_body_of<F>(
+    capacity: usize,
+    sending: impl FnOnce(Sender<Result<Bytes, BodyAborted>>) -> F,
+) -> Body
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let (tx, rx) = bounded(capacity);
     // A panic aborts the body and does not unwind into the code that polls it.
     let sending = AssertUnwindSafe(sending(tx)).catch_unwind();
     let task = Some(workers::spawn(sending));
--- a/components/net/src/serve.rs
+++ b/components/net/src/serve.rs
@@ -20,7 +20,8 @@
 };
 
 use crate::{
-    connection::Connection,
+    budget::{Budget, Share},
+    connection::{Connection, Progress},
     intake::{Intake, Listening, Unlimited},
     listener::Listener,
     panics,
@@ -113,6 +114,7 @@
     write_timeout: Duration,
     handler: Arc<dyn Handler>,
     intake: Arc<dyn Intake>,
+    memory: Budget,
     open_connections: Arc<AtomicUsize>,
     stop: Arc<AtomicBool>,
     retire: Arc<AtomicBool>,
@@ -153,6 +155,7 @@
             write_timeout: WRITE_TIMEOUT,
             handler,
             intake: Arc::new(Unlimited),
+            memory: Budget::unlimited(),
             open_connections: Arc::default(),
             stop: Arc::default(),
             retire: Arc::default(),
@@ -176,6 +179,14 @@
         self
     }
 
+    /// Sets the budget against which connections and the heads of requests count. A connection for which it has
+    /// no room is closed without being read, so that its peer may retry elsewhere.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Budget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Sets what decides which accepted connections are served.
     #[must_use]
     pub fn with_intake(mut self, intake: Arc<dyn Intake>) -> Self {
@@ -292,13 +303,19 @@
             match self.listener.accept() {
                 // Dropped before they are registered for events, so that refusing many is cheap.
                 Ok(_) if self.has_too_many() || !self.intake.admits() => {}
-                Ok((stream, peer)) => match TcpStream::try_from(stream) {
-                    Ok(stream) => self.serve_connection(stream, peer),
-                    Err(e) => {
+                Ok((stream, peer)) => {
+                    let Some(memory) = self.memory.reserve_connection() else {
                         self.intake.started(Duration::ZERO);
-                        return Err(e);
+                        continue;
+                    };
+                    match TcpStream::try_from(stream) {
+                        Ok(stream) => self.serve_connection(stream, peer, memory),
+                        Err(e) => {
+                            self.intake.started(Duration::ZERO);
+                            return Err(e);
+                        }
                     }
-                },
+                }
                 // The peer has disconnected again; others may be in the backlog.
                 Err(e) if e.kind() == ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
@@ -314,7 +331,7 @@
         self.open_connections.load(Ordering::Acquire) >= most
     }
 
-    fn serve_connection(&self, stream: TcpStream, peer: SocketAddr) {
+    fn serve_connection(&self, stream: TcpStream, peer: SocketAddr, memory: Share) {
         // Read before the connection is counted: code that has seen it counted may change the
         // limits before the connection's task starts.
         let limits = self.dynamic_limits.current(self.limits.connections);
@@ -341,12 +358,12 @@
             retire: Arc::clone(&self.retire),
             closing: self.closing.1.clone(),
             accepted_at: Instant::now(),
-            progress: Arc::default(),
+            progress: Progress::new(self.memory.share()),
         };
         workers::spawn(async move {
             conn.intake.started(conn.accepted_at.elapsed());
             conn.serve(stream).await;
-            drop(guard);
+            drop((guard, memory));
         })
         .detach();
     }
--- a/components/net/src/write_timeout.rs
+++ b/components/net/src/write_timeout.rs
@@ -3,10 +3,7 @@
 use std::{
     io::{self, ErrorKind},
     pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
@@ -17,6 +14,8 @@
     io::{AsyncRead, AsyncWrite},
 };
 
+use crate::{budget::Budget, read_meter::ReadMeter};
+
 /// A connection on which a write that makes no progress for `timeout` fails.
 ///
 /// The response to a caller that reads nothing stays in the server's buffers: memory and open
@@ -27,8 +26,8 @@
     timeout: Duration,
     /// Runs while a write makes no progress.
     stall_timer: Option<Timer>,
-    /// Set when bytes have been read.
-    read_flag: Arc<AtomicBool>,
+    /// Counts what is read.
+    meter: Arc<ReadMeter>,
 }
 
 impl<S> WriteTimeoutStream<S> {
@@ -38,14 +37,14 @@
             inner,
             timeout,
             stall_timer: None,
-            read_flag: Arc::default(),
+            meter: Arc::new(ReadMeter::new(Budget::unlimited().share())),
         }
     }
 
-    /// Sets `flag` whenever bytes have been read.
+    /// Counts what is read.
     #[must_use]
-    pub fn with_read_flag(mut self, flag: &Arc<AtomicBool>) -> Self {
-        self.read_flag = Arc::clone(flag);
+    pub fn with_meter(mut self, meter: &Arc<ReadMeter>) -> Self {
+        self.meter = Arc::clone(meter);
         self
     }
 
@@ -77,10 +76,12 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let read = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(len)) if len > 0) {
-            self.read_flag.store(true, Ordering::Release);
+        match read {
+            Poll::Ready(Ok(count)) if !self.meter.record(count) => {
+                Poll::Ready(Err(ErrorKind::OutOfMemory.into()))
+            }
+            read => read,
         }
-        read
     }
 }
 
--- a/components/net/tests/budget.rs
+++ b/components/net/tests/budget.rs
@@ -1,5 +1,6 @@
 //! A memory budget that many bodies share.
 
+use bytes::Bytes;
 use net::Budget;
 
 #[test]
@@ -23,3 +24,28 @@
     drop(share);
     assert_eq!(budget.available(), 100);
 }
+
+/// Guards against large bodies, or connections alone, that leave no memory for other requests.
+#[test]
+fn large_holders_and_connections_leave_memory_to_requests() {
+    let budget = Budget::new(1 << 20);
+    let mut large = budget.share();
+    while large.grow(16 << 10) {}
+    assert!(budget.available() >= 1 << 18);
+    assert!(budget.reserve_connection().is_none());
+    let request = budget.reserve_request();
+    assert!(request.is_some_and(|mut request| request.grow(16 << 10)));
+}
+
+/// Guards against an answer that is no longer counted although a part of it waits for its caller.
+#[test]
+fn held_bytes_count_until_their_last_slice_is_dropped() {
+    let budget = Budget::new(100);
+    let mut held = budget.hold(Bytes::from_static(&[0; 60])).expect("room");
+    let slice = held.split_to(10);
+    assert!(budget.hold(Bytes::from_static(&[0; 60])).is_none());
+    drop(held);
+    assert_eq!(budget.available(), 40);
+    drop(slice);
+    assert_eq!(budget.available(), 100);
+}
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -37,13 +37,15 @@
         cfg.decisions = decisions(path)?;
     }
     workers::start(WORKERS);
+    let memory = front::memory_budget(&cfg);
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
         engines: Arc::new(EngineClient::new(
             Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT),
         )),
-        store: Arc::new(RowStore::new(Client::new(), cfg.store)),
+        store: Arc::new(RowStore::new(Client::new(), cfg.store).with_memory(memory.clone())),
         reload: Box::new(move || platform::load(&path).context(path.display().to_string())),
+        memory,
     };
     let result = front::serve(cfg, adapters, signals);
     events::flush();
--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -115,11 +115,13 @@
 /// Starts an instance in a thread of its own.
 fn start(cfg: Config) -> JoinHandle<errors::Result<()>> {
     let reloaded = cfg.clone();
+    let memory = front::memory_budget(&cfg);
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
         engines: Arc::new(EngineClient::new(Client::new())),
-        store: Arc::new(RowStore::new(Client::new(), cfg.store)),
+        store: Arc::new(RowStore::new(Client::new(), cfg.store).with_memory(memory.clone())),
         reload: Box::new(move || Ok(reloaded.clone())),
+        memory,
     };
     thread::spawn(move || front::serve(cfg, adapters, Signals::watch()?))
 }
