Own interface: all that is kept counts against one memory budget

What callers would have seen: as on the users' platform, an instance that is ended because it keeps more than its machine's memory.

Cause: bodies, buffered answers and answers of plain services had a budget each (32, 64 and 64 MiB, whatever the machine has), answers were released before they were written, and events, messages of other instances and connections were not counted.

Change: one budget, a quarter of the new setting `memory-megabytes` (512 by default), for all of these; answers count until they are written.

--- a/components/gateway/src/buffered.rs
+++ b/components/gateway/src/buffered.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::Response;
-use net::{Body, Reply, Share};
+use net::{Body, Reply, Share, full};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value, json};
@@ -80,7 +80,7 @@
     request: Arc<str>,
     data: Vec<Bytes>,
     /// Memory reserved for the data.
-    _share: Share,
+    share: Share,
 }
 
 /// Answers with one document. Until it is complete the caller receives nothing, so the permit may
@@ -117,8 +117,14 @@
     generation.in_flight.set_outcome(Outcome::Whole);
     core.quarantine.record_success(&generation.fingerprint);
     let document = joined.document(&generation, produced);
-    Ok(Reply::json(200, &document)
-        .with_header(REQUEST_ID, &answer.request)
+    // The events are still counted, and are about as large.
+    let BufferedAnswer { request, share, .. } = answer;
+    // Serializing fails only for maps with keys that are not strings; a document has none.
+    let text = serde_json::to_vec(&document).unwrap_or_default();
+    Ok(Reply::new(200)
+        .with_header("content-type", "application/json")
+        .with_body(full(share.hold(text.into())))
+        .with_header(REQUEST_ID, &request)
         .done())
 }
 
@@ -172,7 +178,7 @@
         .record_first_token(core.admission.now().saturating_sub(arrived));
     let StartedGeneration { mut item, request } = started;
     let mut data = Vec::new();
-    let mut share = core.answers.share();
+    let mut share = core.memory.share();
     let mut progress = ProgressThrottle::new(0, core.timer.now());
     let mut size = 0;
     loop {
@@ -182,7 +188,7 @@
                 return AttemptResult::Success(BufferedAnswer {
                     request,
                     data,
-                    _share: share,
+                    share,
                 });
             }
         };
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -30,10 +30,6 @@
     streams::Streams,
 };
 
-/// Memory for the bodies of all requests, in bytes.
-const BODY_BUDGET: usize = 32 * 1024 * 1024;
-/// Memory for all buffered answers, in bytes.
-const ANSWER_BUDGET: usize = 64 * 1024 * 1024;
 /// Time after the deadline of a request in which admission may still refuse it. Its refusal is
 /// preferred because it contains a retry delay.
 const ADMISSION_GRACE: Duration = Duration::from_secs(1);
@@ -56,6 +52,8 @@
     pub timer: Timer,
     /// Limits for callers.
     pub limits: Limits,
+    /// The memory for all that is kept for callers.
+    pub memory: Budget,
     /// Name of this instance.
     pub instance: InstanceId,
     /// Metrics.
@@ -95,8 +93,7 @@
     pub metrics: Metrics,
     pub relay: Relay,
     pub in_flight: InFlightRequests,
-    pub bodies: Budget,
-    pub answers: Budget,
+    pub memory: Budget,
     pub streams: Streams,
     pub resume_handles: ResumeHandleCodec,
     pub takeover: Option<Arc<dyn Takeover>>,
@@ -140,11 +137,23 @@
         self.core.in_flight.total()
     }
 
+    /// Returns the memory for all that is kept for callers.
+    #[must_use]
+    pub fn memory(&self) -> &Budget {
+        &self.core.memory
+    }
+
     /// Returns the state as lines of text for a dump.
     #[must_use]
     pub fn dump(&self) -> Vec<String> {
         let core = &self.core;
-        let mut lines = vec![format!("requests in flight: {}", core.in_flight.total())];
+        let mut lines = vec![
+            format!("requests in flight: {}", core.in_flight.total()),
+            format!(
+                "memory left for requests: {} bytes",
+                core.memory.available()
+            ),
+        ];
         for (workspace, count) in core.in_flight.by_workspace() {
             lines.push(format!("workspace {workspace}: {count} in flight"));
         }
@@ -168,8 +177,7 @@
             engine: parts.engine,
             quarantine: parts.quarantine,
             in_flight: InFlightRequests::new(parts.metrics.clone()),
-            bodies: Budget::new(BODY_BUDGET),
-            answers: Budget::new(ANSWER_BUDGET),
+            memory: parts.memory,
             streams: Streams::default(),
             resume_handles: ResumeHandleCodec::new(&parts.stream_key),
             admission: parts.admission,
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -129,7 +129,10 @@
 pub async fn body(core: &Core, req: Request<Incoming>) -> Result<RequestBody, Refusal> {
     let limit = core.limits.body_bytes;
     let timeout = Duration::from_secs(core.limits.sender_seconds);
-    let mut share = core.bodies.share();
+    let mut share = core
+        .memory
+        .reserve_request()
+        .ok_or_else(refusals::bodies_crowded)?;
     let read = read_shared(req.into_body(), limit, timeout, &mut share).await;
     let bytes = read.map_err(|e| match e {
         SharedError::Body(BodyError::TooLarge) => refusals::body_too_large(limit),
--- a/components/gateway/src/writer.rs
+++ b/components/gateway/src/writer.rs
@@ -7,7 +7,7 @@
 use async_trait::async_trait;
 use bytes::{BufMut, Bytes, BytesMut};
 use hyper::Response;
-use net::{Body, BodySender, Reply, channel};
+use net::{Body, BodySender, Budget, Reply, channel};
 use relay::{ActiveStream, ReceiverClosed, TokenSink};
 use smol::channel::TrySendError;
 use targets::{StreamItem, openai::REQUEST_ID};
@@ -31,6 +31,8 @@
 /// A caller that reads nothing for this long counts as disconnected. Its stream would otherwise
 /// hold engine memory without a limit.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bytes that wait for the caller for which the memory of the request suffices.
+const UNCOUNTED_BYTES: usize = 1_024;
 /// Bytes of an event besides its data and the resume handle: field names, line ends and offset.
 const EVENT_OVERHEAD: usize = 40;
 /// The last event of a complete stream.
@@ -156,6 +158,7 @@
     /// `None` once the permit has been given back.
     permit: Option<Box<dyn PermitHandle>>,
     metrics: Metrics,
+    memory: Budget,
     progress: ProgressThrottle,
     last_write_at: Moment,
     /// Watches whether the prompt proves sound.
@@ -171,6 +174,7 @@
             event_prefix: format!("id: {handle}.").into(),
             permit: Some(permit),
             metrics: core.metrics.clone(),
+            memory: core.memory.clone(),
             progress: ProgressThrottle::new(0, now),
             last_write_at: now,
             watch: None,
@@ -217,6 +221,14 @@
         }
     }
 
+    /// Events as they wait for the caller: large ones count against the memory budget until they are written.
+    fn hold(&self, buf: Bytes) -> Option<Bytes> {
+        if buf.len() <= UNCOUNTED_BYTES {
+            return Some(buf);
+        }
+        self.memory.hold(buf)
+    }
+
     /// Sends the last event and ends the response. A response that is not ended this way looks
     /// broken to the caller.
     async fn send_last(&self, buf: Bytes) -> Result<(), ReceiverClosed> {
@@ -225,7 +237,12 @@
         Ok(())
     }
 
+    /// Sends events. A caller for whose events there is no memory counts as disconnected, and can resume.
     async fn send(&self, buf: Bytes) -> Result<(), ReceiverClosed> {
+        let Some(buf) = self.hold(buf) else {
+            self.tx.abort();
+            return Err(ReceiverClosed);
+        };
         let buf = match self.tx.try_send(buf) {
             Ok(()) => return Ok(()),
             Err(TrySendError::Closed(_)) => return Err(ReceiverClosed),
--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -19,7 +19,7 @@
 use gateway::{Gateway, GatewayParts, Metrics, Quarantine, Takeover};
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Request, body::Incoming};
-use net::{Client, ServeLimits, Server};
+use net::{Budget, Client, ServeLimits, Server};
 use parking_lot::Mutex;
 use quarantine::{
     Assessment, Evidence, Fingerprint, PartEvidence, PartQuarantine, QuarantineState,
@@ -80,6 +80,8 @@
     }
 }
 
+/// Memory of the gateway in bytes: room for eight of the largest answers, and a quarter more for others.
+const MEMORY: usize = 88 << 20;
 /// Key of workspace `a`.
 pub const KEY_A: &str = "key-a";
 /// Key of workspace `b`.
@@ -161,6 +163,7 @@
             quarantine: quarantine.clone(),
             config: Arc::new(FakeConfig),
             timer,
+            memory: Budget::new(MEMORY),
             limits: Limits {
                 body_bytes: 4096,
                 sender_seconds: 1,
--- a/components/node/src/components.rs
+++ b/components/node/src/components.rs
@@ -10,7 +10,7 @@
 use errors::Result;
 use events::Event as Log;
 use gateway::{Gateway, GatewayParts, Metrics};
-use net::Client;
+use net::{Budget, Client};
 use policy::{
     Event, Policy,
     baseline::{FixedShare, LeastLoaded, LocalPolicy, RoundRobin},
@@ -65,6 +65,8 @@
     peers: Arc<PeerClient>,
     engine: Arc<dyn Engine>,
     plain: Arc<dyn PlainService>,
+    /// The memory for all that is kept for callers, targets and other instances.
+    memory: Budget,
 }
 
 impl Components {
@@ -74,6 +76,7 @@
     /// Fails if an address of the platform is invalid, and names it.
     pub fn new(settings: &Settings, me: &members::Identity) -> Result<(Self, Inputs)> {
         let timer = Timer::new();
+        let memory = Budget::new(settings.limits.kept_bytes());
         let key = Key::new(&settings.peers.key);
         let client = Client::new();
         let (core, inputs) = build_core(settings, me, timer, &key, &client);
@@ -86,7 +89,8 @@
         let table = Arc::new(paced);
         let store = Arc::clone(&table) as Arc<dyn Table>;
 
-        let peers = PeerClient::new(Arc::clone(&core), key.clone(), client.clone());
+        let peers = PeerClient::new(Arc::clone(&core), key.clone(), client.clone())
+            .with_memory(memory.clone());
         let peers = Arc::new(peers);
         let peer_config = Arc::clone(&peers) as Arc<dyn PeerConfig>;
         let updater = ConfigUpdater::new(me.id.clone(), Arc::clone(&store), peer_config, timer);
@@ -96,8 +100,8 @@
         let directory_watcher =
             DirectoryWatcher::new(Arc::clone(&core), config, Arc::new(directory));
         let pauses = target_pauses(&core);
-        let engine = Arc::new(OpenAiEngine::new(client.clone(), timer));
-        let plain = Arc::new(HttpPlainService::new(client, timer));
+        let engine = Arc::new(OpenAiEngine::new(client.clone(), timer).with_memory(memory.clone()));
+        let plain = Arc::new(HttpPlainService::new(client, timer).with_memory(memory.clone()));
         let components = Self {
             core,
             key,
@@ -108,6 +112,7 @@
             peers,
             engine: Arc::new(PausingEngine::new(engine, pauses.clone())),
             plain: Arc::new(PausingPlainService::new(plain, pauses)),
+            memory,
         };
         Ok((components, inputs))
     }
@@ -152,6 +157,7 @@
             config: self.config(),
             timer: self.core.timer,
             limits: settings.limits.clone(),
+            memory: self.memory.clone(),
             instance: self.core.me.clone(),
             metrics,
             stream_key: settings.peers.key.clone(),
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -10,7 +10,7 @@
 use gateway::{Gateway, Takeover};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
-use net::{Body, Client, Handler, Reply};
+use net::{Body, Budget, Client, Handler, Reply};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use targets::StreamId;
@@ -168,8 +168,10 @@
 impl Handler for PeerServer {
     async fn handle(&self, _peer: SocketAddr, req: Request<Incoming>) -> Response<Body> {
         let path = req.uri().path().to_owned();
-        let body = match net::read_limited(req.into_body(), MAX_ENVELOPE_BYTES, PEER_TIMEOUT).await
-        {
+        let mut memory = self.gateway.memory().share();
+        let body = req.into_body();
+        let read = net::read_shared(body, MAX_ENVELOPE_BYTES, PEER_TIMEOUT, &mut memory);
+        let body = match read.await {
             Ok(body) => body,
             Err(error) => return Reply::text(400, error.to_string()).done(),
         };
@@ -191,13 +193,27 @@
     core: Arc<Core>,
     key: Key,
     client: Client,
+    /// The memory that answers count against.
+    memory: Budget,
 }
 
 impl PeerClient {
     /// Creates the client.
     #[must_use]
-    pub const fn new(core: Arc<Core>, key: Key, client: Client) -> Self {
-        Self { core, key, client }
+    pub fn new(core: Arc<Core>, key: Key, client: Client) -> Self {
+        Self {
+            core,
+            key,
+            client,
+            memory: Budget::unlimited(),
+        }
+    }
+
+    /// Sets the budget that answers count against.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Budget) -> Self {
+        self.memory = memory;
+        self
     }
 }
 
@@ -221,9 +237,9 @@
         if !resp.status().is_success() {
             return None;
         }
-        net::read_all(resp.into_body(), MAX_CONFIG_BYTES, PEER_TIMEOUT)
-            .await
-            .ok()
+        let body = resp.into_body();
+        let read = net::read_held(body, MAX_CONFIG_BYTES, PEER_TIMEOUT, &self.memory);
+        read.await.ok()
     }
 }
 
--- a/components/node/src/servers.rs
+++ b/components/node/src/servers.rs
@@ -112,7 +112,9 @@
             gateway.clone(),
         );
         Ok(Self {
-            callers: listen("callers", at.listen, callers, Arc::new(gateway.clone())).await?,
+            callers: listen("callers", at.listen, callers, Arc::new(gateway.clone()))
+                .await?
+                .with_memory(gateway.memory().clone()),
             peers: listen("peers", at.peer, internal, Arc::new(peer_server)).await?,
             operators: listen("operators", at.admin, internal, Arc::new(api)).await?,
         })
--- a/components/settings/src/keys.rs
+++ b/components/settings/src/keys.rs
@@ -210,6 +210,13 @@
         Presence::Default("5"),
         "Seconds during which a shutdown still accepts requests, so that the load balancer can take this instance off its list.",
     ),
+    key(
+        "limits",
+        "memory-megabytes",
+        ValueKind::Int(32, 1_048_576),
+        Presence::Default("512"),
+        "Memory that the process may use. A quarter of it is for all that is kept for callers, targets and other instances; beyond that, requests are refused.",
+    ),
     key(
         "log",
         "level",
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -125,6 +125,8 @@
     /// Seconds during which a shutdown still accepts requests, so that the load balancer can take
     /// the instance off its list.
     pub drain_grace_seconds: u64,
+    /// Memory that the process may use, in megabytes.
+    pub memory_megabytes: usize,
 }
 
 impl Default for Limits {
@@ -135,10 +137,22 @@
             connections: 4096,
             sender_seconds: 10,
             drain_grace_seconds: 5,
+            memory_megabytes: 512,
         }
     }
 }
 
+/// All that is kept for callers, targets and other instances may take the process's memory divided by this.
+const MEMORY_DIVISOR: usize = 4;
+
+impl Limits {
+    /// The bytes that all that is kept for callers, targets and other instances may take.
+    #[must_use]
+    pub const fn kept_bytes(&self) -> usize {
+        self.memory_megabytes * 1_024 * 1_024 / MEMORY_DIVISOR
+    }
+}
+
 /// Logging.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
--- a/components/targets/src/openai.rs
+++ b/components/targets/src/openai.rs
@@ -10,7 +10,7 @@
     body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
 };
-use net::{AnyConnection, Client, NewConnection, SendRules};
+use net::{AnyConnection, Budget, Client, NewConnection, SendRules};
 use serde_json::json;
 use timer::Timer;
 use types::{Target, Tokens};
@@ -39,13 +39,26 @@
 pub struct OpenAiEngine {
     client: Client,
     timer: Timer,
+    /// The memory that incomplete events count against.
+    memory: Budget,
 }
 
 impl OpenAiEngine {
     /// Creates a client that sends its requests over `client`.
     #[must_use]
-    pub const fn new(client: Client, timer: Timer) -> Self {
-        Self { client, timer }
+    pub fn new(client: Client, timer: Timer) -> Self {
+        Self {
+            client,
+            timer,
+            memory: Budget::unlimited(),
+        }
+    }
+
+    /// Sets the budget that incomplete events count against.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Budget) -> Self {
+        self.memory = memory;
+        self
     }
 
     /// Sends a request by these rules and reads the whole answer.
@@ -99,7 +112,12 @@
         let resp = check.result(sent)?;
         let resp = check_started(resp, &call.request).await?;
         let id = stream_id(&resp).ok_or_else(|| answer::lost("the engine named no stream"))?;
-        Ok(Box::new(EngineStream::new(id, 0, resp.into_body())))
+        Ok(Box::new(EngineStream::new(
+            id,
+            0,
+            resp.into_body(),
+            &self.memory,
+        )))
     }
 
     async fn resume(
@@ -122,7 +140,12 @@
             return Err(answer::lost("the engine answered with another stream"));
         }
         let body = resp.into_body();
-        Ok(Box::new(EngineStream::new(Arc::clone(stream), at, body)))
+        Ok(Box::new(EngineStream::new(
+            Arc::clone(stream),
+            at,
+            body,
+            &self.memory,
+        )))
     }
 
     async fn cancel(&self, target: &Target, stream: &StreamId) -> Result<(), TargetError> {
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming};
-use net::{Budget, Client, Share, read_shared, retry_after};
+use net::{Budget, Client, read_held, retry_after};
 use timer::Timer;
 use types::Target;
 
@@ -20,16 +20,14 @@
 
 /// Largest answer of a plain service, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-/// Bytes that all answers being read may hold together, so that one faulty service can't use up the
-/// memory for the calls to the others.
-const ANSWER_BUDGET_BYTES: usize = 64 * 1024 * 1024;
 
 /// A client of plain HTTP services.
 #[derive(Clone)]
 pub struct HttpPlainService {
     client: Client,
     timer: Timer,
-    answer_budget: Budget,
+    /// The memory that answers count against until they have been written to their callers.
+    memory: Budget,
 }
 
 impl HttpPlainService {
@@ -39,10 +37,17 @@
         Self {
             client,
             timer,
-            answer_budget: Budget::new(ANSWER_BUDGET_BYTES),
+            memory: Budget::unlimited(),
         }
     }
 
+    /// Sets the budget that answers count against until they have been written to their callers.
+    #[must_use]
+    pub fn with_memory(mut self, memory: Budget) -> Self {
+        self.memory = memory;
+        self
+    }
+
     async fn exchange(
         &self,
         target: &Target,
@@ -58,7 +63,7 @@
         let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
         let is_certain = answer::is_certain(&resp, &call.request);
-        read(resp, is_certain, timeout, self.answer_budget.share()).await
+        read(resp, is_certain, timeout, &self.memory).await
     }
 }
 
@@ -127,7 +132,7 @@
     resp: Response<Incoming>,
     is_certain: bool,
     timeout: Duration,
-    mut share: Share,
+    memory: &Budget,
 ) -> Result<PlainAnswer, TargetError> {
     let status = resp.status();
     let retry_after = retry_after(resp.headers());
@@ -136,7 +141,7 @@
         .iter()
         .filter_map(|(name, value)| Some((name.as_str().into(), value.to_str().ok()?.into())))
         .collect::<Vec<(Arc<str>, Arc<str>)>>();
-    let body = read_shared(resp.into_body(), MAX_BODY_BYTES, timeout, &mut share)
+    let body = read_held(resp.into_body(), MAX_BODY_BYTES, timeout, memory)
         .await
         .map_err(|e| answer::lost(e.to_string()))?;
     if answer::is_rejection(status, &body, retry_after) {
--- a/components/targets/src/stream.rs
+++ b/components/targets/src/stream.rs
@@ -7,6 +7,7 @@
 use futures_lite::future;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use net::{Budget, Share};
 use types::Tokens;
 
 use crate::{
@@ -24,6 +25,8 @@
     id: StreamId,
     body: Incoming,
     splitter: Splitter,
+    /// The memory of an incomplete event.
+    memory: Share,
     events: Vec<Event>,
     items: VecDeque<StreamItem>,
     next_offset: Tokens,
@@ -32,11 +35,12 @@
 
 impl EngineStream {
     /// Reads the stream `id` from token `at` on.
-    pub fn new(id: StreamId, at: Tokens, body: Incoming) -> Self {
+    pub fn new(id: StreamId, at: Tokens, body: Incoming, memory: &Budget) -> Self {
         Self {
             id,
             body,
             splitter: Splitter::new(),
+            memory: memory.share(),
             events: Vec::new(),
             items: VecDeque::new(),
             next_offset: at,
@@ -117,6 +121,9 @@
             self.splitter
                 .push(chunk, &mut self.events)
                 .map_err(|e| answer::lost(e.to_string()))?;
+            if !self.memory.resize(self.splitter.buffered_bytes()) {
+                return Err(answer::lost("no memory is left for an event"));
+            }
             self.convert_events();
         }
     }
