Users' platform: calls that would outlast a stop are refused at once

What callers saw: a call that usually takes longer than the rest of an instance's grace was passed on during its stop and got 504 at the end, although another instance would have served it; of generations, one in ten that were started in a stop might be cut.

Cause: nothing knew how long plain calls take, and the limit for generations was a probability of 0.9.

Change: the times of the latest 64 calls of each service are kept. In a stop a call is sent only if 98 in 100 of them ended within the time that is left (with fewer than eight calls: if the route's objective fits); otherwise it gets 503 at once, with the time to retry elsewhere. Generations need 0.98 as well. Latch moves to `workers`, for the own interface.

--- a/components/front/src/callers/handler.rs
+++ b/components/front/src/callers/handler.rs
@@ -15,7 +15,7 @@
     adapters::CallerRequest,
     callers::{
         call::Call,
-        refusal::{ELSEWHERE_RETRY_AFTER, Refusal},
+        refusal::{ELSEWHERE_RETRY_AFTER, Refusal, SHUTDOWN_REASON},
         retry_after::retry_after,
     },
     execution::Execution,
@@ -37,8 +37,6 @@
 
 /// Reason of the refusal of a request for which there is no memory.
 const MEMORY_REASON: &str = "this instance's memory is in use";
-/// Reason of the refusal of requests that outlast the instance.
-const SHUTDOWN_REASON: &str = "the instance stops before it would end";
 
 /// A body in memory, and its share of the memory budget.
 struct BufferedBody {
--- a/components/front/src/callers/refusal.rs
+++ b/components/front/src/callers/refusal.rs
@@ -22,6 +22,9 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
+/// Reason of the refusal of requests that outlast the instance.
+pub const SHUTDOWN_REASON: &str = "the instance stops before it would end";
+
 /// Reason of the refusal of a quarantined request.
 pub const QUARANTINED: &str = "targets ended while they ran this request";
 
--- a/components/front/src/callers/shutdown.rs
+++ b/components/front/src/callers/shutdown.rs
@@ -5,8 +5,7 @@
 use parking_lot::Mutex;
 use timer::boot_time;
 use types::Moment;
-
-use crate::latch::Latch;
+use workers::Latch;
 
 /// The shutdown of the instance.
 #[derive(Debug, Default)]
--- a/components/front/src/generations/placement.rs
+++ b/components/front/src/generations/placement.rs
@@ -25,9 +25,8 @@
 /// Time for an owner to accept an update.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Minimum probability that a generation completes in time for it to be started by an instance that
-/// is stopping. Half of the drafts run longer than a shutdown takes, while nearly all short ones
-/// complete well within it.
-const MIN_COMPLETION_PROBABILITY: f64 = 0.9;
+/// is stopping. One that does not complete is truncated, while one that is refused is served elsewhere at once.
+const MIN_COMPLETION_PROBABILITY: f64 = 0.98;
 
 /// This instance's account of engines. As an owner it keeps the account for all instances;
 /// otherwise it uses it for its own generations while no owner answers.
--- a/components/front/src/lib.rs
+++ b/components/front/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod execution;
 pub mod generations;
 pub mod instances;
-pub mod latch;
 pub mod metrics;
 pub mod plain_calls;
 pub mod quarantine;
--- a/components/front/src/plain_calls/dispatch.rs
+++ b/components/front/src/plain_calls/dispatch.rs
@@ -9,12 +9,15 @@
 use rates::Reservation;
 use reach::Path;
 use timer::boot_time;
-use types::{Moment, TargetId, VersionChoice, millis};
+use types::{Moment, ServiceId, TargetId, VersionChoice, millis};
 use view::{RouteKind, Target};
 
 use crate::{
     adapters::ReportedLoad,
-    callers::{call::Call, refusal::Refusal},
+    callers::{
+        call::Call,
+        refusal::{ELSEWHERE_RETRY_AFTER, Refusal, SHUTDOWN_REASON},
+    },
     plain_calls::selection::{Selection, connection_share},
     quarantine::{
         aggregation, crash_detection,
@@ -52,19 +55,28 @@
 /// Counts a call as in flight at a target until it is dropped.
 struct InFlightGuard<'a> {
     front: &'a Front,
+    service: &'a ServiceId,
     target: &'a TargetId,
+    started: Moment,
 }
 
 impl<'a> InFlightGuard<'a> {
-    fn new(front: &'a Front, target: &'a TargetId) -> Self {
+    fn new(front: &'a Front, service: &'a ServiceId, target: &'a TargetId) -> Self {
         front.selector.lock().call_started(target);
-        Self { front, target }
+        Self {
+            front,
+            service,
+            target,
+            started: boot_time(),
+        }
     }
 }
 
 impl Drop for InFlightGuard<'_> {
     fn drop(&mut self) {
         self.front.selector.lock().call_ended(self.target);
+        let took = boot_time().saturating_sub(self.started);
+        self.front.answer_times.lock().record(self.service, took);
     }
 }
 
@@ -137,6 +149,11 @@
         if !may_attempt(front, call, &attempts) {
             return attempts.into_response(front, call);
         }
+        if !ends_before_stop(front, call) {
+            attempts.reason = Some(SHUTDOWN_REASON.into());
+            attempts.retry_after = Some(ELSEWHERE_RETRY_AFTER);
+            return attempts.into_response(front, call);
+        }
         let mut version = VersionPermit::new(front, &call.service.name);
         let target = match find_target(front, call, &attempts.tried, &mut version).await {
             Ok(selection) => {
@@ -189,6 +206,20 @@
     }
 }
 
+/// Whether a call will probably end before this instance stops. Otherwise its caller would be told that it may
+/// have run; refused at once, it gets an answer from another instance.
+fn ends_before_stop(front: &Front, call: &Call) -> bool {
+    let Some(left) = front
+        .shutdown
+        .time_left()
+        .filter(|_| front.cfg.decisions.features.drain_offload)
+    else {
+        return true;
+    };
+    let times = front.answer_times.lock();
+    times.probably_ends(&call.service.name, call.route.objective, left)
+}
+
 /// Whether a further attempt is allowed; takes it from the retry budget.
 fn may_attempt(front: &Front, call: &Call, attempts: &Attempts) -> bool {
     if call.time_left().is_zero() {
@@ -383,7 +414,7 @@
     target: &Arc<Target>,
     attempt_number: u32,
 ) -> Outcome {
-    let _in_flight = InFlightGuard::new(front, &target.id);
+    let _in_flight = InFlightGuard::new(front, &call.service.name, &target.id);
     emit(&Event::RequestSent {
         id: Arc::clone(&call.request.id),
         target: Arc::clone(&target.id),
--- a/components/front/src/plain_calls/mod.rs
+++ b/components/front/src/plain_calls/mod.rs
@@ -1,5 +1,6 @@
 //! Calls to plain services: selection of a target, retries, and cold targets.
 
+pub mod answer_times;
 pub mod cold;
 pub mod dispatch;
 pub mod retry_budget;
--- a/components/front/src/rollouts/local.rs
+++ b/components/front/src/rollouts/local.rs
@@ -16,8 +16,9 @@
 use timer::boot_time;
 use types::{Moment, RouteId, ServiceId, StoreVersion, TargetId, VersionChoice, VersionId};
 use view::Target;
+use workers::Latch;
 
-use crate::{latch::Latch, rollouts::record::RolloutRecord};
+use crate::rollouts::record::RolloutRecord;
 
 /// How long the latencies of a target do not count after it was listed: it is still warming up.
 const WARM_UP: Duration = Duration::from_secs(2);
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -16,6 +16,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use timer::boot_time;
 use view::View;
+use workers::Latch;
 
 use crate::{
     adapters::{EngineControl, ProtocolAdapter, Store},
@@ -32,7 +33,6 @@
         peers::Peers,
         wire::{Member, Topic},
     },
-    latch::Latch,
     metrics::Metrics,
     plain_calls::{cold::ColdTargets, retry_budget::RetryBudget, selection::TargetSelector},
     quarantine::{crash_detection::RecentCrashes, record::WritePace},
@@ -218,6 +218,7 @@
         rate_allocator: Mutex::default(),
         paths: Mutex::default(),
         relays: Mutex::default(),
+        answer_times: Mutex::default(),
         others_requests: OthersRequests::default(),
         quarantine: Mutex::default(),
         part_quarantine: Mutex::default(),
--- a/components/front/src/state.rs
+++ b/components/front/src/state.rs
@@ -21,6 +21,7 @@
 use timer::{Timer, boot_time};
 use types::{Moment, ServiceId, VersionChoice};
 use view::{Service, Target, View};
+use workers::Latch;
 
 use crate::{
     adapters::{EngineControl, ProtocolAdapter, Store},
@@ -28,9 +29,11 @@
     config::{Bounds, Config},
     generations::{active::ActiveGenerations, avoidance::AvoidedEngines, placement::Placement},
     instances::{peers::Peers, wire::Topic},
-    latch::Latch,
     metrics::Metrics,
-    plain_calls::{cold::ColdTargets, retry_budget::RetryBudget, selection::TargetSelector},
+    plain_calls::{
+        answer_times::AnswerTimes, cold::ColdTargets, retry_budget::RetryBudget,
+        selection::TargetSelector,
+    },
     quarantine::{crash_detection::RecentCrashes, record::WritePace},
     reaching::server::OthersRequests,
     rollouts::local::Rollouts,
@@ -96,6 +99,8 @@
     pub avoided_engines: Mutex<AvoidedEngines>,
     /// The other instances as relays.
     pub relays: Mutex<Relays>,
+    /// How long plain calls have taken.
+    pub answer_times: Mutex<AnswerTimes>,
     /// Requests of other instances to targets that these don't reach.
     pub others_requests: OthersRequests,
     /// Requests during which targets crashed.
--- a/components/workers/src/lib.rs
+++ b/components/workers/src/lib.rs
@@ -3,10 +3,14 @@
 //! It replaces `smol::spawn`, which takes its number of threads from an environment variable. The
 //! number here comes from the settings.
 
+mod latch;
+
 use std::{future::Future, sync::OnceLock, thread};
 
 use smol::{Executor, Task, future};
 
+pub use latch::Latch;
+
 static POOL: OnceLock<Executor<'static>> = OnceLock::new();
 
 /// Default limit on the number of threads; used as the number if that of the cores is unknown.
--- a/tests/platform/endings.rs
+++ b/tests/platform/endings.rs
@@ -418,7 +418,9 @@
         assert_eq!(got.status, 503);
         let addr = instance.addr;
         let small = smol::spawn(async move {
-            Caller::new("key-1").call(addr, "POST", "/grants/9", "small").await
+            Caller::new("key-1")
+                .call(addr, "POST", "/grants/9", "small")
+                .await
         });
         eventually("a small one is being served beside them", || async {
             run_count() == LARGE_BODIES + 1
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -12,6 +12,7 @@
 mod extra_answers;
 mod floods;
 mod generations;
+mod late_requests;
 mod limits;
 mod memory;
 mod odd_entries;
