Own interface: a stop has a time limit

What callers saw: the process waited for its last request, however long that took, was killed by the platform, and callers got no answer, also for calls that may not be repeated.

Cause: node::shutdown::wait_until_idle had no time limit, and nothing knew when the platform kills the process.

Change: the new setting `shutdown-seconds` (30) says so. Shortly before, Gateway::stop answers what is open: 504 if anything may have been sent, 503 if a gate shows that nothing was and nothing will be (SendGate, so that the promise holds for a call that is being sent at that moment). Streams are cut, not cancelled, so that their callers resume them at another instance. The rest of the time is for answers, outcomes of keyed calls, operators and peers.

The test waited for the default of 30 s when it was committed, and now sets 4 s.

--- a/components/bench/src/plan.rs
+++ b/components/bench/src/plan.rs
@@ -12,6 +12,8 @@
 
 /// Key of the operator.
 pub const OPERATOR_KEY: &str = "operator-key-of-the-bench";
+/// Seconds from the order to stop an instance until it would be killed, if a plan names none.
+pub const DEFAULT_SHUTDOWN_SECONDS: u64 = 120;
 /// Key between instances.
 const PEER_KEY: &str = "peer-key-of-the-bench";
 
@@ -45,10 +47,18 @@
     /// The configuration tree; `/data-centres/...` and `/workspaces/W` keys are added.
     #[serde(default)]
     pub tree: BTreeMap<NodePath, Node>,
+    /// Seconds from the order to stop an instance until it would be killed.
+    #[serde(default = "default_shutdown_seconds")]
+    pub shutdown_seconds: u64,
     /// Workspaces; the bearer key of workspace `w` is `key-w`.
     pub workspaces: Vec<String>,
 }
 
+/// Time for the longest streams of the scenarios.
+fn default_shutdown_seconds() -> u64 {
+    DEFAULT_SHUTDOWN_SECONDS
+}
+
 /// The bearer key of a workspace.
 #[must_use]
 pub fn key_of(workspace: &str) -> String {
@@ -117,6 +127,7 @@
             },
             limits: Limits {
                 drain_grace_seconds: 1,
+                shutdown_seconds: self.shutdown_seconds,
                 ..Limits::default()
             },
             log: Log::default(),
--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -89,6 +89,14 @@
         108, Info, "SIGHUP has no effect: settings are read only at startup",
         "If the settings have changed, restart the instance at a suitable time.",
     ),
+    /// The time for a shutdown is nearly over: requests that are still open are answered, and streams are cut.
+    ShutdownEndsRequests {
+        /// Requests that are still running.
+        open: usize,
+    } = (
+        109, Warn, "the time for the shutdown is nearly over, {open} requests are ended",
+        "If they may take that long, allow more time (`shutdown-seconds`) and have the platform wait as long.",
+    ),
     /// Heartbeats of a peer arrive for the first time, or again.
     PeerHeard {
         /// The peer.
--- a/components/gateway/src/delivery.rs
+++ b/components/gateway/src/delivery.rs
@@ -68,6 +68,8 @@
     Stream(StreamEnd),
     /// The caller resumed the stream over another connection.
     Superseded,
+    /// This instance stops.
+    Stopped,
 }
 
 /// Delivers a stream until its end, beginning with `item` if it has already been read.
@@ -90,7 +92,13 @@
     item: Option<StreamItem>,
     superseded: Superseded,
 ) -> DeliveryEnd {
-    let StreamDelivery { stream, writer, .. } = delivery;
+    let StreamDelivery {
+        core,
+        stream,
+        writer,
+        ..
+    } = delivery;
+    let core = Arc::clone(core);
     let forward = async {
         let written = match item {
             Some(StreamItem::Tokens { first, data, .. }) => writer.write_tokens(first, data).await,
@@ -102,13 +110,14 @@
             Err(_) => DeliveryEnd::Stream(StreamEnd::Closed),
         }
     };
-    unless_superseded(forward, superseded).await
+    unless_interrupted(forward, superseded, &core).await
 }
 
 /// Keeps reading after the caller disconnected, until the stream ends, the caller resumes it or the
 /// grace period is over.
 async fn wait_for_resumption(delivery: &mut StreamDelivery, superseded: Superseded) -> DeliveryEnd {
-    let timer = delivery.core.timer;
+    let core = Arc::clone(&delivery.core);
+    let timer = core.timer;
     let grace = delivery.core.grace;
     let read = async {
         match read_to_end(delivery).await {
@@ -121,7 +130,7 @@
         timer.sleep(grace).await;
         DeliveryEnd::Stream(StreamEnd::Closed)
     };
-    unless_superseded(future::or(read, grace_over), superseded).await
+    unless_interrupted(future::or(read, grace_over), superseded, &core).await
 }
 
 /// Reads a stream to its end and only reports progress. A lost connection is not replaced: the
@@ -136,15 +145,20 @@
     Ok(())
 }
 
-async fn unless_superseded(
+async fn unless_interrupted(
     work: impl Future<Output = DeliveryEnd>,
     superseded: Superseded,
+    core: &Core,
 ) -> DeliveryEnd {
+    let stopped = async {
+        core.stop.wait().await;
+        DeliveryEnd::Stopped
+    };
     let superseded = async {
         superseded.wait().await;
         DeliveryEnd::Superseded
     };
-    future::or(superseded, work).await
+    future::or(stopped, future::or(superseded, work)).await
 }
 
 async fn finish(delivery: StreamDelivery, end: DeliveryEnd, caller_left: bool) {
@@ -154,6 +168,7 @@
         DeliveryEnd::Stream(StreamEnd::Failed(error)) => failed(delivery, &error).await,
         DeliveryEnd::Stream(StreamEnd::Closed) => cancelled(delivery).await,
         DeliveryEnd::Superseded => superseded(delivery).await,
+        DeliveryEnd::Stopped => stopped(delivery),
     }
 }
 
@@ -248,3 +263,17 @@
     delivery.writer.finish_permit(outcome);
     delivery.stream.detach();
 }
+
+/// Cuts a stream because this instance stops. The generation goes on, so that the caller can resume the stream at
+/// another instance.
+fn stopped(mut delivery: StreamDelivery) {
+    delivery.writer.close();
+    delivery.writer.finish_permit(WorkOutcome::Failed);
+    delivery.set_outcome(Outcome::Partial);
+    events::emit(&Event::AnswerCut {
+        workspace: delivery.workspace.clone(),
+        target: delivery.stream.target().id.clone(),
+        reason: "the instance stops".into(),
+    });
+    delivery.stream.detach();
+}
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use targets::{Engine, PlainService, StreamId};
 use timer::Timer;
 use types::{Execution, InstanceId, Moment, Refusal, TargetId};
+use workers::Latch;
 
 use crate::{
     admission::{Admission, PermitHandle},
@@ -98,6 +99,8 @@
     pub resume_handles: ResumeHandleCodec,
     pub takeover: Option<Arc<dyn Takeover>>,
     pub grace: Duration,
+    /// Opened when what is still open at a shutdown is answered or cut.
+    pub stop: Latch,
     /// Random number that distinguishes the request ids of two incarnations of this instance.
     incarnation: u64,
     request_count: AtomicU64,
@@ -163,6 +166,12 @@
         lines
     }
 
+    /// Ends what is still open because the process is about to be killed: requests without an answer are
+    /// answered, and streams are cut, so that their callers resume them at another instance.
+    pub fn stop(&self) {
+        self.core.stop.open();
+    }
+
     /// Handles the notice that another instance has taken over this stream: stops delivering it
     /// here without cancelling it.
     pub fn handle_takeover(&self, target: &TargetId, stream: &StreamId) {
@@ -190,6 +199,7 @@
             metrics: parts.metrics,
             takeover,
             grace: delivery::RESUME_GRACE,
+            stop: Latch::default(),
             incarnation: fastrand::u64(..),
             request_count: AtomicU64::new(0),
         }
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -175,7 +175,7 @@
     ) -> Result<(), AttemptEvent> {
         let mut stream = None;
         let permit = attempt.permit();
-        let may_send = || permit.may_send();
+        let may_send = || permit.may_send() && self.caller.gate.pass();
         let started = async {
             let start = self.core.relay.start_if(target, call, &may_send);
             start.await.map_err(AttemptEvent::StartFailed)
--- a/components/gateway/src/handler.rs
+++ b/components/gateway/src/handler.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use async_trait::async_trait;
+use futures_lite::future;
 use hyper::{Method, Request, Response, body::Incoming};
 use net::{Body, Handler};
 use types::Refusal;
@@ -31,6 +32,23 @@
 impl Gateway {
     async fn answer(&self, req: Request<Incoming>) -> Result<Response<Body>, Refusal> {
         let caller = Caller::identify(&self.core, req.headers())?;
+        let gate = caller.gate.clone();
+        let stopped = async {
+            self.core.stop.wait().await;
+            Err(if gate.close() {
+                refusals::stopped_midway()
+            } else {
+                refusals::stopping()
+            })
+        };
+        future::or(stopped, self.answer_caller(caller, req)).await
+    }
+
+    async fn answer_caller(
+        &self,
+        caller: Caller,
+        req: Request<Incoming>,
+    ) -> Result<Response<Body>, Refusal> {
         let path = req.uri().path();
         if let Some(api) = api(path) {
             expect_method(&req, &Method::POST)?;
--- a/components/gateway/src/lib.rs
+++ b/components/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod refusals;
 mod request;
 pub mod resume_handle;
+mod send_gate;
 mod streams;
 mod writer;
 
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -23,6 +23,7 @@
     quarantine::{CrashChecks, LostRun},
     refusals,
     request::{self, Caller, RequestOptions},
+    send_gate::SendGate,
 };
 
 /// Header with the caller's idempotency key.
@@ -36,6 +37,8 @@
     pub admission_request: AdmissionRequest,
     /// The call to send to the service.
     pub call: PlainCall,
+    /// What the call passes before it is sent.
+    pub gate: SendGate,
     /// Identifies the request across retries.
     pub fingerprint: Fingerprint,
     /// Memory reserved for the body.
@@ -74,6 +77,7 @@
     ]);
     let request = PlainRequest {
         core: Arc::clone(core),
+        gate: caller.gate.clone(),
         fingerprint,
         admission_request: admission_request(&caller, &rule, class, deadline, idempotent),
         call: PlainCall {
@@ -212,7 +216,7 @@
             return Err((WorkOutcome::Unsent, false));
         }
         let started_at = self.core.timer.now();
-        let may_send = || permit.may_send();
+        let may_send = || permit.may_send() && self.gate.pass();
         let plain = &self.core.plain;
         let call = plain.call_if(permit.target(), &self.call, timeout, &may_send);
         match call.await {
--- a/components/gateway/src/refusals.rs
+++ b/components/gateway/src/refusals.rs
@@ -116,6 +116,28 @@
     .with_retry_after(RETRY_AFTER_SHORTAGE)
 }
 
+/// The instance stops before it has sent the request to a target.
+pub fn stopping() -> Refusal {
+    Refusal::new(
+        503,
+        "stopping",
+        "This instance stops",
+        "nothing was sent; another instance answers",
+    )
+    .with_retry_after(RETRY_AFTER_SHORTAGE)
+}
+
+/// The instance stops before the answer to a request that was sent.
+pub fn stopped_midway() -> Refusal {
+    Refusal::new(
+        504,
+        "stopped-midway",
+        "This instance stops",
+        "the request was sent, and its answer had not come when the time for the shutdown was over",
+    )
+    .with_execution(Execution::Unknown)
+}
+
 /// The answer to a call was lost; the call may have run.
 pub fn answer_lost(detail: &str) -> Refusal {
     Refusal::new(504, "answer-lost", "The answer was lost", detail)
--- a/components/gateway/src/request.rs
+++ b/components/gateway/src/request.rs
@@ -8,7 +8,7 @@
 use net::{BodyError, Share, SharedError, read_shared};
 use types::{Class, Moment, Refusal, WorkspaceId};
 
-use crate::{auth, gateway::Core, refusals};
+use crate::{auth, gateway::Core, refusals, send_gate::SendGate};
 
 /// Header that selects a route of the service.
 pub const ROUTE: &str = "x-route";
@@ -29,6 +29,8 @@
     pub current: Arc<CurrentConfig>,
     /// When the request arrived, on this process's clock.
     pub arrived: Moment,
+    /// What the request passes before it is sent to a target.
+    pub gate: SendGate,
 }
 
 /// Options that a caller sets by headers.
@@ -50,6 +52,7 @@
             workspace,
             current,
             arrived,
+            gate: SendGate::default(),
         })
     }
 }
--- a/components/node/src/serve.rs
+++ b/components/node/src/serve.rs
@@ -1,6 +1,7 @@
 //! Starts an instance, and runs it until the process is asked to stop.
 
 use std::{
+    pin::pin,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -21,7 +22,7 @@
     components::Components,
     core::Core,
     servers::{ServerHandles, Servers},
-    shutdown::{self, Signals},
+    shutdown::{self, ShutdownSchedule, Signals},
 };
 
 /// Time limit, after the last request has ended, for writing outcomes of calls with idempotency
@@ -36,7 +37,7 @@
     gateway: Gateway,
     draining: Arc<AtomicBool>,
     servers: ServerHandles,
-    drain_grace: Duration,
+    schedule: ShutdownSchedule,
 }
 
 /// Runs an instance until SIGTERM or SIGINT, then shuts it down gracefully.
@@ -79,7 +80,10 @@
             gateway,
             draining,
             servers: servers.run(),
-            drain_grace: Duration::from_secs(settings.limits.drain_grace_seconds),
+            schedule: ShutdownSchedule::new(
+                Duration::from_secs(settings.limits.drain_grace_seconds),
+                Duration::from_secs(settings.limits.shutdown_seconds),
+            ),
         };
         components.spawn_tasks(settings, inputs);
         events::emit(&Log::Started { instance: me.id });
@@ -90,29 +94,48 @@
     /// requests during the grace period, because the load balancer's list lags. After that it
     /// waits for the last connection of a caller to close, for the last request to end and for
     /// outcomes of calls to be written, and then for the connections of operators and peers.
+    ///
+    /// All that has a time limit, after which the platform kills the process: what is still open shortly
+    /// before is ended, so that each caller gets an answer.
     pub async fn shut_down(self) {
         let ServerHandles {
             callers,
             peers,
             operators,
         } = self.servers;
+        let (timer, schedule, gateway) = (self.core.timer, self.schedule, self.gateway);
+        let started = timer.now();
+        let left = |until: Duration| (started + until).saturating_sub(timer.now());
         events::emit(&Log::Draining {
-            open: self.gateway.open_requests(),
+            open: gateway.open_requests(),
         });
         self.draining.store(true, Ordering::Release);
         callers.retire();
         self.core.handle_member_input(members::Input::Drain);
-        self.core.timer.sleep(self.drain_grace).await;
+        timer.sleep(schedule.accept).await;
         events::emit(&Log::DrainClosing {
             connections: callers.open(),
-            open: self.gateway.open_requests(),
+            open: gateway.open_requests(),
+        });
+        let mut idle = pin!(async {
+            callers.stop().await;
+            shutdown::wait_until_idle(timer, || gateway.open_requests()).await;
         });
-        callers.stop().await;
-        shutdown::wait_until_idle(self.core.timer, || self.gateway.open_requests()).await;
-        self.claims.drain(CLAIMS_FLUSH_TIMEOUT).await;
+        let is_idle = timer.within(left(schedule.serve), idle.as_mut()).await;
+        if is_idle.is_none() {
+            events::emit(&Log::ShutdownEndsRequests {
+                open: gateway.open_requests(),
+            });
+            gateway.stop();
+            // Whatever is open afterwards has a caller that does not read its answer.
+            let _ = timer.within(left(schedule.answer), idle).await;
+        }
+        let flush = left(schedule.end).min(CLAIMS_FLUSH_TIMEOUT);
+        let _ = timer.within(flush, self.claims.drain(flush)).await;
         // Not stopped earlier: operators can observe the shutdown, and open requests may depend on
         // messages of peers.
-        future::zip(operators.stop(), peers.stop()).await;
+        let internal = future::zip(operators.stop(), peers.stop());
+        let _ = timer.within(left(schedule.end), internal).await;
         events::emit(&Log::Stopped);
     }
 }
--- a/components/node/src/shutdown.rs
+++ b/components/node/src/shutdown.rs
@@ -60,8 +60,44 @@
     }
 }
 
+/// Fraction of the time for a shutdown in which connections are accepted at most.
+const ACCEPT_FRACTION: f64 = 0.5;
+/// Part of that time which is not used: the signal is noticed with a delay, and so is the end.
+const RESERVE: Duration = Duration::from_millis(200);
+/// Fraction of the rest in which requests are served to completion.
+const SERVE_FRACTION: f64 = 0.92;
+/// Fraction of the rest after which the answers to those that were ended have been sent too.
+const ANSWER_FRACTION: f64 = 0.97;
+
+/// Deadlines of a shutdown, relative to its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ShutdownSchedule {
+    /// Until when connections are accepted.
+    pub accept: Duration,
+    /// Until when requests are served to completion; what is still open is ended then.
+    pub serve: Duration,
+    /// Until when the answers to those have been sent.
+    pub answer: Duration,
+    /// Until when the process ends.
+    pub end: Duration,
+}
+
+impl ShutdownSchedule {
+    /// The schedule of a process that accepts connections for `accept` and is killed after `total`.
+    #[must_use]
+    pub fn new(accept: Duration, total: Duration) -> Self {
+        let usable = total.saturating_sub(RESERVE);
+        Self {
+            accept: accept.min(usable.mul_f64(ACCEPT_FRACTION)),
+            serve: usable.mul_f64(SERVE_FRACTION),
+            answer: usable.mul_f64(ANSWER_FRACTION),
+            end: usable,
+        }
+    }
+}
+
 /// Waits until no request is open. Requests whose callers have disconnected may still be running
-/// without a connection. There is no time limit: a planned stop interrupts no request.
+/// without a connection.
 ///
 /// The caller of this function must have stopped accepting requests: one that arrives after the
 /// last check would be interrupted.
--- a/components/settings/src/keys.rs
+++ b/components/settings/src/keys.rs
@@ -210,6 +210,13 @@
         Presence::Default("5"),
         "Seconds during which a shutdown still accepts requests, so that the load balancer can take this instance off its list.",
     ),
+    key(
+        "limits",
+        "shutdown-seconds",
+        ValueKind::Int(2, 86_400),
+        Presence::Default("30"),
+        "Seconds from the order to stop until the platform kills the process. Shortly before, calls that are still open are answered, and streams are cut so that their callers resume them at another instance.",
+    ),
     key(
         "limits",
         "memory-megabytes",
--- a/components/settings/src/model.rs
+++ b/components/settings/src/model.rs
@@ -125,6 +125,8 @@
     /// Seconds during which a shutdown still accepts requests, so that the load balancer can take
     /// the instance off its list.
     pub drain_grace_seconds: u64,
+    /// Seconds from the order to stop until the platform kills the process.
+    pub shutdown_seconds: u64,
     /// Memory that the process may use, in megabytes.
     pub memory_megabytes: usize,
 }
@@ -137,6 +139,7 @@
             connections: 4096,
             sender_seconds: 10,
             drain_grace_seconds: 5,
+            shutdown_seconds: 30,
             memory_megabytes: 512,
         }
     }
--- a/tests/promises_stops.rs
+++ b/tests/promises_stops.rs
@@ -36,8 +36,8 @@
 const FIRST_CALL_DELAY: Duration = Duration::from_millis(10);
 /// How long the end of an instance is awaited after a planned stop.
 const STOP_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time from the order to stop until the platform kills a process that has not ended.
-const KILL_AFTER: Duration = Duration::from_secs(30);
+/// Seconds from the order to stop until the platform kills a process that has not ended.
+const KILL_SECONDS: u64 = 4;
 /// Latency of services that do not answer before then.
 const ENDLESS_LATENCY_MS: f64 = 120_000.0;
 /// Latency of the services: longer than an idle instance takes to end.
@@ -302,19 +302,23 @@
     });
 }
 
-/// Guards against a stop without a time limit: the platform kills the process, and its callers get no answer.
-#[test]
-fn calls_that_outlast_a_stop_are_answered_before_the_process_is_killed() {
+/// A plan whose services answer no call before a stop is over.
+fn endless_plan(shutdown_seconds: u64) -> Plan {
     let mut plan = plan();
+    plan.shutdown_seconds = shutdown_seconds;
     plan.replica.latency_ms = ENDLESS_LATENCY_MS;
-    for path in [
-        "/services/viewer/routes/saves",
-        "/services/viewer/routes/lookups",
-    ] {
-        let route = plan.tree.get_mut(path).expect("a route");
+    for route in ["saves", "lookups"] {
+        let path = format!("/services/viewer/routes/{route}");
+        let route = plan.tree.get_mut(path.as_str()).expect("a route");
         route.knobs.deadline_ms = Some(ENDLESS_LATENCY_MS as u64);
     }
-    let mut started = support::start(&plan);
+    plan
+}
+
+/// Guards against a stop without a time limit: the platform kills the process, and its callers get no answer.
+#[test]
+fn calls_that_outlast_a_stop_are_answered_before_the_process_is_killed() {
+    let mut started = support::start(&endless_plan(KILL_SECONDS));
     let deployment = &mut started.deployment;
     smol::block_on(async {
         let addr = deployment.instances[0].listen;
@@ -323,10 +327,32 @@
         until_draining(deployment, 0).await;
         let late = send_at_once(addr, "late");
         let answers = [early, late].map(|stream| unblock(|| read_status(stream)));
-        let ended = deployment.stop_instance(0, KILL_AFTER).await;
+        let kill_after = Duration::from_secs(KILL_SECONDS);
+        let ended = deployment.stop_instance(0, kill_after).await;
         assert!(ended, "{}", deployment.tail(0));
         for answer in answers {
             assert_eq!(answer.await, Some(504), "{}", deployment.tail(0));
         }
     });
 }
+
+/// Guards against a stream that looks complete, or is cancelled, because the time for a stop is over.
+#[test]
+fn a_stream_that_outlasts_a_stop_is_resumed_at_another_instance() {
+    let seconds = KILL_SECONDS / 2;
+    let mut started = support::start(&endless_plan(seconds));
+    let deployment = &mut started.deployment;
+    smol::block_on(async {
+        let caller = Caller::new(timer::Timer::new());
+        let entries = deployment.entries();
+        let wanted = draft("draft");
+        let stream = workers::spawn(async move { caller.follow(&entries, &wanted).await });
+        until_produced(deployment, "draft", 3).await;
+        let kill_after = Duration::from_secs(seconds);
+        let ended = deployment.stop_instance(0, kill_after).await;
+        assert!(ended, "{}", deployment.tail(0));
+        let record = stream.await;
+        assert_eq!(record.outcome, Outcome::Whole, "{}", deployment.tail(0));
+        assert_eq!((record.tokens, record.resumed), (LONG_TOKENS, 1));
+    });
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 use bench::{
     deployment::{Deployment, Plan},
+    plan::DEFAULT_SHUTDOWN_SECONDS,
     process::Programs,
 };
 use settings::Strategy;
@@ -36,6 +37,7 @@
         replica: standins::service::ServiceSettings::default(),
         platform: standins::platform::Faults::default(),
         tree: tree(),
+        shutdown_seconds: DEFAULT_SHUTDOWN_SECONDS,
         workspaces: vec!["editors".into(), "viewers".into()],
     }
 }
