Own interface: a silent generation runs elsewhere only once its engine has stopped

What callers and engines saw: an engine that is reached and sends no token for 30 s loses the generation to another engine at once, and may go on with it, so that two work on the same request.

Cause: gateway::attempt cancelled a failed stream in the background and repeated the request without the engine's confirmation.

Change: unless the engine refuses connections, or has said that it does not know the stream, its confirmation is awaited; without one the request ends as one that may have run. The time without a token can be set, for tests.

Measured: a_generation_that_fell_silent_runs_again_only_once_its_engine_has_stopped failed before (two starts while the cancellation was not answered) and passes now. A first sending that is lost before the engine names its stream is still repeated: nothing can be cancelled without a name, and the interface says that generations may run again until the caller has a token.

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a generation, up to the first token that the caller receives.
 
 use futures_lite::future;
-use relay::ActiveStream;
+use relay::{ActiveStream, StreamError};
 use targets::{StreamItem, TargetError};
 use types::{Execution, Refusal};
 
@@ -45,8 +45,8 @@
     DeadlineExceeded,
     /// The engine did not start the generation.
     StartFailed(TargetError),
-    /// The generation can't be continued.
-    StreamFailed,
+    /// The generation can't be continued, for this reason.
+    StreamFailed(StreamError),
 }
 
 /// Work under a permit of which the caller has received nothing yet.
@@ -86,14 +86,14 @@
     /// sent after it.
     pub async fn next(&mut self) -> AttemptEvent {
         let Some(stream) = &mut self.stream else {
-            return AttemptEvent::StreamFailed;
+            return AttemptEvent::StreamFailed(StreamError::Gone);
         };
         let permit = self.permit.as_deref();
         let permit = permit.expect("an attempt has its permit until it is taken apart");
         let item = async {
             match stream.next().await {
                 Ok(item) => AttemptEvent::StreamItem(item),
-                Err(_) => AttemptEvent::StreamFailed,
+                Err(error) => AttemptEvent::StreamFailed(error),
             }
         };
         unless_revoked(permit, item).await
@@ -111,18 +111,34 @@
                 outcome: None,
                 refusal: refusals::deadline(Execution::Unknown),
             },
-            AttemptEvent::StreamFailed => {
-                // Cancelled in the background: the retry does not wait for a failed engine.
-                self.stream = None;
-                AttemptResult::Retry {
-                    outcome: WorkOutcome::Failed,
-                    ran: true,
-                }
-            }
+            AttemptEvent::StreamFailed(error) => self.give_up_stream(&error).await,
             AttemptEvent::StartFailed(e) => start_failed(e),
         }
     }
 
+    /// Gives up a stream that can't be continued. An engine that is reached may still work on the generation,
+    /// which then runs at no other one until the engine has confirmed that it does not.
+    async fn give_up_stream<T>(&mut self, error: &StreamError) -> AttemptResult<T> {
+        let retry = AttemptResult::Retry {
+            outcome: WorkOutcome::Failed,
+            ran: true,
+        };
+        let Some(stream) = self.stream.take() else {
+            return retry;
+        };
+        // One that is not reached is cancelled in the background.
+        let is_reached = !matches!(error, StreamError::Unreachable { .. });
+        if !is_reached || stream.cancel().await {
+            return retry;
+        }
+        AttemptResult::Failed {
+            outcome: Some(WorkOutcome::Failed),
+            refusal: refusals::answer_lost(&format!(
+                "{error}; its engine has not confirmed that it stopped"
+            )),
+        }
+    }
+
     /// The parts of its prompt that are suspect if its target has crashed: none once they proved sound.
     pub fn suspect_parts(&self, parts: &SharedParts) -> SharedParts {
         match &self.watch {
--- a/components/gateway/src/buffered.rs
+++ b/components/gateway/src/buffered.rs
@@ -218,7 +218,7 @@
         item = match attempt.next().await {
             AttemptEvent::StreamItem(item) => item,
             event => {
-                if matches!(event, AttemptEvent::StreamFailed) {
+                if matches!(event, AttemptEvent::StreamFailed(_)) {
                     *partial_data.lock() = data;
                 }
                 return attempt.give_up(event).await;
--- a/components/gateway/src/gateway.rs
+++ b/components/gateway/src/gateway.rs
@@ -134,6 +134,17 @@
         self
     }
 
+    /// Sets how long a generation may produce no token before it is given up.
+    ///
+    /// # Panics
+    /// Panics if the gateway has been cloned.
+    #[must_use]
+    pub fn with_stall_timeout(mut self, timeout: Duration) -> Self {
+        let core = Arc::get_mut(&mut self.core).expect("the gateway is not shared yet");
+        core.relay = core.relay.clone().with_stall_timeout(timeout);
+        self
+    }
+
     /// Returns the number of running and waiting requests, which a graceful shutdown waits for.
     #[must_use]
     pub fn open_requests(&self) -> usize {
--- a/components/gateway/src/generate.rs
+++ b/components/gateway/src/generate.rs
@@ -7,6 +7,7 @@
 use futures_lite::future;
 use hyper::{Request, Response, body::Incoming};
 use net::{Body, Share};
+use relay::StreamError;
 use targets::{EngineCall, StreamItem};
 use tree::RouteRule;
 use types::{Class, Moment, Refusal, Target, Tokens};
@@ -189,7 +190,7 @@
                 Ok(started) => {
                     stream = Some(started);
                     // Ignored: `stream` shows that the generation has started.
-                    AttemptEvent::StreamFailed
+                    AttemptEvent::StreamFailed(StreamError::Gone)
                 }
                 Err(event) => event,
             }
--- a/components/gateway/tests/fakes/mod.rs
+++ b/components/gateway/tests/fakes/mod.rs
@@ -144,10 +144,25 @@
         Self::with(Arc::new(FakeEngine::default()), "entry-1", None).await
     }
 
+    /// Starts a gateway that gives up a generation after this time without a token.
+    pub async fn with_stall_timeout(timeout: Duration) -> Self {
+        let engine = Arc::default();
+        Self::start(engine, "i1", None, Some(timeout)).await
+    }
+
     pub async fn with(
         engine: Arc<FakeEngine>,
         instance: &str,
         takeover: Option<Arc<dyn Takeover>>,
+    ) -> Self {
+        Self::start(engine, instance, takeover, None).await
+    }
+
+    async fn start(
+        engine: Arc<FakeEngine>,
+        instance: &str,
+        takeover: Option<Arc<dyn Takeover>>,
+        stall_timeout: Option<Duration>,
     ) -> Self {
         let timer = Timer::new();
         let admission = Arc::new(FakeAdmission::new(timer));
@@ -177,7 +192,10 @@
             Some(takeover) => Gateway::with_takeover(parts, takeover),
             None => Gateway::new(parts),
         };
-        let gateway = gateway.with_grace(Duration::from_secs(1));
+        let mut gateway = gateway.with_grace(Duration::from_secs(1));
+        if let Some(timeout) = stall_timeout {
+            gateway = gateway.with_stall_timeout(timeout);
+        }
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let server = Server::bind(any, ServeLimits::default(), Arc::new(gateway.clone()));
         let server = server.await.expect("a port");
--- a/components/gateway/tests/generations.rs
+++ b/components/gateway/tests/generations.rs
@@ -25,6 +25,11 @@
     Ok(vec![Step::Tokens(0, count), Step::End])
 }
 
+/// Time without a token after which a generation is given up.
+const STALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// More attempts to resume than are made in that time.
+const MAX_RESUMPTIONS: usize = 100;
+
 fn lost() -> TargetError {
     TargetError::Lost {
         reason: "reset".into(),
@@ -398,6 +403,33 @@
     });
 }
 
+/// Guards against a generation that runs at a second engine while the first one, which has fallen silent, may go on
+/// with it.
+#[test]
+fn a_generation_that_fell_silent_runs_again_only_once_its_engine_has_stopped() {
+    smol::block_on(async {
+        let bed = Arc::new(TestBed::with_stall_timeout(STALL_TIMEOUT).await);
+        bed.engine.script_starts([
+            Ok(vec![Step::Tokens(0, 1), Step::Crash]),
+            complete_stream(1),
+        ]);
+        bed.engine
+            .script_resumptions((0..MAX_RESUMPTIONS).map(|_| Err(lost())));
+        bed.engine
+            .ignores_cancellation
+            .store(true, Ordering::Release);
+        let caller = Arc::clone(&bed);
+        let answer = smol::spawn(async move { caller.complete(false, &[]).await });
+        smol::Timer::after(4 * STALL_TIMEOUT).await;
+        assert_eq!(bed.engine.start_count(), 1);
+        bed.engine
+            .ignores_cancellation
+            .store(false, Ordering::Release);
+        assert_eq!(in_time(answer).await.status, 200);
+        assert_eq!(bed.engine.start_count(), 2);
+    });
+}
+
 /// Guards against a generation that admission never answers and whose caller waits forever.
 #[test]
 fn a_generation_that_admission_never_answers_is_refused_after_its_deadline() {
--- a/components/relay/src/active_stream.rs
+++ b/components/relay/src/active_stream.rs
@@ -11,7 +11,7 @@
     gap_estimator::{GapEstimator, TOKEN_GAP_BOUNDS},
     relay::Relay,
     retry::{INITIAL_BACKOFF, RetryState},
-    sink::{STALL_TIMEOUT, StreamEnd, StreamError, TokenSink},
+    sink::{StreamEnd, StreamError, TokenSink},
 };
 
 /// Time for the response head of a resumed stream to arrive.
@@ -262,7 +262,7 @@
         if self.resume_disabled {
             return Err(StreamError::ConnectionLost);
         }
-        if self.relay.timer.now().saturating_sub(self.last_token_at) > STALL_TIMEOUT {
+        if self.relay.timer.now().saturating_sub(self.last_token_at) > self.relay.stall_timeout {
             return Err(self.fail(StreamError::Stalled));
         }
         self.relay.timer.sleep(self.retry.next_delay()).await;
--- a/components/relay/src/relay.rs
+++ b/components/relay/src/relay.rs
@@ -1,12 +1,12 @@
 //! Starts generations at engines and takes over generations that already run.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use targets::{Engine, EngineCall, MaySend, StreamId, TargetError};
 use timer::Timer;
 use types::{Target, Tokens};
 
-use crate::{active_stream::ActiveStream, first_token::FirstTokenEstimator};
+use crate::{active_stream::ActiveStream, first_token::FirstTokenEstimator, sink::STALL_TIMEOUT};
 
 /// Starts generations and shares their timing estimates. Clones share the estimates.
 #[derive(Clone)]
@@ -14,6 +14,7 @@
     pub(crate) engine: Arc<dyn Engine>,
     pub(crate) timer: Timer,
     pub(crate) first_token: Arc<FirstTokenEstimator>,
+    pub(crate) stall_timeout: Duration,
 }
 
 impl Relay {
@@ -24,9 +25,17 @@
             engine,
             timer,
             first_token: Arc::default(),
+            stall_timeout: STALL_TIMEOUT,
         }
     }
 
+    /// Sets how long a generation may produce no token before it is given up.
+    #[must_use]
+    pub const fn with_stall_timeout(mut self, timeout: Duration) -> Self {
+        self.stall_timeout = timeout;
+        self
+    }
+
     /// Starts a generation and waits for the engine to accept it.
     ///
     /// # Errors
