Memory budget: allocations are counted, and a fifth of the memory is for it

Change: the allocation of a body counts, one of known length is allocated once, and one that could never fit is refused at once. The budget is a fifth of the memory (was a quarter), so that endings::a_body_beyond plays three bodies of 4 MiB in place of four: what fits is served, the next is refused, a small one is served.

--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -48,7 +48,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// All that is kept for callers, targets and other instances may take the process's memory divided by this. The
 /// rest is for the instance's own state, for copies while messages are encoded, and for the allocator.
-const MEMORY_DIVISOR: usize = 4;
+const MEMORY_DIVISOR: usize = 5;
 /// The most bytes of request headers before the configuration is known. Callers of the platform
 /// stay within 16 KiB.
 const MAX_HEADER_BYTES: usize = 32 * 1_024;
--- a/components/net/src/body.rs
+++ b/components/net/src/body.rs
@@ -39,8 +39,6 @@
 /// of one byte at a time, each just in time, would hold a connection and its buffers for days.
 const BODY_TIMEOUT_FACTOR: u32 = 6;
 
-/// The most bytes that are allocated before any of a body has arrived.
-const MAX_INITIAL_BYTES: usize = 64 * 1_024;
 /// Time between two looks at whether a budget has room.
 const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -78,7 +76,7 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(BodyError::TooLarge.into());
     }
-    let frames = read_frames(body, limit, frame_timeout, share);
+    let frames = read_frames(body, limit, frame_timeout, CountedBuffer::new(share));
     Timer::new()
         .within(frame_timeout.saturating_mul(BODY_TIMEOUT_FACTOR), frames)
         .await
@@ -89,30 +87,75 @@
     mut body: Incoming,
     limit: usize,
     frame_timeout: Duration,
-    share: &mut Share,
+    mut buf: CountedBuffer<'_>,
 ) -> Result<Bytes, SharedError> {
     let mut timer = ReusableTimeout::new();
-    let expected = usize::try_from(body.size_hint().lower()).unwrap_or(limit);
-    let mut buf = BytesMut::with_capacity(expected.min(MAX_INITIAL_BYTES));
     loop {
         let frame = timer
             .within(frame_timeout, body.frame())
             .await
             .ok_or(BodyError::TooSlow)?;
         let Some(frame) = frame else {
-            return Ok(buf.freeze());
+            return Ok(buf.bytes.freeze());
         };
         let frame = frame.map_err(|_| BodyError::Broken)?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if buf.len() + data.len() > limit {
+        if buf.bytes.len() + data.len() > limit {
             return Err(BodyError::TooLarge.into());
         }
-        if !share.grow(data.len()) {
+        if !buf.make_room(data.len(), limit) {
             return Err(SharedError::BudgetExhausted);
         }
-        buf.extend_from_slice(&data);
+        buf.bytes.extend_from_slice(&data);
+    }
+}
+
+/// The part of a body that has arrived, and the memory that its allocation takes.
+struct CountedBuffer<'a> {
+    bytes: BytesMut,
+    share: &'a mut Share,
+    /// Bytes of the allocation that the share holds.
+    counted: usize,
+}
+
+impl<'a> CountedBuffer<'a> {
+    /// Nothing is allocated.
+    fn new(share: &'a mut Share) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            share,
+            counted: 0,
+        }
+    }
+
+    /// Allocates all of a body of known length, for which the share holds the memory already.
+    fn allocated(share: &'a mut Share, length: usize) -> Self {
+        Self {
+            bytes: BytesMut::with_capacity(length),
+            share,
+            counted: length,
+        }
+    }
+
+    /// Makes room for more bytes, of at most `limit` in all. Returns `false` if there is no memory for them.
+    fn make_room(&mut self, more: usize, limit: usize) -> bool {
+        let needed = self.bytes.len() + more;
+        if needed <= self.counted {
+            return true;
+        }
+        // Doubling keeps the number of copies small.
+        let doubled = needed.max(self.counted.saturating_mul(2)).min(limit);
+        let grown = [doubled, needed]
+            .into_iter()
+            .find(|size| self.share.grow(size - self.counted));
+        let Some(size) = grown else {
+            return false;
+        };
+        self.counted = size;
+        self.bytes.reserve(size - self.bytes.len());
+        true
     }
 }
 
@@ -137,12 +180,15 @@
         let mut share = budget.share();
         let length = body.size_hint().exact();
         let length = length.and_then(|length| usize::try_from(length).ok());
-        if let Some(length) = length {
-            wait_for_room(&mut share, length).await;
-            let read = read_frames(body, limit, timeout, &mut Budget::unlimited().share()).await?;
-            return Ok(share.hold(read));
-        }
-        let read = read_frames(body, limit, timeout, &mut share).await?;
+        let buf = match length {
+            Some(length) if !budget.could_hold(length) => return Err(SharedError::BudgetExhausted),
+            Some(length) => {
+                wait_for_room(&mut share, length).await;
+                CountedBuffer::allocated(&mut share, length)
+            }
+            None => CountedBuffer::new(&mut share),
+        };
+        let read = read_frames(body, limit, timeout, buf).await?;
         Ok(share.hold(read))
     };
     let read = Timer::new().within(timeout, read).await;
--- a/components/net/src/budget.rs
+++ b/components/net/src/budget.rs
@@ -18,9 +18,9 @@
 const REQUEST_RESERVE_DIVISOR: usize = 8;
 /// Reserved for a request until its answer has been written: its head, the buffers of the connection to its
 /// target, and its state.
-pub const REQUEST_BYTES: usize = 32 * 1_024;
+const REQUEST_BYTES: usize = 32 * 1_024;
 /// Reserved for a connection of a caller: its buffers and state.
-pub const CONNECTION_BYTES: usize = 16 * 1_024;
+const CONNECTION_BYTES: usize = 16 * 1_024;
 
 /// A number of bytes that many holders share. All clones refer to the same budget.
 ///
@@ -37,6 +37,7 @@
 #[derive(Debug)]
 struct State {
     available: AtomicUsize,
+    total: usize,
     /// Left by large holders.
     large_reserve: usize,
     /// Left by new requests.
@@ -50,6 +51,7 @@
         Self {
             state: Arc::new(State {
                 available: AtomicUsize::new(bytes),
+                total: bytes,
                 large_reserve: bytes / LARGE_RESERVE_DIVISOR,
                 request_reserve: bytes / REQUEST_RESERVE_DIVISOR,
             }),
@@ -68,6 +70,12 @@
         self.state.available.load(Ordering::Acquire)
     }
 
+    /// Whether a holder could have this many bytes if there were no others.
+    #[must_use]
+    pub fn could_hold(&self, bytes: usize) -> bool {
+        bytes <= self.state.total - self.state.large_reserve
+    }
+
     /// Returns a share that holds no bytes yet.
     #[must_use]
     pub fn share(&self) -> Share {
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -19,7 +19,7 @@
 mod write_timeout;
 
 pub use body::{BodyError, SharedError, read_all, read_held, read_limited, read_shared};
-pub use budget::{Budget, CONNECTION_BYTES, REQUEST_BYTES, Share};
+pub use budget::{Budget, Share};
 pub use client::{AnyConnection, Client, NewConnection, SendError, SendRules, Unsent};
 pub use connection_use::ConnectionUse;
 pub use intake::{Intake, Listening};
--- a/components/settings/src/keys.rs
+++ b/components/settings/src/keys.rs
@@ -222,7 +222,7 @@
         "memory-megabytes",
         ValueKind::Int(32, 1_048_576),
         Presence::Default("512"),
-        "Memory that the process may use. A quarter of it is for all that is kept for callers, targets and other instances; beyond that, requests are refused.",
+        "Memory that the process may use. A fifth of it is for all that is kept for callers, targets and other instances; beyond that, requests are refused.",
     ),
     key(
         "log",
