--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -15,6 +15,7 @@
     caller::request,
     deployment::{configuration, route},
     engine::{Engine, Faults},
+    proxy::Proxy,
 };
 use serde_json::json;
 use smol::{Task, Timer};
@@ -36,6 +37,14 @@
 const RESUME_TIME: Duration = Duration::from_millis(1_800);
 /// How long engines go on without their readers.
 const OUTLIVES: Duration = Duration::from_secs(60);
+/// How long an engine at its connection limit takes no new connections.
+const LIMIT_TIME: Duration = Duration::from_millis(700);
+/// Longer than a caller waits for a stream to go on.
+const LONG_LIMIT_TIME: Duration = Duration::from_secs(5);
+/// Events of a generation that keeps an engine's slot for a second.
+const SLOT_EVENTS: u32 = 67;
+/// Time for a proxy to take a mode over.
+const MODE_TIME: Duration = Duration::from_millis(30);
 /// Longer than an instance waits for a copy.
 const SLOW_COPY: Duration = Duration::from_millis(1_600);
 
@@ -115,6 +124,12 @@
     resp.expect("an answer")
 }
 
+/// An engine's link to the instance. The engine that has none takes no work.
+fn link<'a>(links: &'a Links, engines: &[Engine], engine: &Engine) -> &'a Proxy {
+    let number = engines.iter().position(|it| it.id() == engine.id());
+    &links.engines[number.expect("one of the engines")]
+}
+
 /// The engine that works on a generation.
 fn running(engines: &[Engine]) -> Engine {
     let running = engines.iter().find(|engine| engine.active_count() == 1);
@@ -279,3 +294,98 @@
         assert_truthful("crashed", &read_answer(resp).await);
     });
 }
+
+/// Loses the stream of an engine that takes no new connections for a while, refused or reset.
+async fn lose_stream_at_connection_limit(
+    mode: Mode,
+    path: &str,
+    limit_time: Duration,
+) -> (Instance, ReceivedAnswer) {
+    let name = format!("{mode:?}{path}");
+    let (_platform, instance, links, engines) = start("connection-limit").await;
+    engines[2].set_full(true);
+    let watch = Watch::start(&engines);
+    let resp = send(&instance, path).await;
+    Timer::after(STREAM_START_DELAY).await;
+    let source = running(&engines);
+    let link = link(&links, &engines, &source).clone();
+    engines[2].set_full(false);
+    link.set_mode(mode);
+    Timer::after(MODE_TIME).await;
+    source.abort_streams();
+    let reading = smol::spawn(read_answer(resp));
+    Timer::after(limit_time).await;
+    link.set_mode(Mode::Pass);
+    let got = reading.await;
+    assert_truthful(&name, &got);
+    watch.check(&name).await;
+    (instance, got)
+}
+
+/// Guards against a stream that goes on elsewhere, or is cut, while its engine works on it and only takes no new
+/// connections for a moment, because it has as many as it may have.
+#[test]
+fn a_stream_whose_engine_is_at_its_connection_limit_goes_on_at_one_engine() {
+    smol::block_on(async {
+        for mode in [Mode::RefuseNew, Mode::ResetNew] {
+            for path in ["/notes/1", "/drafts/1"] {
+                let (instance, got) = lose_stream_at_connection_limit(mode, path, LIMIT_TIME).await;
+                assert!(got.is_complete, "{mode:?} {path}: {got:?}");
+                let events = instance.event_counts();
+                assert!(!events.contains_key("TargetEnded"), "{mode:?} {path}");
+            }
+        }
+    });
+}
+
+/// Guards against taking connections that an engine accepts and resets for the end of the engine once there were
+/// enough of them.
+#[test]
+fn a_stream_whose_engine_resets_connections_for_long_runs_at_one_engine() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            lose_stream_at_connection_limit(Mode::ResetNew, path, LONG_LIMIT_TIME).await;
+        }
+    });
+}
+
+/// Guards against a second engine that begins a generation while it waits in the queue of the first one, which
+/// says that it does not run it and begins it later although its connection was lost.
+#[test]
+fn a_generation_that_waits_in_an_engines_queue_runs_at_one_engine() {
+    smol::block_on(async {
+        let (_platform, instance, links, mut engines) = start("queued").await;
+        engines
+            .pop()
+            .expect("an engine without a link")
+            .set_full(true);
+        for engine in &engines {
+            engine.set_faults(Faults {
+                outlives_connections: OUTLIVES,
+                slots: Some(1),
+                ..Faults::default()
+            });
+            let id = format!("first-{}", engine.id());
+            let mut req = request("POST", "/notes/1", &id, SLOT_EVENTS, "key-1");
+            let target = engine.id().parse().expect("a header");
+            req.headers_mut().insert("expected-instance", target);
+            let addr = engine.addr().expect("an address");
+            let resp = Client::new().send_fresh(addr, req).await;
+            smol::spawn(async move { read_answer(resp.expect("an answer")).await }).detach();
+        }
+        let watch = Watch::start(&engines);
+        let sending = smol::spawn(async move {
+            let got = read_answer(send(&instance, "/notes/1").await).await;
+            (got, instance)
+        });
+        eventually("an engine queues it", || async {
+            engines.iter().any(|engine| engine.queued_count() == 1)
+        })
+        .await;
+        links.reset_connections();
+        let (got, _instance) = sending.await;
+        assert_truthful("queued", &got);
+        assert!(got.is_complete, "{got:?}");
+        watch.check("queued").await;
+    });
+}
