Own interface: an engine that takes no new connections has not ended

Callers behind the product's own interface: a target that refused two connections a quarter of a second apart counted as crashed, and the requests it had lost as evidence against themselves; an engine that refused six in 0.8 s was left, and its generation begun elsewhere. A target at its connection limit refuses or resets new connections while it works on what it has.

The client tells of a request that was not sent whether its connection opened: one that opened is contact (TargetError::Closed, counted as overload, not as unreachable).

--- a/components/gateway/src/attempt.rs
+++ b/components/gateway/src/attempt.rs
@@ -216,6 +216,10 @@
             outcome: WorkOutcome::Unreachable,
             ran: false,
         },
+        TargetError::Closed { .. } => AttemptResult::Retry {
+            outcome: WorkOutcome::Overloaded,
+            ran: false,
+        },
         TargetError::Withheld => AttemptResult::Retry {
             outcome: WorkOutcome::Unsent,
             ran: false,
--- a/components/gateway/src/plain.rs
+++ b/components/gateway/src/plain.rs
@@ -238,6 +238,7 @@
                 Ok((WorkOutcome::Cancelled { produced: 0 }, answer))
             }
             Err(TargetError::Unsent { .. }) => Err((WorkOutcome::Unreachable, false)),
+            Err(TargetError::Closed { .. }) => Err((WorkOutcome::Overloaded, false)),
             Err(TargetError::Withheld) => Err((WorkOutcome::Unsent, false)),
             Err(TargetError::Rejected { is_certain, .. }) => {
                 Err((WorkOutcome::Overloaded, !is_certain))
--- a/components/gateway/src/quarantine.rs
+++ b/components/gateway/src/quarantine.rs
@@ -6,6 +6,7 @@
 use async_channel::{Receiver, bounded};
 use events::Event;
 use futures_lite::future;
+use reach::Absence;
 use targets::{TargetError, TargetReport};
 use types::{Moment, Refusal, ServiceId, ServiceKind, ServingState, Target};
 
@@ -15,9 +16,6 @@
 const CRASH_CHECKS: u32 = 8;
 /// Pause between two of these checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Consecutive refused connections after which a target counts as crashed. An overloaded target
-/// may refuse a single connection.
-const MAX_CONSECUTIVE_REFUSALS: u32 = 2;
 
 /// Runs of one request that may be lost before its crash checks are awaited: a single loss is mostly
 /// a network fault, and the retry must not wait for the check.
@@ -180,7 +178,7 @@
     /// Whether the target has a new incarnation or refuses connections after it lost a run at
     /// `lost_at`.
     async fn has_crashed(&self, kind: ServiceKind, target: &Target, lost_at: Moment) -> bool {
-        let mut refusals = 0;
+        let mut absence = Absence::default();
         // A report made before the last failure may describe the incarnation that has ended.
         let mut failed_at = lost_at;
         for _ in 0..CRASH_CHECKS {
@@ -190,15 +188,17 @@
                     if let Some(crashed) = shows_crash(&report, target.incarnation, since_failure) {
                         return crashed;
                     }
-                    refusals = 0;
+                    absence.record_contact();
                 }
                 Err(e) => {
-                    let refused = matches!(e, TargetError::Unsent { .. });
-                    refusals = if refused { refusals + 1 } else { 0 };
                     failed_at = self.admission.now();
+                    match e {
+                        TargetError::Unsent { .. } => absence.record_no_connection(failed_at),
+                        _ => absence.record_contact(),
+                    }
                 }
             }
-            if refusals >= MAX_CONSECUTIVE_REFUSALS && self.reaches_another(kind, target).await {
+            if absence.shows_end(self.admission.now()) && self.reaches_another(kind, target).await {
                 return true;
             }
             self.timer.sleep(CHECK_INTERVAL).await;
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -1,6 +1,7 @@
 //! An HTTP client with a pool of idle connections.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::{
         Arc,
@@ -34,20 +35,39 @@
 /// How long a new connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What became of the connection for a request that was not sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Connecting {
+    /// It did not open.
+    Unopened,
+    /// It was refused. The server's machine is reached, and open connections to it may work.
+    Refused,
+    /// It opened, so that the server is reached. It was closed, or the rules forbade to send.
+    Opened,
+}
+
 /// Proof that no byte of a request has left this process, and none will. Only the client makes it.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[display("{reason}")]
 pub struct Unsent {
     reason: Arc<str>,
+    connecting: Connecting,
 }
 
 impl Unsent {
-    fn new(reason: impl Into<Arc<str>>) -> Self {
+    fn new(connecting: Connecting, reason: impl Into<Arc<str>>) -> Self {
         Self {
             reason: reason.into(),
+            connecting,
         }
     }
 
+    /// What became of the connection.
+    #[must_use]
+    pub const fn connecting(&self) -> Connecting {
+        self.connecting
+    }
+
     /// The cause.
     #[must_use]
     pub const fn reason(&self) -> &Arc<str> {
@@ -204,11 +224,31 @@
                     timed_out: true,
                 }
             } else {
-                unsent(format!("no connection to {addr} within {waited} ms"))
+                unopened(format!("no connection to {addr} within {waited} ms"))
             })
         })
     }
 
+    /// Sends a request over an idle connection, if there is one: a server that accepts no new connections still
+    /// answers on open ones. None if nothing was sent.
+    pub async fn send_on_idle(
+        &self,
+        addr: SocketAddr,
+        req: Request<Full<Bytes>>,
+    ) -> Option<Result<Response<Incoming>, SendError>> {
+        let req = with_host(req, addr).map(Sliced::new);
+        let idle = self.pool.lock().take(addr)?;
+        let has_left = AtomicBool::new(false);
+        match self
+            .send_on(addr, idle, req, &AnyConnection, &has_left)
+            .await
+        {
+            Ok(resp) => Some(Ok(resp)),
+            Err(Failure::Final(error)) => Some(Err(error)),
+            Err(Failure::Unsent { .. }) => None,
+        }
+    }
+
     /// Closes all connections to an address: the idle ones now, those in use after their request.
     pub fn close_connections(&self, addr: SocketAddr) {
         self.pool.lock().close_connections(addr);
@@ -255,7 +295,7 @@
     ) -> Result<Response<Incoming>, Failure> {
         rules
             .may_send()
-            .map_err(|reason| Failure::Final(unsent(reason)))?;
+            .map_err(|reason| Failure::Final(unsent(Connecting::Opened, reason)))?;
         has_left.store(true, Ordering::Release);
         conn.begin();
         match conn.sender.try_send_request(req).await {
@@ -312,25 +352,36 @@
 impl Failure {
     fn into_error(self) -> SendError {
         match self {
-            Self::Unsent { reason, .. } => unsent(reason),
+            Self::Unsent { reason, .. } => unsent(Connecting::Opened, reason),
             Self::Final(error) => error,
         }
     }
 }
 
-fn unsent(reason: impl Into<Arc<str>>) -> SendError {
-    SendError::Unsent(Unsent::new(reason))
+fn unsent(connecting: Connecting, reason: impl Into<Arc<str>>) -> SendError {
+    SendError::Unsent(Unsent::new(connecting, reason))
+}
+
+fn unopened(reason: impl Into<Arc<str>>) -> SendError {
+    unsent(Connecting::Unopened, reason)
 }
 
 async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Conn, SendError> {
     let stream = Timer::new()
         .await_answer(timeout, TcpStream::connect(addr))
         .await
-        .map_err(|_| unsent(format!("no connection to {addr} within {timeout:?}")))?
-        .map_err(|e| unsent(format!("no connection to {addr}: {e}")))?;
+        .map_err(|_| unopened(format!("no connection to {addr} within {timeout:?}")))?
+        .map_err(|e| {
+            let connecting = match e.kind() {
+                ErrorKind::ConnectionRefused => Connecting::Refused,
+                _ => Connecting::Unopened,
+            };
+            unsent(connecting, format!("no connection to {addr}: {e}"))
+        })?;
+    let opened = |reason: String| unsent(Connecting::Opened, reason);
     stream
         .set_nodelay(true)
-        .map_err(|e| unsent(e.to_string()))?;
+        .map_err(|e| opened(e.to_string()))?;
     let head = Arc::new(HeadBudget::new());
     let stream = BoundedStream::new(stream, Arc::clone(&head));
     let shared = stream.downgrade();
@@ -338,7 +389,7 @@
         .max_buf_size(BUFFER_BYTES)
         .handshake(FuturesIo::new(stream))
         .await
-        .map_err(|e| unsent(format!("no HTTP connection to {addr}: {e}")))?;
+        .map_err(|e| opened(format!("no HTTP connection to {addr}: {e}")))?;
     let drive = async move {
         // An error is reported to the sender that waits for the response.
         let _ = conn.await;
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use body::{BodyError, SharedError, read_all, read_held, read_limited, read_shared};
 pub use budget::{Budget, Share};
-pub use client::{AnyConnection, Client, NewConnection, SendError, SendRules, Unsent};
+pub use client::{AnyConnection, Client, Connecting, NewConnection, SendError, SendRules, Unsent};
 pub use connection_use::ConnectionUse;
 pub use intake::{Intake, Listening};
 pub use reply::{
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, body::Incoming};
-use net::{AnyConnection, Client, ConnectionUse, SendError, SendRules};
+use net::{AnyConnection, Client, Connecting, ConnectionUse, SendError, SendRules};
 use smol::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -133,6 +133,39 @@
     });
 }
 
+/// What became of the connection for a request that was not sent.
+async fn connecting(client: &Client, addr: SocketAddr, rules: &dyn SendRules) -> Connecting {
+    match client.send_with(addr, request(), rules).await {
+        Err(SendError::Unsent(unsent)) => unsent.connecting(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Guards against a server that accepts connections and counts as one that is not reached.
+#[test]
+fn an_unsent_request_tells_whether_its_connection_opened() {
+    smol::block_on(async {
+        let client = Client::new();
+        let held_back = connecting(&client, serve(&[""]).await, &NeverSend).await;
+        assert_eq!(held_back, Connecting::Opened);
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = free.local_addr().expect("an address");
+        drop(free);
+        let refused = connecting(&client, addr, &AnyConnection).await;
+        assert_eq!(refused, Connecting::Refused);
+    });
+}
+
+/// Guards against a request over an idle connection that opens a new one.
+#[test]
+fn a_request_over_an_idle_connection_opens_no_other_one() {
+    smol::block_on(async {
+        let addr = serve(&[""]).await;
+        let client = Client::new();
+        assert!(client.send_on_idle(addr, request()).await.is_none());
+    });
+}
+
 /// Guards against a head that is cut off and taken for a whole response, or for one that was not sent.
 #[test]
 fn a_response_cut_within_its_head_is_lost() {
--- a/components/reach/src/lib.rs
+++ b/components/reach/src/lib.rs
@@ -5,8 +5,10 @@
 //! tells them apart is another instance that reaches the target. Until one has said so, a failure is
 //! an observation of this instance alone, and nothing is concluded from it for others.
 
+pub mod absence;
 pub mod paths;
 pub mod relays;
 
+pub use absence::{ABSENCE_TIME, Absence};
 pub use paths::{Path, Paths, Regained};
 pub use relays::Relays;
--- a/components/reach/src/paths.rs
+++ b/components/reach/src/paths.rs
@@ -4,6 +4,8 @@
 
 use types::{Moment, ServiceId, TargetId};
 
+use crate::absence::Absence;
+
 /// Time after a failed connection before the next probe of the same target.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
 /// Longest time between two probes of a target. Each loss in a row doubles the time.
@@ -49,6 +51,8 @@
     down_until: Moment,
     /// Another instance has reached it since the path was lost.
     is_cut: bool,
+    /// When another instance last reached it.
+    relayed_at: Option<Moment>,
 }
 
 /// The paths from this instance to the targets.
@@ -111,6 +115,7 @@
             return false;
         }
         if is_reached {
+            path.relayed_at = Some(now);
             path.down_until = Duration::ZERO;
             return !std::mem::replace(&mut path.is_cut, true);
         }
@@ -118,6 +123,16 @@
         false
     }
 
+    /// Since when neither this instance nor another one has reached a target, as far as is known.
+    #[must_use]
+    pub fn absence(&self, target: &str, started_at: Option<u64>) -> Absence {
+        let path = self.targets.get(target);
+        let path = path.filter(|path| path.started_at == started_at);
+        path.map_or_else(Absence::default, |path| {
+            Absence::new(path.lost_at).after(path.relayed_at)
+        })
+    }
+
     /// How to send requests to a target.
     #[must_use]
     pub fn path(&self, now: Moment, target: &str, started_at: Option<u64>) -> Path {
@@ -211,6 +226,7 @@
             next_probe_at: Duration::ZERO,
             down_until: Duration::ZERO,
             is_cut: false,
+            relayed_at: None,
         };
         let path = self
             .targets
--- a/components/relay/src/active_stream.rs
+++ b/components/relay/src/active_stream.rs
@@ -265,14 +265,18 @@
         if self.relay.timer.now().saturating_sub(self.last_token_at) > self.relay.stall_timeout {
             return Err(self.fail(StreamError::Stalled));
         }
-        self.relay.timer.sleep(self.retry.next_delay()).await;
+        let now = self.relay.timer.now();
+        self.relay.timer.sleep(self.retry.next_delay(now)).await;
         self.retry.record_attempt();
         match self.reconnect().await {
             Ok(()) => self.retry.record_connection(),
             Err(TargetError::Gone) => return Err(self.fail(StreamError::Gone)),
-            Err(TargetError::Unsent { reason }) if self.retry.record_refusal() => {
-                return Err(self.fail(StreamError::Unreachable { reason }));
+            Err(TargetError::Unsent { reason }) => {
+                if self.retry.record_refusal(self.relay.timer.now()) {
+                    return Err(self.fail(StreamError::Unreachable { reason }));
+                }
             }
+            Err(TargetError::Closed { .. }) => self.retry.record_connection(),
             Err(_) => {}
         }
         Ok(())
--- a/components/relay/src/retry.rs
+++ b/components/relay/src/retry.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use reach::Absence;
+use types::Moment;
+
 use crate::gap_estimator::TOKEN_GAP_BOUNDS;
 
 /// Consecutive refused connections after which an engine counts as gone.
@@ -20,6 +23,8 @@
     silent_connections: u32,
     /// Refused connections since the last one that was accepted.
     consecutive_refusals: u32,
+    /// Time since the first of them.
+    absence: Absence,
     /// Attempts to resume.
     attempts: u32,
 }
@@ -43,12 +48,14 @@
     /// Records that a connection was accepted.
     pub const fn record_connection(&mut self) {
         self.consecutive_refusals = 0;
+        self.absence.record_contact();
     }
 
     /// Records that a connection was refused; returns whether the engine now counts as gone.
-    pub const fn record_refusal(&mut self) -> bool {
+    pub fn record_refusal(&mut self, now: Moment) -> bool {
         self.consecutive_refusals += 1;
-        self.consecutive_refusals >= MAX_CONSECUTIVE_REFUSALS
+        self.absence.record_no_connection(now);
+        self.consecutive_refusals >= MAX_CONSECUTIVE_REFUSALS && self.absence.shows_end(now)
     }
 
     /// Returns the idle timeout of the current connection, based on the estimated `timeout` and
@@ -62,12 +69,17 @@
 
     /// Returns the delay before the next attempt. The first attempt has none; later delays are
     /// randomized so that all streams of a broken connection do not reconnect at the same time.
-    pub fn next_delay(&self) -> Duration {
+    /// One that would show that the engine has ended is not delayed further.
+    pub fn next_delay(&self, now: Moment) -> Duration {
         let Some(doublings) = self.attempts.checked_sub(1) else {
             return Duration::ZERO;
         };
         let delay = INITIAL_BACKOFF.saturating_mul(1 << doublings.min(10));
         let jitter = fastrand::f64().mul_add(0.5, 0.5);
-        delay.min(MAX_BACKOFF).mul_f64(jitter)
+        let delay = delay.min(MAX_BACKOFF).mul_f64(jitter);
+        match self.absence.time_left(now) {
+            Some(left) if self.consecutive_refusals >= MAX_CONSECUTIVE_REFUSALS => delay.min(left),
+            _ => delay,
+        }
     }
 }
--- a/components/targets/src/answer.rs
+++ b/components/targets/src/answer.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use hyper::{Response, StatusCode, body::Incoming};
-use net::{ConnectionUse, SendError, read_all, retry_after};
+use net::{Connecting, ConnectionUse, SendError, read_all, retry_after};
 use serde::Deserialize;
 use types::Execution;
 
@@ -23,9 +23,13 @@
 impl From<SendError> for TargetError {
     fn from(e: SendError) -> Self {
         match e {
-            SendError::Unsent(unsent) => Self::Unsent {
-                reason: Arc::clone(unsent.reason()),
-            },
+            SendError::Unsent(unsent) => {
+                let reason = Arc::clone(unsent.reason());
+                match unsent.connecting() {
+                    Connecting::Opened => Self::Closed { reason },
+                    Connecting::Refused | Connecting::Unopened => Self::Unsent { reason },
+                }
+            }
             SendError::Lost { reason, .. } => Self::Lost { reason },
         }
     }
--- a/components/targets/src/api.rs
+++ b/components/targets/src/api.rs
@@ -20,6 +20,14 @@
         #[error(not(source))]
         reason: Arc<str>,
     },
+    /// The target closed the connection before a byte of the request was sent; it did not run. It is reached, and
+    /// may have as many connections as it takes.
+    #[display("it closed the connection: {reason}")]
+    Closed {
+        /// The cause.
+        #[error(not(source))]
+        reason: Arc<str>,
+    },
     /// The target rejected a request without running it, because it is overloaded or leaving.
     #[display("the target did not take it: {reason}")]
     Rejected {
