A failure to ask an engine no longer stands for its stop

Callers saw a generation run at two engines (TWICE), or its stream cut although its engine lived. An engine whose stream was lost and that took no new connections, as it had as many as it may, counted as not reached after 0 to 109 ms, and the generation went on elsewhere while it worked on. 925 said that it had crashed.

Cause: a request to stop that was not sent passed for an unopened connection even if that had opened; the first failure ended the direct path, after which one failure was final; and no answer through other instances counted the same if they don't list the engine, pause, or there are none. An answer of another instance of whatever kind counted as a sign that it reaches the engine, also "not reached".

Now presence::has_ended decides for stops, crash detection and the end of streams without a length: an engine has ended if its entry names another start, or if nothing has shown for 1.4 s that it lives: no connection that opened, even if it was reset, no event of any of its generations here, no other instance that reaches it. Until then it is asked again, directly as well once others have not sent it, and over an idle connection if it takes no new one, where only an answer that names a copy counts. A refused connection no longer closes idle ones. An unlisted target to which no connection opens still counts as crashed at once. Event 966 tells why the stop was not known before.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1116,14 +1116,16 @@
         id: Arc<str>,
         /// The engine.
         target: TargetId,
-        /// How that is known: its memory was copied, it states that it does not run it, or no connection to it opens.
+        /// How that is known: its memory was copied, it states that it does not run it, or nothing reaches it.
         how: Arc<str>,
+        /// Why it was not known before, empty if the first request showed it.
+        last_reason: Arc<str>,
         /// Requests to stop.
         requests: u32,
         /// Time until it was known, in milliseconds.
         took_ms: u64,
     } = (
-        966, Info, "{id}: {target} no longer works on it ({how}), known after {took_ms} ms",
+        966, Info, "{id}: {target} no longer works on it ({how}), known after {requests} requests and {took_ms} ms: {last_reason}",
         "Nothing.",
     ),
 
--- a/components/front/src/adapters.rs
+++ b/components/front/src/adapters.rs
@@ -257,11 +257,18 @@
     NotRunning,
     /// The generation is already being copied.
     Busy,
-    /// The request was not sent.
+    /// The request was not sent, to an engine that may be reached: it asks for a pause, or closed the connection.
     Withheld {
         /// The reason.
         reason: Arc<str>,
     },
+    /// The request was not sent, as no connection to the engine opened.
+    Unreached {
+        /// The reason.
+        reason: Arc<str>,
+        /// Whether the connection was refused, so that the engine's machine is reached.
+        is_refused: bool,
+    },
     /// There was no proper answer. It is unknown whether the generation was copied or stopped.
     Unknown {
         /// What came in place of an answer.
@@ -301,6 +308,14 @@
     pub generations: Vec<GenerationReport>,
 }
 
+impl EngineReport {
+    /// Whether the engine runs a generation.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> bool {
+        self.generations.iter().any(|it| *it.generation == *id)
+    }
+}
+
 /// The control interface of engines.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
--- a/components/front/src/generations/active.rs
+++ b/components/front/src/generations/active.rs
@@ -144,7 +144,9 @@
     pub fn set_target(&self, target: Arc<Target>) {
         *self.target.lock() = target;
         *self.copy.lock() = None;
-        self.pauses.lock().interrupt();
+        let mut pauses = self.pauses.lock();
+        pauses.interrupt();
+        pauses.last_event_at = None;
     }
 
     /// Measures the pause that an event of the stream ends.
@@ -152,6 +154,11 @@
         self.pauses.lock().record_event(now);
     }
 
+    /// When the last event arrived from the engine that runs the generation.
+    fn last_event_at(&self) -> Option<Moment> {
+        self.pauses.lock().last_event_at
+    }
+
     /// Leaves out the pause before the next event: something else than the engine delays it.
     pub fn interrupt_pause(&self) {
         self.pauses.lock().interrupt();
@@ -260,6 +267,8 @@
 struct PauseClock {
     /// Arrival of the last event, unless the next pause doesn't count.
     last_event: Option<Moment>,
+    /// Arrival of the last event from the engine that runs the generation.
+    last_event_at: Option<Moment>,
     /// The longest pause since the last report.
     longest: Duration,
     /// The longest pause of all.
@@ -268,6 +277,7 @@
 
 impl PauseClock {
     fn record_event(&mut self, now: Moment) {
+        self.last_event_at = Some(now);
         if let Some(last) = self.last_event.replace(now) {
             let pause = now.saturating_sub(last);
             self.longest = self.longest.max(pause);
@@ -332,6 +342,15 @@
         by_id.values().filter(included).map(report).collect()
     }
 
+    /// When the last event of any generation arrived from an engine.
+    #[must_use]
+    pub fn last_event_from(&self, engine: &TargetId) -> Option<Moment> {
+        let by_id = self.by_id.lock();
+        let from_engine = |it: &&Arc<GenerationHandle>| it.target.lock().id == *engine;
+        let generations = by_id.values().filter(from_engine);
+        generations.filter_map(|it| it.last_event_at()).max()
+    }
+
     /// Number of active generations.
     #[must_use]
     pub fn count(&self) -> usize {
--- a/components/front/src/generations/attempts.rs
+++ b/components/front/src/generations/attempts.rs
@@ -4,7 +4,7 @@
 
 use events::{Event, emit};
 use timer::boot_time;
-use types::TargetId;
+use types::{Moment, TargetId};
 use view::Target;
 
 use crate::{
@@ -37,6 +37,8 @@
     pub cause: Cause,
     /// How much of the stream the caller has received.
     pub position: Position,
+    /// When it was sent to the engine.
+    pub sent_at: Moment,
 }
 
 impl Attempts {
--- a/components/front/src/generations/dispatch.rs
+++ b/components/front/src/generations/dispatch.rs
@@ -22,7 +22,7 @@
         idle::{Diagnosis, IdleMonitor, diagnose},
         relay::Relay,
         resumption::{Cause, Decision, GiveUp, Position, patience},
-        stopping,
+        stopping::{self, Stopping},
     },
     quarantine::{
         aggregation, crash_detection,
@@ -165,9 +165,13 @@
     }
     let to = stopping::any_destination(front, &loss.target);
     let timeout = patience(call.route.objective, call.time_left());
-    let id = &call.request.id;
-    let stopped = stopping::stop(front, id, &loss.target, &to, timeout).await;
-    stopped.is_ok()
+    let stopping = Stopping {
+        id: &call.request.id,
+        source: &loss.target,
+        to: &to,
+        queued_since: Some(loss.sent_at),
+    };
+    stopping::stop(front, &stopping, timeout).await.is_ok()
 }
 
 /// Assigns an engine and sends the generation to it.
@@ -247,7 +251,7 @@
         },
         SendOutcome::Response { head, body, .. } => {
             front.record_answer(call, &target, sent_at, head.status.is_server_error());
-            handle_error(front, call, assignment, &head, body).await
+            handle_error(front, call, assignment, sent_at, &head, body).await
         }
         SendOutcome::Withheld { reason } | SendOutcome::NotReached { reason } => {
             // Nothing was sent, so this does not count against the retry budget.
@@ -276,7 +280,7 @@
             } else {
                 (Cause::ConnectionLost, Refusal::unknown(reason))
             };
-            fail(call, assignment, cause, Failure::Refusal(refusal)).await
+            fail(call, assignment, sent_at, cause, Failure::Refusal(refusal)).await
         }
     }
 }
@@ -335,6 +339,7 @@
     front: &Arc<Front>,
     call: &Call,
     assignment: Assignment,
+    sent_at: Moment,
     head: &http::response::Parts,
     body: Incoming,
 ) -> Attempt {
@@ -345,18 +350,24 @@
                 return Attempt::Answer(resp);
             }
             let failure = Failure::Answer(resp);
-            fail(call, assignment, Cause::ServerError, failure).await
+            fail(call, assignment, sent_at, Cause::ServerError, failure).await
         }
         Err(reason) => {
             let failure = Failure::Refusal(Refusal::unknown(reason));
-            fail(call, assignment, Cause::ConnectionLost, failure).await
+            fail(call, assignment, sent_at, Cause::ConnectionLost, failure).await
         }
     }
 }
 
 /// Ends an attempt at an engine that may have run the generation. The owner has to know of that before
 /// another engine is requested.
-async fn fail(call: &Call, assignment: Assignment, cause: Cause, failure: Failure) -> Attempt {
+async fn fail(
+    call: &Call,
+    assignment: Assignment,
+    sent_at: Moment,
+    cause: Cause,
+    failure: Failure,
+) -> Attempt {
     let target = assignment.generation.target();
     if call.route.is_resumable {
         assignment.release().await;
@@ -366,6 +377,7 @@
         target,
         cause,
         position,
+        sent_at,
     };
     Attempt::Failed(loss, failure)
 }
--- a/components/front/src/generations/idle.rs
+++ b/components/front/src/generations/idle.rs
@@ -20,7 +20,7 @@
 /// Time between two requests for a report while a stream stays idle.
 const REPORT_PERIOD: Duration = Duration::from_millis(900);
 /// Time for an engine to answer with its report; it normally takes a few milliseconds.
-pub const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Consecutive observations that must agree before anything is done. A report may be half a second
 /// old, and a request for one may be lost.
 const CONFIRMATIONS: u32 = 2;
--- a/components/front/src/generations/migration.rs
+++ b/components/front/src/generations/migration.rs
@@ -216,7 +216,7 @@
             MigrationOutcome::Nothing,
             "another copy is in progress",
         )),
-        KvCopyOutcome::Withheld { reason } => {
+        KvCopyOutcome::Withheld { reason } | KvCopyOutcome::Unreached { reason, .. } => {
             Err(MigrationError::new(MigrationOutcome::Nothing, reason))
         }
         KvCopyOutcome::Unknown { reason } => {
--- a/components/front/src/generations/recovery.rs
+++ b/components/front/src/generations/recovery.rs
@@ -8,7 +8,7 @@
 use events::{Event, emit};
 use placing::PlacementAnswer;
 use timer::boot_time;
-use types::millis;
+use types::{Moment, millis};
 use view::Target;
 
 use crate::{
@@ -18,7 +18,7 @@
         active::GenerationHandle,
         assignment,
         resumption::patience,
-        stopping::{self, Stopped, any_other_engine},
+        stopping::{self, Stopped, Stopping, any_other_engine},
     },
     signals::{self, Purpose},
     state::Front,
@@ -32,8 +32,22 @@
     Nothing(Arc<str>),
 }
 
+/// What is known of the run of a generation at its engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Run {
+    /// It was sent to the engine, and no event has come.
+    Sent {
+        /// When it was sent.
+        at: Moment,
+    },
+    /// Events have come.
+    Begun,
+    /// The engine has ended its answer, and so its run.
+    Ended,
+}
+
 /// Stops a generation at its engine, and copies its KV cache to another one. If the engine no longer has it, an
-/// earlier copy counts. `has_ended` says that the engine has ended its answer, and so its run.
+/// earlier copy counts. `run` says what is known of its run there.
 ///
 /// # Errors
 /// Returns why the engine may still work on the generation, which can then go on nowhere else.
@@ -41,7 +55,7 @@
     front: &Arc<Front>,
     call: &Call,
     generation: &GenerationHandle,
-    has_ended: bool,
+    run: Run,
 ) -> Result<Rest, Arc<str>> {
     let source = generation.target();
     let started = boot_time();
@@ -55,11 +69,20 @@
             Err(why) => any_other_engine(front, &source).ok_or(why)?,
         },
     };
-    let stopped = if has_ended {
-        stopping::copy_ended(front, &generation.id, &source, &to).await
+    let stopping = Stopping {
+        id: &generation.id,
+        source: &source,
+        to: &to,
+        queued_since: match run {
+            Run::Sent { at } => Some(at),
+            Run::Begun | Run::Ended => None,
+        },
+    };
+    let stopped = if run == Run::Ended {
+        stopping::copy_ended(front, &stopping).await
     } else {
         let timeout = patience(call.route.objective, call.time_left());
-        stopping::stop(front, &generation.id, &source, &to, timeout).await?
+        stopping::stop(front, &stopping, timeout).await?
     };
     let reason = match stopped {
         Stopped::Copied { at, resume } => {
--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -32,7 +32,7 @@
         assignment::Assignment,
         attempts::Attempts,
         dispatch::Started,
-        idle::{Diagnosis, IdleMonitor, REPORT_TIMEOUT, diagnose},
+        idle::{Diagnosis, IdleMonitor, diagnose},
         resumption::Cause,
         splitter::EventSplitter,
     },
@@ -40,7 +40,7 @@
         aggregation, crash_detection,
         parts::{self, Progress},
     },
-    signals,
+    reaching::presence,
     state::Front,
 };
 
@@ -89,6 +89,9 @@
     has_unnumbered: bool,
     /// When the request was sent.
     sent_at: Moment,
+    /// When it was sent to the engine that works on it, if no event has come from there: it may still wait in the
+    /// engine's queue.
+    queued_since: Option<Moment>,
     /// How long work takes on the engine's machine, in percent of the usual time, and when the engine
     /// reported that.
     work_time: Option<(Moment, u32)>,
@@ -151,6 +154,7 @@
             has_begun: false,
             has_unnumbered: false,
             sent_at: started.sent_at,
+            queued_since: Some(started.sent_at),
             work_time: percent.map(|percent| (boot_time(), percent)),
             progress: Progress::NONE,
             gap_sample: GapSample::Waiting,
@@ -385,6 +389,7 @@
 
     /// Counts an event. The first one is logged, and the owner of the engine is notified.
     fn count_event(&mut self) {
+        self.queued_since = None;
         self.sample_gap();
         if let Some(began) = self.progress.record_event(boot_time()) {
             parts::report_sound(&self.front, &self.call, began);
@@ -453,13 +458,8 @@
         // The connections of a process that exits are closed in the same way as those of a complete
         // stream.
         let target = self.assignment.generation.target();
-        if self.front.pause_left(&target).is_some() {
-            let is_gone = crash_detection::refuses_connections(target.addr).await;
-            return is_gone.then_some("the stream ended and the engine refuses connections");
-        }
-        let report = signals::request_report(&self.front, &target, REPORT_TIMEOUT).await;
-        let reason = "the stream ended and the engine does not answer";
-        report.err().map(|_| reason)
+        let is_alive = presence::outlives_its_stream(&self.front, &target).await;
+        (!is_alive).then_some("the stream ended and the engine does not answer")
     }
 
     /// Forwards the rest of a complete stream.
--- a/components/front/src/generations/relay/resuming.rs
+++ b/components/front/src/generations/relay/resuming.rs
@@ -14,9 +14,9 @@
     generations::{
         attempts::{self, Loss},
         dispatch::{self, Started},
-        recovery::{self, Rest},
+        recovery::{self, Rest, Run},
         resumption::{Cause, Decision, Position, patience},
-        stopping::{self, Stopped},
+        stopping::{self, Stopped, Stopping},
     },
     quarantine::parts::Progress,
     send::{SendOutcome, send},
@@ -42,7 +42,12 @@
         self.body = None;
         let source = generation.target();
         let has_ended = self.running.iter().all(|it| it.id != source.id);
-        let rest = recovery::recover(&self.front, &self.call, &generation, has_ended).await;
+        let run = match self.queued_since {
+            _ if has_ended => Run::Ended,
+            Some(at) => Run::Sent { at },
+            None => Run::Begun,
+        };
+        let rest = recovery::recover(&self.front, &self.call, &generation, run).await;
         if rest.is_ok() {
             self.record_stopped(&source);
         }
@@ -107,6 +112,7 @@
         resume: &mut Resume,
     ) -> Result<(), ResumeError> {
         resume.after = self.last_event;
+        self.queued_since = Some(boot_time());
         // Drops the incomplete event of the previous engine; the new stream repeats it.
         let _ = self.splitter.take_rest();
         let timeout = RESUME_TIMEOUT.min(self.call.time_left());
@@ -154,6 +160,7 @@
             target: self.assignment.generation.target(),
             cause,
             position: self.position(),
+            sent_at: self.sent_at,
         };
         let decision = attempts::decide(&self.front, &self.call, &self.attempts, &loss);
         if matches!(decision, Decision::GiveUp(_)) {
@@ -208,8 +215,13 @@
         while let Some(engine) = self.running.last().cloned() {
             let to = stopping::any_destination(&self.front, &engine);
             let timeout = patience(self.call.route.objective, self.call.time_left());
-            let id = &self.call.request.id;
-            let stopped = stopping::stop(&self.front, id, &engine, &to, timeout).await;
+            let stopping = Stopping {
+                id: &self.call.request.id,
+                source: &engine,
+                to: &to,
+                queued_since: self.queued_since,
+            };
+            let stopped = stopping::stop(&self.front, &stopping, timeout).await;
             let stopped =
                 stopped.map_err(|why| format!("{} may still work on it: {why}", engine.id))?;
             self.record_stopped(&engine);
@@ -261,6 +273,7 @@
         self.assignment = started.assignment;
         self.attempts = started.attempts;
         self.sent_at = started.sent_at;
+        self.queued_since = Some(started.sent_at);
         self.stopping = false;
         self.maybe_stopped = false;
         self.progress = Progress::NONE;
--- a/components/front/src/generations/stopping.rs
+++ b/components/front/src/generations/stopping.rs
@@ -1,28 +1,29 @@
 //! Makes sure that an engine no longer works on a generation before another one goes on with it.
 //!
 //! A connection that was closed, or lost on its way, proves nothing: the engine may go on without a reader.
-//! The request for a final copy stops a generation, so only the answer to that counts.
+//! The request for a final copy stops a generation, so only the answer to that counts. An engine that can't be
+//! asked may be at its connection limit and counts as ended only once nothing has reached it for a time.
 
 use std::{sync::Arc, time::Duration};
 
 use events::{Event, emit};
 use timer::{Timer, boot_time};
-use types::millis;
+use types::{Moment, millis};
 use view::Target;
 
 use crate::{
     adapters::{KvCopyOutcome, KvCopyRequest, Resume},
-    reaching::entry,
+    reaching::presence,
     signals,
     state::Front,
 };
 
 /// Time for one answer. A copy of 5,000 tokens takes 0.3 s on a free link, and twice that between data centres.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Pause before an engine is asked again.
+/// Pause before an engine is asked again; it doubles each time.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// Connections in a row that don't open, after which an engine counts as not reached: one may be lost.
-const UNOPENED_CONNECTIONS: u32 = 2;
+/// Longest pause before an engine is asked again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why an engine no longer works on a generation, as far as this instance can tell.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,10 +37,24 @@
     },
     /// It does not run the generation.
     NotRunning,
-    /// No connection to it opens, from here or from another instance.
+    /// It has ended: nothing has reached it for a time, from here or from another instance.
     NotReached,
 }
 
+/// A generation that is to stop at an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Stopping<'a> {
+    /// Id of its request.
+    pub id: &'a str,
+    /// The engine.
+    pub source: &'a Arc<Target>,
+    /// The engine that its memory is copied to.
+    pub to: &'a Arc<Target>,
+    /// When it was sent to the engine, if no event has come from there: it may wait in the engine's queue, which
+    /// then states that it does not run it, and begin later.
+    pub queued_since: Option<Moment>,
+}
+
 impl Stopped {
     /// Its name in metrics and the log.
     #[must_use]
@@ -57,8 +72,8 @@
 pub enum Observation {
     /// The engine no longer works on the generation.
     Stopped(Stopped),
-    /// No connection to the engine opened.
-    Unopened,
+    /// No connection to the engine opened, for this reason.
+    Unreached(Arc<str>),
     /// The engine may still work on it, for this reason.
     Unknown(Arc<str>),
 }
@@ -82,7 +97,8 @@
             // Only the engine that made the copy has it.
             KvCopyOutcome::NoRoom { copy: Some(copy) } => copied(source, copy),
             KvCopyOutcome::NotRunning => Self::Stopped(Stopped::NotRunning),
-            KvCopyOutcome::Withheld { .. } => Self::Unopened,
+            KvCopyOutcome::Unreached { reason, .. } => Self::Unreached(reason),
+            KvCopyOutcome::Withheld { reason } => Self::Unknown(reason),
             KvCopyOutcome::NoRoom { copy: None } => Self::Unknown("it refuses to stop".into()),
             KvCopyOutcome::Busy => Self::Unknown("another copy is in progress".into()),
             KvCopyOutcome::Unknown { reason } => Self::Unknown(reason),
@@ -97,50 +113,56 @@
 /// Returns why the engine may still work on the generation.
 pub async fn stop(
     front: &Arc<Front>,
-    id: &str,
-    source: &Arc<Target>,
-    to: &Arc<Target>,
+    stopping: &Stopping<'_>,
     timeout: Duration,
 ) -> Result<Stopped, Arc<str>> {
     let timer = Timer::new();
-    let mut unopened = 0;
     let mut requests = 0;
+    let mut pause = RETRY_PAUSE;
+    let mut last_reason: Arc<str> = "".into();
     let result = loop {
         let left = timeout.saturating_sub(timer.now());
         requests += 1;
-        match request_stop(front, id, source, to, left.min(ANSWER_TIMEOUT)).await {
+        let reason = match request_stop(front, stopping, left.min(ANSWER_TIMEOUT)).await {
             Observation::Stopped(stopped) => break Ok(stopped),
-            Observation::Unopened => {
-                unopened += 1;
-                // Other instances have been asked as well once their help is needed.
-                if unopened >= UNOPENED_CONNECTIONS || entry::is_needed(front, source) {
+            Observation::Unreached(reason) => {
+                last_reason = Arc::clone(&reason);
+                if presence::has_ended(front, stopping.source).await {
                     break Ok(Stopped::NotReached);
                 }
+                reason
             }
-            Observation::Unknown(reason) => {
-                unopened = 0;
-                if timer.now() + RETRY_PAUSE >= timeout {
-                    break Err(reason);
-                }
-            }
+            Observation::Unknown(reason) => reason,
+        };
+        last_reason = Arc::clone(&reason);
+        if timer.now() + RETRY_PAUSE >= timeout {
+            break Err(reason);
         }
-        smol::Timer::after(RETRY_PAUSE).await;
+        smol::Timer::after(until_next_request(front, stopping.source, pause)).await;
+        pause = (pause * 2).min(MAX_RETRY_PAUSE);
     };
-    record(front, id, source, &result, (requests, timer.now()));
+    record(
+        front,
+        stopping,
+        &result,
+        &last_reason,
+        (requests, timer.now()),
+    );
     result
 }
 
+/// How long to wait before an engine is asked again: no longer than until its absence shows that it has ended.
+fn until_next_request(front: &Front, source: &Target, pause: Duration) -> Duration {
+    let left = front.absence(source).time_left(boot_time());
+    left.map_or(pause, |left| left.clamp(RETRY_PAUSE, pause))
+}
+
 /// Copies what an engine keeps of a generation whose answer it has ended. Whatever it says, it works on it no
 /// more.
-pub async fn copy_ended(
-    front: &Arc<Front>,
-    id: &str,
-    source: &Arc<Target>,
-    to: &Arc<Target>,
-) -> Stopped {
-    match request_stop(front, id, source, to, ANSWER_TIMEOUT).await {
+pub async fn copy_ended(front: &Arc<Front>, stopping: &Stopping<'_>) -> Stopped {
+    match request_stop(front, stopping, ANSWER_TIMEOUT).await {
         Observation::Stopped(stopped) => stopped,
-        Observation::Unopened => Stopped::NotReached,
+        Observation::Unreached(_) => Stopped::NotReached,
         Observation::Unknown(_) => Stopped::NotRunning,
     }
 }
@@ -148,11 +170,10 @@
 /// Sends one request to stop. An engine that asks for a pause may not be sent one until its end.
 async fn request_stop(
     front: &Arc<Front>,
-    id: &str,
-    source: &Arc<Target>,
-    to: &Arc<Target>,
+    stopping: &Stopping<'_>,
     timeout: Duration,
 ) -> Observation {
+    let Stopping { id, source, to, .. } = *stopping;
     if let Some(left) = front.pause_left(source) {
         smol::Timer::after(left.min(timeout)).await;
         if left >= timeout {
@@ -171,24 +192,26 @@
 
 fn record(
     front: &Front,
-    id: &str,
-    source: &Target,
+    stopping: &Stopping<'_>,
     result: &Result<Stopped, Arc<str>>,
+    last_reason: &Arc<str>,
     (requests, took): (u32, Duration),
 ) {
     let outcome = result.as_ref().map_or("unknown", Stopped::label);
     front.metrics.count_stop(outcome);
+    let target = Arc::clone(&stopping.source.id);
     emit(&match result {
         Ok(stopped) => Event::GenerationStopped {
-            id: id.into(),
-            target: Arc::clone(&source.id),
+            id: stopping.id.into(),
+            target,
             how: stopped.label().into(),
+            last_reason: Arc::clone(last_reason),
             requests,
             took_ms: millis(took),
         },
         Err(reason) => Event::GenerationNotStopped {
-            id: id.into(),
-            target: Arc::clone(&source.id),
+            id: stopping.id.into(),
+            target,
             reason: Arc::clone(reason),
             requests,
             took_ms: millis(took),
--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -1,18 +1,18 @@
 //! Finds out whether a target crashed while it was running a request.
 //!
 //! A lost connection alone is no proof: a reset, a network fault and a planned departure look the
-//! same at first. A target has crashed if it refuses connections right afterwards, from here and from
-//! another instance, or if its listing disappears or shows another incarnation although the target was
-//! not marked as leaving. What this instance alone sees may be its own network.
+//! same at first, and a target at its connection limit refuses new ones. A target has crashed if nothing
+//! reaches it for a time, from here and from another instance, or if its listing disappears while connections
+//! to it don't open, or shows another incarnation, although the target was not marked as leaving. What this
+//! instance alone sees may be its own network.
 
-use std::{collections::HashMap, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use ::quarantine::{Evidence, Fingerprint, PartEvidence, TargetIncarnation};
 use events::{Event, emit};
 use parking_lot::Mutex;
 use placing::GenerationId;
-use smol::net::TcpStream;
-use timer::{Timer, boot_time};
+use timer::boot_time;
 use types::{Moment, ServiceId, TargetId};
 use view::Target;
 
@@ -22,17 +22,10 @@
         aggregation,
         parts::{self, Progress},
     },
-    reaching::paths,
+    reaching::{paths, presence},
     state::Front,
 };
 
-/// Time to connect to a target that may have crashed.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Consecutive connections that a crashed target refuses. A target at its connection limit may
-/// refuse a single one.
-const REFUSED_CONNECTIONS: u32 = 2;
-/// Pause between two such connections.
-const CONNECT_PAUSE: Duration = Duration::from_millis(250);
 /// Time for the listing of a crashed target to expire, and for the change to arrive here.
 const LISTING_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Time between two checks of the listing.
@@ -190,18 +183,25 @@
     if front.recent_crashes.contains(target) {
         return true;
     }
-    if refuses_connections(target.addr).await
-        && paths::is_down_for_others(front, target, lost_at).await
-    {
-        return true;
-    }
     let until = boot_time() + LISTING_TIMEOUT;
+    // One that accepts connections has not ended; from then on its entry alone can tell.
+    let mut is_reached = false;
     while boot_time() < until {
         match listing_state(front, target) {
-            ListingState::Unchanged => smol::Timer::after(LISTING_POLL_PERIOD).await,
+            ListingState::Unchanged => {
+                is_reached = is_reached || paths::verify(front, target).await;
+                if !is_reached
+                    && presence::has_ended(front, target).await
+                    && presence::is_down_for_others(front, target, lost_at).await
+                {
+                    return true;
+                }
+                smol::Timer::after(LISTING_POLL_PERIOD).await;
+            }
             ListingState::Leaving => return false,
-            ListingState::Unlisted | ListingState::Restarted => return true,
-        };
+            ListingState::Unlisted => return !paths::verify(front, target).await,
+            ListingState::Restarted => return true,
+        }
     }
     false
 }
@@ -214,20 +214,3 @@
         Some(_) => ListingState::Unchanged,
     }
 }
-
-/// Whether nothing listens at an address.
-pub async fn refuses_connections(addr: SocketAddr) -> bool {
-    for number in 1..=REFUSED_CONNECTIONS {
-        let connected = Timer::new()
-            .within(CONNECT_TIMEOUT, TcpStream::connect(addr))
-            .await;
-        let refused = matches!(connected, Some(Err(e)) if e.kind() == ErrorKind::ConnectionRefused);
-        if !refused {
-            return false;
-        }
-        if number < REFUSED_CONNECTIONS {
-            smol::Timer::after(CONNECT_PAUSE).await;
-        }
-    }
-    true
-}
--- a/components/front/src/reaching/control.rs
+++ b/components/front/src/reaching/control.rs
@@ -40,8 +40,8 @@
     let source = reachable(front, source, started_at)?;
     let answer = front.engines.copy_kv(&request(source.addr)).await;
     signals::observe(front, &source, answer.signals);
-    if let KvCopyOutcome::Withheld { reason } = &answer.value {
-        front.record_no_connection(&source, reason);
+    if let KvCopyOutcome::Unreached { reason, is_refused } = &answer.value {
+        front.record_no_connection(&source, reason, *is_refused);
         return None;
     }
     Some(answer)
@@ -73,11 +73,14 @@
         Reply::EngineReport(answer) => answer,
         _ => None,
     };
-    match entry::control(front, engine, &message, timeout, accept).await {
-        Some(EngineAnswer { value, signals }) => EngineAnswer {
-            value: Ok(value),
-            signals,
-        },
+    match entry::control(front, &message, timeout, accept).await {
+        Some(EngineAnswer { value, signals }) => {
+            front.record_reached_by_another(engine);
+            EngineAnswer {
+                value: Ok(value),
+                signals,
+            }
+        }
         None => EngineAnswer {
             value: Err("no instance reaches the engine".into()),
             signals: TargetSignals::default(),
@@ -86,12 +89,13 @@
 }
 
 /// Sends a copy request through another instance. A final copy stops the generation, so it is sent to
-/// one instance only: whether a second one would find the generation running is not known.
+/// one instance only: whether a second one would find the generation running is not known. None if no instance
+/// has sent it.
 pub async fn copy_through_others(
     front: &Arc<Front>,
     source: &Target,
     request: &KvCopyRequest<'_>,
-) -> EngineAnswer<KvCopyOutcome> {
+) -> Option<EngineAnswer<KvCopyOutcome>> {
     let message = Message::CopyKv {
         target: Arc::clone(&source.id),
         started_at: source.started_at,
@@ -100,12 +104,6 @@
         is_final: request.is_final,
         timeout: request.timeout,
     };
-    let not_sent = |reason: &str| EngineAnswer {
-        value: KvCopyOutcome::Withheld {
-            reason: reason.into(),
-        },
-        signals: TargetSignals::default(),
-    };
     let unknown = EngineAnswer {
         value: KvCopyOutcome::Unknown {
             reason: "no answer through another instance".into(),
@@ -118,7 +116,9 @@
         Some(_) => None,
         None => Some(unknown.clone()),
     };
-    entry::control_with(front, source, &message, request.timeout, accept)
-        .await
-        .unwrap_or_else(|| not_sent("no instance reaches the engine"))
+    let answer = entry::control_with(front, &message, request.timeout, accept).await?;
+    if !matches!(answer.value, KvCopyOutcome::Unknown { .. }) {
+        front.record_reached_by_another(source);
+    }
+    Some(answer)
 }
--- a/components/front/src/reaching/entry.rs
+++ b/components/front/src/reaching/entry.rs
@@ -15,10 +15,7 @@
 use crate::{
     execution::{Execution, NotRun, PossibleRun},
     instances::wire::{Message, Reachability, Reply},
-    reaching::{
-        envelope::{Envelope, RelayOutcome, RelayStatement, stated_outcome},
-        paths,
-    },
+    reaching::envelope::{Envelope, RelayOutcome, RelayStatement, stated_outcome},
     signals::Purpose,
     state::Front,
 };
@@ -211,12 +208,7 @@
             };
         }
         front.relays.lock().record_success(boot_time(), via);
-        let mut paths = front.paths.lock();
-        let is_cut = paths.record_relayed(boot_time(), &target.id, true);
-        drop(paths);
-        if is_cut {
-            paths::verify_others(front, target);
-        }
+        front.record_reached_by_another(target);
         return Attempt::Answered(resp);
     };
     let next = match statement.outcome() {
@@ -259,12 +251,7 @@
     }
     front.relays.lock().record_success(boot_time(), via);
     if reachability == Reachability::Reached {
-        let mut paths = front.paths.lock();
-        let is_cut = paths.record_relayed(boot_time(), &target.id, true);
-        drop(paths);
-        if is_cut {
-            paths::verify_others(front, target);
-        }
+        front.record_reached_by_another(target);
     }
 }
 
@@ -302,22 +289,21 @@
     });
 }
 
-/// Sends a control request for an engine through other instances, until `accept` takes a reply.
+/// Sends a control request for an engine through other instances, until `accept` takes a reply. What that shows
+/// of the engine is for the caller to record.
 pub async fn control<T>(
     front: &Arc<Front>,
-    engine: &Target,
     message: &Message,
     timeout: Duration,
     accept: impl Fn(Reply) -> Option<T>,
 ) -> Option<T> {
     let accept_reply = |reply: Option<Reply>| reply.and_then(&accept);
-    control_with(front, engine, message, timeout, accept_reply).await
+    control_with(front, message, timeout, accept_reply).await
 }
 
 /// Like [`control`], but `accept` also decides about an instance that has not replied.
 pub async fn control_with<T>(
     front: &Arc<Front>,
-    engine: &Target,
     message: &Message,
     timeout: Duration,
     accept: impl Fn(Option<Reply>) -> Option<T>,
@@ -329,12 +315,7 @@
             break;
         }
         let reply = front.peers.try_call(&via, message, left).await;
-        let has_reply = reply.is_some();
         if let Some(value) = accept(reply) {
-            if has_reply {
-                let mut paths = front.paths.lock();
-                paths.record_relayed(boot_time(), &engine.id, true);
-            }
             return Some(value);
         }
         fail(front, &via);
--- a/components/front/src/reaching/mod.rs
+++ b/components/front/src/reaching/mod.rs
@@ -10,4 +10,5 @@
 pub mod entry;
 pub mod envelope;
 pub mod paths;
+pub mod presence;
 pub mod server;
--- a/components/front/src/reaching/paths.rs
+++ b/components/front/src/reaching/paths.rs
@@ -3,9 +3,10 @@
 //! A connection that opens proves the path in both directions; a failed one says nothing about the
 //! target. No caller's request is used to find out whether a lost path works again.
 
-use std::{sync::Arc, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use events::{Event, emit};
+use net::{Connecting, Unsent};
 use reach::{Path, Regained};
 use smol::net::TcpStream;
 use timer::{Timer, boot_time, lateness};
@@ -13,7 +14,7 @@
 use view::Target;
 
 use crate::{
-    instances::wire::{Message, Reachability, Reply},
+    instances::wire::Reachability,
     reaching::entry,
     state::{Front, elapsed_since},
 };
@@ -23,8 +24,6 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time between two rounds of probes.
 const PROBE_ROUND: Duration = Duration::from_millis(100);
-/// Time for other instances to check a target: two connections of each that is asked.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(900);
 /// How long ago another target may have been reached to show that this instance's network works.
 const CONTACT_LOOKBACK: Duration = Duration::from_millis(300);
 /// Other targets that are tried to find out whether this instance's network is the reason.
@@ -79,16 +78,28 @@
         });
     }
 
+    /// Records what a request that was not sent shows of the path to a target.
+    pub fn record_unsent(&self, target: &Target, unsent: &Unsent) {
+        match unsent.connecting() {
+            // It may be at its connection limit.
+            Connecting::Opened => self.record_contact(target),
+            Connecting::Refused => self.record_no_connection(target, unsent.reason(), true),
+            Connecting::Unopened => self.record_no_connection(target, unsent.reason(), false),
+        }
+    }
+
     /// Records that a connection to a target has failed to open. It's no evidence if this process was too late
     /// itself to notice that it opened.
-    pub fn record_no_connection(&self, target: &Target, reason: &Arc<str>) {
+    pub fn record_no_connection(&self, target: &Target, reason: &Arc<str>, is_refused: bool) {
         let now = boot_time();
         self.metrics.failed_connections.inc();
         if lateness::was_late_since(now.saturating_sub(CONNECT_TIMEOUT)) {
             return;
         }
-        // Connections from before may hang without an error.
-        self.client.close_connections(target.addr);
+        if !is_refused {
+            // Connections from before may hang without an error.
+            self.client.close_connections(target.addr);
+        }
         let mut paths = self.paths.lock();
         let is_new =
             paths.record_no_connection(now, &target.id, &target.service, target.started_at);
@@ -105,6 +116,18 @@
         }
     }
 
+    /// Records that another instance has reached a target. Verifies the paths to other targets if this shows for
+    /// the first time that the one from here is cut.
+    pub fn record_reached_by_another(self: &Arc<Self>, target: &Target) {
+        let is_cut = self
+            .paths
+            .lock()
+            .record_relayed(boot_time(), &target.id, true);
+        if is_cut {
+            verify_others(self, target);
+        }
+    }
+
     /// Whether another target of the service has been reached since a moment. A failure without that
     /// may be one of this instance's own network, and is no evidence about the target.
     #[must_use]
@@ -122,8 +145,8 @@
             front.record_contact(target);
             true
         }
-        Err(reason) => {
-            front.record_no_connection(target, &reason);
+        Err((reason, is_refused)) => {
+            front.record_no_connection(target, &reason, is_refused);
             false
         }
     }
@@ -182,37 +205,23 @@
     false
 }
 
-/// Whether a target that refuses connections from here is really down: another instance is refused too,
-/// while it reaches other targets. Without other instances, this one must reach another target itself.
-pub async fn is_down_for_others(front: &Arc<Front>, target: &Target, since: Moment) -> bool {
-    let message = Message::CheckTarget {
-        target: Arc::clone(&target.id),
-        started_at: target.started_at,
-    };
-    let accept = |reply| match reply {
-        Reply::TargetChecked(Reachability::Unknown) => None,
-        Reply::TargetChecked(reachability) => Some(reachability),
-        _ => None,
-    };
-    if front.peers.responsive_members().len() == 1 {
-        return front.reached_another(target, since);
-    }
-    entry::control(front, target, &message, CHECK_TIMEOUT, accept).await
-        == Some(Reachability::NotReached)
-}
-
-async fn connect(target: &Target) -> Result<(), Arc<str>> {
+/// Connects to a target. The error says why not, and whether the connection was refused.
+async fn connect(target: &Target) -> Result<(), (Arc<str>, bool)> {
     let connected = Timer::new()
         .await_answer(CONNECT_TIMEOUT, TcpStream::connect(target.addr))
         .await;
     match connected {
         Ok(Ok(_)) => Ok(()),
-        Ok(Err(e)) => Err(format!("no connection to {}: {e}", target.addr).into()),
-        Err(_) => Err(format!(
-            "no connection to {} within {CONNECT_TIMEOUT:?}",
-            target.addr
-        )
-        .into()),
+        Ok(Err(e)) => {
+            let is_refused = e.kind() == ErrorKind::ConnectionRefused;
+            let reason = format!("no connection to {}: {e}", target.addr);
+            Err((reason.into(), is_refused))
+        }
+        Err(_) => {
+            let addr = target.addr;
+            let reason = format!("no connection to {addr} within {CONNECT_TIMEOUT:?}");
+            Err((reason.into(), false))
+        }
     }
 }
 
--- a/components/front/src/reaching/server.rs
+++ b/components/front/src/reaching/server.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use net::{
-    Body, BodyAborted, ConnectionUse, SendError, SendRules, Share, empty, read_shared,
+    Body, BodyAborted, Connecting, ConnectionUse, SendError, SendRules, Share, empty, read_shared,
     short_task_body,
 };
 use reach::Path;
@@ -218,7 +218,10 @@
     match sent {
         Err(SendError::Unsent(unsent)) => {
             rules.may_send().map_err(withheld)?;
-            front.record_no_connection(target, unsent.reason());
+            front.record_unsent(target, &unsent);
+            if unsent.connecting() == Connecting::Opened {
+                return Err(withheld(Arc::clone(unsent.reason())));
+            }
             Err(not_reached(front, target, Arc::clone(unsent.reason())).await)
         }
         Err(SendError::Lost { reason, .. }) => {
--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -62,6 +62,8 @@
     pub protocol: Arc<dyn ProtocolAdapter>,
     /// The control interface of engines.
     pub engines: Arc<dyn EngineControl>,
+    /// The connections to targets, which requests and the control of engines share.
+    pub client: Client,
     /// The store.
     pub store: Arc<dyn Store>,
     /// Rereads the settings.
@@ -190,7 +192,7 @@
         adapter: Arc::clone(&adapters.protocol),
         engines: Arc::clone(&adapters.engines),
         store: Arc::new(CountedStore::new(Arc::clone(&adapters.store), calls)),
-        client: Client::new().with_connect_timeout(paths::CONNECT_TIMEOUT),
+        client: adapters.client.clone(),
         peers: Peers::new(me, Client::new().with_connect_timeout(CONNECT_TIMEOUT))
             .with_capacity_order(cfg.decisions.features.capacity_order)
             .with_memory(adapters.memory.clone())
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -7,7 +7,7 @@
 use events::{Event, emit};
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, http};
-use net::{Body, BodyError, SendError, SendRules, SharedError, full, read_held};
+use net::{Body, BodyError, Connecting, SendError, SendRules, SharedError, full, read_held};
 use parking_lot::Mutex;
 use reach::Path;
 use timer::boot_time;
@@ -48,8 +48,8 @@
         /// The proof.
         proof: NotRun,
     },
-    /// No connection to the target opened, neither from here nor from another instance, so the request has
-    /// certainly not run, and has not arrived at the target.
+    /// No connection to the target opened, neither from here nor from another instance, or it closed each before
+    /// anything was sent, so the request has certainly not run, and has not arrived at the target.
     NotReached {
         /// The reason.
         reason: Arc<str>,
@@ -191,7 +191,7 @@
             .await;
         let run = rules.run.into_inner();
         let unsent = match sent {
-            Err(SendError::Unsent(unsent)) => NotRun::from_unsent(&unsent),
+            Err(SendError::Unsent(unsent)) => unsent,
             Err(SendError::Lost {
                 reason,
                 timed_out: true,
@@ -221,14 +221,16 @@
             }
         };
         if let Some(run) = run {
-            run.disprove(&unsent);
+            run.disprove(&NotRun::from_unsent(&unsent));
         }
         if let Err(reason) = self.check(front) {
             return withhold(front, self.call, self.target, reason);
         }
+        front.record_unsent(self.target, &unsent);
         let reason = Arc::clone(unsent.reason());
-        front.record_no_connection(self.target, &reason);
-        let is_own_fault = front.reached_another(self.target, self.sent_at);
+        // Another instance would only add a connection to a target that closes new ones.
+        let is_own_fault = unsent.connecting() == Connecting::Opened
+            || front.reached_another(self.target, self.sent_at);
         if is_own_fault || !front.cfg.decisions.features.relaying {
             return SendOutcome::NotReached { reason };
         }
--- a/components/front/src/signals.rs
+++ b/components/front/src/signals.rs
@@ -218,23 +218,45 @@
     control::report_through_others(front, engine, timeout).await
 }
 
-/// Sends a copy request over a connection of this instance, or through another if none opens.
+/// Sends a copy request over a connection of this instance, or through another if none opens. Tries this one
+/// last if connections did not open before and no other instance has sent it.
 async fn copy_by_path(
     front: &Arc<Front>,
     source: &Target,
     request: &KvCopyRequest<'_>,
 ) -> EngineAnswer<KvCopyOutcome> {
-    if !entry::is_needed(front, source) {
-        let answer = front.engines.copy_kv(request).await;
-        let KvCopyOutcome::Withheld { reason } = &answer.value else {
-            return answer;
-        };
-        front.record_no_connection(source, reason);
-        if !entry::is_needed(front, source) {
+    let was_lost = entry::is_needed(front, source);
+    if !was_lost {
+        let answer = copy_directly(front, source, request).await;
+        let is_unreached = matches!(answer.value, KvCopyOutcome::Unreached { .. });
+        if !is_unreached || !entry::is_needed(front, source) {
             return answer;
         }
+        let relayed = control::copy_through_others(front, source, request).await;
+        return relayed.unwrap_or(answer);
+    }
+    match control::copy_through_others(front, source, request).await {
+        Some(answer) => answer,
+        None => copy_directly(front, source, request).await,
+    }
+}
+
+/// Sends a copy request over a connection of this instance, and records what that shows of the path.
+async fn copy_directly(
+    front: &Front,
+    source: &Target,
+    request: &KvCopyRequest<'_>,
+) -> EngineAnswer<KvCopyOutcome> {
+    let answer = front.engines.copy_kv(request).await;
+    match &answer.value {
+        KvCopyOutcome::Unreached { reason, is_refused } => {
+            front.record_no_connection(source, reason, *is_refused);
+        }
+        // Whether a connection opened is not known.
+        KvCopyOutcome::Unknown { .. } => {}
+        _ => front.record_contact(source),
     }
-    control::copy_through_others(front, source, request).await
+    answer
 }
 
 /// When a caller may retry whose request no target takes until the end of a pause. Callers that are
--- a/components/front/tests/stopping.rs
+++ b/components/front/tests/stopping.rs
@@ -25,7 +25,8 @@
     })
 }
 
-/// Guards against taking a lost answer, a refusal to copy or another copy in progress for a stop.
+/// Guards against taking a lost answer, a refusal to copy, another copy in progress or a connection that the engine
+/// closed for a stop.
 #[test]
 fn only_a_copy_or_a_statement_of_the_engine_proves_that_it_has_stopped() {
     let (source, to) = (engine("e-1", 1), engine("e-2", 2));
@@ -37,13 +38,19 @@
         KvCopyOutcome::Unknown {
             reason: Arc::clone(&reason),
         },
+        KvCopyOutcome::Withheld {
+            reason: Arc::clone(&reason),
+        },
     ] {
         assert!(matches!(of(unproven), Observation::Unknown(_)));
     }
-    assert_eq!(
-        of(KvCopyOutcome::Withheld { reason }),
-        Observation::Unopened
-    );
+    for is_refused in [false, true] {
+        let unreached = KvCopyOutcome::Unreached {
+            reason: Arc::clone(&reason),
+            is_refused,
+        };
+        assert_eq!(of(unreached), Observation::Unreached(Arc::clone(&reason)));
+    }
     assert_eq!(
         of(KvCopyOutcome::NotRunning),
         Observation::Stopped(Stopped::NotRunning)
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -38,11 +38,11 @@
     }
     workers::start(WORKERS);
     let memory = front::memory_budget(&cfg);
+    let client = Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT);
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
-        engines: Arc::new(EngineClient::new(
-            Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT),
-        )),
+        engines: Arc::new(EngineClient::new(client.clone())),
+        client,
         store: Arc::new(RowStore::new(Client::new(), cfg.store).with_memory(memory.clone())),
         reload: Box::new(move || platform::load(&path).context(path.display().to_string())),
         memory,
--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -116,9 +116,11 @@
 fn start(cfg: Config) -> JoinHandle<errors::Result<()>> {
     let reloaded = cfg.clone();
     let memory = front::memory_budget(&cfg);
+    let client = Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT);
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
-        engines: Arc::new(EngineClient::new(Client::new())),
+        engines: Arc::new(EngineClient::new(client.clone())),
+        client,
         store: Arc::new(RowStore::new(Client::new(), cfg.store).with_memory(memory.clone())),
         reload: Box::new(move || Ok(reloaded.clone())),
         memory,
