A generation that waits in an engine's queue no longer counts as stopped

Callers saw a generation run at two engines (TWICE): its connection was lost before its first event, its engine answered the request to stop with "no such run", as a request runs only from its first token on, and the generation was sent to another engine. The first one, which goes on without its readers, began it when its queue had moved on.

Cause: "does not run" was taken for "will not run". Until an event has come from an engine, that answer counts only if the engine's report says as well that nothing waits there, and the report can't be older than the request. Otherwise the engine is asked again while the caller waits; once it has begun, its memory is copied as usual.

--- a/components/front/src/generations/stopping.rs
+++ b/components/front/src/generations/stopping.rs
@@ -24,6 +24,10 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause before an engine is asked again.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Time for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Age of an engine's report at most.
+const REPORT_AGE: Duration = Duration::from_millis(500);
 
 /// Why an engine no longer works on a generation, as far as this instance can tell.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -124,6 +128,12 @@
         let left = timeout.saturating_sub(timer.now());
         requests += 1;
         let reason = match request_stop(front, stopping, left.min(ANSWER_TIMEOUT)).await {
+            Observation::Stopped(Stopped::NotRunning) => {
+                match why_it_may_wait(front, stopping, left.min(REPORT_TIMEOUT)).await {
+                    None => break Ok(Stopped::NotRunning),
+                    Some(reason) => reason,
+                }
+            }
             Observation::Stopped(stopped) => break Ok(stopped),
             Observation::Unreached(reason) => {
                 last_reason = Arc::clone(&reason);
@@ -157,6 +167,24 @@
     left.map_or(pause, |left| left.clamp(RETRY_PAUSE, pause))
 }
 
+/// Why a generation that an engine does not run may wait in its queue; none if it certainly does not.
+async fn why_it_may_wait(
+    front: &Arc<Front>,
+    stopping: &Stopping<'_>,
+    timeout: Duration,
+) -> Option<Arc<str>> {
+    let sent_at = stopping.queued_since?;
+    if boot_time().saturating_sub(sent_at) < REPORT_AGE {
+        return Some("its report may be older than the request".into());
+    }
+    match signals::request_report(front, stopping.source, timeout).await {
+        Err(reason) => Some(reason),
+        Ok(report) if report.runs(stopping.id) => Some("it has begun it".into()),
+        Ok(report) if report.load.queued > 0 => Some("it may have it in its queue".into()),
+        Ok(_) => None,
+    }
+}
+
 /// Copies what an engine keeps of a generation whose answer it has ended. Whatever it says, it works on it no
 /// more.
 pub async fn copy_ended(front: &Arc<Front>, stopping: &Stopping<'_>) -> Stopped {
