Crash detection leaves lost paths to their probes

Each lost request opened a connection every quarter of a second while its target did not accept any, beside the probes of the lost path, which show the same. A target is connected to only while its path counts as open.

--- a/components/front/src/quarantine/crash_detection.rs
+++ b/components/front/src/quarantine/crash_detection.rs
@@ -12,6 +12,7 @@
 use events::{Event, emit};
 use parking_lot::Mutex;
 use placing::GenerationId;
+use reach::Path;
 use timer::boot_time;
 use types::{Moment, ServiceId, TargetId};
 use view::Target;
@@ -189,7 +190,10 @@
     while boot_time() < until {
         match listing_state(front, target) {
             ListingState::Unchanged => {
-                is_reached = is_reached || paths::verify(front, target).await;
+                // A lost path is probed anyway.
+                if !is_reached && front.path(target) == Path::Direct {
+                    is_reached = paths::verify(front, target).await;
+                }
                 if !is_reached
                     && presence::has_ended(front, target).await
                     && presence::is_down_for_others(front, target, lost_at).await
