--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod brittle;
 mod calls;
 mod closed_unread;
+mod connection_limits;
 mod crowds;
 mod cut_heads;
 mod endings;
