An engine that is not listed stays known as not reached while it is tried

A stream whose engine had crashed and was taken from the list at once was cut after the caller's patience: the paths of targets that are not listed are dropped every 0.7 s, so that the time without contact never came to 1.4 s. A lost path is kept while connections are still tried.

The test of a crash is the same, with its bound, in a function for both.

--- a/components/front/src/instances/membership.rs
+++ b/components/front/src/instances/membership.rs
@@ -255,7 +255,10 @@
             .avoided_engines
             .lock()
             .retain(|id| targets.contains_key(id));
-        front.paths.lock().retain(|id| targets.contains_key(id));
+        front
+            .paths
+            .lock()
+            .retain(boot_time(), |id| targets.contains_key(id));
         let known: BTreeSet<InstanceId> = front.peers.ids().into_iter().collect();
         front.relays.lock().retain(|id| known.contains(id));
         front
--- a/components/reach/src/paths.rs
+++ b/components/reach/src/paths.rs
@@ -4,7 +4,7 @@
 
 use types::{Moment, ServiceId, TargetId};
 
-use crate::absence::Absence;
+use crate::absence::{ABSENCE_TIME, Absence};
 
 /// Time after a failed connection before the next probe of the same target.
 const PROBE_PERIOD: Duration = Duration::from_millis(300);
@@ -43,6 +43,8 @@
     contact_at: Option<Moment>,
     /// Since when connections don't open.
     lost_at: Option<Moment>,
+    /// When a connection last did not open.
+    failed_at: Moment,
     /// Losses without a stable time between them.
     losses: u32,
     regained_at: Moment,
@@ -99,6 +101,7 @@
                 path.losses = 0;
             }
         }
+        path.failed_at = now;
         path.losses = path.losses.saturating_add(1);
         let doubled = PROBE_PERIOD.saturating_mul(1 << (path.losses - 1).min(8));
         path.next_probe_at = now + doubled.min(MAX_PROBE_PERIOD);
@@ -204,9 +207,13 @@
         }
     }
 
-    /// Drops targets that are no longer listed.
-    pub fn retain(&mut self, listed: impl Fn(&TargetId) -> bool) {
-        self.targets.retain(|id, _| listed(id));
+    /// Drops targets that are no longer listed, but for those that were tried in vain just now: since when they are
+    /// not reached tells whether they have ended.
+    pub fn retain(&mut self, now: Moment, listed: impl Fn(&TargetId) -> bool) {
+        self.targets.retain(|id, path| {
+            let is_tried = path.lost_at.is_some() && now < path.failed_at + ABSENCE_TIME;
+            is_tried || listed(id)
+        });
     }
 
     /// The state of a target's path; a new one if another process runs under its id.
@@ -221,6 +228,7 @@
             started_at,
             contact_at: None,
             lost_at: None,
+            failed_at: Duration::ZERO,
             losses: 0,
             regained_at: Duration::ZERO,
             next_probe_at: Duration::ZERO,
--- a/components/reach/tests/absence.rs
+++ b/components/reach/tests/absence.rs
@@ -68,3 +68,21 @@
     paths.record_contact(at(2_500), &id, &service, Some(1));
     assert!(!paths.absence("e-1", Some(1)).shows_end(at(9_000)));
 }
+
+/// Guards against forgetting since when a target is not reached that is tried again and again and not listed.
+#[test]
+fn a_target_that_is_not_listed_stays_absent_while_it_is_tried() {
+    let (id, service) = ("e-1".into(), "drafts".into());
+    let mut paths = Paths::default();
+    let at = |ms: u64| Duration::from_millis(10_000 + ms);
+    for ms in (0..=1_400).step_by(200) {
+        paths.record_no_connection(at(ms), &id, &service, Some(1));
+        paths.retain(at(ms + 100), |_| false);
+    }
+    assert!(paths.absence("e-1", Some(1)).shows_end(at(1_400)));
+    paths.retain(at(2_800), |_| false);
+    assert!(!paths.any_lost());
+    paths.record_contact(at(3_000), &id, &service, Some(1));
+    paths.retain(at(3_000), |_| false);
+    assert_eq!(paths.last_contact_with_another("e-2", "drafts"), None);
+}
--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -275,24 +275,37 @@
     });
 }
 
+/// Crashes the engine of a stream, and checks that the stream goes on within two seconds.
+async fn check_crash(name: &str, is_unlisted: bool) {
+    let (platform, instance, _links, engines) = start(name).await;
+    let resp = send(&instance, "/notes/1").await;
+    Timer::after(STREAM_START_DELAY).await;
+    let source = running(&engines);
+    source.crash();
+    let crashed = Instant::now();
+    if is_unlisted {
+        platform.store.delete_row("servers", &source.id());
+    }
+    eventually("another engine runs it", || async {
+        engines
+            .iter()
+            .any(|engine| engine.active_count() == 1 && !engine.has_crashed())
+    })
+    .await;
+    assert!(crashed.elapsed() < Duration::from_secs(2));
+    assert_truthful(name, &read_answer(resp).await);
+}
+
 /// Guards against waiting for the stop of an engine that has ended.
 #[test]
 fn a_stream_goes_on_soon_after_its_engine_has_crashed() {
-    smol::block_on(async {
-        let (_platform, instance, _links, engines) = start("crashed").await;
-        let resp = send(&instance, "/notes/1").await;
-        Timer::after(STREAM_START_DELAY).await;
-        running(&engines).crash();
-        let crashed = Instant::now();
-        eventually("another engine runs it", || async {
-            engines
-                .iter()
-                .any(|engine| engine.active_count() == 1 && !engine.has_crashed())
-        })
-        .await;
-        assert!(crashed.elapsed() < Duration::from_secs(2));
-        assert_truthful("crashed", &read_answer(resp).await);
-    });
+    smol::block_on(check_crash("crashed", false));
+}
+
+/// Guards against forgetting that an engine is not reached once it is not listed any more.
+#[test]
+fn a_stream_goes_on_soon_after_its_engine_has_crashed_and_is_not_listed() {
+    smol::block_on(check_crash("crashed-unlisted", true));
 }
 
 /// Loses the stream of an engine that takes no new connections for a while, refused or reset.
