--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod closed_unread;
 mod connection_limits;
+mod copied_refusals;
 mod crowds;
 mod cut_heads;
 mod endings;
