An answer that is not forwarded tells the number of its connection

Event 965 told only the age of the connection, so that two answers over the same connection could not be told from two over connections of about the same age.

Change: connections are numbered within a process; ConnectionUse and event 965 carry the number.

--- a/components/events/src/event.rs
+++ b/components/events/src/event.rs
@@ -1097,6 +1097,8 @@
         sealed: bool,
         /// The instance through which the answer came; empty if it came from the target itself.
         via: Arc<str>,
+        /// Number of the connection among those of the process that logs this.
+        connection: u64,
         /// Age of the connection, in milliseconds.
         connection_ms: u64,
         /// Responses that the connection had brought before.
@@ -1106,7 +1108,7 @@
         /// Bytes that arrived from then on until the head of the answer was complete.
         received: usize,
     } = (
-        965, Info, "{id}: answer {status} of {target} is not forwarded, it names request {named}, states that nothing ran: {states_not_run}, after {earlier} responses on its connection",
+        965, Info, "{id}: answer {status} of {target} is not forwarded, it names request {named}, states that nothing ran: {states_not_run}, after {earlier} responses on connection {connection}",
         "Nothing, if the target is full. One that names another request or none shows that the target sends extra answers.",
     ),
 
--- a/components/front/src/answers.rs
+++ b/components/front/src/answers.rs
@@ -96,6 +96,7 @@
             states_not_run: parsed.states_not_run,
             sealed: parsed.sealed,
             via: self.via.cloned().unwrap_or_default(),
+            connection: connection.number,
             connection_ms: millis(connection.age),
             earlier: connection.earlier_responses,
             unexpected: connection.unexpected_bytes,
--- a/components/net/src/connection_use.rs
+++ b/components/net/src/connection_use.rs
@@ -7,6 +7,8 @@
 /// How a connection had been used when it brought a response. The client attaches it to the response.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ConnectionUse {
+    /// Number of the connection among those of this process; 0 if the response came from elsewhere.
+    pub number: u64,
     /// Time since the connection was opened.
     pub age: Duration,
     /// Responses that it had brought before.
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Weak},
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -29,8 +32,12 @@
 /// The most bytes that are looked at before a request is sent.
 const PEEKED_BYTES: usize = 512;
 
+/// Number of the next connection.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// An open connection.
 pub struct Conn {
+    number: u64,
     /// Sends requests over the connection.
     pub sender: Sender,
     /// Bounds the head of a response.
@@ -47,6 +54,7 @@
     /// Wraps a connection that has just been opened.
     pub fn new(sender: Sender, head: Arc<HeadBudget>, stream: Weak<TcpStream>) -> Self {
         Self {
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
             sender,
             head,
             stream,
@@ -67,6 +75,7 @@
         let earlier_responses = self.responses;
         self.responses = self.responses.saturating_add(1);
         ConnectionUse {
+            number: self.number,
             age: self.created_at.elapsed(),
             earlier_responses,
             unexpected_bytes: self.unexpected_bytes,
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -60,12 +60,17 @@
     smol::block_on(async {
         let addr = serve(&[RESPONSE, RESPONSE, RESPONSE]).await;
         let client = Client::new();
+        let mut numbers = Vec::new();
         for earlier in 0..3 {
             let used = exchange(&client, addr).await;
+            numbers.push(used.number);
             assert_eq!(used.earlier_responses, earlier);
             assert_eq!(used.unexpected_bytes, 0);
             assert_eq!(used.received_bytes, RESPONSE.len());
         }
+        assert!(numbers[0] > 0);
+        numbers.dedup();
+        assert_eq!(numbers.len(), 1);
     });
 }
 
