A connection carries a request once

Cause: an id stood for a sending. A refusal names its request, not one of its sendings, so that a late copy of the refusal of the first sending can't be told from the answer to a second one over the same connection. Whether a request needed a connection of its own was asked by target id (Execution::was_sent_to, the relay's is_repeat), while connections are pooled by address: a process under two ids got the request twice over one.

Change, where connections are chosen: a pooled connection remembers which named requests it has carried and carries none of them again, whatever target, path or attempt sends it. Each sender has to state the name (SendRules::name has no default). The instance that relays a request knows it by the same rule; the header for a repeat goes out after any earlier sending, for instances of earlier versions. The own interface's calls and generations are named too.

--- a/components/front/src/execution.rs
+++ b/components/front/src/execution.rs
@@ -12,8 +12,6 @@
 use derive_more::Display;
 use hyper::http::response::Parts;
 use net::Unsent;
-use parking_lot::Mutex;
-use types::TargetId;
 
 use crate::{
     adapters::{NamedRequest, ResponseHead},
@@ -72,20 +70,17 @@
 /// The sendings of a request. Clones share them.
 #[derive(Clone, Debug, Default)]
 pub struct Execution {
+    /// All sendings.
+    begun: Arc<AtomicUsize>,
     /// Sendings without proof that they did not run it.
     unproven: Arc<AtomicUsize>,
-    /// Targets that it was sent to.
-    sent_to: Arc<Mutex<Vec<TargetId>>>,
 }
 
 impl Execution {
-    /// Begins a sending to a target. Until it is disproved, the request may have run.
-    pub fn begin(&self, target: &TargetId) -> PossibleRun {
+    /// Begins a sending. Until it is disproved, the request may have run.
+    pub fn begin(&self) -> PossibleRun {
         self.unproven.fetch_add(1, Ordering::AcqRel);
-        let mut sent_to = self.sent_to.lock();
-        if !sent_to.contains(target) {
-            sent_to.push(Arc::clone(target));
-        }
+        self.begun.fetch_add(1, Ordering::AcqRel);
         PossibleRun {
             unproven: Arc::clone(&self.unproven),
         }
@@ -97,11 +92,10 @@
         self.unproven.load(Ordering::Acquire) > 0
     }
 
-    /// Whether the request was sent to a target before, so that an answer which names it may be to that
-    /// sending.
+    /// Whether a sending of the request has begun, whatever became of it.
     #[must_use]
-    pub fn was_sent_to(&self, target: &TargetId) -> bool {
-        self.sent_to.lock().contains(target)
+    pub fn was_sent(&self) -> bool {
+        self.begun.load(Ordering::Acquire) > 0
     }
 }
 
--- a/components/front/src/reaching/entry.rs
+++ b/components/front/src/reaching/entry.rs
@@ -118,11 +118,11 @@
             request: Arc::clone(request.id),
             purpose: request.purpose,
             time_left: left,
-            is_repeat: request.execution.was_sent_to(&target.id),
+            is_repeat: request.execution.was_sent(),
         };
         let mut req = build();
         envelope.write(req.headers_mut());
-        let run = request.execution.begin(&target.id);
+        let run = request.execution.begin();
         let rules = RelayRules { id: request.id };
         let sent = front.peers.relay(addr, req, left, &rules).await;
         let relayed = match interpret(front, target, (&via, request.id), sent) {
@@ -162,6 +162,10 @@
 }
 
 impl SendRules for RelayRules<'_> {
+    fn name(&self) -> Option<&str> {
+        Some(self.id)
+    }
+
     fn is_own(&self, resp: &Response<Incoming>) -> bool {
         stated_outcome(resp.headers(), self.id).is_some()
     }
--- a/components/front/src/reaching/envelope.rs
+++ b/components/front/src/reaching/envelope.rs
@@ -21,7 +21,7 @@
 const REASON: HeaderName = HeaderName::from_static("celerystand-reason");
 /// Whether the target's response marks the end of its body.
 const FRAMED: HeaderName = HeaderName::from_static("celerystand-framed");
-/// Whether the request was sent to the target before.
+/// Whether the request was sent before.
 const REPEAT: HeaderName = HeaderName::from_static("celerystand-repeat");
 const OWN: [HeaderName; 9] = [
     RELAY, FROM, REQUEST, STARTED_AT, PURPOSE, TIME_LEFT, REASON, FRAMED, REPEAT,
@@ -45,7 +45,8 @@
     pub purpose: Purpose,
     /// Time until the answer must be there.
     pub time_left: Duration,
-    /// The request was sent to the target before, so that it needs a connection of its own.
+    /// The request was sent before, so that it needs a connection of its own: instances of earlier versions do not
+    /// know which requests a connection has carried.
     pub is_repeat: bool,
 }
 
--- a/components/front/src/reaching/server.rs
+++ b/components/front/src/reaching/server.rs
@@ -248,8 +248,8 @@
         withheld.map_or(Ok(()), |withheld| Err(withheld.to_string().into()))
     }
 
-    fn needs_new_connection(&self) -> bool {
-        self.envelope.is_repeat
+    fn name(&self) -> Option<&str> {
+        Some(&self.envelope.request)
     }
 
     fn is_own(&self, resp: &Response<Incoming>) -> bool {
--- a/components/front/src/send.rs
+++ b/components/front/src/send.rs
@@ -181,8 +181,6 @@
         let rules = Rules {
             sending: self,
             front,
-            // An answer that names the call may be a late one to its earlier sending.
-            is_repeat: self.resume.is_some() || self.call.execution.was_sent_to(&self.target.id),
             run: Mutex::default(),
         };
         let sent = front
@@ -290,8 +288,6 @@
 struct Rules<'a> {
     sending: &'a Sending<'a>,
     front: &'a Front,
-    /// The call was sent to the target before.
-    is_repeat: bool,
     /// Set once the call may leave.
     run: Mutex<Option<PossibleRun>>,
 }
@@ -299,14 +295,17 @@
 impl SendRules for Rules<'_> {
     fn may_send(&self) -> Result<(), Arc<str>> {
         self.sending.check(self.front)?;
-        let Sending { call, target, .. } = self.sending;
         let mut run = self.run.lock();
-        run.get_or_insert_with(|| call.execution.begin(&target.id));
+        run.get_or_insert_with(|| self.sending.call.execution.begin());
         Ok(())
     }
 
+    fn name(&self) -> Option<&str> {
+        Some(&self.sending.call.request.id)
+    }
+
     fn needs_new_connection(&self) -> bool {
-        self.is_repeat
+        self.sending.resume.is_some()
     }
 
     fn is_own(&self, resp: &Response<Incoming>) -> bool {
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -100,6 +100,10 @@
         Ok(())
     }
 
+    /// What the response names, such as the id of the request; none if it names nothing. A connection carries a
+    /// name once: a late copy of the first response could be taken for the next one.
+    fn name(&self) -> Option<&str>;
+
     /// Whether the request needs a connection that has carried no other one.
     fn needs_new_connection(&self) -> bool {
         false
@@ -116,13 +120,21 @@
 #[derive(Clone, Copy, Debug)]
 pub struct AnyConnection;
 
-impl SendRules for AnyConnection {}
+impl SendRules for AnyConnection {
+    fn name(&self) -> Option<&str> {
+        None
+    }
+}
 
 /// Sends the request over a new connection, and takes any response for its own.
 #[derive(Clone, Copy, Debug)]
 pub struct NewConnection;
 
 impl SendRules for NewConnection {
+    fn name(&self) -> Option<&str> {
+        None
+    }
+
     fn needs_new_connection(&self) -> bool {
         true
     }
@@ -235,14 +247,12 @@
         &self,
         addr: SocketAddr,
         req: Request<Full<Bytes>>,
+        rules: &dyn SendRules,
     ) -> Option<Result<Response<Incoming>, SendError>> {
         let req = with_host(req, addr).map(Sliced::new);
-        let idle = self.pool.lock().take(addr)?;
+        let idle = self.pool.lock().take(addr, rules.name())?;
         let has_left = AtomicBool::new(false);
-        match self
-            .send_on(addr, idle, req, &AnyConnection, &has_left)
-            .await
-        {
+        match self.send_on(addr, idle, req, rules, &has_left).await {
             Ok(resp) => Some(Ok(resp)),
             Err(Failure::Final(error)) => Some(Err(error)),
             Err(Failure::Unsent { .. }) => None,
@@ -270,7 +280,7 @@
     ) -> Result<Response<Incoming>, SendError> {
         let mut req = with_host(req, addr).map(Sliced::new);
         if !rules.needs_new_connection() {
-            let idle = self.pool.lock().take(addr);
+            let idle = self.pool.lock().take(addr, rules.name());
             if let Some(conn) = idle {
                 match self.send_on(addr, conn, req, rules, has_left).await {
                     Ok(resp) => return Ok(resp),
@@ -297,7 +307,7 @@
             .may_send()
             .map_err(|reason| Failure::Final(unsent(Connecting::Opened, reason)))?;
         has_left.store(true, Ordering::Release);
-        conn.begin();
+        conn.begin(rules.name());
         match conn.sender.try_send_request(req).await {
             Ok(mut resp) => {
                 resp.extensions_mut().insert(conn.record_response());
--- a/components/net/src/lib.rs
+++ b/components/net/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 mod bounded_stream;
 pub mod budget;
+mod carried;
 pub mod client;
 mod connection;
 pub mod connection_use;
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -16,7 +16,9 @@
 };
 use smol::net::TcpStream;
 
-use crate::{bounded_stream::HeadBudget, client::Sender, connection_use::ConnectionUse};
+use crate::{
+    bounded_stream::HeadBudget, carried::Carried, client::Sender, connection_use::ConnectionUse,
+};
 
 /// A connection that has been idle for longer is not reused: a NAT device or firewall on the path
 /// may have dropped its state. The time is below the five seconds after which common servers close
@@ -45,6 +47,8 @@
     /// The connection itself, until it is closed.
     stream: Weak<TcpStream>,
     created_at: Instant,
+    /// The named requests that it has carried.
+    carried: Carried,
     responses: u32,
     /// Bytes that had arrived when the latest request was sent.
     unexpected_bytes: usize,
@@ -59,13 +63,17 @@
             head,
             stream,
             created_at: Instant::now(),
+            carried: Carried::default(),
             responses: 0,
             unexpected_bytes: 0,
         }
     }
 
-    /// Begins a request, whose response is awaited from now on.
-    pub fn begin(&mut self) {
+    /// Begins a request, whose response is awaited from now on. `name` is what the response names.
+    pub fn begin(&mut self, name: Option<&str>) {
+        if let Some(name) = name {
+            self.carried.record(name);
+        }
         self.unexpected_bytes = self.unread_bytes().unwrap_or_default();
         self.head.begin();
     }
@@ -122,23 +130,31 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection.
-    pub fn take(&mut self, addr: SocketAddr) -> Option<Conn> {
+    /// Takes the most recently used connection that has not carried the request with this name.
+    pub fn take(&mut self, addr: SocketAddr, name: Option<&str>) -> Option<Conn> {
         let list = self.idle.get_mut(&addr)?;
-        while let Some(last) = list.pop() {
-            if last.is_reusable() {
-                return Some(last.conn);
+        let has_carried = |conn: &Conn| name.is_some_and(|name| conn.carried.contains(name));
+        for number in (0..list.len()).rev() {
+            if has_carried(&list[number].conn) {
+                continue;
+            }
+            let idle = list.remove(number);
+            if idle.is_reusable() {
+                return Some(idle.conn);
             }
         }
-        self.idle.remove(&addr);
+        if list.is_empty() {
+            self.idle.remove(&addr);
+        }
         None
     }
 
-    /// Stores an idle connection, or closes it if its address became suspect after it was opened.
+    /// Stores an idle connection, or closes it if it may carry no more requests or its address became suspect
+    /// after it was opened.
     pub fn put(&mut self, addr: SocketAddr, conn: Conn) {
         self.sweep();
         let suspect_since = self.suspect_since.get(&addr);
-        if suspect_since.is_some_and(|at| conn.created_at <= *at) {
+        if conn.carried.is_full() || suspect_since.is_some_and(|at| conn.created_at <= *at) {
             return;
         }
         let list = self.idle.entry(addr).or_default();
--- a/components/targets/src/openai.rs
+++ b/components/targets/src/openai.rs
@@ -107,7 +107,7 @@
         let req = request(Method::POST, &call.path, call.body.clone())
             .and_then(|req| with_header(req, REQUEST_ID, &call.request))?;
         // An extra answer to an earlier request can't come over it, and the engine need not echo the id.
-        let check = SendCheck::new(may_send).with_new_connection();
+        let check = SendCheck::new(&call.request, may_send).with_new_connection();
         let sent = self.client.send_with(target.addr, req, &check).await;
         let resp = check.result(sent)?;
         let resp = check_started(resp, &call.request).await?;
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -56,7 +56,7 @@
         may_send: MaySend<'_>,
     ) -> Result<PlainAnswer, TargetError> {
         let req = request(call)?;
-        let mut check = SendCheck::new(may_send);
+        let mut check = SendCheck::new(&call.request, may_send);
         if !may_use_idle_connection(req.method()) {
             check = check.with_new_connection();
         }
--- a/components/targets/src/send_check.rs
+++ b/components/targets/src/send_check.rs
@@ -12,15 +12,18 @@
 /// Asks for the permission to send one request, and remembers whether it was refused.
 pub struct SendCheck<'a> {
     may_send: MaySend<'a>,
+    /// Id of the request.
+    request: &'a str,
     needs_new_connection: bool,
     withheld: AtomicBool,
 }
 
 impl<'a> SendCheck<'a> {
-    /// Asks `may_send`.
-    pub const fn new(may_send: MaySend<'a>) -> Self {
+    /// Asks `may_send` for the request with this id.
+    pub const fn new(request: &'a str, may_send: MaySend<'a>) -> Self {
         Self {
             may_send,
+            request,
             needs_new_connection: false,
             withheld: AtomicBool::new(false),
         }
@@ -52,6 +55,10 @@
         Err("the permission to send it has ended".into())
     }
 
+    fn name(&self) -> Option<&str> {
+        Some(self.request)
+    }
+
     fn needs_new_connection(&self) -> bool {
         self.needs_new_connection
     }
