Connections to a server that sent another request's response are used once for a time

What callers saw: a call that must run once gets 502, though it ran and its answer was on its way: a late copy of another request's answer came first.

Cause: a late copy waits on a connection that is used again. The connection that brought one was closed, the others to the same server, which may bring one too, were not.

Change: after a response that is not the request's own, the idle connections to that address are closed, and for 10 s each connection there carries one request. Sound servers are not affected.

--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -110,7 +110,7 @@
     }
 
     /// Whether a response belongs to the request. If it does not, the next one on its connection may, so that
-    /// the connection carries no further request.
+    /// the connection carries no further request, and for a time no other one to the server more than one.
     fn is_own(&self, _resp: &Response<Incoming>) -> bool {
         true
     }
@@ -313,6 +313,8 @@
                 resp.extensions_mut().insert(conn.record_response());
                 if rules.is_own(&resp) {
                     self.return_when_ready(addr, conn);
+                } else {
+                    self.pool.lock().use_once(addr);
                 }
                 Ok(resp)
             }
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -31,6 +31,10 @@
 /// works after that time is not suspect.
 const SUSPECT_FOR: Duration = Duration::from_secs(60);
 
+/// How long the connections to a server are used once after it has sent a response that was not the request's own:
+/// others may be on their way.
+const SINGLE_USE_TIME: Duration = Duration::from_secs(10);
+
 /// The most bytes that are looked at before a request is sent.
 const PEEKED_BYTES: usize = 512;
 
@@ -126,6 +130,8 @@
     idle: HashMap<SocketAddr, Vec<Idle>>,
     /// By address, when all connections that existed then became suspect.
     suspect_since: HashMap<SocketAddr, Instant>,
+    /// By address, until when connections are used once.
+    single_use_until: HashMap<SocketAddr, Instant>,
     last_sweep: Option<Instant>,
 }
 
@@ -149,12 +155,10 @@
         None
     }
 
-    /// Stores an idle connection, or closes it if it may carry no more requests or its address became suspect
-    /// after it was opened.
+    /// Stores an idle connection, or closes it if it may carry no more requests.
     pub fn put(&mut self, addr: SocketAddr, conn: Conn) {
         self.sweep();
-        let suspect_since = self.suspect_since.get(&addr);
-        if conn.carried.is_full() || suspect_since.is_some_and(|at| conn.created_at <= *at) {
+        if !self.may_reuse(addr, &conn) {
             return;
         }
         let list = self.idle.entry(addr).or_default();
@@ -166,6 +170,21 @@
         }
     }
 
+    fn may_reuse(&self, addr: SocketAddr, conn: &Conn) -> bool {
+        let suspect_since = self.suspect_since.get(&addr);
+        let is_suspect = suspect_since.is_some_and(|at| conn.created_at <= *at);
+        let single_use_until = self.single_use_until.get(&addr);
+        let is_used_once = single_use_until.is_some_and(|until| Instant::now() < *until);
+        !conn.carried.is_full() && !is_suspect && !is_used_once
+    }
+
+    /// Closes all connections to an address, and for [`SINGLE_USE_TIME`] also each new one after its first request.
+    pub fn use_once(&mut self, addr: SocketAddr) {
+        self.close_connections(addr);
+        let until = Instant::now() + SINGLE_USE_TIME;
+        self.single_use_until.insert(addr, until);
+    }
+
     /// Closes all connections to an address. Those in use are closed after their request: they may
     /// have failed in the same way as the one that made them suspect.
     pub fn close_connections(&mut self, addr: SocketAddr) {
@@ -191,6 +210,8 @@
         self.last_sweep = Some(Instant::now());
         self.suspect_since
             .retain(|_, at| at.elapsed() < SUSPECT_FOR);
+        self.single_use_until
+            .retain(|_, until| Instant::now() < *until);
         self.idle.retain(|_, list| {
             list.retain(Idle::is_reusable);
             !list.is_empty()
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -126,6 +126,45 @@
     });
 }
 
+/// Guards against one request after the other whose response is lost, as a response to an earlier request comes
+/// first on each connection of a server.
+#[test]
+fn connections_to_a_server_that_sent_the_response_to_another_request_are_used_once() {
+    smol::block_on(async {
+        let addr = serve(&[RESPONSE; 4]).await;
+        let client = Client::new();
+        let idle = exchange(&client, addr).await.number;
+        let sent = client.send_with(addr, request(), &NewAndNotOwn).await;
+        drop(sent.expect("a response"));
+        assert_eq!(client.idle(addr), 0, "{idle} may bring one too");
+        for _ in 0..3 {
+            let used = exchange(&client, addr).await;
+            assert_eq!(used.earlier_responses, 0);
+        }
+        // Other servers are not affected.
+        let other = serve(&[RESPONSE; 4]).await;
+        exchange(&client, other).await;
+        assert_eq!(exchange(&client, other).await.earlier_responses, 1);
+    });
+}
+
+/// Sends over a new connection, and takes no response for its own.
+struct NewAndNotOwn;
+
+impl SendRules for NewAndNotOwn {
+    fn name(&self) -> Option<&str> {
+        None
+    }
+
+    fn needs_new_connection(&self) -> bool {
+        true
+    }
+
+    fn is_own(&self, _: &Response<Incoming>) -> bool {
+        false
+    }
+}
+
 /// Refuses to send.
 struct NeverSend;
 
