--- a/components/targets/tests/plain.rs
+++ b/components/targets/tests/plain.rs
@@ -53,6 +53,11 @@
 
 /// Makes two calls by this method; returns the error of the second one, if it has one.
 async fn second_call(method: &str, second: &str) -> Option<TargetError> {
+    calls(method, ["r-1", "r-2"], second).await
+}
+
+/// Makes two calls with these ids by this method; returns the error of the second one, if it has one.
+async fn calls(method: &str, ids: [&str; 2], second: &str) -> Option<TargetError> {
     let target = serve(second.into()).await;
     let service = HttpPlainService::new(Client::new(), Timer::new());
     let call = |request: &str| PlainCall {
@@ -62,10 +67,10 @@
         body: "".into(),
         request: request.into(),
     };
-    let first = service.call(&target, &call("r-1"), TIMEOUT).await;
+    let first = service.call(&target, &call(ids[0]), TIMEOUT).await;
     assert_eq!(first.expect("an answer").status, 200);
     smol::Timer::after(PAUSE).await;
-    service.call(&target, &call("r-2"), TIMEOUT).await.err()
+    service.call(&target, &call(ids[1]), TIMEOUT).await.err()
 }
 
 fn rejection(headers: &str) -> String {
@@ -95,3 +100,13 @@
         assert_eq!(second_call("POST", &rejection("")).await, None);
     });
 }
+
+/// Guards against taking a late copy of the rejection of a call for the answer to its next sending: the copy names
+/// the call too.
+#[test]
+fn a_call_that_is_sent_again_shares_no_connection_with_its_first_sending() {
+    smol::block_on(async {
+        let copy = rejection("x-request-id: r-1\r\n");
+        assert_eq!(calls("GET", ["r-1", "r-1"], &copy).await, None);
+    });
+}
