The answer of another process does not lift a target's rate limit

What targets would see: more requests than the limit that they announce for all instances together.

Cause: what a refusal says was taken for what the target says that was asked. 421 comes from another process at the address, or a target with other weights, and has no limit; it counted as the target's statement that its limit has ended, and the instances were told so. Pauses and the rest have always been left out of 421 (target_signals).

Change: nothing is concluded on the rate limit from 421.

--- a/components/front/src/answers.rs
+++ b/components/front/src/answers.rs
@@ -63,7 +63,9 @@
     /// Records what the target says of itself.
     fn observe(&self, front: &Arc<Front>, head: &Parts, parsed: &ResponseHead) {
         signals::observe(front, self.target, parsed.signals);
-        if parsed.sealed || parsed.states_not_run {
+        // Another target that has taken over the address says nothing of the one that was addressed.
+        let is_of_target = head.status != StatusCode::MISDIRECTED_REQUEST;
+        if is_of_target && (parsed.sealed || parsed.states_not_run) {
             target_rates::observe(front, self.target, self.sent_at, parsed.rate_limit);
         }
         if parsed.states_not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
--- a/tests/platform/limits.rs
+++ b/tests/platform/limits.rs
@@ -8,7 +8,7 @@
 use platform_standin::arrivals::Arrivals;
 use smol::Timer;
 
-use crate::support::{Caller, Instance, Platform, ReceivedAnswer};
+use crate::support::{Caller, Instance, Platform, ReceivedAnswer, eventually};
 
 /// Time after which all instances that can reach each other keep a limit.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
@@ -155,3 +155,36 @@
         assert_eq!(failed, 0, "of {}", got.len());
     });
 }
+
+/// Guards against lifting the rate limit of a target because another process, at an address that the target has
+/// left, answers that it is not that target.
+#[test]
+fn another_process_at_a_targets_address_does_not_lift_its_rate_limit() {
+    smol::block_on(async {
+        let platform = Platform::start().await;
+        let instance = platform.instance("limit-of-another").await;
+        let [limited, other] = [0, 1].map(|number| platform.plain[number].clone());
+        limited.set_limit(Some(RATE_LIMIT));
+        let caller = Caller::new("key-1");
+        let call = |id: String| {
+            let caller = &caller;
+            async move { caller.call(instance.addr, "GET", "/titles/1", &id).await }
+        };
+        platform.store.delete_row("servers", &other.id());
+        eventually("the limit is known", || async {
+            call(format!("before-{}", fastrand::u64(..))).await;
+            instance.events().contains(&"TargetLimited".to_owned())
+        })
+        .await;
+        let addr = other.addr().expect("an address");
+        instance.endpoint.set_address(&limited.id(), addr);
+        let listing = limited.listing("titles", "dc-0", "ready");
+        platform.store.put("servers", &limited.id(), listing);
+        eventually("the other process is asked", || async {
+            call(format!("after-{}", fastrand::u64(..))).await;
+            instance.events().contains(&"AnswerNotForwarded".to_owned())
+        })
+        .await;
+        assert!(!instance.events().contains(&"TargetUnlimited".to_owned()));
+    });
+}
