Failing test: generations of an engine at its connection limit run at two engines

What callers would see: a generation at two engines (TWICE, second form).

An engine at its connection limit refuses new connections and can be told to stop its generations over an idle one only; the first stop uses that up. The others find no connection for 1.4 s, which counts as the end of the engine, and go on elsewhere while it works.

Evidence: two streams of one engine are lost while it refuses new connections for 3 s, with one idle connection.

--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -39,6 +39,8 @@
 const OUTLIVES: Duration = Duration::from_secs(60);
 /// How long an engine at its connection limit takes no new connections.
 const LIMIT_TIME: Duration = Duration::from_millis(700);
+/// Longer than the absence that shows the end of an engine, and shorter than connections stay idle.
+const IDLE_LIMIT_TIME: Duration = Duration::from_secs(3);
 /// Longer than a caller waits for a stream to go on.
 const LONG_LIMIT_TIME: Duration = Duration::from_secs(5);
 /// Events of a generation that keeps an engine's slot for a second.
@@ -402,3 +404,37 @@
         watch.check("queued").await;
     });
 }
+
+/// Guards against an engine that only takes no new connections and counts as ended, since the idle connection over
+/// which it could be told to stop a generation has carried the request to stop another one.
+#[test]
+fn all_generations_of_an_engine_at_its_connection_limit_are_stopped_over_its_idle_connection() {
+    smol::block_on(async {
+        let (_platform, instance, links, engines) = start("one-idle").await;
+        engines[1..].iter().for_each(|it| it.set_full(true));
+        let watch = Watch::start(&engines);
+        let send = |id, events| {
+            let req = request("POST", "/notes/1", id, events, "key-1");
+            let sent = async move { Client::new().send_fresh(instance.addr, req).await };
+            async { sent.await.expect("an answer") }
+        };
+        let streams = [
+            send("g-1", LONG_EVENTS).await,
+            send("g-2", LONG_EVENTS).await,
+        ];
+        let reading = streams.map(|resp| smol::spawn(read_answer(resp)));
+        // Its connection is idle from then on.
+        read_answer(send("g-3", 2).await).await;
+        assert_eq!(engines[0].active_count(), 2, "both are at the engine");
+        engines[1..].iter().for_each(|it| it.set_full(false));
+        links.engines[0].set_mode(Mode::RefuseNew);
+        Timer::after(MODE_TIME).await;
+        engines[0].abort_streams();
+        Timer::after(IDLE_LIMIT_TIME).await;
+        links.engines[0].set_mode(Mode::Pass);
+        for each in reading {
+            assert_truthful("one-idle", &each.await);
+        }
+        watch.check("one-idle").await;
+    });
+}
