An open connection to an engine shows that it lives

Cause: an engine that refuses new connections and has open ones here, which may carry no further copy request, counted as not reached, and after 1.4 s as ended. A process that has ended keeps no connection open.

--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -264,6 +264,12 @@
         self.pool.lock().close_connections(addr);
     }
 
+    /// Whether an idle connection to an address is open, even if it may not carry every request.
+    #[must_use]
+    pub fn has_open(&self, addr: SocketAddr) -> bool {
+        self.pool.lock().has_open(addr)
+    }
+
     /// Number of idle connections to an address.
     #[must_use]
     pub fn idle(&self, addr: SocketAddr) -> usize {
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -197,6 +197,12 @@
         self.idle.get(&addr).map_or(0, Vec::len)
     }
 
+    /// Whether an idle connection to an address is open, whatever it has carried.
+    pub fn has_open(&self, addr: SocketAddr) -> bool {
+        let list = self.idle.get(&addr);
+        list.is_some_and(|list| list.iter().any(Idle::is_reusable))
+    }
+
     /// Closes connections that have been idle for too long. [`Pool::take`] prefers the most
     /// recently used ones, so the oldest, and those to targets that no longer exist, would
     /// otherwise stay open until the process runs out of file descriptors.
