Own interface: an answer that names an earlier request of its connection is none

What callers would see: the answer to another caller's safe call (MIXED), after a target of the own interface answered that one twice.

Cause: whom an answer names was asked for rejections only. Targets there need not echo ids and may use their own, so that a foreign id alone proves nothing.

Change: the connection knows which requests it has carried. A response that names one of those, and not the request that waits, is not the request's own: the call counts as one that may have run, and the connections to that target are used once for a time.

--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -104,6 +104,11 @@
     /// name once: a late copy of the first response could be taken for the next one.
     fn name(&self) -> Option<&str>;
 
+    /// What a response names, if the rules can tell.
+    fn named<'r>(&self, _resp: &'r Response<Incoming>) -> Option<&'r str> {
+        None
+    }
+
     /// Whether the request needs a connection that has carried no other one.
     fn needs_new_connection(&self) -> bool {
         false
@@ -316,7 +321,9 @@
         conn.begin(rules.name());
         match conn.sender.try_send_request(req).await {
             Ok(mut resp) => {
-                resp.extensions_mut().insert(conn.record_response());
+                let named = rules.named(&resp).filter(|it| rules.name() != Some(it));
+                let used = conn.record_response(named);
+                resp.extensions_mut().insert(used);
                 if rules.is_own(&resp) {
                     self.return_when_ready(addr, conn);
                 } else {
--- a/components/net/src/connection_use.rs
+++ b/components/net/src/connection_use.rs
@@ -13,6 +13,8 @@
     pub age: Duration,
     /// Responses that it had brought before.
     pub earlier_responses: u32,
+    /// The response names an earlier request of the connection, so that it is no response to this one.
+    pub names_earlier: bool,
     /// Bytes that had arrived when the request was sent, although no response was awaited.
     pub unexpected_bytes: usize,
     /// Bytes that arrived from then on until the head of the response was complete.
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -82,14 +82,16 @@
         self.head.begin();
     }
 
-    /// Records the head of a response; returns how the connection had been used until then.
-    pub fn record_response(&mut self) -> ConnectionUse {
+    /// Records the head of a response; returns how the connection had been used until then. `named` is what the
+    /// response names, if that is not the name of its request.
+    pub fn record_response(&mut self, named: Option<&str>) -> ConnectionUse {
         let earlier_responses = self.responses;
         self.responses = self.responses.saturating_add(1);
         ConnectionUse {
             number: self.number,
             age: self.created_at.elapsed(),
             earlier_responses,
+            names_earlier: named.is_some_and(|named| self.carried.contains(named)),
             unexpected_bytes: self.unexpected_bytes,
             received_bytes: self.head.end(),
         }
--- a/components/targets/src/plain.rs
+++ b/components/targets/src/plain.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming};
-use net::{Budget, Client, read_held, retry_after};
+use net::{Budget, Client, ConnectionUse, read_held, retry_after};
 use timer::Timer;
 use types::Target;
 
@@ -136,6 +136,7 @@
 ) -> Result<PlainAnswer, TargetError> {
     let status = resp.status();
     let retry_after = retry_after(resp.headers());
+    let names_earlier = ConnectionUse::of(&resp).names_earlier;
     let headers = resp
         .headers()
         .iter()
@@ -151,6 +152,9 @@
             is_certain,
         });
     }
+    if names_earlier {
+        return Err(answer::lost("the answer belongs to an earlier request"));
+    }
     Ok(PlainAnswer {
         status: status.as_u16(),
         headers,
--- a/components/targets/src/send_check.rs
+++ b/components/targets/src/send_check.rs
@@ -5,9 +5,13 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use net::{SendError, SendRules};
+use hyper::{Response, body::Incoming};
+use net::{ConnectionUse, SendError, SendRules};
 
-use crate::api::{MaySend, TargetError};
+use crate::{
+    api::{MaySend, TargetError},
+    openai::REQUEST_ID,
+};
 
 /// Asks for the permission to send one request, and remembers whether it was refused.
 pub struct SendCheck<'a> {
@@ -59,7 +63,15 @@
         Some(self.request)
     }
 
+    fn named<'r>(&self, resp: &'r Response<Incoming>) -> Option<&'r str> {
+        resp.headers().get(REQUEST_ID)?.to_str().ok()
+    }
+
     fn needs_new_connection(&self) -> bool {
         self.needs_new_connection
     }
+
+    fn is_own(&self, resp: &Response<Incoming>) -> bool {
+        !ConnectionUse::of(resp).names_earlier
+    }
 }
