A request that is sent again and again fills no pool of connections

A target at its connection limit resets others.

Cause: since a connection carries a request once, those that have carried it are passed over and kept.

Change: while all idle connections to an address have carried a request, four of them are kept. A connection is closed after 256 named requests in place of 1,024: the memory for their names is not counted in the budget, and 2,000 connections hold 4 MB (computed) in place of 16 MB.

Result: a_request_that_is_sent_again_and_again_fills_no_pool (new); the tests of net pass.

--- a/components/net/src/carried.rs
+++ b/components/net/src/carried.rs
@@ -6,7 +6,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// The most named requests that a connection carries.
-const MAX_REQUESTS: usize = 1_024;
+const MAX_REQUESTS: usize = 256;
 
 /// Names of the requests that one connection has carried, as hashes: two names with the same hash only cost a
 /// connection.
--- a/components/net/src/pool.rs
+++ b/components/net/src/pool.rs
@@ -26,6 +26,8 @@
 /// ran.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 const MAX_IDLE_PER_ADDR: usize = 64;
+/// Idle connections to an address that are kept although none of them may carry a request.
+const MAX_PASSED_OVER: usize = 4;
 const SWEEP_PERIOD: Duration = Duration::from_secs(2);
 /// How long after [`Pool::close_connections`] older connections are still closed. One that still
 /// works after that time is not suspect.
@@ -138,7 +140,8 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that has not carried the request with this name.
+    /// Takes the most recently used connection that has not carried the request with this name. If all have, keeps
+    /// [`MAX_PASSED_OVER`] of them: a name that is sent again and again would otherwise fill the pool.
     pub fn take(&mut self, addr: SocketAddr, name: Option<&str>) -> Option<Conn> {
         let list = self.idle.get_mut(&addr)?;
         let has_carried = |conn: &Conn| name.is_some_and(|name| conn.carried.contains(name));
@@ -151,6 +154,9 @@
                 return Some(idle.conn);
             }
         }
+        if list.len() > MAX_PASSED_OVER {
+            list.remove(0);
+        }
         if list.is_empty() {
             self.idle.remove(&addr);
         }
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -294,7 +294,25 @@
     });
 }
 
-/// Guards against the same where a request goes over an idle connection only.
+/// Guards against a server at its connection limit because one request is sent again and again, each time over a
+/// connection that then stays open.
+#[test]
+fn a_request_that_is_sent_again_and_again_fills_no_pool() {
+    smol::block_on(async {
+        let addr = serve(&[RESPONSE; 8]).await;
+        let client = Client::new();
+        let mut numbers = Vec::new();
+        for _ in 0..20 {
+            let used = exchange_with(&client, addr, &Named("a".into())).await;
+            numbers.push(used.number);
+            assert!(client.idle(addr) <= 5, "{}", client.idle(addr));
+        }
+        numbers.dedup();
+        assert_eq!(numbers.len(), 20);
+    });
+}
+
+/// Guards against a request that goes twice over an idle connection, where only an idle one is asked for.
 #[test]
 fn a_request_goes_over_no_idle_connection_that_has_carried_it() {
     smol::block_on(async {
