A resumption that was not sent to the only engine that can take it is sent again

A stream whose connection was lost, or that is to move, is stopped by its final copy. If no other engine has room (503 with the handle), it can go on at its own engine only, and was sent there once. An engine at its connection limit refuses new connections for a moment and works on: callers on a route without resumed streams got a cut stream (event 905, `recovery failed: connections to it don't open`, or `no other instance is known` with one instance), though the engine kept its memory.

Such a resumption that was certainly not sent is sent again with pauses of 20 to 250 ms, for as long as a caller waits in the middle of a stream, unless the engine has ended. Each sending asks `signals::withheld`, so that the drain limits hold, and nothing goes to an engine while another one may run it, as before. A copy at another engine is still tried there once, and then at the source.

Not mended: a connection that opens and is reset counts as one over which the request may have run, and still costs the stream.

--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -539,12 +539,13 @@
                 // It has answered the request for the final copy.
                 let source = self.assignment.generation.target();
                 self.record_stopped(&source);
+                let is_source = target.id == source.id;
                 let resumed = self.resume_at(&target, resume.clone()).await;
                 // Fails only if the migration no longer waits for it.
                 let _ = done.try_send(resumed.is_ok());
                 return match resumed {
                     // The copy is still unused, and the engine that made it keeps its memory.
-                    Err(failure) if failure.not_run => {
+                    Err(failure) if failure.not_run && !(failure.is_unsent && is_source) => {
                         self.assignment.generation.record_refusal(&target.id);
                         self.resume_at_source(&source, resume, failure).await
                     }
--- a/components/front/src/generations/relay/resuming.rs
+++ b/components/front/src/generations/relay/resuming.rs
@@ -4,7 +4,7 @@
 use std::{sync::Arc, time::Duration};
 
 use events::{Event, emit};
-use timer::boot_time;
+use timer::{Timer, boot_time};
 use types::{TargetId, millis};
 use view::Target;
 
@@ -19,18 +19,25 @@
         stopping::{self, Stopped, Stopping},
     },
     quarantine::parts::Progress,
+    reaching::presence,
     send::{SendOutcome, send},
 };
 
 /// Time for an engine to answer a resumed generation. Engines admit resumed generations first, in
 /// their next step, and a caller gives up long before this time is over.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Pause before a resumption that was not sent is tried again; it doubles each time.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause before it is tried again.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Why a generation was not resumed at an engine.
 pub(super) struct ResumeError {
     pub(super) reason: Arc<str>,
     /// The engine certainly did not resume it, so that its copy can still be used.
     pub(super) not_run: bool,
+    /// Nothing was sent to the engine, as no connection to it could be used.
+    pub(super) is_unsent: bool,
 }
 
 impl Relay {
@@ -96,16 +103,41 @@
             return Err(ResumeError {
                 reason: format!("{} may still work on it", other.id).into(),
                 not_run: true,
+                is_unsent: false,
             });
         }
         self.running = vec![Arc::clone(target)];
-        let resumed = self.send_resumption(target, &mut resume).await;
+        let resumed = self.send_until_sent(target, &mut resume).await;
         if resumed.as_ref().is_err_and(|failure| failure.not_run) {
             self.record_stopped(target);
         }
         resumed
     }
 
+    /// Sends the generation to an engine. If it is the one that made the copy, no other one can go on from it:
+    /// while nothing can be sent there and it has not ended, it may be at its connection limit, and is tried again
+    /// for as long as the caller waits.
+    async fn send_until_sent(
+        &mut self,
+        target: &Arc<Target>,
+        resume: &mut Resume,
+    ) -> Result<(), ResumeError> {
+        let patience = patience(self.call.route.objective, self.call.time_left());
+        let timer = Timer::new();
+        let mut pause = RETRY_PAUSE;
+        loop {
+            let failure = match self.send_resumption(target, resume).await {
+                Err(failure) if failure.is_unsent && resume.source == target.addr => failure,
+                resumed => return resumed,
+            };
+            if timer.now() + pause >= patience || presence::has_ended(&self.front, target).await {
+                return Err(failure);
+            }
+            smol::Timer::after(pause).await;
+            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+        }
+    }
+
     async fn send_resumption(
         &mut self,
         target: &Arc<Target>,
@@ -130,20 +162,29 @@
             SendOutcome::Response { head, .. } => Err(ResumeError {
                 reason: format!("status {}", head.status).into(),
                 not_run: false,
+                is_unsent: false,
             }),
             SendOutcome::NotRun { proof } => Err(ResumeError {
                 reason: Arc::clone(proof.reason()),
                 not_run: true,
+                is_unsent: false,
             }),
-            SendOutcome::NotReached { reason }
-            | SendOutcome::Withheld { reason }
-            | SendOutcome::Rejected { reason } => Err(ResumeError {
+            SendOutcome::NotReached { reason } => Err(ResumeError {
                 reason,
                 not_run: true,
+                is_unsent: true,
             }),
+            SendOutcome::Withheld { reason } | SendOutcome::Rejected { reason } => {
+                Err(ResumeError {
+                    reason,
+                    not_run: true,
+                    is_unsent: false,
+                })
+            }
             SendOutcome::Unknown { reason, .. } => Err(ResumeError {
                 reason,
                 not_run: false,
+                is_unsent: false,
             }),
         }
     }
--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -49,6 +49,8 @@
 const MODE_TIME: Duration = Duration::from_millis(30);
 /// Longer than an instance waits for a copy.
 const SLOW_COPY: Duration = Duration::from_millis(1_600);
+/// Time of a copy, long enough for the engine's connections to be limited before its answer comes.
+const LIMITED_COPY: Duration = Duration::from_millis(400);
 
 /// Watches which engines work on which generations until it is stopped.
 struct Watch {
@@ -364,6 +366,40 @@
     });
 }
 
+/// Guards against cutting a stream that only its own engine can go on with, as no other one has room for its copy,
+/// because that engine refuses new connections for a moment.
+#[test]
+fn a_stopped_stream_goes_on_at_its_engine_once_that_takes_connections_again() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            let (_platform, instance, links, engines) = start("no-room").await;
+            engines[2].set_full(true);
+            let watch = Watch::start(&engines);
+            let resp = send(&instance, path).await;
+            Timer::after(STREAM_START_DELAY).await;
+            let source = running(&engines);
+            let link = link(&links, &engines, &source).clone();
+            let faults = Faults {
+                copy_delay: LIMITED_COPY,
+                refuses_copies: true,
+                ..Faults::default()
+            };
+            set_faults(&engines, faults);
+            source.abort_streams();
+            let reading = smol::spawn(read_answer(resp));
+            // The request for the final copy has arrived, and its answer is still to come.
+            Timer::after(LIMITED_COPY / 2).await;
+            link.set_mode(Mode::RefuseNew);
+            Timer::after(LIMITED_COPY / 2 + LIMIT_TIME).await;
+            link.set_mode(Mode::Pass);
+            let got = reading.await;
+            assert_truthful(path, &got);
+            assert!(got.is_complete, "{path}: {got:?}");
+            watch.check(path).await;
+        }
+    });
+}
+
 /// Guards against a second engine that begins a generation while it waits in the queue of the first one, which
 /// says that it does not run it and begins it later although its connection was lost.
 #[test]
