A target that sends events to another instance has not ended

Callers saw nothing; the work was done twice. One instance lost the stream of an engine that goes on without its readers and refuses new connections. After 1.4 s without contact it asked one other instance, which could open no connection either and said "not reached", although it got events of a generation from that engine all the while. The stream went on at a second engine beside the first.

Cause: whether another instance reaches a target was asked of new connections alone. An engine that takes none because it has as many as it may have serves others over them, so that its events there are the sign of life.

An instance that can't connect to a target now says how long ago an event came from there, if within the time after which a target counts as ended (`Reachability::Heard`). The asker counts its absence from then, so that a crash is noticed no later: the last event was before it. The target's path stays lost, as no request can go that way. All that relay are asked at once instead of the first, since only those with a stream know; the further ones get 100 ms after one that does not reach the target. That is up to five more messages of some 60 bytes for each stream whose engine is not reached for 1.4 s.

--- a/components/front/src/instances/wire.rs
+++ b/components/front/src/instances/wire.rs
@@ -286,6 +286,12 @@
     NotReached,
     /// The instance can't tell: it does not know the target, or reaches no other either.
     Unknown,
+    /// Connections to it don't open, but it sends events of a generation that the instance still receives.
+    Heard {
+        /// Time since the last event.
+        #[serde(deserialize_with = "bounded")]
+        age: Duration,
+    },
 }
 
 /// The reply to a message.
--- a/components/front/src/reaching/entry.rs
+++ b/components/front/src/reaching/entry.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use async_channel::{Receiver, bounded};
 use bytes::Bytes;
 use events::{Event, emit};
 use http_body_util::Full;
@@ -250,12 +251,14 @@
     let Some(Reply::TargetChecked(reachability)) = reply else {
         return fail(front, via);
     };
-    if reachability == Reachability::Unknown {
-        return fail(front, via);
-    }
-    front.relays.lock().record_success(boot_time(), via);
-    if reachability == Reachability::Reached {
-        front.record_reached_by_another(target);
+    match reachability {
+        Reachability::Reached => {
+            front.relays.lock().record_success(boot_time(), via);
+            front.record_reached_by_another(target);
+        }
+        Reachability::NotReached => front.relays.lock().record_success(boot_time(), via),
+        Reachability::Heard { age } => front.record_heard_by_another(target, age),
+        Reachability::Unknown => fail(front, via),
     }
 }
 
@@ -305,6 +308,26 @@
     control_with(front, message, timeout, accept_reply).await
 }
 
+/// Sends a message to several instances at once; the replies arrive in any order, `None` for those that have not
+/// replied within `timeout`.
+pub fn ask_several(
+    front: &Arc<Front>,
+    message: &Message,
+    timeout: Duration,
+) -> Receiver<Option<Reply>> {
+    let (tx, rx) = bounded(MAX_RELAYS);
+    for via in candidates(front).into_iter().take(MAX_RELAYS) {
+        let (front, message, tx) = (Arc::clone(front), message.clone(), tx.clone());
+        workers::spawn(async move {
+            let reply = front.peers.try_call(&via, &message, timeout).await;
+            // Fails only if nobody waits for it any more.
+            let _ = tx.try_send(reply);
+        })
+        .detach();
+    }
+    rx
+}
+
 /// Like [`control`], but `accept` also decides about an instance that has not replied.
 pub async fn control_with<T>(
     front: &Arc<Front>,
--- a/components/front/src/reaching/paths.rs
+++ b/components/front/src/reaching/paths.rs
@@ -7,7 +7,7 @@
 
 use events::{Event, emit};
 use net::{Connecting, Unsent};
-use reach::{Path, Regained};
+use reach::{ABSENCE_TIME, Path, Regained};
 use smol::net::TcpStream;
 use timer::{Timer, boot_time, lateness};
 use types::{Moment, ServiceId, TargetId, millis};
@@ -128,6 +128,12 @@
         }
     }
 
+    /// Records that another instance got an event of a target this long ago.
+    pub fn record_heard_by_another(&self, target: &Target, age: Duration) {
+        let at = boot_time().saturating_sub(age);
+        self.paths.lock().record_heard(at, &target.id);
+    }
+
     /// Whether another target of the service has been reached since a moment. A failure without that
     /// may be one of this instance's own network, and is no evidence about the target.
     #[must_use]
@@ -180,6 +186,13 @@
     if verify(front, &target).await {
         return Reachability::Reached;
     }
+    let last_event = front.generations.last_event_from(&target.id);
+    if let Some(age) = last_event
+        .map(elapsed_since)
+        .filter(|age| *age < ABSENCE_TIME)
+    {
+        return Reachability::Heard { age };
+    }
     if reaches_others(front, &target).await {
         Reachability::NotReached
     } else {
--- a/components/front/src/reaching/presence.rs
+++ b/components/front/src/reaching/presence.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use reach::{ABSENCE_TIME, Absence};
-use timer::boot_time;
+use timer::{Timer, boot_time};
 use types::Moment;
 use view::Target;
 
@@ -19,6 +19,8 @@
 
 /// Time for other instances to check a target: two connections of each that is asked.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(900);
+/// Time for further instances to reply after one that does not reach the target either.
+const OTHERS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time for an engine to answer with its report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two looks at a target.
@@ -40,8 +42,37 @@
     if listed.is_some_and(|listed| listed.started_at != target.started_at) {
         return true;
     }
-    front.absence(target).shows_end(boot_time())
-        && check_through_another(front, target).await != Some(Reachability::Reached)
+    front.absence(target).shows_end(boot_time()) && !lives_for_others(front, target).await
+}
+
+/// Whether other instances show that a target lives which this one does not reach. Those with a stream from it
+/// know, whichever they are, so several are asked.
+async fn lives_for_others(front: &Arc<Front>, target: &Target) -> bool {
+    let replies = entry::ask_several(front, &check_message(target), CHECK_TIMEOUT);
+    let timer = Timer::new();
+    let mut until = CHECK_TIMEOUT;
+    loop {
+        let left = until.saturating_sub(timer.now());
+        let Some(Ok(reply)) = timer.within(left, replies.recv()).await else {
+            return false;
+        };
+        match reply {
+            Some(Reply::TargetChecked(Reachability::Reached)) => {
+                front.record_reached_by_another(target);
+                return true;
+            }
+            Some(Reply::TargetChecked(Reachability::Heard { age })) => {
+                front.record_heard_by_another(target, age);
+                if !front.absence(target).shows_end(boot_time()) {
+                    return true;
+                }
+            }
+            Some(Reply::TargetChecked(Reachability::NotReached)) => {
+                until = until.min(timer.now() + OTHERS_TIMEOUT);
+            }
+            _ => {}
+        }
+    }
 }
 
 /// Whether an engine lives after one of its streams has ended: it reports, or opens a connection while it may not
@@ -76,18 +107,24 @@
 
 /// Whether another instance connects to a target; none if no other one can tell.
 async fn check_through_another(front: &Arc<Front>, target: &Target) -> Option<Reachability> {
-    let message = Message::CheckTarget {
-        target: Arc::clone(&target.id),
-        started_at: target.started_at,
-    };
     let accept = |reply| match reply {
         Reply::TargetChecked(Reachability::Unknown) => None,
         Reply::TargetChecked(reachability) => Some(reachability),
         _ => None,
     };
+    let message = check_message(target);
     let reachability = entry::control(front, &message, CHECK_TIMEOUT, accept).await;
-    if reachability == Some(Reachability::Reached) {
-        front.record_reached_by_another(target);
+    match reachability {
+        Some(Reachability::Reached) => front.record_reached_by_another(target),
+        Some(Reachability::Heard { age }) => front.record_heard_by_another(target, age),
+        _ => {}
     }
     reachability
 }
+
+fn check_message(target: &Target) -> Message {
+    Message::CheckTarget {
+        target: Arc::clone(&target.id),
+        started_at: target.started_at,
+    }
+}
--- a/components/front/tests/messages.rs
+++ b/components/front/tests/messages.rs
@@ -4,7 +4,7 @@
 
 use front::{
     TopicUpdate,
-    instances::wire::{Message, Reply, Topic},
+    instances::wire::{Message, Reachability, Reply, Topic},
 };
 use proptest::prelude::*;
 use rates::{RateReport, Reservation};
@@ -51,6 +51,11 @@
             return Err(TestCaseError::fail("another message"));
         };
         prop_assert_eq!((report.age, max_wait), (bound, bound));
+        let heard = Reply::TargetChecked(Reachability::Heard { age: time });
+        prop_assert_eq!(
+            received(&heard),
+            Reply::TargetChecked(Reachability::Heard { age: bound })
+        );
         let granted = Reply::Reservation(Reservation::Granted { after: time });
         prop_assert_eq!(
             received(&granted),
--- a/components/reach/src/paths.rs
+++ b/components/reach/src/paths.rs
@@ -53,7 +53,7 @@
     down_until: Moment,
     /// Another instance has reached it since the path was lost.
     is_cut: bool,
-    /// When another instance last reached it.
+    /// When another instance last reached it, or got an event from it.
     relayed_at: Option<Moment>,
 }
 
@@ -126,6 +126,14 @@
         false
     }
 
+    /// Records that a target that this instance does not reach has sent something to another one. That opens no
+    /// path to it.
+    pub fn record_heard(&mut self, at: Moment, target: &str) {
+        if let Some(path) = self.targets.get_mut(target) {
+            path.relayed_at = path.relayed_at.max(Some(at));
+        }
+    }
+
     /// Since when neither this instance nor another one has reached a target, as far as is known.
     #[must_use]
     pub fn absence(&self, target: &str, started_at: Option<u64>) -> Absence {
--- a/components/reach/tests/absence.rs
+++ b/components/reach/tests/absence.rs
@@ -6,7 +6,7 @@
     collection::vec,
     prelude::{Strategy, any, prop_assert, prop_assert_eq, proptest},
 };
-use reach::{ABSENCE_TIME, Absence, Paths};
+use reach::{ABSENCE_TIME, Absence, Path, Paths};
 use types::Moment;
 
 /// What an instance observes of a target, and how long after the observation before.
@@ -69,6 +69,22 @@
     assert!(!paths.absence("e-1", Some(1)).shows_end(at(9_000)));
 }
 
+/// Guards against taking a target for ended of which another instance still gets events, and against taking these
+/// for a path to it or an older one for a later one.
+#[test]
+fn a_target_that_others_hear_from_is_not_absent_and_not_reached_through_them() {
+    let (id, service) = ("e-1".into(), "drafts".into());
+    let mut paths = Paths::default();
+    let at = |ms: u64| Duration::from_millis(10_000 + ms);
+    paths.record_no_connection(at(0), &id, &service, Some(1));
+    paths.record_relayed(at(100), "e-1", false);
+    paths.record_heard(at(1_000), "e-1");
+    paths.record_heard(at(500), "e-1");
+    assert!(!paths.absence("e-1", Some(1)).shows_end(at(2_399)));
+    assert!(paths.absence("e-1", Some(1)).shows_end(at(2_400)));
+    assert_eq!(paths.path(at(1_000), "e-1", Some(1)), Path::Down);
+}
+
 /// Guards against forgetting since when a target is not reached that is tried again and again and not listed.
 #[test]
 fn a_target_that_is_not_listed_stays_absent_while_it_is_tried() {
--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -43,6 +43,8 @@
 const IDLE_LIMIT_TIME: Duration = Duration::from_secs(3);
 /// Longer than a caller waits for a stream to go on.
 const LONG_LIMIT_TIME: Duration = Duration::from_secs(5);
+/// How long an engine refuses new connections: longer than one that has ended is waited for.
+const REFUSAL_TIME: Duration = Duration::from_secs(3);
 /// Events of a generation that keeps an engine's slot for a second.
 const SLOT_EVENTS: u32 = 67;
 /// Time for a proxy to take a mode over.
@@ -396,6 +398,46 @@
             assert_truthful(path, &got);
             assert!(got.is_complete, "{path}: {got:?}");
             watch.check(path).await;
+/// Loses a stream of an engine that refuses new connections of both instances, while the other one still gets a
+/// stream of it.
+async fn lose_stream_beside_another(path: &str) {
+    let (platform, instance, links, engines) = start("refused-one").await;
+    let (other, other_links) = platform.instance_with_links("refused-other").await;
+    for engine in &engines[1..] {
+        engine.set_full(true);
+    }
+    let resp = send(&instance, path).await;
+    let req = request("POST", path, "g-2", LONG_EVENTS, "key-1");
+    let other_resp = Client::new().send_fresh(other.addr, req).await;
+    let other_reading = smol::spawn(read_answer(other_resp.expect("an answer")));
+    Timer::after(STREAM_START_DELAY).await;
+    assert_eq!(engines[0].active_count(), 2, "{path}");
+    for engine in &engines[1..] {
+        engine.set_full(false);
+    }
+    let watch = Watch::start(&engines);
+    for links in [&links, &other_links] {
+        links.engines[0].set_mode(Mode::RefuseNew);
+    }
+    Timer::after(MODE_TIME).await;
+    engines[0].abort_stream("g-1");
+    let reading = smol::spawn(read_answer(resp));
+    Timer::after(REFUSAL_TIME).await;
+    for links in [&links, &other_links] {
+        links.engines[0].set_mode(Mode::Pass);
+    }
+    assert_truthful(path, &reading.await);
+    assert_truthful(path, &other_reading.await);
+    watch.check(path).await;
+}
+
+/// Guards against a second engine for a stream while the first works on it and refuses new connections of all
+/// instances: the streams that another one still gets from it show that it lives.
+#[test]
+fn a_stream_whose_engine_refuses_connections_and_serves_another_instance_runs_at_one_engine() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            lose_stream_beside_another(path).await;
         }
     });
 }
