Known failure: an engine that refuses connections for long looks ended

One instance loses a stream of an engine that goes on without its reader and refuses new connections for 3 s: after 1.4 s without a sign of life the stream goes on at a second engine while the first works on it (966 `not_reached` after 1,402 ms).

Not mended: the instance has no evidence that tells this from a crash, after which a stream must go on within 2 s. The engine's row in the store is written each 1.2 s, reported when more than its `sequence` changes, and removed after three such times.

--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -398,6 +398,10 @@
             assert_truthful(path, &got);
             assert!(got.is_complete, "{path}: {got:?}");
             watch.check(path).await;
+        }
+    });
+}
+
 /// Loses a stream of an engine that refuses new connections of both instances, while the other one still gets a
 /// stream of it.
 async fn lose_stream_beside_another(path: &str) {
@@ -442,6 +446,16 @@
     });
 }
 
+/// Guards against a second engine for a stream while the first works on it and refuses new connections for long.
+#[test]
+fn a_stream_whose_engine_refuses_connections_for_long_runs_at_one_engine() {
+    smol::block_on(async {
+        for path in ["/notes/1", "/drafts/1"] {
+            lose_stream_at_connection_limit(Mode::RefuseNew, path, REFUSAL_TIME).await;
+        }
+    });
+}
+
 /// Guards against a second engine that begins a generation while it waits in the queue of the first one, which
 /// says that it does not run it and begins it later although its connection was lost.
 #[test]
