A request that is given up while its path is held does not arrive later

A generation ran at two engines. An instance resumed it at a second engine whose link held the bytes, gave that up after 1.5 s, found no connection to that engine for 1.4 s and went on at a third one. Once the link worked again the held resumption arrived, and the second engine ran it beside the third.

Cause: a connection that was given up was closed in order. What a path holds of it then still arrives, followed by the end of the connection; it is lost only if the sender resets the connection. The connections to targets and to other instances are reset now (`net::Client::with_resets`), without an orderly end before, which would also be held and let the bytes before it through. The same holds for copy requests and requests that are relayed.

`a_request_that_is_given_up_resets_its_connection` (net) failed before.

--- a/components/front/src/run.rs
+++ b/components/front/src/run.rs
@@ -193,10 +193,15 @@
         engines: Arc::clone(&adapters.engines),
         store: Arc::new(CountedStore::new(Arc::clone(&adapters.store), calls)),
         client: adapters.client.clone(),
-        peers: Peers::new(me, Client::new().with_connect_timeout(CONNECT_TIMEOUT))
-            .with_capacity_order(cfg.decisions.features.capacity_order)
-            .with_memory(adapters.memory.clone())
-            .with_byte_counter(metrics.peer_bytes.clone()),
+        peers: Peers::new(
+            me,
+            Client::new()
+                .with_connect_timeout(CONNECT_TIMEOUT)
+                .with_resets(),
+        )
+        .with_capacity_order(cfg.decisions.features.capacity_order)
+        .with_memory(adapters.memory.clone())
+        .with_byte_counter(metrics.peer_bytes.clone()),
         placement: Placement::new(cfg.decisions.placing),
         generations: ActiveGenerations::default(),
         operator_rows: Arc::new(TopicCache::new().with_memory(&adapters.memory)),
--- a/components/net/src/bounded_stream.rs
+++ b/components/net/src/bounded_stream.rs
@@ -15,6 +15,8 @@
     net::TcpStream,
 };
 
+use crate::linger;
+
 /// The most bytes that may arrive until the head of a response is complete. Interim responses count: a
 /// server may send any number of them, and the HTTP library skips them.
 const MAX_HEAD_BYTES: usize = 64 * 1_024;
@@ -71,6 +73,8 @@
     head: Arc<HeadBudget>,
     /// Bytes read since another task could last run.
     burst: usize,
+    /// Whether it ends with a reset alone.
+    resets: bool,
 }
 
 impl BoundedStream {
@@ -81,9 +85,17 @@
             inner,
             head,
             burst: 0,
+            resets: false,
         }
     }
 
+    /// Resets the connection at its end.
+    pub fn with_reset(mut self) -> Self {
+        linger::reset(&self.inner);
+        self.resets = true;
+        self
+    }
+
     /// The connection, until this stream is dropped.
     pub fn downgrade(&self) -> Weak<TcpStream> {
         Arc::downgrade(&self.shared)
@@ -134,6 +146,10 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        if self.resets {
+            // After an orderly end what has not arrived yet would not be lost with the reset.
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.inner).poll_close(cx)
     }
 }
--- a/components/net/src/client.rs
+++ b/components/net/src/client.rs
@@ -153,6 +153,16 @@
 pub struct Client {
     pool: Arc<Mutex<Pool>>,
     connect_timeout: Duration,
+    closing: Closing,
+}
+
+/// How connections are closed.
+#[derive(Clone, Copy, Debug)]
+enum Closing {
+    /// What was sent still arrives.
+    Orderly,
+    /// What has not arrived yet is lost.
+    Reset,
 }
 
 impl Default for Client {
@@ -160,6 +170,7 @@
         Self {
             pool: Arc::default(),
             connect_timeout: CONNECT_TIMEOUT,
+            closing: Closing::Orderly,
         }
     }
 }
@@ -178,6 +189,14 @@
         self
     }
 
+    /// Resets connections when they are closed: a request that was given up while a path held it does not
+    /// arrive later.
+    #[must_use]
+    pub const fn with_resets(mut self) -> Self {
+        self.closing = Closing::Reset;
+        self
+    }
+
     /// Sends a request over an idle connection, or a new one, and waits for the head of the
     /// response. The connection returns to the pool once the response's body has been read to its
     /// end; if the body is dropped before, the connection is closed.
@@ -301,7 +320,7 @@
                 }
             }
         }
-        let conn = connect(addr, self.connect_timeout).await?;
+        let conn = connect(addr, self.connect_timeout, self.closing).await?;
         let sent = self.send_on(addr, conn, req, rules, has_left).await;
         sent.map_err(Failure::into_error)
     }
@@ -391,7 +410,7 @@
     unsent(Connecting::Unopened, reason)
 }
 
-async fn connect(addr: SocketAddr, timeout: Duration) -> Result<Conn, SendError> {
+async fn connect(addr: SocketAddr, timeout: Duration, closing: Closing) -> Result<Conn, SendError> {
     let stream = Timer::new()
         .await_answer(timeout, TcpStream::connect(addr))
         .await
@@ -408,7 +427,10 @@
         .set_nodelay(true)
         .map_err(|e| opened(e.to_string()))?;
     let head = Arc::new(HeadBudget::new());
-    let stream = BoundedStream::new(stream, Arc::clone(&head));
+    let mut stream = BoundedStream::new(stream, Arc::clone(&head));
+    if matches!(closing, Closing::Reset) {
+        stream = stream.with_reset();
+    }
     let shared = stream.downgrade();
     let (sender, conn) = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
--- a/components/net/src/linger.rs
+++ b/components/net/src/linger.rs
@@ -36,7 +36,8 @@
     let _ = Timer::new().within(LINGER_TIMEOUT, rest).await;
 }
 
-/// Resets a connection, so that the peer does not take its end for the end of a response.
+/// Makes the end of a connection a reset: the peer does not take it for the end of a response, and what is still on
+/// its way is lost.
 pub fn reset(stream: &TcpStream) {
     // Fails only if the connection is already closed.
     let _ = rustix::net::sockopt::set_socket_linger(stream, Some(Duration::ZERO));
--- a/components/net/tests/connections.rs
+++ b/components/net/tests/connections.rs
@@ -1,6 +1,7 @@
 //! What is known of a connection when it brings a response.
 
 use std::{
+    io::ErrorKind,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -356,3 +357,24 @@
         assert_eq!(client.idle(addr), 0);
     });
 }
+
+/// Guards against a request that was given up while a path held it and that arrives later: its connection must be
+/// reset, not closed in order.
+#[test]
+fn a_request_that_is_given_up_resets_its_connection() {
+    smol::block_on(async {
+        let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await;
+        let listener = listener.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let client = Client::new().with_resets();
+        let sent = client.send_within(PAUSE, addr, request(), &AnyConnection);
+        let lost = sent.await.expect_err("no response");
+        assert!(matches!(lost, SendError::Lost { .. }), "{lost:?}");
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        smol::Timer::after(PAUSE).await;
+        let mut buf = Vec::new();
+        let read = stream.read_to_end(&mut buf).await;
+        let kind = read.map_err(|e| e.kind());
+        assert_eq!(kind, Err(ErrorKind::ConnectionReset), "{buf:?}");
+    });
+}
--- a/components/node/src/components.rs
+++ b/components/node/src/components.rs
@@ -78,7 +78,7 @@
         let timer = Timer::new();
         let memory = Budget::new(settings.limits.kept_bytes());
         let key = Key::new(&settings.peers.key);
-        let client = Client::new();
+        let client = Client::new().with_resets();
         let (core, inputs) = build_core(settings, me, timer, &key, &client);
 
         let platform = &settings.platform;
--- a/src/cmd/platform.rs
+++ b/src/cmd/platform.rs
@@ -38,7 +38,9 @@
     }
     workers::start(WORKERS);
     let memory = front::memory_budget(&cfg);
-    let client = Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT);
+    let client = Client::new()
+        .with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT)
+        .with_resets();
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
         engines: Arc::new(EngineClient::new(client.clone())),
--- a/src/cmd/try_platform.rs
+++ b/src/cmd/try_platform.rs
@@ -116,7 +116,9 @@
 fn start(cfg: Config) -> JoinHandle<errors::Result<()>> {
     let reloaded = cfg.clone();
     let memory = front::memory_budget(&cfg);
-    let client = Client::new().with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT);
+    let client = Client::new()
+        .with_connect_timeout(front::reaching::paths::CONNECT_TIMEOUT)
+        .with_resets();
     let adapters = Adapters {
         protocol: Arc::new(HttpAdapter::new()),
         engines: Arc::new(EngineClient::new(client.clone())),
--- a/tests/platform/one_run.rs
+++ b/tests/platform/one_run.rs
@@ -45,6 +45,8 @@
 const LONG_LIMIT_TIME: Duration = Duration::from_secs(5);
 /// How long an engine refuses new connections: longer than one that has ended is waited for.
 const REFUSAL_TIME: Duration = Duration::from_secs(3);
+/// Time in which a resumption has been sent.
+const HELD_TIME: Duration = Duration::from_millis(500);
 /// Events of a generation that keeps an engine's slot for a second.
 const SLOT_EVENTS: u32 = 67;
 /// Time for a proxy to take a mode over.
@@ -234,6 +236,37 @@
     });
 }
 
+/// Guards against an engine that gets a resumption late, once the path that held it works again, although its
+/// sender has given it up and the generation goes on at another engine.
+#[test]
+fn a_resumption_that_was_held_and_given_up_does_not_run_later() {
+    smol::block_on(async {
+        let (platform, instance, links, engines) = start("held").await;
+        engines[2].set_full(true);
+        let resp = send(&instance, "/notes/1").await;
+        Timer::after(STREAM_START_DELAY).await;
+        let source = running(&engines);
+        engines[2].set_full(false);
+        engines[2].change_faults(|faults| faults.refuses_copies = true);
+        let other = (0..2).find(|n| engines[*n].id() != source.id());
+        let held = &links.engines[other.expect("another engine with a link")];
+        held.set_mode(Mode::Hold);
+        let watch = Watch::start(&engines);
+        let listing = source.listing("drafts", "dc-0", "draining");
+        platform.store.put("servers", &source.id(), listing);
+        Timer::after(HELD_TIME).await;
+        held.set_mode(Mode::Cut);
+        let reading = smol::spawn(read_answer(resp));
+        eventually("it goes on elsewhere", || async {
+            instance.event_counts().contains_key("StreamResumed")
+        })
+        .await;
+        held.set_mode(Mode::Pass);
+        assert_truthful("held", &reading.await);
+        watch.check("held").await;
+    });
+}
+
 /// Guards against a second engine that begins a generation while the first, whose answer was lost, works on it.
 #[test]
 fn a_generation_whose_head_was_lost_runs_at_one_engine() {
