Probing: an engine that answers late is heard

Callers of an engine that was reclaimed during a store outage got cut streams if the engine's reports took more than 200 ms: each report was dropped at that limit, so that the engine was never heard to leave, however often it said so. One report over the limit costs a round of 300 ms.

--- a/components/front/src/generations/probing.rs
+++ b/components/front/src/generations/probing.rs
@@ -38,8 +38,9 @@
 /// Every n-th round polls all engines; the others poll only those that run something, as far as the
 /// owner knows. If many instances are partitioned at once, requests to all engines are the main cost.
 const FULL_ROUND_PERIOD: u32 = 4;
-/// Time for an engine to answer.
-const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for an engine to answer: that of two rounds. A late report leaves enough of the notice to migrate what
+/// runs, and a busy engine may answer all of them late.
+const REPORT_TIMEOUT: Duration = PERIOD.saturating_mul(2);
 
 /// Runs for the lifetime of the instance.
 pub async fn watch(front: Arc<Front>) {
--- a/tests/platform/generations.rs
+++ b/tests/platform/generations.rs
@@ -13,6 +13,10 @@
 const VERY_LONG_EVENTS: u32 = 260;
 /// Half of the shortest notice that engines get: their reports may be half a second old besides.
 const MAX_TIME_TO_EMPTY: Duration = Duration::from_millis(750);
+/// The shortest notice that engines get before they end.
+const MIN_NOTICE: Duration = Duration::from_millis(1_500);
+/// Delay of slow reports of an engine.
+const REPORT_DELAY: Duration = Duration::from_millis(400);
 /// Time after which the first events have arrived.
 const STREAM_START_DELAY: Duration = Duration::from_millis(300);
 
@@ -229,6 +233,23 @@
     });
 }
 
+/// Guards against an engine that is reclaimed during a store outage, says so, and is not heard because its
+/// reports take long.
+#[test]
+fn an_engine_whose_reports_are_slow_is_watched_during_a_store_outage() {
+    smol::block_on(async {
+        let (platform, _instance, resp) = start_generation("slow-reports", 300).await;
+        platform.engines[0].change_faults(|faults| faults.report_delay = REPORT_DELAY);
+        platform.store.set_down(true);
+        Timer::after(Duration::from_millis(2_400)).await;
+        let time = time_to_empty(platform.engines[0].clone(), Duration::ZERO).await;
+        assert!(time < MIN_NOTICE, "{time:?}");
+        platform.engines[0].crash();
+        let got = read_answer(resp).await;
+        assert_eq!((got.is_complete, got.body), (true, all_events(300)));
+    });
+}
+
 /// Lets an engine leave after a delay. Returns the time until it generates nothing any more, at most
 /// two seconds.
 async fn time_to_empty(engine: Engine, delay: Duration) -> Duration {
