--- a/tests/platform/quarantine.rs
+++ b/tests/platform/quarantine.rs
@@ -124,6 +124,33 @@
     });
 }
 
+/// Guards against instances that lack the rejections after their start because the store refused their first
+/// read of them.
+#[test]
+fn a_rejection_persists_when_the_store_is_down_as_all_instances_start() {
+    smol::block_on(async {
+        let (platform, engines, mut instances) = start("late", 3).await;
+        send_crashing_requests(&platform, &engines, &instances, MAX_CRASHES).await;
+        Timer::after(PROPAGATION_TIME).await;
+        instances.iter_mut().for_each(Instance::kill);
+        platform.store.set_down(true);
+        instances.iter_mut().for_each(Instance::restart);
+        for instance in &instances {
+            instance.first_logged_at("StoreLost").await;
+        }
+        platform.store.set_down(false);
+        for instance in &instances {
+            let readiness = instance.readiness;
+            eventually("it is ready again", || async move {
+                status(readiness, "/v1/readiness").await == Some(200)
+            })
+            .await;
+        }
+        send_crashing_requests(&platform, &engines, &instances, MAX_CRASHES).await;
+        assert_eq!(crashed_count(&engines), MAX_CRASHES);
+    });
+}
+
 /// Guards against retries of a call, by the instance or by its caller, that crash a further target
 /// each time.
 #[test]
