--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -66,3 +66,11 @@
     let report = run_seed(39, SHORT_RUN + SHORT_RUN / 4, false);
     assert!(report.violations.is_empty(), "{report}");
 }
+
+/// Guards against a late copy of a refusal that answers the next sending of its request, to a process that started
+/// again under another id at the same address.
+#[test]
+fn copied_refusals_and_targets_that_started_again_break_no_promise() {
+    let report = run_seed(131, SHORT_RUN, false);
+    assert!(report.violations.is_empty(), "{report}");
+}
