--- a/components/front/src/generations/relay.rs
+++ b/components/front/src/generations/relay.rs
@@ -543,17 +543,17 @@
                 let resumed = self.resume_at(&target, resume.clone()).await;
                 // Fails only if the migration no longer waits for it.
                 let _ = done.try_send(resumed.is_ok());
-                let resumed = match resumed {
+                return match resumed {
+                    // The copy is still unused, and the engine that made it keeps its memory.
                     Err(failure) if failure.not_run && !(failure.is_unsent && is_source) => {
                         self.assignment.generation.record_refusal(&target.id);
                         self.resume_at_source(&source, resume, failure).await
                     }
-                    resumed => resumed.map_err(|failure| failure.reason),
+                    resumed => resumed.err().map(|failure| RelayEnd::EngineFailed {
+                        cause: Cause::ConnectionLost,
+                        reason: failure.reason,
+                    }),
                 };
-                return resumed.err().map(|reason| RelayEnd::EngineFailed {
-                    cause: Cause::ConnectionLost,
-                    reason,
-                });
             }
             // The handle holds a sender, so the channel is not closed while the relay runs.
             None => {}
--- a/components/front/src/generations/relay/resuming.rs
+++ b/components/front/src/generations/relay/resuming.rs
@@ -59,13 +59,10 @@
             self.record_stopped(&source);
         }
         let resumed = match rest {
-            Ok(Rest::Copy(target, resume)) => match self.resume_at(&target, resume.clone()).await {
-                Err(failure) if failure.not_run && target.id != source.id => {
-                    generation.record_refusal(&target.id);
-                    self.resume_at_source(&source, resume, failure).await
-                }
-                resumed => resumed.map_err(|failure| failure.reason),
-            },
+            Ok(Rest::Copy(target, resume)) => self
+                .resume_at(&target, resume)
+                .await
+                .map_err(|failure| failure.reason),
             Ok(Rest::Nothing(why)) | Err(why) => Err(why),
         };
         generation.end_migration();
@@ -76,18 +73,23 @@
     }
 
     /// Resumes the generation at the engine that it was to leave, because the destination did not
-    /// take it: the copy is still unused, and the engine that made it keeps its memory. The owner can choose
-    /// another destination if the engine stays up long enough.
+    /// take it. The owner can choose another destination if the engine stays up long enough.
     pub(super) async fn resume_at_source(
         &mut self,
         source: &Arc<Target>,
         resume: Resume,
         failure: ResumeError,
-    ) -> Result<(), Arc<str>> {
+    ) -> Option<RelayEnd> {
         let resumed = self.resume_at(source, resume).await;
-        resumed.map_err(|at_source| {
-            let (failed, reason) = (failure.reason, at_source.reason);
-            format!("{failed}; resuming at the source failed: {reason}").into()
+        let why = |at_source: ResumeError| {
+            format!(
+                "{}; resuming at the source failed: {}",
+                failure.reason, at_source.reason
+            )
+        };
+        resumed.err().map(|at_source| RelayEnd::EngineFailed {
+            cause: Cause::ConnectionLost,
+            reason: why(at_source).into(),
         })
     }
 
