--- a/tests/platform/copied_refusals.rs
+++ b/tests/platform/copied_refusals.rs
@@ -1,20 +1,14 @@
 //! Copies of refusals that come late, on the connection that carried the refused request.
 
-use std::time::Duration;
-
 use smol::Timer;
 
-use crate::support::{Caller, Instance, Links, Mode, Platform, all_events, served_again};
+use crate::support::{
+    Caller, Instance, Links, MODE_TIME, Mode, Platform, all_events, cut_off, served_again,
+};
 
 /// How many batches of how many requests at the same time are sent. One at a time uses the same connection again
 /// and again; generations go to further engines only beside others.
 const BATCHES: [(usize, usize); 2] = [(40, 1), (12, 16)];
-/// Time for the links to take on a new mode.
-const MODE_TIME: Duration = Duration::from_millis(60);
-/// Time after the start of a cut from which on requests go through other instances.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Requests that bring an instance to know that connections to its targets don't open.
-const FIRST_REQUESTS: usize = 6;
 
 /// Lists each target under the ids of earlier starts too, at the same address, as after restarts while the earlier
 /// entries last. It refuses what is sent to them.
@@ -73,20 +67,6 @@
     broken
 }
 
-/// Cuts an instance off from its targets, and waits until it knows.
-async fn cut(entry: &Instance, links: &Links) {
-    links.set_mode(Mode::RefuseNew);
-    // Connections that are reset are opened again at once, which must fail.
-    Timer::after(MODE_TIME).await;
-    links.reset_connections();
-    let caller = Caller::new("key-1");
-    for number in 0..FIRST_REQUESTS {
-        let id = format!("cut-{number}");
-        caller.call(entry.addr, "GET", "/titles/1", &id).await;
-    }
-    Timer::after(CONTACT_TIME).await;
-}
-
 /// Guards against taking the copy of a refusal for the answer to a request that was sent again over the same
 /// connection, under another id of the process at its end: it runs twice, or its caller is told that it has not run.
 #[test]
@@ -112,7 +92,7 @@
         let (relay, links) = platform.instance_with_links("copied-relay").await;
         served_again(&entry, "copied-entry").await;
         list_earlier_starts(&platform, &[(&entry, &cut_links), (&relay, &links)]);
-        cut(&entry, &cut_links).await;
+        cut_off(&entry, &cut_links).await;
         links.set_mode(Mode::CopyRefusals);
         Timer::after(MODE_TIME).await;
         let broken = send_both_kinds(&platform, &entry).await;
--- a/tests/platform/extra_answers.rs
+++ b/tests/platform/extra_answers.rs
@@ -1,20 +1,15 @@
 //! Answers that may not belong to the request that is waiting for one. Whether that request ran is then unknown.
 
-use std::time::Duration;
-
 use platform_standin::peer::Peer;
 use smol::Timer;
 
-use crate::support::{Caller, Extra, Instance, Links, Mode, Platform, all_events, served_again};
+use crate::support::{
+    CONTACT_TIME, Caller, Extra, Instance, Links, MODE_TIME, Mode, Platform, all_events, cut_off,
+    served_again,
+};
 
 /// Requests of each kind for each kind of extra answer.
 const REQUESTS: usize = 6;
-/// Time for the links to take on a new mode.
-const MODE_TIME: Duration = Duration::from_millis(60);
-/// Time after the start of a cut from which on requests go through other instances.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
-/// Requests that bring an instance to know that connections to its targets don't open.
-const FIRST_REQUESTS: usize = 6;
 
 /// Opens connections to all targets and returns them to the pool.
 async fn warm_up(instance: &Instance, name: &str) {
@@ -96,26 +91,12 @@
         let platform = Platform::start().await;
         let (entry, cut_links) = platform.instance_with_links("extra-entry").await;
         let (_relay, links) = platform.instance_with_links("extra-relay").await;
-        cut(&entry, &cut_links).await;
+        cut_off(&entry, &cut_links).await;
         check_extra_answers(&platform, &entry, &links).await;
         assert!(entry.events().contains(&"RequestRelayed".to_owned()));
     });
 }
 
-/// Cuts an instance off from its targets, and waits until it knows.
-async fn cut(entry: &Instance, links: &Links) {
-    links.set_mode(Mode::RefuseNew);
-    // Connections that are reset are opened again at once, which must fail.
-    Timer::after(MODE_TIME).await;
-    links.reset_connections();
-    let caller = Caller::new("key-1");
-    for number in 0..FIRST_REQUESTS {
-        let id = format!("cut-{number}");
-        caller.call(entry.addr, "GET", "/titles/1", &id).await;
-    }
-    Timer::after(CONTACT_TIME).await;
-}
-
 /// Guards against taking the answer of an instance that does not tell what became of a request, such as the
 /// one after a panic or that of another process at its address, for "nothing was sent".
 #[test]
@@ -127,7 +108,7 @@
             let (entry, links) = platform.instance_with_links("relay-entry").await;
             let target = platform.plain[0].addr().expect("it listens");
             Peer::start_failing_relay(&platform.store, "relay-failing", target, status).await;
-            cut(&entry, &links).await;
+            cut_off(&entry, &links).await;
             // The entry knows of the failing instance first, and prefers it as long as it says that it
             // reaches the target.
             let _other = platform.instance_without_links("relay-other").await;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -33,6 +33,12 @@
 const EVENTUALLY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Environment variable that names a folder in which the output of all instances is kept.
 const KEPT_LOGS: &str = "CELERYSTAND_TEST_LOGS";
+/// Time for links to take on a new mode.
+pub const MODE_TIME: Duration = Duration::from_millis(60);
+/// Time after the start of a cut from which on requests go through other instances.
+pub const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Requests that bring an instance to know that connections to its targets don't open.
+const FIRST_REQUESTS: usize = 6;
 /// Time between two polls of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -460,6 +466,20 @@
     std::array::from_fn(|_| free_addr().expect("a free port"))
 }
 
+/// Cuts an instance off from its targets, and waits until it knows.
+pub async fn cut_off(entry: &Instance, links: &Links) {
+    links.set_mode(Mode::RefuseNew);
+    // Connections that are reset are opened again at once, which must fail.
+    smol::Timer::after(MODE_TIME).await;
+    links.reset_connections();
+    let caller = Caller::new("key-1");
+    for number in 0..FIRST_REQUESTS {
+        let id = format!("cut-{number}");
+        caller.call(entry.addr, "GET", "/titles/1", &id).await;
+    }
+    smol::Timer::after(CONTACT_TIME).await;
+}
+
 /// Waits until a call that must run once and a generation are served.
 pub async fn served_again(instance: &Instance, name: &str) {
     eventually("requests are served again", || async {
