--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -455,7 +455,7 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "r"
-internal_ports = [{internal},{internal + 15}]
+internal_ports = [{internal},{min(internal + 15, 65535)}]
 seeds = [{seeds}]
 bootstrap = true
 count_toward_tolerance = false
@@ -506,7 +506,7 @@
         self.name, self.ip, self.folder = name, ip, folder
         ports = set()
         while len(ports) < 4:
-            ports.add(random.randrange(20000, 30000))
+            ports.add(free_port(ip))
         ports = sorted(ports)
         self.front, self.ready = (ip, ports[0]), (ip, ports[1])
         self.control, self.internal = (ip, ports[2]), (ip, ports[3])
